Frame: kernel, wire, outside interfaces, HTTP caller, links, one binary

Cause: nothing existed. Change: the parts that every role is built from, with the contracts between them written down first, so that roles can be built side by side.

--- /dev/null
+++ b/app/src/main/java/org/wisteriapost/app/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Placeholder.
+ */
+package org.wisteriapost.app;
--- /dev/null
+++ b/kernel/src/main/java/org/wisteriapost/kernel/EventLoop.java
@@ -0,0 +1,117 @@
+package org.wisteriapost.kernel;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.ExceptionHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutException;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import com.lmax.disruptor.util.DaemonThreadFactory;
+
+/**
+ * One bounded ring of events with one consumer, so that a role's state needs no locks.
+ *
+ * The ring is bounded so that a burst is refused at the door instead of growing the heap
+ * until every caller times out. The consumer blocks while idle: a spinning wait would
+ * alone exceed the 1.5 % of a core that control may cost on a node.
+ *
+ * @param <E> the role's event type
+ */
+public final class EventLoop<E> implements AutoCloseable {
+
+	private static final Logger LOG = System.getLogger(EventLoop.class.getName());
+
+	private static final long SHUTDOWN_SECONDS = 5;
+
+	private final Disruptor<Slot<E>> disruptor;
+
+	private final RingBuffer<Slot<E>> ring;
+
+	private EventLoop(Disruptor<Slot<E>> disruptor) {
+		this.disruptor = disruptor;
+		this.ring = disruptor.getRingBuffer();
+	}
+
+	/**
+	 * Returns a running loop.
+	 * @param size the ring's capacity in events, a power of two
+	 */
+	public static <E> EventLoop<E> start(String name, int size, Consumer<E> consumer) {
+		Objects.requireNonNull(consumer, "consumer");
+		Disruptor<Slot<E>> disruptor = new Disruptor<>(Slot::new, size, (task) -> {
+			Thread thread = DaemonThreadFactory.INSTANCE.newThread(task);
+			thread.setName(name);
+			return thread;
+		}, ProducerType.MULTI, new BlockingWaitStrategy());
+		disruptor.setDefaultExceptionHandler(new LogAndContinue<>(name));
+		disruptor.handleEventsWith((slot, sequence, endOfBatch) -> consumer.accept(slot.take()));
+		disruptor.start();
+		return new EventLoop<>(disruptor);
+	}
+
+	/**
+	 * Returns whether the event was taken; false means the ring is full and the event's
+	 * sender must refuse its work as not run.
+	 */
+	public boolean offer(E event) {
+		return this.ring.tryPublishEvent((slot, sequence, value) -> slot.event = value, event);
+	}
+
+	/**
+	 * Waits for room and publishes. Only for events that end work that is already
+	 * admitted (an answer's end, a loss): dropping those would leak the admission slot.
+	 */
+	public void put(E event) {
+		this.ring.publishEvent((slot, sequence, value) -> slot.event = value, event);
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.disruptor.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOG.log(Level.WARNING, "event-loop-halted: events were left behind", ex);
+			this.disruptor.halt();
+		}
+	}
+
+	private static final class Slot<E> {
+
+		private E event;
+
+		private E take() {
+			E taken = this.event;
+			this.event = null;
+			return taken;
+		}
+
+	}
+
+	private record LogAndContinue<T>(String name) implements ExceptionHandler<T> {
+
+		// One caller's broken event must not end the loop for all the others.
+		@Override
+		public void handleEventException(Throwable ex, long sequence, T event) {
+			LOG.log(Level.ERROR, "event-failed: loop " + this.name, ex);
+		}
+
+		@Override
+		public void handleOnStartException(Throwable ex) {
+			LOG.log(Level.ERROR, "event-loop-start-failed: loop " + this.name, ex);
+		}
+
+		@Override
+		public void handleOnShutdownException(Throwable ex) {
+			LOG.log(Level.ERROR, "event-loop-stop-failed: loop " + this.name, ex);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/wisteriapost/kernel/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands of the one binary; each registers itself.
+ */
+package org.wisteriapost.kernel.command;
--- /dev/null
+++ b/kernel/src/main/java/org/wisteriapost/kernel/settings/Setting.java
@@ -0,0 +1,158 @@
+package org.wisteriapost.kernel.settings;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.Findings;
+
+/**
+ * One key of the settings: where it stands, what it may hold, its default and its
+ * documentation.
+ *
+ * @param <T> the value's type
+ * @param section the section, or {@code kind NAME} for one that stands once for each name
+ * @param key the key
+ * @param shape what may be written, for findings and the reference page
+ * @param parser turns text into a value or throws
+ * @param fallback the default as written; empty when the key must be given
+ * @param doc one sentence with the unit
+ */
+public record Setting<T>(String section, String key, String shape, Function<String, T> parser,
+		Optional<String> fallback, String doc) {
+
+	/** A required key is not there. */
+	public static final Code SETTING_MISSING = Code.error("setting-missing", "A key without a default is absent.");
+
+	/** A value cannot be read. */
+	public static final Code SETTING_INVALID = Code.error("setting-invalid", "A value is not of its key's shape.");
+
+	/**
+	 * Returns a key for any text.
+	 */
+	public static Setting<String> text(String section, String key, String doc) {
+		return new Setting<>(section, key, "text", Function.identity(), Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns a key for a whole number within bounds.
+	 */
+	public static Setting<Long> number(String section, String key, long min, long max, String doc) {
+		return new Setting<>(section, key, "a whole number from " + min + " to " + max, (value) -> {
+			long number = Long.parseLong(value);
+			if (number < min || number > max) {
+				throw new IllegalArgumentException("out of bounds");
+			}
+			return number;
+		}, Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns a key for a fraction within bounds.
+	 */
+	public static Setting<Double> fraction(String section, String key, double min, double max, String doc) {
+		return new Setting<>(section, key, "a number from " + min + " to " + max, (value) -> {
+			double number = Double.parseDouble(value);
+			if (!(number >= min && number <= max)) {
+				throw new IllegalArgumentException("out of bounds");
+			}
+			return number;
+		}, Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns a key for a time span in milliseconds.
+	 */
+	public static Setting<Duration> millis(String section, String key, long min, long max, String doc) {
+		Setting<Long> number = number(section, key, min, max, doc);
+		return new Setting<>(section, key, number.shape() + " (milliseconds)",
+				(value) -> Duration.ofMillis(number.parser().apply(value)), Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns a key for an HTTP address with an IP number.
+	 */
+	public static Setting<URI> address(String section, String key, String doc) {
+		return new Setting<>(section, key, "http://IP:PORT", (value) -> {
+			URI uri = URI.create(value);
+			if (uri.getScheme() == null || uri.getHost() == null || !uri.getHost().matches("[0-9.]+|\\[.*]")) {
+				throw new IllegalArgumentException("no IP number");
+			}
+			return uri;
+		}, Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns a key for a file's path.
+	 */
+	public static Setting<Path> file(String section, String key, String doc) {
+		return new Setting<>(section, key, "a file's path", Path::of, Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns a key that is {@code true} or {@code false}.
+	 */
+	public static Setting<Boolean> flag(String section, String key, String doc) {
+		return new Setting<>(section, key, "true or false", (value) -> switch (value) {
+			case "true" -> true;
+			case "false" -> false;
+			default -> throw new IllegalArgumentException("neither");
+		}, Optional.empty(), doc);
+	}
+
+	/**
+	 * Returns this key with a default.
+	 */
+	public Setting<T> orElse(String value) {
+		return new Setting<>(this.section, this.key, this.shape, this.parser, Optional.of(value), this.doc);
+	}
+
+	/**
+	 * Returns the value in a section, or the default; adds a finding and returns empty
+	 * when there is neither or it cannot be read.
+	 * @param name the section to read, for a key of {@code kind NAME} sections
+	 */
+	public Optional<T> read(Settings settings, String name, Findings findings) {
+		Optional<String> written = settings.text(name, this.key).or(() -> this.fallback);
+		if (written.isEmpty()) {
+			findings.add(SETTING_MISSING, settings.locate(name, this.key), "no value", "write " + this.shape);
+			return Optional.empty();
+		}
+		try {
+			return Optional.of(this.parser.apply(written.get()));
+		}
+		catch (RuntimeException ex) {
+			findings.add(SETTING_INVALID, settings.locate(name, this.key), "\"" + written.get() + "\" is not accepted",
+					"write " + this.shape);
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Returns the value in this key's own section.
+	 */
+	public Optional<T> read(Settings settings, Findings findings) {
+		return read(settings, this.section, findings);
+	}
+
+	/**
+	 * Returns the value after the settings were checked whole.
+	 */
+	public T get(Settings settings) {
+		return get(settings, this.section);
+	}
+
+	/**
+	 * Returns the value of a named section after the settings were checked whole.
+	 */
+	public T get(Settings settings, String name) {
+		Findings findings = new Findings();
+		Optional<T> value = read(settings, name, findings);
+		findings.throwIfAny();
+		return value.orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/wisteriapost/kernel/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * INI settings, checked whole before anything starts.
+ */
+package org.wisteriapost.kernel.settings;
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -0,0 +1,90 @@
+package org.wisteriapost.protocol.http;
+
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+
+/**
+ * Idle connections by host and port. A connection comes back only after a whole answer,
+ * so no late answer of one call can be read as another's.
+ */
+final class ConnectionPool {
+
+	private static final int MAX_IDLE_PER_HOST = 64;
+
+	// Shorter than a server's usual idle limit, so that it is seldom the server that
+	// closes first.
+	private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+	private final XnioWorker worker;
+
+	private final ByteBufferPool buffers;
+
+	private final Map<String, Deque<Idle>> idle = new HashMap<>();
+
+	ConnectionPool(XnioWorker worker, ByteBufferPool buffers) {
+		this.worker = worker;
+		this.buffers = buffers;
+	}
+
+	ByteBufferPool buffers() {
+		return this.buffers;
+	}
+
+	XnioWorker worker() {
+		return this.worker;
+	}
+
+	synchronized Optional<ClientConnection> take(URI target) {
+		Deque<Idle> list = this.idle.getOrDefault(target.getAuthority(), new ArrayDeque<>());
+		while (!list.isEmpty()) {
+			Idle candidate = list.pollFirst();
+			if (candidate.usable()) {
+				return Optional.of(candidate.connection);
+			}
+			IoUtils.safeClose(candidate.connection);
+		}
+		return Optional.empty();
+	}
+
+	synchronized void giveBack(URI target, ClientConnection connection) {
+		Deque<Idle> list = this.idle.computeIfAbsent(target.getAuthority(), (host) -> new ArrayDeque<>());
+		if (!connection.isOpen() || list.size() >= MAX_IDLE_PER_HOST) {
+			IoUtils.safeClose(connection);
+			return;
+		}
+		list.addFirst(new Idle(connection, System.nanoTime()));
+	}
+
+	void connect(URI target, ClientCallback<ClientConnection> callback) {
+		OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
+		UndertowClient.getInstance().connect(callback, target, this.worker, this.buffers, options);
+	}
+
+	synchronized void close() {
+		this.idle.values().forEach((list) -> list.forEach((one) -> IoUtils.safeClose(one.connection)));
+		this.idle.clear();
+	}
+
+	private record Idle(ClientConnection connection, long sinceNanos) {
+
+		private boolean usable() {
+			return this.connection.isOpen() && System.nanoTime() - this.sinceNanos < MAX_IDLE_NANOS;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
@@ -0,0 +1,227 @@
+package org.wisteriapost.protocol.http;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One call in progress over one connection, which no other call uses until it has ended.
+ */
+final class Exchange implements HttpExchange {
+
+	private final HttpCall call;
+
+	private final HttpListener listener;
+
+	private final ConnectionPool pool;
+
+	private final AtomicBoolean done = new AtomicBoolean();
+
+	private volatile ClientConnection connection;
+
+	private volatile StreamSourceChannel answer;
+
+	private volatile boolean sent;
+
+	private volatile boolean paused;
+
+	private volatile XnioExecutor.Key timer;
+
+	Exchange(HttpCall call, HttpListener listener, ConnectionPool pool) {
+		this.call = call;
+		this.listener = listener;
+		this.pool = pool;
+	}
+
+	void start() {
+		this.timer = this.pool.worker()
+			.getIoThread()
+			.executeAfter(() -> fail(new TimeoutException("no whole answer in " + this.call.timeout())),
+					this.call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+		Optional<ClientConnection> pooled = this.pool.take(this.call.target());
+		if (pooled.isPresent()) {
+			ClientConnection reused = pooled.get();
+			reused.getIoThread().execute(() -> send(reused));
+			return;
+		}
+		this.pool.connect(this.call.target(), new Step<>(this::send));
+	}
+
+	@Override
+	public void cancel() {
+		fail(new IOException("cancelled"));
+	}
+
+	@Override
+	public void pause() {
+		this.paused = true;
+	}
+
+	@Override
+	public void resume() {
+		this.paused = false;
+		StreamSourceChannel channel = this.answer;
+		if (channel != null) {
+			channel.getIoThread().execute(() -> read(channel));
+		}
+	}
+
+	private void send(ClientConnection to) {
+		this.connection = to;
+		if (this.done.get()) {
+			IoUtils.safeClose(to);
+			return;
+		}
+		URI target = this.call.target();
+		String query = (target.getRawQuery() != null) ? "?" + target.getRawQuery() : "";
+		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
+			.setPath((target.getRawPath().isEmpty() ? "/" : target.getRawPath()) + query);
+		request.getRequestHeaders().put(Headers.HOST, target.getAuthority());
+		this.call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+		if (this.call.body().length > 0 || !"GET".equals(this.call.method())) {
+			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, this.call.body().length);
+		}
+		this.sent = true;
+		to.sendRequest(request, new Step<>(this::exchange));
+	}
+
+	private void exchange(ClientExchange exchange) {
+		exchange.setResponseListener(new Step<>(this::answer));
+		write(exchange.getRequestChannel(), ByteBuffer.wrap(this.call.body()));
+	}
+
+	private void write(StreamSinkChannel channel, ByteBuffer body) {
+		try {
+			while (body.hasRemaining()) {
+				if (channel.write(body) == 0) {
+					channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) (same) -> write(same, body));
+					channel.resumeWrites();
+					return;
+				}
+			}
+			channel.shutdownWrites();
+			if (!channel.flush()) {
+				channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) this::flush);
+				channel.resumeWrites();
+			}
+		}
+		catch (IOException ex) {
+			fail(ex);
+		}
+	}
+
+	private void flush(StreamSinkChannel channel) {
+		try {
+			if (channel.flush()) {
+				channel.suspendWrites();
+			}
+		}
+		catch (IOException ex) {
+			fail(ex);
+		}
+	}
+
+	private void answer(ClientExchange exchange) {
+		ClientResponse response = exchange.getResponse();
+		Map<String, String> headers = new HashMap<>();
+		response.getResponseHeaders()
+			.forEach((header) -> headers.put(header.getHeaderName().toString().toLowerCase(Locale.ROOT),
+					header.getFirst()));
+		this.answer = exchange.getResponseChannel();
+		if (!this.done.get()) {
+			this.listener.onHead(response.getResponseCode(), headers);
+			read(this.answer);
+		}
+	}
+
+	private void read(StreamSourceChannel channel) {
+		if (this.done.get()) {
+			return;
+		}
+		try (PooledByteBuffer pooled = this.pool.buffers().allocate()) {
+			ByteBuffer buffer = pooled.getBuffer();
+			while (!this.done.get()) {
+				if (this.paused) {
+					channel.suspendReads();
+					return;
+				}
+				buffer.clear();
+				int count = channel.read(buffer);
+				if (count < 0) {
+					end();
+					return;
+				}
+				if (count == 0) {
+					channel.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::read);
+					channel.resumeReads();
+					return;
+				}
+				byte[] data = new byte[count];
+				buffer.flip().get(data);
+				this.listener.onData(data);
+			}
+		}
+		catch (IOException ex) {
+			fail(ex);
+		}
+	}
+
+	private void end() {
+		if (this.done.compareAndSet(false, true)) {
+			this.timer.remove();
+			this.pool.giveBack(this.call.target(), this.connection);
+			this.listener.onEnd();
+		}
+	}
+
+	private void fail(Throwable cause) {
+		if (this.done.compareAndSet(false, true)) {
+			this.timer.remove();
+			IoUtils.safeClose(this.connection);
+			this.listener.onFailure(this.sent, cause);
+		}
+	}
+
+	/** One asynchronous step; its failure is the call's. */
+	private final class Step<T> implements ClientCallback<T> {
+
+		private final java.util.function.Consumer<T> next;
+
+		private Step(java.util.function.Consumer<T> next) {
+			this.next = next;
+		}
+
+		@Override
+		public void completed(T result) {
+			this.next.accept(result);
+		}
+
+		@Override
+		public void failed(IOException ex) {
+			fail(ex);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCaller.java
@@ -0,0 +1,135 @@
+package org.wisteriapost.protocol.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.CodedException;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Calls over pooled connections of Undertow's client. One caller serves a whole process.
+ */
+public final class HttpCaller implements AutoCloseable {
+
+	/** The answer did not come whole. */
+	public static final Code HTTP_FAILED = Code.warning("http-call-failed",
+			"An HTTP call to an outside system did not get its whole answer.");
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final int MAX_WHOLE_BODY_BYTES = 16 << 20;
+
+	private final XnioWorker worker;
+
+	private final ConnectionPool pool;
+
+	private HttpCaller(XnioWorker worker, ByteBufferPool buffers) {
+		this.worker = worker;
+		this.pool = new ConnectionPool(worker, buffers);
+	}
+
+	/**
+	 * Returns a caller with its own I/O threads.
+	 */
+	public static HttpCaller create(int ioThreads) {
+		try {
+			XnioWorker worker = Xnio.getInstance()
+				.createWorker(OptionMap.builder()
+					.set(Options.WORKER_IO_THREADS, ioThreads)
+					.set(Options.WORKER_TASK_CORE_THREADS, 0)
+					.set(Options.WORKER_TASK_MAX_THREADS, 1)
+					.set(Options.THREAD_DAEMON, true)
+					.set(Options.TCP_NODELAY, true)
+					.set(Options.WORKER_NAME, "http-call")
+					.getMap());
+			return new HttpCaller(worker, new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4));
+		}
+		catch (IOException ex) {
+			throw CodedException.of(HTTP_FAILED, "no I/O threads: " + ex.getMessage(), ex);
+		}
+	}
+
+	/**
+	 * Returns the whole answer; a failed future carries {@link #HTTP_FAILED} with an
+	 * {@link HttpFailure} as its cause.
+	 */
+	public CompletableFuture<HttpReply> call(HttpCall call) {
+		CompletableFuture<HttpReply> future = new CompletableFuture<>();
+		HttpExchange exchange = stream(call, new WholeAnswer(future, call));
+		future.whenComplete((reply, failure) -> {
+			if (future.isCancelled()) {
+				exchange.cancel();
+			}
+		});
+		return future;
+	}
+
+	/**
+	 * Starts a call whose answer is heard piece by piece.
+	 */
+	public HttpExchange stream(HttpCall call, HttpListener listener) {
+		Exchange exchange = new Exchange(call, listener, this.pool);
+		exchange.start();
+		return exchange;
+	}
+
+	@Override
+	public void close() {
+		this.pool.close();
+		this.worker.shutdownNow();
+	}
+
+	private static final class WholeAnswer implements HttpListener {
+
+		private final CompletableFuture<HttpReply> future;
+
+		private final HttpCall call;
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private int status;
+
+		private Map<String, String> headers = Map.of();
+
+		private WholeAnswer(CompletableFuture<HttpReply> future, HttpCall call) {
+			this.future = future;
+			this.call = call;
+		}
+
+		@Override
+		public void onHead(int status, Map<String, String> headers) {
+			this.status = status;
+			this.headers = headers;
+		}
+
+		@Override
+		public void onData(byte[] data) {
+			if (this.body.size() + data.length > MAX_WHOLE_BODY_BYTES) {
+				this.future.completeExceptionally(CodedException.of(HTTP_FAILED, "answer over the size limit"));
+				return;
+			}
+			this.body.writeBytes(data);
+		}
+
+		@Override
+		public void onEnd() {
+			this.future.complete(new HttpReply(this.status, this.headers, this.body.toByteArray()));
+		}
+
+		@Override
+		public void onFailure(boolean sent, Throwable cause) {
+			String detail = this.call.method() + " " + this.call.target() + ": " + cause.getMessage();
+			this.future.completeExceptionally(CodedException.of(HTTP_FAILED, detail, new HttpFailure(sent, cause)));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpReply.java
@@ -0,0 +1,22 @@
+package org.wisteriapost.protocol.http;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One whole HTTP answer.
+ *
+ * @param status the status code
+ * @param headers by lower-case name
+ * @param body the whole body
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+
+	/**
+	 * Returns a header by name in any case.
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.headers.get(name.toLowerCase(java.util.Locale.ROOT)));
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls over Undertow's client.
+ */
+package org.wisteriapost.protocol.http;
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/link/LinkChannel.java
@@ -0,0 +1,109 @@
+package org.wisteriapost.protocol.link;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.wisteriapost.protocol.wire.Frame;
+
+/**
+ * Turns one Netty channel into a {@link Link}, and keeps it alive with empty frames.
+ */
+final class LinkChannel extends SimpleChannelInboundHandler<Frame> implements Link {
+
+	private static final Logger LOG = System.getLogger(LinkChannel.class.getName());
+
+	private static final Frame HEARTBEAT = Frame.getDefaultInstance();
+
+	private final LinkHandler handler;
+
+	private volatile Channel channel;
+
+	LinkChannel(LinkHandler handler) {
+		this.handler = handler;
+	}
+
+	@Override
+	public boolean send(Frame frame) {
+		if (!this.channel.isActive()) {
+			return false;
+		}
+		this.channel.writeAndFlush(frame);
+		return true;
+	}
+
+	@Override
+	public boolean writable() {
+		return this.channel.isWritable();
+	}
+
+	@Override
+	public String peer() {
+		InetSocketAddress address = (InetSocketAddress) this.channel.remoteAddress();
+		return (address != null) ? address.getAddress().getHostAddress() + ":" + address.getPort() : "closed";
+	}
+
+	@Override
+	public void close() {
+		this.channel.close();
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.channel = context.channel();
+		SslHandler tls = context.pipeline().get(SslHandler.class);
+		if (tls == null) {
+			this.handler.onOpen(this);
+			return;
+		}
+		tls.handshakeFuture().addListener((done) -> {
+			if (done.isSuccess()) {
+				this.handler.onOpen(this);
+			}
+		});
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+		if (frame.getBodyCase() != Frame.BodyCase.BODY_NOT_SET) {
+			this.handler.onFrame(this, frame);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.handler.onClosed(this);
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (context.channel().isWritable()) {
+			this.handler.onWritable(this);
+		}
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof IdleStateEvent idle) {
+			if (idle.state() == IdleState.WRITER_IDLE) {
+				context.writeAndFlush(HEARTBEAT);
+			}
+			else {
+				context.close();
+			}
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		LOG.log(Level.WARNING, "link-broken: " + cause);
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections between wisteriapost's own processes: Netty with protobuf frames.
+ */
+package org.wisteriapost.protocol.link;
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/Origin.java
@@ -0,0 +1,43 @@
+package org.wisteriapost.protocol.outside;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.wisteriapost.kernel.Code;
+
+/**
+ * The origin of weights. Every byte read from it is paid for.
+ */
+public interface Origin extends AutoCloseable {
+
+	/** The origin did not answer or answered short. */
+	Code UNAVAILABLE = Code.warning("origin-unavailable", "The origin of weights did not answer.");
+
+	/** What stands at the path is no longer the pinned version. */
+	Code CHANGED = Code.error("origin-version-changed",
+			"A file changed at the origin after the bundle pinned it; nothing of it is taken.");
+
+	/**
+	 * Returns the bytes of a range of exactly the pinned version, sent as If-Match.
+	 */
+	CompletableFuture<byte[]> read(String path, String etag, long offset, int length);
+
+	/**
+	 * Returns the publisher's manifest of a path: size, chunk size and chunk hashes.
+	 */
+	CompletableFuture<Manifest> manifest(String path);
+
+	@Override
+	void close();
+
+	/**
+	 * What the publisher says of a file.
+	 *
+	 * @param etag the validator of this content
+	 * @param size in bytes
+	 * @param chunkBytes size of every chunk but the last
+	 * @param chunks lower-case hex SHA-256 of each
+	 */
+	record Manifest(String etag, long size, int chunkBytes, java.util.List<String> chunks) {
+	}
+
+}
--- /dev/null
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -0,0 +1,120 @@
+package org.wisteriapost.protocol.http;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.IoUtils;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class HttpCallerTests {
+
+	private static final Duration SHORT = Duration.ofMillis(300);
+
+	private static final Duration LONG = Duration.ofSeconds(20);
+
+	private final HttpCaller caller = HttpCaller.create(1);
+
+	private Undertow server;
+
+	@BeforeEach
+	void start() {
+		this.server = Undertow.builder()
+			.addHttpListener(0, "127.0.0.1")
+			.setIoThreads(1)
+			.setHandler(HttpCallerTests::answer)
+			.build();
+		this.server.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.caller.close();
+		this.server.stop();
+	}
+
+	@Test
+	void wholeAnswerComesBackAndItsConnectionIsReused() {
+		for (int i = 0; i < 20; i++) {
+			byte[] body = "b".repeat(i * 5000).getBytes(StandardCharsets.UTF_8);
+			HttpReply reply = this.caller.call(HttpCall.of("PUT", at("/echo"), LONG).body(body)).join();
+			assertThat(reply.status(), is(200));
+			assertThat(reply.body(), is(body));
+		}
+	}
+
+	@Test
+	void refusedConnectionIsKnownNotToHaveBeenSent() {
+		URI closed = URI.create("http://127.0.0.1:1/");
+		assertThat(failure(HttpCall.of("GET", closed, LONG)).sent(), is(false));
+	}
+
+	@Test
+	void cutAnswerFailsAndMayHaveRun() {
+		assertThat(failure(HttpCall.of("GET", at("/cut"), LONG)).sent(), is(true));
+	}
+
+	// The caller gives up on a slow answer; the answer comes later; the next call must
+	// not
+	// read it. The connection of the first call is closed, so there is nothing left to
+	// read.
+	@Test
+	void lateAnswerIsNeverTakenForTheNextCalls() {
+		failure(HttpCall.of("GET", at("/slow"), SHORT));
+		HttpReply reply = this.caller.call(HttpCall.of("GET", at("/name"), LONG)).join();
+		assertThat(new String(reply.body(), StandardCharsets.UTF_8), equalTo("name"));
+	}
+
+	private HttpFailure failure(HttpCall call) {
+		CompletionException ex = assertThrows(CompletionException.class, () -> this.caller.call(call).join());
+		return (HttpFailure) ex.getCause().getCause();
+	}
+
+	private URI at(String path) {
+		AtomicReference<Integer> port = new AtomicReference<>();
+		this.server.getListenerInfo().forEach((info) -> port.set(((InetSocketAddress) info.getAddress()).getPort()));
+		return URI.create("http://127.0.0.1:" + port.get() + path);
+	}
+
+	private static void answer(HttpServerExchange exchange) {
+		switch (exchange.getRequestPath()) {
+			case "/echo" -> exchange.getRequestReceiver()
+				.receiveFullBytes((same, bytes) -> same.getResponseSender().send(java.nio.ByteBuffer.wrap(bytes)));
+			case "/cut" -> {
+				exchange.setResponseContentLength(100);
+				exchange.getResponseSender().send("short", new io.undertow.io.IoCallback() {
+					@Override
+					public void onComplete(HttpServerExchange same, io.undertow.io.Sender sender) {
+						IoUtils.safeClose(same.getConnection());
+					}
+
+					@Override
+					public void onException(HttpServerExchange same, io.undertow.io.Sender sender,
+							java.io.IOException ex) {
+						IoUtils.safeClose(same.getConnection());
+					}
+				});
+			}
+			case "/slow" -> {
+				exchange.dispatch();
+				exchange.getIoThread()
+					.executeAfter(() -> exchange.getResponseSender().send("late"), 600,
+							java.util.concurrent.TimeUnit.MILLISECONDS);
+			}
+			default -> exchange.getResponseSender().send(exchange.getRequestPath().substring(1));
+		}
+	}
+
+}
