Entry: process, HTTP front, links, head and membership, thin

Change: the entry command with its settings, the HTTP front, the links to agents and other entries, the head with its bundle, the VM list and the marks, draining.

--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
@@ -0,0 +1,157 @@
+package org.wisteriapost.entry;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.Findings;
+import org.wisteriapost.kernel.settings.CommonSettings;
+import org.wisteriapost.kernel.settings.Setting;
+import org.wisteriapost.kernel.settings.Settings;
+import org.wisteriapost.kernel.settings.SettingsSchema;
+
+/**
+ * Keys that an entry reads.
+ */
+public final class EntrySettings implements SettingsSchema {
+
+	/** The entry's own section. */
+	public static final String SECTION = "entry";
+
+	/** The kind of sections that name organisations. */
+	public static final String ORGANISATION = "organisation";
+
+	/** Where callers connect. */
+	public static final Setting<String> HTTP_HOST = Setting.text(SECTION, "http-host",
+			"IP number that callers connect to.");
+
+	/** The port that callers connect to. */
+	public static final Setting<Long> HTTP_PORT = Setting
+		.number(SECTION, "http-port", 0, 65535, "Port that callers connect to; 0 chooses a free one.")
+		.orElse("0");
+
+	/** Where other entries connect. */
+	public static final Setting<String> LINK_HOST = Setting.text(SECTION, "link-host",
+			"IP number that other entries connect to.");
+
+	/** The port that other entries connect to. */
+	public static final Setting<Long> LINK_PORT = Setting
+		.number(SECTION, "link-port", 0, 65535, "Port that other entries connect to; 0 chooses a free one.")
+		.orElse("0");
+
+	/** Bound on a request's body. */
+	public static final Setting<Long> MAX_BODY_BYTES = Setting
+		.number(SECTION, "max-body-bytes", 1024, 2 << 20, "Most bytes in a request's body.")
+		.orElse("1048576");
+
+	/** Bound on a request's head. */
+	public static final Setting<Long> MAX_HEADER_BYTES = Setting
+		.number(SECTION, "max-header-bytes", 1024, 1 << 20, "Most bytes in a request's headers.")
+		.orElse("16384");
+
+	/** Bound on connections. */
+	public static final Setting<Long> MAX_CONNECTIONS = Setting
+		.number(SECTION, "max-connections", 1, 1_000_000, "Most connections from callers at once.")
+		.orElse("4096");
+
+	/** Bound on requests in progress. */
+	public static final Setting<Long> MAX_STREAMS = Setting
+		.number(SECTION, "max-streams", 1, 1_000_000, "Most requests in progress at once, queued ones included.")
+		.orElse("2048");
+
+	/** Bound on events waiting for the loop. */
+	public static final Setting<Long> RING_SIZE = Setting
+		.number(SECTION, "ring-size", 64, 1 << 20, "Events that may wait for the event loop, a power of two.")
+		.orElse("8192");
+
+	/** Deadline of a request that names none. */
+	public static final Setting<Duration> DEFAULT_DEADLINE = Setting
+		.millis(SECTION, "default-deadline-ms", 1, 3_600_000, "Deadline of a request that does not name one.")
+		.orElse("30000");
+
+	/** The longest deadline. */
+	public static final Setting<Duration> MAX_DEADLINE = Setting
+		.millis(SECTION, "max-deadline-ms", 1, 3_600_000, "Longest deadline that a request may name.")
+		.orElse("600000");
+
+	/** Bound on the time a request's body takes. */
+	public static final Setting<Duration> BODY_TIMEOUT = Setting
+		.millis(SECTION, "body-timeout-ms", 10, 600_000,
+				"Time in which a request's head, and then its body, must come.")
+		.orElse("10000");
+
+	/** How long callers keep an address answer. */
+	public static final Setting<Long> KEEP_SECONDS = Setting.number(SECTION, "keep-seconds", 1, 2,
+			"Seconds that callers may keep the answer of /v1/entries; a VM that leaves is unnamed this long before it refuses.")
+		.orElse("1");
+
+	/** Bound on an answer that is held back until it is whole. */
+	public static final Setting<Long> MAX_HELD_BYTES = Setting
+		.number(SECTION, "max-held-bytes", 1024, 64 << 20,
+				"Most bytes of an answer that is held back until it is whole; a larger one is passed on from there.")
+		.orElse("1048576");
+
+	/** Bound on what waits for a slow caller. */
+	public static final Setting<Long> MAX_UNSENT_BYTES = Setting
+		.number(SECTION, "max-unsent-bytes", 4096, 64 << 20,
+				"Most bytes of one streamed answer that wait for its caller; past it the answer is cut.")
+		.orElse("1048576");
+
+	/** An organisation's token. */
+	public static final Setting<String> TOKEN = Setting
+		.text("organisation NAME", "token", "Bearer token of this organisation; or use token-file.")
+		.orElse("-");
+
+	/** The file with an organisation's token. */
+	public static final Setting<Path> TOKEN_FILE = Setting
+		.file("organisation NAME", "token-file",
+				"File with this organisation's bearer token; read again when it changes.")
+		.orElse("-");
+
+	/** An organisation's share. */
+	public static final Setting<Long> SHARE = Setting
+		.number("organisation NAME", "share", 1, 1000, "Weight of this organisation against the others.")
+		.orElse("1");
+
+	private static final Code TOKEN_MISSING = Code.error("organisation-token-missing",
+			"An organisation has neither a token nor a token file, or both.");
+
+	private static final Code RING_NOT_POWER = Code.error("ring-size-not-power-of-two",
+			"The event loop's ring must be a power of two.");
+
+	@Override
+	public List<Setting<?>> keys() {
+		return List.of(HTTP_HOST, HTTP_PORT, LINK_HOST, LINK_PORT, MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
+				MAX_STREAMS, RING_SIZE, DEFAULT_DEADLINE, MAX_DEADLINE, BODY_TIMEOUT, KEEP_SECONDS, MAX_HELD_BYTES,
+				MAX_UNSENT_BYTES, TOKEN, TOKEN_FILE, SHARE);
+	}
+
+	@Override
+	public void check(Settings settings, Findings findings) {
+		settings.named(ORGANISATION).forEach((name) -> checkToken(settings, ORGANISATION + " " + name, findings));
+		if (!settings.sections().contains(SECTION)) {
+			return;
+		}
+		// A whole section that is absent has no line of its own to be checked, so the
+		// keys without a default are asked for here.
+		List.of(CommonSettings.VM, CommonSettings.PLACE, CommonSettings.PLATFORM, CommonSettings.VM_LIST)
+			.stream()
+			.filter((setting) -> !settings.sections().contains(setting.section()))
+			.forEach((setting) -> setting.read(settings, findings));
+		RING_SIZE.read(settings, new Findings())
+			.filter((size) -> Long.bitCount(size) != 1)
+			.ifPresent((size) -> findings.add(RING_NOT_POWER, settings.locate(SECTION, RING_SIZE.key()),
+					size + " is not a power of two", "write 4096 or 8192"));
+	}
+
+	private static void checkToken(Settings settings, String section, Findings findings) {
+		boolean token = settings.text(section, TOKEN.key()).isPresent();
+		boolean file = settings.text(section, TOKEN_FILE.key()).isPresent();
+		if (token == file) {
+			findings.add(TOKEN_MISSING, settings.locate(section, ""), token ? "token and token-file" : "no token",
+					"write one of token and token-file");
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
@@ -0,0 +1,36 @@
+package org.wisteriapost.entry.caller;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.wisteriapost.policy.bundle.ServiceSpec;
+
+/**
+ * What the HTTP side may know of the entry's state; replaced whole by the event loop.
+ *
+ * @param generation of the bundle in force, 0 for none
+ * @param services by name
+ * @param entries addresses for callers
+ * @param leaving whether this entry refuses new requests because it leaves
+ * @param ready whether it has a bundle and a link to an agent
+ */
+public record ServiceView(long generation, Map<String, ServiceSpec> services, List<String> entries, boolean leaving,
+		boolean ready) {
+
+	/** Nothing is known yet. */
+	public static final ServiceView EMPTY = new ServiceView(0, Map.of(), List.of(), false, false);
+
+	public ServiceView {
+		services = Map.copyOf(services);
+		entries = List.copyOf(entries);
+	}
+
+	/**
+	 * Returns a service by name.
+	 */
+	Optional<ServiceSpec> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP side of an entry: what callers and monitoring see.
+ */
+package org.wisteriapost.entry.caller;
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
@@ -0,0 +1,114 @@
+package org.wisteriapost.entry.platform;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.wisteriapost.protocol.outside.Platform;
+
+/**
+ * Keeps one waiting watch on a prefix of the platform and tells all values under it after
+ * each answer, also after one without a change: that one confirms them.
+ */
+public final class PrefixWatch implements AutoCloseable {
+
+	private static final Logger LOG = System.getLogger(PrefixWatch.class.getName());
+
+	// A waiting watch counts as one call, so at rest an entry costs the platform a third
+	// of a read a second for each prefix; the wait also bounds how old a confirmation
+	// gets.
+	private static final Duration WAIT = Duration.ofSeconds(3);
+
+	// After an outage all entries come back at once; the jitter spreads them.
+	private static final long RETRY_MIN_MILLIS = 200;
+
+	private static final long RETRY_MAX_MILLIS = 800;
+
+	private final Platform platform;
+
+	private final ScheduledExecutorService timer;
+
+	private final String prefix;
+
+	private final Consumer<Map<String, byte[]>> listener;
+
+	private final Map<String, byte[]> values = new HashMap<>();
+
+	private volatile boolean closed;
+
+	private PrefixWatch(Platform platform, ScheduledExecutorService timer, String prefix,
+			Consumer<Map<String, byte[]>> listener) {
+		this.platform = platform;
+		this.timer = timer;
+		this.prefix = prefix;
+		this.listener = listener;
+	}
+
+	/**
+	 * Returns a running watch.
+	 */
+	public static PrefixWatch start(Platform platform, ScheduledExecutorService timer, String prefix,
+			Consumer<Map<String, byte[]>> listener) {
+		PrefixWatch watch = new PrefixWatch(platform, timer, prefix, listener);
+		watch.list();
+		return watch;
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+	}
+
+	private void list() {
+		if (this.closed) {
+			return;
+		}
+		this.platform.list(this.prefix).whenComplete((listing, failure) -> {
+			if (failure != null) {
+				retry(failure);
+				return;
+			}
+			this.values.clear();
+			take(listing);
+		});
+	}
+
+	private void watch(long revision) {
+		if (this.closed) {
+			return;
+		}
+		this.platform.watch(this.prefix, revision, WAIT).whenComplete((listing, failure) -> {
+			if (failure != null) {
+				retry(failure);
+				return;
+			}
+			take(listing);
+		});
+	}
+
+	private void take(Platform.Listing listing) {
+		listing.items().forEach((item) -> this.values.put(item.key(), item.value()));
+		this.listener.accept(Map.copyOf(this.values));
+		// From the timer's thread, so that answers that come at once do not nest.
+		schedule(() -> watch(listing.revision()), 0);
+	}
+
+	// A watch that failed may have missed a change, so the prefix is read whole again.
+	private void retry(Throwable failure) {
+		LOG.log(Level.WARNING, "watch-failed: prefix " + this.prefix + ": " + failure.getMessage());
+		schedule(this::list, ThreadLocalRandom.current().nextLong(RETRY_MIN_MILLIS, RETRY_MAX_MILLIS));
+	}
+
+	private void schedule(Runnable task, long millis) {
+		if (!this.closed) {
+			this.timer.schedule(task, millis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryMetrics.java
@@ -0,0 +1,102 @@
+package org.wisteriapost.entry.process;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToDoubleFunction;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import org.wisteriapost.entry.caller.Outcome;
+import org.wisteriapost.policy.request.Request;
+
+/**
+ * The figures of an entry. Times are in seconds, sizes in bytes; the page
+ * docs/operations/metrics.md lists them.
+ */
+public final class EntryMetrics {
+
+	// Bounds that latency objectives are set at; a report can only count against these.
+	private static final Duration[] BOUNDS = { Duration.ofMillis(5), Duration.ofMillis(25), Duration.ofMillis(100),
+			Duration.ofMillis(250), Duration.ofMillis(500), Duration.ofMillis(740), Duration.ofSeconds(1),
+			Duration.ofMillis(2500), Duration.ofSeconds(5), Duration.ofSeconds(10), Duration.ofSeconds(30) };
+
+	private final MeterRegistry registry;
+
+	private final Map<String, Counter> dropped = new ConcurrentHashMap<>();
+
+	private EntryMetrics(MeterRegistry registry) {
+		this.registry = registry;
+	}
+
+	/**
+	 * Returns the figures of one entry.
+	 */
+	public static EntryMetrics of(MeterRegistry registry) {
+		return new EntryMetrics(registry);
+	}
+
+	/**
+	 * Counts a final answer.
+	 * @param code empty for a whole answer
+	 */
+	void answered(Request request, Outcome outcome, String code, long tookNanos) {
+		Tags tags = Tags.of("organisation", request.organisation(), "service", request.service(), "priority",
+				request.priority().name().toLowerCase(Locale.ROOT), "outcome", outcome.text(), "code", code);
+		Timer.builder("wisteriapost.entry.request.duration")
+			.description("Time from a request's arrival to the end of its answer.")
+			.serviceLevelObjectives(BOUNDS)
+			.tags(tags)
+			.register(this.registry)
+			.record(Duration.ofNanos(tookNanos));
+	}
+
+	/**
+	 * Counts the time to an answer's first byte.
+	 */
+	void started(Request request, long tookNanos) {
+		Timer.builder("wisteriapost.entry.first.byte.duration")
+			.description("Time from a request's arrival to its answer's first byte.")
+			.serviceLevelObjectives(BOUNDS)
+			.tags("organisation", request.organisation(), "service", request.service())
+			.register(this.registry)
+			.record(Duration.ofNanos(tookNanos));
+	}
+
+	/**
+	 * Counts a frame that belongs to no call in progress.
+	 * @param why {@code late} or {@code crossed}
+	 */
+	void dropped(String why) {
+		this.dropped
+			.computeIfAbsent(why,
+					(reason) -> Counter.builder("wisteriapost.entry.frames.dropped")
+						.description("Frames of agents that belong to no call in progress.")
+						.tag("reason", reason)
+						.register(this.registry))
+			.increment();
+	}
+
+	/**
+	 * Counts a call sent to a runner.
+	 */
+	void dispatched(String service) {
+		Counter.builder("wisteriapost.entry.dispatches")
+			.description("Calls sent to runners, retries included.")
+			.tag("service", service)
+			.register(this.registry)
+			.increment();
+	}
+
+	/**
+	 * Shows a figure of the present.
+	 */
+	public <T> void gauge(String name, String description, T state, ToDoubleFunction<T> value) {
+		Gauge.builder(name, state, value).description(description).strongReference(true).register(this.registry);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -0,0 +1,318 @@
+package org.wisteriapost.entry.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import com.google.protobuf.ByteString;
+import org.wisteriapost.entry.caller.ServiceView;
+import org.wisteriapost.entry.link.PeerLink;
+import org.wisteriapost.entry.platform.BundleContent;
+import org.wisteriapost.kernel.Invariants;
+import org.wisteriapost.policy.bundle.Head;
+import org.wisteriapost.policy.bundle.ServiceSpec;
+import org.wisteriapost.policy.membership.Member;
+import org.wisteriapost.policy.membership.Membership;
+import org.wisteriapost.policy.request.RequestEvent;
+import org.wisteriapost.protocol.wire.Approval;
+import org.wisteriapost.protocol.wire.BundleReply;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Hello;
+import org.wisteriapost.protocol.wire.Leaving;
+import org.wisteriapost.protocol.wire.Role;
+
+/**
+ * All that an entry knows; the event loop's thread alone applies events to it.
+ */
+final class EntryState {
+
+	// Heads are pushed on change; now and then once more, for a neighbour that lost one
+	// and to renew how long ago the platform confirmed it.
+	private static final long REPEAT_HEAD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private static final long RETRY_BUNDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private final Identity identity;
+
+	private final EntryOutput output;
+
+	private final LongSupplier clock;
+
+	private final Calls calls;
+
+	private final HeadTracker heads;
+
+	private final Membership membership;
+
+	private final Draining draining;
+
+	private final PeerTable peers = new PeerTable();
+
+	private final RunnerReports reports;
+
+	private long headSentNanos;
+
+	private long bundleAskedNanos;
+
+	private boolean finished;
+
+	EntryState(Identity identity, EntryOutput output, LongSupplier clock, Invariants invariants, EntryParts parts) {
+		this.identity = identity;
+		this.output = output;
+		this.clock = clock;
+		this.heads = new HeadTracker(invariants);
+		this.membership = Membership.of(identity.vm(), identity.place());
+		this.draining = new Draining(identity.keepSeconds());
+		this.calls = parts.calls(this.heads::generation);
+		this.reports = new RunnerReports(this.calls, this.heads);
+	}
+
+	/**
+	 * Returns the requests in progress.
+	 */
+	Calls calls() {
+		return this.calls;
+	}
+
+	void apply(EntryEvent event) {
+		switch (event) {
+			case EntryEvent.CallArrived arrived -> this.calls.arrive(arrived.call());
+			case EntryEvent.CallerLeft left -> this.calls.callerLeft(left.id());
+			case EntryEvent.LinkUp up -> linkUp(up.peer());
+			case EntryEvent.FrameArrived arrived -> frame(arrived.peer(), arrived.frame());
+			case EntryEvent.LinkDown down -> linkDown(down.peer());
+			case EntryEvent.HeadRead read -> headRead(read.head());
+			case EntryEvent.BundleRead read -> bundle(read.content());
+			case EntryEvent.MarksRead read -> marks(read.vms());
+			case EntryEvent.VmsRead read -> vms(read.members());
+			case EntryEvent.Tick tick -> tick();
+			case EntryEvent.DrainAsked asked -> drain();
+		}
+	}
+
+	private void linkUp(PeerLink peer) {
+		peer.send(frame()
+			.setHello(Hello.newBuilder().setVm(this.identity.vm()).setPlace(this.identity.place()).setRole(Role.ENTRY))
+			.build());
+		if (this.heads.generation() > 0) {
+			sendHead(peer);
+		}
+		if (this.draining.started()) {
+			sendLeaving(peer);
+		}
+	}
+
+	private void linkDown(PeerLink peer) {
+		if (!this.peers.remove(peer)) {
+			return;
+		}
+		switch (peer.role()) {
+			case ENTRY -> {
+				this.membership.linked(peer.vm(), this.peers.linked(peer.vm()));
+				publish();
+			}
+			default -> {
+				this.reports.lost(peer.vm());
+				this.calls.linkDown(peer);
+				publish();
+			}
+		}
+	}
+
+	private void frame(PeerLink peer, Frame frame) {
+		if (frame.getGeneration() > this.heads.generation() && peer.asksFor(frame.getGeneration())) {
+			peer.send(frame().setHeadRequest(org.wisteriapost.protocol.wire.HeadRequest.getDefaultInstance()).build());
+		}
+		switch (frame.getBodyCase()) {
+			case HELLO -> hello(peer, frame.getHello());
+			case HEAD -> heard(peer, frame.getHead());
+			case HEAD_REQUEST -> sendHead(peer);
+			case BUNDLE_REQUEST -> sendBundle(peer, frame.getBundleRequest().getDigest());
+			case BUNDLE_REPLY -> replied(frame.getBundleReply());
+			case REPORT -> report(peer, frame.getReport());
+			case CALL_STARTED -> this.calls.started(peer, frame.getCallStarted());
+			case CALL_DATA -> this.calls.data(peer, frame.getCallData());
+			case CALL_END -> this.calls.ended(peer, frame.getCallEnd());
+			case LEAVING -> announced(peer.vm());
+			default -> {
+				// What only agents say to each other is not for an entry.
+			}
+		}
+	}
+
+	private void hello(PeerLink peer, Hello hello) {
+		// The VM list lags: an address it names may by now be another VM's.
+		if (!peer.hello(hello)) {
+			peer.close();
+			return;
+		}
+		this.peers.add(peer);
+		if (peer.role() == Role.ENTRY) {
+			this.membership.linked(peer.vm(), true);
+		}
+		else {
+			this.calls.linkUp(peer);
+		}
+		publish();
+	}
+
+	private void heard(PeerLink peer, org.wisteriapost.protocol.wire.Head head) {
+		if (head.getGeneration() < this.heads.generation()) {
+			sendHead(peer);
+			return;
+		}
+		if (this.heads.learn(head.getGeneration(), head.getDigest(), false, this.clock.getAsLong())) {
+			peer.send(frame()
+				.setBundleRequest(org.wisteriapost.protocol.wire.BundleRequest.newBuilder().setDigest(head.getDigest()))
+				.build());
+			askBundle();
+		}
+	}
+
+	private void headRead(Head head) {
+		if (this.heads.learn(head.generation(), head.digest(), true, this.clock.getAsLong())) {
+			askBundle();
+		}
+	}
+
+	private void askBundle() {
+		this.bundleAskedNanos = this.clock.getAsLong();
+		this.heads.wanted().ifPresent(this.output::readBundle);
+	}
+
+	private void replied(BundleReply reply) {
+		Map<String, byte[]> approvals = reply.getApprovalsList()
+			.stream()
+			.collect(Collectors.toMap(Approval::getOperator, (approval) -> approval.getSignature().toByteArray(),
+					(first, second) -> first));
+		bundle(new BundleContent(reply.getDigest(), reply.getBundle().toByteArray(), approvals));
+	}
+
+	private void bundle(BundleContent content) {
+		if (!this.heads.take(content, this.clock.getAsLong())) {
+			return;
+		}
+		this.reports.headChanged();
+		sendHeads();
+		publish();
+	}
+
+	private void report(PeerLink peer, org.wisteriapost.protocol.wire.Report report) {
+		if (!report.getVm().equals(peer.vm())) {
+			return;
+		}
+		if (report.getLeaving()) {
+			announced(report.getVm());
+		}
+		this.reports.seen(report);
+	}
+
+	private void announced(String vm) {
+		this.membership.announced(vm);
+		leavingChanged();
+	}
+
+	private void marks(Set<String> vms) {
+		this.membership.marks(vms);
+		leavingChanged();
+	}
+
+	private void vms(List<Member> members) {
+		this.membership.list(members);
+		this.output.keepLinks(members.stream().filter(this::linksTo).toList());
+		leavingChanged();
+	}
+
+	// One link for each pair of entries: the one whose name sorts first makes it.
+	private boolean linksTo(Member member) {
+		return !member.entry() || this.identity.vm().compareTo(member.vm()) < 0;
+	}
+
+	private void leavingChanged() {
+		Set<String> leaving = this.membership.leaving();
+		this.calls.decide(new RequestEvent.LeavingSeen(leaving));
+		if (leaving.contains(this.identity.vm())) {
+			drain();
+		}
+		publish();
+	}
+
+	private void drain() {
+		if (this.draining.start(this.clock.getAsLong())) {
+			this.peers.all().forEach(this::sendLeaving);
+			publish();
+		}
+	}
+
+	private void tick() {
+		long now = this.clock.getAsLong();
+		this.calls.decide(new RequestEvent.Tick());
+		if (this.heads.wanted().isPresent() && now - this.bundleAskedNanos > RETRY_BUNDLE_NANOS) {
+			askBundle();
+		}
+		if (this.heads.generation() > 0 && now - this.headSentNanos > REPEAT_HEAD_NANOS) {
+			sendHeads();
+		}
+		if (this.draining.refuses(now)) {
+			this.calls.decide(new RequestEvent.Drain());
+			publish();
+		}
+		if (this.draining.refusing() && this.calls.size() == 0 && !this.finished && this.output.idle()) {
+			this.finished = true;
+			this.output.drained();
+		}
+	}
+
+	private void publish() {
+		Map<String, ServiceSpec> services = this.heads.bundle()
+			.map((bundle) -> bundle.services()
+				.stream()
+				.collect(Collectors.toMap(ServiceSpec::name, (spec) -> spec, (first, second) -> first)))
+			.orElse(Map.of());
+		List<String> entries = this.membership.entries(this.draining.started())
+			.stream()
+			.map((member) -> "http://" + member.host() + ":" + member.httpPort())
+			.toList();
+		boolean ready = this.heads.generation() > 0 && this.peers.agents() > 0 && !this.draining.started();
+		this.output
+			.publish(new ServiceView(this.heads.generation(), services, entries, this.draining.refusing(), ready));
+	}
+
+	private void sendHeads() {
+		this.headSentNanos = this.clock.getAsLong();
+		this.peers.all().forEach(this::sendHead);
+	}
+
+	private void sendHead(PeerLink peer) {
+		peer.send(frame().setHead(this.heads.wire(this.clock.getAsLong())).build());
+	}
+
+	// Only entries name each other to callers; to an agent an entry that leaves is one
+	// caller fewer.
+	private void sendLeaving(PeerLink peer) {
+		if (peer.role() == Role.ENTRY) {
+			peer.send(frame().setLeaving(Leaving.newBuilder().setVm(this.identity.vm())).build());
+		}
+	}
+
+	private void sendBundle(PeerLink peer, String digest) {
+		BundleReply.Builder reply = BundleReply.newBuilder().setDigest(digest);
+		Optional<BundleContent> content = this.heads.content(digest);
+		content.ifPresent((held) -> {
+			reply.setBundle(ByteString.copyFrom(held.bytes()));
+			held.approvals()
+				.forEach((operator, signature) -> reply.addApprovals(
+						Approval.newBuilder().setOperator(operator).setSignature(ByteString.copyFrom(signature))));
+		});
+		peer.send(frame().setBundleReply(reply).build());
+	}
+
+	private Frame.Builder frame() {
+		return Frame.newBuilder().setGeneration(this.heads.generation());
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/process/RunnerReports.java
@@ -0,0 +1,68 @@
+package org.wisteriapost.entry.process;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+
+import org.wisteriapost.policy.request.RequestEvent;
+import org.wisteriapost.policy.request.RunnerView;
+import org.wisteriapost.protocol.wire.Report;
+
+/**
+ * Passes agents' reports on to the decisions, and ends the time in which a predecessor's
+ * weights are accepted: for each service once all its linked runners have switched. From
+ * then on a runner that comes back with old weights is not used.
+ */
+final class RunnerReports {
+
+	private final Calls calls;
+
+	private final HeadTracker heads;
+
+	private final Map<String, Report> last = new HashMap<>();
+
+	RunnerReports(Calls calls, HeadTracker heads) {
+		this.calls = calls;
+		this.heads = heads;
+	}
+
+	void seen(Report report) {
+		this.last.put(report.getVm(), report);
+		this.calls.decide(new RequestEvent.RunnerSeen(view(report)));
+		if (this.heads.previous().containsKey(report.getService())) {
+			endSwitch(report.getService());
+		}
+	}
+
+	void lost(String vm) {
+		this.last.remove(vm);
+	}
+
+	/**
+	 * Tells the decisions which weights are accepted now.
+	 */
+	void headChanged() {
+		this.calls.decide(new RequestEvent.HeadSeen(this.heads.generation(), this.heads.digests()));
+	}
+
+	private void endSwitch(String service) {
+		String old = this.heads.previous().get(service);
+		boolean switching = this.last.values()
+			.stream()
+			.filter((report) -> report.getService().equals(service))
+			.anyMatch((report) -> report.getWeightsDigest().equals(old)
+					|| report.getBundleGeneration() < this.heads.generation());
+		if (!switching) {
+			this.heads.switched(service);
+			headChanged();
+		}
+	}
+
+	private static RunnerView view(Report report) {
+		return new RunnerView(report.getVm(), report.getPlace(), report.getService(),
+				report.getAdmitting() && !report.getLeaving(), report.getPlain() ? "" : report.getWeightsDigest(),
+				report.getBundleGeneration(), report.getRunning(), report.getQueued(), report.getCapacity(),
+				new HashSet<>(report.getPrefixesList()));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry's events and the state that its one event loop applies them to.
+ */
+package org.wisteriapost.entry.process;
--- /dev/null
+++ b/entry/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
@@ -0,0 +1,1 @@
+org.wisteriapost.entry.EntryCommand
--- a/protocol/src/main/java/org/wisteriapost/protocol/CallerHeaders.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/CallerHeaders.java
@@ -14,6 +14,15 @@
 	/** From callers of calls that may not run twice. */
 	public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
+	/**
+	 * From callers: when the idempotency key was made, in milliseconds since 1970, unless
+	 * the key itself says so.
+	 */
+	public static final String IDEMPOTENCY_KEY_TIME = "Idempotency-Key-Time";
+
+	/** From callers of chat completions: the service; else the model names it. */
+	public static final String SERVICE = "Wisteriapost-Service";
+
 	/** To callers, on every answer: {@code ran}, {@code not-run} or {@code unknown}. */
 	public static final String OUTCOME = "Wisteriapost-Outcome";
 
