--- a/kernel/src/main/java/org/wisteriapost/kernel/settings/Settings.java
+++ b/kernel/src/main/java/org/wisteriapost/kernel/settings/Settings.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -69,8 +70,8 @@
 	 * Returns the names of all sections.
 	 */
 	public Set<String> sections() {
-		Set<String> names = new TreeSet<>(this.ini.getSections());
-		names.remove(null);
+		Set<String> names = new TreeSet<>();
+		this.ini.getSections().stream().filter(Objects::nonNull).forEach(names::add);
 		return names;
 	}
 
--- /dev/null
+++ b/operator/src/main/java/org/wisteriapost/operator/SettingsCheckCommand.java
@@ -0,0 +1,40 @@
+package org.wisteriapost.operator;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.wisteriapost.kernel.Findings;
+import org.wisteriapost.kernel.command.Command;
+import org.wisteriapost.kernel.command.ExitCodes;
+import org.wisteriapost.kernel.settings.Settings;
+import org.wisteriapost.kernel.settings.SettingsCheck;
+
+/**
+ * {@code settings check}: shows all findings of a settings file.
+ */
+public final class SettingsCheckCommand implements Command {
+
+	@Override
+	public String name() {
+		return "settings check";
+	}
+
+	@Override
+	public String summary() {
+		return "check a settings file and show all findings";
+	}
+
+	@Override
+	public int run(List<String> args, PrintStream out, PrintStream err) {
+		Optional<Arguments> arguments = Arguments.read(name() + " FILE", List.of(), args, out);
+		if (arguments.isEmpty()) {
+			return ExitCodes.OK;
+		}
+		Findings findings = SettingsCheck.run(Settings.read(Path.of(arguments.get().only("settings file"))));
+		findings.list().forEach(err::println);
+		return findings.isEmpty() ? ExitCodes.OK : ExitCodes.BAD_INPUT;
+	}
+
+}
--- /dev/null
+++ b/operator/src/main/java/org/wisteriapost/operator/bundle/LintCommand.java
@@ -0,0 +1,40 @@
+package org.wisteriapost.operator.bundle;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.wisteriapost.kernel.Findings;
+import org.wisteriapost.kernel.command.Command;
+import org.wisteriapost.kernel.command.ExitCodes;
+import org.wisteriapost.operator.Arguments;
+
+/**
+ * {@code bundle lint}: shows all findings of a bundle file.
+ */
+public final class LintCommand implements Command {
+
+	@Override
+	public String name() {
+		return "bundle lint";
+	}
+
+	@Override
+	public String summary() {
+		return "check a bundle file and show all findings";
+	}
+
+	@Override
+	public int run(List<String> args, PrintStream out, PrintStream err) {
+		Optional<Arguments> arguments = Arguments.read(name() + " FILE", List.of(), args, out);
+		if (arguments.isEmpty()) {
+			return ExitCodes.OK;
+		}
+		Findings findings = new Findings();
+		BundleLint.run(Path.of(arguments.get().only("bundle file")), findings);
+		findings.list().forEach(err::println);
+		return findings.isEmpty() ? ExitCodes.OK : ExitCodes.BAD_INPUT;
+	}
+
+}
--- /dev/null
+++ b/operator/src/main/java/org/wisteriapost/operator/check/UnknownWeight.java
@@ -0,0 +1,40 @@
+package org.wisteriapost.operator.check;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.Findings;
+import org.wisteriapost.operator.bundle.Draft;
+import org.wisteriapost.policy.bundle.ServiceSpec;
+
+/**
+ * Finds services that name a model or adapter which the bundle does not declare: their
+ * VMs would wait for weights that never come.
+ */
+public final class UnknownWeight implements BundleCheck {
+
+	private static final Code CODE = Code.error("bundle-weight-unknown",
+			"A service names a model or adapter that the bundle does not declare.");
+
+	@Override
+	public void check(Draft draft, Findings findings) {
+		Set<String> declared = draft.weights().stream().map(Draft.DraftWeight::name).collect(Collectors.toSet());
+		for (ServiceSpec service : draft.services()) {
+			if (service.kind() == ServiceSpec.Kind.MODEL) {
+				report(draft, service, "model", List.of(service.model()), declared, findings);
+				report(draft, service, "adapters", service.adapters(), declared, findings);
+			}
+		}
+	}
+
+	private static void report(Draft draft, ServiceSpec service, String key, List<String> names, Set<String> declared,
+			Findings findings) {
+		Optional<String> unknown = names.stream().filter((name) -> !declared.contains(name)).findFirst();
+		unknown.ifPresent((name) -> findings.add(CODE, draft.settings().locate("service " + service.name(), key),
+				"no [weight " + name + "]", "declare it or use one of " + declared.stream().sorted().toList()));
+	}
+
+}
--- /dev/null
+++ b/operator/src/main/java/org/wisteriapost/operator/keys/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' keys.
+ */
+package org.wisteriapost.operator.keys;
--- a/operator/src/main/java/org/wisteriapost/operator/package-info.java
+++ b/operator/src/main/java/org/wisteriapost/operator/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Placeholder.
+ * Operators' commands. They need the platform and the origin, no running wisteriapost
+ * process.
  */
 package org.wisteriapost.operator;
--- a/policy/src/main/java/org/wisteriapost/policy/bundle/BundleCodec.java
+++ b/policy/src/main/java/org/wisteriapost/policy/bundle/BundleCodec.java
@@ -29,7 +29,7 @@
 	}
 
 	/**
-	 * Returns the canonical bytes of a bundle or head.
+	 * Returns the canonical bytes of a bundle, head or status.
 	 */
 	public static byte[] encode(Record value) {
 		try {
@@ -54,6 +54,13 @@
 		return decode(bytes, Head.class);
 	}
 
+	/**
+	 * Returns the agent's status in some bytes.
+	 */
+	public static VmStatus status(byte[] bytes) {
+		return decode(bytes, VmStatus.class);
+	}
+
 	private static <T> T decode(byte[] bytes, Class<T> type) {
 		try {
 			return MAPPER.readValue(bytes, type);
