Operator tests: a lost confirmation of the very first roll is resolved

Cause: the read back took an absent head for a failed read, so a first roll whose write was lost without effect was never sent again (seen: write-unresolved after 20 reads). Change: an absent head reads as generation 0.

--- a/operator/src/main/java/org/wisteriapost/operator/bundle/BundleStore.java
+++ b/operator/src/main/java/org/wisteriapost/operator/bundle/BundleStore.java
@@ -1,12 +1,13 @@
 package org.wisteriapost.operator.bundle;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
 
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
@@ -40,6 +41,8 @@
 	private static final Code WRITE_UNRESOLVED = Code.error("write-unresolved",
 			"A write's confirmation was lost and reading back did not tell what became of it.");
 
+	private static final Logger LOG = System.getLogger(BundleStore.class.getName());
+
 	private static final String HEAD = "head";
 
 	private static final String ROLLS = "rolls/";
@@ -168,45 +171,31 @@
 	private Head resolve(Head written, Expected expected) {
 		for (int i = 0; i < READ_BACK_TRIES; i++) {
 			pause();
-			Optional<Head> read = readBack(HEAD);
-			if (read.isEmpty()) {
-				continue;
-			}
-			Optional<Head> recorded = readBack(recordKey(written.generation()));
-			switch (HeadMove.fate(written, read.get(), recorded)) {
-				case WON -> {
-					return written;
-				}
-				case LOST -> {
-					return recorded.orElse(read.get());
-				}
-				case NOT_WRITTEN -> writeAgain(written, expected);
-				case UNDECIDED -> {
+			try {
+				Head read = head();
+				Optional<Head> recorded = read(recordKey(written.generation()))
+					.map((stored) -> BundleCodec.head(stored.value()));
+				switch (HeadMove.fate(written, read, recorded)) {
+					case WON -> {
+						return written;
+					}
+					case LOST -> {
+						return recorded.orElse(read);
+					}
+					case NOT_WRITTEN ->
+						Surroundings.await(this.platform.put(HEAD, BundleCodec.encode(written), expected));
+					case UNDECIDED -> {
+					}
 				}
 			}
+			catch (CodedException ex) {
+				LOG.log(Level.INFO, "roll-read-back: " + ex.getMessage());
+			}
 		}
 		throw CodedException.of(WRITE_UNRESOLVED, "the roll to generation " + written.generation()
 				+ " may be in force; look at bundle status before rolling again");
 	}
 
-	private void writeAgain(Head written, Expected expected) {
-		try {
-			this.platform.put(HEAD, BundleCodec.encode(written), expected).join();
-		}
-		catch (CompletionException ex) {
-			// The next read tells what became of it.
-		}
-	}
-
-	private Optional<Head> readBack(String key) {
-		try {
-			return this.platform.get(key).join().map((stored) -> BundleCodec.head(stored.value()));
-		}
-		catch (CompletionException ex) {
-			return Optional.empty();
-		}
-	}
-
 	private void record(Head head) {
 		if (head.generation() > 0) {
 			writeOnce(recordKey(head.generation()), BundleCodec.encode(head));
