--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/http/HttpWeightStore.java
@@ -0,0 +1,87 @@
+package org.wisteriapost.protocol.outside.http;
+
+import java.net.URI;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.protocol.http.HttpCall;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.http.HttpReply;
+import org.wisteriapost.protocol.outside.WeightStore;
+
+/**
+ * The weight store of a runner's VM over HTTP.
+ */
+public final class HttpWeightStore implements WeightStore {
+
+	private static final Code UNAVAILABLE = Code.error("weight-store-unavailable",
+			"The weight store of the endpoint VM did not take a call.");
+
+	private final HttpSystem system;
+
+	private HttpWeightStore(HttpSystem system) {
+		this.system = system;
+	}
+
+	/**
+	 * Returns the weight store at an address.
+	 */
+	public static HttpWeightStore at(HttpCaller caller, URI address) {
+		return new HttpWeightStore(new HttpSystem(caller, address));
+	}
+
+	@Override
+	public CompletableFuture<Void> put(String file, int index, byte[] chunk) {
+		return done(this.system.request("PUT", "/store/" + file + "/" + index).body(chunk));
+	}
+
+	@Override
+	public CompletableFuture<Optional<byte[]>> get(String file, int index) {
+		return this.system.send(this.system.request("GET", "/store/" + file + "/" + index), HttpWeightStore::chunk,
+				(failure) -> UNAVAILABLE);
+	}
+
+	@Override
+	public CompletableFuture<BitSet> held(String file) {
+		return this.system.send(this.system.request("GET", "/store/" + file),
+				(reply) -> HttpSystem.body(Held.class, UNAVAILABLE).apply(reply).bits(), (failure) -> UNAVAILABLE);
+	}
+
+	@Override
+	public CompletableFuture<Void> drop(String file) {
+		return done(this.system.request("DELETE", "/store/" + file));
+	}
+
+	@Override
+	public void close() {
+		// The caller is the process's own and is closed by it.
+	}
+
+	private CompletableFuture<Void> done(HttpCall call) {
+		return this.system.send(call, (reply) -> {
+			HttpSystem.expect(reply, 200, UNAVAILABLE);
+			return null;
+		}, (failure) -> UNAVAILABLE);
+	}
+
+	private static Optional<byte[]> chunk(HttpReply reply) {
+		if (reply.status() == 404) {
+			return Optional.empty();
+		}
+		return Optional.of(HttpSystem.expect(reply, 200, UNAVAILABLE).body());
+	}
+
+	private record Held(List<Integer> held) {
+
+		private BitSet bits() {
+			BitSet bits = new BitSet();
+			this.held.forEach(bits::set);
+			return bits;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/http/Json.java
@@ -0,0 +1,45 @@
+package org.wisteriapost.protocol.outside.http;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/**
+ * JSON of the outside systems; members that are not known are passed over.
+ */
+final class Json {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
+		.configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true)
+		.build();
+
+	private Json() {
+	}
+
+	static <T> T read(byte[] bytes, Class<T> type) {
+		try {
+			T value = MAPPER.readValue(bytes, type);
+			if (value == null) {
+				throw new IllegalArgumentException("no " + type.getSimpleName());
+			}
+			return value;
+		}
+		catch (IOException ex) {
+			throw new IllegalArgumentException("no " + type.getSimpleName() + ": " + ex.getMessage(), ex);
+		}
+	}
+
+	static byte[] write(Record value) {
+		try {
+			return MAPPER.writeValueAsBytes(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("records of the adapters always encode", ex);
+		}
+	}
+
+}
