--- a/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
+++ b/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
@@ -109,11 +109,6 @@
 				"File with this organisation's bearer token; read again when it changes.")
 		.orElse("-");
 
-	/** An organisation's share. */
-	public static final Setting<Long> SHARE = Setting
-		.number("organisation NAME", "share", 1, 1000, "Weight of this organisation against the others.")
-		.orElse("1");
-
 	private static final Code TOKEN_MISSING = Code.error("organisation-token-missing",
 			"An organisation has neither a token nor a token file, or both.");
 
@@ -124,7 +119,7 @@
 	public List<Setting<?>> keys() {
 		return List.of(HTTP_HOST, HTTP_PORT, LINK_HOST, LINK_PORT, MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				MAX_STREAMS, RING_SIZE, DEFAULT_DEADLINE, MAX_DEADLINE, BODY_TIMEOUT, KEEP_SECONDS, MAX_HELD_BYTES,
-				MAX_UNSENT_BYTES, TOKEN, TOKEN_FILE, SHARE);
+				MAX_UNSENT_BYTES, TOKEN, TOKEN_FILE);
 	}
 
 	@Override
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallCheck.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallCheck.java
@@ -58,7 +58,8 @@
 	// Hop by hop, ours alone, or set anew for the next hop.
 	private static final Set<String> NOT_PASSED = Set.of("connection", "keep-alive", "proxy-connection", "te",
 			"trailer", "transfer-encoding", "upgrade", "host", "content-length", "authorization", "expect",
-			"accept-encoding", "idempotency-key-time", "wisteriapost-deadline-ms", "wisteriapost-service");
+			"accept-encoding", "idempotency-key-time", "wisteriapost-deadline-ms", "wisteriapost-service",
+			"wisteriapost-request-id");
 
 	private static final int MAX_COST = 64;
 
@@ -134,7 +135,7 @@
 		int tokens = Math.max(0, tree.path("max_tokens").asInt(0));
 		Request request = new Request(id, organisation, spec.name(), priority(exchange), deadlineNanos, true,
 				PromptPrefix.hash(tree), cost(body.length, tokens));
-		return new CallerCall(request, requestId, "POST", CHAT, headers(exchange), body,
+		return new CallerCall(request, requestId, "POST", CHAT, headers(exchange, requestId), body,
 				tree.path("stream").asBoolean(false), Optional.empty(), answer);
 	}
 
@@ -156,7 +157,7 @@
 		String path = ((slash < 0) ? "/" : rest.substring(slash)) + query;
 		Request request = new Request(id, organisation, spec.name(), priority(exchange), deadlineNanos, idempotent, 0,
 				cost(body.length, 0));
-		return new CallerCall(request, requestId, method, path, headers(exchange), body, false, key, answer);
+		return new CallerCall(request, requestId, method, path, headers(exchange, requestId), body, false, key, answer);
 	}
 
 	private static CallKey key(HeaderMap headers) {
@@ -209,7 +210,7 @@
 		return Math.min(MAX_COST, 1 + bytes / BYTES_PER_COST + tokens / TOKENS_PER_COST);
 	}
 
-	private static List<Map.Entry<String, String>> headers(HttpServerExchange exchange) {
+	private static List<Map.Entry<String, String>> headers(HttpServerExchange exchange, String requestId) {
 		List<Map.Entry<String, String>> headers = new ArrayList<>();
 		exchange.getRequestHeaders().forEach((header) -> {
 			String name = header.getHeaderName().toString();
@@ -217,6 +218,7 @@
 				header.forEach((value) -> headers.add(Map.entry(name, value)));
 			}
 		});
+		headers.add(Map.entry(CallerHeaders.REQUEST_ID, requestId));
 		return headers;
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -41,6 +41,11 @@
 
 	private boolean ended;
 
+	// Apart from ended: an answer that is cut before its queued bytes are written must
+	// not
+	// look like one that has ended with none.
+	private boolean cut;
+
 	private StreamSinkChannel channel;
 
 	private boolean closing;
@@ -78,7 +83,7 @@
 			}
 			this.headed = true;
 			this.ended = true;
-			this.queue.add(ByteBuffer.wrap(body));
+			add(body);
 		}
 		onIoThread(() -> {
 			head(status, headers, weights, Outcome.RAN);
@@ -109,12 +114,9 @@
 			if (this.ended) {
 				return true;
 			}
-			this.unsent += data.length;
-			this.queue.add(ByteBuffer.wrap(data));
+			add(data);
 			if (this.unsent > this.maxUnsentBytes) {
-				this.ended = true;
-				this.queue.clear();
-				onIoThread(this::reset);
+				cut();
 				return false;
 			}
 		}
@@ -142,11 +144,20 @@
 	public void cut() {
 		synchronized (this) {
 			this.ended = true;
+			this.cut = true;
 			this.queue.clear();
 		}
 		onIoThread(this::reset);
 	}
 
+	// Writing nothing looks like a full socket, so nothing is not queued.
+	private void add(byte[] data) {
+		if (data.length > 0) {
+			this.unsent += data.length;
+			this.queue.add(ByteBuffer.wrap(data));
+		}
+	}
+
 	private void onIoThread(Runnable task) {
 		this.exchange.getIoThread().execute(task);
 	}
@@ -186,7 +197,7 @@
 	}
 
 	private void flush() {
-		if (this.exchange.isComplete() || this.closing) {
+		if (this.exchange.isComplete() || this.closing || isCut()) {
 			return;
 		}
 		try {
@@ -253,7 +264,11 @@
 	}
 
 	private synchronized boolean isEnded() {
-		return this.ended;
+		return this.ended && !this.cut;
+	}
+
+	private synchronized boolean isCut() {
+		return this.cut;
 	}
 
 	private void reset() {
--- a/entry/src/main/java/org/wisteriapost/entry/caller/Organisations.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/Organisations.java
@@ -46,17 +46,6 @@
 		this.byHash = read(this.settings, this.byHash);
 	}
 
-	/**
-	 * Returns the weight of each organisation.
-	 */
-	public Map<String, Integer> shares() {
-		Map<String, Integer> shares = new HashMap<>();
-		this.settings.named(EntrySettings.ORGANISATION)
-			.forEach((name) -> shares.put(name,
-					EntrySettings.SHARE.get(this.settings, EntrySettings.ORGANISATION + " " + name).intValue()));
-		return shares;
-	}
-
 	/**
 	 * Returns the organisation named by an Authorization header.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/caller/PromptPrefix.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/PromptPrefix.java
@@ -1,8 +1,8 @@
 package org.wisteriapost.entry.caller;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.HexFormat;
+import java.util.ArrayList;
+import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.wisteriapost.policy.bundle.Digests;
@@ -12,22 +12,27 @@
  */
 final class PromptPrefix {
 
-	private static final int LONG_HEX = 16;
+	private static final int PREFIX_CHARS = 256;
+
+	private static final int LONG_HEX_CHARS = 16;
+
+	private static final int HEX = 16;
 
 	private PromptPrefix() {
 	}
 
 	/**
-	 * Returns the hash of the first message's content, 0 when there is none: the first 64
-	 * bits of its SHA-256, as an engine reports cached prefixes.
+	 * Returns the cache key of a prompt, never 0: the first 8 bytes, big-endian, of the
+	 * SHA-256 of its first 256 characters in UTF-8, with the lowest bit set. The prompt
+	 * is the contents of all messages, one a line. Engines report cached prefixes by it.
 	 */
 	static long hash(JsonNode chat) {
-		String first = chat.path("messages").path(0).path("content").asText("");
-		if (first.isEmpty()) {
-			return 0;
-		}
-		String digest = Digests.sha256(first.getBytes(StandardCharsets.UTF_8));
-		return ByteBuffer.wrap(HexFormat.of().parseHex(digest.substring(0, LONG_HEX))).getLong();
+		List<String> contents = new ArrayList<>();
+		chat.path("messages").forEach((message) -> contents.add(message.path("content").asText()));
+		String prompt = String.join("\n", contents);
+		String start = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
+		String digest = Digests.sha256(start.getBytes(StandardCharsets.UTF_8));
+		return Long.parseUnsignedLong(digest.substring(0, LONG_HEX_CHARS), HEX) | 1;
 	}
 
 }
