--- a/policy/src/main/java/org/wisteriapost/policy/bundle/BundleCodec.java
+++ b/policy/src/main/java/org/wisteriapost/policy/bundle/BundleCodec.java
@@ -54,7 +54,10 @@
 		return decode(bytes, Head.class);
 	}
 
-	private static <T> T decode(byte[] bytes, Class<T> type) {
+	/**
+	 * Returns the record of a type in some bytes.
+	 */
+	public static <T> T decode(byte[] bytes, Class<T> type) {
 		try {
 			return MAPPER.readValue(bytes, type);
 		}
