--- a/policy/src/main/java/org/wisteriapost/policy/agent/AgentEvent.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/AgentEvent.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.policy.agent;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.wisteriapost.policy.request.Priority;
@@ -38,9 +39,9 @@
 	 *
 	 * @param digest the digest that was asked for
 	 * @param content unchecked
-	 * @param approvals unchecked
+	 * @param signatures of operators by name, unchecked
 	 */
-	record BundleArrived(String digest, byte[] content, List<SignedApproval> approvals) implements AgentEvent {
+	record BundleArrived(String digest, byte[] content, Map<String, byte[]> signatures) implements AgentEvent {
 	}
 
 	/**
@@ -163,9 +164,11 @@
 	 * @param call unique in this process
 	 * @param priority the caller's urgency
 	 * @param weightsDigest what it must be answered with; empty for a plain service
+	 * @param arrivedNanos when it came in
 	 * @param deadlineNanos when the caller stops waiting
 	 */
-	record CallArrived(long call, Priority priority, String weightsDigest, long deadlineNanos) implements AgentEvent {
+	record CallArrived(long call, Priority priority, String weightsDigest, long arrivedNanos,
+			long deadlineNanos) implements AgentEvent {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/agent/Turn.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/Turn.java
@@ -33,10 +33,11 @@
 		this.wakeAt = Math.min(this.wakeAt, atNanos);
 	}
 
-	List<AgentEffect> finish() {
-		if (this.wakeAt != Long.MAX_VALUE) {
-			this.effects.add(new AgentEffect.Wake(Math.max(0, this.wakeAt - this.now)));
-		}
+	long wakeAt() {
+		return this.wakeAt;
+	}
+
+	List<AgentEffect> effects() {
 		return this.effects;
 	}
 
