Agent process: command, settings, links, gate at the runner, effects; I/O tests with fakes

Head, bundle, weights (all from the origin), staged switch, calls, leaving: end to end in one process with fakes for what is outside. Not run: against the stand-ins; several agents together.

--- /dev/null
+++ b/agent/src/main/java/org/wisteriapost/agent/PlatformCalls.java
@@ -0,0 +1,68 @@
+package org.wisteriapost.agent;
+
+import org.wisteriapost.kernel.CodedException;
+import org.wisteriapost.policy.agent.AgentEffect;
+import org.wisteriapost.policy.agent.AgentEvent;
+import org.wisteriapost.policy.agent.StoredObject;
+import org.wisteriapost.protocol.outside.Platform;
+import org.wisteriapost.protocol.outside.Platform.Expected;
+import org.wisteriapost.protocol.outside.Platform.PutResult;
+
+/**
+ * Reads and writes platform objects for the agent's decisions.
+ */
+final class PlatformCalls {
+
+	private final Platform platform;
+
+	private final AgentLoop loop;
+
+	PlatformCalls(Platform platform, AgentLoop loop) {
+		this.platform = platform;
+		this.loop = loop;
+	}
+
+	void read(String key) {
+		long sent = this.loop.now();
+		this.platform.get(key).whenComplete((stored, failure) -> {
+			if (failure != null) {
+				this.loop.post(new AgentEvent.ObjectUnread(key));
+				return;
+			}
+			this.loop.post(new AgentEvent.ObjectRead(key,
+					stored.map((found) -> new StoredObject(found.value(), found.version())), sent));
+		});
+	}
+
+	void write(AgentEffect.WriteObject write) {
+		this.platform.put(write.key(), write.value(), expected(write.version())).whenComplete((result, failure) -> {
+			if (failure != null) {
+				this.loop.post(new AgentEvent.ObjectUnconfirmed(write.key()));
+				return;
+			}
+			this.loop.post(switch (result) {
+				case PutResult.Written written -> new AgentEvent.ObjectWritten(write.key(), written.version());
+				case PutResult.Conflict conflict -> new AgentEvent.ObjectConflict(write.key());
+			});
+		});
+	}
+
+	private static Expected expected(long version) {
+		if (version == AgentEffect.WriteObject.ABSENT) {
+			return new Expected.Absent();
+		}
+		return (version == AgentEffect.WriteObject.ANYTHING) ? new Expected.Anything() : new Expected.Version(version);
+	}
+
+	static boolean has(Throwable failure, org.wisteriapost.kernel.Code code) {
+		Throwable cause = failure;
+		while (cause != null) {
+			if (cause instanceof CodedException coded && coded.code().equals(code)) {
+				return true;
+			}
+			cause = cause.getCause();
+		}
+		return false;
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
@@ -0,0 +1,1 @@
+org.wisteriapost.agent.AgentCommand
--- a/policy/src/main/java/org/wisteriapost/policy/agent/AgentEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/AgentEffect.java
@@ -9,12 +9,6 @@
  */
 public sealed interface AgentEffect {
 
-	/** As a write's expected version: the object does not exist. */
-	long ABSENT = 0;
-
-	/** As a write's expected version: whatever is there. */
-	long ANYTHING = -1;
-
 	/**
 	 * Come back with a {@link AgentEvent.Tick}.
 	 *
@@ -39,6 +33,13 @@
 	 * @param version the version it must have, {@link #ABSENT} or {@link #ANYTHING}
 	 */
 	record WriteObject(String key, byte[] value, long version) implements AgentEffect {
+
+		/** As the version: the object does not exist. */
+		public static final long ABSENT = 0;
+
+		/** As the version: whatever is there. */
+		public static final long ANYTHING = -1;
+
 	}
 
 	/**
@@ -95,7 +96,7 @@
 	}
 
 	/**
-	 * Cancel a started call at the runner.
+	 * Cancel a call at the runner, or forget one that has not started.
 	 *
 	 * @param call the call
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/agent/CallGate.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/CallGate.java
@@ -132,11 +132,8 @@
 	}
 
 	void cancelled(long call, Turn turn) {
-		if (this.running.containsKey(call)) {
-			turn.add(new AgentEffect.CancelCall(call));
-			return;
-		}
 		drop(call);
+		turn.add(new AgentEffect.CancelCall(call));
 	}
 
 	void cancelAll(Turn turn) {
--- a/policy/src/main/java/org/wisteriapost/policy/agent/EpochLease.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/EpochLease.java
@@ -101,7 +101,7 @@
 			return;
 		}
 		long last = found.map(VmLease::epoch).orElse(0L);
-		long version = event.value().map(StoredObject::version).orElse(AgentEffect.ABSENT);
+		long version = event.value().map(StoredObject::version).orElse(AgentEffect.WriteObject.ABSENT);
 		this.step = Step.WRITING;
 		this.epoch = last + 1;
 		turn.add(new AgentEffect.WriteObject(this.self.leaseKey(),
--- a/policy/src/main/java/org/wisteriapost/policy/agent/SlotHolder.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/SlotHolder.java
@@ -118,7 +118,7 @@
 		this.busy = false;
 		SwitchSlots slots = SwitchSlots.of(stored);
 		watch(slots, turn.now());
-		long version = stored.map(StoredObject::version).orElse(AgentEffect.ABSENT);
+		long version = stored.map(StoredObject::version).orElse(AgentEffect.WriteObject.ABSENT);
 		switch (this.step) {
 			case WAITING -> take(slots, version, turn);
 			case TAKEN -> write(slots.with(own()), version, turn);
--- a/policy/src/main/java/org/wisteriapost/policy/agent/StatusWriter.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/StatusWriter.java
@@ -48,7 +48,8 @@
 		this.sending = status;
 		this.sentBefore = true;
 		this.sentAt = turn.now();
-		turn.add(new AgentEffect.WriteObject(this.self.statusKey(), BundleCodec.encode(status), AgentEffect.ANYTHING));
+		turn.add(new AgentEffect.WriteObject(this.self.statusKey(), BundleCodec.encode(status),
+				AgentEffect.WriteObject.ANYTHING));
 	}
 
 	void ended(boolean written) {
