Service-level burn: ledger, objectives, report as text, JSON and a page

Cause: nobody could see what the budget is spent on. Change: counts in four windows per service and organisation, bounded; report burn.

--- a/operator/src/main/java/org/wisteriapost/operator/Surroundings.java
+++ b/operator/src/main/java/org/wisteriapost/operator/Surroundings.java
@@ -51,6 +51,13 @@
 		return new Surroundings(settings, HttpCaller.create(1), provider);
 	}
 
+	/**
+	 * Returns the settings, checked.
+	 */
+	public Settings settings() {
+		return this.settings;
+	}
+
 	/**
 	 * Returns the platform.
 	 */
--- /dev/null
+++ b/operator/src/main/java/org/wisteriapost/operator/report/BurnText.java
@@ -0,0 +1,67 @@
+package org.wisteriapost.operator.report;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+import org.wisteriapost.policy.burn.BurnReport;
+import org.wisteriapost.policy.burn.Counts;
+import org.wisteriapost.policy.burn.Result;
+
+/**
+ * Writes a burn report for a terminal.
+ */
+final class BurnText {
+
+	private static final int MAX_SPENDERS = 3;
+
+	private BurnText() {
+	}
+
+	static String of(BurnReport report) {
+		StringBuilder text = new StringBuilder();
+		text.append("figures of %d entries, the oldest %d s old%n".formatted(report.entries(),
+				report.oldestMillis() / 1000));
+		report.lines().forEach((line) -> append(line, text));
+		return text.toString();
+	}
+
+	private static void append(BurnReport.Line line, StringBuilder text) {
+		text.append("%n%s: %s of %s, %s %% good within %d ms; %s %% of the 3 d budget spent%n".formatted(
+				line.objective().name(), line.objective().service(), line.objective().organisation(),
+				percent(line.objective().availability()), line.objective().latencyMillis(),
+				percent(line.budgetSpent())));
+		text.append("  window  requests     burn  spent on%n".formatted());
+		for (BurnReport.Span span : line.spans()) {
+			text.append(String.format(Locale.ROOT, "  %-6s %9d %8.2f  %s%n", span.window(), span.counts().total(),
+					span.burn(), causes(span.counts())));
+		}
+		String spenders = spenders(line.spans().getLast());
+		if (!spenders.isEmpty()) {
+			text.append("  by whom (3d): ").append(spenders).append(System.lineSeparator());
+		}
+	}
+
+	static String causes(Counts counts) {
+		return Arrays.stream(Result.values())
+			.filter((result) -> result != Result.GOOD && counts.of(result) > 0)
+			.map((result) -> result.name().toLowerCase(Locale.ROOT) + " " + counts.of(result))
+			.collect(Collectors.joining(", "));
+	}
+
+	private static String spenders(BurnReport.Span span) {
+		return span.spenders()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().bad() > 0)
+			.sorted((one, two) -> Long.compare(two.getValue().bad(), one.getValue().bad()))
+			.limit(MAX_SPENDERS)
+			.map((entry) -> entry.getKey() + " (" + causes(entry.getValue()) + ")")
+			.collect(Collectors.joining("; "));
+	}
+
+	static String percent(double share) {
+		return String.format(Locale.ROOT, "%.4g", share * 100);
+	}
+
+}
--- a/operator/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
+++ b/operator/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
@@ -6,3 +6,4 @@
 org.wisteriapost.operator.bundle.RollCommand
 org.wisteriapost.operator.bundle.StatusCommand
 org.wisteriapost.operator.keys.GenerateCommand
+org.wisteriapost.operator.report.BurnCommand
--- /dev/null
+++ b/operator/src/test/java/org/wisteriapost/operator/report/BurnPageTests.java
@@ -0,0 +1,50 @@
+package org.wisteriapost.operator.report;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.policy.burn.BurnLedger;
+import org.wisteriapost.policy.burn.BurnReport;
+import org.wisteriapost.policy.burn.Objective;
+import org.wisteriapost.policy.burn.Result;
+import org.wisteriapost.policy.burn.Series;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.not;
+
+class BurnPageTests {
+
+	private static final long NOW = 1_000_000_000_000L;
+
+	private static final Objective OBJECTIVE = new Objective("urgent <checks>", "lm", "*", 0.9, 740);
+
+	@Test
+	void pageHoldsItsPlotsAndNamesOnlyAsText() {
+		String page = BurnPage.of(report(Result.REFUSED, 5));
+		assertThat(page, containsString("urgent &lt;checks&gt;"));
+		assertThat(page, containsString("<svg"));
+		assertThat(page, not(containsString("<?xml")));
+	}
+
+	@Test
+	void objectiveWithoutRequestsHasNoPlots() {
+		assertThat(BurnPage.of(report(Result.GOOD, 0)), not(containsString("<svg")));
+	}
+
+	@Test
+	void textNamesWindowsSpendersAndCauses() {
+		String text = BurnText.of(report(Result.REFUSED, 5));
+		assertThat(text, containsString("1000 % of the 3 d budget spent"));
+		assertThat(text, containsString("by whom (3d): press (refused 5)"));
+	}
+
+	private static BurnReport report(Result result, int times) {
+		BurnLedger ledger = BurnLedger.create();
+		for (int i = 0; i < times; i++) {
+			ledger.count(new Series("lm", "press"), result, NOW);
+		}
+		return BurnReport.of(List.of(OBJECTIVE), List.of(ledger.snapshot("e", NOW)), NOW);
+	}
+
+}
