--- /dev/null
+++ b/app/src/test/java/org/wisteriapost/app/PagesTests.java
@@ -0,0 +1,101 @@
+package org.wisteriapost.app;
+
+import java.io.IOException;
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.ServiceLoader;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.settings.Setting;
+import org.wisteriapost.kernel.settings.SettingsSchema;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+class PagesTests {
+
+	private static final Path DOCS = Path.of(System.getProperty("wisteriapost.root"), "docs");
+
+	@Test
+	void everyCodeHasAPageAndEveryPageACode() throws Exception {
+		Set<String> codes = codes().stream().map(Code::name).collect(Collectors.toCollection(TreeSet::new));
+		assertThat(pages(DOCS.resolve("codes")), is(codes));
+	}
+
+	@Test
+	void everyCodePageHasItsThreeSections() throws Exception {
+		for (String name : pages(DOCS.resolve("codes"))) {
+			String page = Files.readString(DOCS.resolve("codes").resolve(name + ".md"));
+			for (String section : List.of("## Problem", "## Why it matters", "## What to do")) {
+				assertThat(name, page, containsString(section));
+			}
+		}
+	}
+
+	// The page is written by this test's own renderer: run it with
+	// -Dwisteriapost.write=true
+	// after changing a key.
+	@Test
+	void settingsPageIsWhatTheCodeReads() throws Exception {
+		Path page = DOCS.resolve("operations").resolve("settings.md");
+		String rendered = SettingsPage.render(keys());
+		if (Boolean.getBoolean("wisteriapost.write")) {
+			Files.createDirectories(page.getParent());
+			Files.writeString(page, rendered);
+		}
+		assertThat(Files.readString(page), is(rendered));
+	}
+
+	private static List<Setting<?>> keys() {
+		List<Setting<?>> keys = new ArrayList<>();
+		ServiceLoader.load(SettingsSchema.class).forEach((schema) -> keys.addAll(schema.keys()));
+		return keys;
+	}
+
+	private static Set<String> pages(Path folder) throws IOException {
+		try (Stream<Path> files = Files.list(folder)) {
+			return files.map((file) -> file.getFileName().toString().replace(".md", ""))
+				.collect(Collectors.toCollection(TreeSet::new));
+		}
+	}
+
+	private static List<Code> codes() throws ReflectiveOperationException {
+		List<Code> codes = new ArrayList<>();
+		for (JavaClass found : new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+			.importPackages("org.wisteriapost")) {
+			boolean declares = found.getFields()
+				.stream()
+				.anyMatch((field) -> field.getRawType().isEquivalentTo(Code.class)
+						&& field.getModifiers().contains(com.tngtech.archunit.core.domain.JavaModifier.STATIC));
+			if (declares) {
+				codes.addAll(declared(Class.forName(found.getName())));
+			}
+		}
+		return codes;
+	}
+
+	private static List<Code> declared(Class<?> type) throws ReflectiveOperationException {
+		List<Code> codes = new ArrayList<>();
+		for (Field field : type.getDeclaredFields()) {
+			if (field.getType() == Code.class && Modifier.isStatic(field.getModifiers())) {
+				field.setAccessible(true);
+				codes.add((Code) field.get(null));
+			}
+		}
+		return codes;
+	}
+
+}
