Stand-ins for platform, VM list, origin, engine and plain service, and the adapters' tests

Each is one small HTTP server with faults that are set by POST /faults. The engine hashes what its store holds against the order's file digest, so that it loads only whole files; it changes tokens under a running call when an agent loads too early, which shows as a mixed answer.

--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/EngineServer.java
@@ -0,0 +1,185 @@
+package org.wisteriapost.standin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.wisteriapost.protocol.CallerHeaders;
+import org.wisteriapost.protocol.outside.Engine;
+
+/**
+ * A model engine and its VM's weight store. It does what it is told, also what a careful
+ * agent would not tell it: weights that change under a running call change its tokens.
+ */
+public final class EngineServer implements AutoCloseable {
+
+	private static final int PREFIXES_REPORTED = 64;
+
+	private static final long GAP_SEED = 7;
+
+	private static final double GAP_SHARE = 0.2;
+
+	private final EngineOptions options;
+
+	private final EngineStore store;
+
+	private final EngineBatch batch;
+
+	private final StandinServer server;
+
+	private final Map<String, Long> executed = new ConcurrentHashMap<>();
+
+	private final Set<Long> cached = new LinkedHashSet<>();
+
+	private final Random gaps = new Random(GAP_SEED);
+
+	private Engine.Order taken = new Engine.Order("", List.of(), 0, 0);
+
+	private String serving = "";
+
+	private boolean loading;
+
+	private long sampledAt = System.nanoTime();
+
+	private int sampledRunning;
+
+	private int sampledQueued;
+
+	private List<Long> sampledPrefixes = List.of();
+
+	private EngineServer(String host, int port, EngineOptions options) {
+		this.options = options;
+		this.store = new EngineStore(options.keepBytes());
+		this.batch = new EngineBatch(options, this::serving);
+		this.server = StandinServer.start(host, port, this::handle);
+	}
+
+	/**
+	 * Returns an engine that has loaded nothing.
+	 */
+	public static EngineServer start(String host, int port, EngineOptions options) {
+		return new EngineServer(host, port, options);
+	}
+
+	public int port() {
+		return this.server.port();
+	}
+
+	/**
+	 * Arms a fault, or clears all with {@link Fault.Kind#NONE}.
+	 */
+	public void fault(Fault fault) {
+		this.server.fault(fault);
+	}
+
+	/**
+	 * Returns how often calls of each request id began to run.
+	 */
+	public Map<String, Long> executed() {
+		return new TreeMap<>(this.executed);
+	}
+
+	/**
+	 * Returns the digest of what is loaded; empty for nothing.
+	 */
+	public synchronized String serving() {
+		return this.serving;
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+	private void handle(Request request, Responder responder) {
+		if (request.path().startsWith("/store/")) {
+			this.store.handle(request, responder);
+			return;
+		}
+		switch (request.method() + " " + request.path()) {
+			case "GET /counts" ->
+				responder.json(200, Map.of("executed", executed(), "cancelled", this.batch.cancelled()));
+			case "GET /state" -> responder.json(200, state());
+			case "POST /orders" -> order(Json.read(request.body(), Engine.Order.class), responder);
+			case "POST /v1/chat/completions" -> complete(request, responder);
+			default -> responder.status(404);
+		}
+	}
+
+	private synchronized Engine.State state() {
+		long now = System.nanoTime();
+		if (now - this.sampledAt >= this.options.stateLag().toNanos()) {
+			this.sampledAt = now;
+			this.sampledRunning = this.batch.running();
+			this.sampledQueued = this.batch.queued();
+			this.sampledPrefixes = List.copyOf(this.cached);
+		}
+		List<Long> prefixes = new ArrayList<>(this.sampledPrefixes);
+		prefixes.removeIf((prefix) -> this.gaps.nextDouble() < GAP_SHARE);
+		return new Engine.State(this.serving, this.loading, this.sampledRunning, this.sampledQueued,
+				this.options.slots(), this.taken.generation(), this.taken.epoch(), prefixes);
+	}
+
+	private synchronized void order(Engine.Order order, Responder responder) {
+		if (this.options.fencing() && lower(order, this.taken)) {
+			responder.text(409, "an order of " + this.taken.generation() + "/" + this.taken.epoch() + " was taken");
+			return;
+		}
+		for (String file : order.files()) {
+			if (!this.store.whole(file)) {
+				responder.text(422, "not all chunks are held of " + file);
+				return;
+			}
+		}
+		this.taken = order;
+		responder.status(200);
+		if (order.weightsDigest().equals(this.serving) && !this.loading) {
+			return;
+		}
+		this.loading = true;
+		StandinThreads.after(this.options.load().toNanos(), () -> loaded(order));
+	}
+
+	private synchronized void loaded(Engine.Order order) {
+		if (order == this.taken) {
+			this.serving = order.weightsDigest();
+			this.loading = false;
+			this.cached.clear();
+		}
+	}
+
+	private void complete(Request request, Responder responder) {
+		EngineCall call = EngineCall.of(request, responder);
+		synchronized (this) {
+			if (this.loading || this.serving.isEmpty()) {
+				responder.text(503, "loading");
+				return;
+			}
+			call.labelled(this.serving);
+			remember(EngineTokens.prefix(call.prompt()));
+		}
+		String id = request.header(CallerHeaders.REQUEST_ID).orElse("");
+		this.batch.add(call, () -> this.executed.merge(id, 1L, Long::sum));
+	}
+
+	private void remember(long prefix) {
+		this.cached.remove(prefix);
+		this.cached.add(prefix);
+		if (this.cached.size() > PREFIXES_REPORTED) {
+			this.cached.remove(this.cached.iterator().next());
+		}
+	}
+
+	private static boolean lower(Engine.Order one, Engine.Order other) {
+		if (one.generation() != other.generation()) {
+			return one.generation() < other.generation();
+		}
+		return one.epoch() < other.epoch();
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/Standin.java
@@ -0,0 +1,103 @@
+package org.wisteriapost.standin;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Starts stand-ins: {@code ROLE OPTIONS [+ ROLE OPTIONS ...]}. Each prints one line of
+ * JSON with its port when it answers.
+ */
+public final class Standin {
+
+	private static final Options OPTIONS = options();
+
+	private Standin() {
+	}
+
+	/**
+	 * Starts what the arguments name and goes on until it is ended.
+	 */
+	public static void main(String[] args) throws InterruptedException {
+		try {
+			split(args).forEach(Standin::start);
+		}
+		catch (IllegalArgumentException ex) {
+			System.err.println(ex.getMessage());
+			System.exit(2);
+		}
+		new CountDownLatch(1).await();
+	}
+
+	private static List<String[]> split(String[] args) {
+		List<String[]> all = new ArrayList<>();
+		int from = 0;
+		for (int i = 0; i <= args.length; i++) {
+			if (i == args.length || args[i].equals("+")) {
+				all.add(Arrays.copyOfRange(args, from, i));
+				from = i + 1;
+			}
+		}
+		return all;
+	}
+
+	private static void start(String[] args) {
+		if (args.length == 0) {
+			throw new IllegalArgumentException("platform, vm-list, origin, engine or plain, then --host IP --port N");
+		}
+		CommandLine line = parse(args);
+		String host = line.getOptionValue("host", "127.0.0.1");
+		int port = (int) number(line, "port", 0);
+		int ready = switch (args[0]) {
+			case "platform" -> PlatformServer
+				.start(host, port, number(line, "reads-per-second", 0), number(line, "writes-per-second", 0))
+				.port();
+			case "vm-list" -> VmListServer.start(host, port, number(line, "lag-ms", 0)).port();
+			case "origin" -> OriginServer.start(host, port, number(line, "bytes-per-second", 0)).port();
+			case "engine" -> EngineServer.start(host, port, engine(line)).port();
+			case "plain" -> PlainServer.start(host, port, Duration.ofMillis(number(line, "delay-ms", 2))).port();
+			default -> throw new IllegalArgumentException("no such stand-in: " + args[0]);
+		};
+		System.out.println("{\"ready\":\"" + args[0] + "\",\"host\":\"" + host + "\",\"port\":" + ready + "}");
+	}
+
+	private static EngineOptions engine(CommandLine line) {
+		EngineOptions quick = EngineOptions.quick();
+		return new EngineOptions(!line.getOptionValue("fencing", "on").equals("off"),
+				Duration.ofMillis(number(line, "load-ms", quick.load().toMillis())),
+				Duration.ofMillis(number(line, "token-ms", quick.token().toMillis())),
+				Duration.ofNanos(1000 * number(line, "prefill-us-per-char", 1)),
+				(int) number(line, "slots", quick.slots()),
+				Duration.ofMillis(number(line, "lag-ms", quick.stateLag().toMillis())), true);
+	}
+
+	private static CommandLine parse(String[] args) {
+		try {
+			return new DefaultParser().parse(OPTIONS, Arrays.copyOfRange(args, 1, args.length));
+		}
+		catch (ParseException ex) {
+			throw new IllegalArgumentException(args[0] + ": " + ex.getMessage(), ex);
+		}
+	}
+
+	private static long number(CommandLine line, String name, long otherwise) {
+		return Long.parseLong(line.getOptionValue(name, String.valueOf(otherwise)));
+	}
+
+	private static Options options() {
+		Options options = new Options();
+		for (String name : List.of("host", "port", "lag-ms", "bytes-per-second", "reads-per-second",
+				"writes-per-second", "fencing", "load-ms", "token-ms", "prefill-us-per-char", "slots", "delay-ms")) {
+			options.addOption(null, name, true, "");
+		}
+		return options;
+	}
+
+}
