HTTP caller: a cancelled or timed-out call drops its connection at once

Cause: Undertow's close of a client connection ends the sending side and then drains for up to 10 seconds; the other side of a call whose answer had not begun noticed nothing that long, so an engine worked on for a caller that had gone. Found by EngineServerTests.callOfACallerThatHasGoneIsCancelled for whole answers. Ruled out: the stand-in's own close watch (a bare socket's close was seen in 0.07 s). Change: the bare connection is taken and closed.

--- a/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
@@ -198,11 +198,28 @@
 	private void fail(Throwable cause) {
 		if (this.done.compareAndSet(false, true)) {
 			this.timer.remove();
-			IoUtils.safeClose(this.connection);
+			drop(this.connection);
 			this.listener.onFailure(this.sent, cause);
 		}
 	}
 
+	// Undertow's own close ends the sending side and then waits up to 10 seconds for the
+	// other side, which would work on, for nobody, that long. The bare connection closes
+	// at once.
+	private static void drop(ClientConnection dropped) {
+		if (dropped == null) {
+			return;
+		}
+		dropped.getIoThread().execute(() -> {
+			try {
+				IoUtils.safeClose(dropped.performUpgrade());
+			}
+			catch (IOException ex) {
+				IoUtils.safeClose(dropped);
+			}
+		});
+	}
+
 	/** One asynchronous step; its failure is the call's. */
 	private final class Step<T> implements ClientCallback<T> {
 
