--- a/standin/src/test/java/org/wisteriapost/standin/EngineServerTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/EngineServerTests.java
@@ -135,10 +135,10 @@
 		EngineServer server = start(slow);
 		load(server, "w1");
 		Engine engine = HttpEngine.at(this.caller, address(server));
-		CompletableFuture<HttpReply> first = this.caller.call(call(server, "first", "p", false, 20));
+		CompletableFuture<HttpReply> first = this.caller.call(call(server, "first", "p", false, 5));
 		await(() -> server.executed().containsKey("first"));
 		CompletableFuture<HttpReply> bulk = this.caller
-			.call(call(server, "bulk", "p", false, 20).header(CallerHeaders.PRIORITY, "bulk"));
+			.call(call(server, "bulk", "p", false, 5).header(CallerHeaders.PRIORITY, "bulk"));
 		await(() -> engine.state().join().queued() == 1);
 		CompletableFuture<HttpReply> urgent = this.caller
 			.call(call(server, "urgent", "p", false, 1).header(CallerHeaders.PRIORITY, "urgent"));
