--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Peer.java
@@ -0,0 +1,10 @@
+package org.wisteriapost.policy.transfer;
+
+/**
+ * Another VM that needs the same files.
+ *
+ * @param vm its name
+ * @param place its failure domain
+ */
+public record Peer(String vm, String place) {
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PieceChoice.java
@@ -0,0 +1,126 @@
+package org.wisteriapost.policy.transfer;
+
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Which piece to ask for next, and whom.
+ *
+ * The piece that fewest neighbours hold goes first, so that no piece is left on a VM that
+ * dies, and so that what this VM holds is worth asking for. Among equals chance decides:
+ * VMs that see the same must not all choose the same.
+ */
+final class PieceChoice {
+
+	private final TransferLimits limits;
+
+	private final UniformRandomProvider random;
+
+	private final int[] holders;
+
+	PieceChoice(int pieces, TransferLimits limits, UniformRandomProvider random) {
+		this.holders = new int[pieces];
+		this.limits = limits;
+		this.random = random;
+	}
+
+	/**
+	 * Returns how many neighbours with a link hold a piece.
+	 */
+	int holders(int piece) {
+		return this.holders[piece];
+	}
+
+	void added(BitSet pieces) {
+		pieces.stream().forEach((piece) -> this.holders[piece]++);
+	}
+
+	void removed(BitSet pieces) {
+		pieces.stream().forEach((piece) -> this.holders[piece]--);
+	}
+
+	/**
+	 * Returns what to ask next, unless no peer that may be asked holds an open piece.
+	 */
+	Optional<Choice> next(BitSet open, Collection<PeerState> peers, long now) {
+		BitSet usable = new BitSet(this.holders.length);
+		for (PeerState peer : peers) {
+			if (peer.askable(now, this.limits.perPeer())) {
+				usable.or(peer.has());
+			}
+		}
+		usable.and(open);
+		int piece = choose(usable);
+		return (piece < 0) ? Optional.empty() : holder(piece, peers, now).map((peer) -> new Choice(peer, piece));
+	}
+
+	/**
+	 * Returns any other peer to ask for a late piece, chosen by chance alone: a second
+	 * path picked by merit would tend to share the fault of the first.
+	 */
+	Optional<PeerState> second(int piece, Collection<PeerState> peers, long now) {
+		PeerState chosen = null;
+		int seen = 0;
+		for (PeerState peer : peers) {
+			boolean other = peer.has().get(piece) && !peer.asks().containsKey(piece);
+			if (other && peer.askable(now, this.limits.perPeer() + 1) && this.random.nextInt(++seen) == 0) {
+				chosen = peer;
+			}
+		}
+		return Optional.ofNullable(chosen);
+	}
+
+	private int choose(BitSet usable) {
+		if (this.limits.design() == TransferLimits.Design.CHAIN) {
+			return usable.nextSetBit(0);
+		}
+		int chosen = -1;
+		int fewest = Integer.MAX_VALUE;
+		int equals = 0;
+		for (int piece = usable.nextSetBit(0); piece >= 0; piece = usable.nextSetBit(piece + 1)) {
+			int count = this.limits.rarestFirst() ? this.holders[piece] : 1;
+			equals = (count < fewest) ? 0 : equals;
+			fewest = Math.min(fewest, count);
+			if (count == fewest && this.random.nextInt(++equals) == 0) {
+				chosen = piece;
+			}
+		}
+		return chosen;
+	}
+
+	private Optional<PeerState> holder(int piece, Collection<PeerState> peers, long now) {
+		PeerState chosen = null;
+		int least = Integer.MAX_VALUE;
+		int equals = 0;
+		for (PeerState peer : peers) {
+			if (!peer.has().get(piece) || !peer.askable(now, this.limits.perPeer())) {
+				continue;
+			}
+			int cost = cost(peer);
+			equals = (cost < least) ? 0 : equals;
+			least = Math.min(least, cost);
+			if (cost == least && this.random.nextInt(++equals) == 0) {
+				chosen = peer;
+			}
+		}
+		return Optional.ofNullable(chosen);
+	}
+
+	private int cost(PeerState peer) {
+		int far = (this.limits.samePlaceFirst() && !peer.near()) ? 1 : 0;
+		return peer.asks().size() * 2 + far;
+	}
+
+	/**
+	 * One request to make.
+	 *
+	 * @param peer the holder to ask
+	 * @param piece what to ask for
+	 */
+	record Choice(PeerState peer, int piece) {
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferLimits.java
@@ -0,0 +1,48 @@
+package org.wisteriapost.policy.transfer;
+
+import java.time.Duration;
+
+/**
+ * What operators may set and measurements vary.
+ *
+ * @param design how pieces spread
+ * @param originCopies how many VMs read each piece from the origin without waiting
+ * @param originReads origin reads at once
+ * @param neighbours the most links that this VM makes
+ * @param outstanding pieces asked of peers at once; bounds the bytes in memory
+ * @param perPeer pieces asked of one peer at once
+ * @param progressDeadline the shortest time after which a request without an answer, or a
+ * piece that nobody holds, is looked for elsewhere
+ * @param announceInterval the shortest time between two announcements
+ * @param rarestFirst whether the piece that fewest neighbours hold goes first
+ * @param samePlaceFirst whether a holder in the same place goes before one less asked
+ * @param hedge whether a late request is sent to a second holder, chosen at random,
+ * before its deadline
+ */
+public record TransferLimits(Design design, int originCopies, int originReads, int neighbours, int outstanding,
+		int perPeer, Duration progressDeadline, Duration announceInterval, boolean rarestFirst, boolean samePlaceFirst,
+		boolean hedge) {
+
+	/**
+	 * Returns the values chosen by measurement, docs/design/weights.md.
+	 */
+	public static TransferLimits standard() {
+		return new TransferLimits(Design.SWARM, 1, 2, 24, 12, 2, Duration.ofSeconds(1), Duration.ofMillis(100), true,
+				true, false);
+	}
+
+	/**
+	 * How pieces spread.
+	 */
+	public enum Design {
+
+		/** Every VM reads everything from the origin. */
+		NAIVE,
+		/** One VM reads from the origin, each other from the one before it. */
+		CHAIN,
+		/** Each piece has one reader, all others ask their neighbours. */
+		SWARM
+
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -0,0 +1,472 @@
+package org.wisteriapost.policy.transfer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.Invariants;
+
+/**
+ * Returns for each event of one fetch the effects that the I/O layer must carry out. Used
+ * by one thread.
+ */
+public final class TransferMachine {
+
+	/** A peer sent wrong bytes. */
+	public static final Code PEER_CORRUPT = Code.warning("peer-chunk-corrupt",
+			"A peer sent a chunk whose hash is wrong; it was dropped and the peer is left alone for a while.");
+
+	/** The origin sent wrong bytes several times. */
+	public static final Code ORIGIN_CORRUPT = Code.error("origin-chunk-corrupt",
+			"The origin keeps sending a chunk whose hash is not the bundle's.");
+
+	/** A peer's link is open but nothing comes. */
+	public static final Code PEER_STALLED = Code.warning("peer-stalled",
+			"A peer's link is open but its answers do not come; its chunks are fetched elsewhere.");
+
+	/** The source of what was read from the origin. */
+	public static final String ORIGIN = "";
+
+	private static final long DISTRUST_NANOS = Duration.ofSeconds(30).toNanos();
+
+	private static final long RECONNECT_NANOS = Duration.ofMillis(500).toNanos();
+
+	private static final int ORIGIN_ATTEMPTS = 3;
+
+	// What may be made up for after a pause: long enough for the gap between ticks.
+	private static final double BURST_SECONDS = 0.1;
+
+	private final Pieces pieces;
+
+	private final Peer self;
+
+	private final TransferLimits limits;
+
+	private final Invariants invariants;
+
+	private final BitSet have = new BitSet();
+
+	private final BitSet storing = new BitSet();
+
+	private final BitSet open;
+
+	private final BitSet unannounced = new BitSet();
+
+	private final Map<String, PeerState> neighbours = new LinkedHashMap<>();
+
+	private final Map<Integer, Integer> originStrikes = new HashMap<>();
+
+	private final PieceChoice choice;
+
+	private final OriginDuty origin;
+
+	private final Deadline deadline;
+
+	private final Pacer pacer = Pacer.create(BURST_SECONDS);
+
+	private List<Peer> peers = List.of();
+
+	private Set<String> failing = Set.of();
+
+	private long announcedAt = Long.MIN_VALUE / 2;
+
+	private boolean started;
+
+	private boolean ended;
+
+	private boolean complete;
+
+	private TransferMachine(Pieces pieces, Peer self, TransferLimits limits, UniformRandomProvider random,
+			Invariants invariants) {
+		this.pieces = pieces;
+		this.self = self;
+		this.limits = limits;
+		this.invariants = invariants;
+		this.open = pieces.distinct();
+		this.choice = new PieceChoice(pieces.count(), limits, random);
+		this.deadline = new Deadline(limits.progressDeadline());
+		int cursor = (pieces.count() > 0) ? random.nextInt(pieces.count()) : 0;
+		this.origin = new OriginDuty(pieces, limits, new OriginRank(pieces, self), this.choice, cursor);
+	}
+
+	/**
+	 * Returns a machine that waits for {@link TransferEvent.Held}.
+	 * @param random decides among equals
+	 * @param invariants counts promises found broken
+	 */
+	public static TransferMachine create(Pieces pieces, Peer self, TransferLimits limits, UniformRandomProvider random,
+			Invariants invariants) {
+		return new TransferMachine(pieces, self, limits, random, invariants);
+	}
+
+	/**
+	 * Returns how many pieces are verified and stored.
+	 */
+	public int verified() {
+		return this.have.cardinality();
+	}
+
+	/**
+	 * Returns which pieces are verified and stored.
+	 */
+	public BitSet held() {
+		return (BitSet) this.have.clone();
+	}
+
+	/**
+	 * Applies one event.
+	 * @param now the monotonic clock, in nanos
+	 */
+	public List<TransferEffect> apply(TransferEvent event, long now) {
+		List<TransferEffect> effects = new ArrayList<>();
+		switch (event) {
+			case TransferEvent.PeersSeen seen -> meet(seen.peers(), now, effects);
+			case TransferEvent.LinkUp up -> peer(up.vm()).ifPresent((peer) -> greet(peer, now));
+			case TransferEvent.LinkDown down -> peer(down.vm()).ifPresent((peer) -> lose(peer, now));
+			case TransferEvent.PeerHolds holds ->
+				peer(holds.vm()).ifPresent((peer) -> learn(peer, holds.pieces(), now));
+			case TransferEvent.Held held -> start(held.pieces(), now, effects);
+			case TransferEvent.Verified verified -> take(verified.piece(), verified.source(), now, effects);
+			case TransferEvent.Corrupt corrupt -> reject(corrupt.piece(), corrupt.source(), now, effects);
+			case TransferEvent.Refused refused -> refused(refused, now);
+			case TransferEvent.OriginFailed failed -> originFailed(failed, now, effects);
+			case TransferEvent.Stored stored -> stored(stored.piece(), effects);
+			case TransferEvent.Lost lost -> lost(lost.piece());
+			case TransferEvent.RateSet rate -> this.pacer.rate(rate.bytesPerSecond(), now);
+			case TransferEvent.Tick tick -> tick(now, effects);
+		}
+		rank(now);
+		fill(now, effects);
+		announce(now, effects);
+		return effects;
+	}
+
+	private Optional<PeerState> peer(String vm) {
+		return Optional.ofNullable(this.neighbours.get(vm));
+	}
+
+	private void meet(List<Peer> seen, long now, List<TransferEffect> effects) {
+		this.peers = seen;
+		Set<String> chosen = Neighbours.choose(this.self, seen, this.limits);
+		Iterator<PeerState> known = this.neighbours.values().iterator();
+		while (known.hasNext()) {
+			PeerState peer = known.next();
+			if (!chosen.contains(peer.vm())) {
+				lose(peer, now);
+				known.remove();
+				effects.add(new TransferEffect.Disconnect(peer.vm()));
+			}
+		}
+		for (Peer peer : seen) {
+			if (chosen.contains(peer.vm()) && !this.neighbours.containsKey(peer.vm())) {
+				this.neighbours.put(peer.vm(), new PeerState(peer, peer.place().equals(this.self.place())));
+				effects.add(new TransferEffect.Connect(peer.vm()));
+			}
+		}
+		this.failing = Set.of();
+		this.origin.rank(this.peers, this.failing);
+	}
+
+	private void greet(PeerState peer, long now) {
+		peer.linkUp();
+		peer.counted(peer.trustedAgain(now));
+	}
+
+	private void lose(PeerState peer, long now) {
+		discount(peer);
+		peer.has().clear();
+		peer.linkDown(now + RECONNECT_NANOS);
+		release(peer);
+	}
+
+	private void discount(PeerState peer) {
+		if (peer.counted()) {
+			this.choice.removed(peer.has());
+			peer.counted(false);
+		}
+	}
+
+	private void release(PeerState peer) {
+		List<Integer> asked = List.copyOf(peer.asks().keySet());
+		peer.asks().clear();
+		asked.forEach(this::reopen);
+	}
+
+	private void reopen(int piece) {
+		boolean asked = this.origin.reads().containsKey(piece)
+				|| this.neighbours.values().stream().anyMatch((peer) -> peer.asks().containsKey(piece));
+		if (!asked && !this.have.get(piece) && !this.storing.get(piece)) {
+			this.open.set(piece);
+		}
+	}
+
+	private void learn(PeerState peer, BitSet pieces, long now) {
+		if (!peer.up()) {
+			return;
+		}
+		peer.heard(now);
+		BitSet added = (BitSet) pieces.clone();
+		added.andNot(peer.has());
+		boolean news = added.stream().anyMatch((piece) -> this.choice.holders(piece) == 0 && !this.have.get(piece));
+		peer.has().or(added);
+		if (!peer.counted()) {
+			return;
+		}
+		this.choice.added(added);
+		if (news) {
+			this.origin.news(now);
+		}
+	}
+
+	private void start(BitSet held, long now, List<TransferEffect> effects) {
+		this.started = true;
+		this.origin.news(now);
+		this.have.or(held);
+		this.unannounced.or(held);
+		this.open.andNot(held);
+		held.stream().forEach((piece) -> copy(piece, effects));
+		finishIfWhole(effects);
+	}
+
+	private void take(int piece, String source, long now, List<TransferEffect> effects) {
+		answered(piece, source, now);
+		if (this.have.get(piece) || this.storing.get(piece)) {
+			return;
+		}
+		this.origin.news(now);
+		this.open.clear(piece);
+		this.storing.set(piece);
+		effects.add(new TransferEffect.Store(piece));
+	}
+
+	private void answered(int piece, String source, long now) {
+		if (source.equals(ORIGIN)) {
+			this.origin.succeeded(piece);
+			return;
+		}
+		peer(source).ifPresent((peer) -> {
+			peer.heard(now);
+			Long askedAt = peer.asks().remove(piece);
+			if (askedAt != null) {
+				this.deadline.answered(now - askedAt);
+			}
+		});
+	}
+
+	private void reject(int piece, String source, long now, List<TransferEffect> effects) {
+		if (source.equals(ORIGIN)) {
+			this.origin.failed(piece, now);
+			if (this.originStrikes.merge(piece, 1, Integer::sum) >= ORIGIN_ATTEMPTS) {
+				end(new TransferEffect.Fail(ORIGIN_CORRUPT, piece), effects);
+			}
+			reopen(piece);
+			return;
+		}
+		effects.add(new TransferEffect.Notice(PEER_CORRUPT, source, piece));
+		peer(source).ifPresent((peer) -> {
+			discount(peer);
+			peer.corrupt(now, DISTRUST_NANOS);
+			release(peer);
+		});
+	}
+
+	private void refused(TransferEvent.Refused refused, long now) {
+		peer(refused.vm()).ifPresent((peer) -> {
+			peer.heard(now);
+			peer.asks().remove(refused.piece());
+			if (refused.busy()) {
+				peer.pause(now + this.deadline.busyNanos());
+			}
+			else if (peer.has().get(refused.piece())) {
+				forget(peer, refused.piece());
+			}
+			reopen(refused.piece());
+		});
+	}
+
+	private void forget(PeerState peer, int piece) {
+		if (peer.counted()) {
+			BitSet one = new BitSet();
+			one.set(piece);
+			this.choice.removed(one);
+		}
+		peer.has().clear(piece);
+	}
+
+	private void originFailed(TransferEvent.OriginFailed failed, long now, List<TransferEffect> effects) {
+		this.origin.failed(failed.piece(), now);
+		reopen(failed.piece());
+		if (failed.changed()) {
+			end(new TransferEffect.Changed(failed.piece()), effects);
+		}
+	}
+
+	private void end(TransferEffect last, List<TransferEffect> effects) {
+		if (!this.ended) {
+			this.ended = true;
+			effects.add(last);
+		}
+	}
+
+	private void stored(int piece, List<TransferEffect> effects) {
+		this.invariants.holds(!this.have.get(piece), "piece-stored-once", "piece " + piece);
+		this.storing.clear(piece);
+		this.open.clear(piece);
+		this.have.set(piece);
+		this.unannounced.set(piece);
+		copy(piece, effects);
+		finishIfWhole(effects);
+	}
+
+	private void copy(int piece, List<TransferEffect> effects) {
+		for (int twin : this.pieces.twins(piece)) {
+			if (!this.have.get(twin)) {
+				effects.add(new TransferEffect.Copy(piece, twin));
+			}
+		}
+	}
+
+	private void finishIfWhole(List<TransferEffect> effects) {
+		if (!this.complete && this.started && this.have.cardinality() == this.pieces.count()) {
+			this.complete = true;
+			effects.add(new TransferEffect.Complete());
+		}
+	}
+
+	private void lost(int piece) {
+		this.complete = false;
+		this.have.clear(piece);
+		this.storing.clear(piece);
+		this.unannounced.clear(piece);
+		reopen(piece);
+	}
+
+	private void tick(long now, List<TransferEffect> effects) {
+		long limit = this.deadline.nanos();
+		for (PeerState peer : this.neighbours.values()) {
+			if (peer.trustedAgain(now)) {
+				peer.counted(true);
+				this.choice.added(peer.has());
+			}
+			if (peer.retryDue(now)) {
+				peer.linkDown(now + RECONNECT_NANOS);
+				effects.add(new TransferEffect.Connect(peer.vm()));
+			}
+			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
+			if (late) {
+				release(peer);
+				if (peer.silent(now, limit)) {
+					effects.add(new TransferEffect.Notice(PEER_STALLED, peer.vm(), 0));
+				}
+			}
+		}
+		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
+		this.origin.tick(this.open, now, limit);
+		if (this.limits.hedge() && !this.ended) {
+			hedge(now, effects);
+		}
+	}
+
+	// An origin read may hang for longer than it takes a peer to come by the same piece.
+	private void reopenIfHeld(int piece, boolean late) {
+		boolean asked = this.neighbours.values().stream().anyMatch((peer) -> peer.asks().containsKey(piece));
+		if (late && !asked && this.choice.holders(piece) > 0 && !this.have.get(piece) && !this.storing.get(piece)) {
+			this.open.set(piece);
+		}
+	}
+
+	private void hedge(long now, List<TransferEffect> effects) {
+		long limit = this.deadline.hedgeNanos();
+		for (PeerState peer : List.copyOf(this.neighbours.values())) {
+			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
+				boolean single = this.neighbours.values()
+					.stream()
+					.filter((other) -> other.asks().containsKey(ask.getKey()))
+					.count() == 1;
+				if (single && now - ask.getValue() > limit && this.pacer.delayNanos(now) == 0) {
+					this.choice.second(ask.getKey(), this.neighbours.values(), now)
+						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
+				}
+			}
+		}
+	}
+
+	private void rank(long now) {
+		Set<String> current = new HashSet<>();
+		for (PeerState peer : this.neighbours.values()) {
+			if (peer.failing(now)) {
+				current.add(peer.vm());
+			}
+		}
+		if (!current.equals(this.failing)) {
+			this.failing = current;
+			this.origin.rank(this.peers, current);
+		}
+	}
+
+	private void fill(long now, List<TransferEffect> effects) {
+		if (!this.started || this.ended || this.open.isEmpty()) {
+			return;
+		}
+		OptionalInt read = nextRead(now);
+		while (read.isPresent()) {
+			this.open.clear(read.getAsInt());
+			this.pacer.take(this.pieces.length(read.getAsInt()));
+			effects.add(new TransferEffect.ReadOrigin(read.getAsInt()));
+			read = nextRead(now);
+		}
+		Optional<PieceChoice.Choice> next = nextAsk(now);
+		while (next.isPresent()) {
+			ask(next.get().peer(), next.get().piece(), now, effects);
+			next = nextAsk(now);
+		}
+	}
+
+	private OptionalInt nextRead(long now) {
+		if (this.pacer.delayNanos(now) > 0) {
+			return OptionalInt.empty();
+		}
+		return this.origin.next(this.open, now, this.deadline.nanos());
+	}
+
+	private Optional<PieceChoice.Choice> nextAsk(long now) {
+		int asked = this.neighbours.values().stream().mapToInt((peer) -> peer.asks().size()).sum();
+		if (asked >= this.limits.outstanding() || this.pacer.delayNanos(now) > 0) {
+			return Optional.empty();
+		}
+		return this.choice.next(this.open, this.neighbours.values(), now);
+	}
+
+	private void ask(PeerState peer, int piece, long now, List<TransferEffect> effects) {
+		this.invariants.holds(!this.have.get(piece) && !this.storing.get(piece), "asked-only-what-is-missing",
+				"piece " + piece);
+		this.open.clear(piece);
+		peer.asks().put(piece, now);
+		this.pacer.take(this.pieces.length(piece));
+		effects.add(new TransferEffect.Request(peer.vm(), piece));
+	}
+
+	// Bounded in rate: 810 VMs that told each of their neighbours of every piece at once
+	// would spend more on the telling than control may cost.
+	private void announce(long now, List<TransferEffect> effects) {
+		boolean due = now - this.announcedAt >= this.limits.announceInterval().toNanos();
+		if (this.unannounced.isEmpty() || !due) {
+			return;
+		}
+		this.announcedAt = now;
+		effects.add(new TransferEffect.Announce((BitSet) this.unannounced.clone()));
+		this.unannounced.clear();
+	}
+
+}
