--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -55,13 +55,7 @@
 
 	private final Invariants invariants;
 
-	private final BitSet have = new BitSet();
-
-	private final BitSet storing = new BitSet();
-
-	private final BitSet open;
-
-	private final BitSet unannounced = new BitSet();
+	private final Holdings holdings;
 
 	private final Map<String, PeerState> neighbours = new LinkedHashMap<>();
 
@@ -93,7 +87,7 @@
 		this.self = self;
 		this.limits = limits;
 		this.invariants = invariants;
-		this.open = pieces.distinct();
+		this.holdings = new Holdings(pieces);
 		this.choice = new PieceChoice(pieces.count(), limits, random);
 		this.deadline = new Deadline(limits.progressDeadline());
 		int cursor = (pieces.count() > 0) ? random.nextInt(pieces.count()) : 0;
@@ -114,14 +108,14 @@
 	 * Returns how many pieces are verified and stored.
 	 */
 	public int verified() {
-		return this.have.cardinality();
+		return this.holdings.have().cardinality();
 	}
 
 	/**
 	 * Returns which pieces are verified and stored.
 	 */
 	public BitSet held() {
-		return (BitSet) this.have.clone();
+		return (BitSet) this.holdings.have().clone();
 	}
 
 	/**
@@ -206,8 +200,8 @@
 	private void reopen(int piece) {
 		boolean asked = this.origin.reads().containsKey(piece)
 				|| this.neighbours.values().stream().anyMatch((peer) -> peer.asks().containsKey(piece));
-		if (!asked && !this.have.get(piece) && !this.storing.get(piece)) {
-			this.open.set(piece);
+		if (!asked) {
+			this.holdings.reopen(piece);
 		}
 	}
 
@@ -218,7 +212,7 @@
 		peer.heard(now);
 		BitSet added = (BitSet) pieces.clone();
 		added.andNot(peer.has());
-		boolean news = added.stream().anyMatch((piece) -> this.choice.holders(piece) == 0 && !this.have.get(piece));
+		boolean news = added.stream().anyMatch((piece) -> this.choice.holders(piece) == 0 && !this.holdings.has(piece));
 		peer.has().or(added);
 		if (!peer.counted()) {
 			return;
@@ -232,21 +226,18 @@
 	private void start(BitSet held, long now, List<TransferEffect> effects) {
 		this.started = true;
 		this.origin.news(now);
-		this.have.or(held);
-		this.unannounced.or(held);
-		this.open.andNot(held);
+		this.holdings.found(held);
 		held.stream().forEach((piece) -> copy(piece, effects));
 		finishIfWhole(effects);
 	}
 
 	private void take(int piece, String source, long now, List<TransferEffect> effects) {
 		answered(piece, source, now);
-		if (this.have.get(piece) || this.storing.get(piece)) {
+		if (!this.holdings.missing(piece)) {
 			return;
 		}
 		this.origin.news(now);
-		this.open.clear(piece);
-		this.storing.set(piece);
+		this.holdings.storing(piece);
 		effects.add(new TransferEffect.Store(piece));
 	}
 
@@ -320,25 +311,22 @@
 	}
 
 	private void stored(int piece, List<TransferEffect> effects) {
-		this.invariants.holds(!this.have.get(piece), "piece-stored-once", "piece " + piece);
-		this.storing.clear(piece);
-		this.open.clear(piece);
-		this.have.set(piece);
-		this.unannounced.set(piece);
+		this.invariants.holds(!this.holdings.has(piece), "piece-stored-once", "piece " + piece);
+		this.holdings.stored(piece);
 		copy(piece, effects);
 		finishIfWhole(effects);
 	}
 
 	private void copy(int piece, List<TransferEffect> effects) {
 		for (int twin : this.pieces.twins(piece)) {
-			if (!this.have.get(twin)) {
+			if (!this.holdings.has(twin)) {
 				effects.add(new TransferEffect.Copy(piece, twin));
 			}
 		}
 	}
 
 	private void finishIfWhole(List<TransferEffect> effects) {
-		if (!this.complete && this.started && this.have.cardinality() == this.pieces.count()) {
+		if (!this.complete && this.started && this.holdings.whole()) {
 			this.complete = true;
 			effects.add(new TransferEffect.Complete());
 		}
@@ -346,9 +334,7 @@
 
 	private void lost(int piece) {
 		this.complete = false;
-		this.have.clear(piece);
-		this.storing.clear(piece);
-		this.unannounced.clear(piece);
+		this.holdings.lost(piece);
 		reopen(piece);
 	}
 
@@ -372,7 +358,7 @@
 			}
 		}
 		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
-		this.origin.tick(this.open, now, limit);
+		this.origin.tick(this.holdings.open(), now, limit);
 		if (this.limits.hedge() && !this.ended) {
 			hedge(now, effects);
 		}
@@ -381,8 +367,8 @@
 	// An origin read may hang for longer than it takes a peer to come by the same piece.
 	private void reopenIfHeld(int piece, boolean late) {
 		boolean asked = this.neighbours.values().stream().anyMatch((peer) -> peer.asks().containsKey(piece));
-		if (late && !asked && this.choice.holders(piece) > 0 && !this.have.get(piece) && !this.storing.get(piece)) {
-			this.open.set(piece);
+		if (late && !asked && this.choice.holders(piece) > 0) {
+			this.holdings.reopen(piece);
 		}
 	}
 
@@ -416,12 +402,12 @@
 	}
 
 	private void fill(long now, List<TransferEffect> effects) {
-		if (!this.started || this.ended || this.open.isEmpty()) {
+		if (!this.started || this.ended || this.holdings.open().isEmpty()) {
 			return;
 		}
 		OptionalInt read = nextRead(now);
 		while (read.isPresent()) {
-			this.open.clear(read.getAsInt());
+			this.holdings.asked(read.getAsInt());
 			this.pacer.take(this.pieces.length(read.getAsInt()));
 			effects.add(new TransferEffect.ReadOrigin(read.getAsInt()));
 			read = nextRead(now);
@@ -437,7 +423,7 @@
 		if (this.pacer.delayNanos(now) > 0) {
 			return OptionalInt.empty();
 		}
-		return this.origin.next(this.open, now, this.deadline.nanos());
+		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
 	}
 
 	private Optional<PieceChoice.Choice> nextAsk(long now) {
@@ -445,13 +431,12 @@
 		if (asked >= this.limits.outstanding() || this.pacer.delayNanos(now) > 0) {
 			return Optional.empty();
 		}
-		return this.choice.next(this.open, this.neighbours.values(), now);
+		return this.choice.next(this.holdings.open(), this.neighbours.values(), now);
 	}
 
 	private void ask(PeerState peer, int piece, long now, List<TransferEffect> effects) {
-		this.invariants.holds(!this.have.get(piece) && !this.storing.get(piece), "asked-only-what-is-missing",
-				"piece " + piece);
-		this.open.clear(piece);
+		this.invariants.holds(this.holdings.missing(piece), "asked-only-what-is-missing", "piece " + piece);
+		this.holdings.asked(piece);
 		peer.asks().put(piece, now);
 		this.pacer.take(this.pieces.length(piece));
 		effects.add(new TransferEffect.Request(peer.vm(), piece));
@@ -461,12 +446,10 @@
 	// would spend more on the telling than control may cost.
 	private void announce(long now, List<TransferEffect> effects) {
 		boolean due = now - this.announcedAt >= this.limits.announceInterval().toNanos();
-		if (this.unannounced.isEmpty() || !due) {
-			return;
+		if (due && this.holdings.news()) {
+			this.announcedAt = now;
+			effects.add(new TransferEffect.Announce(this.holdings.takeNews()));
 		}
-		this.announcedAt = now;
-		effects.add(new TransferEffect.Announce((BitSet) this.unannounced.clone()));
-		this.unannounced.clear();
 	}
 
 }
