--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -2,6 +2,7 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -82,6 +83,15 @@
 		return this.up && !this.counted && now >= this.distrustedUntil;
 	}
 
+	/**
+	 * Takes back all requests and returns their pieces.
+	 */
+	List<Integer> release() {
+		List<Integer> asked = List.copyOf(this.asks.keySet());
+		this.asks.clear();
+		return asked;
+	}
+
 	void linkUp() {
 		this.up = true;
 		this.down = false;
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -4,9 +4,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,8 +37,6 @@
 
 	private static final long DISTRUST_NANOS = Duration.ofSeconds(30).toNanos();
 
-	private static final long RECONNECT_NANOS = Duration.ofMillis(500).toNanos();
-
 	private static final int ORIGIN_ATTEMPTS = 3;
 
 	// What may be made up for after a pause: long enough for the gap between ticks.
@@ -49,15 +44,13 @@
 
 	private final Pieces pieces;
 
-	private final Peer self;
-
 	private final TransferLimits limits;
 
 	private final Invariants invariants;
 
 	private final Holdings holdings;
 
-	private final Map<String, PeerState> neighbours = new LinkedHashMap<>();
+	private final Neighbourhood neighbours;
 
 	private final Map<Integer, Integer> originStrikes = new HashMap<>();
 
@@ -84,11 +77,11 @@
 	private TransferMachine(Pieces pieces, Peer self, TransferLimits limits, UniformRandomProvider random,
 			Invariants invariants) {
 		this.pieces = pieces;
-		this.self = self;
 		this.limits = limits;
 		this.invariants = invariants;
 		this.holdings = new Holdings(pieces);
 		this.choice = new PieceChoice(pieces.count(), limits, random);
+		this.neighbours = new Neighbourhood(self, limits, this.choice);
 		this.deadline = new Deadline(limits.progressDeadline());
 		int cursor = (pieces.count() > 0) ? random.nextInt(pieces.count()) : 0;
 		this.origin = new OriginDuty(pieces, limits, new OriginRank(pieces, self), this.choice, cursor);
@@ -126,10 +119,12 @@
 		List<TransferEffect> effects = new ArrayList<>();
 		switch (event) {
 			case TransferEvent.PeersSeen seen -> meet(seen.peers(), now, effects);
-			case TransferEvent.LinkUp up -> peer(up.vm()).ifPresent((peer) -> greet(peer, now));
-			case TransferEvent.LinkDown down -> peer(down.vm()).ifPresent((peer) -> lose(peer, now));
+			case TransferEvent.LinkUp up ->
+				this.neighbours.peer(up.vm()).ifPresent((peer) -> this.neighbours.greet(peer, now));
+			case TransferEvent.LinkDown down -> this.neighbours.peer(down.vm())
+				.ifPresent((peer) -> this.neighbours.lose(peer, now).forEach(this::reopen));
 			case TransferEvent.PeerHolds holds ->
-				peer(holds.vm()).ifPresent((peer) -> learn(peer, holds.pieces(), now));
+				this.neighbours.peer(holds.vm()).ifPresent((peer) -> learn(peer, holds.pieces(), now));
 			case TransferEvent.Held held -> start(held.pieces(), now, effects);
 			case TransferEvent.Verified verified -> take(verified.piece(), verified.source(), now, effects);
 			case TransferEvent.Corrupt corrupt -> reject(corrupt.piece(), corrupt.source(), now, effects);
@@ -146,61 +141,15 @@
 		return effects;
 	}
 
-	private Optional<PeerState> peer(String vm) {
-		return Optional.ofNullable(this.neighbours.get(vm));
-	}
-
 	private void meet(List<Peer> seen, long now, List<TransferEffect> effects) {
 		this.peers = seen;
-		Set<String> chosen = Neighbours.choose(this.self, seen, this.limits);
-		Iterator<PeerState> known = this.neighbours.values().iterator();
-		while (known.hasNext()) {
-			PeerState peer = known.next();
-			if (!chosen.contains(peer.vm())) {
-				lose(peer, now);
-				known.remove();
-				effects.add(new TransferEffect.Disconnect(peer.vm()));
-			}
-		}
-		for (Peer peer : seen) {
-			if (chosen.contains(peer.vm()) && !this.neighbours.containsKey(peer.vm())) {
-				this.neighbours.put(peer.vm(), new PeerState(peer, peer.place().equals(this.self.place())));
-				effects.add(new TransferEffect.Connect(peer.vm()));
-			}
-		}
+		this.neighbours.meet(seen, now, effects).forEach(this::reopen);
 		this.failing = Set.of();
 		this.origin.rank(this.peers, this.failing);
 	}
 
-	private void greet(PeerState peer, long now) {
-		peer.linkUp();
-		peer.counted(peer.trustedAgain(now));
-	}
-
-	private void lose(PeerState peer, long now) {
-		discount(peer);
-		peer.has().clear();
-		peer.linkDown(now + RECONNECT_NANOS);
-		release(peer);
-	}
-
-	private void discount(PeerState peer) {
-		if (peer.counted()) {
-			this.choice.removed(peer.has());
-			peer.counted(false);
-		}
-	}
-
-	private void release(PeerState peer) {
-		List<Integer> asked = List.copyOf(peer.asks().keySet());
-		peer.asks().clear();
-		asked.forEach(this::reopen);
-	}
-
 	private void reopen(int piece) {
-		boolean asked = this.origin.reads().containsKey(piece)
-				|| this.neighbours.values().stream().anyMatch((peer) -> peer.asks().containsKey(piece));
-		if (!asked) {
+		if (!this.origin.reads().containsKey(piece) && this.neighbours.askedOf(piece) == 0) {
 			this.holdings.reopen(piece);
 		}
 	}
@@ -210,14 +159,8 @@
 			return;
 		}
 		peer.heard(now);
-		BitSet added = (BitSet) pieces.clone();
-		added.andNot(peer.has());
-		boolean news = added.stream().anyMatch((piece) -> this.choice.holders(piece) == 0 && !this.holdings.has(piece));
-		peer.has().or(added);
-		if (!peer.counted()) {
-			return;
-		}
-		this.choice.added(added);
+		BitSet added = this.neighbours.learn(peer, pieces);
+		boolean news = added.stream().anyMatch((piece) -> this.choice.holders(piece) == 1 && !this.holdings.has(piece));
 		if (news) {
 			this.origin.news(now);
 		}
@@ -246,7 +189,7 @@
 			this.origin.succeeded(piece);
 			return;
 		}
-		peer(source).ifPresent((peer) -> {
+		this.neighbours.peer(source).ifPresent((peer) -> {
 			peer.heard(now);
 			Long askedAt = peer.asks().remove(piece);
 			if (askedAt != null) {
@@ -265,36 +208,27 @@
 			return;
 		}
 		effects.add(new TransferEffect.Notice(PEER_CORRUPT, source, piece));
-		peer(source).ifPresent((peer) -> {
-			discount(peer);
+		this.neighbours.peer(source).ifPresent((peer) -> {
+			this.neighbours.discount(peer);
 			peer.corrupt(now, DISTRUST_NANOS);
-			release(peer);
+			peer.release().forEach(this::reopen);
 		});
 	}
 
 	private void refused(TransferEvent.Refused refused, long now) {
-		peer(refused.vm()).ifPresent((peer) -> {
+		this.neighbours.peer(refused.vm()).ifPresent((peer) -> {
 			peer.heard(now);
 			peer.asks().remove(refused.piece());
 			if (refused.busy()) {
 				peer.pause(now + this.deadline.busyNanos());
 			}
 			else if (peer.has().get(refused.piece())) {
-				forget(peer, refused.piece());
+				this.neighbours.forget(peer, refused.piece());
 			}
 			reopen(refused.piece());
 		});
 	}
 
-	private void forget(PeerState peer, int piece) {
-		if (peer.counted()) {
-			BitSet one = new BitSet();
-			one.set(piece);
-			this.choice.removed(one);
-		}
-		peer.has().clear(piece);
-	}
-
 	private void originFailed(TransferEvent.OriginFailed failed, long now, List<TransferEffect> effects) {
 		this.origin.failed(failed.piece(), now);
 		reopen(failed.piece());
@@ -339,19 +273,12 @@
 	}
 
 	private void tick(long now, List<TransferEffect> effects) {
+		this.neighbours.tick(now, effects);
 		long limit = this.deadline.nanos();
-		for (PeerState peer : this.neighbours.values()) {
-			if (peer.trustedAgain(now)) {
-				peer.counted(true);
-				this.choice.added(peer.has());
-			}
-			if (peer.retryDue(now)) {
-				peer.linkDown(now + RECONNECT_NANOS);
-				effects.add(new TransferEffect.Connect(peer.vm()));
-			}
+		for (PeerState peer : this.neighbours.all()) {
 			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
 			if (late) {
-				release(peer);
+				peer.release().forEach(this::reopen);
 				if (peer.silent(now, limit)) {
 					effects.add(new TransferEffect.Notice(PEER_STALLED, peer.vm(), 0));
 				}
@@ -366,22 +293,18 @@
 
 	// An origin read may hang for longer than it takes a peer to come by the same piece.
 	private void reopenIfHeld(int piece, boolean late) {
-		boolean asked = this.neighbours.values().stream().anyMatch((peer) -> peer.asks().containsKey(piece));
-		if (late && !asked && this.choice.holders(piece) > 0) {
+		if (late && this.neighbours.askedOf(piece) == 0 && this.choice.holders(piece) > 0) {
 			this.holdings.reopen(piece);
 		}
 	}
 
 	private void hedge(long now, List<TransferEffect> effects) {
 		long limit = this.deadline.hedgeNanos();
-		for (PeerState peer : List.copyOf(this.neighbours.values())) {
+		for (PeerState peer : List.copyOf(this.neighbours.all())) {
 			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
-				boolean single = this.neighbours.values()
-					.stream()
-					.filter((other) -> other.asks().containsKey(ask.getKey()))
-					.count() == 1;
+				boolean single = this.neighbours.askedOf(ask.getKey()) == 1;
 				if (single && now - ask.getValue() > limit && this.pacer.delayNanos(now) == 0) {
-					this.choice.second(ask.getKey(), this.neighbours.values(), now)
+					this.choice.second(ask.getKey(), this.neighbours.all(), now)
 						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
 				}
 			}
@@ -389,12 +312,7 @@
 	}
 
 	private void rank(long now) {
-		Set<String> current = new HashSet<>();
-		for (PeerState peer : this.neighbours.values()) {
-			if (peer.failing(now)) {
-				current.add(peer.vm());
-			}
-		}
+		Set<String> current = this.neighbours.failing(now);
 		if (!current.equals(this.failing)) {
 			this.failing = current;
 			this.origin.rank(this.peers, current);
@@ -427,11 +345,10 @@
 	}
 
 	private Optional<PieceChoice.Choice> nextAsk(long now) {
-		int asked = this.neighbours.values().stream().mapToInt((peer) -> peer.asks().size()).sum();
-		if (asked >= this.limits.outstanding() || this.pacer.delayNanos(now) > 0) {
+		if (this.neighbours.outstanding() >= this.limits.outstanding() || this.pacer.delayNanos(now) > 0) {
 			return Optional.empty();
 		}
-		return this.choice.next(this.holdings.open(), this.neighbours.values(), now);
+		return this.choice.next(this.holdings.open(), this.neighbours.all(), now);
 	}
 
 	private void ask(PeerState peer, int piece, long now, List<TransferEffect> effects) {
