--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
@@ -0,0 +1,23 @@
+package org.wisteriapost.standin.bench.weights;
+
+/**
+ * What goes wrong during a roll, at three tenths of the bound on time.
+ */
+enum Faults {
+
+	/** Nothing. */
+	NONE,
+	/** One VM in ten dies. */
+	KILL,
+	/** One VM in ten stops sending and receiving; its links stay open. */
+	STALL,
+	/** One VM sends wrong bytes for every chunk, from the start. */
+	CORRUPT,
+	/** The origin's content changes. */
+	CHANGE;
+
+	static Faults named(String name) {
+		return valueOf(name.toUpperCase(java.util.Locale.ROOT));
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
@@ -0,0 +1,62 @@
+package org.wisteriapost.standin.bench.weights;
+
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.wisteriapost.policy.transfer.Peer;
+import org.wisteriapost.policy.transfer.TransferMachine;
+import org.wisteriapost.policy.transfer.Uploads;
+
+/**
+ * One VM of a simulation: a machine, its two link directions, and what has befallen it.
+ */
+final class SimVm {
+
+	private static final int UPLOADS_WAITING = 16;
+
+	private static final int UPLOADS_PER_PEER = 2;
+
+	final Peer peer;
+
+	final TransferMachine machine;
+
+	final Uploads<Upload> uploads = Uploads.create(UPLOADS_WAITING, UPLOADS_PER_PEER);
+
+	final Set<SimVm> subscribers = new HashSet<>();
+
+	final Set<String> links = new HashSet<>();
+
+	final BitSet stored = new BitSet();
+
+	boolean sending;
+
+	long receiveFreeAt;
+
+	long finishedAt = -1;
+
+	boolean dead;
+
+	boolean stalled;
+
+	boolean corrupt;
+
+	boolean failed;
+
+	long controlBytes;
+
+	long received;
+
+	SimVm(Peer peer, TransferMachine machine) {
+		this.peer = peer;
+		this.machine = machine;
+	}
+
+	boolean gone() {
+		return this.dead || this.stalled;
+	}
+
+	record Upload(SimVm to, int piece) {
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
@@ -0,0 +1,76 @@
+package org.wisteriapost.standin.bench.weights;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.wisteriapost.kernel.command.ExitCodes;
+import org.wisteriapost.standin.bench.Experiment;
+
+/**
+ * {@code scripts/bench weights-sim}: designs compared in virtual time.
+ */
+public final class WeightsSim implements Experiment {
+
+	private static final int CHUNK_BYTES = 64 << 10;
+
+	private static final String DEFAULT_CHUNKS = "512";
+
+	private static final double BOUND_SECONDS = 8;
+
+	@Override
+	public String name() {
+		return "weights-sim";
+	}
+
+	@Override
+	public String summary() {
+		return "compares designs of a roll in virtual time, up to 810 VMs";
+	}
+
+	@Override
+	public int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
+		Options options = new Options().addOption(option("vms", "N[,N] VMs, default 12,24,48"))
+			.addOption(option("seed", "S[,S] of all chance, default 1"))
+			.addOption(option("faults", "none|kill|stall|corrupt|change[,…], default none"))
+			.addOption(option("policy", "design[+variant…][,…], default naive,chain,swarm"))
+			.addOption(option("chunks", "of the weights, default " + DEFAULT_CHUNKS))
+			.addOption(option("bound", "S/L in seconds, default 8"));
+		CommandLine line = new DefaultParser().parse(options, args.toArray(new String[0]));
+		int chunks = Integer.parseInt(line.getOptionValue("chunks", DEFAULT_CHUNKS));
+		double bound = Double.parseDouble(line.getOptionValue("bound", "" + BOUND_SECONDS));
+		for (String faults : line.getOptionValue("faults", "none").split(",")) {
+			for (String vms : line.getOptionValue("vms", "12,24,48").split(",")) {
+				for (String policy : line.getOptionValue("policy", "naive,chain,swarm").split(",")) {
+					for (String seed : line.getOptionValue("seed", "1").split(",")) {
+						run(policy, Integer.parseInt(vms), faults, Long.parseLong(seed), chunks, bound, out);
+					}
+				}
+			}
+		}
+		return ExitCodes.OK;
+	}
+
+	private static void run(String policy, int vms, String faults, long seed, int chunks, double bound,
+			PrintStream out) {
+		double link = (double) CHUNK_BYTES * chunks / bound;
+		Simulation.Result result = Simulation.run(new Simulation.Plan(Variants.named(policy), vms, 10, chunks,
+				CHUNK_BYTES, link, Faults.named(faults), seed));
+		out.printf(Locale.ROOT, "{\"experiment\":\"weights-sim\",\"policy\":\"%s\",\"vms\":%d,\"faults\":\"%s\","
+				+ "\"seed\":%d,\"chunks\":%d,\"boundSeconds\":%.1f,\"healthy\":%d,\"finished\":%d,\"failed\":%d,"
+				+ "\"ratio\":%.3f,\"meanRatio\":%.3f,\"originCopies\":%.3f,\"controlBytesPerVm\":%.0f,"
+				+ "\"controlBytesPerSecond\":%.0f,\"receivedTwice\":%.4f,\"violations\":\"%s\"}%n", policy, vms, faults,
+				seed, chunks, bound, result.healthy(), result.finished(), result.failed(), result.last(), result.mean(),
+				result.originCopies(), result.controlBytes(), result.controlBytesPerSecond(), result.received(),
+				result.violations());
+	}
+
+	private static Option option(String name, String text) {
+		return Option.builder().longOpt(name).hasArg().desc(text).get();
+	}
+
+}
