--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/Bench.java
@@ -0,0 +1,37 @@
+package org.wisteriapost.standin.bench;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.ServiceLoader;
+
+/**
+ * Main of {@code scripts/bench}.
+ */
+public final class Bench {
+
+	private Bench() {
+	}
+
+	/**
+	 * Runs the benchmark that the first argument names; ends with its exit code.
+	 */
+	public static void main(String[] args) {
+		List<BenchCommand> commands = ServiceLoader.load(BenchCommand.class)
+			.stream()
+			.map(ServiceLoader.Provider::get)
+			.sorted(Comparator.comparing(BenchCommand::name))
+			.toList();
+		String name = (args.length > 0) ? args[0] : "";
+		for (BenchCommand command : commands) {
+			if (command.name().equals(name)) {
+				List<String> rest = Arrays.asList(args).subList(1, args.length);
+				System.exit(command.run(rest, System.out));
+			}
+		}
+		System.err.println("usage: scripts/bench COMMAND ...");
+		commands.forEach((command) -> System.err.println("  " + command.name() + "  " + command.summary()));
+		System.exit(2);
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/BenchCommand.java
@@ -0,0 +1,28 @@
+package org.wisteriapost.standin.bench;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/**
+ * One benchmark of {@code scripts/bench}; registers with the service loader.
+ */
+public interface BenchCommand {
+
+	/**
+	 * Returns the name on the command line.
+	 */
+	String name();
+
+	/**
+	 * Returns one sentence for the usage text.
+	 */
+	String summary();
+
+	/**
+	 * Runs the benchmark and returns the exit code.
+	 * @param args the arguments after the name
+	 * @param out where the figures go, one JSON line each
+	 */
+	int run(List<String> args, PrintStream out);
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/MachinePolicy.java
@@ -0,0 +1,44 @@
+package org.wisteriapost.standin.sim;
+
+import java.util.List;
+import java.util.Map;
+
+import org.wisteriapost.policy.request.RequestEffect;
+import org.wisteriapost.policy.request.RequestEvent;
+import org.wisteriapost.policy.request.RequestMachine;
+import org.wisteriapost.policy.request.RequestPolicySettings;
+
+/**
+ * The program's own decisions.
+ */
+public final class MachinePolicy implements EntryPolicy {
+
+	private final RequestMachine machine;
+
+	private MachinePolicy(RequestMachine machine) {
+		this.machine = machine;
+	}
+
+	/**
+	 * Returns the program's own decisions with default limits.
+	 */
+	public static EntryPolicy create(LoadProfile profile, long seed) {
+		return new MachinePolicy(RequestMachine.create(RequestPolicySettings.defaults(), seed));
+	}
+
+	@Override
+	public List<RequestEffect> apply(RequestEvent event, long nowNanos) {
+		return this.machine.apply(event, nowNanos);
+	}
+
+	@Override
+	public boolean gated() {
+		return true;
+	}
+
+	@Override
+	public Map<String, Long> violations() {
+		return this.machine.violations();
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/RunnerSim.java
@@ -0,0 +1,57 @@
+package org.wisteriapost.standin.sim;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.wisteriapost.policy.request.RunnerView;
+
+/**
+ * One simulated runner: continuous batching as slots of equal speed, and calls beyond
+ * them refused by the gate or waiting.
+ */
+final class RunnerSim {
+
+	final String name;
+
+	final String place;
+
+	final Map<Long, Call> running = new HashMap<>();
+
+	final Deque<Call> waiting = new ArrayDeque<>();
+
+	LoadProfile.Fault.Kind state = LoadProfile.Fault.Kind.WELL;
+
+	private final int slots;
+
+	RunnerSim(String name, String place, int slots) {
+		this.name = name;
+		this.place = place;
+		this.slots = slots;
+	}
+
+	boolean full() {
+		return this.running.size() >= this.slots;
+	}
+
+	double slowness() {
+		return (this.state == LoadProfile.Fault.Kind.SLOW) ? 10 : 1;
+	}
+
+	RunnerView view() {
+		return new RunnerView(this.name, this.place, LoadSim.SERVICE, true, LoadSim.DIGEST, 1, this.running.size(),
+				this.waiting.size(), this.slots, Set.of());
+	}
+
+	/**
+	 * One call at the runner.
+	 *
+	 * @param caller who waits for it
+	 * @param number tells two calls for the same caller apart
+	 */
+	record Call(LoadSim.Caller caller, long number) {
+	}
+
+}
