--- a/policy/src/main/java/org/wisteriapost/policy/request/Admission.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/Admission.java
@@ -13,10 +13,12 @@
  * patience, in which every request is run after its caller has gone: all slots busy and
  * no answer of use.
  *
- * The wait is the cost that goes before this request under fair sharing, divided by what
- * the calls in flight get through; both are this entry's own figures, so they hold
- * without a word from the others. The time to come back is when that backlog will have
- * drained far enough, and jittered so that the refused do not return as one wave.
+ * The wait is the work that goes before this request, divided by the rate at which its
+ * organisation and priority are served: what the calls in flight get through, less what
+ * the others send, but no less than the organisation's share, less its own more urgent
+ * work. All of it is this entry's own figures, so it holds without a word from the
+ * others. The time to come back is when that backlog will have drained far enough, and
+ * jittered so that the refused do not return as one wave.
  */
 final class Admission {
 
@@ -28,6 +30,9 @@
 
 	private static final long MOST_RETRY_MILLIS = 60_000;
 
+	/** A class that gets less than this share of the slots is not served at all. */
+	private static final double LEAST_SHARE = 0.001;
+
 	private static final double NANOS = Duration.ofSeconds(1).toNanos();
 
 	private Admission() {
@@ -36,22 +41,26 @@
 	/**
 	 * Returns the expected seconds until a new request is sent to a runner.
 	 */
-	static double waitSeconds(Request request, FairQueue queue, RunnerPool pool) {
-		if (queue.isEmpty()) {
+	static double waitSeconds(Request request, ServiceState service, long nowNanos) {
+		RunnerPool pool = service.pool;
+		boolean atOnce = service.queue.isEmpty() && !pool.free().isEmpty();
+		if (atOnce || pool.rate.mean() == 0) {
 			return 0;
 		}
-		double slots = Math.max(1, pool.inFlight());
-		return queue.costAhead(request) * pool.rate.mean() / slots;
+		double rate = Math.max(1, pool.inFlight()) / pool.rate.mean();
+		double served = Math.max(rate * LEAST_SHARE, servedRate(request, service, rate, nowNanos));
+		double own = service.queue.ownCost(request);
+		return own / served + service.queue.headStartCost(request) / rate;
 	}
 
 	/**
 	 * Returns the milliseconds after which to come back, or empty when the deadline can
 	 * be met.
 	 */
-	static Optional<Long> refuse(Request request, FairQueue queue, RunnerPool pool, double jitter, long nowNanos) {
-		double wait = waitSeconds(request, queue, pool);
+	static Optional<Long> refuse(Request request, ServiceState service, double jitter, long nowNanos) {
+		double wait = waitSeconds(request, service, nowNanos);
 		double left = (request.deadlineNanos() - nowNanos) / NANOS;
-		double late = wait + runSeconds(request, pool) - left;
+		double late = wait + runSeconds(request, service.pool) - left;
 		if (left > 0 && late <= 0) {
 			return Optional.empty();
 		}
@@ -70,12 +79,19 @@
 	/**
 	 * Returns when the present backlog will be gone, in milliseconds.
 	 */
-	static long drainMillis(Request request, FairQueue queue, RunnerPool pool, double jitter) {
-		return retryMillis(waitSeconds(request, queue, pool), jitter);
+	static long drainMillis(Request request, ServiceState service, double jitter, long nowNanos) {
+		return retryMillis(waitSeconds(request, service, nowNanos), jitter);
+	}
+
+	private static double servedRate(Request request, ServiceState service, double rate, long nowNanos) {
+		String organisation = request.organisation();
+		double share = rate * service.settings.weight(organisation) / service.arrivals.weightWith(organisation);
+		double left = rate - service.arrivals.others(organisation, nowNanos);
+		return Math.max(share, left) - service.arrivals.ownMoreUrgent(request, nowNanos);
 	}
 
 	private static double runSeconds(Request request, RunnerPool pool) {
-		return request.cost() * pool.rate.median();
+		return request.cost() * pool.rate.high();
 	}
 
 	private static long retryMillis(double seconds, double jitter) {
--- a/policy/src/main/java/org/wisteriapost/policy/request/ConcurrencyLimit.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/ConcurrencyLimit.java
@@ -24,10 +24,10 @@
 
 	/**
 	 * Added by a call that ended while the limit bound, for each unit of waiting weight
-	 * and each slot held: a slot more after about ten ends, so that at most about one
-	 * call in ten is refused by the gate.
+	 * and each slot held: with ten organisations a slot more after ten ends, so that at
+	 * most about one call in ten is refused by the gate.
 	 */
-	private static final double INCREASE = 0.1;
+	private static final double INCREASE = 0.01;
 
 	/**
 	 * Given up at a full runner. One slot in ten for a moment is what lets a newcomer in;
--- a/policy/src/main/java/org/wisteriapost/policy/request/FairQueue.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/FairQueue.java
@@ -79,23 +79,27 @@
 	}
 
 	/**
-	 * Returns the cost of the work that goes before a new request of this organisation
-	 * and priority: its own backlog stretched by the others' shares, and never more than
-	 * all that waits.
+	 * Returns the cost of an organisation's waiting work that goes before a new request
+	 * of it, with the request.
 	 */
-	double costAhead(Request request) {
+	double ownCost(Request request) {
+		Share share = this.shares.get(request.organisation());
+		return request.cost() + ((share != null) ? share.costUpTo(request.priority().ordinal()) : 0);
+	}
+
+	/**
+	 * Returns the cost of the other organisations' more urgent waiting work that goes
+	 * before a new request by its head start.
+	 */
+	double headStartCost(Request request) {
 		int rank = request.priority().ordinal();
-		long all = 0;
-		for (int each = 0; each <= rank; each++) {
-			all += this.costs[each];
+		long waiting = 0;
+		for (int each = 0; each < rank; each++) {
+			waiting += this.costs[each];
 		}
 		Share share = this.shares.get(request.organisation());
-		int weight = this.settings.weight(request.organisation());
-		long own = (share != null) ? share.costUpTo(rank) : 0;
-		boolean active = share != null && share.size > 0;
-		double weights = this.activeWeight + (active ? 0 : weight);
-		double headStart = (double) rank * this.settings.priorityHeadStart() * (weights - weight);
-		return Math.min(all, own * weights / weight + headStart);
+		waiting -= (share != null) ? share.costUpTo(rank - 1) : 0;
+		return Math.min(waiting, (double) rank * this.settings.priorityHeadStart() * this.activeWeight);
 	}
 
 	void offer(Flight flight) {
--- a/policy/src/main/java/org/wisteriapost/policy/request/RequestMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RequestMachine.java
@@ -130,7 +130,7 @@
 			case RequestEvent.HeadSeen head -> this.runners.head(head, nowNanos);
 			case RequestEvent.LeavingSeen leaving -> this.runners.leaving(leaving.vms(), nowNanos);
 			case RequestEvent.Drain drain -> this.draining = true;
-			case RequestEvent.Tick tick -> this.runners.forgetIdle();
+			case RequestEvent.Tick tick -> this.runners.forgetIdle(nowNanos);
 		}
 		expire(nowNanos, effects);
 		resume(nowNanos);
@@ -159,27 +159,27 @@
 	private void admit(Flight flight, ServiceState service, long nowNanos, List<RequestEffect> effects) {
 		Request request = flight.request;
 		double jitter = this.random.nextDouble();
-		Optional<Long> late = Admission.refuse(request, service.queue, service.pool, jitter, nowNanos);
+		Optional<Long> late = Admission.refuse(request, service, jitter, nowNanos);
 		if (late.isPresent()) {
 			this.flights.answer(flight, Admission.DEADLINE_UNREACHABLE.name(), late.get(), effects);
 			return;
 		}
 		Optional<Code> full = Shedding.refuse(request, service.queue, this.settings);
 		if (full.isPresent()) {
-			long retry = Admission.drainMillis(request, service.queue, service.pool, jitter);
+			long retry = Admission.drainMillis(request, service, jitter, nowNanos);
 			this.flights.answer(flight, full.get().name(), retry, effects);
 			return;
 		}
 		Shedding.victim(request, service.queue, this.settings)
-			.ifPresent((victim) -> shed(victim, service, jitter, effects));
-		service.noteArrival(request, nowNanos);
+			.ifPresent((victim) -> shed(victim, service, jitter, nowNanos, effects));
+		service.admitted(request, nowNanos);
 		service.queue.offer(flight);
 		this.runners.touch(service);
 	}
 
-	private void shed(Flight victim, ServiceState service, double jitter, List<RequestEffect> effects) {
+	private void shed(Flight victim, ServiceState service, double jitter, long nowNanos, List<RequestEffect> effects) {
 		service.queue.remove(victim);
-		long retry = Admission.drainMillis(victim.request, service.queue, service.pool, jitter);
+		long retry = Admission.drainMillis(victim.request, service, jitter, nowNanos);
 		this.flights.answer(victim, Shedding.SHED.name(), retry, effects);
 	}
 
@@ -264,8 +264,7 @@
 			return;
 		}
 		String code = notRun ? failed.code() : ANSWER_CUT.name();
-		long retry = Math.max(failed.retryAfterMillis(),
-				Admission.drainMillis(flight.request, service.queue, service.pool, this.random.nextDouble()));
+		long retry = Math.max(failed.retryAfterMillis(), drainMillis(flight, service, nowNanos));
 		this.flights.answer(flight, code, retry, effects);
 	}
 
@@ -283,7 +282,7 @@
 			ServiceState service = serviceOf(flight);
 			withdraw(flight, nowNanos, effects);
 			Code code = flight.mayHaveRun() ? DEADLINE_PASSED : Admission.DEADLINE_UNREACHABLE;
-			long retry = Admission.drainMillis(flight.request, service.queue, service.pool, this.random.nextDouble());
+			long retry = drainMillis(flight, service, nowNanos);
 			this.flights.answer(flight, code.name(), retry, effects);
 			due = this.flights.expired(nowNanos);
 		}
@@ -349,7 +348,7 @@
 	 */
 	private boolean place(Flight flight, ServiceState service, long nowNanos, List<RequestEffect> effects) {
 		if (!Admission.inTime(flight.request, service.pool, nowNanos)) {
-			long retry = Admission.drainMillis(flight.request, service.queue, service.pool, this.random.nextDouble());
+			long retry = drainMillis(flight, service, nowNanos);
 			this.flights.answer(flight, Admission.DEADLINE_UNREACHABLE.name(), retry, effects);
 			return true;
 		}
@@ -395,6 +394,10 @@
 		return this.runners.service(flight.request.service()).orElseThrow();
 	}
 
+	private long drainMillis(Flight flight, ServiceState service, long nowNanos) {
+		return Admission.drainMillis(flight.request, service, this.random.nextDouble(), nowNanos);
+	}
+
 	private long jittered(long millis) {
 		return (long) (millis * (1 + this.random.nextDouble() / 4));
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/request/RequestPolicyKeys.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RequestPolicyKeys.java
@@ -37,7 +37,7 @@
 
 	static final Setting<Double> LONG_SHARE = Setting
 		.fraction("requests", "long-share", 0.05, 1, "Share of the calls in flight that may be long.")
-		.orElse("0.6");
+		.orElse("0.5");
 
 	static final Setting<Double> RETRY_SHARE = Setting
 		.fraction("requests", "retry-share", 0, 1, "Retries allowed for each first dispatch.")
--- a/policy/src/main/java/org/wisteriapost/policy/request/Runners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/Runners.java
@@ -81,8 +81,11 @@
 		this.touched.add(service);
 	}
 
-	void forgetIdle() {
-		this.services.values().forEach((service) -> service.queue.forgetIdle());
+	void forgetIdle(long nowNanos) {
+		for (ServiceState service : this.services.values()) {
+			service.queue.forgetIdle();
+			service.arrivals.forgetIdle(nowNanos);
+		}
 	}
 
 	void seen(RunnerView view, long nowNanos) {
@@ -147,6 +150,9 @@
 		pool.rate.sample(perCost);
 		ConcurrencyLimit.answered(runner, perCost, pool.rate.median(), nowNanos);
 		if (whole) {
+			// The slot of a call that ended is free for certain, however full the rest
+			// is.
+			runner.backoffUntilNanos = nowNanos;
 			ConcurrencyLimit.ended(runner, serviceOf(runner.view.service()).queue.activeWeight());
 			pool.notePrefix(flight.request.prefix(), runner);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/request/ServiceState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/ServiceState.java
@@ -18,7 +18,9 @@
 
 	final RunnerPool pool = new RunnerPool();
 
-	private final RequestPolicySettings settings;
+	final ArrivalRates arrivals;
+
+	final RequestPolicySettings settings;
 
 	private long lastShortNanos;
 
@@ -27,13 +29,15 @@
 	ServiceState(RequestPolicySettings settings) {
 		this.settings = settings;
 		this.queue = new FairQueue(settings);
+		this.arrivals = new ArrivalRates(settings);
 	}
 
 	boolean isLong(Request request) {
 		return request.cost() >= this.settings.longCost();
 	}
 
-	void noteArrival(Request request, long nowNanos) {
+	void admitted(Request request, long nowNanos) {
+		this.arrivals.admitted(request, nowNanos);
 		if (!isLong(request)) {
 			this.shortSeen = true;
 			this.lastShortNanos = nowNanos;
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadResult.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadResult.java
@@ -90,8 +90,8 @@
 	}
 
 	/**
-	 * Returns the work answered in time as a share of what an ideal would have: all that
-	 * was asked for, or all that the runners can do if that is less.
+	 * Returns the work answered in time while requests came, as a share of what an ideal
+	 * would have: all that was asked for, or all that the runners can do if that is less.
 	 */
 	public double goodput() {
 		return this.all.goodCost / this.idealCost;
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
@@ -272,9 +272,11 @@
 		Caller caller = this.callers.remove(id);
 		if (caller != null) {
 			boolean good = this.nowNanos <= caller.request.deadlineNanos();
+			boolean counts = good && this.nowNanos <= this.endNanos;
 			long micros = Duration.ofNanos(this.nowNanos - caller.arrivedNanos).toNanos() / 1000;
-			caller.group.answer(caller.request.cost(), micros, good);
-			this.result.all().answer(caller.request.cost(), micros, good);
+			int cost = counts ? caller.request.cost() : 0;
+			caller.group.answer(cost, micros, good);
+			this.result.all().answer(cost, micros, good);
 		}
 		apply(call.caller().entry, new RequestEvent.Ended(id));
 	}
