--- a/standin/src/main/java/org/wisteriapost/standin/bench/Bench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/Bench.java
@@ -1,14 +1,12 @@
 package org.wisteriapost.standin.bench;
 
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.ServiceLoader;
 
-import org.wisteriapost.kernel.command.ExitCodes;
-
 /**
- * Finds the experiment that its first argument names; started by {@code scripts/bench}.
+ * Main of {@code scripts/bench}.
  */
 public final class Bench {
 
@@ -16,22 +14,24 @@
 	}
 
 	/**
-	 * Runs one experiment and exits with its code.
+	 * Runs the benchmark that the first argument names; ends with its exit code.
 	 */
-	public static void main(String[] args) throws Exception {
-		List<Experiment> all = ServiceLoader.load(Experiment.class)
+	public static void main(String[] args) {
+		List<BenchCommand> commands = ServiceLoader.load(BenchCommand.class)
 			.stream()
 			.map(ServiceLoader.Provider::get)
-			.sorted(Comparator.comparing(Experiment::name))
+			.sorted(Comparator.comparing(BenchCommand::name))
 			.toList();
-		Optional<Experiment> chosen = all.stream()
-			.filter((one) -> args.length > 0 && one.name().equals(args[0]))
-			.findFirst();
-		if (chosen.isEmpty()) {
-			all.forEach((one) -> System.err.printf("  %-14s %s%n", one.name(), one.summary()));
-			System.exit(ExitCodes.BAD_INPUT);
+		String name = (args.length > 0) ? args[0] : "";
+		for (BenchCommand command : commands) {
+			if (command.name().equals(name)) {
+				List<String> rest = Arrays.asList(args).subList(1, args.length);
+				System.exit(command.run(rest, System.out));
+			}
 		}
-		System.exit(chosen.get().run(List.of(args).subList(1, args.length), System.out, System.err));
+		System.err.println("usage: scripts/bench COMMAND ...");
+		commands.forEach((command) -> System.err.println("  " + command.name() + "  " + command.summary()));
+		System.exit(2);
 	}
 
 }
