--- a/standin/src/main/java/org/wisteriapost/standin/bench/package-info.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Measurements and experiments, one for each first word of {@code scripts/bench}.
+ * Benchmarks, each a command of {@code scripts/bench} that registers with the service
+ * loader.
  */
 package org.wisteriapost.standin.bench;
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
@@ -9,12 +9,12 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.wisteriapost.kernel.command.ExitCodes;
-import org.wisteriapost.standin.bench.Experiment;
+import org.wisteriapost.standin.bench.BenchCommand;
 
 /**
  * {@code scripts/bench weights-sim}: designs compared in virtual time.
  */
-public final class WeightsSim implements Experiment {
+public final class WeightsSim implements BenchCommand {
 
 	private static final int CHUNK_BYTES = 64 << 10;
 
@@ -33,7 +33,7 @@
 	}
 
 	@Override
-	public int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
+	public int run(List<String> args, PrintStream out) {
 		Options options = new Options().addOption(option("vms", "N[,N] VMs, default 12,24,48"))
 			.addOption(option("seed", "S[,S] of all chance, default 1"))
 			.addOption(option("faults", "none|kill|stall|corrupt|change[,…], default none"))
