--- a/agent/src/main/java/org/wisteriapost/agent/AgentProcess.java
+++ b/agent/src/main/java/org/wisteriapost/agent/AgentProcess.java
@@ -29,6 +29,7 @@
 import org.wisteriapost.protocol.admin.AdminServer;
 import org.wisteriapost.protocol.link.LinkServer;
 import org.wisteriapost.protocol.link.Links;
+import org.wisteriapost.protocol.tls.TlsSettings;
 
 /**
  * One running agent: the decisions, and the I/O that feeds them and carries them out.
@@ -56,7 +57,7 @@
 
 	private final ScheduledExecutorService timer = timer();
 
-	private final Links links = Links.plain(LINK_THREADS);
+	private final Links links;
 
 	private final CompletableFuture<String> stopped = new CompletableFuture<>();
 
@@ -87,6 +88,7 @@
 	private AgentProcess(Settings settings, Outside outside) {
 		this.settings = settings;
 		this.outside = outside;
+		this.links = TlsSettings.links(settings, LINK_THREADS);
 		this.self = AgentSettings.identity(settings, UUID.randomUUID().toString());
 		AgentMachine machine = AgentMachine.create(this.self, AgentSettings.limits(settings),
 				AgentSettings.operators(settings), this.invariants, RandomSource.XO_RO_SHI_RO_128_PP.create());
--- a/agent/src/main/java/org/wisteriapost/agent/Outside.java
+++ b/agent/src/main/java/org/wisteriapost/agent/Outside.java
@@ -28,8 +28,8 @@
 record Outside(HttpCaller caller, Platform platform, VmList vmList, Origin origin, WeightStore store,
 		Engine engine) implements AutoCloseable {
 
-	private static final Code PROVIDER_UNKNOWN = Code.error("outside-provider-unknown",
-			"No adapters for the outside systems are registered under the name in the settings.");
+	private static final Code PROVIDER_UNKNOWN = Code.error("provider-unknown",
+			"The settings name adapters for the outside systems that the program does not have.");
 
 	private static final int IO_THREADS = 2;
 
