--- a/standin/src/main/java/org/wisteriapost/standin/bench/Bench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/Bench.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.ServiceLoader;
 
+import org.apache.commons.cli.ParseException;
+import org.wisteriapost.kernel.command.ExitCodes;
+
 /**
  * Main of {@code scripts/bench}.
  */
@@ -26,12 +29,22 @@
 		for (BenchCommand command : commands) {
 			if (command.name().equals(name)) {
 				List<String> rest = Arrays.asList(args).subList(1, args.length);
-				System.exit(command.run(rest, System.out));
+				System.exit(run(command, rest));
 			}
 		}
 		System.err.println("usage: scripts/bench COMMAND ...");
 		commands.forEach((command) -> System.err.println("  " + command.name() + "  " + command.summary()));
-		System.exit(2);
+		System.exit(ExitCodes.BAD_INPUT);
+	}
+
+	private static int run(BenchCommand command, List<String> args) {
+		try {
+			return command.run(args, System.out);
+		}
+		catch (ParseException ex) {
+			System.err.println(ex.getMessage());
+			return ExitCodes.BAD_INPUT;
+		}
 	}
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/bench/BenchCommand.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/BenchCommand.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import org.apache.commons.cli.ParseException;
+
 /**
  * One benchmark of {@code scripts/bench}; registers with the service loader.
  */
@@ -23,6 +25,6 @@
 	 * @param args the arguments after the name
 	 * @param out where the figures go, one JSON line each
 	 */
-	int run(List<String> args, PrintStream out);
+	int run(List<String> args, PrintStream out) throws ParseException;
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
@@ -8,6 +8,7 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.wisteriapost.kernel.command.ExitCodes;
 import org.wisteriapost.standin.bench.BenchCommand;
 
@@ -33,7 +34,7 @@
 	}
 
 	@Override
-	public int run(List<String> args, PrintStream out) {
+	public int run(List<String> args, PrintStream out) throws ParseException {
 		Options options = new Options().addOption(option("vms", "N[,N] VMs, default 12,24,48"))
 			.addOption(option("seed", "S[,S] of all chance, default 1"))
 			.addOption(option("faults", "none|kill|stall|corrupt|change[,…], default none"))
