--- a/standin/src/main/java/org/wisteriapost/standin/PlainServer.java
+++ b/standin/src/main/java/org/wisteriapost/standin/PlainServer.java
@@ -17,6 +17,8 @@
 
 	private static final String LOOKUP = "/lookup/";
 
+	private final String host;
+
 	private final Duration delay;
 
 	private final List<Execution> executions = new ArrayList<>();
@@ -26,6 +28,7 @@
 	private final StandinServer server;
 
 	private PlainServer(String host, int port, Duration delay) {
+		this.host = host;
 		this.delay = delay;
 		this.server = StandinServer.start(host, port, this::handle);
 	}
@@ -104,7 +107,7 @@
 
 	private synchronized Execution allocate(Request request) {
 		run(request);
-		Execution execution = new Execution(this.server.port() + "-" + this.executions.size(),
+		Execution execution = new Execution(this.host + ":" + this.server.port() + "-" + this.executions.size(),
 				request.header(CallerHeaders.IDEMPOTENCY_KEY).orElse(""),
 				request.header(CallerHeaders.REQUEST_ID).orElse(""));
 		this.executions.add(execution);
--- a/standin/src/main/java/org/wisteriapost/standin/Standin.java
+++ b/standin/src/main/java/org/wisteriapost/standin/Standin.java
@@ -1,5 +1,8 @@
 package org.wisteriapost.standin;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -10,10 +13,11 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.wisteriapost.protocol.outside.VmList;
 
 /**
  * Starts stand-ins: {@code ROLE OPTIONS [+ ROLE OPTIONS ...]}. Each prints one line of
- * JSON with its port when it answers.
+ * JSON with its port when it answers. {@code traffic OPTIONS} sends requests instead.
  */
 public final class Standin {
 
@@ -27,6 +31,10 @@
 	 */
 	public static void main(String[] args) throws InterruptedException {
 		try {
+			if (args.length > 0 && args[0].equals("traffic")) {
+				Traffic.run(parse(args));
+				return;
+			}
 			split(args).forEach(Standin::start);
 		}
 		catch (IllegalArgumentException ex) {
@@ -59,8 +67,8 @@
 			case "platform" -> PlatformServer
 				.start(host, port, number(line, "reads-per-second", 0), number(line, "writes-per-second", 0))
 				.port();
-			case "vm-list" -> VmListServer.start(host, port, number(line, "lag-ms", 0)).port();
-			case "origin" -> OriginServer.start(host, port, number(line, "bytes-per-second", 0)).port();
+			case "vm-list" -> vmList(host, port, line).port();
+			case "origin" -> origin(host, port, line).port();
 			case "engine" -> EngineServer.start(host, port, engine(line)).port();
 			case "plain" -> PlainServer.start(host, port, Duration.ofMillis(number(line, "delay-ms", 2))).port();
 			default -> throw new IllegalArgumentException("no such stand-in: " + args[0]);
@@ -68,6 +76,35 @@
 		System.out.println("{\"ready\":\"" + args[0] + "\",\"host\":\"" + host + "\",\"port\":" + ready + "}");
 	}
 
+	private static VmListServer vmList(String host, int port, CommandLine line) {
+		VmListServer server = VmListServer.start(host, port, number(line, "lag-ms", 0));
+		if (line.hasOption("vms")) {
+			VmList.Vm[] vms = Json.read(bytes(line.getOptionValue("vms")), VmList.Vm[].class);
+			Arrays.stream(vms).forEach(server::put);
+		}
+		return server;
+	}
+
+	private static OriginServer origin(String host, int port, CommandLine line) {
+		OriginServer server = OriginServer.start(host, port, number(line, "bytes-per-second", 0));
+		for (String file : line.getOptionValue("publish", "").split(" ")) {
+			String[] parts = file.split(",");
+			if (parts.length == 4) {
+				server.publish(parts[0], parts[1], Long.parseLong(parts[2]), Integer.parseInt(parts[3]));
+			}
+		}
+		return server;
+	}
+
+	private static byte[] bytes(String file) {
+		try {
+			return Files.readAllBytes(Path.of(file));
+		}
+		catch (IOException ex) {
+			throw new IllegalArgumentException("not readable: " + file, ex);
+		}
+	}
+
 	private static EngineOptions engine(CommandLine line) {
 		EngineOptions quick = EngineOptions.quick();
 		return new EngineOptions(!line.getOptionValue("fencing", "on").equals("off"),
@@ -94,9 +131,11 @@
 	private static Options options() {
 		Options options = new Options();
 		for (String name : List.of("host", "port", "lag-ms", "bytes-per-second", "reads-per-second",
-				"writes-per-second", "fencing", "load-ms", "token-ms", "prefill-us-per-char", "slots", "delay-ms")) {
+				"writes-per-second", "fencing", "load-ms", "token-ms", "prefill-us-per-char", "slots", "delay-ms",
+				"vms", "publish")) {
 			options.addOption(null, name, true, "");
 		}
+		Traffic.OPTIONS.forEach((name) -> options.addOption(null, name, true, ""));
 		return options;
 	}
 
