--- a/standin/src/main/java/org/wisteriapost/standin/TrafficCaller.java
+++ b/standin/src/main/java/org/wisteriapost/standin/TrafficCaller.java
@@ -41,6 +41,8 @@
 
 	private long attempts;
 
+	private String last = "nothing";
+
 	TrafficCaller(String name, HttpCaller http, EntryAddresses entries, String token, TrafficLedger ledger, long seed) {
 		this.name = name;
 		this.http = http;
@@ -79,7 +81,7 @@
 			this.ledger.count(Count.RETRIED);
 			Thread.sleep(next.get().waitMillis);
 		}
-		this.ledger.problem(Count.LOST, call + " had no answer in " + PATIENCE);
+		this.ledger.problem(Count.LOST, call + " had no answer in " + PATIENCE + ", last " + this.last);
 	}
 
 	// Empty when the request has ended.
@@ -91,6 +93,7 @@
 			.header(CallerHeaders.DEADLINE, String.valueOf(ATTEMPT.toMillis()))
 			.header(CallerHeaders.REQUEST_ID, id);
 		CollectedAnswer answer = CollectedAnswer.of(this.http, sent);
+		this.last = id + " by " + entry + ": status " + answer.status() + " " + answer.text();
 		if (answer.failed() && !answer.sent()) {
 			this.entries.avoid(entry);
 			this.ledger.toldNotRun(id);
@@ -99,7 +102,7 @@
 		if (answer.status() != 200) {
 			return Optional.of(refused(answer, id));
 		}
-		return judged(call, answer, id + " by " + entry);
+		return judged(call, answer);
 	}
 
 	private Next refused(CollectedAnswer answer, String id) {
@@ -114,12 +117,12 @@
 		return new Next(millis + this.random.nextLong(PAUSE_MILLIS), !notRun);
 	}
 
-	private Optional<Next> judged(TrafficCall call, CollectedAnswer answer, String what) {
+	private Optional<Next> judged(TrafficCall call, CollectedAnswer answer) {
 		answer.header(CallerHeaders.WEIGHTS).ifPresent(this.ledger::labelled);
 		switch (verdict(call, answer)) {
 			case RIGHT -> this.ledger.count(Count.ANSWERED);
-			case MIXED -> this.ledger.problem(Count.MIXED, what + ": " + answer.text());
-			case WRONG -> this.ledger.problem(Count.WRONG, what + ": " + answer.text());
+			case MIXED -> this.ledger.problem(Count.MIXED, this.last);
+			case WRONG -> this.ledger.problem(Count.WRONG, this.last);
 			case CUT -> {
 				this.ledger.count(Count.CUT);
 				return Optional.of(new Next(PAUSE_MILLIS, true));
