Links: a link's future completes when its handler has heard of it

Cause: Netty completes its connect future before the channel is active, so a sender that waited for it could find no link (seen: AgentProcessTests, null link). Change: the future follows onOpen; a link that never opens fails it and is not heard of. Test: framesArriveWholeAndInOrder takes the link without waiting.

--- a/protocol/src/main/java/org/wisteriapost/protocol/link/LinkChannel.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/link/LinkChannel.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,6 +11,7 @@
 import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
+import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.protocol.wire.Frame;
 
 /**
@@ -23,10 +25,18 @@
 
 	private final LinkHandler handler;
 
+	private final CompletableFuture<Void> opened;
+
 	private volatile Channel channel;
 
-	LinkChannel(LinkHandler handler) {
+	/**
+	 * Returns a channel that is not open yet.
+	 * @param opened completes when the handler has heard that the link is open; fails
+	 * when it closes before that
+	 */
+	LinkChannel(LinkHandler handler, CompletableFuture<Void> opened) {
 		this.handler = handler;
+		this.opened = opened;
 	}
 
 	@Override
@@ -59,16 +69,23 @@
 		this.channel = context.channel();
 		SslHandler tls = context.pipeline().get(SslHandler.class);
 		if (tls == null) {
-			this.handler.onOpen(this);
+			open();
 			return;
 		}
 		tls.handshakeFuture().addListener((done) -> {
 			if (done.isSuccess()) {
-				this.handler.onOpen(this);
+				open();
 			}
 		});
 	}
 
+	// Netty completes its own connect future before the channel is active; whoever waited
+	// for that one would send over a link that its handler has not heard of.
+	private void open() {
+		this.handler.onOpen(this);
+		this.opened.complete(null);
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
 		if (frame.getBodyCase() != Frame.BodyCase.BODY_NOT_SET) {
@@ -78,7 +95,11 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.handler.onClosed(this);
+		boolean neverOpened = this.opened
+			.completeExceptionally(CodedException.of(Links.LINK_FAILED, peer() + ": closed before it was open"));
+		if (!neverOpened) {
+			this.handler.onClosed(this);
+		}
 	}
 
 	@Override
--- a/protocol/src/main/java/org/wisteriapost/protocol/link/Links.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/link/Links.java
@@ -89,7 +89,7 @@
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-			.childHandler(new Pipeline(handler, true))
+			.childHandler(new Pipeline(handler, true, new CompletableFuture<>()))
 			.bind(address)
 			.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
@@ -99,7 +99,9 @@
 	}
 
 	/**
-	 * Makes a link; the handler hears {@code onOpen} before the future completes.
+	 * Makes a link; the handler has heard {@code onOpen} when the future completes. A
+	 * link that never opens, also for want of a valid certificate, fails the future and
+	 * is not heard of by the handler.
 	 */
 	public CompletableFuture<Void> connect(InetSocketAddress address, LinkHandler handler) {
 		CompletableFuture<Void> future = new CompletableFuture<>();
@@ -108,13 +110,10 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-			.handler(new Pipeline(handler, false))
+			.handler(new Pipeline(handler, false, future))
 			.connect(address)
 			.addListener((done) -> {
-				if (done.isSuccess()) {
-					future.complete(null);
-				}
-				else {
+				if (!done.isSuccess()) {
 					future.completeExceptionally(
 							CodedException.of(LINK_FAILED, address + ": " + done.cause().getMessage(), done.cause()));
 				}
@@ -138,9 +137,12 @@
 
 		private final boolean server;
 
-		private Pipeline(LinkHandler handler, boolean server) {
+		private final CompletableFuture<Void> opened;
+
+		private Pipeline(LinkHandler handler, boolean server, CompletableFuture<Void> opened) {
 			this.handler = handler;
 			this.server = server;
+			this.opened = opened;
 		}
 
 		@Override
@@ -152,7 +154,7 @@
 				.addLast(new LengthFieldPrepender(LENGTH_BYTES))
 				.addLast(new ProtobufEncoder())
 				.addLast(new IdleStateHandler(SILENT_MILLIS, SEND_IDLE_MILLIS, 0, TimeUnit.MILLISECONDS))
-				.addLast(new LinkChannel(this.handler));
+				.addLast(new LinkChannel(this.handler, this.opened));
 		}
 
 		private void secure(Channel channel, LinkTls both) {
--- a/protocol/src/test/java/org/wisteriapost/protocol/link/LinksTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/link/LinksTests.java
@@ -31,7 +31,7 @@
 		Recorder client = new Recorder();
 		try (LinkServer at = this.links.listen(new InetSocketAddress("127.0.0.1", 0), server)) {
 			this.links.connect(new InetSocketAddress("127.0.0.1", at.port()), client).join();
-			Link link = client.opened.poll(20, TimeUnit.SECONDS);
+			Link link = client.opened.remove();
 			for (int i = 0; i < 100; i++) {
 				link.send(data(i, i * 1000));
 			}
--- a/protocol/src/test/java/org/wisteriapost/protocol/tls/TlsSettingsTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/tls/TlsSettingsTests.java
@@ -81,7 +81,10 @@
 		Ends serverEnds = new Ends(false);
 		Ends clientEnds = new Ends(true);
 		try (LinkServer at = server.listen(new InetSocketAddress("127.0.0.1", 0), serverEnds)) {
-			client.connect(new InetSocketAddress("127.0.0.1", at.port()), clientEnds).join();
+			client.connect(new InetSocketAddress("127.0.0.1", at.port()), clientEnds).exceptionally((refused) -> {
+				clientEnds.results.add(false);
+				return null;
+			});
 			return clientEnds.results.poll(WAIT_SECONDS, TimeUnit.SECONDS);
 		}
 	}
