--- a/entry/src/main/java/org/wisteriapost/entry/EntryCommand.java
+++ b/entry/src/main/java/org/wisteriapost/entry/EntryCommand.java
@@ -29,6 +29,7 @@
 import org.wisteriapost.protocol.outside.OutsideProvider;
 import org.wisteriapost.protocol.outside.Platform;
 import org.wisteriapost.protocol.outside.VmList;
+import org.wisteriapost.protocol.tls.TlsSettings;
 
 /**
  * Runs an entry until it has drained.
@@ -113,7 +114,7 @@
 		try (HttpCaller caller = HttpCaller.create(1);
 				Platform platform = provider.platform(caller, CommonSettings.PLATFORM.get(settings));
 				VmList vms = provider.vmList(caller, CommonSettings.VM_LIST.get(settings));
-				Links links = Links.plain(THREADS);
+				Links links = TlsSettings.links(settings, THREADS);
 				EntryProcess process = EntryProcess.start(settings, platform, vms, links)) {
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(process), "entry-leave"));
 			out.printf("{\"ready\":\"entry\",\"httpPort\":%d,\"linkPort\":%d,\"adminPort\":%d}%n", process.httpPort(),
--- a/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
+++ b/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
@@ -98,6 +98,12 @@
 				"Most bytes of one streamed answer that wait for its caller; past it the answer is cut.")
 		.orElse("1048576");
 
+	/** Pace of claim writes. */
+	public static final Setting<Long> CLAIM_WRITES = Setting
+		.number(SECTION, "claim-writes-per-second", 1, 1000,
+				"Writes a second to the platform for idempotency keys; all entries together must stay below its limit.")
+		.orElse("50");
+
 	/** An organisation's token. */
 	public static final Setting<String> TOKEN = Setting
 		.text("organisation NAME", "token", "Bearer token of this organisation; or use token-file.")
@@ -119,7 +125,7 @@
 	public List<Setting<?>> keys() {
 		return List.of(HTTP_HOST, HTTP_PORT, LINK_HOST, LINK_PORT, MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_CONNECTIONS,
 				MAX_STREAMS, RING_SIZE, DEFAULT_DEADLINE, MAX_DEADLINE, BODY_TIMEOUT, KEEP_SECONDS, MAX_HELD_BYTES,
-				MAX_UNSENT_BYTES, TOKEN, TOKEN_FILE);
+				MAX_UNSENT_BYTES, CLAIM_WRITES, TOKEN, TOKEN_FILE);
 	}
 
 	@Override
--- a/entry/src/main/java/org/wisteriapost/entry/caller/HttpFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/HttpFront.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -16,6 +17,7 @@
 import io.undertow.util.SameThreadExecutor;
 import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.protocol.CallerHeaders;
+import org.wisteriapost.protocol.tls.ReloadingTls;
 import org.xnio.Options;
 
 /**
@@ -45,14 +47,20 @@
 
 	/**
 	 * Returns a running front; throws when the address cannot be taken.
+	 * @param tls towards callers, empty for none
 	 */
 	public static HttpFront start(InetSocketAddress address, FrontLimits limits, Organisations organisations,
-			FrontPort port) {
+			FrontPort port, Optional<ReloadingTls> tls) {
 		HttpFront front = new HttpFront(port, limits,
 				new CallHandler(new CallCheck(organisations, limits), limits, port));
-		front.server = Undertow.builder()
-			.addHttpListener(address.getPort(), address.getHostString())
-			.setIoThreads(IO_THREADS)
+		Undertow.Builder builder = Undertow.builder();
+		if (tls.isPresent()) {
+			builder.addHttpsListener(address.getPort(), address.getHostString(), tls.get().context());
+		}
+		else {
+			builder.addHttpListener(address.getPort(), address.getHostString());
+		}
+		front.server = builder.setIoThreads(IO_THREADS)
 			.setWorkerThreads(1)
 			.setWorkerOption(Options.CONNECTION_HIGH_WATER, limits.connections())
 			.setWorkerOption(Options.CONNECTION_LOW_WATER, limits.connections())
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/claim/ClaimStore.java
@@ -0,0 +1,74 @@
+package org.wisteriapost.entry.claim;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.wisteriapost.kernel.CodedException;
+import org.wisteriapost.policy.claim.ClaimEffect;
+import org.wisteriapost.protocol.outside.Platform;
+
+/**
+ * Reads and writes claim objects in the platform and tells what it answered.
+ */
+public final class ClaimStore {
+
+	private final Platform platform;
+
+	private final Consumer<ClaimReply> listener;
+
+	private ClaimStore(Platform platform, Consumer<ClaimReply> listener) {
+		this.platform = platform;
+		this.listener = listener;
+	}
+
+	/**
+	 * Returns a store whose answers go to a listener, on an I/O thread.
+	 */
+	public static ClaimStore of(Platform platform, Consumer<ClaimReply> listener) {
+		return new ClaimStore(platform, listener);
+	}
+
+	/**
+	 * Starts a read.
+	 */
+	public void read(ClaimEffect.Read read) {
+		this.platform.get(read.object()).whenComplete((stored, failure) -> {
+			if (failure != null) {
+				this.listener.accept(new ClaimReply.Failed(read.object(), false));
+				return;
+			}
+			this.listener.accept(found(read.object(), stored, false));
+		});
+	}
+
+	/**
+	 * Starts a conditional update.
+	 */
+	public void write(ClaimEffect.Write write) {
+		Platform.Expected expected = (write.version() == 0) ? new Platform.Expected.Absent()
+				: new Platform.Expected.Version(write.version());
+		this.platform.put(write.object(), write.value(), expected)
+			.whenComplete((result, failure) -> this.listener.accept((failure != null)
+					? new ClaimReply.Failed(write.object(), !certain(failure)) : reply(write.object(), result)));
+	}
+
+	private static ClaimReply reply(String object, Platform.PutResult result) {
+		return switch (result) {
+			case Platform.PutResult.Written(long version) -> new ClaimReply.Written(object, version);
+			case Platform.PutResult.Conflict(Optional<Platform.Stored> current) -> found(object, current, true);
+		};
+	}
+
+	private static ClaimReply found(String object, Optional<Platform.Stored> stored, boolean conflict) {
+		return new ClaimReply.Found(object, stored.map(Platform.Stored::value),
+				stored.map(Platform.Stored::version).orElse(0L), conflict);
+	}
+
+	// Anything but the platform's own word counts as "may have taken effect".
+	private static boolean certain(Throwable failure) {
+		Throwable cause = (failure.getCause() != null && !(failure instanceof CodedException)) ? failure.getCause()
+				: failure;
+		return cause instanceof CodedException coded && coded.code().equals(Platform.UNAVAILABLE);
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/process/Calls.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/Calls.java
@@ -34,9 +34,10 @@
 	static final Code WEIGHTS_MISMATCH = Code.error("weights-mismatch",
 			"An answer came from other weights than it was asked of and was withheld.");
 
-	static final Code ANSWER_CUT = Code.error("answer-cut", "A runner's answer ended before it was whole.");
+	static final Code ANSWER_MALFORMED = Code.error("answer-malformed",
+			"An agent's frames for a call came out of order.");
 
-	static final Code DEADLINE_PASSED = Code.refusal("deadline-passed",
+	static final Code DISPATCH_TOO_LATE = Code.refusal("dispatch-too-late",
 			"The caller's deadline passed before the call was sent.");
 
 	static final Code CALLER_GONE = Code.warning("caller-gone", "The caller hung up before its answer was whole.");
@@ -71,14 +72,13 @@
 
 	private boolean deciding;
 
-	Calls(RequestMachine machine, ClaimDesk claims, EntryMetrics metrics, Invariants invariants, LongSupplier clock,
-			long maxHeldBytes, LongSupplier generation) {
-		this.machine = machine;
-		this.claims = claims;
-		this.metrics = metrics;
-		this.invariants = invariants;
-		this.clock = clock;
-		this.maxHeldBytes = maxHeldBytes;
+	Calls(EntryParts parts, LongSupplier generation) {
+		this.machine = parts.machine();
+		this.claims = parts.claims();
+		this.metrics = parts.metrics();
+		this.invariants = parts.invariants();
+		this.clock = parts.clock();
+		this.maxHeldBytes = parts.maxHeldBytes();
 		this.generation = generation;
 	}
 
@@ -155,7 +155,7 @@
 		Flight.Attempt attempt = flight.attempt().orElseThrow();
 		if (attempt.started().isEmpty()) {
 			cancel(attempt);
-			failed(flight, peer.vm(), false, ANSWER_CUT.name(), 0);
+			failed(flight, peer.vm(), false, ANSWER_MALFORMED.name(), 0);
 			return;
 		}
 		byte[] bytes = data.getData().toByteArray();
@@ -186,13 +186,13 @@
 					whole(flight, attempt);
 				}
 				else {
-					failed(flight, peer.vm(), false, ANSWER_CUT.name(), 0);
+					failed(flight, peer.vm(), false, ANSWER_MALFORMED.name(), 0);
 				}
 			}
 			// An answer that has begun did run, whatever its end says.
 			case NOT_RUN -> failed(flight, peer.vm(), !begun, end.getCode(), end.getRetryAfterMillis());
 			case UNKNOWN, OUTCOME_UNSPECIFIED, UNRECOGNIZED -> failed(flight, peer.vm(), false,
-					end.getCode().isEmpty() ? ANSWER_CUT.name() : end.getCode(), end.getRetryAfterMillis());
+					end.getCode().isEmpty() ? ANSWER_MALFORMED.name() : end.getCode(), end.getRetryAfterMillis());
 		}
 	}
 
@@ -241,7 +241,7 @@
 		// This process may have been paused since the decision; a call sent after its
 		// deadline works for no one.
 		if (flight.call().request().deadlineNanos() - now <= 0) {
-			decide(new RequestEvent.Failed(flight.id(), dispatch.runner(), true, DEADLINE_PASSED.name(), 0));
+			decide(new RequestEvent.Failed(flight.id(), dispatch.runner(), true, DISPATCH_TOO_LATE.name(), 0));
 			return;
 		}
 		PeerLink agent = this.agents.get(dispatch.runner());
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryEvent.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.wisteriapost.entry.caller.CallerCall;
+import org.wisteriapost.entry.claim.ClaimReply;
 import org.wisteriapost.entry.link.PeerLink;
 import org.wisteriapost.entry.platform.BundleContent;
 import org.wisteriapost.policy.bundle.Head;
@@ -88,6 +89,14 @@
 	record VmsRead(List<Member> members) implements EntryEvent {
 	}
 
+	/**
+	 * The platform has answered a read or write of a claim object.
+	 *
+	 * @param reply what it said
+	 */
+	record ClaimAnswered(ClaimReply reply) implements EntryEvent {
+	}
+
 	/** Time has passed. */
 	record Tick() implements EntryEvent {
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.entry.process;
 
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.entry.EntrySettings;
 import org.wisteriapost.entry.caller.AdminServer;
 import org.wisteriapost.entry.caller.CallerCall;
@@ -22,6 +24,7 @@
 import org.wisteriapost.entry.caller.HttpFront;
 import org.wisteriapost.entry.caller.Organisations;
 import org.wisteriapost.entry.caller.ServiceView;
+import org.wisteriapost.entry.claim.ClaimStore;
 import org.wisteriapost.entry.link.PeerLink;
 import org.wisteriapost.entry.link.PeerLinks;
 import org.wisteriapost.entry.link.PeerListener;
@@ -34,12 +37,15 @@
 import org.wisteriapost.kernel.settings.Settings;
 import org.wisteriapost.policy.bundle.BundleCodec;
 import org.wisteriapost.policy.bundle.Head;
+import org.wisteriapost.policy.claim.ClaimTable;
 import org.wisteriapost.policy.membership.Member;
 import org.wisteriapost.policy.request.RequestMachine;
+import org.wisteriapost.policy.request.RequestPolicySettings;
 import org.wisteriapost.protocol.link.LinkServer;
 import org.wisteriapost.protocol.link.Links;
 import org.wisteriapost.protocol.outside.Platform;
 import org.wisteriapost.protocol.outside.VmList;
+import org.wisteriapost.protocol.tls.TlsSettings;
 import org.wisteriapost.protocol.wire.Frame;
 
 /**
@@ -87,10 +93,16 @@
 		EntryMetrics metrics = EntryMetrics.of(this.registry);
 		Identity identity = new Identity(CommonSettings.VM.get(settings), CommonSettings.PLACE.get(settings),
 				EntrySettings.KEEP_SECONDS.get(settings));
-		long held = EntrySettings.MAX_HELD_BYTES.get(settings);
-		EntryState state = new EntryState(identity, this, System::nanoTime, this.invariants,
-				(generation) -> new Calls(RequestMachine.create(), new NoClaims(), metrics, this.invariants,
-						System::nanoTime, held, generation));
+		ClaimStore store = ClaimStore.of(platform, (reply) -> put(new EntryEvent.ClaimAnswered(reply)));
+		long seed = new SecureRandom().nextLong();
+		ClaimTable table = ClaimTable.create(EntrySettings.CLAIM_WRITES.get(settings),
+				RandomSource.SPLIT_MIX_64.create(seed), System.nanoTime());
+		RequestMachine machine = RequestMachine.create(RequestPolicySettings.from(settings, identity.place()), seed,
+				this.invariants);
+		EntryParts parts = new EntryParts(machine,
+				new ClaimKeeper(table, store, System::nanoTime, System::currentTimeMillis), metrics, this.invariants,
+				System::nanoTime, EntrySettings.MAX_HELD_BYTES.get(settings));
+		EntryState state = new EntryState(identity, this, parts);
 		this.loop = EventLoop.start("entry-loop", EntrySettings.RING_SIZE.get(settings).intValue(), state::apply);
 		this.links = PeerLinks.create(transport, this.timer, this);
 		this.bundles = BundleReader.of(platform);
@@ -144,7 +156,7 @@
 	 * Starts to leave; the future completes when the last answer has gone out.
 	 */
 	public CompletableFuture<Void> drain() {
-		this.loop.put(new EntryEvent.DrainAsked());
+		put(new EntryEvent.DrainAsked());
 		return this.drained;
 	}
 
@@ -170,7 +182,7 @@
 
 	@Override
 	public void gone(long id) {
-		this.loop.put(new EntryEvent.CallerLeft(id));
+		put(new EntryEvent.CallerLeft(id));
 	}
 
 	@Override
@@ -180,23 +192,23 @@
 
 	@Override
 	public void onUp(PeerLink peer) {
-		this.loop.put(new EntryEvent.LinkUp(peer));
+		put(new EntryEvent.LinkUp(peer));
 	}
 
 	@Override
 	public void onFrame(PeerLink peer, Frame frame) {
-		this.loop.put(new EntryEvent.FrameArrived(peer, frame));
+		put(new EntryEvent.FrameArrived(peer, frame));
 	}
 
 	@Override
 	public void onDown(PeerLink peer) {
-		this.loop.put(new EntryEvent.LinkDown(peer));
+		put(new EntryEvent.LinkDown(peer));
 	}
 
 	@Override
 	public void readBundle(String digest) {
 		this.bundles.read(digest)
-			.thenAccept((read) -> read.ifPresent((content) -> this.loop.put(new EntryEvent.BundleRead(content))));
+			.thenAccept((read) -> read.ifPresent((content) -> put(new EntryEvent.BundleRead(content))));
 	}
 
 	@Override
@@ -219,6 +231,10 @@
 		this.drained.complete(null);
 	}
 
+	private void put(EntryEvent event) {
+		this.loop.put(event);
+	}
+
 	private int activeRequests() {
 		HttpFront now = this.front;
 		return (now != null) ? now.active() : 0;
@@ -232,14 +248,14 @@
 			this.front = kept(HttpFront.start(
 					new InetSocketAddress(EntrySettings.HTTP_HOST.get(settings),
 							EntrySettings.HTTP_PORT.get(settings).intValue()),
-					FrontLimits.of(settings), organisations, this));
+					FrontLimits.of(settings), organisations, this, TlsSettings.callers(settings)));
 			this.admin = kept(AdminServer.start(
 					new InetSocketAddress(CommonSettings.ADMIN_HOST.get(settings),
 							CommonSettings.ADMIN_PORT.get(settings).intValue()),
 					this.registry, () -> this.view.ready()));
 			kept(PrefixWatch.start(platform, this.timer, HEAD, this::headRead));
 			kept(PrefixWatch.start(platform, this.timer, LEAVING, this::marksRead));
-			kept(VmPoll.start(vmList, this.timer, (members) -> this.loop.put(new EntryEvent.VmsRead(members))));
+			kept(VmPoll.start(vmList, this.timer, (members) -> put(new EntryEvent.VmsRead(members))));
 			this.timer.scheduleAtFixedRate(() -> this.loop.offer(new EntryEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
 					TimeUnit.MILLISECONDS);
 			this.timer.scheduleWithFixedDelay(organisations::reload, 5, 5, TimeUnit.SECONDS);
@@ -257,7 +273,7 @@
 
 	private void headRead(Map<String, byte[]> values) {
 		Head head = Optional.ofNullable(values.get(HEAD)).map(BundleCodec::head).orElse(Head.NONE);
-		this.loop.put(new EntryEvent.HeadRead(head));
+		put(new EntryEvent.HeadRead(head));
 	}
 
 	private void marksRead(Map<String, byte[]> values) {
@@ -267,7 +283,7 @@
 			.filter((mark) -> mark.getValue().length > 0)
 			.map((mark) -> mark.getKey().substring(LEAVING.length()))
 			.collect(Collectors.toSet());
-		this.loop.put(new EntryEvent.MarksRead(vms));
+		put(new EntryEvent.MarksRead(vms));
 	}
 
 	private static void close(AutoCloseable part) {
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -12,7 +12,6 @@
 import org.wisteriapost.entry.caller.ServiceView;
 import org.wisteriapost.entry.link.PeerLink;
 import org.wisteriapost.entry.platform.BundleContent;
-import org.wisteriapost.kernel.Invariants;
 import org.wisteriapost.policy.bundle.Head;
 import org.wisteriapost.policy.bundle.ServiceSpec;
 import org.wisteriapost.policy.membership.Member;
@@ -36,6 +35,8 @@
 
 	private static final long RETRY_BUNDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	private static final long CLAIMS_WAIT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final Identity identity;
 
 	private final EntryOutput output;
@@ -44,6 +45,8 @@
 
 	private final Calls calls;
 
+	private final ClaimKeeper claims;
+
 	private final HeadTracker heads;
 
 	private final Membership membership;
@@ -58,26 +61,26 @@
 
 	private long bundleAskedNanos;
 
+	private long idleNanos;
+
 	private boolean finished;
 
-	EntryState(Identity identity, EntryOutput output, LongSupplier clock, Invariants invariants, EntryParts parts) {
+	EntryState(Identity identity, EntryOutput output, EntryParts parts) {
 		this.identity = identity;
 		this.output = output;
-		this.clock = clock;
-		this.heads = new HeadTracker(invariants);
+		this.clock = parts.clock();
+		this.heads = new HeadTracker(parts.invariants());
 		this.membership = Membership.of(identity.vm(), identity.place());
 		this.draining = new Draining(identity.keepSeconds());
-		this.calls = parts.calls(this.heads::generation);
+		this.calls = new Calls(parts, this.heads::generation);
+		this.claims = parts.claims();
+		this.claims.tells(this.calls);
 		this.reports = new RunnerReports(this.calls, this.heads);
 	}
 
 	/**
-	 * Returns the requests in progress.
+	 * Applies one event.
 	 */
-	Calls calls() {
-		return this.calls;
-	}
-
 	void apply(EntryEvent event) {
 		switch (event) {
 			case EntryEvent.CallArrived arrived -> this.calls.arrive(arrived.call());
@@ -89,6 +92,7 @@
 			case EntryEvent.BundleRead read -> bundle(read.content());
 			case EntryEvent.MarksRead read -> marks(read.vms());
 			case EntryEvent.VmsRead read -> vms(read.members());
+			case EntryEvent.ClaimAnswered answered -> this.claims.reply(answered.reply());
 			case EntryEvent.Tick tick -> tick();
 			case EntryEvent.DrainAsked asked -> drain();
 		}
@@ -251,6 +255,7 @@
 	private void tick() {
 		long now = this.clock.getAsLong();
 		this.calls.decide(new RequestEvent.Tick());
+		this.claims.tick();
 		if (this.heads.wanted().isPresent() && now - this.bundleAskedNanos > RETRY_BUNDLE_NANOS) {
 			askBundle();
 		}
@@ -261,12 +266,22 @@
 			this.calls.decide(new RequestEvent.Drain());
 			publish();
 		}
-		if (this.draining.refusing() && this.calls.size() == 0 && !this.finished && this.output.idle()) {
+		if (this.draining.refusing() && this.calls.size() == 0 && !this.finished && this.output.idle()
+				&& claimsWritten(now)) {
 			this.finished = true;
 			this.output.drained();
 		}
 	}
 
+	// The last answers should be kept for their callers' repeats, but a platform that is
+	// down must not hold a VM back that has to go: the repeats are then told "unknown".
+	private boolean claimsWritten(long now) {
+		if (this.idleNanos == 0) {
+			this.idleNanos = now;
+		}
+		return this.claims.unwritten() == 0 || now - this.idleNanos > CLAIMS_WAIT_NANOS;
+	}
+
 	private void publish() {
 		Map<String, ServiceSpec> services = this.heads.bundle()
 			.map((bundle) -> bundle.services()
