--- a/entry/src/test/java/org/wisteriapost/entry/WaitingPlatform.java
+++ b/entry/src/test/java/org/wisteriapost/entry/WaitingPlatform.java
@@ -21,14 +21,17 @@
 
 	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
+	private Optional<FakePlatform.Fault> nextPut = Optional.empty();
+
 	private boolean down;
 
 	synchronized void down(boolean now) {
 		this.down = now;
 	}
 
-	synchronized void next(FakePlatform.Fault... faults) {
-		this.fake.next(faults);
+	/** Makes the next write fail. */
+	synchronized void nextPut(FakePlatform.Fault fault) {
+		this.nextPut = Optional.of(fault);
 	}
 
 	@Override
@@ -40,6 +43,8 @@
 	@Override
 	public synchronized CompletableFuture<PutResult> put(String key, byte[] value, Expected expected) {
 		fail();
+		this.nextPut.ifPresent(this.fake::next);
+		this.nextPut = Optional.empty();
 		return this.fake.put(key, value, expected);
 	}
 
