--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -11,7 +11,7 @@
 final class PeerState {
 
 	/** Silent deadlines in a row after which a peer counts as failing. */
-	private static final int FAILING_STRIKES = 2;
+	private static final int FAILING_STRIKES = 1;
 
 	private static final int MOST_DOUBLINGS = 5;
 
@@ -77,10 +77,11 @@
 	}
 
 	/**
-	 * Returns whether the time of distrust after a wrong chunk has ended.
+	 * Returns whether what it holds counts again: it has been heard, and the time of
+	 * distrust after a wrong chunk has ended.
 	 */
 	boolean trustedAgain(long now) {
-		return this.up && !this.counted && now >= this.distrustedUntil;
+		return this.up && !this.counted && this.strikes < FAILING_STRIKES && now >= this.distrustedUntil;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PieceChoice.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PieceChoice.java
@@ -77,20 +77,23 @@
 		if (this.limits.design() == TransferLimits.Design.CHAIN) {
 			return usable.nextSetBit(0);
 		}
+		int count = usable.cardinality();
 		int chosen = -1;
-		int fewest = Integer.MAX_VALUE;
-		int equals = 0;
-		for (int piece = usable.nextSetBit(0); piece >= 0; piece = usable.nextSetBit(piece + 1)) {
-			int count = this.limits.rarestFirst() ? this.holders[piece] : 1;
-			equals = (count < fewest) ? 0 : equals;
-			fewest = Math.min(fewest, count);
-			if (count == fewest && this.random.nextInt(++equals) == 0) {
-				chosen = piece;
+		for (int draw = 0; draw < Math.min(this.limits.rarestOf(), count); draw++) {
+			int drawn = drawn(usable);
+			if (chosen < 0 || this.holders[drawn] < this.holders[chosen]) {
+				chosen = drawn;
 			}
 		}
 		return chosen;
 	}
 
+	private int drawn(BitSet usable) {
+		int from = this.random.nextInt(this.holders.length);
+		int piece = usable.nextSetBit(from);
+		return (piece >= 0) ? piece : usable.nextSetBit(0);
+	}
+
 	private Optional<PeerState> holder(int piece, Collection<PeerState> peers, long now) {
 		PeerState chosen = null;
 		int least = Integer.MAX_VALUE;
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferLimits.java
@@ -14,20 +14,21 @@
  * @param progressDeadline the shortest time after which a request without an answer, or a
  * piece that nobody holds, is looked for elsewhere
  * @param announceInterval the shortest time between two announcements
- * @param rarestFirst whether the piece that fewest neighbours hold goes first
+ * @param rarestOf of how many open pieces, drawn by chance, the one that fewest
+ * neighbours hold goes first; 1 for chance alone
  * @param samePlaceFirst whether a holder in the same place goes before one less asked
  * @param hedge whether a late request is sent to a second holder, chosen at random,
  * before its deadline
  */
 public record TransferLimits(Design design, int originCopies, int originReads, int neighbours, int outstanding,
-		int perPeer, Duration progressDeadline, Duration announceInterval, boolean rarestFirst, boolean samePlaceFirst,
+		int perPeer, Duration progressDeadline, Duration announceInterval, int rarestOf, boolean samePlaceFirst,
 		boolean hedge) {
 
 	/**
 	 * Returns the values chosen by measurement, docs/design/weights.md.
 	 */
 	public static TransferLimits standard() {
-		return new TransferLimits(Design.SWARM, 1, 2, 24, 12, 2, Duration.ofSeconds(1), Duration.ofMillis(100), true,
+		return new TransferLimits(Design.SWARM, 1, 2, 12, 12, 2, Duration.ofSeconds(1), Duration.ofMillis(200), 16,
 				true, false);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -179,7 +179,9 @@
 		if (!this.holdings.missing(piece)) {
 			return;
 		}
-		this.origin.news(now);
+		if (this.choice.holders(piece) == 0) {
+			this.origin.news(now);
+		}
 		this.holdings.storing(piece);
 		effects.add(new TransferEffect.Store(piece));
 	}
@@ -279,6 +281,7 @@
 			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
 			if (late) {
 				peer.release().forEach(this::reopen);
+				this.neighbours.discount(peer);
 				if (peer.silent(now, limit)) {
 					effects.add(new TransferEffect.Notice(PEER_STALLED, peer.vm(), 0));
 				}
@@ -303,7 +306,8 @@
 		for (PeerState peer : List.copyOf(this.neighbours.all())) {
 			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
 				boolean single = this.neighbours.askedOf(ask.getKey()) == 1;
-				if (single && now - ask.getValue() > limit && this.pacer.delayNanos(now) == 0) {
+				if (single && this.holdings.missing(ask.getKey()) && now - ask.getValue() > limit
+						&& this.pacer.delayNanos(now) == 0) {
 					this.choice.second(ask.getKey(), this.neighbours.all(), now)
 						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
 				}
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
@@ -273,7 +273,11 @@
 		}
 		this.originPieces++;
 		this.originFreeAt = Math.max(this.now + LATENCY, this.originFreeAt) + pieceNanos() / 2;
-		vm.receiveFreeAt = Math.max(this.originFreeAt + pieceNanos() / 2, vm.receiveFreeAt + pieceNanos());
+		schedule(this.originFreeAt - this.now, () -> deliverFromOrigin(vm, piece));
+	}
+
+	private void deliverFromOrigin(SimVm vm, int piece) {
+		vm.receiveFreeAt = Math.max(this.now + pieceNanos() / 2, vm.receiveFreeAt + pieceNanos());
 		schedule(vm.receiveFreeAt - this.now + LATENCY, () -> arrive(vm, piece, TransferMachine.ORIGIN, false));
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Variants.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Variants.java
@@ -41,7 +41,7 @@
 		int number = digits.isEmpty() ? 0 : Integer.parseInt(digits);
 		switch (word.replaceAll("[0-9]", "")) {
 			case "hedge" -> builder.hedge(true);
-			case "random" -> builder.rarestFirst(false);
+			case "rarest" -> builder.rarestOf(number);
 			case "anyplace" -> builder.samePlaceFirst(false);
 			case "copies" -> builder.originCopies(number);
 			case "reads" -> builder.originReads(number);
@@ -101,16 +101,16 @@
 			return times(deadline, this.limits.announceInterval());
 		}
 
-		Builder rarestFirst(boolean value) {
+		Builder rarestOf(int value) {
 			return flags(value, this.limits.samePlaceFirst(), this.limits.hedge());
 		}
 
 		Builder samePlaceFirst(boolean value) {
-			return flags(this.limits.rarestFirst(), value, this.limits.hedge());
+			return flags(this.limits.rarestOf(), value, this.limits.hedge());
 		}
 
 		Builder hedge(boolean value) {
-			return flags(this.limits.rarestFirst(), this.limits.samePlaceFirst(), value);
+			return flags(this.limits.rarestOf(), this.limits.samePlaceFirst(), value);
 		}
 
 		TransferLimits build() {
@@ -119,7 +119,7 @@
 
 		private Builder set(Design design, int copies, int reads, int neighbours, int outstanding, int perPeer) {
 			this.limits = new TransferLimits(design, copies, reads, neighbours, outstanding, perPeer,
-					this.limits.progressDeadline(), this.limits.announceInterval(), this.limits.rarestFirst(),
+					this.limits.progressDeadline(), this.limits.announceInterval(), this.limits.rarestOf(),
 					this.limits.samePlaceFirst(), this.limits.hedge());
 			return this;
 		}
@@ -127,12 +127,12 @@
 		private Builder times(Duration deadline, Duration announce) {
 			TransferLimits old = this.limits;
 			this.limits = new TransferLimits(old.design(), old.originCopies(), old.originReads(), old.neighbours(),
-					old.outstanding(), old.perPeer(), deadline, announce, old.rarestFirst(), old.samePlaceFirst(),
+					old.outstanding(), old.perPeer(), deadline, announce, old.rarestOf(), old.samePlaceFirst(),
 					old.hedge());
 			return this;
 		}
 
-		private Builder flags(boolean rarest, boolean near, boolean hedge) {
+		private Builder flags(int rarest, boolean near, boolean hedge) {
 			TransferLimits old = this.limits;
 			this.limits = new TransferLimits(old.design(), old.originCopies(), old.originReads(), old.neighbours(),
 					old.outstanding(), old.perPeer(), old.progressDeadline(), old.announceInterval(), rarest, near,
