--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkMap.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkMap.java
@@ -30,6 +30,7 @@
   private ChunkMap() {
     file_ = "";
     bits_ = com.google.protobuf.ByteString.EMPTY;
+    added_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -123,7 +124,7 @@
   private com.google.protobuf.ByteString bits_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * bit i of byte i/8, low bit first
+   * bit i of byte i/8, low bit first; empty in a change
    * </pre>
    *
    * <code>bytes bits = 4;</code>
@@ -134,6 +135,48 @@
     return bits_;
   }
 
+  public static final int ADDED_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList added_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * a change: chunks held besides those said before; file is left out
+   * </pre>
+   *
+   * <code>repeated uint32 added = 5;</code>
+   * @return A list containing the added.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getAddedList() {
+    return added_;
+  }
+  /**
+   * <pre>
+   * a change: chunks held besides those said before; file is left out
+   * </pre>
+   *
+   * <code>repeated uint32 added = 5;</code>
+   * @return The count of added.
+   */
+  public int getAddedCount() {
+    return added_.size();
+  }
+  /**
+   * <pre>
+   * a change: chunks held besides those said before; file is left out
+   * </pre>
+   *
+   * <code>repeated uint32 added = 5;</code>
+   * @param index The index of the element to return.
+   * @return The added at the given index.
+   */
+  public int getAdded(int index) {
+    return added_.getInt(index);
+  }
+  private int addedMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -148,6 +191,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (id_ != 0L) {
       output.writeUInt64(1, id_);
     }
@@ -160,6 +204,13 @@
     if (!bits_.isEmpty()) {
       output.writeBytes(4, bits_);
     }
+    if (getAddedList().size() > 0) {
+      output.writeUInt32NoTag(42);
+      output.writeUInt32NoTag(addedMemoizedSerializedSize);
+    }
+    for (int i = 0; i < added_.size(); i++) {
+      output.writeUInt32NoTag(added_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -179,6 +230,20 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, bits_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < added_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(added_.getInt(i));
+      }
+      size += dataSize;
+      if (!getAddedList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      addedMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -211,6 +276,8 @@
         != other.getChunks()) return false;
     if (!getBits()
         .equals(other.getBits())) return false;
+    if (!getAddedList()
+        .equals(other.getAddedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -231,6 +298,10 @@
     hash = (53 * hash) + getChunks();
     hash = (37 * hash) + BITS_FIELD_NUMBER;
     hash = (53 * hash) + getBits().hashCode();
+    if (getAddedCount() > 0) {
+      hash = (37 * hash) + ADDED_FIELD_NUMBER;
+      hash = (53 * hash) + getAddedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -366,6 +437,7 @@
       file_ = "";
       chunks_ = 0;
       bits_ = com.google.protobuf.ByteString.EMPTY;
+      added_ = emptyIntList();
       return this;
     }
 
@@ -411,6 +483,10 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.bits_ = bits_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        added_.makeImmutable();
+        result.added_ = added_;
+      }
     }
 
     @java.lang.Override
@@ -439,6 +515,17 @@
       if (!other.getBits().isEmpty()) {
         setBits(other.getBits());
       }
+      if (!other.added_.isEmpty()) {
+        if (added_.isEmpty()) {
+          added_ = other.added_;
+          added_.makeImmutable();
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureAddedIsMutable();
+          added_.addAll(other.added_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -483,6 +570,22 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              int v = input.readUInt32();
+              ensureAddedIsMutable();
+              added_.addInt(v);
+              break;
+            } // case 40
+            case 42: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureAddedIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                added_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -659,7 +762,7 @@
     private com.google.protobuf.ByteString bits_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * bit i of byte i/8, low bit first
+     * bit i of byte i/8, low bit first; empty in a change
      * </pre>
      *
      * <code>bytes bits = 4;</code>
@@ -671,7 +774,7 @@
     }
     /**
      * <pre>
-     * bit i of byte i/8, low bit first
+     * bit i of byte i/8, low bit first; empty in a change
      * </pre>
      *
      * <code>bytes bits = 4;</code>
@@ -687,7 +790,7 @@
     }
     /**
      * <pre>
-     * bit i of byte i/8, low bit first
+     * bit i of byte i/8, low bit first; empty in a change
      * </pre>
      *
      * <code>bytes bits = 4;</code>
@@ -700,6 +803,118 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.IntList added_ = emptyIntList();
+    private void ensureAddedIsMutable() {
+      if (!added_.isModifiable()) {
+        added_ = makeMutableCopy(added_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @return A list containing the added.
+     */
+    public java.util.List<java.lang.Integer>
+        getAddedList() {
+      added_.makeImmutable();
+      return added_;
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @return The count of added.
+     */
+    public int getAddedCount() {
+      return added_.size();
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @param index The index of the element to return.
+     * @return The added at the given index.
+     */
+    public int getAdded(int index) {
+      return added_.getInt(index);
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The added to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAdded(
+        int index, int value) {
+
+      ensureAddedIsMutable();
+      added_.setInt(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @param value The added to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAdded(int value) {
+
+      ensureAddedIsMutable();
+      added_.addInt(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @param values The added to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllAdded(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureAddedIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, added_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * a change: chunks held besides those said before; file is left out
+     * </pre>
+     *
+     * <code>repeated uint32 added = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAdded() {
+      added_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.ChunkMap)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkMapOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkMapOrBuilder.java
@@ -44,11 +44,40 @@
 
   /**
    * <pre>
-   * bit i of byte i/8, low bit first
+   * bit i of byte i/8, low bit first; empty in a change
    * </pre>
    *
    * <code>bytes bits = 4;</code>
    * @return The bits.
    */
   com.google.protobuf.ByteString getBits();
+
+  /**
+   * <pre>
+   * a change: chunks held besides those said before; file is left out
+   * </pre>
+   *
+   * <code>repeated uint32 added = 5;</code>
+   * @return A list containing the added.
+   */
+  java.util.List<java.lang.Integer> getAddedList();
+  /**
+   * <pre>
+   * a change: chunks held besides those said before; file is left out
+   * </pre>
+   *
+   * <code>repeated uint32 added = 5;</code>
+   * @return The count of added.
+   */
+  int getAddedCount();
+  /**
+   * <pre>
+   * a change: chunks held besides those said before; file is left out
+   * </pre>
+   *
+   * <code>repeated uint32 added = 5;</code>
+   * @param index The index of the element to return.
+   * @return The added at the given index.
+   */
+  int getAdded(int index);
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkMapRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkMapRequest.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * Which chunks of a weight file the receiver holds, verified.
+ * Which chunks of a weight file the receiver holds, verified. It answers with all of them and then,
+ * until the link closes, with each change.
  * </pre>
  *
  * Protobuf type {@code wisteriapost.ChunkMapRequest}
@@ -277,7 +278,8 @@
   }
   /**
    * <pre>
-   * Which chunks of a weight file the receiver holds, verified.
+   * Which chunks of a weight file the receiver holds, verified. It answers with all of them and then,
+   * until the link closes, with each change.
    * </pre>
    *
    * Protobuf type {@code wisteriapost.ChunkMapRequest}
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -183,20 +183,21 @@
       "code\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030" +
       "\n\nCallCancel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002v" +
       "m\030\001 \001(\t\"+\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014" +
-      "\n\004file\030\002 \001(\t\"B\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
+      "\n\004file\030\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
       "file\030\002 \001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014" +
-      "\"7\n\014ChunkRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001" +
-      "(\t\022\r\n\005index\030\003 \001(\r\"n\n\nChunkReply\022\n\n\002id\030\001 " +
-      "\001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\022)\n\006stat" +
-      "us\030\004 \001(\0162\031.wisteriapost.ChunkStatus\022\014\n\004d" +
-      "ata\030\005 \001(\014*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022" +
-      "\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NOR" +
-      "MAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027" +
-      "\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_" +
-      "RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHU" +
-      "NK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n" +
-      "\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003B$\n\036org." +
-      "wisteriapost.protocol.wireH\001P\001b\006proto3"
+      "\022\r\n\005added\030\005 \003(\r\"7\n\014ChunkRequest\022\n\n\002id\030\001 " +
+      "\001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\"n\n\nChun" +
+      "kReply\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005inde" +
+      "x\030\003 \001(\r\022)\n\006status\030\004 \001(\0162\031.wisteriapost.C" +
+      "hunkStatus\022\014\n\004data\030\005 \001(\014*2\n\004Role\022\024\n\020ROLE" +
+      "_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010" +
+      "Priority\022\n\n\006NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK" +
+      "\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007" +
+      "\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013Chu" +
+      "nkStatus\022\034\n\030CHUNK_STATUS_UNSPECIFIED\020\000\022\014" +
+      "\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK" +
+      "_BUSY\020\003B$\n\036org.wisteriapost.protocol.wir" +
+      "eH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -303,7 +304,7 @@
     internal_static_wisteriapost_ChunkMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkMap_descriptor,
-        new java.lang.String[] { "Id", "File", "Chunks", "Bits", });
+        new java.lang.String[] { "Id", "File", "Chunks", "Bits", "Added", });
     internal_static_wisteriapost_ChunkRequest_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_wisteriapost_ChunkRequest_fieldAccessorTable = new
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
@@ -8,6 +8,7 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.wisteriapost.kernel.command.ExitCodes;
 import org.wisteriapost.standin.bench.BenchCommand;
 
@@ -40,7 +41,17 @@
 			.addOption(option("policy", "design[+variant…][,…], default naive,chain,swarm"))
 			.addOption(option("chunks", "of the weights, default " + DEFAULT_CHUNKS))
 			.addOption(option("bound", "S/L in seconds, default 8"));
-		CommandLine line = new DefaultParser().parse(options, args.toArray(new String[0]));
+		try {
+			compare(new DefaultParser().parse(options, args.toArray(new String[0])), out);
+			return ExitCodes.OK;
+		}
+		catch (ParseException | IllegalArgumentException ex) {
+			out.println(ex.getMessage());
+			return ExitCodes.BAD_INPUT;
+		}
+	}
+
+	private static void compare(CommandLine line, PrintStream out) {
 		int chunks = Integer.parseInt(line.getOptionValue("chunks", DEFAULT_CHUNKS));
 		double bound = Double.parseDouble(line.getOptionValue("bound", "" + BOUND_SECONDS));
 		for (String faults : line.getOptionValue("faults", "none").split(",")) {
@@ -52,7 +63,6 @@
 				}
 			}
 		}
-		return ExitCodes.OK;
 	}
 
 	private static void run(String policy, int vms, String faults, long seed, int chunks, double bound,
