--- /dev/null
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
@@ -0,0 +1,214 @@
+package org.wisteriapost.agent.transfer;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.transfer.Pacer;
+import org.wisteriapost.policy.transfer.Uploads;
+import org.wisteriapost.protocol.link.Link;
+import org.wisteriapost.protocol.wire.ChunkMap;
+import org.wisteriapost.protocol.wire.ChunkMapRequest;
+import org.wisteriapost.protocol.wire.ChunkReply;
+import org.wisteriapost.protocol.wire.ChunkRequest;
+import org.wisteriapost.protocol.wire.ChunkStatus;
+import org.wisteriapost.protocol.wire.Frame;
+
+/**
+ * Gives held chunks to peers and tells them of new ones. Used by the transfer's thread
+ * alone.
+ *
+ * Every chunk is read back from the VM's store and hashed before it is sent, so that a
+ * store that went bad does not spread; at most {@value #READS} are in memory at once,
+ * whatever the size of the weights.
+ */
+final class ChunkServer {
+
+	private static final Logger LOG = System.getLogger(ChunkServer.class.getName());
+
+	private static final Code STORED_CORRUPT = Code.warning("stored-chunk-corrupt",
+			"A chunk read back from the VM's weight store has a wrong hash; it is fetched again.");
+
+	private static final int READS = 4;
+
+	private static final int UPLOADS_PER_PEER = 2;
+
+	// A peer that asked for more files than any bundle has would grow this map.
+	private static final int MOST_FILES_PER_LINK = 256;
+
+	private static final double BURST_SECONDS = 0.05;
+
+	private final TransferContext context;
+
+	private final TransferThread thread;
+
+	private final TransferMeters meters;
+
+	private final ChunkShelf shelf;
+
+	private final Uploads<Upload> uploads;
+
+	private final Pacer pacer = Pacer.create(BURST_SECONDS);
+
+	private final Map<Link, Map<String, Long>> watchers = new HashMap<>();
+
+	private int reading;
+
+	private boolean waiting;
+
+	ChunkServer(TransferContext context, TransferThread thread, TransferMeters meters, ChunkShelf shelf,
+			int uploadsWaiting) {
+		this.context = context;
+		this.thread = thread;
+		this.meters = meters;
+		this.shelf = shelf;
+		this.uploads = Uploads.create(uploadsWaiting, UPLOADS_PER_PEER);
+	}
+
+	void rate(double bytesPerSecond) {
+		this.pacer.rate(bytesPerSecond, System.nanoTime());
+	}
+
+	/**
+	 * Answers with all held chunks of a file and keeps telling of new ones, also when
+	 * this VM has not heard of the file yet.
+	 */
+	void map(Link link, ChunkMapRequest request) {
+		Map<String, Long> files = this.watchers.computeIfAbsent(link, (key) -> new HashMap<>());
+		if (files.size() >= MOST_FILES_PER_LINK) {
+			return;
+		}
+		files.put(request.getFile(), request.getId());
+		send(link, whole(request.getId(), request.getFile()));
+	}
+
+	/**
+	 * Tells of chunks that were added to a file.
+	 */
+	void announce(String file, BitSet added) {
+		this.watchers.forEach((link, files) -> {
+			Long id = files.get(file);
+			if (id != null) {
+				ChunkMap.Builder change = ChunkMap.newBuilder().setId(id);
+				added.stream().forEach(change::addAdded);
+				send(link, this.context.frames().get().setChunkMap(change).build());
+			}
+		});
+	}
+
+	void request(Link link, ChunkRequest request) {
+		boolean held = this.shelf.held(request.getFile()).get(request.getIndex());
+		if (!held) {
+			refuse(link, request, ChunkStatus.CHUNK_MISSING);
+			return;
+		}
+		// A peer that asks but does not read would fill the send buffer with chunks.
+		if (!link.writable() || !this.uploads.offer(link, new Upload(link, request))) {
+			refuse(link, request, ChunkStatus.CHUNK_BUSY);
+			return;
+		}
+		pump();
+	}
+
+	void closed(Link link) {
+		this.watchers.remove(link);
+		this.uploads.drop(link);
+	}
+
+	private void pump() {
+		while (this.reading < READS && !this.waiting) {
+			long delay = this.pacer.delayNanos(System.nanoTime());
+			if (delay > 0) {
+				pause(delay);
+				return;
+			}
+			Optional<Upload> next = this.uploads.next();
+			if (next.isEmpty()) {
+				return;
+			}
+			upload(next.get());
+		}
+	}
+
+	private void pause(long delay) {
+		this.waiting = true;
+		this.context.timer().schedule(() -> this.thread.run(() -> {
+			this.waiting = false;
+			pump();
+		}), delay, TimeUnit.NANOSECONDS);
+	}
+
+	private void upload(Upload upload) {
+		String file = upload.request.getFile();
+		int index = upload.request.getIndex();
+		if (!this.shelf.held(file).get(index)) {
+			refuse(upload.link, upload.request, ChunkStatus.CHUNK_MISSING);
+			return;
+		}
+		String hash = this.shelf.hash(file, index);
+		this.reading++;
+		this.pacer.take(this.shelf.length(file, index));
+		this.context.store().get(file, index).whenComplete((found, failure) -> this.thread.compute(() -> {
+			Optional<byte[]> bytes = (failure != null) ? Optional.empty() : found;
+			boolean good = bytes.isPresent() && ChunkShelf.matches(bytes.get(), hash);
+			this.thread.run(() -> finish(upload, good ? bytes : Optional.empty(), failure == null));
+		}));
+	}
+
+	private void finish(Upload upload, Optional<byte[]> bytes, boolean answered) {
+		this.reading--;
+		if (bytes.isPresent()) {
+			this.meters.toPeers().increment(bytes.get().length);
+			ByteString data = UnsafeByteOperations.unsafeWrap(bytes.get());
+			upload.link.send(reply(upload.request, ChunkStatus.CHUNK_OK, data));
+		}
+		else {
+			if (answered) {
+				LOG.log(Level.WARNING, STORED_CORRUPT.name() + ": " + upload.request.getFile() + " chunk "
+						+ upload.request.getIndex());
+				this.thread.lost(upload.request.getFile(), upload.request.getIndex());
+			}
+			refuse(upload.link, upload.request, ChunkStatus.CHUNK_MISSING);
+		}
+		pump();
+	}
+
+	private void refuse(Link link, ChunkRequest request, ChunkStatus status) {
+		send(link, reply(request, status, ByteString.EMPTY));
+	}
+
+	private Frame whole(long id, String file) {
+		ChunkMap map = ChunkMap.newBuilder()
+			.setId(id)
+			.setFile(file)
+			.setChunks(this.shelf.size(file))
+			.setBits(ByteString.copyFrom(this.shelf.held(file).toByteArray()))
+			.build();
+		return this.context.frames().get().setChunkMap(map).build();
+	}
+
+	private Frame reply(ChunkRequest request, ChunkStatus status, ByteString data) {
+		ChunkReply reply = ChunkReply.newBuilder()
+			.setId(request.getId())
+			.setIndex(request.getIndex())
+			.setStatus(status)
+			.setData(data)
+			.build();
+		return this.context.frames().get().setChunkReply(reply).build();
+	}
+
+	private void send(Link link, Frame frame) {
+		link.send(this.meters.counted(frame));
+	}
+
+	private record Upload(Link link, ChunkRequest request) {
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Holdings.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Holdings.java
@@ -64,6 +64,13 @@
 		this.open.clear(piece);
 	}
 
+	/**
+	 * Returns how many pieces are on their way into the store.
+	 */
+	int beingStored() {
+		return this.storing.cardinality();
+	}
+
 	void storing(int piece) {
 		this.open.clear(piece);
 		this.storing.set(piece);
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -342,14 +342,15 @@
 	}
 
 	private OptionalInt nextRead(long now) {
-		if (this.pacer.delayNanos(now) > 0) {
+		if (this.pacer.delayNanos(now) > 0 || this.holdings.beingStored() >= this.limits.outstanding()) {
 			return OptionalInt.empty();
 		}
 		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
 	}
 
 	private Optional<PieceChoice.Choice> nextAsk(long now) {
-		if (this.neighbours.outstanding() >= this.limits.outstanding() || this.pacer.delayNanos(now) > 0) {
+		if (this.neighbours.outstanding() + this.holdings.beingStored() >= this.limits.outstanding()
+				|| this.pacer.delayNanos(now) > 0) {
 			return Optional.empty();
 		}
 		return this.choice.next(this.holdings.open(), this.neighbours.all(), now);
