--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/LoopbackVm.java
@@ -0,0 +1,169 @@
+package org.wisteriapost.standin.bench.weights;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.google.protobuf.ByteString;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.wisteriapost.agent.transfer.PeerTransfers;
+import org.wisteriapost.agent.transfer.Transfer;
+import org.wisteriapost.agent.transfer.TransferContext;
+import org.wisteriapost.agent.transfer.TransferOptions;
+import org.wisteriapost.kernel.settings.Settings;
+import org.wisteriapost.policy.bundle.WeightFile;
+import org.wisteriapost.protocol.link.Link;
+import org.wisteriapost.protocol.link.LinkHandler;
+import org.wisteriapost.protocol.link.LinkServer;
+import org.wisteriapost.protocol.link.Links;
+import org.wisteriapost.protocol.outside.VmList;
+import org.wisteriapost.protocol.wire.CallEnd;
+import org.wisteriapost.protocol.wire.ChunkReply;
+import org.wisteriapost.protocol.wire.ChunkRequest;
+import org.wisteriapost.protocol.wire.ChunkStatus;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Hello;
+import org.wisteriapost.protocol.wire.Outcome;
+import org.wisteriapost.protocol.wire.Role;
+
+/**
+ * One VM of a roll over loopback: a real transfer with links of its own.
+ */
+final class LoopbackVm implements LinkHandler, AutoCloseable {
+
+	private static final String HOST = "127.0.0.1";
+
+	private final String name;
+
+	private final String place;
+
+	private final int chunkBytes;
+
+	private final LoopbackStore store;
+
+	private final Links links = Links.plain(1);
+
+	private final LinkServer server;
+
+	private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+
+	private final Transfer transfer;
+
+	private volatile long finishedAt;
+
+	private volatile boolean failed;
+
+	private volatile boolean gone;
+
+	private volatile boolean corrupt;
+
+	LoopbackVm(String name, String place, LoopbackOrigin origin, LoopbackStore store, int chunkBytes,
+			TransferOptions options, ScheduledExecutorService timer) {
+		this.name = name;
+		this.place = place;
+		this.chunkBytes = chunkBytes;
+		this.store = store;
+		Hello hello = Hello.newBuilder().setVm(name).setPlace(place).setRole(Role.AGENT).build();
+		this.transfer = PeerTransfers.create(new TransferContext(Settings.parse("bench", ""), name, place, this.links,
+				() -> hello, Frame::newBuilder, (link, frame) -> {
+				}, origin, store, timer, this.meters), options);
+		this.server = this.links.listen(new InetSocketAddress(HOST, 0), this);
+	}
+
+	VmList.Vm listed() {
+		return new VmList.Vm(this.name, this.place, "region", "agent", "service", HOST, this.server.port(), 0, false);
+	}
+
+	void fetch(List<VmList.Vm> all, WeightFile file) {
+		this.transfer.peers(all);
+		CompletableFuture<Void> whole = this.transfer.fetch(List.of(file));
+		whole.whenComplete((none, failure) -> {
+			this.failed = failure != null;
+			this.finishedAt = (failure == null) ? System.nanoTime() : 0;
+		});
+	}
+
+	void kill() {
+		this.gone = true;
+		close();
+	}
+
+	void stall() {
+		this.gone = true;
+		this.store.stall();
+	}
+
+	void corrupt() {
+		this.corrupt = true;
+	}
+
+	boolean gone() {
+		return this.gone;
+	}
+
+	boolean failed() {
+		return this.failed;
+	}
+
+	/**
+	 * Returns when everything was there, on the monotonic clock; 0 when it is not yet.
+	 */
+	long finishedAt() {
+		return this.finishedAt;
+	}
+
+	long verified() {
+		return this.transfer.progress().verified();
+	}
+
+	int wrong() {
+		return this.store.wrong();
+	}
+
+	double controlBytes() {
+		return this.meters.counter("wisteriapost.transfer.control.bytes").count();
+	}
+
+	@Override
+	public void onOpen(Link link) {
+	}
+
+	@Override
+	public void onFrame(Link link, Frame frame) {
+		if (frame.getBodyCase() == Frame.BodyCase.CALL) {
+			CallEnd end = CallEnd.newBuilder().setId(frame.getCall().getId()).setOutcome(Outcome.RAN).build();
+			link.send(Frame.newBuilder().setCallEnd(end).build());
+			return;
+		}
+		if (this.gone) {
+			return;
+		}
+		if (this.corrupt && frame.getBodyCase() == Frame.BodyCase.CHUNK_REQUEST) {
+			link.send(Frame.newBuilder().setChunkReply(wrongReply(frame.getChunkRequest())).build());
+			return;
+		}
+		this.transfer.onFrame(link, frame);
+	}
+
+	private ChunkReply wrongReply(ChunkRequest request) {
+		return ChunkReply.newBuilder()
+			.setId(request.getId())
+			.setStatus(ChunkStatus.CHUNK_OK)
+			.setData(ByteString.copyFrom(new byte[this.chunkBytes]))
+			.build();
+	}
+
+	@Override
+	public void onClosed(Link link) {
+		this.transfer.onClosed(link);
+	}
+
+	@Override
+	public void close() {
+		this.transfer.close();
+		this.server.close();
+		this.links.close();
+	}
+
+}
