--- a/policy/src/main/java/org/wisteriapost/policy/request/RequestPolicyKeys.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RequestPolicyKeys.java
@@ -20,11 +20,11 @@
 	static final Setting<Long> QUEUE_PER_ORGANISATION = Setting
 		.number("requests", "queue-per-organisation", 1, 100000,
 				"Requests of one organisation that may wait for one service.")
-		.orElse("256");
+		.orElse("512");
 
 	static final Setting<Long> QUEUE_PER_SERVICE = Setting
 		.number("requests", "queue-per-service", 1, 100000, "Requests that may wait for one service.")
-		.orElse("1024");
+		.orElse("2048");
 
 	static final Setting<Long> PRIORITY_HEAD_START = Setting
 		.number("requests", "priority-head-start", 0, 100000,
--- a/policy/src/main/java/org/wisteriapost/policy/request/RequestPolicySettings.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RequestPolicySettings.java
@@ -34,7 +34,7 @@
 	 * Returns the limits that are used when the settings say nothing.
 	 */
 	public static RequestPolicySettings defaults() {
-		return new RequestPolicySettings("", Map.of(), 256, 1024, 20, 8, 0.5, 0.1, Duration.ofSeconds(5),
+		return new RequestPolicySettings("", Map.of(), 512, 2048, 20, 8, 0.5, 0.1, Duration.ofSeconds(5),
 				Duration.ofSeconds(5), 0.3);
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/bench/LoadBench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/LoadBench.java
@@ -39,7 +39,7 @@
 
 	@Override
 	public String summary() {
-		return "--profile burst|skew|slow-endpoint|mixed|saturation --seed S --policy naive,machine";
+		return "--profile burst|skew|slow-endpoint|mixed|saturation --seed S --policy naive,machine [--entries 6]";
 	}
 
 	@Override
@@ -48,6 +48,7 @@
 		options.addOption(Option.builder().longOpt("profile").hasArg().required().get());
 		options.addOption(Option.builder().longOpt("seed").hasArg().get());
 		options.addOption(Option.builder().longOpt("policy").hasArg().get());
+		options.addOption(Option.builder().longOpt("entries").hasArg().get());
 		try {
 			CommandLine line = new DefaultParser().parse(options, args.toArray(String[]::new));
 			long seed = Long.parseLong(line.getOptionValue("seed", "1"));
@@ -57,7 +58,8 @@
 				System.err.println(summary());
 				return USAGE;
 			}
-			return compare(profile.get(), policies, seed, out);
+			int entries = Integer.parseInt(line.getOptionValue("entries", "6"));
+			return compare(profile.get().across(entries), policies, seed, out);
 		}
 		catch (ParseException | NumberFormatException ex) {
 			System.err.println(ex.getMessage() + "; " + summary());
