Limits rise faster while raised ones hold

Failed try, not kept: serving organisations within 8 units of cost in the order of arrival, to save the burst's losses. So the losses of the burst do not come from turns between organisations.

--- a/policy/src/main/java/org/wisteriapost/policy/request/ConcurrencyLimit.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/ConcurrencyLimit.java
@@ -29,6 +29,14 @@
 	 */
 	private static final double INCREASE = 0.01;
 
+	/**
+	 * By how much faster the limits rise while raised ones hold. When another entry's
+	 * burst is over its slots stand idle, and nobody says so before the next report.
+	 */
+	private static final double HASTE = 30;
+
+	private static final double RAISE_SMOOTHING = 0.3;
+
 	/**
 	 * Given up at a full runner. One slot in ten for a moment is what lets a newcomer in;
 	 * less than that rounds to nothing at the usual 8 to 16 slots.
@@ -51,17 +59,27 @@
 	 * Raises the limit after a call ended well while the limit bound.
 	 * @param waitingWeight weights of the organisations with work waiting here
 	 */
-	static void ended(RunnerState runner, int waitingWeight) {
-		if (runner.inFlight + 1 >= (int) runner.limit) {
-			double step = INCREASE * Math.max(1, waitingWeight) / runner.limit;
-			runner.limit = Math.min(runner.view.capacity(), runner.limit + Math.min(1, step));
+	static void ended(RunnerState runner, RunnerPool pool, int waitingWeight) {
+		if (runner.inFlight + 1 < (int) runner.limit) {
+			return;
+		}
+		if (runner.raised) {
+			pool.raiseHeld += RAISE_SMOOTHING * (1 - pool.raiseHeld);
+			runner.raised = false;
 		}
+		double haste = 1 + HASTE * pool.raiseHeld;
+		double step = INCREASE * Math.max(1, waitingWeight) * haste / runner.limit;
+		double limit = Math.min(runner.view.capacity(), runner.limit + Math.min(1, step));
+		runner.raised = (int) limit > (int) runner.limit;
+		runner.limit = limit;
 	}
 
 	/**
 	 * Sets the limit to what the runner has taken, after its gate refused one more.
 	 */
-	static void refused(RunnerState runner) {
+	static void refused(RunnerState runner, RunnerPool pool) {
+		pool.raiseHeld *= 1 - RAISE_SMOOTHING;
+		runner.raised = false;
 		runner.limit = Math.max(1, Math.min(runner.limit, runner.inFlight));
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/request/RunnerPool.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RunnerPool.java
@@ -21,6 +21,9 @@
 
 	final WorkRate rate = new WorkRate();
 
+	/** Share of the raised limits that lately held, 0 to 1. */
+	double raiseHeld;
+
 	private final List<RunnerState> eligible = new ArrayList<>();
 
 	private final List<RunnerState> free = new ArrayList<>();
--- a/policy/src/main/java/org/wisteriapost/policy/request/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RunnerState.java
@@ -24,6 +24,9 @@
 	/** Calls that this entry may have in flight here; moved by ConcurrencyLimit. */
 	double limit;
 
+	/** The limit rose by a slot that has not been tried yet. */
+	boolean raised;
+
 	long loweredNanos = Long.MIN_VALUE;
 
 	long backoffUntilNanos = Long.MIN_VALUE;
--- a/policy/src/main/java/org/wisteriapost/policy/request/Runners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/Runners.java
@@ -153,7 +153,7 @@
 			// The slot of a call that ended is free for certain, however full the rest
 			// is.
 			runner.backoffUntilNanos = nowNanos;
-			ConcurrencyLimit.ended(runner, serviceOf(runner.view.service()).queue.activeWeight());
+			ConcurrencyLimit.ended(runner, pool, serviceOf(runner.view.service()).queue.activeWeight());
 			pool.notePrefix(flight.request.prefix(), runner);
 		}
 		if (this.outliers.answered(runner, pool, perCost, nowNanos)) {
@@ -166,7 +166,7 @@
 	 * Learns from a gate that is full.
 	 */
 	void overCapacity(RunnerState runner, long retryAfterMillis, long nowNanos) {
-		ConcurrencyLimit.refused(runner);
+		ConcurrencyLimit.refused(runner, poolOf(runner));
 		backOff(runner, retryAfterMillis, nowNanos);
 		refresh(runner, nowNanos);
 	}
