A request waits for its own lane only, not for the long work that it passes

Cause: the short requests of an organisation with long ones were refused as if they waited behind them.

--- a/policy/src/main/java/org/wisteriapost/policy/request/FairQueue.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/FairQueue.java
@@ -38,7 +38,7 @@
 
 	private final List<TreeSet<Share>> lanes = new ArrayList<>();
 
-	private final long[] costs = new long[PRIORITIES.length];
+	private final long[] costs = new long[LANES];
 
 	private int size;
 
@@ -84,7 +84,7 @@
 	 */
 	double ownCost(Request request) {
 		Share share = this.shares.get(request.organisation());
-		return request.cost() + ((share != null) ? share.costUpTo(request.priority().ordinal()) : 0);
+		return request.cost() + ((share != null) ? share.costUpTo(lane(request)) : 0);
 	}
 
 	/**
@@ -94,11 +94,11 @@
 	double headStartCost(Request request) {
 		int rank = request.priority().ordinal();
 		long waiting = 0;
-		for (int each = 0; each < rank; each++) {
-			waiting += this.costs[each];
+		for (int lane = 0; lane < rank * 2; lane++) {
+			waiting += this.costs[lane];
 		}
 		Share share = this.shares.get(request.organisation());
-		waiting -= (share != null) ? share.costUpTo(rank - 1) : 0;
+		waiting -= (share != null) ? share.costUpTo(rank * 2 - 1) : 0;
 		return Math.min(waiting, (double) rank * this.settings.priorityHeadStart() * this.activeWeight);
 	}
 
@@ -269,9 +269,9 @@
 	}
 
 	private void count(Share share, Request request, int sign) {
-		int rank = request.priority().ordinal();
-		this.costs[rank] += (long) sign * request.cost();
-		share.costs[rank] += (long) sign * request.cost();
+		int lane = lane(request);
+		this.costs[lane] += (long) sign * request.cost();
+		share.costs[lane] += (long) sign * request.cost();
 		share.size += sign;
 		this.size += sign;
 	}
@@ -292,7 +292,7 @@
 
 		private final List<Deque<Flight>> queues = new ArrayList<>();
 
-		private final long[] costs = new long[PRIORITIES.length];
+		private final long[] costs = new long[LANES];
 
 		private double virtual;
 
@@ -306,10 +306,10 @@
 			}
 		}
 
-		private long costUpTo(int rank) {
+		private long costUpTo(int last) {
 			long sum = 0;
-			for (int each = 0; each <= rank; each++) {
-				sum += this.costs[each];
+			for (int lane = 0; lane <= last; lane++) {
+				sum += this.costs[lane];
 			}
 			return sum;
 		}
--- a/standin/src/main/java/org/wisteriapost/standin/bench/LoadBench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/LoadBench.java
@@ -39,7 +39,7 @@
 
 	@Override
 	public String summary() {
-		return "--profile burst|skew|slow-endpoint|mixed|saturation --seed S --policy naive,machine [--entries 6]";
+		return "--profile burst|skew|skew-one-entry|slow-endpoint|mixed|saturation --seed S --policy naive,machine [--entries 6]";
 	}
 
 	@Override
--- a/standin/src/main/java/org/wisteriapost/standin/sim/Demand.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/Demand.java
@@ -14,15 +14,19 @@
  * @param deadline how long the callers wait
  * @param idempotent whether they may run twice
  * @param burstFactor by how much the rate is higher in a burst; 1 for an even rate
+ * @param entry the only entry that its callers use, or {@link #ANY_ENTRY}
  */
 public record Demand(String organisation, Priority priority, double perSecond, int cost, Duration deadline,
-		boolean idempotent, double burstFactor) {
+		boolean idempotent, double burstFactor, int entry) {
+
+	/** The callers use all entries alike. */
+	static final int ANY_ENTRY = -1;
 
 	/**
 	 * Returns an even stream of short idempotent requests of normal urgency.
 	 */
 	public static Demand even(String organisation, double perSecond) {
-		return new Demand(organisation, Priority.NORMAL, perSecond, 1, Duration.ofSeconds(2), true, 1);
+		return new Demand(organisation, Priority.NORMAL, perSecond, 1, Duration.ofSeconds(2), true, 1, ANY_ENTRY);
 	}
 
 	/**
@@ -30,7 +34,7 @@
 	 */
 	public Demand with(Priority other) {
 		return new Demand(this.organisation, other, this.perSecond, this.cost, this.deadline, this.idempotent,
-				this.burstFactor);
+				this.burstFactor, this.entry);
 	}
 
 	/**
@@ -38,7 +42,7 @@
 	 */
 	public Demand with(int otherCost, Duration otherDeadline) {
 		return new Demand(this.organisation, this.priority, this.perSecond, otherCost, otherDeadline, this.idempotent,
-				this.burstFactor);
+				this.burstFactor, this.entry);
 	}
 
 	/**
@@ -46,7 +50,7 @@
 	 */
 	public Demand bursting(double factor) {
 		return new Demand(this.organisation, this.priority, this.perSecond, this.cost, this.deadline, this.idempotent,
-				factor);
+				factor, this.entry);
 	}
 
 	/**
@@ -54,7 +58,15 @@
 	 */
 	public Demand once() {
 		return new Demand(this.organisation, this.priority, this.perSecond, this.cost, this.deadline, false,
-				this.burstFactor);
+				this.burstFactor, this.entry);
+	}
+
+	/**
+	 * Returns this stream through one entry only.
+	 */
+	public Demand through(int only) {
+		return new Demand(this.organisation, this.priority, this.perSecond, this.cost, this.deadline, this.idempotent,
+				this.burstFactor, only);
 	}
 
 	/**
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadProfile.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadProfile.java
@@ -48,6 +48,7 @@
 			case "skew" -> Optional.of(of(name, skew()));
 			case "slow-endpoint" ->
 				Optional.of(of(name, even(0.6)).with(List.of(new Fault(Duration.ofSeconds(10), 3, Fault.Kind.SLOW))));
+			case "skew-one-entry" -> Optional.of(of(name, skewOneEntry()));
 			case "mixed" -> Optional.of(of(name, mixed()));
 			case "saturation" -> Optional.of(of(name, saturation()));
 			default -> Optional.empty();
@@ -119,6 +120,12 @@
 		return demands;
 	}
 
+	private static List<Demand> skewOneEntry() {
+		List<Demand> demands = new ArrayList<>(skew());
+		demands.set(0, demands.get(0).through(0));
+		return demands;
+	}
+
 	private static List<Demand> mixed() {
 		List<Demand> demands = new ArrayList<>(even(0.5));
 		for (int each = 0; each < 2; each++) {
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
@@ -178,7 +178,8 @@
 			return;
 		}
 		after(gap(demand), () -> arrive(demand));
-		int entry = this.random.nextInt(this.entries.size());
+		boolean any = demand.entry() == Demand.ANY_ENTRY;
+		int entry = any ? this.random.nextInt(this.entries.size()) : demand.entry() % this.entries.size();
 		long id = ++this.requestNumber;
 		Request request = new Request(id, demand.organisation(), SERVICE, demand.priority(),
 				this.nowNanos + demand.deadline().toNanos(), demand.idempotent(), 0, demand.cost());
