--- a/app/src/main/java/org/wisteriapost/app/Main.java
+++ b/app/src/main/java/org/wisteriapost/app/Main.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.ServiceLoader;
 
+import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.kernel.command.Command;
 import org.wisteriapost.kernel.command.ExitCodes;
@@ -54,7 +55,7 @@
 		}
 		catch (CodedException ex) {
 			err.println(ex.getMessage());
-			return ExitCodes.BAD_INPUT;
+			return (ex.code().severity() == Code.Severity.UNAVAILABLE) ? ExitCodes.UNAVAILABLE : ExitCodes.BAD_INPUT;
 		}
 	}
 
--- a/kernel/src/main/java/org/wisteriapost/kernel/Code.java
+++ b/kernel/src/main/java/org/wisteriapost/kernel/Code.java
@@ -43,6 +43,13 @@
 		return new Code(name, Severity.REFUSAL, summary);
 	}
 
+	/**
+	 * Returns a code for an outside system that does not answer.
+	 */
+	public static Code unavailable(String name, String summary) {
+		return new Code(name, Severity.UNAVAILABLE, summary);
+	}
+
 	/**
 	 * How an operator should take a code.
 	 */
@@ -53,7 +60,9 @@
 		/** Dealt with; worth counting. */
 		WARNING,
 		/** A caller was told to come back. */
-		REFUSAL
+		REFUSAL,
+		/** An outside system does not answer; the same may work later. */
+		UNAVAILABLE
 
 	}
 
--- a/operator/src/main/java/org/wisteriapost/operator/bundle/BundleStore.java
+++ b/operator/src/main/java/org/wisteriapost/operator/bundle/BundleStore.java
@@ -38,7 +38,7 @@
 	private static final Code APPROVAL_CONFLICT = Code.error("approval-conflict",
 			"The operator has approved this bundle already with another signature.");
 
-	private static final Code WRITE_UNRESOLVED = Code.error("write-unresolved",
+	private static final Code WRITE_UNRESOLVED = Code.unavailable("write-unresolved",
 			"A write's confirmation was lost and reading back did not tell what became of it.");
 
 	private static final Logger LOG = System.getLogger(BundleStore.class.getName());
--- a/operator/src/main/java/org/wisteriapost/operator/bundle/RollCommand.java
+++ b/operator/src/main/java/org/wisteriapost/operator/bundle/RollCommand.java
@@ -8,7 +8,6 @@
 import java.util.UUID;
 
 import org.wisteriapost.kernel.Code;
-import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.kernel.command.Command;
 import org.wisteriapost.kernel.command.ExitCodes;
 import org.wisteriapost.operator.Arguments;
@@ -55,8 +54,9 @@
 		store.bundle(digest);
 		Set<String> counted = Approvals.counted(digest, store.approvals(digest), surroundings.operatorKeys());
 		if (counted.size() < surroundings.approvals()) {
-			throw CodedException.of(NOT_APPROVED,
-					"approved by " + counted + ", " + surroundings.approvals() + " operators are needed");
+			err.printf("%s: approved by %s, %d operators are needed%n", NOT_APPROVED.name(), counted,
+					surroundings.approvals());
+			return ExitCodes.FAILED;
 		}
 		String nonce = UUID.randomUUID().toString();
 		Head current = store.head();
--- a/protocol/src/main/java/org/wisteriapost/protocol/outside/Engine.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/Engine.java
@@ -15,7 +15,7 @@
 	Code FENCED = Code.warning("engine-fenced", "The engine has taken an order of a newer agent.");
 
 	/** The engine did not answer. */
-	Code UNAVAILABLE = Code.error("engine-unavailable", "The model engine does not answer.");
+	Code UNAVAILABLE = Code.unavailable("engine-unavailable", "The model engine does not answer.");
 
 	/**
 	 * Orders the engine to serve exactly these weights, read from the VM's weight store.
--- a/protocol/src/main/java/org/wisteriapost/protocol/outside/Origin.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/Origin.java
@@ -10,7 +10,7 @@
 public interface Origin extends AutoCloseable {
 
 	/** The origin did not answer or answered short. */
-	Code UNAVAILABLE = Code.warning("origin-unavailable", "The origin of weights did not answer.");
+	Code UNAVAILABLE = Code.unavailable("origin-unavailable", "The origin of weights did not answer.");
 
 	/** What stands at the path is no longer the pinned version. */
 	Code CHANGED = Code.error("origin-version-changed",
--- a/protocol/src/main/java/org/wisteriapost/protocol/outside/Platform.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/Platform.java
@@ -19,10 +19,10 @@
 public interface Platform extends AutoCloseable {
 
 	/** The call certainly had no effect. */
-	Code UNAVAILABLE = Code.error("platform-unavailable", "The platform did not take the call.");
+	Code UNAVAILABLE = Code.unavailable("platform-unavailable", "The platform did not take the call.");
 
 	/** A write may have taken effect. */
-	Code UNCONFIRMED = Code.error("platform-unconfirmed",
+	Code UNCONFIRMED = Code.unavailable("platform-unconfirmed",
 			"The platform's answer to a write was lost; the write may have taken effect.");
 
 	/** The most bytes in one value. */
