--- a/policy/src/main/java/org/wisteriapost/policy/agent/WeightSwitch.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/WeightSwitch.java
@@ -24,10 +24,11 @@
 
 	// The read-back is what a roll waits for on every VM, one wave after another, so it
 	// is
-	// made often at first; a load that takes minutes costs four reads a second.
+	// made often; a load that takes minutes costs ten small reads a second, on the same
+	// VM.
 	private static final long FIRST_POLL_NANOS = 20_000_000L;
 
-	private static final long LAST_POLL_NANOS = 250_000_000L;
+	private static final long LAST_POLL_NANOS = 100_000_000L;
 
 	private static final long LOAD_NANOS = 900_000_000L;
 
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/AgentWorld.java
@@ -0,0 +1,239 @@
+package org.wisteriapost.policy.agent;
+
+import java.nio.charset.StandardCharsets;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.kernel.Invariants;
+import org.wisteriapost.policy.bundle.Approvals;
+import org.wisteriapost.policy.bundle.Bundle;
+import org.wisteriapost.policy.bundle.BundleCodec;
+import org.wisteriapost.policy.bundle.Digests;
+import org.wisteriapost.policy.bundle.Head;
+import org.wisteriapost.policy.bundle.ServiceSpec;
+import org.wisteriapost.policy.bundle.WeightFile;
+
+/**
+ * Agents, engines and a platform in simulated time; a seed replays exactly.
+ */
+final class AgentWorld {
+
+	static final long SECOND = 1_000_000_000L;
+
+	static final String PLACE = "hall-a";
+
+	private static final String OPERATOR = "aminata";
+
+	private static final KeyPair KEYS = keys();
+
+	private final UniformRandomProvider random;
+
+	private final PriorityQueue<Task> tasks = new PriorityQueue<>(
+			Comparator.comparingLong(Task::at).thenComparingLong(Task::sequence));
+
+	private final SimPlatform platform = new SimPlatform();
+
+	private final Invariants invariants = Invariants.create();
+
+	private final Map<Long, Bundle> bundles = new HashMap<>();
+
+	private final Map<String, AgentEvent.BundleArrived> contents = new HashMap<>();
+
+	private final Set<String> losing = new HashSet<>();
+
+	private final List<AgentEffect.RefuseCall> refusals = new ArrayList<>();
+
+	private final int minReady;
+
+	private long now;
+
+	private long sequence;
+
+	private int agents;
+
+	private double lossShare;
+
+	private AgentWorld(long seed, int minReady) {
+		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+		this.minReady = minReady;
+	}
+
+	static AgentWorld of(long seed, int minReady) {
+		return new AgentWorld(seed, minReady);
+	}
+
+	long now() {
+		return this.now;
+	}
+
+	UniformRandomProvider random() {
+		return this.random;
+	}
+
+	SimPlatform platform() {
+		return this.platform;
+	}
+
+	Invariants invariants() {
+		return this.invariants;
+	}
+
+	List<AgentEffect.RefuseCall> refusals() {
+		return this.refusals;
+	}
+
+	void refused(AgentEffect.RefuseCall refusal) {
+		this.refusals.add(refusal);
+	}
+
+	void loseNextConfirmation(String key) {
+		this.losing.add(key);
+	}
+
+	void loseConfirmations(double share) {
+		this.lossShare = share;
+	}
+
+	boolean losesConfirmation(String key) {
+		return this.losing.remove(key) || this.random.nextDouble() < this.lossShare;
+	}
+
+	long fetchNanos() {
+		return SECOND / 10 + this.random.nextLong(SECOND);
+	}
+
+	long loadNanos() {
+		return SECOND / 10 + this.random.nextLong(SECOND / 2);
+	}
+
+	void soon(Runnable task) {
+		after(100_000 + this.random.nextLong(2_000_000), task);
+	}
+
+	void after(long delayNanos, Runnable task) {
+		this.tasks.add(new Task(this.now + delayNanos, this.sequence++, task));
+	}
+
+	/**
+	 * Starts an agent on a VM beside an engine, with a tick a second.
+	 */
+	SimAgent start(String vm, SimEngine engine) {
+		this.agents++;
+		AgentIdentity self = new AgentIdentity(vm, PLACE, "lm", false, "nonce-" + this.agents);
+		AgentLimits limits = new AgentLimits(4, 4, Duration.ofSeconds(5), Duration.ofSeconds(10),
+				Duration.ofSeconds(30), 0.25, Duration.ofSeconds(60));
+		OperatorKeys operators = new OperatorKeys(Map.of(OPERATOR, base64(KEYS.getPublic().getEncoded())), 1);
+		AgentMachine machine = AgentMachine.create(self, limits, operators, this.invariants,
+				RandomSource.XO_RO_SHI_RO_128_PP.create(this.random.nextLong()));
+		SimAgent agent = new SimAgent(this, machine, engine);
+		tick(agent);
+		return agent;
+	}
+
+	/**
+	 * Puts a bundle in force whose only content is a model.
+	 */
+	Head roll(long generation, String model) {
+		Head head = propose(generation, model, true);
+		this.platform.set("head", BundleCodec.encode(head));
+		return head;
+	}
+
+	Head propose(long generation, String model, boolean approved) {
+		WeightFile file = new WeightFile(model, "1", model, "1", 5, 5, List.of(Digests.sha256(model)));
+		Bundle bundle = new Bundle("b" + generation, "1", List.of(new ServiceSpec("lm", ServiceSpec.Kind.MODEL, model,
+				List.of(), List.of(PLACE), List.of(), this.minReady)), List.of(file));
+		byte[] content = BundleCodec.encode(bundle);
+		String digest = Digests.sha256(content);
+		byte[] signature = approved ? Approvals.sign(digest, base64(KEYS.getPrivate().getEncoded()))
+				: "none".getBytes(StandardCharsets.US_ASCII);
+		this.bundles.put(generation, bundle);
+		this.contents.put(digest, new AgentEvent.BundleArrived(digest, content, Map.of(OPERATOR, signature)));
+		return new Head(generation, digest, OPERATOR, 0, "n" + generation);
+	}
+
+	AgentEvent bundle(String digest) {
+		AgentEvent.BundleArrived found = this.contents.get(digest);
+		return (found != null) ? found : new AgentEvent.BundleMissing(digest);
+	}
+
+	void giveInstead(String digest, byte[] content) {
+		this.contents.put(digest,
+				new AgentEvent.BundleArrived(digest, content, this.contents.get(digest).signatures()));
+	}
+
+	String weights(long generation) {
+		Bundle bundle = this.bundles.get(generation);
+		return bundle.weightsDigest(bundle.services().getFirst());
+	}
+
+	static AgentEvent fresh(Head head) {
+		return new AgentEvent.HeadHeard(head.generation(), head.digest(), true, 0);
+	}
+
+	static AgentEvent unconfirmed(Head head) {
+		return new AgentEvent.HeadHeard(head.generation(), head.digest(), false, 0);
+	}
+
+	/**
+	 * Runs until something holds; false when it does not within the time.
+	 */
+	boolean runUntil(BooleanSupplier holds, long nanos) {
+		long end = this.now + nanos;
+		while (!holds.getAsBoolean()) {
+			Task next = this.tasks.peek();
+			if (next == null || next.at() > end) {
+				this.now = end;
+				return false;
+			}
+			step();
+		}
+		return true;
+	}
+
+	void run(long nanos) {
+		runUntil(() -> false, nanos);
+	}
+
+	private void step() {
+		Task next = this.tasks.poll();
+		this.now = Math.max(this.now, next.at());
+		next.action().run();
+	}
+
+	private void tick(SimAgent agent) {
+		agent.hear(new AgentEvent.Tick());
+		after(SECOND, () -> tick(agent));
+	}
+
+	private static String base64(byte[] bytes) {
+		return Base64.getEncoder().encodeToString(bytes);
+	}
+
+	private static KeyPair keys() {
+		try {
+			return KeyPairGenerator.getInstance("Ed25519").generateKeyPair();
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private record Task(long at, long sequence, Runnable action) {
+	}
+
+}
