--- a/policy/src/main/java/org/wisteriapost/policy/request/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/Placement.java
@@ -56,8 +56,9 @@
 		if (free.isEmpty()) {
 			return Optional.empty();
 		}
-		RunnerState first = draw(free);
-		RunnerState second = draw(free);
+		int at = this.random.nextInt(free.size());
+		RunnerState first = free.get(at);
+		RunnerState second = free.get(other(at, free.size()));
 		if (first.ejected || second.ejected) {
 			return aroundProbe(pool, flight, first.ejected ? first : second);
 		}
@@ -79,8 +80,8 @@
 		return pool.free().stream().filter((runner) -> !runner.ejected).findFirst();
 	}
 
-	private RunnerState draw(List<RunnerState> free) {
-		return free.get(this.random.nextInt(free.size()));
+	private int other(int at, int size) {
+		return (size == 1) ? at : (at + 1 + this.random.nextInt(size - 1)) % size;
 	}
 
 	private RunnerState better(RunnerPool pool, Flight flight, RunnerState first, RunnerState second) {
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/request/Fixture.java
@@ -0,0 +1,89 @@
+package org.wisteriapost.policy.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A machine with a clock of its own and short ways to say what happens to it.
+ */
+final class Fixture {
+
+	static final String SERVICE = "lm-notice";
+
+	static final String DIGEST = "d1";
+
+	final RequestMachine machine;
+
+	long nowNanos;
+
+	private Fixture(RequestPolicySettings settings) {
+		this.machine = RequestMachine.create(settings, 7);
+		apply(new RequestEvent.HeadSeen(1, Map.of(SERVICE, Set.of(DIGEST))));
+	}
+
+	static Fixture of(String... runners) {
+		return of(RequestPolicySettings.defaults(), 1, runners);
+	}
+
+	static Fixture of(RequestPolicySettings settings, int capacity, String... runners) {
+		Fixture fixture = new Fixture(settings);
+		for (String runner : runners) {
+			fixture.apply(new RequestEvent.RunnerSeen(view(runner, capacity)));
+		}
+		return fixture;
+	}
+
+	static RunnerView view(String runner, int capacity) {
+		return view(runner, true, DIGEST, 0, capacity);
+	}
+
+	static RunnerView view(String runner, boolean admitting, String digest, int running, int capacity) {
+		return new RunnerView(runner, "clyde-a", SERVICE, admitting, digest, 1, running, 0, capacity, Set.of());
+	}
+
+	Request request(long id) {
+		return request(id, "org-0", Priority.NORMAL, 1);
+	}
+
+	Request request(long id, String organisation, Priority priority, int cost) {
+		long deadline = this.nowNanos + Duration.ofSeconds(10).toNanos();
+		return new Request(id, organisation, SERVICE, priority, deadline, true, 0, cost);
+	}
+
+	Request once(long id) {
+		Request any = request(id);
+		return new Request(id, any.organisation(), SERVICE, any.priority(), any.deadlineNanos(), false, 0, 1);
+	}
+
+	List<RequestEffect> apply(RequestEvent event) {
+		return this.machine.apply(event, this.nowNanos);
+	}
+
+	List<RequestEffect> arrive(Request request) {
+		return apply(new RequestEvent.Arrived(request));
+	}
+
+	List<RequestEffect> arrive(long id) {
+		return arrive(request(id));
+	}
+
+	/**
+	 * Lets a request end after its time.
+	 */
+	List<RequestEffect> end(long id, long millis) {
+		this.nowNanos += Duration.ofMillis(millis).toNanos();
+		return apply(new RequestEvent.Ended(id));
+	}
+
+	List<RequestEffect> fail(long id, String runner, boolean notRun) {
+		return apply(new RequestEvent.Failed(id, runner, notRun, "link-lost", 0));
+	}
+
+	List<RequestEffect> tickAfter(long millis) {
+		this.nowNanos += Duration.ofMillis(millis).toNanos();
+		return apply(new RequestEvent.Tick());
+	}
+
+}
