--- /dev/null
+++ b/standin/src/test/java/org/wisteriapost/standin/sim/LoadSimTests.java
@@ -0,0 +1,140 @@
+package org.wisteriapost.standin.sim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wisteriapost.policy.request.Priority;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+/**
+ * What callers meet under load, in virtual time and from fixed seeds: six entries that do
+ * not talk to each other, ten runners of eight slots, reports up to a second old.
+ */
+class LoadSimTests {
+
+	private static final long SEED = 11;
+
+	private static final Duration LENGTH = Duration.ofSeconds(30);
+
+	private static final int BROKEN = 3;
+
+	@Test
+	void burstIsAnsweredInTimeOrRefused() {
+		LoadResult result = run(profile("burst"));
+		assertThat(result.goodput(), greaterThan(0.9));
+		assertThat(result.all().failed(), lessThan(5L));
+		assertThat(result.refusals().getPercentileAtOrBelowValue(5000), greaterThan(85.0));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "skew", "skew-one-entry" })
+	void organisationBeyondItsShareCostsTheOthersNothing(String name) {
+		LoadResult result = run(profile(name));
+		for (int each = 1; each < 10; each++) {
+			LoadResult.Group other = result.group("org-" + each, Priority.NORMAL);
+			assertThat(other.shareInTime(), is(1.0));
+			assertThat(other.millis(99), lessThan(500.0));
+		}
+		assertThat(result.group("org-0", Priority.NORMAL).shareInTime(), greaterThan(0.2));
+	}
+
+	@Test
+	void withoutAdmissionTheOthersWouldPay() {
+		LoadResult result = LoadSim.run(profile("skew"), NaivePolicy::create, SEED);
+		assertThat(result.group("org-5", Priority.NORMAL).shareInTime(), lessThan(0.3));
+	}
+
+	@Test
+	void slowEndpointCostsTheP99OfTheOthersNothing() {
+		LoadProfile slow = profile("slow-endpoint");
+		LoadResult well = run(slow.with(List.of()));
+		LoadResult result = run(slow);
+		assertThat(result.all().millis(99), closeTo(well.all().millis(99), 25));
+		assertThat(result.all().shareInTime(), greaterThan(0.999));
+	}
+
+	@Test
+	void shortRequestsDoNotWaitBehindLongOnes() {
+		LoadResult result = run(profile("mixed"));
+		for (int each = 2; each < 10; each++) {
+			LoadResult.Group only = result.group("org-" + each, Priority.NORMAL);
+			assertThat(only.millis(99), lessThan(1000.0));
+			assertThat(only.shareInTime(), greaterThan(0.999));
+		}
+		assertThat(result.group("org-0", Priority.NORMAL).shareInTime(), greaterThan(0.95));
+	}
+
+	@Test
+	void saturationIsUsedFullyAndUrgentRequestsComeFirst() {
+		LoadResult result = run(profile("saturation"));
+		assertThat(result.goodput(), greaterThan(0.95));
+		for (int each = 0; each < 10; each++) {
+			String organisation = "org-" + each;
+			assertThat(result.group(organisation, Priority.URGENT).shareInTime(), greaterThan(0.999));
+			assertThat(result.group(organisation, Priority.NORMAL).shareInTime(), greaterThan(0.35));
+			assertThat(result.group(organisation, Priority.BULK).shareInTime(), lessThan(0.1));
+		}
+	}
+
+	@Test
+	void saturationWastesNoSlotOnAnswersThatComeTooLate() {
+		LoadResult result = run(profile("saturation"));
+		assertThat(result.all().failed(), lessThan(result.all().asked() / 1000));
+	}
+
+	/**
+	 * One runner of ten breaks and later is well again. Callers see their answers, from
+	 * another runner where the first had not begun; a call that may not run twice ends as
+	 * unknown if its runner had it, and no runner sees a second run of it.
+	 */
+	@ParameterizedTest
+	@EnumSource(value = LoadProfile.Fault.Kind.class, names = { "LOST", "FAILING" })
+	void brokenRunnerCostsFewCallersTheirAnswer(LoadProfile.Fault.Kind kind) {
+		List<Demand> demands = new ArrayList<>(LoadProfile.even(0.3));
+		LoadProfile.even(0.3).forEach((demand) -> demands.add(demand.with(Priority.URGENT).once()));
+		LoadResult result = run(LoadProfile.of("broken", demands)
+			.with(List.of(new LoadProfile.Fault(Duration.ofSeconds(5), BROKEN, kind),
+					new LoadProfile.Fault(Duration.ofSeconds(15), BROKEN, LoadProfile.Fault.Kind.WELL))));
+		assertThat(result.all().shareInTime(), greaterThan(0.995));
+		assertThat(result.all().refused(), is(0L));
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 6 })
+	void goodputAtTwiceTheCapacityHoldsForAnyNumberOfEntries(int entries) {
+		assertThat(run(LoadProfile.of("twice", LoadProfile.even(2)).across(entries)).goodput(), greaterThan(0.95));
+	}
+
+	@Test
+	void sameSeedGivesTheSameRun() {
+		LoadProfile profile = profile("mixed").during(Duration.ofSeconds(5));
+		assertThat(figures(run(profile)), is(figures(run(profile))));
+	}
+
+	private static Map<String, Object> figures(LoadResult result) {
+		return Map.of("goodput", result.goodput(), "p99", result.all().millis(99), "asked", result.all().asked(),
+				"refused", result.all().refused(), "gate", result.gateRefusals());
+	}
+
+	private static LoadProfile profile(String name) {
+		return LoadProfile.named(name).orElseThrow().during(LENGTH);
+	}
+
+	private static LoadResult run(LoadProfile profile) {
+		LoadResult result = LoadSim.run(profile, MachinePolicy::create, SEED);
+		assertThat(result.violations(), is(Map.of()));
+		return result;
+	}
+
+}
