--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -0,0 +1,377 @@
+package org.wisteriapost.policy.transfer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.Invariants;
+
+/**
+ * Returns for each event of one fetch the effects that the I/O layer must carry out. Used
+ * by one thread.
+ */
+public final class TransferMachine {
+
+	/** A peer sent wrong bytes. */
+	public static final Code PEER_CORRUPT = Code.warning("peer-chunk-corrupt",
+			"A peer sent a chunk whose hash is wrong; it was dropped and the peer is left alone for a while.");
+
+	/** The origin sent wrong bytes several times. */
+	public static final Code ORIGIN_CORRUPT = Code.error("origin-chunk-corrupt",
+			"The origin keeps sending a chunk whose hash is not the bundle's.");
+
+	/** A peer's link is open but nothing comes. */
+	public static final Code PEER_STALLED = Code.warning("peer-stalled",
+			"A peer's link is open but its answers do not come; its chunks are fetched elsewhere.");
+
+	/** The source of what was read from the origin. */
+	public static final String ORIGIN = "";
+
+	private static final long DISTRUST_NANOS = Duration.ofSeconds(30).toNanos();
+
+	private static final int ORIGIN_ATTEMPTS = 3;
+
+	// What may be made up for after a pause: long enough for the gap between ticks.
+	private static final double BURST_SECONDS = 0.1;
+
+	private final Pieces pieces;
+
+	private final TransferLimits limits;
+
+	private final Invariants invariants;
+
+	private final Holdings holdings;
+
+	private final Neighbourhood neighbours;
+
+	private final Map<Integer, Integer> originStrikes = new HashMap<>();
+
+	private final PieceChoice choice;
+
+	private final OriginDuty origin;
+
+	private final Deadline deadline;
+
+	private final Pacer pacer = Pacer.create(BURST_SECONDS);
+
+	private List<Peer> peers = List.of();
+
+	private Set<String> failing = Set.of();
+
+	private long announcedAt = Long.MIN_VALUE / 2;
+
+	private boolean started;
+
+	private boolean ended;
+
+	private boolean complete;
+
+	private TransferMachine(Pieces pieces, Peer self, TransferLimits limits, UniformRandomProvider random,
+			Invariants invariants) {
+		this.pieces = pieces;
+		this.limits = limits;
+		this.invariants = invariants;
+		this.holdings = new Holdings(pieces);
+		this.choice = new PieceChoice(pieces.count(), limits, random);
+		this.neighbours = new Neighbourhood(self, limits, this.choice);
+		this.deadline = new Deadline(limits.progressDeadline());
+		int cursor = (pieces.count() > 0) ? random.nextInt(pieces.count()) : 0;
+		this.origin = new OriginDuty(pieces, limits, new OriginRank(pieces, self), this.choice, cursor);
+	}
+
+	/**
+	 * Returns a machine that waits for {@link TransferEvent.Held}.
+	 * @param random decides among equals
+	 * @param invariants counts promises found broken
+	 */
+	public static TransferMachine create(Pieces pieces, Peer self, TransferLimits limits, UniformRandomProvider random,
+			Invariants invariants) {
+		return new TransferMachine(pieces, self, limits, random, invariants);
+	}
+
+	/**
+	 * Returns how many pieces are verified and stored.
+	 */
+	public int verified() {
+		return this.holdings.have().cardinality();
+	}
+
+	/**
+	 * Returns which pieces are verified and stored.
+	 */
+	public BitSet held() {
+		return (BitSet) this.holdings.have().clone();
+	}
+
+	/**
+	 * Applies one event.
+	 * @param now the monotonic clock, in nanos
+	 */
+	public List<TransferEffect> apply(TransferEvent event, long now) {
+		List<TransferEffect> effects = new ArrayList<>();
+		switch (event) {
+			case TransferEvent.PeersSeen seen -> meet(seen.peers(), now, effects);
+			case TransferEvent.LinkUp up ->
+				this.neighbours.peer(up.vm()).ifPresent((peer) -> this.neighbours.greet(peer, now));
+			case TransferEvent.LinkDown down -> this.neighbours.peer(down.vm())
+				.ifPresent((peer) -> this.neighbours.lose(peer, now).forEach(this::reopen));
+			case TransferEvent.PeerHolds holds ->
+				this.neighbours.peer(holds.vm()).ifPresent((peer) -> learn(peer, holds.pieces(), now));
+			case TransferEvent.Held held -> start(held.pieces(), now, effects);
+			case TransferEvent.Verified verified -> take(verified.piece(), verified.source(), now, effects);
+			case TransferEvent.Corrupt corrupt -> reject(corrupt.piece(), corrupt.source(), now, effects);
+			case TransferEvent.Refused refused -> refused(refused, now);
+			case TransferEvent.OriginFailed failed -> originFailed(failed, now, effects);
+			case TransferEvent.Stored stored -> stored(stored.piece(), effects);
+			case TransferEvent.Lost lost -> lost(lost.piece());
+			case TransferEvent.RateSet rate -> this.pacer.rate(rate.bytesPerSecond(), now);
+			case TransferEvent.Tick tick -> tick(now, effects);
+		}
+		rank(now);
+		fill(now, effects);
+		announce(now, effects);
+		return effects;
+	}
+
+	private void meet(List<Peer> seen, long now, List<TransferEffect> effects) {
+		this.peers = seen;
+		this.neighbours.meet(seen, now, effects).forEach(this::reopen);
+		this.failing = Set.of();
+		this.origin.rank(this.peers, this.failing);
+	}
+
+	private void reopen(int piece) {
+		if (!this.origin.reads().containsKey(piece) && this.neighbours.askedOf(piece) == 0) {
+			this.holdings.reopen(piece);
+		}
+	}
+
+	private void learn(PeerState peer, BitSet pieces, long now) {
+		if (!peer.up()) {
+			return;
+		}
+		peer.heard(now);
+		BitSet added = this.neighbours.learn(peer, pieces);
+		boolean news = added.stream().anyMatch((piece) -> this.choice.holders(piece) == 1 && !this.holdings.has(piece));
+		if (news) {
+			this.origin.news(now);
+		}
+	}
+
+	private void start(BitSet held, long now, List<TransferEffect> effects) {
+		this.started = true;
+		this.origin.news(now);
+		this.holdings.found(held);
+		held.stream().forEach((piece) -> copy(piece, effects));
+		finishIfWhole(effects);
+	}
+
+	private void take(int piece, String source, long now, List<TransferEffect> effects) {
+		answered(piece, source, now);
+		if (!this.holdings.missing(piece)) {
+			return;
+		}
+		if (this.choice.holders(piece) == 0) {
+			this.origin.news(now);
+		}
+		this.holdings.storing(piece);
+		effects.add(new TransferEffect.Store(piece));
+	}
+
+	private void answered(int piece, String source, long now) {
+		if (source.equals(ORIGIN)) {
+			this.origin.succeeded(piece);
+			return;
+		}
+		this.neighbours.peer(source).ifPresent((peer) -> {
+			peer.heard(now);
+			Long askedAt = peer.asks().remove(piece);
+			if (askedAt != null) {
+				this.deadline.answered(now - askedAt);
+			}
+		});
+	}
+
+	private void reject(int piece, String source, long now, List<TransferEffect> effects) {
+		if (source.equals(ORIGIN)) {
+			this.origin.failed(piece, now);
+			if (this.originStrikes.merge(piece, 1, Integer::sum) >= ORIGIN_ATTEMPTS) {
+				end(new TransferEffect.Fail(ORIGIN_CORRUPT, piece), effects);
+			}
+			reopen(piece);
+			return;
+		}
+		effects.add(new TransferEffect.Notice(PEER_CORRUPT, source, piece));
+		this.neighbours.peer(source).ifPresent((peer) -> {
+			this.neighbours.discount(peer);
+			peer.corrupt(now, DISTRUST_NANOS);
+			peer.release().forEach(this::reopen);
+		});
+	}
+
+	private void refused(TransferEvent.Refused refused, long now) {
+		this.neighbours.peer(refused.vm()).ifPresent((peer) -> {
+			peer.heard(now);
+			peer.asks().remove(refused.piece());
+			if (refused.busy()) {
+				peer.pause(now + this.deadline.busyNanos());
+			}
+			else if (peer.has().get(refused.piece())) {
+				this.neighbours.forget(peer, refused.piece());
+			}
+			reopen(refused.piece());
+		});
+	}
+
+	private void originFailed(TransferEvent.OriginFailed failed, long now, List<TransferEffect> effects) {
+		this.origin.failed(failed.piece(), now);
+		reopen(failed.piece());
+		if (failed.changed()) {
+			end(new TransferEffect.Changed(failed.piece()), effects);
+		}
+	}
+
+	private void end(TransferEffect last, List<TransferEffect> effects) {
+		if (!this.ended) {
+			this.ended = true;
+			effects.add(last);
+		}
+	}
+
+	private void stored(int piece, List<TransferEffect> effects) {
+		this.invariants.holds(!this.holdings.has(piece), "piece-stored-once", "piece " + piece);
+		this.holdings.stored(piece);
+		copy(piece, effects);
+		finishIfWhole(effects);
+	}
+
+	private void copy(int piece, List<TransferEffect> effects) {
+		for (int twin : this.pieces.twins(piece)) {
+			if (!this.holdings.has(twin)) {
+				effects.add(new TransferEffect.Copy(piece, twin));
+			}
+		}
+	}
+
+	private void finishIfWhole(List<TransferEffect> effects) {
+		if (!this.complete && this.started && this.holdings.whole()) {
+			this.complete = true;
+			effects.add(new TransferEffect.Complete());
+		}
+	}
+
+	private void lost(int piece) {
+		this.complete = false;
+		this.holdings.lost(piece);
+		reopen(piece);
+	}
+
+	private void tick(long now, List<TransferEffect> effects) {
+		this.neighbours.tick(now, effects);
+		long limit = this.deadline.nanos();
+		for (PeerState peer : this.neighbours.all()) {
+			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
+			if (late) {
+				peer.release().forEach(this::reopen);
+				this.neighbours.discount(peer);
+				if (peer.silent(now, limit)) {
+					effects.add(new TransferEffect.Notice(PEER_STALLED, peer.vm(), 0));
+				}
+			}
+		}
+		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
+		this.origin.tick(this.holdings.open(), now, limit);
+		if (this.limits.hedge() && !this.ended) {
+			hedge(now, effects);
+		}
+	}
+
+	// An origin read may hang for longer than it takes a peer to come by the same piece.
+	private void reopenIfHeld(int piece, boolean late) {
+		if (late && this.neighbours.askedOf(piece) == 0 && this.choice.holders(piece) > 0) {
+			this.holdings.reopen(piece);
+		}
+	}
+
+	private void hedge(long now, List<TransferEffect> effects) {
+		long limit = this.deadline.hedgeNanos();
+		for (PeerState peer : List.copyOf(this.neighbours.all())) {
+			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
+				boolean single = this.neighbours.askedOf(ask.getKey()) == 1;
+				if (single && this.holdings.missing(ask.getKey()) && now - ask.getValue() > limit
+						&& this.pacer.delayNanos(now) == 0) {
+					this.choice.second(ask.getKey(), this.neighbours.all(), now)
+						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
+				}
+			}
+		}
+	}
+
+	private void rank(long now) {
+		Set<String> current = this.neighbours.failing(now);
+		if (!current.equals(this.failing)) {
+			this.failing = current;
+			this.origin.rank(this.peers, current);
+		}
+	}
+
+	private void fill(long now, List<TransferEffect> effects) {
+		if (!this.started || this.ended || this.holdings.open().isEmpty()) {
+			return;
+		}
+		OptionalInt read = nextRead(now);
+		while (read.isPresent()) {
+			this.holdings.asked(read.getAsInt());
+			this.pacer.take(this.pieces.length(read.getAsInt()));
+			effects.add(new TransferEffect.ReadOrigin(read.getAsInt()));
+			read = nextRead(now);
+		}
+		Optional<PieceChoice.Choice> next = nextAsk(now);
+		while (next.isPresent()) {
+			ask(next.get().peer(), next.get().piece(), now, effects);
+			next = nextAsk(now);
+		}
+	}
+
+	private OptionalInt nextRead(long now) {
+		if (this.pacer.delayNanos(now) > 0 || this.holdings.beingStored() >= this.limits.outstanding()) {
+			return OptionalInt.empty();
+		}
+		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
+	}
+
+	private Optional<PieceChoice.Choice> nextAsk(long now) {
+		if (this.neighbours.outstanding() + this.holdings.beingStored() >= this.limits.outstanding()
+				|| this.pacer.delayNanos(now) > 0) {
+			return Optional.empty();
+		}
+		return this.choice.next(this.holdings.open(), this.neighbours.all(), now);
+	}
+
+	private void ask(PeerState peer, int piece, long now, List<TransferEffect> effects) {
+		this.invariants.holds(this.holdings.missing(piece), "asked-only-what-is-missing", "piece " + piece);
+		this.holdings.asked(piece);
+		peer.asks().put(piece, now);
+		this.pacer.take(this.pieces.length(piece));
+		effects.add(new TransferEffect.Request(peer.vm(), piece));
+	}
+
+	// Bounded in rate: 810 VMs that told each of their neighbours of every piece at once
+	// would spend more on the telling than control may cost.
+	private void announce(long now, List<TransferEffect> effects) {
+		boolean due = now - this.announcedAt >= this.limits.announceInterval().toNanos();
+		if (due && this.holdings.news()) {
+			this.announcedAt = now;
+			effects.add(new TransferEffect.Announce(this.holdings.takeNews()));
+		}
+	}
+
+}
