--- a/standin/src/main/java/org/wisteriapost/standin/EngineServer.java
+++ b/standin/src/main/java/org/wisteriapost/standin/EngineServer.java
@@ -1,9 +1,15 @@
 package org.wisteriapost.standin;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -26,6 +32,8 @@
 
 	private final EngineOptions options;
 
+	private final Optional<Path> journal;
+
 	private final EngineStore store;
 
 	private final EngineBatch batch;
@@ -52,8 +60,9 @@
 
 	private List<Long> sampledPrefixes = List.of();
 
-	private EngineServer(String host, int port, EngineOptions options) {
+	private EngineServer(String host, int port, EngineOptions options, Optional<Path> journal) {
 		this.options = options;
+		this.journal = journal;
 		this.store = new EngineStore(options.keepBytes());
 		this.batch = new EngineBatch(options, this::serving);
 		this.server = StandinServer.start(host, port, this::handle);
@@ -63,7 +72,15 @@
 	 * Returns an engine that has loaded nothing.
 	 */
 	public static EngineServer start(String host, int port, EngineOptions options) {
-		return new EngineServer(host, port, options);
+		return new EngineServer(host, port, options, Optional.empty());
+	}
+
+	/**
+	 * Returns an engine that also writes the request id of each call to a file before the
+	 * call begins to run, so that what ran is known after it was killed.
+	 */
+	public static EngineServer start(String host, int port, EngineOptions options, Path journal) {
+		return new EngineServer(host, port, options, Optional.of(journal));
 	}
 
 	public int port() {
@@ -164,7 +181,19 @@
 			remember(EngineTokens.prefix(call.prompt()));
 		}
 		String id = request.header(CallerHeaders.REQUEST_ID).orElse("");
-		this.batch.add(call, () -> this.executed.merge(id, 1L, Long::sum));
+		this.batch.add(call, () -> begins(id));
+	}
+
+	private void begins(String id) {
+		this.executed.merge(id, 1L, Long::sum);
+		this.journal.ifPresent((file) -> {
+			try {
+				Files.writeString(file, id + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		});
 	}
 
 	private void remember(long prefix) {
--- a/standin/src/main/java/org/wisteriapost/standin/Standin.java
+++ b/standin/src/main/java/org/wisteriapost/standin/Standin.java
@@ -69,7 +69,7 @@
 				.port();
 			case "vm-list" -> vmList(host, port, line).port();
 			case "origin" -> origin(host, port, line).port();
-			case "engine" -> EngineServer.start(host, port, engine(line)).port();
+			case "engine" -> engine(host, port, line).port();
 			case "plain" -> PlainServer.start(host, port, Duration.ofMillis(number(line, "delay-ms", 2))).port();
 			default -> throw new IllegalArgumentException("no such stand-in: " + args[0]);
 		};
@@ -105,6 +105,13 @@
 		}
 	}
 
+	private static EngineServer engine(String host, int port, CommandLine line) {
+		if (line.hasOption("journal")) {
+			return EngineServer.start(host, port, engine(line), Path.of(line.getOptionValue("journal")));
+		}
+		return EngineServer.start(host, port, engine(line));
+	}
+
 	private static EngineOptions engine(CommandLine line) {
 		EngineOptions quick = EngineOptions.quick();
 		return new EngineOptions(!line.getOptionValue("fencing", "on").equals("off"),
@@ -132,7 +139,7 @@
 		Options options = new Options();
 		for (String name : List.of("host", "port", "lag-ms", "bytes-per-second", "reads-per-second",
 				"writes-per-second", "fencing", "load-ms", "token-ms", "prefill-us-per-char", "slots", "delay-ms",
-				"vms", "publish")) {
+				"vms", "publish", "journal")) {
 			options.addOption(null, name, true, "");
 		}
 		Traffic.OPTIONS.forEach((name) -> options.addOption(null, name, true, ""));
--- /dev/null
+++ b/standin/src/test/java/org/wisteriapost/standin/TestFleet.java
@@ -0,0 +1,288 @@
+package org.wisteriapost.standin;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.ServiceLoader;
+
+import org.wisteriapost.app.Main;
+import org.wisteriapost.kernel.command.Command;
+import org.wisteriapost.policy.bundle.Bundle;
+import org.wisteriapost.policy.bundle.BundleCodec;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.outside.VmList;
+import org.wisteriapost.protocol.outside.http.HttpEngine;
+import org.wisteriapost.protocol.outside.http.HttpPlatform;
+
+/**
+ * Two entries, two engines with an agent each and one plain service with an agent, as
+ * real processes; the platform, the VM list, the origin and the plain service are in the
+ * test's own process, so that what they know outlives every fault.
+ */
+final class TestFleet implements AutoCloseable {
+
+	static final String TOKEN = "fleet-token";
+
+	private static final String HOST = "127.0.21.1";
+
+	private static final String PLACE = "oban-a";
+
+	private static final long FILE_BYTES = 2 << 20;
+
+	private static final int CHUNK_BYTES = 128 * 1024;
+
+	final PlatformServer platform = PlatformServer.start(HOST, 0);
+
+	final PlainServer plain = PlainServer.start(HOST, 0, Duration.ofMillis(5));
+
+	final HttpCaller caller = HttpCaller.create(2);
+
+	private final VmListServer vmList = VmListServer.start(HOST, 0, 200);
+
+	private final OriginServer origin = OriginServer.start(HOST, 0);
+
+	private final Map<String, OneProcess> processes = new LinkedHashMap<>();
+
+	private final Map<String, CuttableRelay> relays = new HashMap<>();
+
+	private final Path folder;
+
+	private final StringBuilder operators = new StringBuilder();
+
+	private TestFleet(Path folder) {
+		this.folder = folder;
+	}
+
+	static TestFleet start(Path folder) throws Exception {
+		TestFleet fleet = new TestFleet(folder);
+		Files.createDirectories(folder);
+		for (String operator : List.of("ana", "ben")) {
+			Files.deleteIfExists(folder.resolve(operator + ".key"));
+			fleet.operators.append(fleet.run("keys generate", "--name", operator, "--out", folder.toString()));
+		}
+		Files.writeString(folder.resolve("operator.ini"), fleet.common("operator"));
+		fleet.engine("engine-1");
+		fleet.engine("engine-2");
+		fleet.agent("lm-1", "galley", "model", fleet.relays.get("engine-1").port());
+		fleet.agent("lm-2", "galley", "model", fleet.relays.get("engine-2").port());
+		fleet.agent("reg-1", "chartdesk", "plain", fleet.plain.port());
+		fleet.entry("entry-1");
+		fleet.entry("entry-2");
+		List<Thread> starting = new ArrayList<>();
+		List<Throwable> failures = new ArrayList<>();
+		for (OneProcess process : fleet.processes.values()) {
+			Thread thread = Thread.ofVirtual().uncaughtExceptionHandler((same, ex) -> failures.add(ex)).start(() -> {
+				try {
+					process.start();
+				}
+				catch (Exception ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+			starting.add(thread);
+		}
+		for (Thread thread : starting) {
+			thread.join();
+		}
+		if (!failures.isEmpty()) {
+			fleet.close();
+			throw new IllegalStateException(failures.getFirst());
+		}
+		return fleet;
+	}
+
+	OneProcess process(String name) {
+		return this.processes.get(name);
+	}
+
+	List<URI> entries() {
+		return List.of(http("entry-1-http"), http("entry-2-http"));
+	}
+
+	/**
+	 * Returns what an engine says it serves; empty when it does not answer.
+	 */
+	String serving(String engine) {
+		try {
+			return HttpEngine.at(this.caller, http(engine)).state().join().weightsDigest();
+		}
+		catch (RuntimeException ex) {
+			return "";
+		}
+	}
+
+	/**
+	 * Returns how often calls of each request id began to run, anywhere.
+	 */
+	Map<String, Long> executed() throws Exception {
+		Map<String, Long> executed = new HashMap<>(this.plain.executed());
+		for (String engine : List.of("engine-1", "engine-2")) {
+			Path journal = this.folder.resolve(engine + ".journal");
+			if (Files.exists(journal)) {
+				Files.readAllLines(journal).forEach((id) -> executed.merge(id, 1L, Long::sum));
+			}
+		}
+		return executed;
+	}
+
+	/**
+	 * Publishes weights, proposes and approves a bundle of them.
+	 * @return the bundle's digest
+	 */
+	String accept(int version) throws Exception {
+		this.origin.publish("galley/" + version, "" + version, FILE_BYTES, CHUNK_BYTES);
+		Path file = this.folder.resolve("bundle-" + version + ".ini");
+		Files.writeString(file, """
+				[bundle]
+				name = fleet
+				version = %1$d
+				[weight galley-7b]
+				version = %1$d
+				path = galley/%1$d
+				[service galley]
+				model = galley-7b
+				places = %2$s
+				[service chartdesk]
+				kind = plain
+				places = %2$s
+				""".formatted(version, PLACE));
+		String settings = this.folder.resolve("operator.ini").toString();
+		String digest = run("bundle propose", "--settings", settings, file.toString()).trim();
+		for (String operator : List.of("ana", "ben")) {
+			run("bundle approve", "--settings", settings, "--as", operator, "--key",
+					this.folder.resolve(operator + ".key").toString(), digest);
+		}
+		return digest;
+	}
+
+	void roll(String digest, int onto) {
+		run("bundle roll", "--settings", this.folder.resolve("operator.ini").toString(), "--as", "ana", "--onto",
+				"" + onto, digest);
+	}
+
+	/**
+	 * Returns what answers under a bundle are labelled with.
+	 */
+	String weights(String digest) {
+		byte[] bytes = HttpPlatform.at(this.caller, URI.create("http://" + HOST + ":" + this.platform.port()))
+			.get("bundles/" + digest)
+			.join()
+			.orElseThrow()
+			.value();
+		Bundle bundle = BundleCodec.bundle(bytes);
+		return bundle.weightsDigest(bundle.service("galley").orElseThrow());
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (OneProcess process : this.processes.values()) {
+			process.close();
+		}
+		for (CuttableRelay relay : this.relays.values()) {
+			relay.close();
+		}
+		this.caller.close();
+		this.platform.close();
+		this.plain.close();
+		this.vmList.close();
+		this.origin.close();
+	}
+
+	private void engine(String name) throws Exception {
+		CuttableRelay relay = relay(name);
+		Path journal = this.folder.resolve(name + ".journal");
+		Files.deleteIfExists(journal);
+		this.processes.put(name,
+				new OneProcess(name, this.folder,
+						List.of(Standin.class.getName(), "engine", "--host", HOST, "--load-ms", "100", "--token-ms",
+								"5", "--fencing", name.endsWith("1") ? "on" : "off", "--journal", journal.toString()),
+						Map.of("port", relay)));
+	}
+
+	private void agent(String name, String service, String kind, int runner) throws Exception {
+		CuttableRelay relay = relay(name);
+		role("agent", name, """
+				[agent]
+				service = %s
+				kind = %s
+				link-host = %s
+				runner = http://%s:%d
+				""".formatted(service, kind, HOST, HOST, runner), Map.of("linkPort", relay));
+		register(name, "agent", service, relay.port(), 0);
+	}
+
+	private void entry(String name) throws Exception {
+		CuttableRelay http = relay(name + "-http");
+		CuttableRelay link = relay(name);
+		role("entry", name, """
+				[entry]
+				http-host = %1$s
+				link-host = %1$s
+				[organisation clyde-charters]
+				token = %2$s
+				""".formatted(HOST, TOKEN), Map.of("httpPort", http, "linkPort", link));
+		register(name, "entry", "", link.port(), http.port());
+	}
+
+	private void role(String role, String name, String own, Map<String, CuttableRelay> ports) throws Exception {
+		Path settings = this.folder.resolve(name + ".ini");
+		Files.writeString(settings, common(name) + own);
+		this.processes.put(name, new OneProcess(name, this.folder,
+				List.of(Main.class.getName(), role, "--settings", settings.toString()), ports));
+	}
+
+	private void register(String name, String role, String service, int linkPort, int httpPort) {
+		this.vmList.put(new VmList.Vm(name, PLACE, "isles", role, service, HOST, linkPort, httpPort, false));
+	}
+
+	private CuttableRelay relay(String name) throws Exception {
+		CuttableRelay relay = CuttableRelay.start(HOST);
+		this.relays.put(name, relay);
+		return relay;
+	}
+
+	private String common(String name) {
+		return """
+				[process]
+				vm = %s
+				place = %s
+				region = isles
+				[outside]
+				platform = http://%3$s:%4$d
+				vm-list = http://%3$s:%5$d
+				origin = http://%3$s:%6$d
+				[operators]
+				approvals = 2
+				""".formatted(name, PLACE, HOST, this.platform.port(), this.vmList.port(), this.origin.port())
+				+ this.operators;
+	}
+
+	private URI http(String relay) {
+		return URI.create("http://" + HOST + ":" + this.relays.get(relay).port());
+	}
+
+	private String run(String name, String... arguments) {
+		Command command = ServiceLoader.load(Command.class)
+			.stream()
+			.map(ServiceLoader.Provider::get)
+			.filter((one) -> one.name().equals(name))
+			.findFirst()
+			.orElseThrow();
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		int code = command.run(Arrays.asList(arguments), new PrintStream(out), System.err);
+		if (code != 0) {
+			throw new IllegalStateException(name + " ended with " + code + ": " + out);
+		}
+		return out.toString();
+	}
+
+}
