--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
@@ -34,7 +34,7 @@
 	}
 
 	@Override
-	public int run(List<String> args, PrintStream out) {
+	public int run(List<String> args, PrintStream out) throws ParseException {
 		Options options = new Options().addOption(option("vms", "N[,N] VMs, default 12,24,48"))
 			.addOption(option("seed", "S[,S] of all chance, default 1"))
 			.addOption(option("faults", "none|kill|stall|corrupt|change[,…], default none"))
