--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -179,7 +179,9 @@
 		if (!this.holdings.missing(piece)) {
 			return;
 		}
-		this.origin.news(now);
+		if (this.choice.holders(piece) == 0) {
+			this.origin.news(now);
+		}
 		this.holdings.storing(piece);
 		effects.add(new TransferEffect.Store(piece));
 	}
@@ -279,15 +281,18 @@
 			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
 			if (late) {
 				peer.release().forEach(this::reopen);
+				this.neighbours.discount(peer);
 				if (peer.silent(now, limit)) {
 					effects.add(new TransferEffect.Notice(PEER_STALLED, peer.vm(), 0));
 				}
 			}
 		}
 		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
-		this.origin.tick(this.holdings.open(), now, limit);
-		if (this.limits.hedge() && !this.ended) {
-			hedge(now, effects);
+		// Before the start there is no news to miss: taken for a stall, it would make
+		// every
+		// VM read what others are to read.
+		if (this.started) {
+			this.origin.tick(this.holdings.open(), now, limit);
 		}
 	}
 
@@ -298,19 +303,6 @@
 		}
 	}
 
-	private void hedge(long now, List<TransferEffect> effects) {
-		long limit = this.deadline.hedgeNanos();
-		for (PeerState peer : List.copyOf(this.neighbours.all())) {
-			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
-				boolean single = this.neighbours.askedOf(ask.getKey()) == 1;
-				if (single && now - ask.getValue() > limit && this.pacer.delayNanos(now) == 0) {
-					this.choice.second(ask.getKey(), this.neighbours.all(), now)
-						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
-				}
-			}
-		}
-	}
-
 	private void rank(long now) {
 		Set<String> current = this.neighbours.failing(now);
 		if (!current.equals(this.failing)) {
@@ -338,14 +330,15 @@
 	}
 
 	private OptionalInt nextRead(long now) {
-		if (this.pacer.delayNanos(now) > 0) {
+		if (this.pacer.delayNanos(now) > 0 || this.holdings.beingStored() >= this.limits.outstanding()) {
 			return OptionalInt.empty();
 		}
 		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
 	}
 
 	private Optional<PieceChoice.Choice> nextAsk(long now) {
-		if (this.neighbours.outstanding() >= this.limits.outstanding() || this.pacer.delayNanos(now) > 0) {
+		if (this.neighbours.outstanding() + this.holdings.beingStored() >= this.limits.outstanding()
+				|| this.pacer.delayNanos(now) > 0) {
 			return Optional.empty();
 		}
 		return this.choice.next(this.holdings.open(), this.neighbours.all(), now);
