--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
@@ -130,7 +130,7 @@
 		this.reading = false;
 		this.known = Optional.empty();
 		back();
-		if (false) {
+		if (wrote && unconfirmed) {
 			this.waiting.replaceAll((wish) -> (wish instanceof ClaimWish.Claim claim) ? claim.afterLostAnswer() : wish);
 			return;
 		}
