--- a/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
@@ -130,6 +130,22 @@
 		assertThat(this.origin.reads() - before, is(2));
 	}
 
+	// The first VM has its bundle before its first VM list. Alone, as far as it knows, it
+	// would read a whole copy from the origin; it waits, and then gets it from the
+	// second.
+	@Test
+	void vmWithoutAListDoesNotTakeItselfForAlone() throws Exception {
+		this.origin.serve("model", this.content);
+		Vm early = new Vm("early");
+		Vm second = new Vm("second");
+		var waiting = early.transfer.fetch(List.of(this.model));
+		second.transfer.peers(listed());
+		second.transfer.fetch(List.of(this.model)).get(60, TimeUnit.SECONDS);
+		early.transfer.peers(listed());
+		waiting.get(60, TimeUnit.SECONDS);
+		assertThat(this.origin.reads(), is(CHUNKS));
+	}
+
 	@Test
 	void versionThatChangedAtTheOriginFailsTheFetchWithItsCode() {
 		this.origin.change();
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/LoopbackVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/LoopbackVm.java
@@ -80,7 +80,7 @@
 		CompletableFuture<Void> whole = this.transfer.fetch(List.of(file));
 		whole.whenComplete((none, failure) -> {
 			this.failed = failure != null;
-			this.finishedAt = (failure == null) ? System.nanoTime() : 0;
+			this.finishedAt = (failure != null) ? 0 : System.nanoTime();
 		});
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
@@ -1,7 +1,7 @@
 package org.wisteriapost.standin.bench.weights;
 
 import java.util.BitSet;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 
 import org.wisteriapost.policy.transfer.Peer;
@@ -23,9 +23,9 @@
 
 	final Uploads<Upload> uploads = Uploads.create(UPLOADS_WAITING, UPLOADS_PER_PEER);
 
-	final Set<SimVm> subscribers = new HashSet<>();
+	final Set<SimVm> subscribers = new LinkedHashSet<>();
 
-	final Set<String> links = new HashSet<>();
+	final Set<String> links = new LinkedHashSet<>();
 
 	final BitSet stored = new BitSet();
 
