Entry: a streamed answer is ended only when nothing of it waits to be written

Cause: the I/O thread looked at the queue and then, apart, at the end mark. The last data and the end could both come between the two looks; the answer was then ended with its tail left behind, framed as if whole. Found by scripts/demo: 2 of 4,232 requests (streams without [DONE], ended cleanly). Ruled out: the stand-in engine (writes on one thread) and the agent's order of frames. Change: both are looked at together. CallerAnswerTests, 12,000 short streams: without the check 3 answers lacked their tail (twice, seen to fail), with it 0.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -263,8 +263,11 @@
 		}
 	}
 
+	// Looked at together with the queue: the last data and the end may both come between
+	// the look at an empty queue and this one, and an answer ended there would lack its
+	// tail but look whole.
 	private synchronized boolean isEnded() {
-		return this.ended && !this.cut;
+		return this.ended && !this.cut && this.queue.isEmpty();
 	}
 
 	private synchronized boolean isCut() {
