--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -288,9 +288,11 @@
 			}
 		}
 		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
-		this.origin.tick(this.holdings.open(), now, limit);
-		if (this.limits.hedge() && !this.ended) {
-			hedge(now, effects);
+		// Before the start there is no news to miss: taken for a stall, it would make
+		// every
+		// VM read what others are to read.
+		if (this.started) {
+			this.origin.tick(this.holdings.open(), now, limit);
 		}
 	}
 
@@ -301,20 +303,6 @@
 		}
 	}
 
-	private void hedge(long now, List<TransferEffect> effects) {
-		long limit = this.deadline.hedgeNanos();
-		for (PeerState peer : List.copyOf(this.neighbours.all())) {
-			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
-				boolean single = this.neighbours.askedOf(ask.getKey()) == 1;
-				if (single && this.holdings.missing(ask.getKey()) && now - ask.getValue() > limit
-						&& this.pacer.delayNanos(now) == 0) {
-					this.choice.second(ask.getKey(), this.neighbours.all(), now)
-						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
-				}
-			}
-		}
-	}
-
 	private void rank(long now) {
 		Set<String> current = this.neighbours.failing(now);
 		if (!current.equals(this.failing)) {
