--- a/standin/src/main/java/org/wisteriapost/standin/TrafficCaller.java
+++ b/standin/src/main/java/org/wisteriapost/standin/TrafficCaller.java
@@ -23,6 +23,8 @@
 
 	private static final long PAUSE_MILLIS = 50;
 
+	private static final int SHOWN_CHARS = 300;
+
 	// An allocation whose outcome is unknown is asked for a few more times with its key:
 	// the first answer may be there by then, and a second run must not be.
 	private static final int UNKNOWN_TRIES = 4;
@@ -93,7 +95,7 @@
 			.header(CallerHeaders.DEADLINE, String.valueOf(ATTEMPT.toMillis()))
 			.header(CallerHeaders.REQUEST_ID, id);
 		CollectedAnswer answer = CollectedAnswer.of(this.http, sent);
-		this.last = id + " by " + entry + ": status " + answer.status() + " " + answer.text();
+		this.last = id + " by " + entry + ": status " + answer.status() + " " + shortened(answer.text());
 		if (answer.failed() && !answer.sent()) {
 			this.entries.avoid(entry);
 			this.ledger.toldNotRun(id);
@@ -105,6 +107,11 @@
 		return judged(call, answer);
 	}
 
+	private static String shortened(String text) {
+		int from = Math.max(0, text.length() - SHOWN_CHARS);
+		return text.substring(from).replace("\n", " ");
+	}
+
 	private Next refused(CollectedAnswer answer, String id) {
 		boolean notRun = answer.header(CallerHeaders.OUTCOME).filter("not-run"::equals).isPresent();
 		if (notRun) {
