--- a/policy/src/main/java/org/wisteriapost/policy/agent/CallGate.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/CallGate.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 
 import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.request.GateCodes;
 import org.wisteriapost.policy.request.Priority;
 
 /**
@@ -25,19 +26,6 @@
  */
 final class CallGate {
 
-	private static final Code NOT_ADMITTING = Code.refusal("gate-not-admitting",
-			"The runner takes no calls now: it starts, switches weights or does not answer.");
-
-	private static final Code LEAVING = Code.refusal("gate-leaving", "The runner's VM is leaving.");
-
-	private static final Code WRONG_WEIGHTS = Code.refusal("gate-other-weights",
-			"The runner does not serve the weights that the call asks for.");
-
-	private static final Code FULL = Code.refusal("gate-full", "The runner and its short queue are full.");
-
-	private static final Code TOO_LATE = Code.refusal("gate-deadline",
-			"The call's deadline has passed or would pass in the queue.");
-
 	private static final long FIRST_GUESS_NANOS = 100_000_000L;
 
 	private static final double LEARN = 0.1;
@@ -106,11 +94,11 @@
 			return;
 		}
 		if (turn.now() + waitNanos(call.priority()) > call.deadlineNanos()) {
-			refuse(call, TOO_LATE, turn);
+			refuse(call, GateCodes.TOO_LATE, turn);
 			return;
 		}
 		if (queued() >= this.queueLimit && !pushOut(call, turn)) {
-			refuse(call, FULL, turn);
+			refuse(call, GateCodes.FULL, turn);
 			return;
 		}
 		this.waiting.get(call.priority()).addLast(call);
@@ -147,30 +135,30 @@
 		for (AgentEvent.CallArrived call : allWaiting()) {
 			if (call.deadlineNanos() <= turn.now()) {
 				drop(call.call());
-				refuse(call, TOO_LATE, turn);
+				refuse(call, GateCodes.TOO_LATE, turn);
 			}
 		}
 	}
 
 	private Optional<Code> refusal(AgentEvent.CallArrived call, long now) {
 		if (this.admission.leaving()) {
-			return Optional.of(LEAVING);
+			return Optional.of(GateCodes.LEAVING);
 		}
 		if (!this.admission.admitting()) {
-			return Optional.of(NOT_ADMITTING);
+			return Optional.of(GateCodes.NOT_ADMITTING);
 		}
 		if (!call.weightsDigest().equals(this.admission.weightsDigest())) {
-			return Optional.of(WRONG_WEIGHTS);
+			return Optional.of(GateCodes.OTHER_WEIGHTS);
 		}
-		return (call.deadlineNanos() <= now) ? Optional.of(TOO_LATE) : Optional.empty();
+		return (call.deadlineNanos() <= now) ? Optional.of(GateCodes.TOO_LATE) : Optional.empty();
 	}
 
 	private void refuse(AgentEvent.CallArrived call, Code code, Turn turn) {
 		long retryMillis = 0;
-		if (code.equals(NOT_ADMITTING)) {
+		if (code.equals(GateCodes.NOT_ADMITTING)) {
 			retryMillis = SWITCH_RETRY_MILLIS;
 		}
-		else if (code.equals(FULL) || code.equals(TOO_LATE)) {
+		else if (code.equals(GateCodes.FULL) || code.equals(GateCodes.TOO_LATE)) {
 			retryMillis = 1 + waitNanos(call.priority()) / NANOS_PER_MILLI;
 		}
 		turn.add(new AgentEffect.RefuseCall(call.call(), code.name(), retryMillis));
@@ -192,7 +180,7 @@
 		for (Priority priority : List.of(Priority.BULK, Priority.NORMAL)) {
 			Deque<AgentEvent.CallArrived> candidates = this.waiting.get(priority);
 			if (priority.compareTo(call.priority()) > 0 && !candidates.isEmpty()) {
-				refuse(candidates.removeLast(), FULL, turn);
+				refuse(candidates.removeLast(), GateCodes.FULL, turn);
 				return true;
 			}
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/request/ConcurrencyLimit.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/ConcurrencyLimit.java
@@ -2,8 +2,6 @@
 
 import java.time.Duration;
 
-import org.wisteriapost.kernel.Code;
-
 /**
  * Moves the number of calls that this entry may have in flight at one runner.
  *
@@ -19,9 +17,6 @@
  */
 final class ConcurrencyLimit {
 
-	/** The code with which a runner's gate refuses a call beyond its capacity. */
-	static final Code OVER_CAPACITY = Code.refusal("over-capacity", "The runner has as many calls as it can take.");
-
 	/**
 	 * Added by a call that ended while the limit bound, for each unit of waiting weight
 	 * and each slot held: with ten organisations a slot more after ten ends, so that at
--- a/policy/src/main/java/org/wisteriapost/policy/request/RequestMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RequestMachine.java
@@ -232,11 +232,13 @@
 		if (notRun) {
 			flight.uncertain--;
 		}
-		if (notRun && failed.code().equals(ConcurrencyLimit.OVER_CAPACITY.name())) {
+		if (notRun && GateCodes.full(failed.code())) {
 			bounced(flight, runner, failed, nowNanos);
 			return;
 		}
-		this.runners.failed(runner, failed.retryAfterMillis(), nowNanos);
+		boolean inTime = flight.request.deadlineNanos() > nowNanos;
+		boolean blamed = inTime && !(notRun && GateCodes.well(failed.code()));
+		this.runners.failed(runner, failed.retryAfterMillis(), blamed, nowNanos);
 		retry(flight, failed, notRun, nowNanos, effects);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/request/Runners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/Runners.java
@@ -171,9 +171,15 @@
 		refresh(runner, nowNanos);
 	}
 
-	void failed(RunnerState runner, long retryAfterMillis, long nowNanos) {
+	/**
+	 * Learns from a call that failed.
+	 * @param blamed whether the runner or the way to it is to blame
+	 */
+	void failed(RunnerState runner, long retryAfterMillis, boolean blamed, long nowNanos) {
 		backOff(runner, retryAfterMillis, nowNanos);
-		this.outliers.failed(runner, poolOf(runner), nowNanos);
+		if (blamed) {
+			this.outliers.failed(runner, poolOf(runner), nowNanos);
+		}
 		refresh(runner, nowNanos);
 	}
 
--- a/policy/src/test/java/org/wisteriapost/policy/request/RandomEventsTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/request/RandomEventsTests.java
@@ -143,7 +143,7 @@
 		}
 		boolean notRun = !one.started && this.random.nextBoolean();
 		one.uncertain -= notRun ? 1 : 0;
-		String code = (notRun && this.random.nextBoolean()) ? "over-capacity" : "link-lost";
+		String code = (notRun && this.random.nextBoolean()) ? "gate-full" : "link-lost";
 		return remembered(new RequestEvent.Failed(id, runner, notRun, code, 0));
 	}
 
--- a/policy/src/test/java/org/wisteriapost/policy/request/RequestMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/request/RequestMachineTests.java
@@ -209,11 +209,28 @@
 	@Test
 	void fullGateKeepsTheRequestWaitingAndIsAskedAgainLater() {
 		this.fixture.arrive(1);
-		RequestEvent full = new RequestEvent.Failed(1, "runner-0", true, "over-capacity", 20);
+		RequestEvent full = new RequestEvent.Failed(1, "runner-0", true, "gate-full", 20);
 		assertThat(this.fixture.apply(full), is(empty()));
 		assertThat(this.fixture.tickAfter(40), contains(instanceOf(RequestEffect.Dispatch.class)));
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "gate-deadline, true", "gate-not-admitting, true", "link-lost, false" })
+	void gateThatRefusesIsNoReasonToEjectItsRunner(String code, boolean stays) {
+		this.fixture = Fixture.of("runner-0", "runner-1", "runner-2", "runner-3");
+		for (int each = 0; each < 12; each++) {
+			String runner = runner(this.fixture.arrive(each));
+			this.fixture.apply(new RequestEvent.Failed(each, runner, true, code, 0));
+			this.fixture.apply(new RequestEvent.CallerGone(each));
+			this.fixture.tickAfter(100);
+		}
+		int sent = 0;
+		for (int each = 20; each < 24; each++) {
+			sent += this.fixture.arrive(each).size();
+		}
+		assertThat(sent, is(stays ? 4 : 3));
+	}
+
 	@Test
 	void lateAndDoubledEventsChangeNothing() {
 		this.fixture = Fixture.of("runner-0", "runner-1");
--- a/standin/src/main/java/org/wisteriapost/standin/bench/LoadBench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/LoadBench.java
@@ -39,7 +39,7 @@
 
 	@Override
 	public String summary() {
-		return "--profile burst|skew|skew-one-entry|slow-endpoint|mixed|saturation --seed S --policy naive,machine [--entries 6]";
+		return "--profile burst|skew|skew-one-entry|slow-endpoint|mixed|saturation --seed S --policy naive,machine [--entries 6] [--gate-queue 16]";
 	}
 
 	@Override
@@ -49,6 +49,7 @@
 		options.addOption(Option.builder().longOpt("seed").hasArg().get());
 		options.addOption(Option.builder().longOpt("policy").hasArg().get());
 		options.addOption(Option.builder().longOpt("entries").hasArg().get());
+		options.addOption(Option.builder().longOpt("gate-queue").hasArg().get());
 		try {
 			CommandLine line = new DefaultParser().parse(options, args.toArray(String[]::new));
 			long seed = Long.parseLong(line.getOptionValue("seed", "1"));
@@ -59,7 +60,8 @@
 				return USAGE;
 			}
 			int entries = Integer.parseInt(line.getOptionValue("entries", "6"));
-			return compare(profile.get().across(entries), policies, seed, out);
+			int queue = Integer.parseInt(line.getOptionValue("gate-queue", "16"));
+			return compare(profile.get().across(entries).gateQueue(queue), policies, seed, out);
 		}
 		catch (ParseException | NumberFormatException ex) {
 			System.err.println(ex.getMessage() + "; " + summary());
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadProfile.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadProfile.java
@@ -14,13 +14,14 @@
  * @param entries entries that do not talk to each other
  * @param runners runners of the one service
  * @param slots calls at once for each runner
+ * @param gateQueue calls that may wait at a runner's gate
  * @param unit time of one unit of cost on a well runner
  * @param length virtual time that requests come for
  * @param demands the streams of requests
  * @param faults what goes wrong
  */
-public record LoadProfile(String name, int entries, int runners, int slots, Duration unit, Duration length,
-		List<Demand> demands, List<Fault> faults) {
+public record LoadProfile(String name, int entries, int runners, int slots, int gateQueue, Duration unit,
+		Duration length, List<Demand> demands, List<Fault> faults) {
 
 	private static final int ENTRIES = 6;
 
@@ -28,6 +29,8 @@
 
 	private static final int SLOTS = 8;
 
+	private static final int GATE_QUEUE = 16;
+
 	private static final Duration UNIT = Duration.ofMillis(100);
 
 	private static final Duration LENGTH = Duration.ofSeconds(60);
@@ -59,7 +62,7 @@
 	 * Returns a profile over the runners and entries of today's sizes.
 	 */
 	public static LoadProfile of(String name, List<Demand> demands) {
-		return new LoadProfile(name, ENTRIES, RUNNERS, SLOTS, UNIT, LENGTH, demands, List.of());
+		return new LoadProfile(name, ENTRIES, RUNNERS, SLOTS, GATE_QUEUE, UNIT, LENGTH, demands, List.of());
 	}
 
 	/**
@@ -78,24 +81,32 @@
 	 * Returns this load with faults.
 	 */
 	public LoadProfile with(List<Fault> others) {
-		return new LoadProfile(this.name, this.entries, this.runners, this.slots, this.unit, this.length, this.demands,
-				others);
+		return new LoadProfile(this.name, this.entries, this.runners, this.slots, this.gateQueue, this.unit,
+				this.length, this.demands, others);
 	}
 
 	/**
 	 * Returns this load for another time.
 	 */
 	public LoadProfile during(Duration other) {
-		return new LoadProfile(this.name, this.entries, this.runners, this.slots, this.unit, other, this.demands,
-				this.faults);
+		return new LoadProfile(this.name, this.entries, this.runners, this.slots, this.gateQueue, this.unit, other,
+				this.demands, this.faults);
 	}
 
 	/**
 	 * Returns this load before another number of entries.
 	 */
 	public LoadProfile across(int otherEntries) {
-		return new LoadProfile(this.name, otherEntries, this.runners, this.slots, this.unit, this.length, this.demands,
-				this.faults);
+		return new LoadProfile(this.name, otherEntries, this.runners, this.slots, this.gateQueue, this.unit,
+				this.length, this.demands, this.faults);
+	}
+
+	/**
+	 * Returns this load with another queue at the gates.
+	 */
+	public LoadProfile gateQueue(int calls) {
+		return new LoadProfile(this.name, this.entries, this.runners, this.slots, calls, this.unit, this.length,
+				this.demands, this.faults);
 	}
 
 	/**
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
@@ -11,6 +11,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.policy.request.GateCodes;
 import org.wisteriapost.policy.request.Request;
 import org.wisteriapost.policy.request.RequestEffect;
 import org.wisteriapost.policy.request.RequestEvent;
@@ -220,9 +221,10 @@
 			return;
 		}
 		if (runner.full()) {
-			if (this.entries.get(call.caller().entry).gated()) {
+			boolean gated = this.entries.get(call.caller().entry).gated();
+			if (gated && runner.waiting.size() >= this.profile.gateQueue()) {
 				this.result.countGateRefusal();
-				failed(call, runner, true, "over-capacity", GATE_RETRY_MILLIS);
+				failed(call, runner, true, GateCodes.FULL.name(), GATE_RETRY_MILLIS);
 				return;
 			}
 			runner.waiting.addLast(call);
@@ -296,7 +298,7 @@
 
 	private void next(RunnerSim runner) {
 		if (!runner.full() && !runner.waiting.isEmpty()) {
-			begin(runner, runner.waiting.pollFirst());
+			begin(runner, runner.nextWaiting(this.entries.getFirst().gated()));
 		}
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/sim/RunnerSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/RunnerSim.java
@@ -36,6 +36,20 @@
 		return this.running.size() >= this.slots;
 	}
 
+	/**
+	 * Takes the next waiting call: the most urgent at a gate, the first without one.
+	 */
+	Call nextWaiting(boolean gated) {
+		Call next = this.waiting.peekFirst();
+		for (Call call : this.waiting) {
+			if (gated && call.caller().request.priority().compareTo(next.caller().request.priority()) < 0) {
+				next = call;
+			}
+		}
+		this.waiting.remove(next);
+		return next;
+	}
+
 	double slowness() {
 		return (this.state == LoadProfile.Fault.Kind.SLOW) ? 10 : 1;
 	}
