Transfer: the origin is read only after the neighbours have said what they hold

A VM that joined a finished fleet read 12 of 30 chunks from the origin before the first map of its neighbour came (PeerTransferTests, early VM). Now it waits for each neighbour's first map, at most the progress deadline: 0 of 30.

--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
@@ -113,12 +113,20 @@
 		return peer.release();
 	}
 
+	/**
+	 * Returns whether every neighbour has said what it holds, or cannot.
+	 */
+	boolean greeted() {
+		return this.neighbours.values().stream().allMatch(PeerState::greeted);
+	}
+
 	/**
 	 * Takes in what a neighbour holds and returns what may now be asked of it.
 	 */
 	BitSet learn(PeerState peer, BitSet pieces) {
 		BitSet added = (BitSet) pieces.clone();
 		added.andNot(peer.has());
+		peer.greeted(true);
 		peer.has().or(added);
 		if (!peer.counted()) {
 			return new BitSet();
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -29,6 +29,8 @@
 
 	private boolean counted;
 
+	private boolean greeted;
+
 	private long pausedUntil = Long.MIN_VALUE;
 
 	private long distrustedUntil = Long.MIN_VALUE;
@@ -93,6 +95,17 @@
 		return asked;
 	}
 
+	/**
+	 * Returns whether it has said what it holds, or cannot.
+	 */
+	boolean greeted() {
+		return this.greeted || this.down;
+	}
+
+	void greeted(boolean said) {
+		this.greeted = said;
+	}
+
 	void linkUp() {
 		this.up = true;
 		this.down = false;
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -70,6 +70,10 @@
 
 	private boolean started;
 
+	private boolean informed;
+
+	private long startedAt;
+
 	private boolean ended;
 
 	private boolean complete;
@@ -168,6 +172,7 @@
 
 	private void start(BitSet held, long now, List<TransferEffect> effects) {
 		this.started = true;
+		this.startedAt = now;
 		this.origin.news(now);
 		this.holdings.found(held);
 		held.stream().forEach((piece) -> copy(piece, effects));
@@ -329,8 +334,21 @@
 		}
 	}
 
+	// A VM that joins late, or again after a restart, would read its share of the origin
+	// though its neighbours hold it all. So it first hears what they hold; a neighbour
+	// that
+	// is silent holds it up for no longer than the deadline.
+	private boolean informed(long now) {
+		if (!this.informed) {
+			this.informed = this.neighbours.greeted()
+					|| now - this.startedAt > this.limits.progressDeadline().toNanos();
+		}
+		return this.informed;
+	}
+
 	private OptionalInt nextRead(long now) {
-		if (this.pacer.delayNanos(now) > 0 || this.holdings.beingStored() >= this.limits.outstanding()) {
+		if (!informed(now) || this.pacer.delayNanos(now) > 0
+				|| this.holdings.beingStored() >= this.limits.outstanding()) {
 			return OptionalInt.empty();
 		}
 		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
@@ -9,7 +9,9 @@
 	NONE,
 	/** One VM in ten dies. */
 	KILL,
-	/** One VM in ten stops sending and receiving; its links stay open. */
+	/**
+	 * One VM in ten stops sending and receiving; its links stay open and alive.
+	 */
 	STALL,
 	/** One VM sends wrong bytes for every chunk, from the start. */
 	CORRUPT,
