--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -27,10 +27,10 @@
 
 	private boolean down;
 
-	private boolean told;
-
 	private boolean counted;
 
+	private boolean greeted;
+
 	private long pausedUntil = Long.MIN_VALUE;
 
 	private long distrustedUntil = Long.MIN_VALUE;
@@ -96,14 +96,14 @@
 	}
 
 	/**
-	 * Returns whether it has said what it holds, or cannot be asked.
+	 * Returns whether it has said what it holds, or cannot.
 	 */
-	boolean settled() {
-		return this.told || this.down;
+	boolean greeted() {
+		return this.greeted || this.down;
 	}
 
-	void told() {
-		this.told = true;
+	void greeted(boolean said) {
+		this.greeted = said;
 	}
 
 	void linkUp() {
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -68,11 +68,11 @@
 
 	private long announcedAt = Long.MIN_VALUE / 2;
 
-	private long metAt = Long.MIN_VALUE / 2;
+	private boolean started;
 
-	private boolean settled;
+	private boolean informed;
 
-	private boolean started;
+	private long startedAt;
 
 	private boolean ended;
 
@@ -146,9 +146,6 @@
 	}
 
 	private void meet(List<Peer> seen, long now, List<TransferEffect> effects) {
-		if (this.peers.isEmpty()) {
-			this.metAt = now;
-		}
 		this.peers = seen;
 		this.neighbours.meet(seen, now, effects).forEach(this::reopen);
 		this.failing = Set.of();
@@ -175,6 +172,7 @@
 
 	private void start(BitSet held, long now, List<TransferEffect> effects) {
 		this.started = true;
+		this.startedAt = now;
 		this.origin.news(now);
 		this.holdings.found(held);
 		held.stream().forEach((piece) -> copy(piece, effects));
@@ -336,20 +334,21 @@
 		}
 	}
 
-	// A VM that joins late, 970 of them a day, finds all it needs at its neighbours. Were
-	// it
-	// to read its share of the origin before they have told what they hold, each would
-	// cost origin bytes for nothing. One deadline bounds the wait for a silent neighbour.
-	private boolean settled(long now) {
-		this.settled = this.settled || this.neighbours.settled() || now - this.metAt > this.deadline.nanos();
-		return this.settled;
+	// A VM that joins late, or again after a restart, would read its share of the origin
+	// though its neighbours hold it all. So it first hears what they hold; a neighbour
+	// that
+	// is silent holds it up for no longer than the deadline.
+	private boolean informed(long now) {
+		if (!this.informed) {
+			this.informed = this.neighbours.greeted()
+					|| now - this.startedAt > this.limits.progressDeadline().toNanos();
+		}
+		return this.informed;
 	}
 
 	private OptionalInt nextRead(long now) {
-		if (!settled(now)) {
-			return OptionalInt.empty();
-		}
-		if (this.pacer.delayNanos(now) > 0 || this.holdings.beingStored() >= this.limits.outstanding()) {
+		if (!informed(now) || this.pacer.delayNanos(now) > 0
+				|| this.holdings.beingStored() >= this.limits.outstanding()) {
 			return OptionalInt.empty();
 		}
 		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
