--- a/policy/src/main/java/org/wisteriapost/policy/agent/BundleIntake.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/BundleIntake.java
@@ -104,9 +104,12 @@
 			return;
 		}
 		try {
-			accept(AcceptedBundle.of(this.self, head.generation(), event.digest(), event.content(), event.signatures(),
-					BundleCodec.bundle(event.content())));
+			AcceptedBundle next = AcceptedBundle.of(this.self, head.generation(), event.digest(), event.content(),
+					event.signatures(), BundleCodec.bundle(event.content()));
 			this.failing = "";
+			if (!accept(next)) {
+				this.retryAt = turn.now() + LAST_RETRY_NANOS;
+			}
 		}
 		catch (CodedException ex) {
 			fail(ex.code(), turn);
@@ -120,12 +123,14 @@
 		}
 	}
 
-	private void accept(AcceptedBundle bundle) {
+	private boolean accept(AcceptedBundle bundle) {
 		long last = this.accepted.map(AcceptedBundle::generation).orElse(0L);
-		if (this.invariants.holds(bundle.generation() >= last, "no-revert",
-				"generation " + bundle.generation() + " after " + last)) {
+		boolean forward = this.invariants.holds(bundle.generation() >= last, "no-revert",
+				"generation " + bundle.generation() + " after " + last);
+		if (forward) {
 			this.accepted = Optional.of(bundle);
 		}
+		return forward;
 	}
 
 	private void fail(Code code, Turn turn) {
