--- a/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
@@ -165,17 +165,23 @@
 		assertThat(open.serving(), equalTo(this.world.weights(1)));
 	}
 
-	@Test
-	void engineThatIsAheadOfTheHeadIsNotOrderedBack() {
-		AgentEffect.SendOrder ahead = order("z", 9, 1);
-		this.engine.order(ahead);
-		this.engine.loaded(ahead);
+	// The platform's head was put back, or a lagging copy of it answers. Callers of this
+	// VM
+	// have had the newer weights; the engine would take the older order if it ignores
+	// fencing. It is not sent.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void engineThatIsAheadOfTheHeadIsNotOrderedBack(boolean fencing) {
+		SimEngine ahead = new SimEngine(fencing);
+		AgentEffect.SendOrder order = order("z", 9, 1);
+		ahead.order(order);
+		ahead.loaded(order);
 		this.world.platform().set("vms/vm-1", "{\"epoch\":1,\"nonce\":\"gone\"}".getBytes());
 		this.world.roll(1, "a");
-		SimAgent agent = this.world.start("vm-1", this.engine);
+		SimAgent agent = this.world.start("vm-1", ahead);
 		this.world.run(20 * AgentWorld.SECOND);
 		assertThat(agent.view().failing(), equalTo("head-behind-engine"));
-		assertThat(this.engine.taken(), hasSize(1));
+		assertThat(ahead.taken(), hasSize(1));
 	}
 
 	// The call's weights change is on its way: the running call ends on the old weights,
--- a/policy/src/test/java/org/wisteriapost/policy/agent/SimAgent.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/SimAgent.java
@@ -123,7 +123,7 @@
 	private void read(String key) {
 		long sent = this.world.now();
 		this.world.soon(() -> {
-			if (this.world.platform().down()) {
+			if (this.world.platform().down(key)) {
 				hear(new AgentEvent.ObjectUnread(key));
 				return;
 			}
@@ -134,7 +134,7 @@
 
 	private void write(AgentEffect.WriteObject write) {
 		this.world.soon(() -> {
-			if (this.world.platform().down()) {
+			if (this.world.platform().down(write.key())) {
 				hear(new AgentEvent.ObjectUnconfirmed(write.key()));
 				return;
 			}
--- a/policy/src/test/java/org/wisteriapost/policy/agent/SimPlatform.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/SimPlatform.java
@@ -13,8 +13,17 @@
 
 	private boolean down;
 
-	boolean down() {
-		return this.down;
+	private String unreadable = "";
+
+	boolean down(String key) {
+		return this.down || key.equals(this.unreadable);
+	}
+
+	/**
+	 * Fails all calls for one key.
+	 */
+	void unreadable(String key) {
+		this.unreadable = key;
 	}
 
 	void down(boolean now) {
--- a/policy/src/test/java/org/wisteriapost/policy/agent/StartWithoutPlatformTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/StartWithoutPlatformTests.java
@@ -48,6 +48,20 @@
 		assertThat(this.engine.taken(), is(empty()));
 	}
 
+	// The platform takes the epoch and renews the lease, but the head cannot be read. The
+	// agent has all authority and still no evidence: an order could turn the VM to
+	// weights
+	// that the fleet has left.
+	@Test
+	void authorityWithoutEvidenceOrdersNothing() {
+		this.world.platform().down(false);
+		this.world.platform().unreadable("head");
+		SimAgent agent = startHearing(AgentWorld.unconfirmed(this.first));
+		assertThat(agent.view().epoch(), is(1L));
+		assertThat(agent.view().admitting(), is(false));
+		assertThat(this.engine.taken(), is(empty()));
+	}
+
 	@Test
 	void engineThatServesTheHeardHeadGoesOnServing() {
 		served(1);
