--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
@@ -123,6 +123,7 @@
 	private void read(HttpServerExchange exchange, CallerAnswer answer, java.util.function.Consumer<byte[]> next) {
 		XnioExecutor.Key timer = exchange.getIoThread()
 			.executeAfter(() -> tooSlow(exchange, answer), this.limits.bodyTimeout().toMillis(), TimeUnit.MILLISECONDS);
+		exchange.getRequestReceiver().setMaxBufferSize(this.limits.bodyBytes());
 		exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
 			timer.remove();
 			next.accept(body);
--- a/entry/src/main/java/org/wisteriapost/entry/caller/HttpFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/HttpFront.java
@@ -29,6 +29,11 @@
 
 	private static final int IO_THREADS = 2;
 
+	// A body over the limit is refused at the limit, but read on for a while: a caller
+	// that
+	// is still sending would find its connection reset and never see the answer.
+	private static final long READ_ON = 4;
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	private final FrontPort port;
@@ -65,7 +70,7 @@
 			.setWorkerOption(Options.CONNECTION_HIGH_WATER, limits.connections())
 			.setWorkerOption(Options.CONNECTION_LOW_WATER, limits.connections())
 			.setSocketOption(Options.REUSE_ADDRESSES, true)
-			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.bodyBytes())
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, READ_ON * limits.bodyBytes())
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
 			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) limits.bodyTimeout().toMillis())
 			.setHandler(front)
--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/BadInputTests.java
@@ -0,0 +1,139 @@
+package org.wisteriapost.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wisteriapost.protocol.http.HttpReply;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+class BadInputTests {
+
+	private static final String CHAT = "/v1/chat/completions";
+
+	private static final String GOOD = "{\"model\":\"lm\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+
+	private EntryBench bench;
+
+	@BeforeEach
+	void start() {
+		this.bench = EntryBench.start("max-body-bytes = 4096", "body-timeout-ms = 300", "max-header-bytes = 4096");
+	}
+
+	@AfterEach
+	void stop() {
+		this.bench.close();
+	}
+
+	@ParameterizedTest
+	@MethodSource("wrong")
+	void wrongRequestIsToldWhatIsWrongAndStartsNothing(String method, String path, String body, List<String> headers,
+			int status, String code) {
+		HttpReply reply = this.bench.call(method, path, body, headers.toArray(String[]::new)).join();
+		assertThat(reply.status(), is(status));
+		assertThat(EntryBench.text(reply), containsString("\"code\":\"" + code + "\""));
+		assertThat(EntryBench.outcome(reply), is("not-run"));
+		assertThat(this.bench.model().calls().size() + this.bench.plain().calls().size(), is(0));
+		assertThat(this.bench.chat("next", false).join().status(), is(200));
+	}
+
+	static Stream<Arguments> wrong() {
+		List<String> none = List.of();
+		return Stream.of(Arguments.of("POST", CHAT, GOOD, List.of("Authorization", "Bearer no"), 401, "token-unknown"),
+				Arguments.of("POST", CHAT, GOOD, List.of("Authorization", "Basic x"), 401, "token-unknown"),
+				Arguments.of("POST", CHAT, "{\"model\":", none, 400, "body-malformed"),
+				Arguments.of("POST", CHAT, "[]", none, 400, "body-malformed"),
+				Arguments.of("POST", CHAT, "{\"model\":\"lm\"}", none, 400, "body-malformed"),
+				Arguments.of("POST", CHAT, GOOD.replace("lm", "no"), none, 404, "model-unknown"),
+				Arguments.of("POST", CHAT, GOOD.replace("lm", "registry"), none, 404, "model-unknown"),
+				Arguments.of("POST", CHAT, GOOD.replace("lm", "no"), List.of("Wisteriapost-Service", "lm"), 404,
+						"model-unknown"),
+				Arguments.of("POST", CHAT, GOOD, List.of("Wisteriapost-Service", "no"), 404, "service-unknown"),
+				Arguments.of("POST", CHAT, GOOD, List.of("Wisteriapost-Deadline-Ms", "soon"), 400, "header-invalid"),
+				Arguments.of("POST", CHAT, GOOD, List.of("Wisteriapost-Deadline-Ms", "-1"), 400, "header-invalid"),
+				Arguments.of("POST", CHAT, GOOD, List.of("Wisteriapost-Priority", "high"), 400, "header-invalid"),
+				Arguments.of("POST", CHAT, "x".repeat(5000), none, 413, "body-too-large"),
+				Arguments.of("GET", CHAT, "", none, 405, "method-unknown"),
+				Arguments.of("GET", "/nothing", "", none, 404, "path-unknown"),
+				Arguments.of("GET", "/services/no/x", "", none, 404, "service-unknown"),
+				Arguments.of("GET", "/services/lm/x", "", none, 404, "service-unknown"),
+				Arguments.of("POST", "/services/registry/x", "1", none, 400, "idempotency-key-missing"),
+				Arguments.of("POST", "/services/registry/x", "1", List.of("Idempotency-Key", "abc"), 400,
+						"idempotency-key-without-time"),
+				Arguments.of("POST", "/services/registry/x", "1",
+						List.of("Idempotency-Key", "abc", "Idempotency-Key-Time", "noon"), 400,
+						"idempotency-key-without-time"),
+				Arguments.of("POST", "/services/registry/x", "1", List.of("Idempotency-Key", "4102444800000-x"), 400,
+						"idempotency-key-ahead"));
+	}
+
+	@Test
+	void bodyThatTricklesInIsCutOff() throws IOException {
+		String answer = raw("POST " + CHAT + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryBench.TOKEN
+				+ "\r\nContent-Length: 100\r\n\r\n{", false);
+		assertThat(answer, containsString("body-too-slow"));
+		assertThat(this.bench.model().calls().size(), is(0));
+	}
+
+	@Test
+	void chunkedBodyPastTheLimitIsRefused() throws IOException {
+		String chunk = "1000\r\n" + "x".repeat(4096) + "\r\n";
+		String answer = raw("POST " + CHAT + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryBench.TOKEN
+				+ "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk + "0\r\n\r\n", false);
+		assertThat(answer, containsString("body-too-large"));
+	}
+
+	@ParameterizedTest
+	@MethodSource("broken")
+	void brokenHttpStartsNothingAndHarmsNoOne(String bytes) throws IOException {
+		raw(bytes, true);
+		assertThat(this.bench.model().calls().size(), is(0));
+		assertThat(this.bench.chat("next", false).join().status(), is(200));
+		EntryBench.await(() -> this.bench.entry().idle());
+	}
+
+	static Stream<String> broken() {
+		String head = "POST " + CHAT + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryBench.TOKEN + "\r\n";
+		return Stream.of("\u0000\u0001\r\n\r\n", "GET\r\n\r\n", head, head + "Content-Length: 500\r\n\r\n" + GOOD,
+				head + "Content-Length: many\r\n\r\n", head + "X: " + "y".repeat(9000) + "\r\n\r\n",
+				head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+	}
+
+	// Returns all that the entry answers before it closes, or before this caller hangs
+	// up.
+	private String raw(String request, boolean hangUp) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", this.bench.entry().httpPort())) {
+			socket.setSoTimeout((int) EntryBench.LONG.toMillis());
+			OutputStream out = socket.getOutputStream();
+			out.write(request.getBytes(StandardCharsets.ISO_8859_1));
+			out.flush();
+			if (hangUp) {
+				return "";
+			}
+			InputStream in = socket.getInputStream();
+			StringBuilder answer = new StringBuilder();
+			while (!answer.toString().endsWith("}")) {
+				int next = in.read();
+				if (next < 0) {
+					break;
+				}
+				answer.append((char) next);
+			}
+			return answer.toString();
+		}
+	}
+
+}
--- a/entry/src/test/java/org/wisteriapost/entry/EntryBench.java
+++ b/entry/src/test/java/org/wisteriapost/entry/EntryBench.java
@@ -92,6 +92,10 @@
 
 	/** Starts one more entry on the same surroundings. */
 	EntryProcess another(String vm, String... more) {
+		return another(vm, this.platform, more);
+	}
+
+	EntryProcess another(String vm, Platform on, String... more) {
 		String text = """
 				[process]
 				vm = %s
@@ -103,7 +107,7 @@
 				[organisation baobab]
 				token = %s
 				""".formatted(vm, String.join("\n", more), TOKEN);
-		return EntryProcess.start(Settings.parse("test.ini", text), this.platform, new ListOf(), this.links);
+		return EntryProcess.start(Settings.parse("test.ini", text), on, new ListOf(), this.links);
 	}
 
 	VmList.Vm listed(String vm, EntryProcess process, boolean leaving) {
--- a/entry/src/test/java/org/wisteriapost/entry/FakeAgent.java
+++ b/entry/src/test/java/org/wisteriapost/entry/FakeAgent.java
@@ -122,6 +122,10 @@
 		return this.others;
 	}
 
+	void sends(Frame frame) {
+		this.links.forEach((link) -> link.send(frame));
+	}
+
 	void cut() {
 		this.links.forEach(Link::close);
 	}
