--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/ClaimLoad.java
@@ -0,0 +1,118 @@
+package org.wisteriapost.standin.bench;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.entry.claim.ClaimReply;
+import org.wisteriapost.entry.claim.ClaimStore;
+import org.wisteriapost.policy.claim.ClaimEffect;
+import org.wisteriapost.policy.claim.ClaimKey;
+import org.wisteriapost.policy.claim.ClaimRecord.KeptAnswer;
+import org.wisteriapost.policy.claim.ClaimRecord.State;
+import org.wisteriapost.policy.claim.ClaimTable;
+import org.wisteriapost.policy.claim.ClaimVerdict;
+import org.wisteriapost.protocol.outside.Platform;
+
+/**
+ * One entry's claims: each that succeeds is settled at once with a small answer.
+ */
+final class ClaimLoad implements AutoCloseable {
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final KeptAnswer ANSWER = new KeptAnswer(200, List.of("Content-Type", "application/json"),
+			new byte[100]);
+
+	private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
+
+	private final Map<Long, Asked> asked = new HashMap<>();
+
+	private final ClaimTable table;
+
+	private final ClaimStore store;
+
+	private final Histogram latency;
+
+	private final LongAdder refused;
+
+	private ClaimLoad(Platform platform, int writes, long seed, Histogram latency, LongAdder refused) {
+		this.table = ClaimTable.create(writes, RandomSource.SPLIT_MIX_64.create(seed), System.nanoTime());
+		this.store = ClaimStore.of(platform, (reply) -> execute(() -> reply(reply)));
+		this.latency = latency;
+		this.refused = refused;
+	}
+
+	static ClaimLoad start(Platform platform, int writes, long seed, Histogram latency, LongAdder refused) {
+		ClaimLoad load = new ClaimLoad(platform, writes, seed, latency, refused);
+		load.loop.scheduleAtFixedRate(() -> load.carryOut(load.table.tick(System.nanoTime())), TICK_MILLIS, TICK_MILLIS,
+				TimeUnit.MILLISECONDS);
+		return load;
+	}
+
+	void offer(long id) {
+		long now = System.nanoTime();
+		execute(() -> {
+			ClaimKey key = ClaimKey.of("organisation", "key-" + id, System.currentTimeMillis());
+			Asked one = new Asked(key, UUID.randomUUID().toString(), now);
+			this.asked.put(id, one);
+			carryOut(this.table.claim(id, key, "call", one.nonce, System.nanoTime()));
+		});
+	}
+
+	@Override
+	public void close() {
+		this.loop.shutdownNow();
+	}
+
+	private void reply(ClaimReply reply) {
+		long now = System.nanoTime();
+		carryOut(switch (reply) {
+			case ClaimReply.Found found ->
+				this.table.read(found.object(), found.value(), found.version(), found.conflict(), now);
+			case ClaimReply.Written written -> this.table.written(written.object(), written.version(), now);
+			case ClaimReply.Failed failed -> this.table.failed(failed.object(), failed.unconfirmed(), now);
+		});
+	}
+
+	private void carryOut(List<ClaimEffect> effects) {
+		for (ClaimEffect effect : effects) {
+			switch (effect) {
+				case ClaimEffect.Read read -> this.store.read(read);
+				case ClaimEffect.Write write -> this.store.write(write);
+				case ClaimEffect.Tell tell -> told(tell.verdict());
+			}
+		}
+	}
+
+	private void told(ClaimVerdict verdict) {
+		Asked one = this.asked.remove(verdict.id());
+		if (verdict instanceof ClaimVerdict.Claimed) {
+			this.latency.recordValue(System.nanoTime() - one.atNanos);
+			carryOut(this.table.settle(one.key, one.nonce, State.ANSWERED, ANSWER, System.nanoTime()));
+			return;
+		}
+		this.refused.increment();
+	}
+
+	private void execute(Runnable task) {
+		try {
+			this.loop.execute(task);
+		}
+		catch (RejectedExecutionException ex) {
+			// An answer after the end of the run counts for nothing.
+		}
+	}
+
+	private record Asked(ClaimKey key, String nonce, long atNanos) {
+	}
+
+}
