Entry: weights of all rolls that are still under way are accepted, also by an entry that has just started

Cause: only the last predecessor's weights were accepted. Two rolls within the time that weights take to move, or an entry that starts in the middle of one, left no accepted runner: every call was refused as no-runner until the first switch. Found by reading. Ruled out: accepting whatever is reported at all times (oldWeightsAreUsedUntilTheSwitchAndNeverAfterIt fails, as it should). Change: older weights are kept until nobody serves them; unknown ones are accepted from agents' reports until the roll is done.

--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -212,7 +212,7 @@
 		if (report.getLeaving()) {
 			announced(report.getVm());
 		}
-		this.reports.seen(report);
+		this.reports.seen(report, this.clock.getAsLong());
 	}
 
 	private void announced(String vm) {
--- a/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
@@ -20,6 +20,9 @@
  */
 final class HeadTracker {
 
+	// Agents report every second.
+	private static final long FIRST_REPORTS_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final Invariants invariants;
 
 	private Known current = Known.NONE;
@@ -32,7 +35,11 @@
 
 	// For each service the digest that runners may still answer with until all of them
 	// have switched once.
-	private Map<String, String> previous = new HashMap<>();
+	private Map<String, Set<String>> previous = new HashMap<>();
+
+	private final Set<String> settled = new HashSet<>();
+
+	private long takenNanos;
 
 	private long confirmedNanos;
 
@@ -78,7 +85,9 @@
 			return false;
 		}
 		Bundle now = BundleCodec.bundle(read.bytes());
+		this.settled.removeIf((service) -> !weights(this.bundle, service).equals(weights(Optional.of(now), service)));
 		this.previous = predecessors(now);
+		this.takenNanos = nowNanos;
 		this.current = next;
 		this.wanted = Optional.empty();
 		this.bundle = Optional.of(now);
@@ -89,17 +98,53 @@
 	}
 
 	/**
-	 * Stops accepting the predecessor's weights of a service.
+	 * Stops accepting older weights of a service that nobody serves any more.
+	 */
+	void switched(String service, String digest) {
+		Set<String> digests = this.previous.getOrDefault(service, new HashSet<>());
+		digests.remove(digest);
+		if (digests.isEmpty()) {
+			this.previous.remove(service);
+			this.settled.add(service);
+		}
+	}
+
+	/**
+	 * Notes that all runners of a service that are known here serve the head's weights.
+	 * An entry that has just heard of its first bundle waits until every runner has had
+	 * time to report.
 	 */
-	void switched(String service) {
-		this.previous.remove(service);
+	void allSwitched(String service, long nowNanos) {
+		if (nowNanos - this.takenNanos > FIRST_REPORTS_NANOS) {
+			this.settled.add(service);
+		}
 	}
 
 	/**
-	 * Returns the services of which runners may still answer with the predecessor's
-	 * weights, with these.
+	 * Accepts weights that a runner serves while it is behind the head, or ahead of it;
+	 * returns whether that is new.
+	 *
+	 * An entry that starts in the middle of a roll, or hears of two rolls before the
+	 * first is done, would else refuse every call until some runner has switched. The
+	 * runner's agent has checked the approvals of every bundle it serves. Once all
+	 * runners have switched, one that comes back with older weights is not accepted.
 	 */
-	Map<String, String> previous() {
+	boolean alsoServed(String service, String digest) {
+		boolean known = digests().getOrDefault(service, Set.of()).contains(digest);
+		boolean model = this.bundle.flatMap((now) -> now.service(service))
+			.filter((spec) -> spec.kind() == ServiceSpec.Kind.MODEL)
+			.isPresent();
+		if (known || !model || digest.isEmpty() || this.settled.contains(service)) {
+			return false;
+		}
+		return this.previous.computeIfAbsent(service, (name) -> new HashSet<>()).add(digest);
+	}
+
+	/**
+	 * Returns the services of which runners may still answer with other weights than the
+	 * head's, with these.
+	 */
+	Map<String, Set<String>> previous() {
 		return Map.copyOf(this.previous);
 	}
 
@@ -111,7 +156,7 @@
 		this.bundle.ifPresent((now) -> now.services()
 			.forEach((spec) -> digests.computeIfAbsent(spec.name(), (name) -> new HashSet<>())
 				.add(now.weightsDigest(spec))));
-		this.previous.forEach((service, digest) -> digests.get(service).add(digest));
+		this.previous.forEach((service, older) -> digests.get(service).addAll(older));
 		return digests;
 	}
 
@@ -149,22 +194,30 @@
 			.build();
 	}
 
-	private Map<String, String> predecessors(Bundle next) {
-		Map<String, String> digests = new HashMap<>();
-		this.bundle.ifPresent((old) -> old.services().forEach((spec) -> {
-			String digest = old.weightsDigest(spec);
-			boolean moves = next.service(spec.name())
+	// Not only the last one: runners may still serve what was in force several rolls ago
+	// when these follow each other faster than weights move.
+	private Map<String, Set<String>> predecessors(Bundle next) {
+		Map<String, Set<String>> digests = new HashMap<>();
+		this.bundle.ifPresent((old) -> old.services()
+			.stream()
+			.filter((spec) -> spec.kind() == ServiceSpec.Kind.MODEL)
+			.forEach((spec) -> next.service(spec.name())
 				.filter((now) -> now.kind() == ServiceSpec.Kind.MODEL)
-				.map(next::weightsDigest)
-				.filter((now) -> !now.equals(digest))
-				.isPresent();
-			if (moves && spec.kind() == ServiceSpec.Kind.MODEL) {
-				digests.put(spec.name(), digest);
-			}
-		}));
+				.ifPresent((now) -> {
+					Set<String> older = new HashSet<>(this.previous.getOrDefault(spec.name(), Set.of()));
+					older.add(old.weightsDigest(spec));
+					older.remove(next.weightsDigest(now));
+					if (!older.isEmpty()) {
+						digests.put(spec.name(), older);
+					}
+				})));
 		return digests;
 	}
 
+	private static Optional<String> weights(Optional<Bundle> bundle, String service) {
+		return bundle.flatMap((known) -> known.service(service).map(known::weightsDigest));
+	}
+
 	private record Known(long generation, String digest, boolean fromPlatform) {
 
 		private static final Known NONE = new Known(0, "", false);
--- a/entry/src/main/java/org/wisteriapost/entry/process/RunnerReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/RunnerReports.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.wisteriapost.policy.request.RequestEvent;
 import org.wisteriapost.policy.request.RunnerView;
@@ -26,12 +27,18 @@
 		this.heads = heads;
 	}
 
-	void seen(Report report) {
+	void seen(Report report, long nowNanos) {
 		this.last.put(report.getVm(), report);
+		if (report.getAdmitting() && this.heads.alsoServed(report.getService(), report.getWeightsDigest())) {
+			headChanged();
+		}
 		this.calls.decide(new RequestEvent.RunnerSeen(view(report)));
 		if (this.heads.previous().containsKey(report.getService())) {
 			endSwitch(report.getService());
 		}
+		else if (!behind(report.getService())) {
+			this.heads.allSwitched(report.getService(), nowNanos);
+		}
 	}
 
 	void lost(String vm) {
@@ -46,18 +53,24 @@
 	}
 
 	private void endSwitch(String service) {
-		String old = this.heads.previous().get(service);
-		boolean switching = this.last.values()
+		Set<String> ended = new HashSet<>(this.heads.previous().get(service));
+		this.last.values()
 			.stream()
 			.filter((report) -> report.getService().equals(service))
-			.anyMatch((report) -> report.getWeightsDigest().equals(old)
-					|| report.getBundleGeneration() < this.heads.generation());
-		if (!switching) {
-			this.heads.switched(service);
+			.forEach((report) -> ended.remove(report.getWeightsDigest()));
+		if (!behind(service) && !ended.isEmpty()) {
+			ended.forEach((digest) -> this.heads.switched(service, digest));
 			headChanged();
 		}
 	}
 
+	private boolean behind(String service) {
+		return this.last.values()
+			.stream()
+			.filter((report) -> report.getService().equals(service))
+			.anyMatch((report) -> report.getBundleGeneration() < this.heads.generation());
+	}
+
 	private static RunnerView view(Report report) {
 		return new RunnerView(report.getVm(), report.getPlace(), report.getService(),
 				report.getAdmitting() && !report.getLeaving(), report.getPlain() ? "" : report.getWeightsDigest(),
