Process faults: answers longer than a load, and cuts of the plain service's connections

With the first timings the matrix passed although an engine was ordered under running calls, and although an agent called cut calls not run: it had no power for either. Answers now outlast a load, and the plain service's connections are cut too. That an engine never goes back was not seen to fail with a safeguard out.

--- a/standin/src/test/java/org/wisteriapost/standin/OneProcess.java
+++ b/standin/src/test/java/org/wisteriapost/standin/OneProcess.java
@@ -68,10 +68,6 @@
 		new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start().waitFor();
 	}
 
-	void cut() {
-		this.relays.values().forEach(CuttableRelay::cut);
-	}
-
 	@Override
 	public void close() throws Exception {
 		if (this.process != null) {
--- a/standin/src/test/java/org/wisteriapost/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/ProcessFaultTests.java
@@ -31,6 +31,10 @@
 
 	private static final long THINK_MILLIS = 10;
 
+	// At 5 ms a token each takes longer than an engine takes to load: an engine that was
+	// ordered too early changes weights under it.
+	private static final int MIN_TOKENS = 40;
+
 	// Long enough for links and leases to be taken for dead on the other side.
 	private static final long FROZEN_MILLIS = 2500;
 
@@ -62,8 +66,10 @@
 	}
 
 	static Stream<Arguments> faults() {
-		return Stream.of("entry-1", "lm-1", "reg-1", "engine-1")
+		Stream<Arguments> processes = Stream.of("entry-1", "lm-1", "reg-1", "engine-1")
 			.flatMap((target) -> Stream.of(Blow.values()).map((blow) -> Arguments.of(target, blow)));
+		// The plain service is in the test's own process: only its connections are cut.
+		return Stream.concat(processes, Stream.of(Arguments.of("plain-1", Blow.CUT)));
 	}
 
 	// A caller sees at worst a refusal, a visible cut or "unknown" while one process is
@@ -84,7 +90,7 @@
 
 		String digest = fleet.accept(generation + 1);
 		Thread roll = Thread.startVirtualThread(() -> rollAccepted(digest));
-		blow.strike(fleet.process(target));
+		blow.strike(fleet, target);
 		roll.join();
 		OneProcess.await("the bundle is served again", ProcessFaultTests::allServeLatest);
 		long answered = ledger.of(Count.ANSWERED);
@@ -120,7 +126,8 @@
 		return switch (kind % 4) {
 			case 0 -> new TrafficCall.Lookup("chartdesk", name + "-" + n);
 			case 1 -> new TrafficCall.Allocation("chartdesk", System.currentTimeMillis() + "-" + name + "-" + n);
-			default -> new TrafficCall.Completion("galley", name + " " + n, 10 + (int) (n % 20), kind % 4 == 2);
+			default -> new TrafficCall.Completion("galley", name + " " + n, MIN_TOKENS + (int) (n % MIN_TOKENS),
+					kind % 4 == 2);
 		};
 	}
 
@@ -165,30 +172,30 @@
 
 		KILL {
 			@Override
-			void strike(OneProcess process) throws Exception {
-				process.kill();
-				process.start();
+			void strike(TestFleet fleet, String target) throws Exception {
+				fleet.process(target).kill();
+				fleet.process(target).start();
 			}
 		},
 		FREEZE {
 			@Override
-			void strike(OneProcess process) throws Exception {
-				process.signal("STOP");
+			void strike(TestFleet fleet, String target) throws Exception {
+				fleet.process(target).signal("STOP");
 				Thread.sleep(FROZEN_MILLIS);
-				process.signal("CONT");
+				fleet.process(target).signal("CONT");
 			}
 		},
 		CUT {
 			@Override
-			void strike(OneProcess process) throws Exception {
+			void strike(TestFleet fleet, String target) throws Exception {
 				for (int i = 0; i < CUTS; i++) {
-					process.cut();
+					fleet.cut(target);
 					Thread.sleep(CUT_EVERY_MILLIS);
 				}
 			}
 		};
 
-		abstract void strike(OneProcess process) throws Exception;
+		abstract void strike(TestFleet fleet, String target) throws Exception;
 
 	}
 
--- a/standin/src/test/java/org/wisteriapost/standin/TestFleet.java
+++ b/standin/src/test/java/org/wisteriapost/standin/TestFleet.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.ServiceLoader;
 
 import org.wisteriapost.app.Main;
@@ -34,6 +35,8 @@
 
 	private static final String HOST = "127.0.21.1";
 
+	private static final String HTTP = "-http";
+
 	private static final String PLACE = "oban-a";
 
 	private static final long FILE_BYTES = 2 << 20;
@@ -42,7 +45,7 @@
 
 	final PlatformServer platform = PlatformServer.start(HOST, 0);
 
-	final PlainServer plain = PlainServer.start(HOST, 0, Duration.ofMillis(5));
+	final PlainServer plain = PlainServer.start(HOST, 0, Duration.ofMillis(20));
 
 	final HttpCaller caller = HttpCaller.create(2);
 
@@ -74,7 +77,8 @@
 		fleet.engine("engine-2");
 		fleet.agent("lm-1", "galley", "model", fleet.relays.get("engine-1").port());
 		fleet.agent("lm-2", "galley", "model", fleet.relays.get("engine-2").port());
-		fleet.agent("reg-1", "chartdesk", "plain", fleet.plain.port());
+		fleet.relay("plain-1").target(fleet.plain.port());
+		fleet.agent("reg-1", "chartdesk", "plain", fleet.relays.get("plain-1").port());
 		fleet.entry("entry-1");
 		fleet.entry("entry-2");
 		List<Thread> starting = new ArrayList<>();
@@ -100,12 +104,20 @@
 		return fleet;
 	}
 
+	/**
+	 * Cuts every connection to a process.
+	 */
+	void cut(String name) {
+		this.relays.get(name).cut();
+		Optional.ofNullable(this.relays.get(name + HTTP)).ifPresent(CuttableRelay::cut);
+	}
+
 	OneProcess process(String name) {
 		return this.processes.get(name);
 	}
 
 	List<URI> entries() {
-		return List.of(http("entry-1-http"), http("entry-2-http"));
+		return List.of(http("entry-1" + HTTP), http("entry-2" + HTTP));
 	}
 
 	/**
@@ -221,7 +233,7 @@
 	}
 
 	private void entry(String name) throws Exception {
-		CuttableRelay http = relay(name + "-http");
+		CuttableRelay http = relay(name + HTTP);
 		CuttableRelay link = relay(name);
 		role("entry", name, """
 				[entry]
