--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -117,6 +117,29 @@
 		assertThat(reads(apply(new TransferEvent.Tick())), is(not(empty())));
 	}
 
+	// A VM is replaced while all others hold everything. It is first in rank for some
+	// pieces, but reads none of them before its neighbours have told what they hold.
+	@Test
+	void lateVmAsksItsNeighboursBeforeItReadsItsShareOfTheOrigin() {
+		apply(new TransferEvent.PeersSeen(List.of(OTHER)));
+		assertThat(reads(apply(new TransferEvent.Held(new BitSet()))), is(empty()));
+		assertThat(reads(apply(new TransferEvent.LinkUp(OTHER.vm()))), is(empty()));
+		BitSet all = new BitSet();
+		all.set(0, this.pieces.count());
+		List<TransferEffect> effects = apply(new TransferEvent.PeerHolds(OTHER.vm(), all));
+		assertThat(reads(effects), is(empty()));
+		assertThat(requests(effects, OTHER), is(not(empty())));
+	}
+
+	@Test
+	void silentNeighbourHoldsUpTheFirstReadForOneDeadlineOnly() {
+		apply(new TransferEvent.PeersSeen(List.of(OTHER)));
+		apply(new TransferEvent.LinkUp(OTHER.vm()));
+		assertThat(reads(apply(new TransferEvent.Held(new BitSet()))), is(empty()));
+		this.now += DEADLINE + MILLI;
+		assertThat(reads(apply(new TransferEvent.Tick())), is(not(empty())));
+	}
+
 	// Reading back the store takes long at a restart, and ticks come meanwhile.
 	@Test
 	void timeBeforeTheStartIsNotSilence() {
@@ -166,7 +189,12 @@
 
 	@Test
 	void pieceThatAPeerNoLongerHoldsIsNotAskedOfItAgain() {
-		int piece = askedOfOther();
+		apply(new TransferEvent.PeersSeen(List.of(OTHER)));
+		apply(new TransferEvent.LinkUp(OTHER.vm()));
+		apply(new TransferEvent.Held(new BitSet()));
+		BitSet one = new BitSet();
+		one.set(23);
+		int piece = requests(apply(new TransferEvent.PeerHolds(OTHER.vm(), one)), OTHER).getFirst();
 		apply(new TransferEvent.Refused(piece, OTHER.vm(), false));
 		this.now += DEADLINE;
 		assertThat(apply(new TransferEvent.Tick()), not(hasItem(new TransferEffect.Request(OTHER.vm(), piece))));
@@ -182,6 +210,22 @@
 		assertThat(asked.size(), is(TransferLimits.standard().perPeer()));
 	}
 
+	@Test
+	void originIsNotReadBeforeTheNeighboursHaveSaidWhatTheyHold() {
+		apply(new TransferEvent.PeersSeen(List.of(OTHER)));
+		assertThat(reads(apply(new TransferEvent.Held(new BitSet()))), is(empty()));
+		apply(new TransferEvent.LinkUp(OTHER.vm()));
+		assertThat(reads(apply(new TransferEvent.PeerHolds(OTHER.vm(), new BitSet()))), is(not(empty())));
+	}
+
+	@Test
+	void silentNeighbourHoldsUpTheOriginNoLongerThanTheDeadline() {
+		apply(new TransferEvent.PeersSeen(List.of(OTHER)));
+		apply(new TransferEvent.Held(new BitSet()));
+		this.now += DEADLINE + MILLI;
+		assertThat(reads(apply(new TransferEvent.Tick())), is(not(empty())));
+	}
+
 	@Test
 	void restartFetchesOnlyWhatIsNotHeldAnyMore() {
 		apply(new TransferEvent.PeersSeen(List.of()));
@@ -240,6 +284,8 @@
 		apply(new TransferEvent.PeersSeen(List.of(OTHER, THIRD)));
 		apply(new TransferEvent.LinkUp(OTHER.vm()));
 		apply(new TransferEvent.LinkUp(THIRD.vm()));
+		apply(new TransferEvent.PeerHolds(OTHER.vm(), new BitSet()));
+		apply(new TransferEvent.PeerHolds(THIRD.vm(), new BitSet()));
 	}
 
 	private List<TransferEffect> apply(TransferEvent event) {
