--- a/agent/src/main/java/org/wisteriapost/agent/AgentProcess.java
+++ b/agent/src/main/java/org/wisteriapost/agent/AgentProcess.java
@@ -148,11 +148,11 @@
 	@Override
 	public void close() {
 		this.surveys.stop();
-		this.timer.shutdownNow();
 		this.server.close();
 		this.transfer.close();
 		this.links.close();
 		this.loop.close();
+		this.timer.shutdownNow();
 		this.admin.close();
 		this.outside.close();
 	}
--- a/agent/src/test/java/org/wisteriapost/agent/AgentProcessTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/AgentProcessTests.java
@@ -7,9 +7,13 @@
 import java.util.Base64;
 import java.util.List;
 
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.wisteriapost.kernel.Invariants;
 import org.wisteriapost.kernel.settings.Settings;
+import org.wisteriapost.policy.agent.AgentEffect;
+import org.wisteriapost.policy.agent.AgentMachine;
 import org.wisteriapost.policy.bundle.Approvals;
 import org.wisteriapost.policy.bundle.Bundle;
 import org.wisteriapost.policy.bundle.BundleCodec;
@@ -169,6 +173,52 @@
 		assertThat(end.getCode(), equalTo("runner-not-reached"));
 	}
 
+	@Test
+	void answerThatBreaksOffIsUnknown() {
+		Bundle bundle = roll(1, "model-a");
+		FakeEntry entry = entryOf(start());
+		awaitServing(entry, bundle);
+		entry.call(1, "/slow", "old", digestOf(bundle));
+		entry.next((frame) -> frame.getCallData().getId() == 1);
+		this.engine.cutAnswers();
+		CallEnd end = entry.end(1, new StringBuilder());
+		assertThat(end.getOutcome(), is(Outcome.UNKNOWN));
+		assertThat(end.getCode(), equalTo("runner-cut"));
+	}
+
+	// The entry dies while its call runs. Nobody can take the answer any more; left alone
+	// the call would hold one of the runner's places until its deadline.
+	@Test
+	void lostLinkCancelsItsCallsAtTheRunner() {
+		Bundle bundle = roll(1, "model-a");
+		AgentProcess agent = start();
+		FakeEntry dying = entryOf(agent);
+		FakeEntry other = entryOf(agent);
+		awaitServing(dying, bundle);
+		dying.call(1, "/slow", "old", digestOf(bundle));
+		dying.next((frame) -> frame.getCallData().getId() == 1);
+		other.next((frame) -> frame.getReport().getRunning() == 1);
+		dying.close();
+		other.next((frame) -> frame.hasReport() && frame.getReport().getRunning() == 0);
+	}
+
+	// The process was paused after the decision to order and before the order went out.
+	// The clock is read last; a newer agent may own the engine by now.
+	@Test
+	void orderWhoseLeaseRanOutOnTheWayIsNotSent() {
+		Settings settings = Settings.parse("agent.ini", settings());
+		AgentMachine machine = AgentMachine.create(AgentSettings.identity(settings, "n"),
+				AgentSettings.limits(settings), AgentSettings.operators(settings), Invariants.create(),
+				RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+		AgentLoop loop = new AgentLoop(machine, (effect) -> {
+		});
+		loop.start();
+		AgentEffect.SendOrder late = new AgentEffect.SendOrder("w", List.of(), 1, 1, -1);
+		new EngineCalls(this.engine, loop).order(late);
+		loop.close();
+		assertThat(this.engine.now().generation(), is(0L));
+	}
+
 	private AgentProcess start() {
 		Settings settings = Settings.parse("agent.ini", settings());
 		AgentSettings.checkWhole(settings);
--- a/agent/src/test/java/org/wisteriapost/agent/FakeEngine.java
+++ b/agent/src/test/java/org/wisteriapost/agent/FakeEngine.java
@@ -13,6 +13,7 @@
 import io.undertow.util.HttpString;
 import org.wisteriapost.protocol.CallerHeaders;
 import org.wisteriapost.protocol.outside.Engine;
+import org.xnio.IoUtils;
 
 /**
  * A model engine in this process: orders in memory, calls over HTTP.
@@ -34,6 +35,8 @@
 
 	private volatile String label = "";
 
+	private volatile boolean cut;
+
 	FakeEngine() {
 		this.server.start();
 	}
@@ -59,6 +62,14 @@
 		this.slow.countDown();
 	}
 
+	/**
+	 * Closes the connections of running calls in the middle of their answers.
+	 */
+	void cutAnswers() {
+		this.cut = true;
+		this.slow.countDown();
+	}
+
 	@Override
 	public CompletableFuture<Void> load(Order order) {
 		this.state = new State(order.weightsDigest(), false, 0, 0, 4, order.generation(), order.epoch(), List.of());
@@ -77,6 +88,7 @@
 	}
 
 	void stop() {
+		this.slow.countDown();
 		this.server.stop();
 	}
 
@@ -91,6 +103,10 @@
 		if (exchange.getRequestPath().equals("/slow")) {
 			this.slow.await();
 		}
+		if (this.cut) {
+			IoUtils.safeClose(exchange.getConnection());
+			return;
+		}
 		exchange.getOutputStream().write(body);
 	}
 
--- a/agent/src/test/java/org/wisteriapost/agent/FakeEntry.java
+++ b/agent/src/test/java/org/wisteriapost/agent/FakeEntry.java
@@ -69,6 +69,10 @@
 			.build());
 	}
 
+	void close() {
+		this.link.close();
+	}
+
 	/**
 	 * Returns the end of a call, after the answer's bytes in {@code answer}.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
@@ -34,6 +34,7 @@
 		serves(agent, 1);
 		agent.hear(AgentWorld.fresh(this.world.roll(2, "a")));
 		assertThat(this.world.runUntil(() -> agent.view().generation() == 2, 5 * AgentWorld.SECOND), is(true));
+		this.world.run(10 * AgentWorld.SECOND);
 		assertThat(agent.view().admitting(), is(true));
 		assertThat(this.engine.taken(), hasSize(1));
 	}
--- a/policy/src/test/java/org/wisteriapost/policy/agent/AgentWorld.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/AgentWorld.java
@@ -134,8 +134,8 @@
 	SimAgent start(String vm, SimEngine engine) {
 		this.agents++;
 		AgentIdentity self = new AgentIdentity(vm, PLACE, "lm", false, "nonce-" + this.agents);
-		AgentLimits limits = new AgentLimits(4, 4, Duration.ofSeconds(5), Duration.ofSeconds(10),
-				Duration.ofSeconds(30), 0.25, Duration.ofSeconds(60));
+		AgentLimits limits = new AgentLimits(4, 4, Duration.ofSeconds(5), Duration.ofSeconds(10), Duration.ofSeconds(4),
+				0.25, Duration.ofSeconds(60));
 		OperatorKeys operators = new OperatorKeys(Map.of(OPERATOR, base64(KEYS.getPublic().getEncoded())), 1);
 		AgentMachine machine = AgentMachine.create(self, limits, operators, this.invariants,
 				RandomSource.XO_RO_SHI_RO_128_PP.create(this.random.nextLong()));
--- a/policy/src/test/java/org/wisteriapost/policy/agent/StagedSwitchTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/StagedSwitchTests.java
@@ -24,6 +24,9 @@
 
 	private static final int MIN_READY = 8;
 
+	// A quarter of twelve.
+	private static final int MOST_SWITCHING = 3;
+
 	private static final int ROLLS = 4;
 
 	private final List<String> names = IntStream.range(0, VMS).mapToObj((i) -> "vm-" + i).toList();
@@ -61,7 +64,7 @@
 			fault();
 			assertThat("generation " + generation, everywhere(generation), is(true));
 		}
-		assertThat(this.fewestReady, greaterThanOrEqualTo(MIN_READY));
+		assertThat(this.fewestReady, greaterThanOrEqualTo(Math.max(MIN_READY, VMS - MOST_SWITCHING)));
 		assertThat(this.world.invariants().violations(), is(anEmptyMap()));
 	}
 
