--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallCheck.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallCheck.java
@@ -112,7 +112,7 @@
 	 * Returns the call; throws when it is wrong in itself.
 	 */
 	CallerCall call(long id, String requestId, String organisation, long deadlineNanos, HttpServerExchange exchange,
-			byte[] body, ServiceView view, CallerAnswer answer) {
+			byte[] body, ServiceView view, AnswerSink answer) {
 		String path = exchange.getRequestURI();
 		if (path.equals(CHAT)) {
 			return chat(id, requestId, organisation, deadlineNanos, exchange, body, view, answer);
@@ -121,7 +121,7 @@
 	}
 
 	private CallerCall chat(long id, String requestId, String organisation, long deadlineNanos,
-			HttpServerExchange exchange, byte[] body, ServiceView view, CallerAnswer answer) {
+			HttpServerExchange exchange, byte[] body, ServiceView view, AnswerSink answer) {
 		JsonNode tree = parse(body);
 		String model = tree.path("model").asText("");
 		String named = exchange.getRequestHeaders().getFirst(CallerHeaders.SERVICE);
@@ -140,7 +140,7 @@
 	}
 
 	private CallerCall passed(long id, String requestId, String organisation, long deadlineNanos,
-			HttpServerExchange exchange, byte[] body, ServiceView view, CallerAnswer answer) {
+			HttpServerExchange exchange, byte[] body, ServiceView view, AnswerSink answer) {
 		String rest = exchange.getRequestURI().substring(SERVICES.length());
 		int slash = rest.indexOf('/');
 		String name = (slash < 0) ? rest : rest.substring(0, slash);
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -25,7 +25,7 @@
  * their answers in the heap until every other caller of this entry fails. Past it the
  * answer is cut.
  */
-public final class CallerAnswer {
+public final class CallerAnswer implements AnswerSink {
 
 	private final HttpServerExchange exchange;
 
@@ -56,11 +56,7 @@
 		this.maxUnsentBytes = maxUnsentBytes;
 	}
 
-	/**
-	 * Gives the caller its final answer without a run's content; after a head went out
-	 * the answer is cut instead, since a caller would read an error as more of the
-	 * answer.
-	 */
+	@Override
 	public void refuse(Refusal refusal) {
 		synchronized (this) {
 			if (this.headed || this.ended) {
@@ -73,9 +69,7 @@
 		onIoThread(() -> send(refusal));
 	}
 
-	/**
-	 * Gives the caller a whole answer.
-	 */
+	@Override
 	public void whole(int status, List<Map.Entry<String, String>> headers, String weights, byte[] body) {
 		synchronized (this) {
 			if (this.headed || this.ended) {
@@ -92,10 +86,7 @@
 		});
 	}
 
-	/**
-	 * Sends an answer's head; data follows. Its outcome header says that the run has
-	 * started; only a whole end confirms it.
-	 */
+	@Override
 	public void start(int status, List<Map.Entry<String, String>> headers, String weights) {
 		synchronized (this) {
 			if (this.headed) {
@@ -106,9 +97,7 @@
 		onIoThread(() -> head(status, headers, weights, Outcome.RAN));
 	}
 
-	/**
-	 * Sends a piece of the body; false when the caller is too slow and was cut.
-	 */
+	@Override
 	public boolean data(byte[] data) {
 		synchronized (this) {
 			if (this.ended) {
@@ -124,9 +113,7 @@
 		return true;
 	}
 
-	/**
-	 * Ends a streamed answer whole.
-	 */
+	@Override
 	public void end() {
 		synchronized (this) {
 			if (this.ended) {
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerCall.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerCall.java
@@ -22,7 +22,7 @@
  */
 public record CallerCall(Request request, String requestId, String method, String path,
 		List<Map.Entry<String, String>> headers, byte[] body, boolean streamed, Optional<CallKey> key,
-		CallerAnswer answer) {
+		AnswerSink answer) {
 
 	/**
 	 * Returns the request's number in this process.
--- a/entry/src/main/java/org/wisteriapost/entry/link/PeerLink.java
+++ b/entry/src/main/java/org/wisteriapost/entry/link/PeerLink.java
@@ -28,14 +28,14 @@
 	/**
 	 * Returns a link that was made to a VM of the list.
 	 */
-	static PeerLink to(Link link, String vm, Role role) {
+	public static PeerLink to(Link link, String vm, Role role) {
 		return new PeerLink(link, vm, role);
 	}
 
 	/**
 	 * Returns a link that was taken; who it is, its Hello says.
 	 */
-	static PeerLink from(Link link) {
+	public static PeerLink from(Link link) {
 		return new PeerLink(link, "", Role.ROLE_UNSPECIFIED);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryOutput.java
@@ -8,7 +8,7 @@
 /**
  * What the event loop asks of the I/O around it; no method blocks.
  */
-interface EntryOutput {
+public interface EntryOutput {
 
 	/**
 	 * Reads a bundle from the platform; the answer comes as an event, a failure not at
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
@@ -108,10 +108,9 @@
 				RandomSource.SPLIT_MIX_64.create(seed), System.nanoTime());
 		RequestMachine machine = RequestMachine.create(RequestPolicySettings.from(settings, identity.place()), seed,
 				this.invariants);
-		EntryParts parts = new EntryParts(machine,
-				new ClaimKeeper(table, store, System::nanoTime, System::currentTimeMillis), metrics, this.invariants,
-				System::nanoTime, EntrySettings.MAX_HELD_BYTES.get(settings));
-		EntryState state = new EntryState(identity, this, parts);
+		EntryWiring wiring = new EntryWiring(machine, table, store, metrics, this.invariants, System::nanoTime,
+				System::currentTimeMillis, EntrySettings.MAX_HELD_BYTES.get(settings));
+		EntryState state = EntryState.create(identity, this, wiring);
 		this.loop = EventLoop.start("entry-loop", EntrySettings.RING_SIZE.get(settings).intValue(), state::apply);
 		this.links = PeerLinks.create(transport, this.timer, this);
 		this.bundles = BundleReader.of(platform);
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -14,6 +14,7 @@
 import org.wisteriapost.entry.platform.BundleContent;
 import org.wisteriapost.policy.bundle.Head;
 import org.wisteriapost.policy.bundle.ServiceSpec;
+import org.wisteriapost.policy.membership.LinkChoice;
 import org.wisteriapost.policy.membership.Member;
 import org.wisteriapost.policy.membership.Membership;
 import org.wisteriapost.policy.request.RequestEvent;
@@ -27,7 +28,7 @@
 /**
  * All that an entry knows; the event loop's thread alone applies events to it.
  */
-final class EntryState {
+public final class EntryState {
 
 	// Heads are pushed on change; now and then once more, for a neighbour that lost one
 	// and to renew how long ago the platform confirmed it.
@@ -51,6 +52,8 @@
 
 	private final Membership membership;
 
+	private final LinkChoice linkChoice;
+
 	private final Draining draining;
 
 	private final PeerTable peers = new PeerTable();
@@ -71,6 +74,7 @@
 		this.clock = parts.clock();
 		this.heads = new HeadTracker(parts.invariants());
 		this.membership = Membership.of(identity.vm(), identity.place());
+		this.linkChoice = LinkChoice.of(identity.vm());
 		this.draining = new Draining(identity.keepSeconds());
 		this.calls = new Calls(parts, this.heads::generation);
 		this.claims = parts.claims();
@@ -78,10 +82,26 @@
 		this.reports = new RunnerReports(this.calls, this.heads);
 	}
 
+	/**
+	 * Returns an entry that has heard nothing yet.
+	 */
+	public static EntryState create(Identity identity, EntryOutput output, EntryWiring wiring) {
+		ClaimKeeper claims = new ClaimKeeper(wiring.claims(), wiring.store(), wiring.clock(), wiring.wallMillis());
+		return new EntryState(identity, output, new EntryParts(wiring.machine(), claims, wiring.metrics(),
+				wiring.invariants(), wiring.clock(), wiring.maxHeldBytes()));
+	}
+
+	/**
+	 * Returns how many requests are in progress.
+	 */
+	public int inProgress() {
+		return this.calls.size();
+	}
+
 	/**
 	 * Applies one event.
 	 */
-	void apply(EntryEvent event) {
+	public void apply(EntryEvent event) {
 		switch (event) {
 			case EntryEvent.CallArrived arrived -> this.calls.arrive(arrived.call());
 			case EntryEvent.CallerLeft left -> this.calls.callerLeft(left.id());
@@ -227,15 +247,10 @@
 
 	private void vms(List<Member> members) {
 		this.membership.list(members);
-		this.output.keepLinks(members.stream().filter(this::linksTo).toList());
+		this.output.keepLinks(this.linkChoice.choose(members));
 		leavingChanged();
 	}
 
-	// One link for each pair of entries: the one whose name sorts first makes it.
-	private boolean linksTo(Member member) {
-		return !member.entry() || this.identity.vm().compareTo(member.vm()) < 0;
-	}
-
 	private void leavingChanged() {
 		Set<String> leaving = this.membership.leaving();
 		this.calls.decide(new RequestEvent.LeavingSeen(leaving));
