--- a/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
+++ b/entry/src/main/java/org/wisteriapost/entry/EntrySettings.java
@@ -99,10 +99,9 @@
 		.orElse("1048576");
 
 	/** Pace of claim writes. */
-	public static final Setting<Long> CLAIM_WRITES = Setting
-		.number(SECTION, "claim-writes-per-second", 1, 1000,
-				"Writes a second to the platform for idempotency keys; all entries together must stay below its limit.")
-		.orElse("50");
+	public static final Setting<Long> CLAIM_WRITES = Setting.number(SECTION, "claim-writes-per-second", 1, 1000,
+			"Writes a second to the platform for idempotency keys; all entries together must stay well below its limit.")
+		.orElse("35");
 
 	/** An organisation's token. */
 	public static final Setting<String> TOKEN = Setting
--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimKey.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimKey.java
@@ -23,12 +23,12 @@
 	public static final Duration SKEW = Duration.ofMinutes(5);
 
 	// A page is written whole for each batch, so it must stay small at the highest rate:
-	// ten seconds at 500 calls a second over 8 shards are 625 records or some 150 KB.
+	// ten seconds at 1,000 calls a second over 16 shards are 625 records or some 150 KB.
 	private static final long SLOT_MILLIS = 10_000;
 
-	// Few, so that under load many keys share a write; not one, so that six entries
-	// seldom write the same page at the same moment.
-	private static final int SHARDS = 8;
+	// Few, so that under load many keys share a write; not fewer, so that six entries
+	// seldom write the same page at the same moment. See docs/design/idempotency.md.
+	private static final int SHARDS = 16;
 
 	// An object is taken over by a new slot an hour after the last key in it may be
 	// repeated, which leaves room for entries whose clocks differ.
--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
@@ -39,6 +39,10 @@
 
 	private boolean reading;
 
+	private long waitingSinceNanos;
+
+	private long knownNanos;
+
 	ClaimShard(String object) {
 		this.object = object;
 	}
@@ -47,7 +51,10 @@
 		return this.object;
 	}
 
-	void wish(ClaimWish wish) {
+	void wish(ClaimWish wish, long nowNanos) {
+		if (this.waiting.isEmpty()) {
+			this.waitingSinceNanos = nowNanos;
+		}
 		this.waiting.add(wish);
 	}
 
@@ -58,6 +65,13 @@
 		return !this.reading && this.pending.isEmpty();
 	}
 
+	/**
+	 * Returns when the first of what waits came.
+	 */
+	long waitingSinceNanos() {
+		return this.waitingSinceNanos;
+	}
+
 	int waiting() {
 		return this.waiting.size();
 	}
@@ -70,10 +84,19 @@
 	}
 
 	/**
-	 * Returns whether the next step is a read.
+	 * Returns whether a read is under way.
 	 */
-	boolean mustRead() {
-		return this.known.isEmpty();
+	boolean reads() {
+		return this.reading;
+	}
+
+	/**
+	 * Forgets the page when it was last seen before a time, so that it is read again.
+	 */
+	void forgetBefore(long nanos) {
+		if (rests() && this.knownNanos - nanos < 0) {
+			this.known = Optional.empty();
+		}
 	}
 
 	/**
@@ -95,8 +118,9 @@
 	 * Takes the object as it is in the platform: what was read, or what a write found
 	 * instead of what it expected.
 	 */
-	void read(ClaimPage page, long version) {
+	void read(ClaimPage page, long version, long nowNanos) {
 		this.reading = false;
+		this.knownNanos = nowNanos;
 		this.known = Optional.of(new Known(page, version));
 		back();
 	}
@@ -104,13 +128,14 @@
 	/**
 	 * Takes the confirmation of a write.
 	 */
-	void written(long version, List<ClaimEffect> effects) {
+	void written(long version, long nowNanos, List<ClaimEffect> effects) {
 		if (this.pending.isEmpty()) {
 			return;
 		}
 		Pending done = this.pending.get();
 		this.pending = Optional.empty();
 		this.known = Optional.of(new Known(done.page, version));
+		this.knownNanos = nowNanos;
 		for (ClaimWish wish : done.batch) {
 			if (wish instanceof ClaimWish.Claim claim) {
 				tell(new ClaimVerdict.Claimed(claim.id()), effects);
--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimTable.java
@@ -25,11 +25,19 @@
 public final class ClaimTable {
 
 	// A short burst passes without a wait; the pace holds on average.
-	private static final double BURST = 10;
+	private static final double BURST = 4;
 
 	// Six entries that meet at one page write again after different times.
 	private static final long CONFLICT_NANOS = Duration.ofMillis(8).toNanos();
 
+	// No caller waits for these, so they wait for others to share their write with.
+	private static final long SETTLE_NANOS = Duration.ofMillis(200).toNanos();
+
+	// Another entry has most likely written the page since; a read costs less than a
+	// write
+	// that is bound to fail.
+	private static final long FRESH_NANOS = Duration.ofMillis(10).toNanos();
+
 	private static final long OUTAGE_NANOS = Duration.ofMillis(500).toNanos();
 
 	// Pages at rest are kept for the next call in the same ten seconds only; each may be
@@ -96,7 +104,7 @@
 			return List.of();
 		}
 		try {
-			shard.read(value.map(ClaimPage::decode).orElse(ClaimPage.NONE), version);
+			shard.read(value.map(ClaimPage::decode).orElse(ClaimPage.NONE), version, nowNanos);
 		}
 		catch (CodedException ex) {
 			// Whatever is there, it may hold keys: nothing is claimed over it.
@@ -113,7 +121,7 @@
 	 */
 	public List<ClaimEffect> written(String object, long version, long nowNanos) {
 		List<ClaimEffect> effects = new ArrayList<>();
-		Optional.ofNullable(this.shards.get(object)).ifPresent((shard) -> shard.written(version, effects));
+		Optional.ofNullable(this.shards.get(object)).ifPresent((shard) -> shard.written(version, nowNanos, effects));
 		effects.addAll(steps(nowNanos));
 		return effects;
 	}
@@ -148,7 +156,7 @@
 
 	private List<ClaimEffect> wish(ClaimKey key, ClaimWish wish, long nowNanos) {
 		ClaimShard shard = this.shards.computeIfAbsent(key.object(), ClaimShard::new);
-		shard.wish(wish);
+		shard.wish(wish, nowNanos);
 		if (wish instanceof ClaimWish.Claim claim && outage(key.object(), nowNanos)) {
 			// Known to be down a moment ago: this caller is told now, not after a
 			// timeout.
@@ -170,14 +178,20 @@
 		List<ClaimShard> ready = this.shards.values()
 			.stream()
 			.filter((shard) -> shard.rests() && shard.waiting() > 0)
+			.filter((shard) -> shard.urgent() || nowNanos - shard.waitingSinceNanos() >= SETTLE_NANOS)
 			.filter((shard) -> this.notBefore.getOrDefault(shard.object(), nowNanos) - nowNanos <= 0)
 			.sorted(Comparator.comparing(ClaimShard::urgent).thenComparing(ClaimShard::waiting).reversed())
 			.toList();
+		// A page is read to be written, so a read waits for the pace as well: pages read
+		// while no write may follow would be stale when it may.
+		double free = this.tokens - this.shards.values().stream().filter(ClaimShard::reads).count();
 		for (ClaimShard shard : ready) {
-			// Reads are several times as plentiful and need no pace.
-			if (shard.mustRead() || this.tokens >= 1) {
-				step(shard, effects);
+			if (free < 1) {
+				break;
 			}
+			free--;
+			shard.forgetBefore(nowNanos - FRESH_NANOS);
+			step(shard, effects);
 		}
 		forgetResting();
 		return effects;
