--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
@@ -157,16 +157,19 @@
 						exchange, body, this.port.view(), answer);
 				HangUpWatch.start(exchange, () -> this.port.gone(call.id()));
 				if (!this.port.submit(call)) {
+					this.port.turnedAway(ENTRY_FULL.name());
 					answer.refuse(Refusal.later(ENTRY_FULL.name(), ENTRY_FULL.summary(), FULL_MILLIS));
 				}
 			}
 			catch (CodedException ex) {
+				this.port.turnedAway(ex.code().name());
 				answer.refuse(bad(ex));
 			}
 		});
 	}
 
-	private static void answerNow(HttpServerExchange exchange, CallerAnswer answer, Refusal refusal) {
+	private void answerNow(HttpServerExchange exchange, CallerAnswer answer, Refusal refusal) {
+		this.port.turnedAway(refusal.code());
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> answer.refuse(refusal));
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/caller/FrontPort.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/FrontPort.java
@@ -15,6 +15,11 @@
 	 */
 	void gone(long id);
 
+	/**
+	 * Counts a request that was answered without being handed over.
+	 */
+	void turnedAway(String code);
+
 	/**
 	 * Returns what is known now.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/process/ClaimKeeper.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/ClaimKeeper.java
@@ -80,6 +80,8 @@
 
 	private Calls calls;
 
+	private volatile int unwritten;
+
 	ClaimKeeper(ClaimTable table, ClaimStore store, LongSupplier clock, LongSupplier wallMillis) {
 		this.table = table;
 		this.store = store;
@@ -95,14 +97,16 @@
 	}
 
 	/**
-	 * Returns how many changes are not in the platform yet.
+	 * Returns how many changes were not in the platform at the last tick; from any
+	 * thread.
 	 */
 	int unwritten() {
-		return this.table.unwritten();
+		return this.unwritten;
 	}
 
 	void tick() {
 		carryOut(this.table.tick(this.clock.getAsLong()));
+		this.unwritten = this.table.unwritten();
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryMetrics.java
@@ -94,6 +94,18 @@
 			.increment();
 	}
 
+	/**
+	 * Counts a request that was answered before it reached the event loop. From any
+	 * thread.
+	 */
+	void turnedAway(String code) {
+		Counter.builder("wisteriapost.entry.turned.away")
+			.description("Requests answered before they reached the event loop.")
+			.tag("code", code)
+			.register(this.registry)
+			.increment();
+	}
+
 	/**
 	 * Counts a call sent to a runner.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
@@ -81,6 +81,8 @@
 
 	private final List<AutoCloseable> open = new ArrayList<>();
 
+	private final EntryMetrics metrics;
+
 	private final EventLoop<EntryEvent> loop;
 
 	private final PeerLinks links;
@@ -99,7 +101,7 @@
 
 	private EntryProcess(Settings settings, Platform platform, Links transport) {
 		this.burn = BurnRecorder.of(ObjectiveSettings.read(settings));
-		EntryMetrics metrics = EntryMetrics.of(this.registry, this.burn);
+		this.metrics = EntryMetrics.of(this.registry, this.burn);
 		Identity identity = new Identity(CommonSettings.VM.get(settings), CommonSettings.PLACE.get(settings),
 				EntrySettings.KEEP_SECONDS.get(settings));
 		ClaimStore store = ClaimStore.of(platform, (reply) -> put(new EntryEvent.ClaimAnswered(reply)));
@@ -108,18 +110,20 @@
 				RandomSource.SPLIT_MIX_64.create(seed), System.nanoTime());
 		RequestMachine machine = RequestMachine.create(RequestPolicySettings.from(settings, identity.place()), seed,
 				this.invariants);
-		EntryParts parts = new EntryParts(machine,
-				new ClaimKeeper(table, store, System::nanoTime, System::currentTimeMillis), metrics, this.invariants,
-				System::nanoTime, EntrySettings.MAX_HELD_BYTES.get(settings));
+		ClaimKeeper claims = new ClaimKeeper(table, store, System::nanoTime, System::currentTimeMillis);
+		EntryParts parts = new EntryParts(machine, claims, this.metrics, this.invariants, System::nanoTime,
+				EntrySettings.MAX_HELD_BYTES.get(settings));
 		EntryState state = new EntryState(identity, this, parts);
 		this.loop = EventLoop.start("entry-loop", EntrySettings.RING_SIZE.get(settings).intValue(), state::apply);
 		this.links = PeerLinks.create(transport, this.timer, this);
 		this.bundles = BundleReader.of(platform);
-		metrics.gauge("wisteriapost.entry.requests.active", "Requests in progress.", this,
+		this.metrics.gauge("wisteriapost.entry.requests.active", "Requests in progress.", this,
 				(process) -> process.activeRequests());
-		metrics.gauge("wisteriapost.entry.bundle.generation", "Generation of the bundle in force here.", this,
+		this.metrics.gauge("wisteriapost.entry.bundle.generation", "Generation of the bundle in force here.", this,
 				(process) -> process.view.generation());
-		metrics.gauge("wisteriapost.invariant.violations", "Times a promise was found broken.", this.invariants,
+		this.metrics.gauge("wisteriapost.entry.claims.unwritten",
+				"Changes of idempotency keys not in the platform yet.", claims, ClaimKeeper::unwritten);
+		this.metrics.gauge("wisteriapost.invariant.violations", "Times a promise was found broken.", this.invariants,
 				(counts) -> counts.violations().values().stream().mapToLong(Long::longValue).sum());
 	}
 
@@ -194,6 +198,11 @@
 		put(new EntryEvent.CallerLeft(id));
 	}
 
+	@Override
+	public void turnedAway(String code) {
+		this.metrics.turnedAway(code);
+	}
+
 	@Override
 	public ServiceView view() {
 		return this.view;
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/membership/MembershipTests.java
@@ -0,0 +1,83 @@
+package org.wisteriapost.policy.membership;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+class MembershipTests {
+
+	private final Membership membership = Membership.of("n2", "p1");
+
+	@Test
+	void ownIsFirstThenItsPlaceThenTheOthers() {
+		fleet();
+		assertThat(named(false), contains("n2", "n3", "n4", "n1"));
+	}
+
+	@Test
+	void drainingEntryDoesNotNameItself() {
+		fleet();
+		assertThat(named(true), contains("n3", "n4", "n1"));
+	}
+
+	// The list still has an entry that died seconds ago. Its link is gone, so callers are
+	// not sent there.
+	@Test
+	void entryWithoutALinkIsNotNamed() {
+		fleet();
+		this.membership.linked("n3", false);
+		assertThat(named(false), contains("n2", "n4", "n1"));
+	}
+
+	@Test
+	void anyWordOfLeavingCounts() {
+		this.membership.list(List.of(entry("n1", "p2", true), entry("n2", "p1", false), entry("n3", "p1", false)));
+		this.membership.marks(Set.of("n3"));
+		this.membership.announced("e9");
+		assertThat(this.membership.leaving(), is(Set.of("n1", "n3", "e9")));
+		this.membership.marks(Set.of());
+		assertThat(this.membership.leaving(), is(Set.of("n1", "e9")));
+	}
+
+	// A VM leaves, drops out of the list, and another comes back under its name. What the
+	// first one said of itself does not keep the second from work.
+	@Test
+	void replacedVmIsNotLeaving() {
+		fleet();
+		this.membership.announced("n3");
+		this.membership.list(List.of(entry("n2", "p1", false)));
+		this.membership.list(List.of(entry("n2", "p1", false), entry("n3", "p1", false)));
+		assertThat(this.membership.leaving(), empty());
+	}
+
+	@Test
+	void answerIsBoundedInALargeFleet() {
+		List<Member> many = IntStream.range(0, 2300).mapToObj((i) -> entry("x" + i, "p" + i % 10, false)).toList();
+		this.membership.list(many);
+		many.forEach((member) -> this.membership.linked(member.vm(), true));
+		assertThat(named(false), hasSize(16));
+	}
+
+	private void fleet() {
+		this.membership.list(List.of(entry("n1", "p2", false), entry("n2", "p1", false), entry("n3", "p1", false),
+				entry("n4", "p2", false), new Member("e1", "p1", false, "lm", "127.0.0.9", 1, 0, false)));
+		List.of("n1", "n3", "n4").forEach((vm) -> this.membership.linked(vm, true));
+	}
+
+	private List<String> named(boolean draining) {
+		return this.membership.entries(draining).stream().map(Member::vm).toList();
+	}
+
+	private static Member entry(String vm, String place, boolean leaving) {
+		return new Member(vm, place, true, "", "127.0.0.1", 1, 2, leaving);
+	}
+
+}
