Transfer: the last chunks are announced with the end of the fetch

What a VM stored within its last announcement interval was never announced, since a fetch that is whole hears no more ticks; a neighbour without those chunks waited for their readers and then for the origin.

--- a/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
@@ -141,6 +141,7 @@
 		var waiting = early.transfer.fetch(List.of(this.model));
 		second.transfer.peers(listed());
 		second.transfer.fetch(List.of(this.model)).get(60, TimeUnit.SECONDS);
+		assertThat(early.transfer.progress().verified(), is(0L));
 		early.transfer.peers(listed());
 		waiting.get(60, TimeUnit.SECONDS);
 		assertThat(this.origin.reads(), is(CHUNKS));
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -373,7 +373,10 @@
 	// Bounded in rate: 810 VMs that told each of their neighbours of every piece at once
 	// would spend more on the telling than control may cost.
 	private void announce(long now, List<TransferEffect> effects) {
-		boolean due = now - this.announcedAt >= this.limits.announceInterval().toNanos();
+		// The last pieces are told at once: this fetch ends here, and a neighbour that
+		// never
+		// heard of them would wait for their reader.
+		boolean due = this.complete || now - this.announcedAt >= this.limits.announceInterval().toNanos();
 		if (due && this.holdings.news()) {
 			this.announcedAt = now;
 			effects.add(new TransferEffect.Announce(this.holdings.takeNews()));
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -172,7 +172,8 @@
 		BitSet one = new BitSet();
 		one.set(23);
 		int piece = requests(apply(new TransferEvent.PeerHolds(OTHER.vm(), one)), OTHER).getFirst();
-		apply(new TransferEvent.Refused(piece, OTHER.vm(), false));
+		List<TransferEffect> effects = apply(new TransferEvent.Refused(piece, OTHER.vm(), false));
+		assertThat(effects, not(hasItem(new TransferEffect.Request(OTHER.vm(), piece))));
 		this.now += DEADLINE;
 		assertThat(apply(new TransferEvent.Tick()), not(hasItem(new TransferEffect.Request(OTHER.vm(), piece))));
 	}
@@ -236,6 +237,18 @@
 		assertThat(apply(new TransferEvent.Tick()), hasItem(instanceOf(TransferEffect.Announce.class)));
 	}
 
+	@Test
+	void lastPiecesAreAnnouncedWithTheEndOfTheFetch() {
+		apply(new TransferEvent.PeersSeen(List.of()));
+		BitSet held = new BitSet();
+		held.set(0, this.pieces.count() - 1);
+		int last = reads(apply(new TransferEvent.Held(held))).getFirst();
+		apply(new TransferEvent.Verified(last, TransferMachine.ORIGIN));
+		List<TransferEffect> effects = apply(new TransferEvent.Stored(last));
+		assertThat(effects, hasItem(new TransferEffect.Complete()));
+		assertThat(effects, hasItem(instanceOf(TransferEffect.Announce.class)));
+	}
+
 	private BitSet readAll(List<TransferEffect> effects) {
 		BitSet read = new BitSet();
 		List<Integer> open = new ArrayList<>(reads(effects));
