--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -74,6 +74,8 @@
 
 	private long startedAt;
 
+	private long tickedAt;
+
 	private boolean ended;
 
 	private boolean complete;
@@ -282,6 +284,10 @@
 	private void tick(long now, List<TransferEffect> effects) {
 		this.neighbours.tick(now, effects);
 		long limit = this.deadline.nanos();
+		if (now - this.tickedAt > limit / 2) {
+			excuse(now);
+		}
+		this.tickedAt = now;
 		for (PeerState peer : this.neighbours.all()) {
 			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
 			if (late) {
@@ -301,6 +307,13 @@
 		}
 	}
 
+	// A process that was paused finds all its requests late at once. Taken for silence of
+	// its peers, that would make it pass over all of them and turn to the origin.
+	private void excuse(long now) {
+		this.neighbours.all().forEach((peer) -> peer.asks().replaceAll((piece, askedAt) -> now));
+		this.origin.news(now);
+	}
+
 	// An origin read may hang for longer than it takes a peer to come by the same piece.
 	private void reopenIfHeld(int piece, boolean late) {
 		if (late && this.neighbours.askedOf(piece) == 0 && this.choice.holders(piece) > 0) {
