--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -70,6 +70,10 @@
 
 	private boolean started;
 
+	private boolean informed;
+
+	private long startedAt;
+
 	private boolean ended;
 
 	private boolean complete;
@@ -168,6 +172,7 @@
 
 	private void start(BitSet held, long now, List<TransferEffect> effects) {
 		this.started = true;
+		this.startedAt = now;
 		this.origin.news(now);
 		this.holdings.found(held);
 		held.stream().forEach((piece) -> copy(piece, effects));
@@ -288,9 +293,11 @@
 			}
 		}
 		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
-		this.origin.tick(this.holdings.open(), now, limit);
-		if (this.limits.hedge() && !this.ended) {
-			hedge(now, effects);
+		// Before the start there is no news to miss: taken for a stall, it would make
+		// every
+		// VM read what others are to read.
+		if (this.started) {
+			this.origin.tick(this.holdings.open(), now, limit);
 		}
 	}
 
@@ -301,20 +308,6 @@
 		}
 	}
 
-	private void hedge(long now, List<TransferEffect> effects) {
-		long limit = this.deadline.hedgeNanos();
-		for (PeerState peer : List.copyOf(this.neighbours.all())) {
-			for (Map.Entry<Integer, Long> ask : Map.copyOf(peer.asks()).entrySet()) {
-				boolean single = this.neighbours.askedOf(ask.getKey()) == 1;
-				if (single && this.holdings.missing(ask.getKey()) && now - ask.getValue() > limit
-						&& this.pacer.delayNanos(now) == 0) {
-					this.choice.second(ask.getKey(), this.neighbours.all(), now)
-						.ifPresent((second) -> ask(second, ask.getKey(), now, effects));
-				}
-			}
-		}
-	}
-
 	private void rank(long now) {
 		Set<String> current = this.neighbours.failing(now);
 		if (!current.equals(this.failing)) {
@@ -341,8 +334,21 @@
 		}
 	}
 
+	// A VM that joins late, or again after a restart, would read its share of the origin
+	// though its neighbours hold it all. So it first hears what they hold; a neighbour
+	// that
+	// is silent holds it up for no longer than the deadline.
+	private boolean informed(long now) {
+		if (!this.informed) {
+			this.informed = this.neighbours.greeted()
+					|| now - this.startedAt > this.limits.progressDeadline().toNanos();
+		}
+		return this.informed;
+	}
+
 	private OptionalInt nextRead(long now) {
-		if (this.pacer.delayNanos(now) > 0 || this.holdings.beingStored() >= this.limits.outstanding()) {
+		if (!informed(now) || this.pacer.delayNanos(now) > 0
+				|| this.holdings.beingStored() >= this.limits.outstanding()) {
 			return OptionalInt.empty();
 		}
 		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
