--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
@@ -110,16 +110,9 @@
 				RandomSource.SPLIT_MIX_64.create(seed), System.nanoTime());
 		RequestMachine machine = RequestMachine.create(RequestPolicySettings.from(settings, identity.place()), seed,
 				this.invariants);
-<<<<<<< HEAD
-		EntryWiring wiring = new EntryWiring(machine, table, store, metrics, this.invariants, System::nanoTime,
+		EntryWiring wiring = new EntryWiring(machine, table, store, this.metrics, this.invariants, System::nanoTime,
 				System::currentTimeMillis, EntrySettings.MAX_HELD_BYTES.get(settings));
 		EntryState state = EntryState.create(identity, this, wiring);
-=======
-		ClaimKeeper claims = new ClaimKeeper(table, store, System::nanoTime, System::currentTimeMillis);
-		EntryParts parts = new EntryParts(machine, claims, this.metrics, this.invariants, System::nanoTime,
-				EntrySettings.MAX_HELD_BYTES.get(settings));
-		EntryState state = new EntryState(identity, this, parts);
->>>>>>> refs/heads/entry
 		this.loop = EventLoop.start("entry-loop", EntrySettings.RING_SIZE.get(settings).intValue(), state::apply);
 		this.links = PeerLinks.create(transport, this.timer, this);
 		this.bundles = BundleReader.of(platform);
@@ -128,7 +121,7 @@
 		this.metrics.gauge("wisteriapost.entry.bundle.generation", "Generation of the bundle in force here.", this,
 				(process) -> process.view.generation());
 		this.metrics.gauge("wisteriapost.entry.claims.unwritten",
-				"Changes of idempotency keys not in the platform yet.", claims, ClaimKeeper::unwritten);
+				"Changes of idempotency keys not in the platform yet.", state, EntryState::unwrittenClaims);
 		this.metrics.gauge("wisteriapost.invariant.violations", "Times a promise was found broken.", this.invariants,
 				(counts) -> counts.violations().values().stream().mapToLong(Long::longValue).sum());
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -98,6 +98,13 @@
 		return this.calls.size();
 	}
 
+	/**
+	 * Returns how many changes of idempotency keys are not in the platform yet.
+	 */
+	int unwrittenClaims() {
+		return this.claims.unwritten();
+	}
+
 	/**
 	 * Applies one event.
 	 */
