Agent: a switching slot of a VM that died holds up nobody; a late no to a bundle is no failure

Ruled out: the fetch (it had ended), the lease (held). Change: holders that are in no list are dropped before they are counted. After: vm-24 switches.

--- a/policy/src/main/java/org/wisteriapost/policy/agent/BundleIntake.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/BundleIntake.java
@@ -117,7 +117,8 @@
 	}
 
 	void missing(String digest, Turn turn) {
-		if (digest.equals(this.wanted)) {
+		// Of two sources asked, one may say no after the other gave the bundle.
+		if (this.fetching && digest.equals(this.wanted)) {
 			this.fetching = false;
 			fail(MISSING, turn);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/agent/SlotHolder.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/SlotHolder.java
@@ -162,7 +162,10 @@
 			this.lookAt = turn.now() + this.limits.slotExpiry().toNanos() / 3;
 			return;
 		}
-		SwitchSlots others = slots.without(this.self.vm());
+		// Cleaned before it is counted: a VM that died while switching is in no list any
+		// more,
+		// and as one of the lost it would hold up a small place for good.
+		SwitchSlots others = cleaned(slots.without(this.self.vm()), turn.now());
 		int lost = (int) others.holders().stream().filter((one) -> lost(one, turn.now())).count();
 		int limit = SwitchLimit.of(this.vms.size(), lost, this.minReady, this.limits.share());
 		if (!this.unready && others.holders().size() - lost >= limit) {
@@ -170,7 +173,7 @@
 			this.lookAt = turn.now() + pace / 2 + this.random.nextLong(pace);
 			return;
 		}
-		write(cleaned(others, turn.now()).with(own()), version, turn);
+		write(others.with(own()), version, turn);
 	}
 
 	private void drop(SwitchSlots slots, long version, Turn turn) {
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakWorld.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakWorld.java
@@ -259,8 +259,9 @@
 		for (SoakVm vm : this.vms.values()) {
 			boolean right = vm.view().generation() == head.generation() && vm.view().admitting()
 					&& (vm.self().plain() || vm.runner().serving().equals(weights(head)));
-			this.invariants.holds(right, "in-force-everywhere", vm.name() + " " + vm.view().generation() + " of "
-					+ head.generation() + " " + vm.view().failing() + " admitting " + vm.view().admitting());
+			this.invariants.holds(right, "in-force-everywhere",
+					vm.name() + " " + vm.view().generation() + " of " + head.generation() + " " + vm.view() + " runner "
+							+ vm.runner().view() + " weights " + weights(head));
 		}
 		for (SoakEntry entry : this.entries.values()) {
 			this.invariants.holds(entry.view().generation() == head.generation(), "in-force-everywhere",
