--- a/agent/src/main/java/org/wisteriapost/agent/AgentProcess.java
+++ b/agent/src/main/java/org/wisteriapost/agent/AgentProcess.java
@@ -190,6 +190,7 @@
 			case AgentEffect.WriteObject write -> this.platform.write(write);
 			case AgentEffect.FetchBundle bundle -> this.bundles.fetch(bundle.digest());
 			case AgentEffect.FetchWeights weights -> fetch(weights);
+			case AgentEffect.DropWeights drop -> drop.files().forEach(this::drop);
 			case AgentEffect.ReadEngine read -> this.engine.read();
 			case AgentEffect.SendOrder order -> this.engine.order(order);
 			case AgentEffect.StartCall call -> this.calls.start(call.call());
@@ -206,6 +207,13 @@
 		}
 	}
 
+	private void drop(String file) {
+		this.outside.store().drop(file).exceptionally((failure) -> {
+			LOG.log(Level.WARNING, "weights-not-dropped: " + file + ": " + failure.getMessage());
+			return null;
+		});
+	}
+
 	private void fetch(AgentEffect.FetchWeights weights) {
 		this.fetch.cancel(false);
 		LOG.log(Level.INFO, "fetch-started: weights " + weights.weightsDigest());
--- a/policy/src/main/java/org/wisteriapost/policy/agent/AgentEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/AgentEffect.java
@@ -59,6 +59,14 @@
 	record FetchWeights(String weightsDigest, List<WeightFile> files) implements AgentEffect {
 	}
 
+	/**
+	 * Drop files from the weight store that the bundle in force does not name.
+	 *
+	 * @param files digests
+	 */
+	record DropWeights(List<String> files) implements AgentEffect {
+	}
+
 	/** Ask the engine what it serves. */
 	record ReadEngine() implements AgentEffect {
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/agent/AgentMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/AgentMachine.java
@@ -132,7 +132,8 @@
 			case AgentEvent.BundleArrived arrived -> this.intake.arrived(arrived, this.head, turn);
 			case AgentEvent.BundleMissing missing -> this.intake.missing(missing.digest(), turn);
 			case AgentEvent.WeightsFetched fetched -> this.weights.fetched(fetched.weightsDigest());
-			case AgentEvent.WeightsFailed failed -> this.weights.fetchFailed(failed.weightsDigest(), failed.code());
+			case AgentEvent.WeightsFailed failed ->
+				this.weights.fetchFailed(failed.weightsDigest(), failed.code(), turn);
 			case AgentEvent.FetchProgress progress -> progress(progress);
 			case AgentEvent.ObjectRead read -> read(read, turn);
 			case AgentEvent.ObjectUnread unread -> unread(unread.key(), turn);
--- a/policy/src/main/java/org/wisteriapost/policy/agent/WeightSwitch.java
+++ b/policy/src/main/java/org/wisteriapost/policy/agent/WeightSwitch.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.agent;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -32,6 +33,9 @@
 
 	private static final long LOAD_NANOS = 900_000_000L;
 
+	// A version that is gone from the origin may still come from a peer, or come back.
+	private static final long REFETCH_NANOS = 10_000_000_000L;
+
 	private static final long PATIENCE_NANOS = 3_000_000_000L;
 
 	// One lost answer is no reason to turn calls away; three seconds of silence are.
@@ -77,8 +81,12 @@
 
 	private String fetchFailing = "";
 
+	private long refetchAt;
+
 	private String orderFailing = "";
 
+	private List<String> stored = List.of();
+
 	private String ordered = "";
 
 	private long orderedGeneration;
@@ -167,9 +175,10 @@
 		}
 	}
 
-	void fetchFailed(String weightsDigest, String code) {
+	void fetchFailed(String weightsDigest, String code, Turn turn) {
 		if (weightsDigest.equals(this.fetching)) {
 			this.fetchFailing = code;
+			this.refetchAt = turn.now() + REFETCH_NANOS;
 		}
 	}
 
@@ -221,7 +230,12 @@
 	}
 
 	private void towards(AcceptedBundle target, EngineView view, int running, Turn turn) {
-		if (target.spec().isEmpty() || serving().equals(target.weightsDigest())) {
+		if (target.spec().isEmpty()) {
+			settle(turn);
+			return;
+		}
+		if (serving().equals(target.weightsDigest())) {
+			dropOthers(target, turn);
 			settle(turn);
 			return;
 		}
@@ -267,8 +281,22 @@
 		this.slots.release(turn);
 	}
 
+	/**
+	 * Drops the files that served before. Only here: until the new weights are read back
+	 * from the engine, the old ones are all that callers can be answered from.
+	 */
+	private void dropOthers(AcceptedBundle target, Turn turn) {
+		List<String> needed = target.files().stream().map(WeightFile::digest).toList();
+		List<String> unneeded = this.stored.stream().filter((file) -> !needed.contains(file)).toList();
+		this.stored = needed;
+		if (!unneeded.isEmpty()) {
+			turn.add(new AgentEffect.DropWeights(unneeded));
+		}
+	}
+
 	private boolean hasFetched(AcceptedBundle target, Turn turn) {
-		if (!target.weightsDigest().equals(this.fetching)) {
+		boolean again = !this.fetchFailing.isEmpty() && turn.now() >= this.refetchAt;
+		if (again || !target.weightsDigest().equals(this.fetching)) {
 			this.fetching = target.weightsDigest();
 			this.fetched = "";
 			this.fetchFailing = "";
--- a/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
@@ -39,6 +39,21 @@
 		assertThat(this.engine.taken(), hasSize(1));
 	}
 
+	@Test
+	void oldWeightsAreDroppedOnlyWhenTheNewOnesServe() {
+		this.world.roll(1, "a");
+		SimAgent agent = this.world.start("vm-1", this.engine);
+		serves(agent, 1);
+		agent.hear(call(1, this.world.weights(1)));
+		agent.hear(AgentWorld.fresh(this.world.roll(2, "b")));
+		this.world.run(20 * AgentWorld.SECOND);
+		assertThat(agent.dropped(), is(empty()));
+		agent.endCall(1);
+		assertThat(serves(agent, 2), is(true));
+		this.world.run(2 * AgentWorld.SECOND);
+		assertThat(agent.dropped(), hasSize(1));
+	}
+
 	// A neighbour that was cut off comes back and tells an older head as fresh. The VM
 	// has served the newer one; callers must not get the older weights again.
 	@Test
--- a/policy/src/test/java/org/wisteriapost/policy/agent/SimAgent.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/SimAgent.java
@@ -23,6 +23,8 @@
 
 	private final Set<String> fetched = new LinkedHashSet<>();
 
+	private final Set<String> dropped = new LinkedHashSet<>();
+
 	private boolean paused;
 
 	private boolean dead;
@@ -51,6 +53,10 @@
 		return this.fetched;
 	}
 
+	Set<String> dropped() {
+		return this.dropped;
+	}
+
 	Optional<String> stopped() {
 		return this.stopped;
 	}
@@ -96,6 +102,7 @@
 				this.world.after(this.world.fetchNanos(),
 						() -> hear(new AgentEvent.WeightsFetched(weights.weightsDigest())));
 			}
+			case AgentEffect.DropWeights drop -> this.dropped.addAll(drop.files());
 			case AgentEffect.ReadEngine read -> this.world.soon(() -> {
 				EngineView view = this.engine.view();
 				this.world.soon(() -> hear(new AgentEvent.EngineRead(view)));
