--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
@@ -123,6 +123,7 @@
 	private void read(HttpServerExchange exchange, CallerAnswer answer, java.util.function.Consumer<byte[]> next) {
 		XnioExecutor.Key timer = exchange.getIoThread()
 			.executeAfter(() -> tooSlow(exchange, answer), this.limits.bodyTimeout().toMillis(), TimeUnit.MILLISECONDS);
+		exchange.getRequestReceiver().setMaxBufferSize(this.limits.bodyBytes());
 		exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
 			timer.remove();
 			next.accept(body);
@@ -156,16 +157,19 @@
 						exchange, body, this.port.view(), answer);
 				HangUpWatch.start(exchange, () -> this.port.gone(call.id()));
 				if (!this.port.submit(call)) {
+					this.port.turnedAway(ENTRY_FULL.name());
 					answer.refuse(Refusal.later(ENTRY_FULL.name(), ENTRY_FULL.summary(), FULL_MILLIS));
 				}
 			}
 			catch (CodedException ex) {
+				this.port.turnedAway(ex.code().name());
 				answer.refuse(bad(ex));
 			}
 		});
 	}
 
-	private static void answerNow(HttpServerExchange exchange, CallerAnswer answer, Refusal refusal) {
+	private void answerNow(HttpServerExchange exchange, CallerAnswer answer, Refusal refusal) {
+		this.port.turnedAway(refusal.code());
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> answer.refuse(refusal));
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
@@ -11,6 +11,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.policy.request.GateCodes;
 import org.wisteriapost.policy.request.Request;
 import org.wisteriapost.policy.request.RequestEffect;
 import org.wisteriapost.policy.request.RequestEvent;
@@ -220,17 +221,21 @@
 			return;
 		}
 		if (runner.full()) {
-			if (this.entries.get(call.caller().entry).gated()) {
-				this.result.countGateRefusal();
-				failed(call, runner, true, "over-capacity", GATE_RETRY_MILLIS);
-				return;
-			}
-			runner.waiting.addLast(call);
+			await(runner, call);
 			return;
 		}
 		begin(runner, call);
 	}
 
+	private void await(RunnerSim runner, RunnerSim.Call call) {
+		boolean gated = this.entries.get(call.caller().entry).gated();
+		runner.waiting.addLast(call);
+		if (gated && runner.waiting.size() > this.profile.gateQueue()) {
+			this.result.countGateRefusal();
+			failed(runner.pushOut(), runner, true, GateCodes.FULL.name(), GATE_RETRY_MILLIS);
+		}
+	}
+
 	private void begin(RunnerSim runner, RunnerSim.Call call) {
 		Caller caller = call.caller();
 		runner.running.put(caller.request.id(), call);
@@ -296,7 +301,7 @@
 
 	private void next(RunnerSim runner) {
 		if (!runner.full() && !runner.waiting.isEmpty()) {
-			begin(runner, runner.waiting.pollFirst());
+			begin(runner, runner.nextWaiting(this.entries.getFirst().gated()));
 		}
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/sim/RunnerSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/RunnerSim.java
@@ -36,6 +36,34 @@
 		return this.running.size() >= this.slots;
 	}
 
+	/**
+	 * Takes the next waiting call: the most urgent at a gate, the first without one.
+	 */
+	Call nextWaiting(boolean gated) {
+		Call next = this.waiting.peekFirst();
+		for (Call call : this.waiting) {
+			if (gated && call.caller().request.priority().compareTo(next.caller().request.priority()) < 0) {
+				next = call;
+			}
+		}
+		this.waiting.remove(next);
+		return next;
+	}
+
+	/**
+	 * Takes the newest of the least urgent calls out of a gate's queue.
+	 */
+	Call pushOut() {
+		Call out = this.waiting.peekLast();
+		for (Call call : this.waiting.reversed()) {
+			if (call.caller().request.priority().compareTo(out.caller().request.priority()) > 0) {
+				out = call;
+			}
+		}
+		this.waiting.remove(out);
+		return out;
+	}
+
 	double slowness() {
 		return (this.state == LoadProfile.Fault.Kind.SLOW) ? 10 : 1;
 	}
