--- a/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
@@ -1,5 +1,7 @@
 package org.wisteriapost.entry;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +14,7 @@
 import org.wisteriapost.protocol.CallerHeaders;
 import org.wisteriapost.protocol.http.HttpReply;
 import org.wisteriapost.protocol.wire.Call;
+import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.Outcome;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -139,6 +142,27 @@
 			.anyMatch((frame) -> frame.hasCallCancel() && frame.getCallCancel().getId() == call.getId()));
 	}
 
+	// A phone stops reading in the middle of a stream. What waits for it is bounded: past
+	// the bound it is cut and its call cancelled, and others are answered as before.
+	@Test
+	void callerThatDoesNotReadIsCut() throws Exception {
+		this.bench.model().answers((link, call) -> {
+			FakeAgent.send(link, FakeAgent.started(call, call.getWeightsDigest()));
+			for (int i = 0; i < 100; i++) {
+				FakeAgent.send(link, FakeAgent.data(call, "x".repeat(200_000)));
+			}
+		});
+		String body = "{\"model\":\"lm\",\"stream\":true,\"messages\":[]}";
+		try (Socket socket = new Socket("127.0.0.1", this.bench.entry().httpPort())) {
+			socket.getOutputStream()
+				.write(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryBench.TOKEN
+						+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+					.getBytes(StandardCharsets.US_ASCII));
+			EntryBench.await(() -> this.bench.model().others().stream().anyMatch(Frame::hasCallCancel));
+			assertThat(this.bench.call("GET", "/services/registry/x", "").join().status(), is(200));
+		}
+	}
+
 	@Test
 	void lostLinkAnswersItsCallsAndComesBack() {
 		this.bench.plain().answers((link, call) -> link.close());
