Entry: the hang-up test no longer passes by the deadline

Cause: with the watch taken out the test still passed, since the request's deadline cancelled the call within the test's patience. Change: a deadline past it.

--- a/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
@@ -126,14 +126,16 @@
 	}
 
 	// A caller hangs up while its stream runs. The runner is told at once, so that it
-	// stops working for no one.
+	// stops working for no one. The deadline is past the test's patience, so that it is
+	// not
+	// the deadline that cancels.
 	@Test
 	void hangingUpCancelsTheCall() throws InterruptedException {
 		this.bench.model().answers((link, call) -> {
 			FakeAgent.send(link, FakeAgent.started(call, call.getWeightsDigest()));
 			FakeAgent.send(link, FakeAgent.data(call, "first"));
 		});
-		CompletableFuture<HttpReply> reply = this.bench.chat("x", true);
+		CompletableFuture<HttpReply> reply = this.bench.chat("x", true, CallerHeaders.DEADLINE, "120000");
 		Call call = this.bench.model().calls().poll(20, TimeUnit.SECONDS);
 		reply.cancel(true);
 		EntryBench.await(() -> this.bench.model()
