--- a/policy/src/test/java/org/wisteriapost/policy/request/DispatchTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/request/DispatchTests.java
@@ -61,6 +61,27 @@
 		assertThat(this.invariants.violations(), is(Map.of("one-final-answer", 1L)));
 	}
 
+	@Test
+	void answerThatHasBegunIsNeverCalledNotRun() {
+		Fixture fixture = Fixture.of("runner-0", "runner-1");
+		RequestEffect.Dispatch sent = (RequestEffect.Dispatch) fixture.arrive(1).getFirst();
+		fixture.apply(new RequestEvent.Started(1));
+		assertThat(fixture.fail(1, sent.runner(), true), is(List.of(new RequestEffect.GiveUp(1, "answer-cut"))));
+		assertThat(fixture.machine.violations(), is(Map.of("not-run-after-start", 1L)));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1, true, true", "2, true, false", "2, false, true" })
+	void longWorkLeavesSlotsWhileShortWorkComes(int longInFlight, boolean shortComes, boolean allowed) {
+		ServiceState service = new ServiceState(RequestPolicySettings.defaults());
+		service.pool.countSlots(new RunnerState(Fixture.view("runner-0", 4)), 4);
+		service.pool.countInFlight(longInFlight, true);
+		if (shortComes) {
+			service.admitted(flight(true).request, 0);
+		}
+		assertThat(service.longAllowed(1), is(allowed));
+	}
+
 	private static Flight flight(boolean idempotent) {
 		return new Flight(new Request(1, "org-0", Fixture.SERVICE, Priority.NORMAL, 1, idempotent, 0, 1));
 	}
