--- a/agent/src/test/java/org/wisteriapost/agent/FakeEntry.java
+++ b/agent/src/test/java/org/wisteriapost/agent/FakeEntry.java
@@ -90,9 +90,10 @@
 	 * Returns the next frame that matches; others are dropped.
 	 */
 	Frame next(Predicate<Frame> matches) {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONG_SECONDS);
 		try {
 			while (true) {
-				Frame frame = this.frames.poll(LONG_SECONDS, TimeUnit.SECONDS);
+				Frame frame = this.frames.poll(end - System.nanoTime(), TimeUnit.NANOSECONDS);
 				if (frame == null) {
 					throw new AssertionError("no such frame came");
 				}
