--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakVm.java
@@ -238,6 +238,8 @@
 			case AgentEffect.CancelCall cancel -> this.time.after(0, () -> this.runner.cancel(cancel.call()));
 			case AgentEffect.ReportNow report -> this.time.after(0, () -> step(this::report));
 			case AgentEffect.SayLeaving leaving -> this.time.after(0, () -> step(this::sayLeaving));
+			case AgentEffect.DropWeights drop -> {
+			}
 			case AgentEffect.SlowTransfer slow -> {
 			}
 			case AgentEffect.Stop stop -> this.time.after(0, () -> stopped(stop.code()));
