--- a/standin/src/test/java/org/wisteriapost/standin/soak/SoakTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/soak/SoakTests.java
@@ -14,8 +14,10 @@
  */
 class SoakTests {
 
-	// Callers, operators and faults of every kind at once, two at a time now and then. Seeds
-	// 1, 3, 7 and 21 have shown: a place left without a switching slot by a VM that died, a late
+	// Callers, operators and faults of every kind at once, two at a time now and then.
+	// Seeds
+	// 1, 3, 7 and 21 have shown: a place left without a switching slot by a VM that died,
+	// a late
 	// no to a bundle taken for a failure, and a failed fetch that was not tried again.
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 3, 7, 21 })
