--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimShard.java
@@ -90,6 +90,13 @@
 		return this.reading;
 	}
 
+	/**
+	 * Returns whether the page was last seen at a time or after it.
+	 */
+	boolean knownSince(long nanos) {
+		return this.known.isPresent() && this.knownNanos - nanos >= 0;
+	}
+
 	/**
 	 * Forgets the page when it was last seen before a time, so that it is read again.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/claim/ClaimTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/claim/ClaimTable.java
@@ -180,7 +180,16 @@
 			.filter((shard) -> shard.rests() && shard.waiting() > 0)
 			.filter((shard) -> shard.urgent() || nowNanos - shard.waitingSinceNanos() >= SETTLE_NANOS)
 			.filter((shard) -> this.notBefore.getOrDefault(shard.object(), nowNanos) - nowNanos <= 0)
-			.sorted(Comparator.comparing(ClaimShard::urgent).thenComparing(ClaimShard::waiting).reversed())
+			// What was read is written before anything else is read. After an outage each
+			// of
+			// some hundred pages has something to write; were they taken by urgency
+			// alone,
+			// a page would be stale again before its turn to be written came, and be read
+			// over and over as fast as the platform answers.
+			.sorted(Comparator.comparing((ClaimShard shard) -> shard.knownSince(nowNanos - FRESH_NANOS))
+				.thenComparing(ClaimShard::urgent)
+				.thenComparing(ClaimShard::waiting)
+				.reversed())
 			.toList();
 		// A page is read to be written, so a read waits for the pace as well: pages read
 		// while no write may follow would be stale when it may.
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakEntry.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakEntry.java
@@ -1,7 +1,7 @@
 package org.wisteriapost.standin.soak;
 
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -50,9 +50,9 @@
 
 	private final LockstepLoop<EntryEvent> loop;
 
-	private final Map<String, SoakLink> byVm = new HashMap<>();
+	private final Map<String, SoakLink> byVm = new LinkedHashMap<>();
 
-	private final Set<SoakAnswer> open = new HashSet<>();
+	private final Set<SoakAnswer> open = new LinkedHashSet<>();
 
 	private ServiceView view = ServiceView.EMPTY;
 
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakVm.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -51,9 +52,9 @@
 
 	private final AgentMachine machine;
 
-	private final Map<Long, SoakCall> calls = new HashMap<>();
+	private final Map<Long, SoakCall> calls = new LinkedHashMap<>();
 
-	private final Map<SoakLink.Side, Boolean> entries = new HashMap<>();
+	private final Map<SoakLink.Side, Boolean> entries = new LinkedHashMap<>();
 
 	private long lastCall;
 
@@ -94,8 +95,11 @@
 	@Override
 	void leave() {
 		super.leave();
-		this.leavingSince = this.time.now();
-		hear(new AgentEvent.LeaveAsked());
+		// A frozen process hears its signal when it goes on.
+		step(() -> {
+			this.leavingSince = this.time.now();
+			this.loop.apply(new AgentEvent.LeaveAsked());
+		});
 	}
 
 	/**
