--- a/operator/src/main/java/org/wisteriapost/operator/Surroundings.java
+++ b/operator/src/main/java/org/wisteriapost/operator/Surroundings.java
@@ -17,6 +17,7 @@
 import org.wisteriapost.protocol.outside.OutsideProvider;
 import org.wisteriapost.protocol.outside.OutsideProviders;
 import org.wisteriapost.protocol.outside.Platform;
+import org.wisteriapost.protocol.outside.VmList;
 
 /**
  * The outside systems as an operator's settings name them.
@@ -65,6 +66,13 @@
 		return this.provider.origin(this.caller, address(CommonSettings.ORIGIN));
 	}
 
+	/**
+	 * Returns the VM list.
+	 */
+	public VmList vmList() {
+		return this.provider.vmList(this.caller, address(CommonSettings.VM_LIST));
+	}
+
 	/**
 	 * Returns the configured operators' public keys by name.
 	 */
--- a/operator/src/main/java/org/wisteriapost/operator/bundle/PlaceProgress.java
+++ b/operator/src/main/java/org/wisteriapost/operator/bundle/PlaceProgress.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
@@ -27,15 +28,16 @@
 
 	/**
 	 * Returns the progress of every service and place of a bundle, in its order.
+	 * @param staying the VMs that are there and not about to go
 	 */
-	static List<PlaceProgress> of(Head head, Bundle bundle, List<VmStatus> statuses) {
+	static List<PlaceProgress> of(Head head, Bundle bundle, List<VmStatus> statuses, Set<String> staying) {
 		List<PlaceProgress> all = new ArrayList<>();
 		for (ServiceSpec spec : bundle.services()) {
 			String weights = bundle.weightsDigest(spec);
 			for (String place : spec.places()) {
 				List<VmStatus> here = statuses.stream()
 					.filter((vm) -> vm.service().equals(spec.name()) && vm.place().equals(place))
-					.filter((vm) -> spec.runsOn(vm.vm(), place))
+					.filter((vm) -> spec.runsOn(vm.vm(), place) && staying.contains(vm.vm()))
 					.toList();
 				all.add(of(head, spec.name(), place, weights, here));
 			}
--- a/operator/src/main/java/org/wisteriapost/operator/bundle/StatusCommand.java
+++ b/operator/src/main/java/org/wisteriapost/operator/bundle/StatusCommand.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.time.Instant;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.wisteriapost.kernel.command.Command;
 import org.wisteriapost.kernel.command.ExitCodes;
@@ -10,6 +12,7 @@
 import org.wisteriapost.operator.Surroundings;
 import org.wisteriapost.policy.bundle.Bundle;
 import org.wisteriapost.policy.bundle.Head;
+import org.wisteriapost.protocol.outside.VmList;
 
 /**
  * {@code bundle status}: shows the head and how far each place is with it.
@@ -45,7 +48,7 @@
 				return ExitCodes.OK;
 			}
 			Bundle bundle = store.bundle(head.digest());
-			List<PlaceProgress> progress = PlaceProgress.of(head, bundle, store.statuses());
+			List<PlaceProgress> progress = PlaceProgress.of(head, bundle, store.statuses(), staying(surroundings));
 			out.printf("generation %d %s %s by %s at %s%n", head.generation(), bundle.name(), bundle.version(),
 					head.author(), Instant.ofEpochMilli(head.atMillis()));
 			progress.forEach((one) -> out.println("  " + one));
@@ -59,6 +62,16 @@
 		}
 	}
 
+	// What a VM that is gone last said of itself stays in the platform; counted, it would
+	// keep a place from ever being done.
+	private static Set<String> staying(Surroundings surroundings) {
+		return Surroundings.await(surroundings.vmList().read())
+			.stream()
+			.filter((vm) -> !vm.leaving())
+			.map(VmList.Vm::vm)
+			.collect(Collectors.toSet());
+	}
+
 	private static boolean pause() {
 		try {
 			Thread.sleep(WATCH_PAUSE_MILLIS);
