Burn page: no empty plots

Cause: with nothing spent the plots were empty frames (seen in a picture of the page after the demo). Change: plots only where something was spent. Test seen to fail before: objectiveThatNothingWasSpentOnHasNoPlots.

--- a/operator/src/main/java/org/wisteriapost/operator/report/BurnPage.java
+++ b/operator/src/main/java/org/wisteriapost/operator/report/BurnPage.java
@@ -65,7 +65,7 @@
 							line.objective().latencyMillis(), (line.budgetSpent() > 1) ? "over" : "",
 							BurnText.percent(line.budgetSpent())));
 		table(line, page);
-		if (line.spans().getLast().counts().total() > 0) {
+		if (line.spans().getLast().counts().bad() > 0) {
 			page.append("<div class=\"charts\">").append(svg(burnChart(line))).append(svg(spenderChart(line)));
 			page.append("</div>\n");
 		}
--- a/operator/src/test/java/org/wisteriapost/operator/report/BurnPageTests.java
+++ b/operator/src/test/java/org/wisteriapost/operator/report/BurnPageTests.java
@@ -28,8 +28,9 @@
 	}
 
 	@Test
-	void objectiveWithoutRequestsHasNoPlots() {
+	void objectiveThatNothingWasSpentOnHasNoPlots() {
 		assertThat(BurnPage.of(report(Result.GOOD, 0)), not(containsString("<svg")));
+		assertThat(BurnPage.of(report(Result.GOOD, 5)), not(containsString("<svg")));
 	}
 
 	@Test
