--- a/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/agent/AgentMachineTests.java
@@ -39,6 +39,23 @@
 		assertThat(this.engine.taken(), hasSize(1));
 	}
 
+	// A VM died while it switched; the VM list has dropped it and named another. Its slot
+	// must not keep the place's other runner on old weights for good.
+	@Test
+	void slotOfAVmThatDiedHoldsUpNobody() {
+		AgentWorld pair = AgentWorld.of(3, 1);
+		pair.roll(1, "a");
+		SimAgent agent = pair.start("vm-1", this.engine);
+		agent.hear(new AgentEvent.PeersRead(java.util.List.of("vm-1", "vm-3"), false));
+		pair.runUntil(() -> agent.view().admitting(), 10 * AgentWorld.SECOND);
+		pair.platform()
+			.set("switching/lm/" + AgentWorld.PLACE,
+					new SwitchSlots(java.util.List.of(new SwitchSlots.Holder("vm-2", "gone", 1))).encode());
+		agent.hear(AgentWorld.fresh(pair.roll(2, "b")));
+		assertThat(pair.runUntil(() -> this.engine.serving().equals(pair.weights(2)), 60 * AgentWorld.SECOND),
+				is(true));
+	}
+
 	@Test
 	void oldWeightsAreDroppedOnlyWhenTheNewOnesServe() {
 		this.world.roll(1, "a");
