--- a/entry/src/main/java/org/wisteriapost/entry/process/Calls.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/Calls.java
@@ -72,13 +72,13 @@
 
 	private boolean deciding;
 
-	Calls(EntryParts parts, LongSupplier generation) {
-		this.machine = parts.machine();
-		this.claims = parts.claims();
-		this.metrics = parts.metrics();
-		this.invariants = parts.invariants();
-		this.clock = parts.clock();
-		this.maxHeldBytes = parts.maxHeldBytes();
+	Calls(EntryWiring wiring, ClaimDesk claims, LongSupplier generation) {
+		this.machine = wiring.machine();
+		this.claims = claims;
+		this.metrics = wiring.metrics();
+		this.invariants = wiring.invariants();
+		this.clock = wiring.clock();
+		this.maxHeldBytes = wiring.maxHeldBytes();
 		this.generation = generation;
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -68,16 +68,16 @@
 
 	private boolean finished;
 
-	EntryState(Identity identity, EntryOutput output, EntryParts parts) {
+	private EntryState(Identity identity, EntryOutput output, EntryWiring wiring) {
 		this.identity = identity;
 		this.output = output;
-		this.clock = parts.clock();
-		this.heads = new HeadTracker(parts.invariants());
+		this.clock = wiring.clock();
+		this.heads = new HeadTracker(wiring.invariants());
 		this.membership = Membership.of(identity.vm(), identity.place());
 		this.linkChoice = LinkChoice.of(identity.vm());
 		this.draining = new Draining(identity.keepSeconds());
-		this.calls = new Calls(parts, this.heads::generation);
-		this.claims = parts.claims();
+		this.claims = new ClaimKeeper(wiring.claims(), wiring.store(), wiring.clock(), wiring.wallMillis());
+		this.calls = new Calls(wiring, this.claims, this.heads::generation);
 		this.claims.tells(this.calls);
 		this.reports = new RunnerReports(this.calls, this.heads);
 	}
@@ -86,16 +86,7 @@
 	 * Returns an entry that has heard nothing yet.
 	 */
 	public static EntryState create(Identity identity, EntryOutput output, EntryWiring wiring) {
-		ClaimKeeper claims = new ClaimKeeper(wiring.claims(), wiring.store(), wiring.clock(), wiring.wallMillis());
-		return new EntryState(identity, output, new EntryParts(wiring.machine(), claims, wiring.metrics(),
-				wiring.invariants(), wiring.clock(), wiring.maxHeldBytes()));
-	}
-
-	/**
-	 * Returns how many requests are in progress.
-	 */
-	public int inProgress() {
-		return this.calls.size();
+		return new EntryState(identity, output, wiring);
 	}
 
 	/**
