--- /dev/null
+++ b/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
@@ -0,0 +1,113 @@
+package org.wisteriapost.agent.site;
+
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import org.wisteriapost.kernel.EventLoop;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.link.Link;
+import org.wisteriapost.protocol.link.LinkHandler;
+import org.wisteriapost.protocol.link.LinkServer;
+import org.wisteriapost.protocol.link.Links;
+import org.wisteriapost.protocol.site.SiteProvider;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.Frame;
+
+/**
+ * The parts of one running agent.
+ */
+public final class SiteAgent implements AutoCloseable {
+
+	private static final int RING = 1024;
+
+	private static final long TICK_MILLIS = 50;
+
+	private final HttpCaller caller;
+
+	private final Links links;
+
+	private final ScheduledThreadPoolExecutor timer;
+
+	private final EventLoop<Runnable> loop;
+
+	private final EngineKeeper keeper;
+
+	private final DecisionLog log;
+
+	private LinkServer server;
+
+	private SiteAgent(HttpCaller caller, Links links, ScheduledThreadPoolExecutor timer, EventLoop<Runnable> loop,
+			EngineKeeper keeper, DecisionLog log) {
+		this.caller = caller;
+		this.links = links;
+		this.timer = timer;
+		this.loop = loop;
+		this.keeper = keeper;
+		this.log = log;
+	}
+
+	/**
+	 * Returns a running agent.
+	 * @param out where decisions are logged
+	 */
+	public static SiteAgent start(SiteSettings settings, SiteProvider site, PrintStream out) {
+		DecisionLog log = DecisionLog.start(settings.name(), out);
+		HttpCaller caller = HttpCaller.create(1);
+		Links links = Links.plain(1);
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().daemon().factory());
+		EventLoop<Runnable> loop = EventLoop.start("agent", RING, Runnable::run);
+		EngineKeeper keeper = new EngineKeeper(settings, site, caller, links, timer, loop::put, log);
+		SiteAgent agent = new SiteAgent(caller, links, timer, loop, keeper, log);
+		agent.server = links.listen(new InetSocketAddress(settings.host(), settings.linkPort()), agent.new Incoming());
+		timer.scheduleWithFixedDelay(() -> loop.offer(keeper::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		log.decision("started", "role", "agent", "engine", settings.runner().orElse("none"));
+		return agent;
+	}
+
+	/**
+	 * Notes an event of the process.
+	 */
+	public void note(String event) {
+		this.log.decision(event);
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.server.close();
+		this.loop.close();
+		this.keeper.close();
+		this.links.close();
+		this.caller.close();
+		this.log.close();
+	}
+
+	/** Links that entries and other agents made. */
+	private final class Incoming implements LinkHandler {
+
+		private final Set<Link> open = ConcurrentHashMap.newKeySet();
+
+		@Override
+		public void onOpen(Link link) {
+			this.open.add(link);
+		}
+
+		@Override
+		public void onFrame(Link link, Frame frame) {
+			SiteAgent.this.loop.put(() -> SiteAgent.this.keeper.heard(link, frame));
+		}
+
+		@Override
+		public void onClosed(Link link) {
+			this.open.remove(link);
+			SiteAgent.this.loop.put(() -> SiteAgent.this.keeper.closed(link));
+		}
+
+	}
+
+}
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
@@ -126,6 +126,19 @@
 		}
 	}
 
+	@Override
+	public CompletableFuture<Boolean> verify(List<WeightFile> files) {
+		CompletableFuture<Boolean> all = CompletableFuture.completedFuture(true);
+		for (WeightFile file : files) {
+			for (int index = 0; index < file.chunks().size(); index++) {
+				String hash = file.chunks().get(index);
+				all = all.thenCombine(this.context.store().get(file.digest(), index), (good, bytes) -> good
+						&& bytes.map((some) -> Digests.sha256(some).equals(hash)).orElse(false));
+			}
+		}
+		return all;
+	}
+
 	@Override
 	public Progress progress() {
 		return new Progress(this.verified.get(), this.total);
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
@@ -99,6 +99,20 @@
 		}));
 	}
 
+	@Override
+	public CompletableFuture<Boolean> verify(List<WeightFile> files) {
+		Pieces pieces = Pieces.of(files);
+		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		new ReadBack(this.context.store(), this.thread, pieces).held(new BitSet())
+			.thenAccept((found) -> this.thread.run(() -> {
+				for (int piece = found.nextClearBit(0); piece < pieces.count(); piece = found.nextClearBit(piece + 1)) {
+					this.shelf.remove(pieces.digest(piece), pieces.index(piece));
+				}
+				result.complete(found.cardinality() == pieces.count());
+			}));
+		return result;
+	}
+
 	private BitSet known(Pieces pieces) {
 		BitSet known = new BitSet();
 		for (int piece = 0; piece < pieces.count(); piece++) {
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/Transfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/Transfer.java
@@ -24,6 +24,12 @@
 	 */
 	CompletableFuture<Void> fetch(List<WeightFile> files);
 
+	/**
+	 * Reads every chunk of the files back from the store and completes with whether all
+	 * are there and right; those that are not count as not held from then on.
+	 */
+	CompletableFuture<Boolean> verify(List<WeightFile> files);
+
 	/**
 	 * Returns how far the latest fetch has come.
 	 */
--- a/agent/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
+++ b/agent/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
@@ -1,1 +1,2 @@
 org.wisteriapost.agent.AgentCommand
+org.wisteriapost.agent.site.SiteAgentCommand
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -33,6 +33,8 @@
 
 	private final long maxUnsentBytes;
 
+	private final boolean fractions;
+
 	private final Queue<ByteBuffer> queue = new ArrayDeque<>();
 
 	private long unsent;
@@ -51,9 +53,23 @@
 	private boolean closing;
 
 	CallerAnswer(HttpServerExchange exchange, String requestId, long maxUnsentBytes) {
+		this(exchange, requestId, maxUnsentBytes, false);
+	}
+
+	private CallerAnswer(HttpServerExchange exchange, String requestId, long maxUnsentBytes, boolean fractions) {
 		this.exchange = exchange;
 		this.requestId = requestId;
 		this.maxUnsentBytes = maxUnsentBytes;
+		this.fractions = fractions;
+	}
+
+	/**
+	 * Returns an answer to a caller that understands fractions of a second in
+	 * {@code Retry-After}.
+	 * @param maxUnsentBytes what may wait for a slow caller
+	 */
+	public static CallerAnswer withFractions(HttpServerExchange exchange, String requestId, long maxUnsentBytes) {
+		return new CallerAnswer(exchange, requestId, maxUnsentBytes, true);
 	}
 
 	@Override
@@ -158,7 +174,9 @@
 		common(refusal.outcome());
 		this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
 		if (refusal.retryAfterMillis() > 0) {
-			this.exchange.getResponseHeaders().put(Headers.RETRY_AFTER, refusal.retryAfterSeconds());
+			this.exchange.getResponseHeaders()
+				.put(Headers.RETRY_AFTER, this.fractions ? refusal.retryAfterFraction()
+						: Long.toString(refusal.retryAfterSeconds()));
 			this.exchange.getResponseHeaders()
 				.put(new HttpString(CallerHeaders.RETRY_AFTER_MILLIS), refusal.retryAfterMillis());
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/caller/HangUpWatch.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/HangUpWatch.java
@@ -18,7 +18,7 @@
  * runner works for no one until then. The watch reads on, and gives back to the server
  * what belongs to the connection's next request.
  */
-final class HangUpWatch implements ReadReadyHandler {
+public final class HangUpWatch implements ReadReadyHandler {
 
 	private final HttpServerConnection connection;
 
@@ -37,7 +37,7 @@
 	/**
 	 * Watches until the exchange ends. Called on the connection's I/O thread.
 	 */
-	static void start(HttpServerExchange exchange, Runnable gone) {
+	public static void start(HttpServerExchange exchange, Runnable gone) {
 		exchange.getConnection().addCloseListener((closed) -> {
 			if (!exchange.isResponseComplete()) {
 				gone.run();
--- a/entry/src/main/java/org/wisteriapost/entry/caller/Refusal.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/Refusal.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.caller;
 
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -64,6 +65,13 @@
 		return (this.retryAfterMillis + SECOND_MILLIS - 1) / SECOND_MILLIS;
 	}
 
+	/**
+	 * Returns the seconds to come back after, with fractions.
+	 */
+	String retryAfterFraction() {
+		return BigDecimal.valueOf(this.retryAfterMillis, 3).toPlainString();
+	}
+
 	/**
 	 * Returns the body.
 	 */
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
@@ -0,0 +1,68 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.CodedException;
+import org.wisteriapost.kernel.command.Command;
+import org.wisteriapost.kernel.command.ExitCodes;
+import org.wisteriapost.protocol.site.SiteProvider;
+import org.wisteriapost.protocol.site.SiteSettings;
+import sun.misc.Signal;
+
+/**
+ * Runs an entry on a site until it has left.
+ */
+public final class DirectCommand implements Command {
+
+	/** The environment does not name the settings. */
+	public static final Code SETTINGS_UNNAMED = Code.error("site-settings-unnamed",
+			"The environment does not name the site's settings file.");
+
+	@Override
+	public String name() {
+		return "site entry";
+	}
+
+	@Override
+	public String summary() {
+		return "answers callers on a site whose store tells routes and runners";
+	}
+
+	@Override
+	public int run(List<String> args, PrintStream out, PrintStream err) {
+		SiteProvider site = SiteProvider.load();
+		Path file = Path.of(Optional.ofNullable(System.getenv(site.settingsVariable()))
+			.orElseThrow(() -> CodedException.of(SETTINGS_UNNAMED, site.settingsVariable())));
+		SiteSettings settings = site.settings(file);
+		try (DirectProcess process = DirectProcess.start(settings, site, out)) {
+			Signal.handle(new Signal("HUP"), (signal) -> reload(process, site, file));
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(process), "entry-leave"));
+			process.leaveFuture().join();
+			return ExitCodes.OK;
+		}
+	}
+
+	// Addresses and bounds of a running process do not change; a file that can no longer
+	// be read is said, and the process goes on with what it has.
+	private static void reload(DirectProcess process, SiteProvider site, Path file) {
+		try {
+			site.settings(file);
+			process.reloaded("read");
+		}
+		catch (CodedException ex) {
+			process.reloaded(ex.getMessage());
+		}
+	}
+
+	// The virtual machine ends when this hook returns, so the hook waits for the answers
+	// in progress. Its own exit code would be 143, which reads as a crash; halt says 0.
+	private static void leave(DirectProcess process) {
+		process.leave().join();
+		Runtime.getRuntime().halt(ExitCodes.OK);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -0,0 +1,121 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.List;
+
+import org.wisteriapost.policy.dispatch.Outcome;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.EngineState;
+import org.wisteriapost.protocol.wire.LoadReport;
+
+/**
+ * What the entry's one state thread hears.
+ */
+sealed interface DirectEvent {
+
+	/**
+	 * A request has arrived.
+	 *
+	 * @param arrival read whole
+	 */
+	record Arrived(Arrival arrival) implements DirectEvent {
+	}
+
+	/**
+	 * The caller of a request has gone.
+	 *
+	 * @param id the request's number
+	 */
+	record CallerGone(long id) implements DirectEvent {
+	}
+
+	/**
+	 * The first event of a stream went out to the caller.
+	 *
+	 * @param call the request
+	 * @param dispatch the dispatch that it came from
+	 */
+	record FirstEvent(DirectCall call, int dispatch) implements DirectEvent {
+	}
+
+	/**
+	 * A dispatch has ended.
+	 *
+	 * @param call the request
+	 * @param dispatch which one
+	 * @param outcome how
+	 * @param detail for the log
+	 */
+	record Ended(DirectCall call, int dispatch, Outcome outcome, String detail) implements DirectEvent {
+	}
+
+	/**
+	 * All objects of a kind were read.
+	 *
+	 * @param kind the kind
+	 * @param items all there are
+	 */
+	record AllObjects(Kind kind, List<ObjectStore.Item> items) implements DirectEvent {
+	}
+
+	/**
+	 * An object has changed.
+	 *
+	 * @param kind its kind
+	 * @param change the change
+	 */
+	record ObjectChanged(Kind kind, ObjectStore.Change change) implements DirectEvent {
+	}
+
+	/**
+	 * The store answers, or does not any more.
+	 *
+	 * @param kind the kind of objects that were asked for
+	 * @param reachable whether it answers
+	 */
+	record StoreReachable(Kind kind, boolean reachable) implements DirectEvent {
+	}
+
+	/**
+	 * The link to another entry or an agent is up or gone.
+	 *
+	 * @param peer its name
+	 * @param up whether it is up
+	 */
+	record PeerLink(String peer, boolean up) implements DirectEvent {
+	}
+
+	/**
+	 * Another entry says that it leaves.
+	 *
+	 * @param peer its name
+	 */
+	record PeerLeaving(String peer) implements DirectEvent {
+	}
+
+	/**
+	 * Another entry says what it has in flight.
+	 *
+	 * @param peer its name
+	 * @param report the changes
+	 */
+	record PeerLoads(String peer, LoadReport report) implements DirectEvent {
+	}
+
+	/**
+	 * An agent says how its engine is.
+	 *
+	 * @param state the engine's state
+	 */
+	record AgentSays(EngineState state) implements DirectEvent {
+	}
+
+	/** Time has passed. */
+	record Tick() implements DirectEvent {
+	}
+
+	/** The entry was told to leave. */
+	record Leave() implements DirectEvent {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -0,0 +1,247 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import org.wisteriapost.entry.caller.CallerAnswer;
+import org.wisteriapost.entry.caller.HangUpWatch;
+import org.wisteriapost.entry.caller.Refusal;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.routing.CallLimits;
+import org.wisteriapost.protocol.site.CallDialect;
+import org.wisteriapost.protocol.site.CallerFields;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.xnio.IoUtils;
+import org.xnio.XnioWorker;
+
+/**
+ * The addresses that callers and the site's own checks connect to.
+ */
+final class DirectFront implements AutoCloseable {
+
+	static final Code ATTEMPT_MISSING = Code.error("attempt-missing", "The request does not name its attempt.");
+
+	private static final Code HEAD_TOO_LARGE = Code.error("head-too-large", "The request's head is over the limit.");
+
+	private static final Code CONTENT_TOO_LARGE = Code.error("content-too-large",
+			"The request's body is over the limit.");
+
+	private static final Code LOOP_FULL = Code.refusal("loop-full", "The entry has as much to do as it may hold.");
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int TOO_LARGE = 413;
+
+	private static final int HEAD_LARGE = 431;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int OK = 200;
+
+	// What may wait for one slow caller: some hundred events.
+	private static final long UNSENT_BYTES = 256 << 10;
+
+	// Larger than any declared limit, which is checked once it is known.
+	private static final int PARSED_HEADER_BYTES = 64 << 10;
+
+	// Callers reuse a connection within the declared limit; twice the usual one.
+	private static final int IDLE_MILLIS = 60_000;
+
+	private static final long FULL_RETRY_MILLIS = 300;
+
+	// How long callers keep an address answer: half of the longest, so that a leaving
+	// entry is forgotten before it stops.
+	private static final int KEEP_SECONDS = 2;
+
+	private final DirectPort port;
+
+	private final CallDialect dialect;
+
+	private final AtomicLong ids = new AtomicLong();
+
+	private Undertow server;
+
+	private DirectFront(DirectPort port, CallDialect dialect) {
+		this.port = port;
+		this.dialect = dialect;
+	}
+
+	static DirectFront start(SiteSettings settings, CallDialect dialect, XnioWorker worker, DirectPort port) {
+		DirectFront front = new DirectFront(port, dialect);
+		Undertow.Builder builder = Undertow.builder()
+			.setWorker(worker)
+			.setServerOption(UndertowOptions.DECODE_URL, false)
+			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, PARSED_HEADER_BYTES)
+			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
+			.setSocketOption(org.xnio.Options.REUSE_ADDRESSES, true);
+		settings.front().ifPresent((address) -> listen(builder, address, front::call));
+		settings.readiness().ifPresent((address) -> listen(builder, address, front::ready));
+		settings.directory().ifPresent((address) -> listen(builder, address, front::directory));
+		front.server = builder.build();
+		front.server.start();
+		return front;
+	}
+
+	private static void listen(Undertow.Builder builder, InetSocketAddress address, HttpHandler handler) {
+		builder.addListener(new Undertow.ListenerBuilder().setType(Undertow.ListenerType.HTTP)
+			.setHost(address.getHostString())
+			.setPort(address.getPort())
+			.setRootHandler(handler));
+	}
+
+	/**
+	 * Returns the ports that were bound, in the order of the settings.
+	 */
+	List<Integer> ports() {
+		return this.server.getListenerInfo()
+			.stream()
+			.map((info) -> ((InetSocketAddress) info.getAddress()).getPort())
+			.toList();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+	private void ready(HttpServerExchange exchange) {
+		boolean asked = exchange.getRequestURI().equals(this.dialect.readinessPath());
+		exchange.setStatusCode((asked && this.port.ready()) ? OK : UNAVAILABLE);
+		exchange.endExchange();
+	}
+
+	private void directory(HttpServerExchange exchange) {
+		List<String> addresses = this.port.addresses();
+		if (!exchange.getRequestURI().equals(this.dialect.directoryPath()) || addresses.isEmpty()) {
+			exchange.setStatusCode(UNAVAILABLE);
+			exchange.endExchange();
+			return;
+		}
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		exchange.getResponseSender().send(ByteBuffer.wrap(this.dialect.directory(addresses, KEEP_SECONDS)));
+	}
+
+	private void call(HttpServerExchange exchange) {
+		long now = System.nanoTime();
+		if (this.port.leaving()) {
+			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		}
+		CallerFields fields = this.dialect.read((name) -> exchange.getRequestHeaders().getFirst(name));
+		CallerAnswer answer = CallerAnswer.withFractions(exchange, fields.attempt().orElse("none"), UNSENT_BYTES);
+		Optional<CallLimits> limits = this.port.limits();
+		if (limits.isPresent() && headBytes(exchange) > limits.get().maxHeaderBytes()) {
+			refuse(exchange, answer, HEAD_LARGE, HEAD_TOO_LARGE);
+			return;
+		}
+		long most = limits.map(CallLimits::maxBodyBytes).orElse(4L << 20);
+		if (exchange.getRequestContentLength() > most) {
+			exchange.setPersistent(false);
+			refuse(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
+			return;
+		}
+		if (fields.attempt().isEmpty()) {
+			refuse(exchange, answer, BAD_REQUEST, ATTEMPT_MISSING);
+			return;
+		}
+		exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(Integer.MAX_VALUE, most));
+		exchange.getRequestReceiver()
+			.receiveFullBytes((same, body) -> submit(exchange, fields, body, answer, now),
+					(same, ex) -> unreadable(exchange, answer, ex));
+	}
+
+	private void submit(HttpServerExchange exchange, CallerFields fields, byte[] body, CallerAnswer answer, long now) {
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+			Arrival arrival = arrival(exchange, fields, body, answer, now);
+			if (!this.port.offer(new DirectEvent.Arrived(arrival))) {
+				answer.refuse(Refusal.later(LOOP_FULL.name(), LOOP_FULL.summary(), FULL_RETRY_MILLIS));
+				return;
+			}
+			HangUpWatch.start(exchange, () -> this.port.put(new DirectEvent.CallerGone(arrival.id())));
+		});
+	}
+
+	private Arrival arrival(HttpServerExchange exchange, CallerFields fields, byte[] body, CallerAnswer answer,
+			long now) {
+		HeaderValues connection = exchange.getRequestHeaders().get(Headers.CONNECTION);
+		List<String> listed = HopHeaders.listed((connection != null) ? connection : List.of());
+		Map<String, String> headers = new LinkedHashMap<>();
+		for (HeaderValues header : exchange.getRequestHeaders()) {
+			String name = header.getHeaderName().toString();
+			String lower = name.toLowerCase(Locale.ROOT);
+			if (Arrival.endToEnd(lower, listed) && !this.dialect.reserved(lower)) {
+				headers.put(name, String.join(", ", header));
+			}
+		}
+		String path = exchange.getRequestURI();
+		String query = exchange.getQueryString();
+		return new Arrival(this.ids.incrementAndGet(), exchange.getRequestMethod().toString(), host(exchange), path,
+				query.isEmpty() ? path : path + "?" + query, headers, token(exchange), fields, body, answer, now);
+	}
+
+	private static String host(HttpServerExchange exchange) {
+		String host = Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST)).orElse("");
+		int colon = host.lastIndexOf(':');
+		return ((colon > 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+	}
+
+	private static Optional<String> token(HttpServerExchange exchange) {
+		String value = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+		if (value == null || !value.regionMatches(true, 0, "Bearer ", 0, 7)) {
+			return Optional.empty();
+		}
+		return Optional.of(value.substring(7).trim());
+	}
+
+	private static int headBytes(HttpServerExchange exchange) {
+		int bytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+		for (HeaderValues header : exchange.getRequestHeaders()) {
+			for (String value : header) {
+				bytes += header.getHeaderName().length() + value.length() + 4;
+			}
+		}
+		return bytes;
+	}
+
+	private void unreadable(HttpServerExchange exchange, CallerAnswer answer, IOException ex) {
+		exchange.setPersistent(false);
+		if (ex instanceof Receiver.RequestToLargeException || ex instanceof RequestTooBigException) {
+			refuse(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
+			return;
+		}
+		IoUtils.safeClose(exchange.getConnection());
+	}
+
+	private static void refuse(HttpServerExchange exchange, CallerAnswer answer, int status, Code code) {
+		exchange.dispatch(SameThreadExecutor.INSTANCE,
+				() -> answer.refuse(Refusal.bad(status, code.name(), code.summary())));
+	}
+
+	/**
+	 * Returns the values of a query field; for the directory.
+	 */
+	static Optional<String> query(HttpServerExchange exchange, String name) {
+		Deque<String> values = exchange.getQueryParameters().get(name);
+		return (values == null) ? Optional.empty() : Optional.ofNullable(values.peekFirst());
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -0,0 +1,130 @@
+package org.wisteriapost.entry.direct;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.wisteriapost.entry.caller.Refusal;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.dispatch.DispatchEffect;
+import org.wisteriapost.policy.dispatch.Job;
+import org.wisteriapost.policy.dispatch.Outcome;
+import org.wisteriapost.policy.routing.Organisation;
+import org.wisteriapost.protocol.http.HttpCall;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.site.CallDialect;
+import org.wisteriapost.protocol.site.OutboundCall;
+
+/**
+ * Carries out decisions on the one I/O thread, in the order in which they were made.
+ */
+final class DirectOutput {
+
+	private static final int BAD_GATEWAY = 502;
+
+	private static final int GATEWAY_TIMEOUT = 504;
+
+	// The runner answers its own time-out; the connection is given up a little later.
+	private static final Duration SLACK = Duration.ofMillis(300);
+
+	private final HttpCaller caller;
+
+	private final CallDialect dialect;
+
+	private final Consumer<DirectEvent> events;
+
+	DirectOutput(HttpCaller caller, CallDialect dialect, Consumer<DirectEvent> events) {
+		this.caller = caller;
+		this.dialect = dialect;
+		this.events = events;
+	}
+
+	/**
+	 * Sends a request to a runner.
+	 */
+	void send(DirectCall call, DispatchEffect.Send send) {
+		int dispatch = call.job().dispatch();
+		onIoThread(() -> {
+			if (call.complete()) {
+				// The answer before this dispatch came whole while it was given up.
+				this.events.accept(new DirectEvent.Ended(call, dispatch, Outcome.DONE, "whole before"));
+				return;
+			}
+			Relay relay = new Relay(call, dispatch, this.dialect, this.events);
+			call.relay(Optional.of(relay));
+			relay.started(this.caller.stream(outbound(call, send), relay));
+		});
+	}
+
+	/**
+	 * Stops listening to the runner that has a request.
+	 */
+	void stop(DirectCall call) {
+		onIoThread(() -> call.relay(Optional.empty()));
+	}
+
+	/**
+	 * Answers that a request has not run and will not.
+	 */
+	void refuse(DirectCall call, Code code, long retryAfterMillis) {
+		onIoThread(() -> call.answer().refuse(Refusal.later(code.name(), code.summary(), retryAfterMillis)));
+	}
+
+	/**
+	 * Answers that a request is wrong in itself.
+	 */
+	void reject(Arrival arrival, int status, Code code) {
+		onIoThread(() -> arrival.answer().refuse(Refusal.bad(status, code.name(), code.summary())));
+	}
+
+	/**
+	 * Answers a request that was never taken up.
+	 */
+	void refuse(Arrival arrival, Code code, long retryAfterMillis) {
+		onIoThread(() -> arrival.answer().refuse(Refusal.later(code.name(), code.summary(), retryAfterMillis)));
+	}
+
+	/**
+	 * Ends a request that may have run.
+	 */
+	void fail(DirectCall call, Code code, boolean timeout) {
+		onIoThread(() -> {
+			if (call.complete()) {
+				return;
+			}
+			call.relay(Optional.empty());
+			int status = timeout ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+			call.answer().refuse(Refusal.unknown(status, code.name(), code.summary()));
+		});
+	}
+
+	/**
+	 * Hands on the failure that a runner gave.
+	 */
+	void passOn(DirectCall call) {
+		onIoThread(() -> call.held()
+			.ifPresent((held) -> call.answer().whole(held.status(), held.headers(), "", held.body())));
+	}
+
+	private HttpCall outbound(DirectCall call, DispatchEffect.Send send) {
+		Arrival arrival = call.arrival();
+		Job job = call.job();
+		long remaining = Math.max(1, TimeUnit.NANOSECONDS.toMillis(job.deadlineNanos() - System.nanoTime()));
+		Map<String, String> headers = new LinkedHashMap<>(arrival.headers());
+		OutboundCall added = new OutboundCall(remaining, send.runner().id(),
+				job.organisation().map(Organisation::name), send.rank(), send.weightsVersion(), job.lastEvent());
+		this.dialect.outbound(added).forEach((header) -> headers.put(header.getKey(), header.getValue()));
+		URI target = URI.create("http://" + send.runner().address() + arrival.target());
+		return new HttpCall(arrival.method(), target, headers, arrival.body(),
+				Duration.ofMillis(remaining).plus(SLACK));
+	}
+
+	private void onIoThread(Runnable task) {
+		this.caller.worker().getIoThread().execute(task);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectPort.java
@@ -0,0 +1,43 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.wisteriapost.policy.routing.CallLimits;
+
+/**
+ * What the front may ask of the entry and tell it; for any thread.
+ */
+interface DirectPort {
+
+	/**
+	 * Takes an event; false when there is no room for it.
+	 */
+	boolean offer(DirectEvent event);
+
+	/**
+	 * Takes an event that must not be lost.
+	 */
+	void put(DirectEvent event);
+
+	/**
+	 * Returns whether requests can be answered now.
+	 */
+	boolean ready();
+
+	/**
+	 * Returns whether the entry was told to leave.
+	 */
+	boolean leaving();
+
+	/**
+	 * Returns the addresses of ready entries, {@code IP:PORT}.
+	 */
+	List<String> addresses();
+
+	/**
+	 * Returns what callers may send, once it is known.
+	 */
+	Optional<CallLimits> limits();
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -0,0 +1,166 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.kernel.EventLoop;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.dispatch.DispatchLimits;
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.link.Links;
+import org.wisteriapost.protocol.site.CallDialect;
+import org.wisteriapost.protocol.site.FollowListener;
+import org.wisteriapost.protocol.site.Follower;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.site.SiteProvider;
+import org.wisteriapost.protocol.site.SiteSettings;
+
+/**
+ * The parts of one running entry.
+ *
+ * One I/O thread carries callers, runners and the store, so an answer goes from a
+ * runner's connection to its caller's without a change of thread; one thread decides.
+ */
+public final class DirectProcess implements AutoCloseable {
+
+	private static final int RING = 4096;
+
+	private static final long TICK_MILLIS = 20;
+
+	private final HttpCaller caller;
+
+	private final Links links;
+
+	private final ScheduledExecutorService timer;
+
+	private final EventLoop<DirectEvent> loop;
+
+	private final Mesh mesh;
+
+	private final DirectFront front;
+
+	private final DirectView view;
+
+	private final DecisionLog log;
+
+	private DirectProcess(HttpCaller caller, Links links, ScheduledExecutorService timer, EventLoop<DirectEvent> loop,
+			Mesh mesh, DirectFront front, DirectView view, DecisionLog log) {
+		this.caller = caller;
+		this.links = links;
+		this.timer = timer;
+		this.loop = loop;
+		this.mesh = mesh;
+		this.front = front;
+		this.view = view;
+		this.log = log;
+	}
+
+	/**
+	 * Returns a running entry.
+	 * @param out where decisions are logged
+	 */
+	public static DirectProcess start(SiteSettings settings, SiteProvider site, PrintStream out) {
+		DecisionLog log = DecisionLog.start(settings.name(), out);
+		HttpCaller caller = HttpCaller.create(1);
+		Links links = Links.plain(1);
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().daemon().factory());
+		ObjectStore store = site.store(caller, settings);
+		CallDialect dialect = site.dialect();
+		DirectView view = new DirectView();
+		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(System.nanoTime());
+		EntryInfo self = self(settings, random);
+		DirectState state = new DirectState(settings, self, Dispatcher.create(limits(settings), random),
+				new DirectOutput(caller, dialect, view::put), log, random, System::nanoTime, view);
+		EventLoop<DirectEvent> loop = EventLoop.start("entry", RING, state::apply);
+		view.loop(loop);
+		Mesh mesh = Mesh.start(links, new InetSocketAddress(settings.host(), settings.linkPort()), settings.name(),
+				settings.place(), timer, view::put);
+		state.connect(mesh, store);
+		DirectFront front = DirectFront.start(settings, dialect, caller.worker(), view);
+		for (Kind kind : Kind.values()) {
+			Follower.start(store, kind, timer, listener(kind, view));
+		}
+		timer.scheduleWithFixedDelay(() -> view.offer(new DirectEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
+				TimeUnit.MILLISECONDS);
+		log.decision("started", "role", "entry", "place", settings.place());
+		return new DirectProcess(caller, links, timer, loop, mesh, front, view, log);
+	}
+
+	private static EntryInfo self(SiteSettings settings, UniformRandomProvider random) {
+		InetSocketAddress front = settings.front().orElseThrow();
+		return new EntryInfo(settings.name(), random.nextLong(Long.MAX_VALUE),
+				front.getHostString() + ":" + front.getPort(), settings.host() + ":" + settings.linkPort(),
+				settings.place(), settings.region());
+	}
+
+	private static DispatchLimits limits(SiteSettings settings) {
+		SiteSettings.Bounds bounds = settings.bounds();
+		return new DispatchLimits(settings.place(), bounds.retryShare(), bounds.retryExtra(), bounds.retryWindow(),
+				bounds.weightsInForce());
+	}
+
+	private static FollowListener listener(Kind kind, DirectView view) {
+		return new FollowListener() {
+
+			@Override
+			public void onAll(List<ObjectStore.Item> items) {
+				view.put(new DirectEvent.AllObjects(kind, items));
+			}
+
+			@Override
+			public void onChange(ObjectStore.Change change) {
+				view.put(new DirectEvent.ObjectChanged(kind, change));
+			}
+
+			@Override
+			public void onReachable(boolean reachable) {
+				view.put(new DirectEvent.StoreReachable(kind, reachable));
+			}
+
+		};
+	}
+
+	/**
+	 * Leaves; completes when the last answer is out.
+	 */
+	public CompletableFuture<Void> leave() {
+		this.view.put(new DirectEvent.Leave());
+		return this.view.over();
+	}
+
+	/**
+	 * Returns what completes when the entry has left.
+	 */
+	public CompletableFuture<Void> leaveFuture() {
+		return this.view.over();
+	}
+
+	/**
+	 * Notes that the settings file was read again.
+	 */
+	public void reloaded(String outcome) {
+		this.log.decision("settings-read", "outcome", outcome);
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.front.close();
+		this.mesh.close();
+		this.loop.close();
+		this.links.close();
+		this.caller.close();
+		this.log.close();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -0,0 +1,499 @@
+package org.wisteriapost.entry.direct;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.dispatch.DispatchEffect;
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.dispatch.Job;
+import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.NamedWeights;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.EngineSpec;
+import org.wisteriapost.policy.routing.Organisation;
+import org.wisteriapost.policy.routing.Route;
+import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.protocol.site.Declared;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.EngineState;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Leaving;
+import org.wisteriapost.protocol.wire.LoadReport;
+import org.wisteriapost.protocol.wire.Roster;
+import org.wisteriapost.protocol.wire.RosterMember;
+import org.wisteriapost.protocol.wire.RunnerLoad;
+import org.wisteriapost.protocol.wire.WeightsNamed;
+
+/**
+ * The entry's state. One thread applies events to it.
+ */
+final class DirectState {
+
+	static final Code TABLE_ABSENT = Code.refusal("table-absent", "The entry does not know the declared routes yet.");
+
+	static final Code ROUTE_UNKNOWN = Code.error("route-unknown", "No declared route covers the host and path.");
+
+	static final Code KEY_UNKNOWN = Code.error("key-unknown", "The bearer token is not one of an organisation.");
+
+	static final Code ENTRY_STOPPING = Code.refusal("entry-stopping", "The entry is about to stop.");
+
+	private static final int UNAUTHORIZED = 401;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final long SHORT_RETRY_MILLIS = 300;
+
+	private static final int TICKS_PER_REPORT = 5;
+
+	private static final int REPORTS_PER_FULL = 5;
+
+	private final SiteSettings settings;
+
+	private final EntryInfo self;
+
+	private final Dispatcher dispatcher;
+
+	private final DirectOutput output;
+
+	private final DecisionLog log;
+
+	private final UniformRandomProvider random;
+
+	private final LongSupplier clock;
+
+	private final EntryRoster roster;
+
+	private final DirectView view;
+
+	private final Departure departure;
+
+	private final Map<Long, DirectCall> calls = new HashMap<>();
+
+	private final Map<String, Integer> named = new HashMap<>();
+
+	private final Map<String, PeerLoad> reported = new HashMap<>();
+
+	private Optional<RouteTable> table = Optional.empty();
+
+	private Optional<Mesh> mesh = Optional.empty();
+
+	private Optional<ObjectStore> store = Optional.empty();
+
+	private boolean runnersRead;
+
+	private boolean registering;
+
+	private long ticks;
+
+	DirectState(SiteSettings settings, EntryInfo self, Dispatcher dispatcher, DirectOutput output, DecisionLog log,
+			UniformRandomProvider random, LongSupplier clock, DirectView view) {
+		this.settings = settings;
+		this.self = self;
+		this.dispatcher = dispatcher;
+		this.output = output;
+		this.log = log;
+		this.random = random;
+		this.clock = clock;
+		this.roster = new EntryRoster(self);
+		this.view = view;
+		this.departure = new Departure(settings.bounds().grace());
+	}
+
+	/**
+	 * Sets what the entry tells others by.
+	 */
+	void connect(Mesh links, ObjectStore objects) {
+		this.mesh = Optional.of(links);
+		this.store = Optional.of(objects);
+	}
+
+	void apply(DirectEvent event) {
+		long now = this.clock.getAsLong();
+		switch (event) {
+			case DirectEvent.Arrived arrived -> arrived(arrived.arrival(), now);
+			case DirectEvent.CallerGone gone -> callerGone(gone.id(), now);
+			case DirectEvent.FirstEvent first -> firstEvent(first, now);
+			case DirectEvent.Ended ended -> ended(ended, now);
+			case DirectEvent.AllObjects all -> all(all.kind(), all.items(), now);
+			case DirectEvent.ObjectChanged changed -> changed(changed.kind(), changed.change(), now);
+			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
+			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
+			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
+			case DirectEvent.PeerLoads loads -> peerLoads(loads.peer(), loads.report(), now);
+			case DirectEvent.AgentSays says -> agentSays(says.state(), now);
+			case DirectEvent.Tick tick -> tick(now);
+			case DirectEvent.Leave leave -> leave(now);
+		}
+		carryOut();
+		publish();
+	}
+
+	private void arrived(Arrival arrival, long now) {
+		this.departure.arrived(now);
+		if (this.table.isEmpty()) {
+			refuse(arrival, TABLE_ABSENT);
+			return;
+		}
+		if (this.departure.refuses(now)) {
+			refuse(arrival, ENTRY_STOPPING);
+			return;
+		}
+		RouteTable known = this.table.get();
+		Optional<Route> route = known.route(arrival.host(), arrival.path());
+		if (route.isEmpty()) {
+			reject(arrival, NOT_FOUND, ROUTE_UNKNOWN);
+			return;
+		}
+		Optional<Organisation> organisation = arrival.token().flatMap(known::organisation);
+		if (organisation.isEmpty() && known.asksForTokens() && !route.get().anonymous()) {
+			reject(arrival, UNAUTHORIZED, KEY_UNKNOWN);
+			return;
+		}
+		Job job = job(arrival, route.get(), organisation);
+		this.calls.put(arrival.id(), new DirectCall(arrival, job));
+		this.dispatcher.arrived(job, now);
+	}
+
+	private Job job(Arrival arrival, Route route, Optional<Organisation> organisation) {
+		long timeout = route.timeout().toNanos();
+		long given = arrival.fields().remainingMillis().isPresent()
+				? TimeUnit.MILLISECONDS.toNanos(arrival.fields().remainingMillis().getAsLong()) : timeout;
+		Job.Size size = new Job.Size(arrival.fields().promptTokens(), arrival.fields().maxAnswerTokens());
+		return Job.arrived(arrival.id(), arrival.fields().attempt().orElseThrow(), route,
+				route.service(this.random.nextDouble()), organisation, size, arrival.fields().lastEvent(),
+				arrival.nanos(), arrival.nanos() + Math.min(timeout, given));
+	}
+
+	private void refuse(Arrival arrival, Code code) {
+		this.log.failure("refused", "attempt", arrival.fields().attempt().orElse(""), "code", code.name());
+		this.output.refuse(arrival, code, SHORT_RETRY_MILLIS);
+	}
+
+	private void reject(Arrival arrival, int status, Code code) {
+		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
+				arrival.host(), "path", arrival.path(), "table", this.table.map(RouteTable::version).orElse(-1L));
+		this.output.reject(arrival, status, code);
+	}
+
+	private void callerGone(long id, long now) {
+		DirectCall call = this.calls.get(id);
+		if (call != null) {
+			this.log.decision("caller-gone", "attempt", call.job().attempt());
+			this.dispatcher.gone(call.job(), now);
+			carryOut();
+			this.calls.remove(id);
+		}
+	}
+
+	private void firstEvent(DirectEvent.FirstEvent first, long now) {
+		if (first.dispatch() == first.call().job().dispatch()) {
+			this.dispatcher.firstEvent(first.call().job(), now);
+		}
+	}
+
+	private void ended(DirectEvent.Ended ended, long now) {
+		Job job = ended.call().job();
+		if (ended.dispatch() != job.dispatch()) {
+			return;
+		}
+		this.log.decision("dispatch-ended", "attempt", job.attempt(), "dispatch", ended.dispatch(), "outcome",
+				ended.outcome(), "detail", ended.detail(), "events", job.events(), "ageMs",
+				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
+		this.dispatcher.ended(job, ended.outcome(), now);
+		if (ended.outcome() == org.wisteriapost.policy.dispatch.Outcome.DONE) {
+			this.calls.remove(job.id());
+		}
+	}
+
+	// What the store says.
+
+	private void all(Kind kind, List<ObjectStore.Item> items, long now) {
+		switch (kind) {
+			case ROUTES, WEIGHTS -> items.forEach((item) -> item.value().ifPresent((value) -> declared(value, now)));
+			case RUNNERS -> {
+				List<RunnerInfo> infos = items.stream()
+					.flatMap((item) -> item.value().stream())
+					.filter(Declared.Runner.class::isInstance)
+					.map((value) -> ((Declared.Runner) value).info())
+					.toList();
+				this.runnersRead = true;
+				this.dispatcher.runners(infos, now);
+				this.log.decision("runners-read", "count", infos.size());
+				relink();
+			}
+			case ENTRIES -> {
+				Set<String> names = new HashSet<>();
+				items.forEach((item) -> {
+					names.add(item.name());
+					entry(item, now);
+				});
+				this.roster.keep(names);
+				relink();
+			}
+		}
+	}
+
+	private void changed(Kind kind, ObjectStore.Change change, long now) {
+		if (!change.deleted()) {
+			if (kind == Kind.ENTRIES) {
+				entry(change.item(), now);
+				relink();
+				return;
+			}
+			change.item().value().ifPresent((value) -> declared(value, now));
+			return;
+		}
+		if (kind == Kind.RUNNERS) {
+			this.log.decision("runner-removed", "runner", change.item().name());
+			this.dispatcher.runnerRemoved(change.item().name(), now);
+			relink();
+		}
+		if (kind == Kind.ENTRIES) {
+			this.roster.remove(change.item().name());
+			relink();
+		}
+	}
+
+	private void declared(Declared value, long now) {
+		switch (value) {
+			case Declared.Routes routes -> routes(routes.table());
+			case Declared.Weights weights -> weights(weights.named(), now);
+			case Declared.Runner runner -> {
+				this.log.decision("runner-changed", "runner", runner.info().id(), "service", runner.info().service(),
+						"draining", runner.info().draining(), "models", runner.info().models());
+				this.dispatcher.runner(runner.info(), now);
+				relink();
+			}
+			case Declared.Entry entry -> {
+				// Read with its revision, see entry.
+			}
+		}
+	}
+
+	// A listing that lags must not bring a dropped route or token back.
+	private void routes(RouteTable newer) {
+		if (this.table.isPresent() && this.table.get().version() >= newer.version()) {
+			return;
+		}
+		this.table = Optional.of(newer);
+		this.log.decision("table-in-force", "version", newer.version());
+		this.dispatcher.table(newer);
+		newer.services()
+			.forEach((service) -> service.engine()
+				.map(EngineSpec::model)
+				.ifPresent((model) -> this.named.putIfAbsent(model, 1)));
+		tellAgents();
+	}
+
+	private void weights(NamedWeights weights, long now) {
+		this.dispatcher.named(weights, now);
+		if (this.named.getOrDefault(weights.model(), 0) < weights.version()) {
+			this.named.put(weights.model(), weights.version());
+			this.log.decision("weights-named", "model", weights.model(), "version", weights.version());
+			tellAgents();
+		}
+	}
+
+	private void entry(ObjectStore.Item item, long now) {
+		if (item.value().isPresent() && item.value().get() instanceof Declared.Entry entry) {
+			this.roster.put(entry.info(), item.revision(), now);
+		}
+	}
+
+	private void reachable(DirectEvent.StoreReachable reachable, long now) {
+		this.log.decision("store", "kind", reachable.kind(), "reachable", reachable.reachable());
+		if (reachable.kind() == Kind.RUNNERS) {
+			this.dispatcher.store(reachable.reachable(), now);
+		}
+	}
+
+	// What others say, and what they are told.
+
+	private void relink() {
+		Map<String, InetSocketAddress> peers = new HashMap<>();
+		this.roster.others().forEach((info) -> peers.put(info.name(), address(info.link())));
+		engines().forEach((info) -> peers.put(info.address(),
+				new InetSocketAddress(info.host(), this.settings.linkPort())));
+		this.mesh.ifPresent((links) -> links.desired(peers));
+		tellAgents();
+	}
+
+	private List<RunnerInfo> engines() {
+		return this.dispatcher.known().stream().filter((info) -> engine(info.service()).isPresent()).toList();
+	}
+
+	private Optional<EngineSpec> engine(String service) {
+		return this.table.flatMap((known) -> known.service(service)).flatMap((spec) -> spec.engine());
+	}
+
+	private void peerLink(String peer, boolean up, long now) {
+		this.roster.linked(peer, up, now);
+		this.dispatcher.entries(this.roster.alive());
+		if (up) {
+			this.reported.clear();
+			engines().stream().filter((info) -> info.address().equals(peer)).findFirst().ifPresent(this::tellAgent);
+		}
+	}
+
+	private void tellAgents() {
+		engines().forEach(this::tellAgent);
+	}
+
+	private void tellAgent(RunnerInfo runner) {
+		Optional<String> origin = this.table.flatMap(RouteTable::origin).map((spec) -> spec.address());
+		Optional<String> model = engine(runner.service()).map(EngineSpec::model);
+		if (origin.isEmpty() || model.isEmpty() || this.mesh.isEmpty()) {
+			return;
+		}
+		Roster.Builder members = Roster.newBuilder();
+		engines().stream()
+			.filter((info) -> info.service().equals(runner.service()))
+			.forEach((info) -> members.addMembers(RosterMember.newBuilder().setVm(info.host()).setPlace(info.place())));
+		WeightsNamed.Builder weights = WeightsNamed.newBuilder()
+			.setModel(model.get())
+			.setVersion(this.named.getOrDefault(model.get(), 1))
+			.setOrigin(origin.get());
+		this.mesh.get().send(runner.address(), Frame.newBuilder().setRoster(members).build());
+		this.mesh.get().send(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
+	}
+
+	private void peerLoads(String peer, LoadReport report, long now) {
+		for (RunnerLoad load : report.getLoadsList()) {
+			PeerLoad heard = new PeerLoad(load.getActive(), load.getWaiting(), load.getWaitingPrompt());
+			this.dispatcher.peerLoad(peer, load.getRunner(), heard, now);
+		}
+	}
+
+	private void agentSays(EngineState says, long now) {
+		OptionalInt version = says.getHoldsWeights() ? OptionalInt.of(says.getVersion()) : OptionalInt.empty();
+		this.log.decision("agent-says", "address", says.getAddress(), "version", says.getVersion(), "switching",
+				says.getSwitching());
+		this.dispatcher.agentSays(says.getAddress(), version, says.getSwitching(), now);
+	}
+
+	private void tick(long now) {
+		this.ticks++;
+		this.dispatcher.tick(now);
+		if (this.ticks % TICKS_PER_REPORT == 0) {
+			report();
+		}
+		register(now);
+	}
+
+	private void report() {
+		boolean full = this.ticks % ((long) TICKS_PER_REPORT * REPORTS_PER_FULL) == 0;
+		LoadReport.Builder report = LoadReport.newBuilder();
+		this.dispatcher.ownLoad().forEach((runner, load) -> {
+			boolean changed = !load.equals(this.reported.getOrDefault(runner, PeerLoad.NONE));
+			if (changed || (full && load.active() > 0)) {
+				this.reported.put(runner, load);
+				report.addLoads(RunnerLoad.newBuilder()
+					.setRunner(runner)
+					.setActive(load.active())
+					.setWaiting(Math.max(0, load.waiting()))
+					.setWaitingPrompt((int) Math.max(0, load.waitingPrompt())));
+			}
+		});
+		if (report.getLoadsCount() > 0) {
+			Frame frame = Frame.newBuilder().setLoadReport(report).build();
+			this.mesh.ifPresent((links) -> this.roster.others().forEach((info) -> links.send(info.name(), frame)));
+		}
+	}
+
+	private void register(long now) {
+		if (this.store.isEmpty() || this.departure.leaving()) {
+			return;
+		}
+		if (ready() && !this.registering && !this.roster.selfRegistered() && this.ticks % 25 == 1) {
+			this.registering = true;
+			this.store.get().register(this.self).whenComplete((none, failure) -> this.registering = false);
+		}
+		if (this.ticks % 100 == 0) {
+			this.roster.dead(now).ifPresent((dead) -> {
+				this.log.decision("entry-removed", "entry", dead.info().name());
+				this.store.get().unregister(dead.info().name(), dead.revision());
+			});
+		}
+	}
+
+	private void leave(long now) {
+		if (this.departure.leaving()) {
+			return;
+		}
+		this.departure.leave(now);
+		this.log.decision("leaving", "inProgress", this.dispatcher.inProgress());
+		Frame frame = Frame.newBuilder().setLeaving(Leaving.newBuilder().setVm(this.self.name())).build();
+		this.mesh.ifPresent((links) -> this.roster.others().forEach((info) -> links.send(info.name(), frame)));
+	}
+
+	// What is done.
+
+	private void carryOut() {
+		for (DispatchEffect effect : this.dispatcher.drain()) {
+			DirectCall call = this.calls.get(effect.job().id());
+			if (call != null) {
+				carryOut(effect, call);
+			}
+		}
+	}
+
+	private void carryOut(DispatchEffect effect, DirectCall call) {
+		switch (effect) {
+			case DispatchEffect.Send send -> {
+				this.log.decision("dispatched", "attempt", send.job().attempt(), "dispatch", send.job().dispatch(),
+						"route", send.job().route().name(), "runner", send.runner().id(), "address",
+						send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
+						this.table.map(RouteTable::version).orElse(-1L));
+				this.output.send(call, send);
+			}
+			case DispatchEffect.Stop stop -> this.output.stop(call);
+			case DispatchEffect.Refuse refuse -> {
+				this.log.failure("refused", "attempt", refuse.job().attempt(), "code", refuse.code().name(), "route",
+						refuse.job().route().name(), "retryAfterMs", refuse.retryAfterMillis());
+				this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
+				this.calls.remove(refuse.job().id());
+			}
+			case DispatchEffect.Fail fail -> {
+				this.log.failure("failed", "attempt", fail.job().attempt(), "code", fail.code().name(), "events",
+						fail.job().events());
+				this.output.fail(call, fail.code(), fail.timeout());
+				this.calls.remove(fail.job().id());
+			}
+			case DispatchEffect.PassOn passOn -> {
+				this.log.failure("passed-on", "attempt", passOn.job().attempt());
+				this.output.passOn(call);
+				this.calls.remove(passOn.job().id());
+			}
+		}
+	}
+
+	private boolean ready() {
+		return this.table.isPresent() && this.runnersRead && !this.departure.leaving();
+	}
+
+	private void publish() {
+		this.view.publish(ready(), this.departure.leaving(), this.roster.addresses(ready()),
+				this.table.map(RouteTable::limits),
+				this.departure.over(this.dispatcher.inProgress(), this.clock.getAsLong()));
+	}
+
+	private static InetSocketAddress address(String text) {
+		int colon = text.lastIndexOf(':');
+		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -0,0 +1,77 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.wisteriapost.kernel.EventLoop;
+import org.wisteriapost.policy.routing.CallLimits;
+
+/**
+ * What the state thread lets other threads see, and the way to it.
+ */
+final class DirectView implements DirectPort {
+
+	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), Optional.empty());
+
+	private final CompletableFuture<Void> over = new CompletableFuture<>();
+
+	private volatile Snapshot snapshot = NOTHING;
+
+	private volatile EventLoop<DirectEvent> loop;
+
+	void loop(EventLoop<DirectEvent> to) {
+		this.loop = to;
+	}
+
+	void publish(boolean ready, boolean leaving, List<String> addresses, Optional<CallLimits> limits, boolean ended) {
+		Snapshot next = new Snapshot(ready, leaving, addresses, limits);
+		if (!next.equals(this.snapshot)) {
+			this.snapshot = next;
+		}
+		if (ended) {
+			this.over.complete(null);
+		}
+	}
+
+	/**
+	 * Returns what completes when the entry has left.
+	 */
+	CompletableFuture<Void> over() {
+		return this.over;
+	}
+
+	@Override
+	public boolean offer(DirectEvent event) {
+		return this.loop.offer(event);
+	}
+
+	@Override
+	public void put(DirectEvent event) {
+		this.loop.put(event);
+	}
+
+	@Override
+	public boolean ready() {
+		return this.snapshot.ready();
+	}
+
+	@Override
+	public boolean leaving() {
+		return this.snapshot.leaving();
+	}
+
+	@Override
+	public List<String> addresses() {
+		return this.snapshot.addresses();
+	}
+
+	@Override
+	public Optional<CallLimits> limits() {
+		return this.snapshot.limits();
+	}
+
+	private record Snapshot(boolean ready, boolean leaving, List<String> addresses, Optional<CallLimits> limits) {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -0,0 +1,213 @@
+package org.wisteriapost.entry.direct;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.wisteriapost.protocol.link.Link;
+import org.wisteriapost.protocol.link.LinkHandler;
+import org.wisteriapost.protocol.link.LinkServer;
+import org.wisteriapost.protocol.link.Links;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Hello;
+import org.wisteriapost.protocol.wire.Role;
+
+/**
+ * The links from this entry to the other entries and to agents, made again when they
+ * break. What others send on links that they made comes in here too.
+ */
+final class Mesh implements AutoCloseable {
+
+	private static final Logger LOG = System.getLogger(Mesh.class.getName());
+
+	private static final long FIRST_PAUSE_MILLIS = 250;
+
+	private static final long LONGEST_PAUSE_MILLIS = 4000;
+
+	private final Links links;
+
+	private final ScheduledExecutorService timer;
+
+	private final Consumer<DirectEvent> events;
+
+	private final Frame hello;
+
+	private final Map<String, Outgoing> outgoing = new ConcurrentHashMap<>();
+
+	private LinkServer server;
+
+	private Mesh(Links links, ScheduledExecutorService timer, Consumer<DirectEvent> events, Frame hello) {
+		this.links = links;
+		this.timer = timer;
+		this.events = events;
+		this.hello = hello;
+	}
+
+	static Mesh start(Links links, InetSocketAddress address, String name, String place, ScheduledExecutorService timer,
+			Consumer<DirectEvent> events) {
+		Hello hello = Hello.newBuilder().setVm(name).setPlace(place).setRole(Role.ENTRY).build();
+		Mesh mesh = new Mesh(links, timer, events, Frame.newBuilder().setHello(hello).build());
+		mesh.server = links.listen(address, mesh.new Incoming());
+		return mesh;
+	}
+
+	int port() {
+		return this.server.port();
+	}
+
+	/**
+	 * Sets whom to be linked to.
+	 * @param peers addresses by name
+	 */
+	void desired(Map<String, InetSocketAddress> peers) {
+		this.outgoing.forEach((name, link) -> {
+			if (!link.address.equals(peers.get(name))) {
+				this.outgoing.remove(name);
+				link.abandon();
+			}
+		});
+		peers.forEach((name, address) -> {
+			if (!this.outgoing.containsKey(name)) {
+				Outgoing link = new Outgoing(name, address);
+				this.outgoing.put(name, link);
+				link.connect();
+			}
+		});
+	}
+
+	/**
+	 * Sends a frame to a peer; nothing happens when there is no link.
+	 */
+	void send(String name, Frame frame) {
+		Outgoing link = this.outgoing.get(name);
+		if (link != null) {
+			link.send(frame);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.outgoing.values().forEach(Outgoing::abandon);
+		this.server.close();
+	}
+
+	private void heard(Optional<String> peer, Frame frame) {
+		switch (frame.getBodyCase()) {
+			case ENGINE_STATE -> this.events.accept(new DirectEvent.AgentSays(frame.getEngineState()));
+			case LOAD_REPORT ->
+				peer.ifPresent((name) -> this.events.accept(new DirectEvent.PeerLoads(name, frame.getLoadReport())));
+			case LEAVING -> this.events.accept(new DirectEvent.PeerLeaving(frame.getLeaving().getVm()));
+			default -> {
+				// Frames of the roles that serve the product's own interface.
+			}
+		}
+	}
+
+	/** Links that others made. */
+	private final class Incoming implements LinkHandler {
+
+		private final Map<Link, String> names = new ConcurrentHashMap<>();
+
+		@Override
+		public void onOpen(Link link) {
+			link.send(Mesh.this.hello);
+		}
+
+		@Override
+		public void onFrame(Link link, Frame frame) {
+			if (frame.getBodyCase() == Frame.BodyCase.HELLO) {
+				this.names.put(link, frame.getHello().getVm());
+				return;
+			}
+			heard(Optional.ofNullable(this.names.get(link)), frame);
+		}
+
+		@Override
+		public void onClosed(Link link) {
+			this.names.remove(link);
+		}
+
+	}
+
+	/** A link that this entry made, and makes again. */
+	private final class Outgoing implements LinkHandler {
+
+		private final String name;
+
+		private final InetSocketAddress address;
+
+		private volatile Link link;
+
+		private volatile boolean abandoned;
+
+		private long pauseMillis = FIRST_PAUSE_MILLIS;
+
+		private Outgoing(String name, InetSocketAddress address) {
+			this.name = name;
+			this.address = address;
+		}
+
+		private void connect() {
+			if (this.abandoned) {
+				return;
+			}
+			Mesh.this.links.connect(this.address, this).exceptionally((failure) -> {
+				again();
+				return null;
+			});
+		}
+
+		private void again() {
+			if (this.abandoned) {
+				return;
+			}
+			Mesh.this.timer.schedule(this::connect, this.pauseMillis, TimeUnit.MILLISECONDS);
+			this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, this.pauseMillis * 2);
+		}
+
+		private void send(Frame frame) {
+			Link open = this.link;
+			if (open != null && open.writable()) {
+				open.send(frame);
+			}
+		}
+
+		private void abandon() {
+			this.abandoned = true;
+			Link open = this.link;
+			if (open != null) {
+				open.close();
+			}
+		}
+
+		@Override
+		public void onOpen(Link opened) {
+			this.link = opened;
+			this.pauseMillis = FIRST_PAUSE_MILLIS;
+			opened.send(Mesh.this.hello);
+			LOG.log(Level.INFO, "link-up: " + this.name);
+			Mesh.this.events.accept(new DirectEvent.PeerLink(this.name, true));
+		}
+
+		@Override
+		public void onFrame(Link from, Frame frame) {
+			heard(Optional.of(this.name), frame);
+		}
+
+		@Override
+		public void onClosed(Link gone) {
+			this.link = null;
+			LOG.log(Level.INFO, "link-lost: " + this.name);
+			Mesh.this.events.accept(new DirectEvent.PeerLink(this.name, false));
+			again();
+		}
+
+	}
+
+}
--- a/entry/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
+++ b/entry/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
@@ -1,1 +1,2 @@
 org.wisteriapost.entry.EntryCommand
+org.wisteriapost.entry.direct.DirectCommand
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -0,0 +1,405 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.fleet.NamedWeights;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.RouteTable;
+
+/**
+ * Applies one event after the other to the requests in progress and says what is to be
+ * done with them.
+ *
+ * The deciding classes stand beside it: {@link Placement} chooses the runner,
+ * {@link Patience} says how long to wait for one, {@link Recovery} what becomes of a
+ * request whose runner failed.
+ */
+public final class Dispatcher {
+
+	/** No runner could be had in time. */
+	public static final Code NO_ROOM = Code.refusal("no-room",
+			"Every runner has as much work as it can answer in time.");
+
+	/** No runner of the service can be used. */
+	public static final Code NO_RUNNER = Code.refusal("no-usable-runner",
+			"No runner of the service can be sent requests now.");
+
+	/** Time ran out. */
+	public static final Code TIME_OVER = Code.warning("time-over", "No whole answer came in the request's time.");
+
+	/** The runner's answer broke off. */
+	public static final Code RUN_BROKEN = Code.warning("run-broken",
+			"The runner's answer broke off and the request may not run again.");
+
+	private final DispatchLimits limits;
+
+	private final RunnerBook book = new RunnerBook();
+
+	private final WeightsFence fence;
+
+	private final Placement placement;
+
+	private final Patience patience;
+
+	private final Recovery recovery;
+
+	private final Map<Long, Job> jobs = new LinkedHashMap<>();
+
+	private final Map<String, Deque<Job>> queues = new HashMap<>();
+
+	private final Map<String, RetryAllowance> allowances = new HashMap<>();
+
+	private List<DispatchEffect> effects = new ArrayList<>();
+
+	private Optional<RouteTable> table = Optional.empty();
+
+	private int entries = 1;
+
+	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
+		this.limits = limits;
+		this.fence = new WeightsFence(limits.weightsInForce());
+		this.placement = new Placement(this.book, this.fence, limits.place(), random);
+		this.patience = new Patience(random);
+		this.recovery = new Recovery();
+	}
+
+	/**
+	 * Returns a dispatcher without any request or runner.
+	 */
+	public static Dispatcher create(DispatchLimits limits, UniformRandomProvider random) {
+		return new Dispatcher(limits, random);
+	}
+
+	/**
+	 * Returns what is to be done since the last call, in order.
+	 */
+	public List<DispatchEffect> drain() {
+		List<DispatchEffect> drained = this.effects;
+		this.effects = new ArrayList<>();
+		return drained;
+	}
+
+	/**
+	 * Returns how many requests are in progress.
+	 */
+	public int inProgress() {
+		return this.jobs.size();
+	}
+
+	// What is believed.
+
+	/**
+	 * Takes a newer declaration of traffic.
+	 */
+	public void table(RouteTable newer) {
+		this.table = Optional.of(newer);
+	}
+
+	/**
+	 * Hears that weights were named.
+	 */
+	public void named(NamedWeights weights, long nowNanos) {
+		this.fence.named(weights, nowNanos);
+	}
+
+	/**
+	 * Hears all registered runners.
+	 */
+	public void runners(Collection<RunnerInfo> all, long nowNanos) {
+		this.book.all(all, nowNanos);
+		pump(nowNanos);
+	}
+
+	/**
+	 * Hears of one runner.
+	 */
+	public void runner(RunnerInfo info, long nowNanos) {
+		this.book.put(info);
+		pump(nowNanos);
+	}
+
+	/**
+	 * Hears that a runner's registration is gone.
+	 */
+	public void runnerRemoved(String id, long nowNanos) {
+		this.book.removed(id, nowNanos);
+	}
+
+	/**
+	 * Hears whether the site's store answers.
+	 */
+	public void store(boolean reachable, long nowNanos) {
+		this.book.store(reachable, nowNanos);
+	}
+
+	/**
+	 * Hears what the agent beside a runner says of it.
+	 */
+	public void agentSays(String address, OptionalInt version, boolean switching, long nowNanos) {
+		this.book.agentSays(address, version, switching);
+		pump(nowNanos);
+	}
+
+	/**
+	 * Hears what another entry has at a runner.
+	 */
+	public void peerLoad(String peer, String runner, PeerLoad load, long nowNanos) {
+		this.book.find(runner).ifPresent((state) -> state.heard(peer, load, nowNanos));
+	}
+
+	/**
+	 * Hears how many entries there are, this one included.
+	 */
+	public void entries(int count) {
+		this.entries = Math.max(1, count);
+	}
+
+	/**
+	 * Returns what this entry has at each runner.
+	 */
+	public Map<String, PeerLoad> ownLoad() {
+		Map<String, PeerLoad> loads = new HashMap<>();
+		this.book.states().forEach((state) -> loads.put(state.info.id(), state.own));
+		return loads;
+	}
+
+	/**
+	 * Returns the runners that are believed to be there.
+	 */
+	public List<RunnerInfo> known() {
+		return this.book.states().stream().map((state) -> state.info).toList();
+	}
+
+	// What happens to requests.
+
+	/**
+	 * Takes a request that has arrived.
+	 */
+	public void arrived(Job job, long nowNanos) {
+		this.jobs.put(job.id(), job);
+		this.patience.arrived(job);
+		place(job, nowNanos);
+	}
+
+	/**
+	 * Hears that the first event of an answer went out to the caller.
+	 */
+	public void firstEvent(Job job, long nowNanos) {
+		if (job.over || job.firstSeen || job.runner.isEmpty()) {
+			return;
+		}
+		job.firstSeen = true;
+		job.headed = true;
+		RunnerState runner = job.runner.get();
+		runner.firstEvent(job.size().promptTokens());
+		if (job.predictedMillis > 0) {
+			runner.measured((nowNanos - job.sentNanos) / (job.predictedMillis * Placement.NANOS_PER_MILLI));
+		}
+		pump(nowNanos);
+	}
+
+	/**
+	 * Hears how the latest dispatch of a request ended.
+	 */
+	public void ended(Job job, Outcome outcome, long nowNanos) {
+		release(job, outcome, nowNanos);
+		if (job.over) {
+			return;
+		}
+		switch (this.recovery.after(job, outcome)) {
+			case FINISHED -> finish(job);
+			case PASS_ON -> {
+				finish(job);
+				this.effects.add(new DispatchEffect.PassOn(job));
+			}
+			case FAIL -> giveUp(job, outcome, nowNanos);
+			case AGAIN -> again(job, outcome, nowNanos);
+		}
+		pump(nowNanos);
+	}
+
+	/**
+	 * Hears that the caller has gone.
+	 */
+	public void gone(Job job, long nowNanos) {
+		if (!job.over) {
+			stop(job, nowNanos);
+			finish(job);
+			pump(nowNanos);
+		}
+	}
+
+	/**
+	 * Looks at what time has brought.
+	 */
+	public void tick(long nowNanos) {
+		this.book.tick(nowNanos);
+		for (Job job : List.copyOf(this.jobs.values())) {
+			if (nowNanos >= job.deadlineNanos()) {
+				timeOver(job, nowNanos);
+			}
+			else if (job.runner.isPresent() && this.recovery.stalled(job, nowNanos)) {
+				stop(job, nowNanos, Outcome.BROKEN);
+				again(job, Outcome.BROKEN, nowNanos);
+			}
+		}
+		pump(nowNanos);
+	}
+
+	private void again(Job job, Outcome outcome, long nowNanos) {
+		boolean counts = outcome != Outcome.NOT_SENT;
+		if (counts && !allowance(job.service()).take(this.entries, nowNanos)) {
+			giveUp(job, outcome, nowNanos);
+			return;
+		}
+		place(job, nowNanos);
+	}
+
+	private void giveUp(Job job, Outcome outcome, long nowNanos) {
+		finish(job);
+		switch (outcome) {
+			case ERROR -> this.effects.add(new DispatchEffect.PassOn(job));
+			case FULL, MISDIRECTED, NOT_SENT -> {
+				if (job.runs == 0) {
+					refuse(job, NO_ROOM, nowNanos);
+				}
+				else {
+					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
+				}
+			}
+			case DONE, BROKEN -> this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
+		}
+	}
+
+	private void timeOver(Job job, long nowNanos) {
+		boolean ran = job.runs > 0;
+		stop(job, nowNanos);
+		finish(job);
+		if (ran) {
+			this.effects.add(new DispatchEffect.Fail(job, TIME_OVER, true));
+		}
+		else {
+			refuse(job, TIME_OVER, nowNanos);
+		}
+	}
+
+	private void refuse(Job job, Code code, long nowNanos) {
+		this.effects.add(new DispatchEffect.Refuse(job, code, this.patience.retryAfterMillis(job, nowNanos)));
+	}
+
+	private void place(Job job, long nowNanos) {
+		Deque<Job> queue = this.queues.computeIfAbsent(job.service(), (name) -> new ArrayDeque<>());
+		place(job, queue, queue.size(), nowNanos);
+	}
+
+	private void place(Job job, Deque<Job> queue, int ahead, long nowNanos) {
+		Placement.Choice choice = this.placement.choose(job, spec(job), nowNanos);
+		switch (this.patience.decide(job, choice, ahead, nowNanos)) {
+			case SEND -> send(job, choice, nowNanos);
+			case WAIT -> {
+				job.waiting = true;
+				queue.addLast(job);
+			}
+			case REFUSE -> {
+				finish(job);
+				if (job.runs > 0) {
+					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
+				}
+				else {
+					refuse(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
+				}
+			}
+		}
+	}
+
+	private void send(Job job, Placement.Choice choice, long nowNanos) {
+		RunnerState runner = choice.runner().orElseThrow();
+		if (job.dispatches == 0) {
+			allowance(job.service()).first();
+		}
+		job.dispatches++;
+		job.runs++;
+		job.tried.add(runner.info.id());
+		job.runner = Optional.of(runner);
+		job.sentNanos = nowNanos;
+		job.firstSeen = false;
+		job.predictedMillis = choice.predictedMillis();
+		runner.sent(job.size().promptTokens());
+		long remaining = Math.max(1, (job.deadlineNanos() - nowNanos) / Placement.NANOS_PER_MILLI);
+		Optional<String> resume = job.lastEvent();
+		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
+		this.effects
+			.add(new DispatchEffect.Send(job, runner.info, remaining, this.patience.rank(job, nowNanos), version, resume));
+	}
+
+	// Lets waiting requests go on in the order in which they came, as far as room has
+	// come up.
+	private void pump(long nowNanos) {
+		for (Deque<Job> queue : this.queues.values()) {
+			for (int left = queue.size(); left > 0; left--) {
+				Job job = queue.pollFirst();
+				if (!job.over) {
+					job.waiting = false;
+					place(job, queue, 0, nowNanos);
+				}
+			}
+		}
+	}
+
+	private void release(Job job, Outcome outcome, long nowNanos) {
+		job.runner.ifPresent((runner) -> {
+			runner.ended(job.firstSeen, job.size().promptTokens());
+			runner.health.ended(outcome, nowNanos);
+			if (outcome == Outcome.FULL) {
+				runner.full(nowNanos);
+			}
+			if (outcome == Outcome.MISDIRECTED) {
+				this.placement.misdirected(runner, job);
+			}
+			if (outcome == Outcome.NOT_SENT || outcome == Outcome.FULL || outcome == Outcome.MISDIRECTED) {
+				job.runs--;
+			}
+		});
+		job.runner = Optional.empty();
+	}
+
+	private void stop(Job job, long nowNanos) {
+		job.runner.ifPresent((runner) -> {
+			runner.ended(job.firstSeen, job.size().promptTokens());
+			this.effects.add(new DispatchEffect.Stop(job));
+		});
+		job.runner = Optional.empty();
+	}
+
+	private void stop(Job job, long nowNanos, Outcome outcome) {
+		release(job, outcome, nowNanos);
+		this.effects.add(new DispatchEffect.Stop(job));
+	}
+
+	private void finish(Job job) {
+		job.over = true;
+		this.jobs.remove(job.id());
+	}
+
+	private RetryAllowance allowance(String service) {
+		return this.allowances.computeIfAbsent(service,
+				(name) -> new RetryAllowance(this.limits.retryShare(), this.limits.retryExtra(),
+						this.limits.retryWindow()));
+	}
+
+	private Optional<org.wisteriapost.policy.routing.EngineSpec> spec(Job job) {
+		return this.table.flatMap((known) -> known.service(job.service())).flatMap((service) -> service.engine());
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -0,0 +1,193 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.wisteriapost.policy.routing.Organisation;
+import org.wisteriapost.policy.routing.Route;
+import org.wisteriapost.policy.routing.RouteKind;
+
+/**
+ * One request in progress. The dispatcher's thread owns it, but for the two fields that
+ * the thread that reads the runner's answer writes.
+ */
+public final class Job {
+
+	private final long id;
+
+	private final String attempt;
+
+	private final Route route;
+
+	private final String service;
+
+	private final Optional<Organisation> organisation;
+
+	private final Size size;
+
+	private final long arrivedNanos;
+
+	private final long deadlineNanos;
+
+	// Events of the answer that went out to the caller, and when the last one came.
+	private volatile int events;
+
+	private volatile long progressNanos;
+
+	private volatile Optional<String> lastEvent;
+
+	private volatile OptionalInt weightsVersion = OptionalInt.empty();
+
+	Optional<RunnerState> runner = Optional.empty();
+
+	final Set<String> tried = new HashSet<>();
+
+	int dispatches;
+
+	int runs;
+
+	long sentNanos;
+
+	double predictedMillis;
+
+	// When the caller first asked, if its remaining time tells of an earlier attempt.
+	long wantedNanos;
+
+	boolean headed;
+
+	boolean waiting;
+
+	boolean firstSeen;
+
+	boolean over;
+
+	private Job(long id, String attempt, Route route, String service, Optional<Organisation> organisation, Size size,
+			Optional<String> lastEvent, long arrivedNanos, long deadlineNanos) {
+		this.id = id;
+		this.attempt = attempt;
+		this.route = route;
+		this.service = service;
+		this.organisation = organisation;
+		this.size = size;
+		this.lastEvent = lastEvent;
+		this.arrivedNanos = arrivedNanos;
+		this.deadlineNanos = deadlineNanos;
+		this.wantedNanos = arrivedNanos;
+	}
+
+	/**
+	 * Returns a request that has just arrived.
+	 * @param attempt the caller's name for it
+	 * @param service the service that its route chose
+	 * @param lastEvent the event after which the caller resumes a stream
+	 * @param deadlineNanos when it must have its final answer
+	 */
+	public static Job arrived(long id, String attempt, Route route, String service, Optional<Organisation> organisation,
+			Size size, Optional<String> lastEvent, long arrivedNanos, long deadlineNanos) {
+		return new Job(id, attempt, route, service, organisation, size, lastEvent, arrivedNanos, deadlineNanos);
+	}
+
+	public long id() {
+		return this.id;
+	}
+
+	public String attempt() {
+		return this.attempt;
+	}
+
+	public Route route() {
+		return this.route;
+	}
+
+	public String service() {
+		return this.service;
+	}
+
+	public Optional<Organisation> organisation() {
+		return this.organisation;
+	}
+
+	public Size size() {
+		return this.size;
+	}
+
+	public long arrivedNanos() {
+		return this.arrivedNanos;
+	}
+
+	public long deadlineNanos() {
+		return this.deadlineNanos;
+	}
+
+	/**
+	 * Returns the number of the latest dispatch, from 1; what is heard of an earlier one
+	 * no longer counts.
+	 */
+	public int dispatch() {
+		return this.dispatches;
+	}
+
+	/**
+	 * Returns the last event that the caller has.
+	 */
+	public Optional<String> lastEvent() {
+		return this.lastEvent;
+	}
+
+	/**
+	 * Returns how many events went out to the caller; for any thread.
+	 */
+	public int events() {
+		return this.events;
+	}
+
+	/**
+	 * Returns the weights that the answer has begun on; for any thread.
+	 */
+	public OptionalInt weightsVersion() {
+		return this.weightsVersion;
+	}
+
+	/**
+	 * Notes events that went out to the caller; called by the one thread that reads the
+	 * answer.
+	 * @param last the id of the last one, when it has one
+	 */
+	public void progressed(int count, Optional<String> last, long nowNanos) {
+		this.events += count;
+		this.progressNanos = nowNanos;
+		if (last.isPresent()) {
+			this.lastEvent = last;
+		}
+	}
+
+	/**
+	 * Notes the weights that the answer begins on; called by the thread that reads it.
+	 */
+	public void begunOn(OptionalInt version) {
+		this.weightsVersion = version;
+	}
+
+	/**
+	 * Returns when the answer last moved: its last event, or when it was sent.
+	 */
+	long movedNanos() {
+		return (this.events > 0) ? Math.max(this.progressNanos, this.sentNanos) : this.sentNanos;
+	}
+
+	boolean stream() {
+		return this.route.kind() == RouteKind.STREAM;
+	}
+
+	/**
+	 * How much work a request is.
+	 *
+	 * @param promptTokens to read; 0 when unknown
+	 * @param answerTokens to write at most; 0 when unknown
+	 */
+	public record Size(int promptTokens, int answerTokens) {
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -0,0 +1,148 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.wisteriapost.policy.fleet.RunnerInfo;
+
+/**
+ * Which runners there are, from the site's store and from their agents.
+ *
+ * A registration that lapses while the store is away says nothing of the runner: many
+ * lapse at once and come back. So a runner that disappears around an outage is kept until
+ * {@link #RETURN_NANOS} after the store answers again. In calm times a registration that
+ * is removed is a runner that leaves, some without saying so before, and it gets nothing
+ * new from that moment.
+ */
+final class RunnerBook {
+
+	/** Runners that live are registered again about two seconds after the store is back. */
+	static final long RETURN_NANOS = Duration.ofMillis(2300).toNanos();
+
+	private final Map<String, RunnerState> runners = new HashMap<>();
+
+	private final Map<String, List<RunnerState>> services = new HashMap<>();
+
+	private final Map<String, AgentWord> words = new HashMap<>();
+
+	private final Set<String> lapsed = new HashSet<>();
+
+	private boolean storeReachable = true;
+
+	private long storeBackNanos = Long.MIN_VALUE / 2;
+
+	/**
+	 * Hears whether the store answers.
+	 */
+	void store(boolean reachable, long nowNanos) {
+		if (reachable && !this.storeReachable) {
+			this.storeBackNanos = nowNanos;
+		}
+		this.storeReachable = reachable;
+	}
+
+	/**
+	 * Hears all registered runners.
+	 */
+	void all(Collection<RunnerInfo> infos, long nowNanos) {
+		Set<String> ids = new HashSet<>();
+		infos.forEach((info) -> {
+			ids.add(info.id());
+			put(info);
+		});
+		List<String> missing = this.runners.keySet().stream().filter((id) -> !ids.contains(id)).toList();
+		missing.forEach((id) -> removed(id, nowNanos));
+	}
+
+	void put(RunnerInfo info) {
+		this.lapsed.remove(info.id());
+		RunnerState state = this.runners.computeIfAbsent(info.id(), (id) -> new RunnerState(info));
+		state.info = info;
+		state.gone = false;
+		AgentWord word = this.words.get(info.address());
+		if (word != null) {
+			apply(state, word);
+		}
+		index();
+	}
+
+	void removed(String id, long nowNanos) {
+		if (unsettled(nowNanos)) {
+			this.lapsed.add(id);
+			return;
+		}
+		drop(id);
+	}
+
+	/**
+	 * Takes runners for gone that are still missing some time after an outage.
+	 */
+	void tick(long nowNanos) {
+		if (this.lapsed.isEmpty() || unsettled(nowNanos)) {
+			return;
+		}
+		List.copyOf(this.lapsed).forEach(this::drop);
+	}
+
+	/**
+	 * Hears what the agent beside a runner says of it.
+	 * @param address the runner's address
+	 */
+	void agentSays(String address, OptionalInt version, boolean switching) {
+		AgentWord word = new AgentWord(version, switching);
+		this.words.put(address, word);
+		this.runners.values()
+			.stream()
+			.filter((state) -> state.info.address().equals(address))
+			.forEach((state) -> apply(state, word));
+	}
+
+	Optional<RunnerState> find(String id) {
+		return Optional.ofNullable(this.runners.get(id));
+	}
+
+	List<RunnerState> of(String service) {
+		return this.services.getOrDefault(service, List.of());
+	}
+
+	Collection<RunnerState> states() {
+		return this.runners.values();
+	}
+
+	private boolean unsettled(long nowNanos) {
+		return !this.storeReachable || nowNanos - this.storeBackNanos < RETURN_NANOS;
+	}
+
+	private void drop(String id) {
+		this.lapsed.remove(id);
+		RunnerState state = this.runners.remove(id);
+		if (state != null) {
+			state.gone = true;
+			index();
+		}
+	}
+
+	private void index() {
+		this.services.clear();
+		this.runners.values()
+			.forEach((state) -> this.services.computeIfAbsent(state.info.service(), (name) -> new ArrayList<>())
+				.add(state));
+	}
+
+	private static void apply(RunnerState state, AgentWord word) {
+		state.told(word.version);
+		state.switching = word.switching;
+	}
+
+	private record AgentWord(OptionalInt version, boolean switching) {
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -0,0 +1,114 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalInt;
+
+import org.wisteriapost.policy.fleet.RunnerInfo;
+
+/**
+ * What an entry believes of one start of a runner: its registration, what is in flight
+ * there from here and from other entries, and how its answers ended.
+ */
+final class RunnerState {
+
+	// Another entry that was killed says nothing any more; its requests ended with it.
+	private static final long PEER_TTL_NANOS = Duration.ofMillis(1500).toNanos();
+
+	// A runner that has just said that it is full is not asked again for the time in
+	// which a running answer may end.
+	private static final long FULL_NANOS = Duration.ofMillis(40).toNanos();
+
+	private static final double PACE_SMOOTHING = 0.15;
+
+	private static final double LEAST_PACE = 0.5;
+
+	private static final double MOST_PACE = 6;
+
+	private final Map<String, Heard> peers = new HashMap<>();
+
+	final RunnerHealth health = new RunnerHealth();
+
+	RunnerInfo info;
+
+	PeerLoad own = PeerLoad.NONE;
+
+	double pace = 1;
+
+	boolean switching;
+
+	boolean gone;
+
+	private long fullUntilNanos = Long.MIN_VALUE;
+
+	private OptionalInt told = OptionalInt.empty();
+
+	RunnerState(RunnerInfo info) {
+		this.info = info;
+	}
+
+	/**
+	 * Returns the version of a model's weights that the runner holds, as its agent or its
+	 * answers say, else as it registered.
+	 */
+	OptionalInt version(String model) {
+		if (this.told.isPresent()) {
+			return this.told;
+		}
+		Integer registered = this.info.models().get(model);
+		return (registered != null) ? OptionalInt.of(registered) : OptionalInt.empty();
+	}
+
+	void told(OptionalInt version) {
+		this.told = version;
+	}
+
+	void sent(int promptTokens) {
+		this.own = this.own.plus(new PeerLoad(1, 1, promptTokens));
+	}
+
+	void firstEvent(int promptTokens) {
+		this.own = this.own.plus(new PeerLoad(0, -1, -promptTokens));
+	}
+
+	void ended(boolean hadFirstEvent, int promptTokens) {
+		this.own = this.own.plus(new PeerLoad(-1, hadFirstEvent ? 0 : -1, hadFirstEvent ? 0 : -promptTokens));
+	}
+
+	void heard(String peer, PeerLoad load, long nowNanos) {
+		this.peers.put(peer, new Heard(load, nowNanos));
+	}
+
+	/**
+	 * Returns what all entries together have there.
+	 */
+	PeerLoad total(long nowNanos) {
+		PeerLoad total = this.own;
+		for (Heard heard : this.peers.values()) {
+			if (nowNanos - heard.atNanos < PEER_TTL_NANOS) {
+				total = total.plus(heard.load);
+			}
+		}
+		return total;
+	}
+
+	void full(long nowNanos) {
+		this.fullUntilNanos = nowNanos + FULL_NANOS;
+	}
+
+	boolean saidFull(long nowNanos) {
+		return nowNanos < this.fullUntilNanos;
+	}
+
+	/**
+	 * Notes how long a first event took against its prediction.
+	 */
+	void measured(double ratio) {
+		this.pace += PACE_SMOOTHING * (Math.clamp(ratio, LEAST_PACE, MOST_PACE) - this.pace);
+	}
+
+	private record Heard(PeerLoad load, long atNanos) {
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerInfo.java
@@ -0,0 +1,31 @@
+package org.wisteriapost.policy.fleet;
+
+import java.util.Map;
+
+/**
+ * One start of a runner, as it registers itself.
+ *
+ * @param id new with each start
+ * @param service the service that it belongs to
+ * @param address as {@code IP:PORT}; used again by others after the runner has gone
+ * @param place its failure domain
+ * @param slots requests that it processes at once
+ * @param draining whether it is about to leave
+ * @param coldMillis how much longer it is slow after its start
+ * @param models the version of the weights that it holds, by model
+ */
+public record RunnerInfo(String id, String service, String address, String place, int slots, boolean draining,
+		long coldMillis, Map<String, Integer> models) {
+
+	public RunnerInfo {
+		models = Map.copyOf(models);
+	}
+
+	/**
+	 * Returns the IP number of its VM.
+	 */
+	public String host() {
+		return this.address.substring(0, this.address.lastIndexOf(':'));
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -0,0 +1,297 @@
+package org.wisteriapost.policy.rollout;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+
+/**
+ * Brings one engine to the named weights, step by step: fetch, wait for its turn, check
+ * what is staged, order, watch.
+ *
+ * The engine serves its older weights until the order, and the check comes directly
+ * before the order: what is staged may go bad at any time, and an engine that takes a
+ * spoilt piece answers from it. Entries are told first, so that requests do not meet an
+ * engine that takes none.
+ *
+ * A newer version that is named during a fetch waits for it when the fetch is more than
+ * half done: with versions named faster than links carry them, an agent that always began
+ * anew would never finish one, and the entries would run out of engines that may answer.
+ */
+public final class Rollout {
+
+	// Entries hear of it over a link within a few milliseconds; requests on their way to
+	// the engine have arrived by then.
+	private static final long QUIET_NANOS = Duration.ofMillis(120).toNanos();
+
+	private static final long TAKE_NANOS = Duration.ofSeconds(6).toNanos();
+
+	private static final long AGAIN_NANOS = Duration.ofMillis(400).toNanos();
+
+	private static final long CALM_READ_NANOS = Duration.ofMillis(1000).toNanos();
+
+	private static final long BUSY_READ_NANOS = Duration.ofMillis(150).toNanos();
+
+	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
+
+	// Engines change over in three groups, so that two thirds go on answering. An engine
+	// ends what it runs first, which takes some 1.5 s.
+	private static final int GROUPS = 3;
+
+	private static final double FIRST_GROUP = 0.45;
+
+	private static final double BETWEEN_GROUPS = 0.09;
+
+	private final long inForceNanos;
+
+	private final List<RolloutEffect> effects = new ArrayList<>();
+
+	private OptionalInt wanted = OptionalInt.empty();
+
+	private long namedNanos;
+
+	private OptionalInt held = OptionalInt.empty();
+
+	private boolean engineSeen;
+
+	private OptionalInt staged = OptionalInt.empty();
+
+	private Step step = Step.IDLE;
+
+	private int target;
+
+	private long stepNanos;
+
+	private double group;
+
+	private double fetchedShare;
+
+	private boolean busy;
+
+	private long sequence;
+
+	private long readNanos = Long.MIN_VALUE / 2;
+
+	private boolean reading;
+
+	private RolloutEffect.Tell told;
+
+	private Rollout(Duration inForce) {
+		this.inForceNanos = inForce.toNanos();
+	}
+
+	/**
+	 * Returns a rollout that knows nothing yet.
+	 * @param inForce from naming weights until no request may start on older ones
+	 */
+	public static Rollout create(Duration inForce) {
+		return new Rollout(inForce);
+	}
+
+	/**
+	 * Returns what is to be done since the last call, in order.
+	 */
+	public List<RolloutEffect> drain() {
+		List<RolloutEffect> drained = List.copyOf(this.effects);
+		this.effects.clear();
+		return drained;
+	}
+
+	/**
+	 * Hears which version is named. Versions only move up.
+	 */
+	public void named(int version, long nowNanos) {
+		if (this.wanted.isPresent() && this.wanted.getAsInt() >= version) {
+			return;
+		}
+		this.wanted = OptionalInt.of(version);
+		this.namedNanos = nowNanos;
+		boolean worthIt = this.fetchedShare > 0.5;
+		if (this.step == Step.FETCHING && this.target != version && !worthIt) {
+			this.effects.add(new RolloutEffect.Abandon(this.target));
+			idle(nowNanos);
+		}
+		decide(nowNanos);
+	}
+
+	/**
+	 * Hears this engine's place among all that change over, from 0 to below 1.
+	 */
+	public void turn(double position) {
+		this.group = Math.floor(position * GROUPS);
+	}
+
+	/**
+	 * Hears how much of the fetch is done, from 0 to 1.
+	 */
+	public void fetching(double share) {
+		this.fetchedShare = share;
+	}
+
+	/**
+	 * Hears that the fetch ended.
+	 * @param whole whether every piece is staged
+	 */
+	public void fetched(int version, boolean whole, long nowNanos) {
+		if (this.step != Step.FETCHING || this.target != version) {
+			return;
+		}
+		this.staged = whole ? OptionalInt.of(version) : OptionalInt.empty();
+		go(whole ? Step.TURN : Step.PAUSE, nowNanos);
+		decide(nowNanos);
+	}
+
+	/**
+	 * Hears whether what is staged is whole and good.
+	 */
+	public void verified(int version, boolean good, long nowNanos) {
+		if (this.step != Step.VERIFYING || this.target != version) {
+			return;
+		}
+		if (!good) {
+			this.staged = OptionalInt.empty();
+			idle(nowNanos);
+			decide(nowNanos);
+			return;
+		}
+		go(Step.ORDERING, nowNanos);
+		this.effects.add(new RolloutEffect.Take(version, this.sequence));
+	}
+
+	/**
+	 * Hears whether the engine has begun to take the weights.
+	 */
+	public void ordered(boolean begun, long nowNanos) {
+		if (this.step == Step.ORDERING) {
+			go(begun ? Step.TAKING : Step.PAUSE, nowNanos);
+			read(nowNanos);
+		}
+	}
+
+	/**
+	 * Hears the engine's report.
+	 */
+	public void reported(OptionalInt version, boolean underWay, long orders, long nowNanos) {
+		this.reading = false;
+		this.engineSeen = true;
+		this.held = version;
+		this.busy = underWay;
+		this.sequence = orders;
+		if (this.step == Step.TAKING && !underWay && version.equals(OptionalInt.of(this.target))) {
+			idle(nowNanos);
+		}
+		decide(nowNanos);
+	}
+
+	/**
+	 * Hears that the engine did not report.
+	 */
+	public void silent(long nowNanos) {
+		this.reading = false;
+		this.engineSeen = false;
+		decide(nowNanos);
+	}
+
+	/**
+	 * Looks at what time has brought.
+	 */
+	public void tick(long nowNanos) {
+		long gone = nowNanos - this.stepNanos;
+		if ((this.step == Step.TAKING && gone > TAKE_NANOS) || (this.step == Step.PAUSE && gone > AGAIN_NANOS)) {
+			idle(nowNanos);
+		}
+		decide(nowNanos);
+		boolean calm = this.step == Step.IDLE && this.held.equals(this.wanted);
+		long since = nowNanos - this.readNanos;
+		if (since > (calm ? CALM_READ_NANOS : BUSY_READ_NANOS) && (!this.reading || since > READ_LOST_NANOS)) {
+			read(nowNanos);
+		}
+	}
+
+	/**
+	 * Returns the latest word to the entries, for one that has just come.
+	 */
+	public java.util.Optional<RolloutEffect.Tell> latest() {
+		return java.util.Optional.ofNullable(this.told);
+	}
+
+	private void decide(long nowNanos) {
+		switch (this.step) {
+			case IDLE -> begin(nowNanos);
+			case TURN -> turn(nowNanos);
+			case QUIET -> quiet(nowNanos);
+			case FETCHING, VERIFYING, ORDERING, TAKING, PAUSE -> {
+				// Goes on when what is under way ends.
+			}
+		}
+		tell();
+	}
+
+	private void begin(long nowNanos) {
+		if (this.wanted.isEmpty() || !this.engineSeen || this.busy || this.held.equals(this.wanted)) {
+			return;
+		}
+		this.target = this.wanted.getAsInt();
+		if (this.staged.equals(this.wanted)) {
+			go(Step.TURN, nowNanos);
+			turn(nowNanos);
+			return;
+		}
+		go(Step.FETCHING, nowNanos);
+		this.fetchedShare = 0;
+		this.staged = OptionalInt.empty();
+		this.effects.add(new RolloutEffect.Fetch(this.target));
+	}
+
+	// An engine without weights answers nothing, so it waits for nobody.
+	private void turn(long nowNanos) {
+		double share = FIRST_GROUP + this.group * BETWEEN_GROUPS;
+		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
+		if (newest && this.held.isPresent() && nowNanos - this.namedNanos < share * this.inForceNanos) {
+			return;
+		}
+		go(Step.QUIET, nowNanos);
+	}
+
+	private void quiet(long nowNanos) {
+		if (this.held.isPresent() && nowNanos - this.stepNanos < QUIET_NANOS) {
+			return;
+		}
+		go(Step.VERIFYING, nowNanos);
+		this.effects.add(new RolloutEffect.Verify(this.target));
+	}
+
+	private void read(long nowNanos) {
+		this.reading = true;
+		this.readNanos = nowNanos;
+		this.effects.add(new RolloutEffect.ReadReport());
+	}
+
+	private void tell() {
+		boolean switching = switch (this.step) {
+			case QUIET, VERIFYING, ORDERING, TAKING -> true;
+			case IDLE, FETCHING, TURN, PAUSE -> false;
+		};
+		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching);
+		if (this.engineSeen && !now.equals(this.told)) {
+			this.told = now;
+			this.effects.add(now);
+		}
+	}
+
+	private void idle(long nowNanos) {
+		go(Step.IDLE, nowNanos);
+	}
+
+	private void go(Step next, long nowNanos) {
+		this.step = next;
+		this.stepNanos = nowNanos;
+	}
+
+	private enum Step {
+
+		IDLE, FETCHING, TURN, QUIET, VERIFYING, ORDERING, TAKING, PAUSE
+
+	}
+
+}
--- a/protocol/src/main/java/org/wisteriapost/protocol/admin/AdminServer.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/admin/AdminServer.java
@@ -10,6 +10,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.xnio.Options;
+import org.xnio.XnioWorker;
 
 /**
  * The address for monitoring: {@code /healthz}, {@code /readyz} and {@code /metrics}.
@@ -33,11 +34,21 @@
 	 */
 	public static AdminServer start(InetSocketAddress address, PrometheusMeterRegistry registry,
 			BooleanSupplier ready) {
+		return start(address, registry, ready, Undertow.builder().setIoThreads(1).setWorkerThreads(1));
+	}
+
+	/**
+	 * Returns a running server on the threads of another.
+	 */
+	public static AdminServer start(InetSocketAddress address, PrometheusMeterRegistry registry, BooleanSupplier ready,
+			XnioWorker worker) {
+		return start(address, registry, ready, Undertow.builder().setWorker(worker));
+	}
+
+	private static AdminServer start(InetSocketAddress address, PrometheusMeterRegistry registry, BooleanSupplier ready,
+			Undertow.Builder builder) {
 		AdminServer admin = new AdminServer(registry, ready);
-		admin.server = Undertow.builder()
-			.addHttpListener(address.getPort(), address.getHostString())
-			.setIoThreads(1)
-			.setWorkerThreads(1)
+		admin.server = builder.addHttpListener(address.getPort(), address.getHostString())
 			.setSocketOption(Options.REUSE_ADDRESSES, true)
 			.setHandler(admin)
 			.build();
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -23,11 +23,15 @@
  */
 final class ConnectionPool {
 
-	private static final int MAX_IDLE_PER_HOST = 64;
+	/**
+	 * For a server that does not say how long it keeps a connection: shorter than the
+	 * usual limits, so that it is seldom the server that closes first.
+	 */
+	static final long USUAL_IDLE_MILLIS = 4000;
+
+	static final long LONGEST_IDLE_MILLIS = 30_000;
 
-	// Shorter than a server's usual idle limit, so that it is seldom the server that
-	// closes first.
-	private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+	private static final int MAX_IDLE_PER_HOST = 64;
 
 	private final XnioWorker worker;
 
@@ -60,13 +64,23 @@
 		return Optional.empty();
 	}
 
-	synchronized void giveBack(URI target, ClientConnection connection) {
+	synchronized void giveBack(URI target, ClientConnection connection, long idleMillis) {
 		Deque<Idle> list = this.idle.computeIfAbsent(target.getAuthority(), (host) -> new ArrayDeque<>());
 		if (!connection.isOpen() || list.size() >= MAX_IDLE_PER_HOST) {
 			IoUtils.safeClose(connection);
 			return;
 		}
-		list.addFirst(new Idle(connection, System.nanoTime()));
+		list.addFirst(new Idle(connection, System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(idleMillis)));
+	}
+
+	/**
+	 * Closes the idle connections to a host.
+	 */
+	synchronized void forget(URI target) {
+		Deque<Idle> list = this.idle.remove(target.getAuthority());
+		if (list != null) {
+			list.forEach((one) -> IoUtils.safeClose(one.connection));
+		}
 	}
 
 	void connect(URI target, ClientCallback<ClientConnection> callback) {
@@ -79,10 +93,10 @@
 		this.idle.clear();
 	}
 
-	private record Idle(ClientConnection connection, long sinceNanos) {
+	private record Idle(ClientConnection connection, long sinceNanos, long mostNanos) {
 
 		private boolean usable() {
-			return this.connection.isOpen() && System.nanoTime() - this.sinceNanos < MAX_IDLE_NANOS;
+			return this.connection.isOpen() && System.nanoTime() - this.sinceNanos < this.mostNanos;
 		}
 
 	}
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
@@ -3,13 +3,17 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -30,6 +34,12 @@
  */
 final class Exchange implements HttpExchange {
 
+	// Within a site a connection is there after a few milliseconds. A lost opening packet
+	// is sent again only after a second, which is later than another runner answers.
+	private static final long CONNECT_MILLIS = 400;
+
+	private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d+)");
+
 	private final HttpCall call;
 
 	private final HttpListener listener;
@@ -48,6 +58,10 @@
 
 	private volatile XnioExecutor.Key timer;
 
+	private volatile XnioExecutor.Key connectTimer;
+
+	private long keptOpenMillis = ConnectionPool.USUAL_IDLE_MILLIS;
+
 	Exchange(HttpCall call, HttpListener listener, ConnectionPool pool) {
 		this.call = call;
 		this.listener = listener;
@@ -65,12 +79,21 @@
 			reused.getIoThread().execute(() -> send(reused));
 			return;
 		}
+		this.connectTimer = this.pool.worker()
+			.getIoThread()
+			.executeAfter(this::connectLate, CONNECT_MILLIS, TimeUnit.MILLISECONDS);
 		this.pool.connect(this.call.target(), new Step<>(this::send));
 	}
 
+	private void connectLate() {
+		if (this.connection == null) {
+			fail(new TimeoutException("no connection in " + CONNECT_MILLIS + " ms"));
+		}
+	}
+
 	@Override
 	public void cancel() {
-		fail(new IOException("cancelled"));
+		fail(new Cancelled());
 	}
 
 	@Override
@@ -89,6 +112,9 @@
 
 	private void send(ClientConnection to) {
 		this.connection = to;
+		if (this.connectTimer != null) {
+			this.connectTimer.remove();
+		}
 		if (this.done.get()) {
 			IoUtils.safeClose(to);
 			return;
@@ -145,16 +171,30 @@
 	private void answer(ClientExchange exchange) {
 		ClientResponse response = exchange.getResponse();
 		Map<String, String> headers = new HashMap<>();
-		response.getResponseHeaders()
-			.forEach((header) -> headers.put(header.getHeaderName().toString().toLowerCase(Locale.ROOT),
-					header.getFirst()));
+		List<Map.Entry<String, String>> all = new ArrayList<>();
+		response.getResponseHeaders().forEach((header) -> {
+			String name = header.getHeaderName().toString();
+			headers.put(name.toLowerCase(Locale.ROOT), header.getFirst());
+			header.forEach((value) -> all.add(Map.entry(name, value)));
+		});
+		keptOpen(headers);
 		this.answer = exchange.getResponseChannel();
 		if (!this.done.get()) {
-			this.listener.onHead(response.getResponseCode(), headers);
+			this.listener.onHead(response.getResponseCode(), headers, all);
 			read(this.answer);
 		}
 	}
 
+	// Half of what the other side says: a request that meets its close on the way may or
+	// may not have run.
+	private void keptOpen(Map<String, String> headers) {
+		Matcher seconds = KEEP_ALIVE_SECONDS.matcher(headers.getOrDefault("keep-alive", ""));
+		if (seconds.find()) {
+			long said = TimeUnit.SECONDS.toMillis(Long.parseLong(seconds.group(1)));
+			this.keptOpenMillis = Math.min(ConnectionPool.LONGEST_IDLE_MILLIS, said / 2);
+		}
+	}
+
 	private void read(StreamSourceChannel channel) {
 		if (this.done.get()) {
 			return;
@@ -190,7 +230,7 @@
 	private void end() {
 		if (this.done.compareAndSet(false, true)) {
 			this.timer.remove();
-			this.pool.giveBack(this.call.target(), this.connection);
+			this.pool.giveBack(this.call.target(), this.connection, this.keptOpenMillis);
 			this.listener.onEnd();
 		}
 	}
@@ -199,6 +239,10 @@
 		if (this.done.compareAndSet(false, true)) {
 			this.timer.remove();
 			drop(this.connection);
+			if (!(cause instanceof Cancelled)) {
+				// Idle connections to a machine that was cut off are as dead as this one.
+				this.pool.forget(this.call.target());
+			}
 			this.listener.onFailure(this.sent, cause);
 		}
 	}
@@ -220,6 +264,17 @@
 		});
 	}
 
+	/** Its caller gave the call up; that says nothing of the other side. */
+	private static final class Cancelled extends IOException {
+
+		private static final long serialVersionUID = 1;
+
+		private Cancelled() {
+			super("cancelled");
+		}
+
+	}
+
 	/** One asynchronous step; its failure is the call's. */
 	private final class Step<T> implements ClientCallback<T> {
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCaller.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCaller.java
@@ -57,6 +57,13 @@
 		}
 	}
 
+	/**
+	 * Returns the threads that calls run on, for a server that shares them.
+	 */
+	public XnioWorker worker() {
+		return this.worker;
+	}
+
 	/**
 	 * Returns the whole answer; a failed future carries {@link #HTTP_FAILED} with an
 	 * {@link HttpFailure} as its cause.
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpListener.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpListener.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.protocol.http;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -13,6 +14,14 @@
 	 */
 	void onHead(int status, Map<String, String> headers);
 
+	/**
+	 * Called once, instead of the method above, with all headers as they were sent.
+	 * @param all every header in order, names as sent
+	 */
+	default void onHead(int status, Map<String, String> headers, List<Map.Entry<String, String>> all) {
+		onHead(status, headers);
+	}
+
 	/**
 	 * Called for each piece of the body.
 	 */
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/FollowListener.java
@@ -0,0 +1,25 @@
+package org.wisteriapost.protocol.site;
+
+import java.util.List;
+
+/**
+ * Hears what a {@link Follower} reads, in order.
+ */
+public interface FollowListener {
+
+	/**
+	 * Hears all objects of the kind; whatever is not among them is gone.
+	 */
+	void onAll(List<ObjectStore.Item> items);
+
+	/**
+	 * Hears one change.
+	 */
+	void onChange(ObjectStore.Change change);
+
+	/**
+	 * Hears whether the store answers; called when that changes.
+	 */
+	void onReachable(boolean reachable);
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -0,0 +1,163 @@
+package org.wisteriapost.protocol.site;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Follows one kind of a store's objects: reads all of them, then waits for changes.
+ *
+ * A listing takes several calls and can be overtaken by changes, so what is older than
+ * what was heard of an object already is left out: without that a runner that is leaving
+ * would be taken for ready again for the length of a page. A watch that the store cuts or
+ * that has lost its history is followed by a new listing at once, since changes may have
+ * been made in the gap.
+ */
+public final class Follower {
+
+	private static final Logger LOG = System.getLogger(Follower.class.getName());
+
+	// A connection can go silent without an end. The wait bounds how long that stays
+	// unnoticed; half of the usual bound for declarations to be in force.
+	private static final Duration WAIT = Duration.ofMillis(2000);
+
+	private static final long FIRST_PAUSE_MILLIS = 60;
+
+	private static final long LONGEST_PAUSE_MILLIS = 500;
+
+	private final ObjectStore store;
+
+	private final Kind kind;
+
+	private final ScheduledExecutorService timer;
+
+	private final FollowListener listener;
+
+	private final Map<String, Long> revisions = new HashMap<>();
+
+	private Optional<Boolean> reachable = Optional.empty();
+
+	private long pauseMillis = FIRST_PAUSE_MILLIS;
+
+	private Follower(ObjectStore store, Kind kind, ScheduledExecutorService timer, FollowListener listener) {
+		this.store = store;
+		this.kind = kind;
+		this.timer = timer;
+		this.listener = listener;
+	}
+
+	/**
+	 * Starts to follow a kind.
+	 * @param timer its thread runs the listener, one call after the other
+	 */
+	public static void start(ObjectStore store, Kind kind, ScheduledExecutorService timer, FollowListener listener) {
+		Follower follower = new Follower(store, kind, timer, listener);
+		timer.execute(follower::list);
+	}
+
+	private void list() {
+		page(new Listing(new ArrayList<>(), -1), Optional.empty());
+	}
+
+	private void page(Listing listing, Optional<String> after) {
+		this.store.list(this.kind, after).whenCompleteAsync((page, failure) -> {
+			if (failure != null) {
+				failed(failure);
+				return;
+			}
+			seen(true);
+			listing.items.addAll(page.items());
+			long from = (listing.from < 0) ? page.at() : listing.from;
+			if (page.more() && !page.items().isEmpty()) {
+				page(new Listing(listing.items, from), Optional.of(page.items().getLast().name()));
+				return;
+			}
+			all(listing.items);
+			watch(from);
+		}, this.timer);
+	}
+
+	private void watch(long from) {
+		this.store.watch(this.kind, from, WAIT).whenCompleteAsync((changes, failure) -> {
+			if (failure != null) {
+				lapsed(failure);
+				return;
+			}
+			seen(true);
+			changes.list().forEach(this::change);
+			watch(Math.max(from, changes.at()));
+		}, this.timer);
+	}
+
+	private void all(List<ObjectStore.Item> items) {
+		Set<String> names = new HashSet<>();
+		List<ObjectStore.Item> fresh = new ArrayList<>();
+		for (ObjectStore.Item item : items) {
+			names.add(item.name());
+			long known = this.revisions.getOrDefault(item.name(), -1L);
+			if (item.revision() >= known) {
+				this.revisions.put(item.name(), item.revision());
+			}
+			fresh.add(item);
+		}
+		this.revisions.keySet().retainAll(names);
+		this.listener.onAll(fresh);
+	}
+
+	private void change(ObjectStore.Change change) {
+		ObjectStore.Item item = change.item();
+		long known = this.revisions.getOrDefault(item.name(), -1L);
+		if (item.revision() < known) {
+			return;
+		}
+		if (change.deleted()) {
+			this.revisions.remove(item.name());
+		}
+		else {
+			this.revisions.put(item.name(), item.revision());
+		}
+		this.listener.onChange(change);
+	}
+
+	// The store may have cut the watch and be well, so the listing goes out at once.
+	private void lapsed(Throwable failure) {
+		LOG.log(Level.INFO, "watch-ended: " + this.kind + ", " + cause(failure).getMessage());
+		list();
+	}
+
+	private void failed(Throwable failure) {
+		LOG.log(Level.INFO, "listing-failed: " + this.kind + ", " + cause(failure).getMessage());
+		seen(false);
+		this.timer.schedule(this::list, this.pauseMillis, TimeUnit.MILLISECONDS);
+		this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, this.pauseMillis * 2);
+	}
+
+	private static Throwable cause(Throwable failure) {
+		return (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause() : failure;
+	}
+
+	private void seen(boolean now) {
+		if (now) {
+			this.pauseMillis = FIRST_PAUSE_MILLIS;
+		}
+		if (this.reachable.isEmpty() || this.reachable.get() != now) {
+			this.reachable = Optional.of(now);
+			LOG.log(Level.INFO, (now ? "store-regained: " : "store-lost: ") + this.kind);
+			this.listener.onReachable(now);
+		}
+	}
+
+	private record Listing(List<ObjectStore.Item> items, long from) {
+	}
+
+}
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
@@ -75,6 +75,10 @@
     CHUNK_REQUEST(15),
     CHUNK_REPLY(16),
     HEAD_REQUEST(17),
+    LOAD_REPORT(18),
+    ENGINE_STATE(19),
+    WEIGHTS_NAMED(20),
+    ROSTER(21),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -108,6 +112,10 @@
         case 15: return CHUNK_REQUEST;
         case 16: return CHUNK_REPLY;
         case 17: return HEAD_REQUEST;
+        case 18: return LOAD_REPORT;
+        case 19: return ENGINE_STATE;
+        case 20: return WEIGHTS_NAMED;
+        case 21: return ROSTER;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -630,6 +638,130 @@
     return org.wisteriapost.protocol.wire.HeadRequest.getDefaultInstance();
   }
 
+  public static final int LOAD_REPORT_FIELD_NUMBER = 18;
+  /**
+   * <code>.wisteriapost.LoadReport load_report = 18;</code>
+   * @return Whether the loadReport field is set.
+   */
+  @java.lang.Override
+  public boolean hasLoadReport() {
+    return bodyCase_ == 18;
+  }
+  /**
+   * <code>.wisteriapost.LoadReport load_report = 18;</code>
+   * @return The loadReport.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.LoadReport getLoadReport() {
+    if (bodyCase_ == 18) {
+       return (org.wisteriapost.protocol.wire.LoadReport) body_;
+    }
+    return org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.LoadReport load_report = 18;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.LoadReportOrBuilder getLoadReportOrBuilder() {
+    if (bodyCase_ == 18) {
+       return (org.wisteriapost.protocol.wire.LoadReport) body_;
+    }
+    return org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance();
+  }
+
+  public static final int ENGINE_STATE_FIELD_NUMBER = 19;
+  /**
+   * <code>.wisteriapost.EngineState engine_state = 19;</code>
+   * @return Whether the engineState field is set.
+   */
+  @java.lang.Override
+  public boolean hasEngineState() {
+    return bodyCase_ == 19;
+  }
+  /**
+   * <code>.wisteriapost.EngineState engine_state = 19;</code>
+   * @return The engineState.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.EngineState getEngineState() {
+    if (bodyCase_ == 19) {
+       return (org.wisteriapost.protocol.wire.EngineState) body_;
+    }
+    return org.wisteriapost.protocol.wire.EngineState.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.EngineState engine_state = 19;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.EngineStateOrBuilder getEngineStateOrBuilder() {
+    if (bodyCase_ == 19) {
+       return (org.wisteriapost.protocol.wire.EngineState) body_;
+    }
+    return org.wisteriapost.protocol.wire.EngineState.getDefaultInstance();
+  }
+
+  public static final int WEIGHTS_NAMED_FIELD_NUMBER = 20;
+  /**
+   * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+   * @return Whether the weightsNamed field is set.
+   */
+  @java.lang.Override
+  public boolean hasWeightsNamed() {
+    return bodyCase_ == 20;
+  }
+  /**
+   * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+   * @return The weightsNamed.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.WeightsNamed getWeightsNamed() {
+    if (bodyCase_ == 20) {
+       return (org.wisteriapost.protocol.wire.WeightsNamed) body_;
+    }
+    return org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.WeightsNamedOrBuilder getWeightsNamedOrBuilder() {
+    if (bodyCase_ == 20) {
+       return (org.wisteriapost.protocol.wire.WeightsNamed) body_;
+    }
+    return org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance();
+  }
+
+  public static final int ROSTER_FIELD_NUMBER = 21;
+  /**
+   * <code>.wisteriapost.Roster roster = 21;</code>
+   * @return Whether the roster field is set.
+   */
+  @java.lang.Override
+  public boolean hasRoster() {
+    return bodyCase_ == 21;
+  }
+  /**
+   * <code>.wisteriapost.Roster roster = 21;</code>
+   * @return The roster.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.Roster getRoster() {
+    if (bodyCase_ == 21) {
+       return (org.wisteriapost.protocol.wire.Roster) body_;
+    }
+    return org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.Roster roster = 21;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.RosterOrBuilder getRosterOrBuilder() {
+    if (bodyCase_ == 21) {
+       return (org.wisteriapost.protocol.wire.Roster) body_;
+    }
+    return org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -695,6 +827,18 @@
     if (bodyCase_ == 17) {
       output.writeMessage(17, (org.wisteriapost.protocol.wire.HeadRequest) body_);
     }
+    if (bodyCase_ == 18) {
+      output.writeMessage(18, (org.wisteriapost.protocol.wire.LoadReport) body_);
+    }
+    if (bodyCase_ == 19) {
+      output.writeMessage(19, (org.wisteriapost.protocol.wire.EngineState) body_);
+    }
+    if (bodyCase_ == 20) {
+      output.writeMessage(20, (org.wisteriapost.protocol.wire.WeightsNamed) body_);
+    }
+    if (bodyCase_ == 21) {
+      output.writeMessage(21, (org.wisteriapost.protocol.wire.Roster) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -767,6 +911,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(17, (org.wisteriapost.protocol.wire.HeadRequest) body_);
     }
+    if (bodyCase_ == 18) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, (org.wisteriapost.protocol.wire.LoadReport) body_);
+    }
+    if (bodyCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (org.wisteriapost.protocol.wire.EngineState) body_);
+    }
+    if (bodyCase_ == 20) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, (org.wisteriapost.protocol.wire.WeightsNamed) body_);
+    }
+    if (bodyCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (org.wisteriapost.protocol.wire.Roster) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -859,6 +1019,22 @@
         if (!getHeadRequest()
             .equals(other.getHeadRequest())) return false;
         break;
+      case 18:
+        if (!getLoadReport()
+            .equals(other.getLoadReport())) return false;
+        break;
+      case 19:
+        if (!getEngineState()
+            .equals(other.getEngineState())) return false;
+        break;
+      case 20:
+        if (!getWeightsNamed()
+            .equals(other.getWeightsNamed())) return false;
+        break;
+      case 21:
+        if (!getRoster()
+            .equals(other.getRoster())) return false;
+        break;
       case 0:
       default:
     }
@@ -941,6 +1117,22 @@
         hash = (37 * hash) + HEAD_REQUEST_FIELD_NUMBER;
         hash = (53 * hash) + getHeadRequest().hashCode();
         break;
+      case 18:
+        hash = (37 * hash) + LOAD_REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getLoadReport().hashCode();
+        break;
+      case 19:
+        hash = (37 * hash) + ENGINE_STATE_FIELD_NUMBER;
+        hash = (53 * hash) + getEngineState().hashCode();
+        break;
+      case 20:
+        hash = (37 * hash) + WEIGHTS_NAMED_FIELD_NUMBER;
+        hash = (53 * hash) + getWeightsNamed().hashCode();
+        break;
+      case 21:
+        hash = (37 * hash) + ROSTER_FIELD_NUMBER;
+        hash = (53 * hash) + getRoster().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1129,6 +1321,18 @@
       if (headRequestBuilder_ != null) {
         headRequestBuilder_.clear();
       }
+      if (loadReportBuilder_ != null) {
+        loadReportBuilder_.clear();
+      }
+      if (engineStateBuilder_ != null) {
+        engineStateBuilder_.clear();
+      }
+      if (weightsNamedBuilder_ != null) {
+        weightsNamedBuilder_.clear();
+      }
+      if (rosterBuilder_ != null) {
+        rosterBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1237,6 +1441,22 @@
           headRequestBuilder_ != null) {
         result.body_ = headRequestBuilder_.build();
       }
+      if (bodyCase_ == 18 &&
+          loadReportBuilder_ != null) {
+        result.body_ = loadReportBuilder_.build();
+      }
+      if (bodyCase_ == 19 &&
+          engineStateBuilder_ != null) {
+        result.body_ = engineStateBuilder_.build();
+      }
+      if (bodyCase_ == 20 &&
+          weightsNamedBuilder_ != null) {
+        result.body_ = weightsNamedBuilder_.build();
+      }
+      if (bodyCase_ == 21 &&
+          rosterBuilder_ != null) {
+        result.body_ = rosterBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1319,6 +1539,22 @@
           mergeHeadRequest(other.getHeadRequest());
           break;
         }
+        case LOAD_REPORT: {
+          mergeLoadReport(other.getLoadReport());
+          break;
+        }
+        case ENGINE_STATE: {
+          mergeEngineState(other.getEngineState());
+          break;
+        }
+        case WEIGHTS_NAMED: {
+          mergeWeightsNamed(other.getWeightsNamed());
+          break;
+        }
+        case ROSTER: {
+          mergeRoster(other.getRoster());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1464,6 +1700,34 @@
               bodyCase_ = 17;
               break;
             } // case 138
+            case 146: {
+              input.readMessage(
+                  internalGetLoadReportFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 18;
+              break;
+            } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetEngineStateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 19;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetWeightsNamedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 20;
+              break;
+            } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetRosterFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 21;
+              break;
+            } // case 170
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3768,6 +4032,566 @@
       return headRequestBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.LoadReport, org.wisteriapost.protocol.wire.LoadReport.Builder, org.wisteriapost.protocol.wire.LoadReportOrBuilder> loadReportBuilder_;
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     * @return Whether the loadReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasLoadReport() {
+      return bodyCase_ == 18;
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     * @return The loadReport.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.LoadReport getLoadReport() {
+      if (loadReportBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          return (org.wisteriapost.protocol.wire.LoadReport) body_;
+        }
+        return org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 18) {
+          return loadReportBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    public Builder setLoadReport(org.wisteriapost.protocol.wire.LoadReport value) {
+      if (loadReportBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        loadReportBuilder_.setMessage(value);
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    public Builder setLoadReport(
+        org.wisteriapost.protocol.wire.LoadReport.Builder builderForValue) {
+      if (loadReportBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        loadReportBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    public Builder mergeLoadReport(org.wisteriapost.protocol.wire.LoadReport value) {
+      if (loadReportBuilder_ == null) {
+        if (bodyCase_ == 18 &&
+            body_ != org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.LoadReport.newBuilder((org.wisteriapost.protocol.wire.LoadReport) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 18) {
+          loadReportBuilder_.mergeFrom(value);
+        } else {
+          loadReportBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    public Builder clearLoadReport() {
+      if (loadReportBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        loadReportBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    public org.wisteriapost.protocol.wire.LoadReport.Builder getLoadReportBuilder() {
+      return internalGetLoadReportFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.LoadReportOrBuilder getLoadReportOrBuilder() {
+      if ((bodyCase_ == 18) && (loadReportBuilder_ != null)) {
+        return loadReportBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 18) {
+          return (org.wisteriapost.protocol.wire.LoadReport) body_;
+        }
+        return org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.LoadReport load_report = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.LoadReport, org.wisteriapost.protocol.wire.LoadReport.Builder, org.wisteriapost.protocol.wire.LoadReportOrBuilder> 
+        internalGetLoadReportFieldBuilder() {
+      if (loadReportBuilder_ == null) {
+        if (!(bodyCase_ == 18)) {
+          body_ = org.wisteriapost.protocol.wire.LoadReport.getDefaultInstance();
+        }
+        loadReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.LoadReport, org.wisteriapost.protocol.wire.LoadReport.Builder, org.wisteriapost.protocol.wire.LoadReportOrBuilder>(
+                (org.wisteriapost.protocol.wire.LoadReport) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 18;
+      onChanged();
+      return loadReportBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.EngineState, org.wisteriapost.protocol.wire.EngineState.Builder, org.wisteriapost.protocol.wire.EngineStateOrBuilder> engineStateBuilder_;
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     * @return Whether the engineState field is set.
+     */
+    @java.lang.Override
+    public boolean hasEngineState() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     * @return The engineState.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.EngineState getEngineState() {
+      if (engineStateBuilder_ == null) {
+        if (bodyCase_ == 19) {
+          return (org.wisteriapost.protocol.wire.EngineState) body_;
+        }
+        return org.wisteriapost.protocol.wire.EngineState.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 19) {
+          return engineStateBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.EngineState.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    public Builder setEngineState(org.wisteriapost.protocol.wire.EngineState value) {
+      if (engineStateBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        engineStateBuilder_.setMessage(value);
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    public Builder setEngineState(
+        org.wisteriapost.protocol.wire.EngineState.Builder builderForValue) {
+      if (engineStateBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        engineStateBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    public Builder mergeEngineState(org.wisteriapost.protocol.wire.EngineState value) {
+      if (engineStateBuilder_ == null) {
+        if (bodyCase_ == 19 &&
+            body_ != org.wisteriapost.protocol.wire.EngineState.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.EngineState.newBuilder((org.wisteriapost.protocol.wire.EngineState) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 19) {
+          engineStateBuilder_.mergeFrom(value);
+        } else {
+          engineStateBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    public Builder clearEngineState() {
+      if (engineStateBuilder_ == null) {
+        if (bodyCase_ == 19) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 19) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        engineStateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    public org.wisteriapost.protocol.wire.EngineState.Builder getEngineStateBuilder() {
+      return internalGetEngineStateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.EngineStateOrBuilder getEngineStateOrBuilder() {
+      if ((bodyCase_ == 19) && (engineStateBuilder_ != null)) {
+        return engineStateBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 19) {
+          return (org.wisteriapost.protocol.wire.EngineState) body_;
+        }
+        return org.wisteriapost.protocol.wire.EngineState.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.EngineState engine_state = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.EngineState, org.wisteriapost.protocol.wire.EngineState.Builder, org.wisteriapost.protocol.wire.EngineStateOrBuilder> 
+        internalGetEngineStateFieldBuilder() {
+      if (engineStateBuilder_ == null) {
+        if (!(bodyCase_ == 19)) {
+          body_ = org.wisteriapost.protocol.wire.EngineState.getDefaultInstance();
+        }
+        engineStateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.EngineState, org.wisteriapost.protocol.wire.EngineState.Builder, org.wisteriapost.protocol.wire.EngineStateOrBuilder>(
+                (org.wisteriapost.protocol.wire.EngineState) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 19;
+      onChanged();
+      return engineStateBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.WeightsNamed, org.wisteriapost.protocol.wire.WeightsNamed.Builder, org.wisteriapost.protocol.wire.WeightsNamedOrBuilder> weightsNamedBuilder_;
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     * @return Whether the weightsNamed field is set.
+     */
+    @java.lang.Override
+    public boolean hasWeightsNamed() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     * @return The weightsNamed.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.WeightsNamed getWeightsNamed() {
+      if (weightsNamedBuilder_ == null) {
+        if (bodyCase_ == 20) {
+          return (org.wisteriapost.protocol.wire.WeightsNamed) body_;
+        }
+        return org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 20) {
+          return weightsNamedBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    public Builder setWeightsNamed(org.wisteriapost.protocol.wire.WeightsNamed value) {
+      if (weightsNamedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        weightsNamedBuilder_.setMessage(value);
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    public Builder setWeightsNamed(
+        org.wisteriapost.protocol.wire.WeightsNamed.Builder builderForValue) {
+      if (weightsNamedBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        weightsNamedBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    public Builder mergeWeightsNamed(org.wisteriapost.protocol.wire.WeightsNamed value) {
+      if (weightsNamedBuilder_ == null) {
+        if (bodyCase_ == 20 &&
+            body_ != org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.WeightsNamed.newBuilder((org.wisteriapost.protocol.wire.WeightsNamed) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 20) {
+          weightsNamedBuilder_.mergeFrom(value);
+        } else {
+          weightsNamedBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    public Builder clearWeightsNamed() {
+      if (weightsNamedBuilder_ == null) {
+        if (bodyCase_ == 20) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 20) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        weightsNamedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    public org.wisteriapost.protocol.wire.WeightsNamed.Builder getWeightsNamedBuilder() {
+      return internalGetWeightsNamedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.WeightsNamedOrBuilder getWeightsNamedOrBuilder() {
+      if ((bodyCase_ == 20) && (weightsNamedBuilder_ != null)) {
+        return weightsNamedBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 20) {
+          return (org.wisteriapost.protocol.wire.WeightsNamed) body_;
+        }
+        return org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.WeightsNamed, org.wisteriapost.protocol.wire.WeightsNamed.Builder, org.wisteriapost.protocol.wire.WeightsNamedOrBuilder> 
+        internalGetWeightsNamedFieldBuilder() {
+      if (weightsNamedBuilder_ == null) {
+        if (!(bodyCase_ == 20)) {
+          body_ = org.wisteriapost.protocol.wire.WeightsNamed.getDefaultInstance();
+        }
+        weightsNamedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.WeightsNamed, org.wisteriapost.protocol.wire.WeightsNamed.Builder, org.wisteriapost.protocol.wire.WeightsNamedOrBuilder>(
+                (org.wisteriapost.protocol.wire.WeightsNamed) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 20;
+      onChanged();
+      return weightsNamedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.Roster, org.wisteriapost.protocol.wire.Roster.Builder, org.wisteriapost.protocol.wire.RosterOrBuilder> rosterBuilder_;
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     * @return Whether the roster field is set.
+     */
+    @java.lang.Override
+    public boolean hasRoster() {
+      return bodyCase_ == 21;
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     * @return The roster.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.Roster getRoster() {
+      if (rosterBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          return (org.wisteriapost.protocol.wire.Roster) body_;
+        }
+        return org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 21) {
+          return rosterBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    public Builder setRoster(org.wisteriapost.protocol.wire.Roster value) {
+      if (rosterBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        rosterBuilder_.setMessage(value);
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    public Builder setRoster(
+        org.wisteriapost.protocol.wire.Roster.Builder builderForValue) {
+      if (rosterBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        rosterBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    public Builder mergeRoster(org.wisteriapost.protocol.wire.Roster value) {
+      if (rosterBuilder_ == null) {
+        if (bodyCase_ == 21 &&
+            body_ != org.wisteriapost.protocol.wire.Roster.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.Roster.newBuilder((org.wisteriapost.protocol.wire.Roster) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 21) {
+          rosterBuilder_.mergeFrom(value);
+        } else {
+          rosterBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    public Builder clearRoster() {
+      if (rosterBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        rosterBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    public org.wisteriapost.protocol.wire.Roster.Builder getRosterBuilder() {
+      return internalGetRosterFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.RosterOrBuilder getRosterOrBuilder() {
+      if ((bodyCase_ == 21) && (rosterBuilder_ != null)) {
+        return rosterBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 21) {
+          return (org.wisteriapost.protocol.wire.Roster) body_;
+        }
+        return org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.Roster roster = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.Roster, org.wisteriapost.protocol.wire.Roster.Builder, org.wisteriapost.protocol.wire.RosterOrBuilder> 
+        internalGetRosterFieldBuilder() {
+      if (rosterBuilder_ == null) {
+        if (!(bodyCase_ == 21)) {
+          body_ = org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
+        }
+        rosterBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.Roster, org.wisteriapost.protocol.wire.Roster.Builder, org.wisteriapost.protocol.wire.RosterOrBuilder>(
+                (org.wisteriapost.protocol.wire.Roster) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 21;
+      onChanged();
+      return rosterBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.Frame)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
@@ -256,5 +256,65 @@
    */
   org.wisteriapost.protocol.wire.HeadRequestOrBuilder getHeadRequestOrBuilder();
 
+  /**
+   * <code>.wisteriapost.LoadReport load_report = 18;</code>
+   * @return Whether the loadReport field is set.
+   */
+  boolean hasLoadReport();
+  /**
+   * <code>.wisteriapost.LoadReport load_report = 18;</code>
+   * @return The loadReport.
+   */
+  org.wisteriapost.protocol.wire.LoadReport getLoadReport();
+  /**
+   * <code>.wisteriapost.LoadReport load_report = 18;</code>
+   */
+  org.wisteriapost.protocol.wire.LoadReportOrBuilder getLoadReportOrBuilder();
+
+  /**
+   * <code>.wisteriapost.EngineState engine_state = 19;</code>
+   * @return Whether the engineState field is set.
+   */
+  boolean hasEngineState();
+  /**
+   * <code>.wisteriapost.EngineState engine_state = 19;</code>
+   * @return The engineState.
+   */
+  org.wisteriapost.protocol.wire.EngineState getEngineState();
+  /**
+   * <code>.wisteriapost.EngineState engine_state = 19;</code>
+   */
+  org.wisteriapost.protocol.wire.EngineStateOrBuilder getEngineStateOrBuilder();
+
+  /**
+   * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+   * @return Whether the weightsNamed field is set.
+   */
+  boolean hasWeightsNamed();
+  /**
+   * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+   * @return The weightsNamed.
+   */
+  org.wisteriapost.protocol.wire.WeightsNamed getWeightsNamed();
+  /**
+   * <code>.wisteriapost.WeightsNamed weights_named = 20;</code>
+   */
+  org.wisteriapost.protocol.wire.WeightsNamedOrBuilder getWeightsNamedOrBuilder();
+
+  /**
+   * <code>.wisteriapost.Roster roster = 21;</code>
+   * @return Whether the roster field is set.
+   */
+  boolean hasRoster();
+  /**
+   * <code>.wisteriapost.Roster roster = 21;</code>
+   * @return The roster.
+   */
+  org.wisteriapost.protocol.wire.Roster getRoster();
+  /**
+   * <code>.wisteriapost.Roster roster = 21;</code>
+   */
+  org.wisteriapost.protocol.wire.RosterOrBuilder getRosterOrBuilder();
+
   org.wisteriapost.protocol.wire.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -121,6 +121,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wisteriapost_ChunkReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_LoadReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_RunnerLoad_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_RunnerLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_EngineState_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_EngineState_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_WeightsNamed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_WeightsNamed_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_Roster_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_Roster_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_RosterMember_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_RosterMember_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -130,7 +160,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\014wisteriapost\"\213\006\n\005Frame\022\022\n\n" +
+      "\n\nwire.proto\022\014wisteriapost\"\314\007\n\005Frame\022\022\n\n" +
       "generation\030\001 \001(\004\022$\n\005hello\030\002 \001(\0132\023.wister" +
       "iapost.HelloH\000\022\"\n\004head\030\003 \001(\0132\022.wisteriap" +
       "ost.HeadH\000\0225\n\016bundle_request\030\004 \001(\0132\033.wis" +
@@ -150,54 +180,69 @@
       "apost.ChunkRequestH\000\022/\n\013chunk_reply\030\020 \001(" +
       "\0132\030.wisteriapost.ChunkReplyH\000\0221\n\014head_re" +
       "quest\030\021 \001(\0132\031.wisteriapost.HeadRequestH\000" +
-      "B\006\n\004body\"d\n\005Hello\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002" +
-      " \001(\t\022 \n\004role\030\003 \001(\0162\022.wisteriapost.Role\022\017" +
-      "\n\007service\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\"[\n\004Head\022\022" +
-      "\n\ngeneration\030\001 \001(\004\022\016\n\006digest\030\002 \001(\t\022\034\n\024co" +
-      "nfirmed_age_millis\030\003 \001(\004\022\021\n\tconfirmed\030\004 " +
-      "\001(\010\"\r\n\013HeadRequest\"\037\n\rBundleRequest\022\016\n\006d" +
-      "igest\030\001 \001(\t\"X\n\013BundleReply\022\016\n\006digest\030\001 \001" +
-      "(\t\022\016\n\006bundle\030\002 \001(\014\022)\n\tapprovals\030\003 \003(\0132\026." +
-      "wisteriapost.Approval\"/\n\010Approval\022\020\n\010ope" +
-      "rator\030\001 \001(\t\022\021\n\tsignature\030\002 \001(\014\"\256\002\n\006Repor" +
-      "t\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022\017\n\007service\030" +
-      "\003 \001(\t\022\r\n\005plain\030\004 \001(\010\022\021\n\tadmitting\030\005 \001(\010\022" +
-      "\017\n\007leaving\030\006 \001(\010\022\026\n\016weights_digest\030\007 \001(\t" +
-      "\022\031\n\021bundle_generation\030\010 \001(\004\022\017\n\007running\030\t" +
-      " \001(\r\022\020\n\010capacity\030\n \001(\r\022\016\n\006queued\030\013 \001(\r\022\027" +
-      "\n\017chunks_verified\030\014 \001(\004\022\024\n\014chunks_total\030" +
-      "\r \001(\004\022\017\n\007failing\030\016 \001(\t\022\020\n\010prefixes\030\017 \003(\006" +
-      "\022\r\n\005epoch\030\020 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\t\"\374\001\n\004Call\022\n\n\002id\030\001 \001(\004\022\017\n\007s" +
-      "ervice\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\014\n\004path\030\004 \001" +
-      "(\t\022%\n\007headers\030\005 \003(\0132\024.wisteriapost.Heade" +
-      "r\022\014\n\004body\030\006 \001(\014\022\030\n\020remaining_millis\030\007 \001(" +
-      "\r\022(\n\010priority\030\010 \001(\0162\026.wisteriapost.Prior" +
-      "ity\022\026\n\016weights_digest\030\t \001(\t\022\024\n\014organisat" +
-      "ion\030\n \001(\t\022\022\n\nrequest_id\030\013 \001(\t\"h\n\013CallSta" +
-      "rted\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022%\n\007head" +
-      "ers\030\003 \003(\0132\024.wisteriapost.Header\022\026\n\016weigh" +
-      "ts_digest\030\004 \001(\t\"$\n\010CallData\022\n\n\002id\030\001 \001(\004\022" +
-      "\014\n\004data\030\002 \001(\014\"g\n\007CallEnd\022\n\n\002id\030\001 \001(\004\022&\n\007" +
-      "outcome\030\002 \001(\0162\025.wisteriapost.Outcome\022\014\n\004" +
-      "code\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030" +
-      "\n\nCallCancel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002v" +
-      "m\030\001 \001(\t\"+\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014" +
-      "\n\004file\030\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
-      "file\030\002 \001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014" +
-      "\022\r\n\005added\030\005 \003(\r\"7\n\014ChunkRequest\022\n\n\002id\030\001 " +
-      "\001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\"n\n\nChun" +
-      "kReply\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005inde" +
-      "x\030\003 \001(\r\022)\n\006status\030\004 \001(\0162\031.wisteriapost.C" +
-      "hunkStatus\022\014\n\004data\030\005 \001(\014*2\n\004Role\022\024\n\020ROLE" +
-      "_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010" +
-      "Priority\022\n\n\006NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK" +
-      "\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007" +
-      "\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013Chu" +
-      "nkStatus\022\034\n\030CHUNK_STATUS_UNSPECIFIED\020\000\022\014" +
-      "\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK" +
-      "_BUSY\020\003B$\n\036org.wisteriapost.protocol.wir" +
-      "eH\001P\001b\006proto3"
+      "\022/\n\013load_report\030\022 \001(\0132\030.wisteriapost.Loa" +
+      "dReportH\000\0221\n\014engine_state\030\023 \001(\0132\031.wister" +
+      "iapost.EngineStateH\000\0223\n\rweights_named\030\024 " +
+      "\001(\0132\032.wisteriapost.WeightsNamedH\000\022&\n\006ros" +
+      "ter\030\025 \001(\0132\024.wisteriapost.RosterH\000B\006\n\004bod" +
+      "y\"d\n\005Hello\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022 \n" +
+      "\004role\030\003 \001(\0162\022.wisteriapost.Role\022\017\n\007servi" +
+      "ce\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\"[\n\004Head\022\022\n\ngener" +
+      "ation\030\001 \001(\004\022\016\n\006digest\030\002 \001(\t\022\034\n\024confirmed" +
+      "_age_millis\030\003 \001(\004\022\021\n\tconfirmed\030\004 \001(\010\"\r\n\013" +
+      "HeadRequest\"\037\n\rBundleRequest\022\016\n\006digest\030\001" +
+      " \001(\t\"X\n\013BundleReply\022\016\n\006digest\030\001 \001(\t\022\016\n\006b" +
+      "undle\030\002 \001(\014\022)\n\tapprovals\030\003 \003(\0132\026.wisteri" +
+      "apost.Approval\"/\n\010Approval\022\020\n\010operator\030\001" +
+      " \001(\t\022\021\n\tsignature\030\002 \001(\014\"\256\002\n\006Report\022\n\n\002vm" +
+      "\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\r" +
+      "\n\005plain\030\004 \001(\010\022\021\n\tadmitting\030\005 \001(\010\022\017\n\007leav" +
+      "ing\030\006 \001(\010\022\026\n\016weights_digest\030\007 \001(\t\022\031\n\021bun" +
+      "dle_generation\030\010 \001(\004\022\017\n\007running\030\t \001(\r\022\020\n" +
+      "\010capacity\030\n \001(\r\022\016\n\006queued\030\013 \001(\r\022\027\n\017chunk" +
+      "s_verified\030\014 \001(\004\022\024\n\014chunks_total\030\r \001(\004\022\017" +
+      "\n\007failing\030\016 \001(\t\022\020\n\010prefixes\030\017 \003(\006\022\r\n\005epo" +
+      "ch\030\020 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005valu" +
+      "e\030\002 \001(\t\"\374\001\n\004Call\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030" +
+      "\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022%\n\007h" +
+      "eaders\030\005 \003(\0132\024.wisteriapost.Header\022\014\n\004bo" +
+      "dy\030\006 \001(\014\022\030\n\020remaining_millis\030\007 \001(\r\022(\n\010pr" +
+      "iority\030\010 \001(\0162\026.wisteriapost.Priority\022\026\n\016" +
+      "weights_digest\030\t \001(\t\022\024\n\014organisation\030\n \001" +
+      "(\t\022\022\n\nrequest_id\030\013 \001(\t\"h\n\013CallStarted\022\n\n" +
+      "\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022%\n\007headers\030\003 \003" +
+      "(\0132\024.wisteriapost.Header\022\026\n\016weights_dige" +
+      "st\030\004 \001(\t\"$\n\010CallData\022\n\n\002id\030\001 \001(\004\022\014\n\004data" +
+      "\030\002 \001(\014\"g\n\007CallEnd\022\n\n\002id\030\001 \001(\004\022&\n\007outcome" +
+      "\030\002 \001(\0162\025.wisteriapost.Outcome\022\014\n\004code\030\003 " +
+      "\001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030\n\nCallC" +
+      "ancel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002vm\030\001 \001(\t" +
+      "\"+\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030" +
+      "\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 " +
+      "\001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014\022\r\n\005add" +
+      "ed\030\005 \003(\r\"7\n\014ChunkRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
+      "file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\"n\n\nChunkReply\022" +
+      "\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r" +
+      "\022)\n\006status\030\004 \001(\0162\031.wisteriapost.ChunkSta" +
+      "tus\022\014\n\004data\030\005 \001(\014\"5\n\nLoadReport\022\'\n\005loads" +
+      "\030\001 \003(\0132\030.wisteriapost.RunnerLoad\"U\n\nRunn" +
+      "erLoad\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030\002 \001(\r\022\017" +
+      "\n\007waiting\030\003 \001(\r\022\026\n\016waiting_prompt\030\004 \001(\r\"" +
+      "Y\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025\n\rholds" +
+      "_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswitc" +
+      "hing\030\004 \001(\010\">\n\014WeightsNamed\022\r\n\005model\030\001 \001(" +
+      "\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"5\n\006Ro" +
+      "ster\022+\n\007members\030\001 \003(\0132\032.wisteriapost.Ros" +
+      "terMember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n" +
+      "\005place\030\002 \001(\t*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED" +
+      "\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006" +
+      "NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcom" +
+      "e\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007N" +
+      "OT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030" +
+      "CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001" +
+      "\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003B$\n\036o" +
+      "rg.wisteriapost.protocol.wireH\001P\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -208,7 +253,7 @@
     internal_static_wisteriapost_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Frame_descriptor,
-        new java.lang.String[] { "Generation", "Hello", "Head", "BundleRequest", "BundleReply", "Report", "Call", "CallStarted", "CallData", "CallEnd", "CallCancel", "Leaving", "ChunkMapRequest", "ChunkMap", "ChunkRequest", "ChunkReply", "HeadRequest", "Body", });
+        new java.lang.String[] { "Generation", "Hello", "Head", "BundleRequest", "BundleReply", "Report", "Call", "CallStarted", "CallData", "CallEnd", "CallCancel", "Leaving", "ChunkMapRequest", "ChunkMap", "ChunkRequest", "ChunkReply", "HeadRequest", "LoadReport", "EngineState", "WeightsNamed", "Roster", "Body", });
     internal_static_wisteriapost_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_wisteriapost_Hello_fieldAccessorTable = new
@@ -317,6 +362,42 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkReply_descriptor,
         new java.lang.String[] { "Id", "File", "Index", "Status", "Data", });
+    internal_static_wisteriapost_LoadReport_descriptor =
+      getDescriptor().getMessageType(19);
+    internal_static_wisteriapost_LoadReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_LoadReport_descriptor,
+        new java.lang.String[] { "Loads", });
+    internal_static_wisteriapost_RunnerLoad_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_wisteriapost_RunnerLoad_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_RunnerLoad_descriptor,
+        new java.lang.String[] { "Runner", "Active", "Waiting", "WaitingPrompt", });
+    internal_static_wisteriapost_EngineState_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_wisteriapost_EngineState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_EngineState_descriptor,
+        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", });
+    internal_static_wisteriapost_WeightsNamed_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_wisteriapost_WeightsNamed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_WeightsNamed_descriptor,
+        new java.lang.String[] { "Model", "Version", "Origin", });
+    internal_static_wisteriapost_Roster_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_wisteriapost_Roster_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_Roster_descriptor,
+        new java.lang.String[] { "Members", });
+    internal_static_wisteriapost_RosterMember_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_wisteriapost_RosterMember_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_RosterMember_descriptor,
+        new java.lang.String[] { "Vm", "Place", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
