--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -156,8 +156,8 @@
 	private Weights weights(WeightsNamed message) {
 		String address = this.settings.runner().orElseThrow();
 		Origin origin = this.site.origin(this.caller, message.getOrigin());
-		TransferLimits limits = new TransferLimits(TransferLimits.Design.SWARM, 1, ORIGIN_READS, NEIGHBOURS, OUTSTANDING,
-				PER_PEER, PROGRESS_DEADLINE, ANNOUNCE_INTERVAL, RAREST_OF, true);
+		TransferLimits limits = new TransferLimits(TransferLimits.Design.SWARM, 1, ORIGIN_READS, NEIGHBOURS,
+				OUTSTANDING, PER_PEER, PROGRESS_DEADLINE, ANNOUNCE_INTERVAL, RAREST_OF, true);
 		LinkShare share = new LinkShare(this.settings.linkBytesPerSecond(), LINK_SHARE, LINK_SHARE_LATE);
 		Hello hello = Hello.newBuilder()
 			.setVm(this.settings.host())
@@ -246,8 +246,8 @@
 	private void verify(int version) {
 		Weights known = this.weights.orElseThrow();
 		known.transfer.verify(List.of(this.file.orElseThrow()))
-			.whenComplete((good, failure) -> back(
-					() -> this.rollout.verified(version, failure == null && good, System.nanoTime())));
+			.whenComplete((good,
+					failure) -> back(() -> this.rollout.verified(version, failure == null && good, System.nanoTime())));
 	}
 
 	private void take(int version, long sequence) {
--- a/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
@@ -25,7 +25,8 @@
 
 	private static final int RING = 1024;
 
-	private static final long TICK_MILLIS = 50;
+	// An agent at rest is woken five times a second, which is most of what it costs then.
+	private static final long TICK_MILLIS = 200;
 
 	private final HttpCaller caller;
 
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
@@ -132,8 +132,8 @@
 		for (WeightFile file : files) {
 			for (int index = 0; index < file.chunks().size(); index++) {
 				String hash = file.chunks().get(index);
-				all = all.thenCombine(this.context.store().get(file.digest(), index), (good, bytes) -> good
-						&& bytes.map((some) -> Digests.sha256(some).equals(hash)).orElse(false));
+				all = all.thenCombine(this.context.store().get(file.digest(), index),
+						(good, bytes) -> good && bytes.map((some) -> Digests.sha256(some).equals(hash)).orElse(false));
 			}
 		}
 		return all;
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -175,8 +175,8 @@
 		this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
 		if (refusal.retryAfterMillis() > 0) {
 			this.exchange.getResponseHeaders()
-				.put(Headers.RETRY_AFTER, this.fractions ? refusal.retryAfterFraction()
-						: Long.toString(refusal.retryAfterSeconds()));
+				.put(Headers.RETRY_AFTER,
+						this.fractions ? refusal.retryAfterFraction() : Long.toString(refusal.retryAfterSeconds()));
 			this.exchange.getResponseHeaders()
 				.put(new HttpString(CallerHeaders.RETRY_AFTER_MILLIS), refusal.retryAfterMillis());
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -115,8 +115,8 @@
 		Job job = call.job();
 		long remaining = Math.max(1, TimeUnit.NANOSECONDS.toMillis(job.deadlineNanos() - System.nanoTime()));
 		Map<String, String> headers = new LinkedHashMap<>(arrival.headers());
-		OutboundCall added = new OutboundCall(remaining, send.runner().id(),
-				job.organisation().map(Organisation::name), send.rank(), send.weightsVersion(), job.lastEvent());
+		OutboundCall added = new OutboundCall(remaining, send.runner().id(), job.organisation().map(Organisation::name),
+				send.rank(), send.weightsVersion(), job.lastEvent());
 		this.dialect.outbound(added).forEach((header) -> headers.put(header.getKey(), header.getValue()));
 		URI target = URI.create("http://" + send.runner().address() + arrival.target());
 		return new HttpCall(arrival.method(), target, headers, arrival.body(),
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.entry.direct;
 
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -87,6 +88,8 @@
 
 	private final Map<String, PeerLoad> reported = new HashMap<>();
 
+	private final Map<String, Frame> told = new HashMap<>();
+
 	private Optional<RouteTable> table = Optional.empty();
 
 	private Optional<Mesh> mesh = Optional.empty();
@@ -326,8 +329,8 @@
 	private void relink() {
 		Map<String, InetSocketAddress> peers = new HashMap<>();
 		this.roster.others().forEach((info) -> peers.put(info.name(), address(info.link())));
-		engines().forEach((info) -> peers.put(info.address(),
-				new InetSocketAddress(info.host(), this.settings.linkPort())));
+		engines()
+			.forEach((info) -> peers.put(info.address(), new InetSocketAddress(info.host(), this.settings.linkPort())));
 		this.mesh.ifPresent((links) -> links.desired(peers));
 		tellAgents();
 	}
@@ -345,6 +348,7 @@
 		this.dispatcher.entries(this.roster.alive());
 		if (up) {
 			this.reported.clear();
+			this.told.keySet().removeIf((key) -> key.startsWith(peer));
 			engines().stream().filter((info) -> info.address().equals(peer)).findFirst().ifPresent(this::tellAgent);
 		}
 	}
@@ -362,13 +366,22 @@
 		Roster.Builder members = Roster.newBuilder();
 		engines().stream()
 			.filter((info) -> info.service().equals(runner.service()))
+			.sorted(Comparator.comparing(RunnerInfo::address))
 			.forEach((info) -> members.addMembers(RosterMember.newBuilder().setVm(info.host()).setPlace(info.place())));
 		WeightsNamed.Builder weights = WeightsNamed.newBuilder()
 			.setModel(model.get())
 			.setVersion(this.named.getOrDefault(model.get(), 1))
 			.setOrigin(origin.get());
-		this.mesh.get().send(runner.address(), Frame.newBuilder().setRoster(members).build());
-		this.mesh.get().send(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
+		tellOnce(runner.address(), Frame.newBuilder().setRoster(members).build());
+		tellOnce(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
+	}
+
+	// Registrations change all the time, what agents are told of them seldom. Said again
+	// each time it took most of the bytes between regions.
+	private void tellOnce(String agent, Frame frame) {
+		if (!frame.equals(this.told.put(agent + frame.getBodyCase(), frame))) {
+			this.mesh.ifPresent((links) -> links.send(agent, frame));
+		}
 	}
 
 	private void peerLoads(String peer, LoadReport report, long now) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -339,8 +339,8 @@
 		long remaining = Math.max(1, (job.deadlineNanos() - nowNanos) / Placement.NANOS_PER_MILLI);
 		Optional<String> resume = job.lastEvent();
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
-		this.effects
-			.add(new DispatchEffect.Send(job, runner.info, remaining, this.patience.rank(job, nowNanos), version, resume));
+		this.effects.add(new DispatchEffect.Send(job, runner.info, remaining, this.patience.rank(job, nowNanos),
+				version, resume));
 	}
 
 	// Lets waiting requests go on in the order in which they came, as far as room has
@@ -393,9 +393,8 @@
 	}
 
 	private RetryAllowance allowance(String service) {
-		return this.allowances.computeIfAbsent(service,
-				(name) -> new RetryAllowance(this.limits.retryShare(), this.limits.retryExtra(),
-						this.limits.retryWindow()));
+		return this.allowances.computeIfAbsent(service, (name) -> new RetryAllowance(this.limits.retryShare(),
+				this.limits.retryExtra(), this.limits.retryWindow()));
 	}
 
 	private Optional<org.wisteriapost.policy.routing.EngineSpec> spec(Job job) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/EngineForecast.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EngineForecast.java
@@ -10,8 +10,8 @@
  * behind several long ones.
  *
  * An engine works in passes: it reads up to a chunk of waiting prompts, then runs a
- * stride of token steps for all that write. A first event comes at the end of the pass
- * in which its prompt was read whole.
+ * stride of token steps for all that write. A first event comes at the end of the pass in
+ * which its prompt was read whole.
  */
 final class EngineForecast {
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -24,7 +24,9 @@
  */
 final class RunnerBook {
 
-	/** Runners that live are registered again about two seconds after the store is back. */
+	/**
+	 * Runners that live are registered again about two seconds after the store is back.
+	 */
 	static final long RETURN_NANOS = Duration.ofMillis(2300).toNanos();
 
 	private final Map<String, RunnerState> runners = new HashMap<>();
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RouteTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RouteTable.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 
 /**
- * One version of everything that operators declare of traffic. Versions only move up in
- * a process: a reader that lags must not bring a removed route or token back.
+ * One version of everything that operators declare of traffic. Versions only move up in a
+ * process: a reader that lags must not bring a removed route or token back.
  */
 public final class RouteTable {
 
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
@@ -0,0 +1,122 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.CallLimits;
+import org.wisteriapost.policy.routing.EngineSpec;
+import org.wisteriapost.policy.routing.Route;
+import org.wisteriapost.policy.routing.Route.WeightedService;
+import org.wisteriapost.policy.routing.RouteKind;
+import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.policy.routing.ServiceSpec;
+
+/**
+ * A dispatcher with a clock of its own, engines of a usual size and plain runners.
+ */
+final class Desk {
+
+	static final long MILLI = 1_000_000;
+
+	static final EngineSpec ENGINE = new EngineSpec(16, 300_000, 5, 9.3, 0.02, 0.03, 20, 1.2, 2048, 1000, 90, "lm",
+			300);
+
+	static final Route STREAM = route("stream", RouteKind.STREAM, "lm-notice", 500, 6000, 2, true);
+
+	static final Route STREAM_ONCE = route("stream-once", RouteKind.STREAM, "lm-notice", 500, 6000, 2, false);
+
+	static final Route LOOKUP = route("lookup", RouteKind.IDEMPOTENT, "registry-api", 120, 600, 2, false);
+
+	static final Route ALLOCATE = route("allocate", RouteKind.AT_MOST_ONCE, "registry-api", 120, 600, 1, false);
+
+	final Dispatcher dispatcher = Dispatcher.create(
+			new DispatchLimits("hall-a", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8)),
+			RandomSource.XO_RO_SHI_RO_128_PP.create(42));
+
+	long now = 10_000 * MILLI;
+
+	private long ids;
+
+	Desk() {
+		CallLimits limits = new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
+		ServiceSpec engines = new ServiceSpec("lm-notice", 264, Optional.of(ENGINE), Optional.empty());
+		ServiceSpec plain = new ServiceSpec("registry-api", 96, Optional.empty(), Optional.empty());
+		this.dispatcher.table(RouteTable.of(1, List.of(STREAM, STREAM_ONCE, LOOKUP, ALLOCATE), List.of(engines, plain),
+				Map.of(), limits));
+	}
+
+	private static Route route(String name, RouteKind kind, String service, long target, long timeout, int attempts,
+			boolean resumable) {
+		return new Route(name, "desk.example", "/" + name + "/", kind, Duration.ofMillis(timeout),
+				Duration.ofMillis(target), 1, List.of(new WeightedService(service, 1)), attempts, true, resumable,
+				Duration.ofMillis(400));
+	}
+
+	static RunnerInfo engine(String id) {
+		return new RunnerInfo(id, "lm-notice", "10.0.0." + id.hashCode() % 200 + ":80", "hall-a", 16, false, 0,
+				Map.of("lm", 1));
+	}
+
+	static RunnerInfo plain(String id) {
+		return new RunnerInfo(id, "registry-api", "10.0.1." + id.hashCode() % 200 + ":80", "hall-a", 6, false, 0,
+				Map.of());
+	}
+
+	Desk with(RunnerInfo... infos) {
+		for (RunnerInfo info : infos) {
+			this.dispatcher.runner(info, this.now);
+		}
+		return this;
+	}
+
+	Job arrive(Route route) {
+		return arrive(route, 1000, route.timeout().toMillis());
+	}
+
+	Job arrive(Route route, int prompt, long remainingMillis) {
+		this.ids++;
+		Job job = Job.arrived(this.ids, "attempt-" + this.ids, route, route.service(0), Optional.empty(),
+				new Job.Size(prompt, 100), Optional.empty(), this.now, this.now + remainingMillis * MILLI);
+		this.dispatcher.arrived(job, this.now);
+		return job;
+	}
+
+	Desk after(long millis) {
+		this.now += millis * MILLI;
+		this.dispatcher.tick(this.now);
+		return this;
+	}
+
+	void ended(Job job, Outcome outcome) {
+		this.dispatcher.ended(job, outcome, this.now);
+	}
+
+	void firstEvent(Job job) {
+		job.progressed(1, Optional.of("1"), this.now);
+		this.dispatcher.firstEvent(job, this.now);
+	}
+
+	/**
+	 * Returns the names of what was done since the last call, for example
+	 * {@code Send:r1}.
+	 */
+	List<String> done() {
+		List<String> names = new ArrayList<>();
+		for (DispatchEffect effect : this.dispatcher.drain()) {
+			names.add(switch (effect) {
+				case DispatchEffect.Send send -> "Send:" + send.runner().id();
+				case DispatchEffect.Refuse refuse -> "Refuse:" + refuse.code().name();
+				case DispatchEffect.Fail fail -> "Fail:" + fail.code().name();
+				case DispatchEffect.Stop stop -> "Stop";
+				case DispatchEffect.PassOn passOn -> "PassOn";
+			});
+		}
+		return names;
+	}
+
+}
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -0,0 +1,117 @@
+package org.wisteriapost.policy.rollout;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+class RolloutTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private final Rollout rollout = Rollout.create(Duration.ofSeconds(8));
+
+	private final List<RolloutEffect> all = new ArrayList<>();
+
+	private long now = 100_000 * MILLI;
+
+	private void engine(int version, boolean busy) {
+		this.rollout.reported((version > 0) ? OptionalInt.of(version) : OptionalInt.empty(), busy, 0, this.now);
+		this.all.addAll(this.rollout.drain());
+	}
+
+	private void after(long millis) {
+		for (long done = 0; done < millis; done += 50) {
+			this.now += 50 * MILLI;
+			this.rollout.tick(this.now);
+		}
+		this.all.addAll(this.rollout.drain());
+	}
+
+	private void named(int version) {
+		this.rollout.named(version, this.now);
+		this.all.addAll(this.rollout.drain());
+	}
+
+	@Test
+	void fetchesTellsChecksAndOrdersInThisOrder() {
+		engine(1, false);
+		named(2);
+		this.rollout.fetched(2, true, this.now);
+		after(5000);
+		this.rollout.verified(2, true, this.now);
+		this.rollout.ordered(true, this.now);
+		engine(1, true);
+		engine(2, false);
+		this.all.addAll(this.rollout.drain());
+		List<RolloutEffect> steps = this.all.stream()
+			.filter((effect) -> !(effect instanceof RolloutEffect.ReadReport))
+			.toList();
+		assertThat(steps,
+				Matchers.contains(new RolloutEffect.Tell(OptionalInt.of(1), false), new RolloutEffect.Fetch(2),
+						new RolloutEffect.Tell(OptionalInt.of(1), true), new RolloutEffect.Verify(2),
+						new RolloutEffect.Take(2, 0), new RolloutEffect.Tell(OptionalInt.of(2), false)));
+	}
+
+	// A piece went bad in the engine's memory after it was staged. An engine that took it
+	// would answer from spoilt weights; the check before the order finds it, and it is
+	// fetched again.
+	@Test
+	void whatWentBadIsFetchedAgainAndNeverOrdered() {
+		engine(1, false);
+		named(2);
+		this.rollout.fetched(2, true, this.now);
+		after(5000);
+		this.all.clear();
+		this.rollout.verified(2, false, this.now);
+		after(100);
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Fetch(2)));
+		assertThat(this.all, Matchers.not(Matchers.hasItem(Matchers.instanceOf(RolloutEffect.Take.class))));
+	}
+
+	// A newer version is named during a fetch. Early in it the newer one goes first; late
+	// in it the fetch is finished and taken, since beginning anew each time would end
+	// with no engine that may answer.
+	@ParameterizedTest
+	@ValueSource(doubles = { 0.2, 0.8 })
+	void aNewerVersionWaitsForAFetchThatIsMostlyDone(double share) {
+		engine(1, false);
+		named(2);
+		this.rollout.fetching(share);
+		this.all.clear();
+		named(3);
+		boolean abandoned = this.all.contains(new RolloutEffect.Abandon(2));
+		assertThat(abandoned, Matchers.equalTo(share < 0.5));
+	}
+
+	@Test
+	void anEngineWithoutWeightsWaitsForNobody() {
+		this.rollout.turn(0.99);
+		engine(0, false);
+		named(1);
+		this.rollout.fetched(1, true, this.now);
+		after(50);
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(1)));
+	}
+
+	// The engine restarts in the middle: it forgets its weights. It gets them again
+	// although the same version was taken before.
+	@Test
+	void anEngineThatForgotItsWeightsGetsThemAgain() {
+		engine(2, false);
+		named(2);
+		after(1000);
+		this.all.clear();
+		engine(0, false);
+		this.all.addAll(this.rollout.drain());
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Fetch(2)));
+	}
+
+}
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerReply.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerReply.java
@@ -11,6 +11,5 @@
  * @param otherInstance another start of a runner has the address
  * @param weightsVersion of the weights that answer
  */
-public record RunnerReply(Optional<String> attempt, boolean notRun, boolean otherInstance,
-		OptionalInt weightsVersion) {
+public record RunnerReply(Optional<String> attempt, boolean notRun, boolean otherInstance, OptionalInt weightsVersion) {
 }
--- /dev/null
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -0,0 +1,150 @@
+package org.wisteriapost.protocol.site;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.CodedException;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.protocol.site.ObjectStore.Change;
+import org.wisteriapost.protocol.site.ObjectStore.Changes;
+import org.wisteriapost.protocol.site.ObjectStore.Item;
+import org.wisteriapost.protocol.site.ObjectStore.Page;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+class FollowerTests {
+
+	private static final int MOST_SECONDS = 10;
+
+	private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
+
+	private final ScriptedStore store = new ScriptedStore();
+
+	private final List<String> heard = new ArrayList<>();
+
+	private final CompletableFuture<Void> scriptOver = new CompletableFuture<>();
+
+	@AfterEach
+	void stop() {
+		this.timer.shutdownNow();
+	}
+
+	private static Item item(String name, long revision) {
+		return new Item(name, revision, Optional.empty());
+	}
+
+	private List<String> follow() throws Exception {
+		Follower.start(this.store, Kind.RUNNERS, this.timer, new FollowListener() {
+
+			@Override
+			public void onAll(List<Item> items) {
+				FollowerTests.this.heard.add("all" + items.stream().map(Item::name).toList());
+			}
+
+			@Override
+			public void onChange(Change change) {
+				FollowerTests.this.heard
+					.add((change.deleted() ? "-" : "+") + change.item().name() + "@" + change.item().revision());
+			}
+
+			@Override
+			public void onReachable(boolean reachable) {
+				FollowerTests.this.heard.add(reachable ? "back" : "lost");
+			}
+
+		});
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		return CompletableFuture.supplyAsync(() -> List.copyOf(this.heard), this.timer)
+			.get(MOST_SECONDS, TimeUnit.SECONDS);
+	}
+
+	// The listing takes two pages, and a runner changes between them. The watch goes on
+	// from the first page, so it brings the change again in an older form; were that
+	// believed, a runner that is leaving would be taken for ready again.
+	@Test
+	void anOlderChangeThanTheListingIsLeftOut() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), true, 5));
+		this.store.pages.add(new Page(List.of(item("b", 9)), false, 9));
+		this.store.changes.add(new Changes(
+				List.of(new Change(item("b", 7), false), new Change(item("b", 9), false)), 9));
+		assertThat(follow(), Matchers.contains("back", "all[a, b]", "+b@9"));
+	}
+
+	// The store forgets its history while changes are made: the watch ends with that
+	// answer, and everything is read again at once.
+	@Test
+	void aForgottenHistoryIsFollowedByANewListing() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		this.store.failures.add(ObjectStore.HISTORY_GONE);
+		this.store.pages.add(new Page(List.of(item("c", 8)), false, 8));
+		assertThat(follow(), Matchers.contains("back", "all[a]", "all[c]"));
+	}
+
+	@Test
+	void anOutageIsSaidOnceAndItsEnd() throws Exception {
+		this.store.pages.add(new Page(List.of(), false, 5));
+		this.store.failures.add(ObjectStore.UNAVAILABLE);
+		this.store.listFailures = 3;
+		this.store.pages.add(new Page(List.of(), false, 5));
+		assertThat(follow(), Matchers.contains("back", "all[]", "lost", "back", "all[]"));
+	}
+
+	/** Answers from a script, and says when it is over. */
+	private final class ScriptedStore implements ObjectStore {
+
+		private final Queue<Page> pages = new ArrayDeque<>();
+
+		private final Queue<Changes> changes = new ArrayDeque<>();
+
+		private final Queue<Code> failures = new ArrayDeque<>();
+
+		private int listFailures;
+
+		private boolean listedOnce;
+
+		@Override
+		public synchronized CompletableFuture<Page> list(Kind kind, Optional<String> after) {
+			if (this.listedOnce && this.listFailures > 0) {
+				this.listFailures--;
+				return CompletableFuture.failedFuture(CodedException.of(UNAVAILABLE, "scripted"));
+			}
+			this.listedOnce = true;
+			return CompletableFuture.completedFuture(this.pages.remove());
+		}
+
+		@Override
+		public synchronized CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
+			if (!this.changes.isEmpty()) {
+				return CompletableFuture.completedFuture(this.changes.remove());
+			}
+			if (!this.failures.isEmpty()) {
+				return CompletableFuture.failedFuture(CodedException.of(this.failures.remove(), "scripted"));
+			}
+			FollowerTests.this.scriptOver.complete(null);
+			return new CompletableFuture<>();
+		}
+
+		@Override
+		public CompletableFuture<Void> register(EntryInfo entry) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+		@Override
+		public CompletableFuture<Void> unregister(String name, long revision) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+	}
+
+}
