Weights fence: each named version binds from its own naming; engines change over in two groups

Cause: the fence kept one named version for each model. Ruled out: an entry that did not know the version (it was logged), a restart (the machine was not killed). Change: the fence keeps all named versions with the time from which each binds; what is found at the start binds after 3 s. Agents read back what their engine holds already and serve it to peers. Two groups change over one after the other. The next fetch begins once the engine has the order.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -90,6 +91,8 @@
 
 	private final Map<String, Frame> told = new HashMap<>();
 
+	private final Set<Kind> read = EnumSet.noneOf(Kind.class);
+
 	private Optional<RouteTable> table = Optional.empty();
 
 	private Optional<Mesh> mesh = Optional.empty();
@@ -226,7 +229,7 @@
 
 	private void all(Kind kind, List<ObjectStore.Item> items, long now) {
 		switch (kind) {
-			case ROUTES, WEIGHTS -> items.forEach((item) -> item.value().ifPresent((value) -> declared(value, now)));
+			case ROUTES, WEIGHTS -> read(kind, items, now);
 			case RUNNERS -> {
 				List<RunnerInfo> infos = items.stream()
 					.flatMap((item) -> item.value().stream())
@@ -250,6 +253,11 @@
 		}
 	}
 
+	private void read(Kind kind, List<ObjectStore.Item> items, long now) {
+		boolean first = this.read.add(kind);
+		items.forEach((item) -> item.value().ifPresent((value) -> declared(value, first, now)));
+	}
+
 	private void changed(Kind kind, ObjectStore.Change change, long now) {
 		if (!change.deleted()) {
 			if (kind == Kind.ENTRIES) {
@@ -257,7 +265,7 @@
 				relink();
 				return;
 			}
-			change.item().value().ifPresent((value) -> declared(value, now));
+			change.item().value().ifPresent((value) -> declared(value, false, now));
 			return;
 		}
 		if (kind == Kind.RUNNERS) {
@@ -271,10 +279,10 @@
 		}
 	}
 
-	private void declared(Declared value, long now) {
+	private void declared(Declared value, boolean found, long now) {
 		switch (value) {
 			case Declared.Routes routes -> routes(routes.table());
-			case Declared.Weights weights -> weights(weights.named(), now);
+			case Declared.Weights weights -> weights(weights.named(), found, now);
 			case Declared.Runner runner -> {
 				this.log.decision("runner-changed", "runner", runner.info().id(), "service", runner.info().service(),
 						"draining", runner.info().draining(), "models", runner.info().models());
@@ -302,8 +310,8 @@
 		tellAgents();
 	}
 
-	private void weights(NamedWeights weights, long now) {
-		this.dispatcher.named(weights, now);
+	private void weights(NamedWeights weights, boolean found, long now) {
+		this.dispatcher.named(weights, found, now);
 		if (this.named.getOrDefault(weights.model(), 0) < weights.version()) {
 			this.named.put(weights.model(), weights.version());
 			this.log.decision("weights-named", "model", weights.model(), "version", weights.version());
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -108,9 +108,10 @@
 
 	/**
 	 * Hears that weights were named.
+	 * @param found whether they were named already when this entry first read the store
 	 */
-	public void named(NamedWeights weights, long nowNanos) {
-		this.fence.named(weights, nowNanos);
+	public void named(NamedWeights weights, boolean found, long nowNanos) {
+		this.fence.named(weights, found, nowNanos);
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -50,9 +50,6 @@
 	Choice choose(Job job, Optional<EngineSpec> engine, long nowNanos) {
 		OptionalInt version = engine.isPresent() ? this.fence.required(engine.get().model(), nowNanos)
 				: OptionalInt.empty();
-		if (job.events() > 0 && job.weightsVersion().isPresent()) {
-			version = job.weightsVersion();
-		}
 		Choice best = best(job, engine, version, nowNanos, true);
 		// When all are left out for their failures the cause is likely elsewhere: one
 		// that
@@ -85,7 +82,8 @@
 				int slots = engine.map(EngineSpec::slots).orElse(runner.info.slots() + PLAIN_QUEUE);
 				boolean room = load.active() < slots && !runner.saidFull(nowNanos);
 				double used = (double) load.active() / slots;
-				best = new Choice(Optional.of(runner), predicted, room, used, engine.isPresent(), version);
+				OptionalInt bound = version.isPresent() ? runner.version(engine.orElseThrow().model()) : version;
+				best = new Choice(Optional.of(runner), predicted, room, used, engine.isPresent(), bound);
 			}
 		}
 		return best;
@@ -110,7 +108,14 @@
 			return true;
 		}
 		OptionalInt held = runner.version(engine.get().model());
-		return held.isPresent() && (version.isEmpty() || held.getAsInt() == version.getAsInt());
+		if (held.isEmpty()) {
+			return false;
+		}
+		// A stream that has begun goes on only where the same weights are.
+		if (job.events() > 0 && job.weightsVersion().isPresent()) {
+			return held.equals(job.weightsVersion());
+		}
+		return version.isEmpty() || held.getAsInt() >= version.getAsInt();
 	}
 
 	private static double predict(RunnerState runner, Optional<EngineSpec> engine, PeerLoad load, Job job) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
@@ -1,7 +1,9 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 
@@ -18,44 +20,47 @@
  */
 final class WeightsFence {
 
-	private static final Duration MARGIN = Duration.ofMillis(1500);
+	private static final Duration MARGIN = Duration.ofMillis(1200);
+
+	// What an entry finds named when it starts was named at a time that it does not know.
+	// It binds soon: the older weights may be over their time already.
+	private static final Duration FOUND = Duration.ofMillis(3000);
 
 	private final long openNanos;
 
-	private final Map<String, Named> named = new HashMap<>();
+	private final Map<String, List<Named>> named = new HashMap<>();
 
 	WeightsFence(Duration inForce) {
 		this.openNanos = inForce.minus(MARGIN).toNanos();
 	}
 
-	void named(NamedWeights weights, long nowNanos) {
-		Named known = this.named.get(weights.model());
-		if (known == null) {
-			// What is in force already when the entry starts.
-			this.named.put(weights.model(), new Named(weights.version(), nowNanos, OptionalInt.empty()));
+	/**
+	 * Hears that a version is named.
+	 * @param found whether it was there already when this entry first read the store
+	 */
+	void named(NamedWeights weights, boolean found, long nowNanos) {
+		List<Named> list = this.named.computeIfAbsent(weights.model(), (model) -> new ArrayList<>());
+		if (!list.isEmpty() && list.getLast().version >= weights.version()) {
 			return;
 		}
-		if (weights.version() > known.version) {
-			OptionalInt settled = required(weights.model(), nowNanos);
-			this.named.put(weights.model(), new Named(weights.version(), nowNanos, settled));
-		}
+		long wait = found ? Math.min(FOUND.toNanos(), this.openNanos) : this.openNanos;
+		list.add(new Named(weights.version(), nowNanos + wait));
 	}
 
 	/**
-	 * Returns the version that requests must start on, when there is one.
+	 * Returns the version that requests must start on, or a newer one.
 	 */
 	OptionalInt required(String model, long nowNanos) {
-		Named known = this.named.get(model);
-		if (known == null) {
-			return OptionalInt.empty();
-		}
-		if (nowNanos - known.atNanos >= this.openNanos) {
-			return OptionalInt.of(known.version);
+		OptionalInt required = OptionalInt.empty();
+		for (Named one : this.named.getOrDefault(model, List.of())) {
+			if (nowNanos >= one.bindsNanos) {
+				required = OptionalInt.of(one.version);
+			}
 		}
-		return known.before;
+		return required;
 	}
 
-	private record Named(int version, long atNanos, OptionalInt before) {
+	private record Named(int version, long bindsNanos) {
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -34,13 +34,17 @@
 
 	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
 
-	// Engines change over in three groups, so that two thirds go on answering. An engine
-	// ends what it runs first, which takes some 1.5 s.
-	private static final int GROUPS = 3;
+	// Engines change over in two groups, so that half of them go on answering. An engine
+	// ends what it runs first and takes the weights then, which lasts some 1.7 s; the
+	// second group begins when the first is back, and in any case early enough to be in
+	// time. A version that a newer one waits for is not given that time.
+	private static final int GROUPS = 2;
 
-	private static final double FIRST_GROUP = 0.45;
+	private static final Duration BETWEEN_GROUPS = Duration.ofMillis(1700);
 
-	private static final double BETWEEN_GROUPS = 0.09;
+	private static final Duration BETWEEN_HURRIED = Duration.ofMillis(800);
+
+	private static final double LATEST = 0.78;
 
 	private final long inForceNanos;
 
@@ -64,6 +68,12 @@
 
 	private double group;
 
+	private OptionalInt taking = OptionalInt.empty();
+
+	private long takingNanos;
+
+	private long targetNamedNanos;
+
 	private double fetchedShare;
 
 	private boolean busy;
@@ -137,7 +147,12 @@
 			return;
 		}
 		this.staged = whole ? OptionalInt.of(version) : OptionalInt.empty();
-		go(whole ? Step.TURN : Step.PAUSE, nowNanos);
+		if (whole && inForce(version)) {
+			idle(nowNanos);
+		}
+		else {
+			go(whole ? Step.TURN : Step.PAUSE, nowNanos);
+		}
 		decide(nowNanos);
 	}
 
@@ -162,10 +177,21 @@
 	 * Hears whether the engine has begun to take the weights.
 	 */
 	public void ordered(boolean begun, long nowNanos) {
-		if (this.step == Step.ORDERING) {
-			go(begun ? Step.TAKING : Step.PAUSE, nowNanos);
-			read(nowNanos);
+		if (this.step != Step.ORDERING) {
+			return;
+		}
+		if (begun) {
+			// The engine has its own copy from here on, so the next fetch may begin.
+			this.taking = OptionalInt.of(this.target);
+			this.takingNanos = nowNanos;
+			this.busy = true;
+			idle(nowNanos);
 		}
+		else {
+			go(Step.PAUSE, nowNanos);
+		}
+		read(nowNanos);
+		decide(nowNanos);
 	}
 
 	/**
@@ -177,8 +203,8 @@
 		this.held = version;
 		this.busy = underWay;
 		this.sequence = orders;
-		if (this.step == Step.TAKING && !underWay && version.equals(OptionalInt.of(this.target))) {
-			idle(nowNanos);
+		if (!underWay && this.taking.isPresent() && version.equals(this.taking)) {
+			this.taking = OptionalInt.empty();
 		}
 		decide(nowNanos);
 	}
@@ -197,11 +223,14 @@
 	 */
 	public void tick(long nowNanos) {
 		long gone = nowNanos - this.stepNanos;
-		if ((this.step == Step.TAKING && gone > TAKE_NANOS) || (this.step == Step.PAUSE && gone > AGAIN_NANOS)) {
+		if (this.step == Step.PAUSE && gone > AGAIN_NANOS) {
 			idle(nowNanos);
 		}
+		if (this.taking.isPresent() && nowNanos - this.takingNanos > TAKE_NANOS) {
+			this.taking = OptionalInt.empty();
+		}
 		decide(nowNanos);
-		boolean calm = this.step == Step.IDLE && this.held.equals(this.wanted);
+		boolean calm = this.step == Step.IDLE && this.taking.isEmpty() && this.held.equals(this.wanted);
 		long since = nowNanos - this.readNanos;
 		if (since > (calm ? CALM_READ_NANOS : BUSY_READ_NANOS) && (!this.reading || since > READ_LOST_NANOS)) {
 			read(nowNanos);
@@ -220,19 +249,27 @@
 			case IDLE -> begin(nowNanos);
 			case TURN -> turn(nowNanos);
 			case QUIET -> quiet(nowNanos);
-			case FETCHING, VERIFYING, ORDERING, TAKING, PAUSE -> {
+			case FETCHING, VERIFYING, ORDERING, PAUSE -> {
 				// Goes on when what is under way ends.
 			}
 		}
 		tell();
 	}
 
+	// An engine that holds the named weights already is fetched for too: what is staged
+	// there is read back, and peers that start without weights get it from here and not
+	// from the origin.
 	private void begin(long nowNanos) {
-		if (this.wanted.isEmpty() || !this.engineSeen || this.busy || this.held.equals(this.wanted)) {
+		if (this.wanted.isEmpty() || !this.engineSeen) {
+			return;
+		}
+		boolean there = this.staged.equals(this.wanted);
+		if (there && (inForce(this.wanted.getAsInt()) || this.busy)) {
 			return;
 		}
 		this.target = this.wanted.getAsInt();
-		if (this.staged.equals(this.wanted)) {
+		this.targetNamedNanos = this.namedNanos;
+		if (there) {
 			go(Step.TURN, nowNanos);
 			turn(nowNanos);
 			return;
@@ -243,14 +280,23 @@
 		this.effects.add(new RolloutEffect.Fetch(this.target));
 	}
 
+	private boolean inForce(int version) {
+		OptionalInt one = OptionalInt.of(version);
+		return this.held.equals(one) || this.taking.equals(one);
+	}
+
 	// An engine without weights answers nothing, so it waits for nobody.
 	private void turn(long nowNanos) {
-		double share = FIRST_GROUP + this.group * BETWEEN_GROUPS;
-		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
-		if (newest && this.held.isPresent() && nowNanos - this.namedNanos < share * this.inForceNanos) {
+		if (this.busy || this.taking.isPresent()) {
 			return;
 		}
-		go(Step.QUIET, nowNanos);
+		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
+		Duration between = newest ? BETWEEN_GROUPS : BETWEEN_HURRIED;
+		boolean turn = nowNanos - this.stepNanos >= this.group * between.toNanos();
+		boolean latest = nowNanos - this.targetNamedNanos >= LATEST * this.inForceNanos;
+		if (this.held.isEmpty() || turn || latest) {
+			go(Step.QUIET, nowNanos);
+		}
 	}
 
 	private void quiet(long nowNanos) {
@@ -269,8 +315,8 @@
 
 	private void tell() {
 		boolean switching = switch (this.step) {
-			case QUIET, VERIFYING, ORDERING, TAKING -> true;
-			case IDLE, FETCHING, TURN, PAUSE -> false;
+			case QUIET, VERIFYING, ORDERING -> true;
+			case IDLE, FETCHING, TURN, PAUSE -> this.taking.isPresent();
 		};
 		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching);
 		if (this.engineSeen && !now.equals(this.told)) {
@@ -290,7 +336,7 @@
 
 	private enum Step {
 
-		IDLE, FETCHING, TURN, QUIET, VERIFYING, ORDERING, TAKING, PAUSE
+		IDLE, FETCHING, TURN, QUIET, VERIFYING, ORDERING, PAUSE
 
 	}
 
