--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -254,7 +254,7 @@
 		Weights known = this.weights.orElseThrow();
 		this.engine.take(known.model, version, sequence).whenComplete((reply, failure) -> back(() -> {
 			this.log.decision("ordered", "version", version, "sequence", sequence, "reply",
-					(failure == null) ? reply : failure.getMessage());
+					(failure != null) ? failure.getMessage() : reply);
 			// An order without an answer may have been taken: the report will tell.
 			boolean begun = failure != null || reply == EngineControl.Reply.BEGUN
 					|| reply == EngineControl.Reply.IN_FORCE;
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -0,0 +1,173 @@
+package org.wisteriapost.entry.direct;
+
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.fleet.NamedWeights;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.EngineSpec;
+import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Leaving;
+import org.wisteriapost.protocol.wire.LoadReport;
+import org.wisteriapost.protocol.wire.Roster;
+import org.wisteriapost.protocol.wire.RosterMember;
+import org.wisteriapost.protocol.wire.RunnerLoad;
+import org.wisteriapost.protocol.wire.WeightsNamed;
+
+/**
+ * What an entry tells others: agents which weights are named and who their peers are,
+ * other entries what it has in flight. Used by the state thread alone.
+ */
+final class Announcer {
+
+	// Weights that nobody has named yet are the first version.
+	private static final int FIRST_VERSION = 1;
+
+	private final SiteSettings settings;
+
+	private final EntryRoster roster;
+
+	private final Dispatcher dispatcher;
+
+	private final Map<String, Integer> named = new HashMap<>();
+
+	private final Map<String, PeerLoad> reported = new HashMap<>();
+
+	private final Map<String, Frame> told = new HashMap<>();
+
+	private Optional<Mesh> mesh = Optional.empty();
+
+	Announcer(SiteSettings settings, EntryRoster roster, Dispatcher dispatcher) {
+		this.settings = settings;
+		this.roster = roster;
+		this.dispatcher = dispatcher;
+	}
+
+	void connect(Mesh links) {
+		this.mesh = Optional.of(links);
+	}
+
+	/**
+	 * Notes named weights and returns whether they are newer than those known.
+	 */
+	boolean named(NamedWeights weights) {
+		if (this.named.getOrDefault(weights.model(), 0) >= weights.version()) {
+			return false;
+		}
+		this.named.put(weights.model(), weights.version());
+		return true;
+	}
+
+	/**
+	 * Says to the other entries that this one leaves.
+	 */
+	void leaving() {
+		toEntries(Frame.newBuilder().setLeaving(Leaving.newBuilder().setVm(this.settings.name())).build());
+	}
+
+	/**
+	 * Says all to a peer whose link has come up.
+	 */
+	void linked(String peer, Optional<RouteTable> known) {
+		this.reported.clear();
+		this.told.keySet().removeIf((key) -> key.startsWith(peer));
+		engines(known).stream()
+			.filter((info) -> info.address().equals(peer))
+			.findFirst()
+			.ifPresent((info) -> tellAgent(info, known));
+	}
+
+	/**
+	 * Links to the entries and agents that there are now.
+	 */
+	void relink(Optional<RouteTable> known) {
+		Map<String, InetSocketAddress> peers = new HashMap<>();
+		this.roster.others().forEach((info) -> peers.put(info.name(), address(info.link())));
+		engines(known)
+			.forEach((info) -> peers.put(info.address(), new InetSocketAddress(info.host(), this.settings.linkPort())));
+		this.mesh.ifPresent((links) -> links.desired(peers));
+		tellAgents(known);
+	}
+
+	private List<RunnerInfo> engines(Optional<RouteTable> known) {
+		return this.dispatcher.known().stream().filter((info) -> engine(known, info.service()).isPresent()).toList();
+	}
+
+	private static Optional<EngineSpec> engine(Optional<RouteTable> known, String service) {
+		return known.flatMap((table) -> table.service(service)).flatMap((spec) -> spec.engine());
+	}
+
+	/**
+	 * Tells agents what they have not been told yet.
+	 */
+	void tellAgents(Optional<RouteTable> known) {
+		engines(known).forEach((info) -> tellAgent(info, known));
+	}
+
+	private void tellAgent(RunnerInfo runner, Optional<RouteTable> known) {
+		Optional<String> origin = known.flatMap(RouteTable::origin).map((spec) -> spec.address());
+		Optional<String> model = engine(known, runner.service()).map(EngineSpec::model);
+		if (origin.isEmpty() || model.isEmpty() || this.mesh.isEmpty()) {
+			return;
+		}
+		Roster.Builder members = Roster.newBuilder();
+		engines(known).stream()
+			.filter((info) -> info.service().equals(runner.service()))
+			.sorted(Comparator.comparing(RunnerInfo::address))
+			.forEach((info) -> members.addMembers(RosterMember.newBuilder().setVm(info.host()).setPlace(info.place())));
+		WeightsNamed.Builder weights = WeightsNamed.newBuilder()
+			.setModel(model.get())
+			.setVersion(this.named.getOrDefault(model.get(), FIRST_VERSION))
+			.setOrigin(origin.get());
+		tellOnce(runner.address(), Frame.newBuilder().setRoster(members).build());
+		tellOnce(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
+	}
+
+	// Registrations change all the time, what agents are told of them seldom. Said again
+	// each time it took most of the bytes between regions.
+	private void tellOnce(String agent, Frame frame) {
+		if (!frame.equals(this.told.put(agent + frame.getBodyCase(), frame))) {
+			this.mesh.ifPresent((links) -> links.send(agent, frame));
+		}
+	}
+
+	/**
+	 * Tells the other entries what this one has in flight.
+	 * @param full whether what has not changed is said again
+	 */
+	void report(boolean full) {
+		LoadReport.Builder report = LoadReport.newBuilder();
+		this.dispatcher.ownLoad().forEach((runner, load) -> {
+			boolean changed = !load.equals(this.reported.getOrDefault(runner, PeerLoad.NONE));
+			if (changed || (full && load.active() > 0)) {
+				this.reported.put(runner, load);
+				report.addLoads(RunnerLoad.newBuilder()
+					.setRunner(runner)
+					.setActive(load.active())
+					.setWaiting(Math.max(0, load.waiting()))
+					.setWaitingPrompt((int) Math.max(0, load.waitingPrompt())));
+			}
+		});
+		if (report.getLoadsCount() > 0) {
+			toEntries(Frame.newBuilder().setLoadReport(report).build());
+		}
+	}
+
+	private void toEntries(Frame frame) {
+		this.mesh.ifPresent((links) -> this.roster.others().forEach((info) -> links.send(info.name(), frame)));
+	}
+
+	private static InetSocketAddress address(String text) {
+		int colon = text.lastIndexOf(':');
+		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
@@ -1,27 +1,19 @@
 package org.wisteriapost.entry.direct;
 
 import java.io.PrintStream;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
 
-import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.kernel.command.Command;
 import org.wisteriapost.kernel.command.ExitCodes;
+import org.wisteriapost.kernel.command.Signals;
 import org.wisteriapost.protocol.site.SiteProvider;
-import org.wisteriapost.protocol.site.SiteSettings;
-import sun.misc.Signal;
 
 /**
  * Runs an entry on a site until it has left.
  */
 public final class DirectCommand implements Command {
 
-	/** The environment does not name the settings. */
-	public static final Code SETTINGS_UNNAMED = Code.error("site-settings-unnamed",
-			"The environment does not name the site's settings file.");
-
 	@Override
 	public String name() {
 		return "site entry";
@@ -35,11 +27,8 @@
 	@Override
 	public int run(List<String> args, PrintStream out, PrintStream err) {
 		SiteProvider site = SiteProvider.load();
-		Path file = Path.of(Optional.ofNullable(System.getenv(site.settingsVariable()))
-			.orElseThrow(() -> CodedException.of(SETTINGS_UNNAMED, site.settingsVariable())));
-		SiteSettings settings = site.settings(file);
-		try (DirectProcess process = DirectProcess.start(settings, site, out)) {
-			Signal.handle(new Signal("HUP"), (signal) -> reload(process, site, file));
+		try (DirectProcess process = DirectProcess.start(site.settings(), site, out)) {
+			Signals.on("HUP", () -> reload(process, site));
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(process), "entry-leave"));
 			process.leaveFuture().join();
 			return ExitCodes.OK;
@@ -48,9 +37,9 @@
 
 	// Addresses and bounds of a running process do not change; a file that can no longer
 	// be read is said, and the process goes on with what it has.
-	private static void reload(DirectProcess process, SiteProvider site, Path file) {
+	private static void reload(DirectProcess process, SiteProvider site) {
 		try {
-			site.settings(file);
+			site.settings();
 			process.reloaded("read");
 		}
 		catch (CodedException ex) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -236,12 +235,4 @@
 				() -> answer.refuse(Refusal.bad(status, code.name(), code.summary())));
 	}
 
-	/**
-	 * Returns the values of a query field; for the directory.
-	 */
-	static Optional<String> query(HttpServerExchange exchange, String name) {
-		Deque<String> values = exchange.getQueryParameters().get(name);
-		return (values == null) ? Optional.empty() : Optional.ofNullable(values.peekFirst());
-	}
-
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -1,7 +1,5 @@
 package org.wisteriapost.entry.direct;
 
-import java.net.InetSocketAddress;
-import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,7 +21,6 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
-import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteTable;
@@ -32,13 +29,8 @@
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.EngineState;
-import org.wisteriapost.protocol.wire.Frame;
-import org.wisteriapost.protocol.wire.Leaving;
 import org.wisteriapost.protocol.wire.LoadReport;
-import org.wisteriapost.protocol.wire.Roster;
-import org.wisteriapost.protocol.wire.RosterMember;
 import org.wisteriapost.protocol.wire.RunnerLoad;
-import org.wisteriapost.protocol.wire.WeightsNamed;
 
 /**
  * The entry's state. One thread applies events to it.
@@ -63,8 +55,6 @@
 
 	private static final int REPORTS_PER_FULL = 5;
 
-	private final SiteSettings settings;
-
 	private final EntryInfo self;
 
 	private final Dispatcher dispatcher;
@@ -79,24 +69,18 @@
 
 	private final EntryRoster roster;
 
+	private final Announcer announcer;
+
 	private final DirectView view;
 
 	private final Departure departure;
 
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
-	private final Map<String, Integer> named = new HashMap<>();
-
-	private final Map<String, PeerLoad> reported = new HashMap<>();
-
-	private final Map<String, Frame> told = new HashMap<>();
-
 	private final Set<Kind> read = EnumSet.noneOf(Kind.class);
 
 	private Optional<RouteTable> table = Optional.empty();
 
-	private Optional<Mesh> mesh = Optional.empty();
-
 	private Optional<ObjectStore> store = Optional.empty();
 
 	private boolean runnersRead;
@@ -107,7 +91,6 @@
 
 	DirectState(SiteSettings settings, EntryInfo self, Dispatcher dispatcher, DirectOutput output, DecisionLog log,
 			UniformRandomProvider random, LongSupplier clock, DirectView view) {
-		this.settings = settings;
 		this.self = self;
 		this.dispatcher = dispatcher;
 		this.output = output;
@@ -115,6 +98,7 @@
 		this.random = random;
 		this.clock = clock;
 		this.roster = new EntryRoster(self);
+		this.announcer = new Announcer(settings, this.roster, dispatcher);
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
 	}
@@ -123,7 +107,7 @@
 	 * Sets what the entry tells others by.
 	 */
 	void connect(Mesh links, ObjectStore objects) {
-		this.mesh = Optional.of(links);
+		this.announcer.connect(links);
 		this.store = Optional.of(objects);
 	}
 
@@ -239,7 +223,7 @@
 				this.runnersRead = true;
 				this.dispatcher.runners(infos, now);
 				this.log.decision("runners-read", "count", infos.size());
-				relink();
+				this.announcer.relink(this.table);
 			}
 			case ENTRIES -> {
 				Set<String> names = new HashSet<>();
@@ -248,7 +232,7 @@
 					entry(item, now);
 				});
 				this.roster.keep(names);
-				relink();
+				this.announcer.relink(this.table);
 			}
 		}
 	}
@@ -262,7 +246,7 @@
 		if (!change.deleted()) {
 			if (kind == Kind.ENTRIES) {
 				entry(change.item(), now);
-				relink();
+				this.announcer.relink(this.table);
 				return;
 			}
 			change.item().value().ifPresent((value) -> declared(value, false, now));
@@ -271,11 +255,11 @@
 		if (kind == Kind.RUNNERS) {
 			this.log.decision("runner-removed", "runner", change.item().name());
 			this.dispatcher.runnerRemoved(change.item().name(), now);
-			relink();
+			this.announcer.relink(this.table);
 		}
 		if (kind == Kind.ENTRIES) {
 			this.roster.remove(change.item().name());
-			relink();
+			this.announcer.relink(this.table);
 		}
 	}
 
@@ -287,7 +271,7 @@
 				this.log.decision("runner-changed", "runner", runner.info().id(), "service", runner.info().service(),
 						"draining", runner.info().draining(), "models", runner.info().models());
 				this.dispatcher.runner(runner.info(), now);
-				relink();
+				this.announcer.relink(this.table);
 			}
 			case Declared.Entry entry -> {
 				// Read with its revision, see entry.
@@ -303,19 +287,14 @@
 		this.table = Optional.of(newer);
 		this.log.decision("table-in-force", "version", newer.version());
 		this.dispatcher.table(newer);
-		newer.services()
-			.forEach((service) -> service.engine()
-				.map(EngineSpec::model)
-				.ifPresent((model) -> this.named.putIfAbsent(model, 1)));
-		tellAgents();
+		this.announcer.tellAgents(this.table);
 	}
 
 	private void weights(NamedWeights weights, boolean found, long now) {
 		this.dispatcher.named(weights, found, now);
-		if (this.named.getOrDefault(weights.model(), 0) < weights.version()) {
-			this.named.put(weights.model(), weights.version());
+		if (this.announcer.named(weights)) {
 			this.log.decision("weights-named", "model", weights.model(), "version", weights.version());
-			tellAgents();
+			this.announcer.tellAgents(this.table);
 		}
 	}
 
@@ -334,61 +313,11 @@
 
 	// What others say, and what they are told.
 
-	private void relink() {
-		Map<String, InetSocketAddress> peers = new HashMap<>();
-		this.roster.others().forEach((info) -> peers.put(info.name(), address(info.link())));
-		engines()
-			.forEach((info) -> peers.put(info.address(), new InetSocketAddress(info.host(), this.settings.linkPort())));
-		this.mesh.ifPresent((links) -> links.desired(peers));
-		tellAgents();
-	}
-
-	private List<RunnerInfo> engines() {
-		return this.dispatcher.known().stream().filter((info) -> engine(info.service()).isPresent()).toList();
-	}
-
-	private Optional<EngineSpec> engine(String service) {
-		return this.table.flatMap((known) -> known.service(service)).flatMap((spec) -> spec.engine());
-	}
-
 	private void peerLink(String peer, boolean up, long now) {
 		this.roster.linked(peer, up, now);
 		this.dispatcher.entries(this.roster.alive());
 		if (up) {
-			this.reported.clear();
-			this.told.keySet().removeIf((key) -> key.startsWith(peer));
-			engines().stream().filter((info) -> info.address().equals(peer)).findFirst().ifPresent(this::tellAgent);
-		}
-	}
-
-	private void tellAgents() {
-		engines().forEach(this::tellAgent);
-	}
-
-	private void tellAgent(RunnerInfo runner) {
-		Optional<String> origin = this.table.flatMap(RouteTable::origin).map((spec) -> spec.address());
-		Optional<String> model = engine(runner.service()).map(EngineSpec::model);
-		if (origin.isEmpty() || model.isEmpty() || this.mesh.isEmpty()) {
-			return;
-		}
-		Roster.Builder members = Roster.newBuilder();
-		engines().stream()
-			.filter((info) -> info.service().equals(runner.service()))
-			.sorted(Comparator.comparing(RunnerInfo::address))
-			.forEach((info) -> members.addMembers(RosterMember.newBuilder().setVm(info.host()).setPlace(info.place())));
-		WeightsNamed.Builder weights = WeightsNamed.newBuilder()
-			.setModel(model.get())
-			.setVersion(this.named.getOrDefault(model.get(), 1))
-			.setOrigin(origin.get());
-		tellOnce(runner.address(), Frame.newBuilder().setRoster(members).build());
-		tellOnce(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
-	}
-
-	// Registrations change all the time, what agents are told of them seldom. Said again
-	// each time it took most of the bytes between regions.
-	private void tellOnce(String agent, Frame frame) {
-		if (!frame.equals(this.told.put(agent + frame.getBodyCase(), frame))) {
-			this.mesh.ifPresent((links) -> links.send(agent, frame));
+			this.announcer.linked(peer, this.table);
 		}
 	}
 
@@ -410,31 +339,11 @@
 		this.ticks++;
 		this.dispatcher.tick(now);
 		if (this.ticks % TICKS_PER_REPORT == 0) {
-			report();
+			this.announcer.report(this.ticks % ((long) TICKS_PER_REPORT * REPORTS_PER_FULL) == 0);
 		}
 		register(now);
 	}
 
-	private void report() {
-		boolean full = this.ticks % ((long) TICKS_PER_REPORT * REPORTS_PER_FULL) == 0;
-		LoadReport.Builder report = LoadReport.newBuilder();
-		this.dispatcher.ownLoad().forEach((runner, load) -> {
-			boolean changed = !load.equals(this.reported.getOrDefault(runner, PeerLoad.NONE));
-			if (changed || (full && load.active() > 0)) {
-				this.reported.put(runner, load);
-				report.addLoads(RunnerLoad.newBuilder()
-					.setRunner(runner)
-					.setActive(load.active())
-					.setWaiting(Math.max(0, load.waiting()))
-					.setWaitingPrompt((int) Math.max(0, load.waitingPrompt())));
-			}
-		});
-		if (report.getLoadsCount() > 0) {
-			Frame frame = Frame.newBuilder().setLoadReport(report).build();
-			this.mesh.ifPresent((links) -> this.roster.others().forEach((info) -> links.send(info.name(), frame)));
-		}
-	}
-
 	private void register(long now) {
 		if (this.store.isEmpty() || this.departure.leaving()) {
 			return;
@@ -457,8 +366,7 @@
 		}
 		this.departure.leave(now);
 		this.log.decision("leaving", "inProgress", this.dispatcher.inProgress());
-		Frame frame = Frame.newBuilder().setLeaving(Leaving.newBuilder().setVm(this.self.name())).build();
-		this.mesh.ifPresent((links) -> this.roster.others().forEach((info) -> links.send(info.name(), frame)));
+		this.announcer.leaving();
 	}
 
 	// What is done.
@@ -512,9 +420,4 @@
 				this.departure.over(this.dispatcher.inProgress(), this.clock.getAsLong()));
 	}
 
-	private static InetSocketAddress address(String text) {
-		int colon = text.lastIndexOf(':');
-		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-	}
-
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Recovery.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Recovery.java
@@ -28,7 +28,7 @@
 		return switch (outcome) {
 			case DONE -> Verdict.FINISHED;
 			case NOT_SENT, FULL, MISDIRECTED -> (job.dispatches < MOST_DISPATCHES) ? Verdict.AGAIN : Verdict.FAIL;
-			case ERROR -> mayRunAgain(job) && !job.headed ? Verdict.AGAIN : Verdict.PASS_ON;
+			case ERROR -> (mayRunAgain(job) && !job.headed) ? Verdict.AGAIN : Verdict.PASS_ON;
 			case BROKEN -> mayRunAgain(job) ? Verdict.AGAIN : Verdict.FAIL;
 		};
 	}
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/CallDialect.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/CallDialect.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -48,12 +47,6 @@
 	 */
 	String readinessPath();
 
-	/**
-	 * Returns where a caller that asks the directory stands: region and place.
-	 * @param query the first value of a query field by name
-	 */
-	Standpoint standpoint(Function<String, Optional<String>> query);
-
 	/**
 	 * Returns the body of a directory answer.
 	 * @param addresses {@code IP:PORT}
@@ -61,13 +54,4 @@
 	 */
 	byte[] directory(List<String> addresses, int keepSeconds);
 
-	/**
-	 * Where a caller stands.
-	 *
-	 * @param region its region, when said
-	 * @param place its failure domain, when said
-	 */
-	record Standpoint(Optional<String> region, Optional<String> place) {
-	}
-
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/SiteProvider.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/SiteProvider.java
@@ -17,6 +17,10 @@
 	/** No adapter is on the class path. */
 	Code MISSING = Code.error("site-missing", "No site adapter is part of this program.");
 
+	/** The environment does not name the settings. */
+	Code SETTINGS_UNNAMED = Code.error("site-settings-unnamed",
+			"The environment does not name the site's settings file.");
+
 	/**
 	 * Returns the environment variable that names the settings file.
 	 */
@@ -27,6 +31,17 @@
 	 */
 	SiteSettings settings(Path file);
 
+	/**
+	 * Returns the settings that the environment names, as they are now.
+	 */
+	default SiteSettings settings() {
+		String file = System.getenv(settingsVariable());
+		if (file == null) {
+			throw CodedException.of(SETTINGS_UNNAMED, settingsVariable());
+		}
+		return settings(Path.of(file));
+	}
+
 	/** Returns the store. */
 	ObjectStore store(HttpCaller caller, SiteSettings settings);
 
