--- /dev/null
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -0,0 +1,268 @@
+package org.wisteriapost.app;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wisteriapost.agent.site.SiteAgent;
+import org.wisteriapost.entry.direct.DirectProcess;
+import org.wisteriapost.platform.emulator.EmulatedRunner;
+import org.wisteriapost.platform.emulator.EmulatedSite;
+import org.wisteriapost.protocol.http.HttpCall;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.http.HttpReply;
+import org.wisteriapost.protocol.site.SiteProvider;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * Entries and agents as they run on a site, against an emulated one.
+ */
+class SiteTests {
+
+	private static final long MOST_SECONDS = 30;
+
+	private final SiteProvider provider = SiteProvider.load();
+
+	private final PrintStream quiet = new PrintStream(OutputStream.nullOutputStream());
+
+	private final HttpCaller caller = HttpCaller.create(1);
+
+	private final List<AutoCloseable> parts = new ArrayList<>();
+
+	private EmulatedSite site;
+
+	@TempDir
+	private Path folder;
+
+	private int attempts;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.site = EmulatedSite.start();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		for (AutoCloseable part : this.parts.reversed()) {
+			part.close();
+		}
+		this.site.close();
+		this.caller.close();
+	}
+
+	private DirectProcess entry(int number) throws Exception {
+		DirectProcess entry = DirectProcess.start(this.provider.settings(this.site.entrySettings(this.folder, number)),
+				this.provider, this.quiet);
+		this.parts.add(entry);
+		return entry;
+	}
+
+	private void agent(int number) throws Exception {
+		this.parts.add(SiteAgent.start(this.provider.settings(this.site.agentSettings(this.folder, number)),
+				this.provider, this.quiet));
+	}
+
+	private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(MOST_SECONDS);
+		while (!condition.getAsBoolean()) {
+			assertThat("in time: " + what, System.nanoTime() < until);
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+	}
+
+	private HttpReply call(String method, String path, String key, byte[] body) {
+		this.attempts++;
+		URI target = URI.create("http://127.7.1.1:" + this.site.port() + path);
+		HttpCall call = HttpCall.of(method, target, Duration.ofSeconds(5))
+			.header("Host", EmulatedSite.HOST)
+			.header("X-Wisteriapost-Attempt-Id", "attempt-" + this.attempts)
+			.header("X-Wisteriapost-Deadline-Ms", "3000")
+			.header("X-Wisteriapost-Token-Counts", "100,60")
+			.header("X-Wisteriapost-Tenant-Id", "forged")
+			.header("Authorization", "Bearer " + key)
+			.body(body);
+		return this.caller.call(call).join();
+	}
+
+	private HttpReply stream() {
+		return call("POST", "/draft/x?a=1", EmulatedSite.KEY, "prompt".getBytes(StandardCharsets.UTF_8));
+	}
+
+	private void awaitServing() throws InterruptedException {
+		await("serving", () -> call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status() == 200
+				&& stream().status() == 200);
+	}
+
+	private static List<String> ids(HttpReply reply) {
+		return new String(reply.body(), StandardCharsets.UTF_8).lines()
+			.filter((line) -> line.startsWith("id: "))
+			.toList();
+	}
+
+	private static List<String> allIds() {
+		List<String> ids = new ArrayList<>();
+		for (int event = 1; event <= EmulatedRunner.EVENTS; event++) {
+			ids.add("id: " + event);
+		}
+		return ids;
+	}
+
+	@Test
+	void aRequestReachesItsRunnerUnchangedAndItsAnswerTheCaller() throws Exception {
+		EmulatedRunner engine = this.site.engine(1);
+		this.site.plain();
+		entry(1);
+		awaitServing();
+		HttpReply reply = stream();
+		assertThat(reply.status(), Matchers.equalTo(200));
+		assertThat(ids(reply), Matchers.equalTo(allIds()));
+		assertThat(reply.header("X-Wisteriapost-Response-Signature").orElseThrow(),
+				Matchers.equalTo("proof-" + engine.id()));
+		EmulatedRunner.Seen seen = engine.seen().getLast();
+		assertThat(seen.path(), Matchers.equalTo("/draft/x"));
+		assertThat(new String(seen.body(), StandardCharsets.UTF_8), Matchers.equalTo("prompt"));
+		assertThat(seen.organisation(), Matchers.equalTo("org-one"));
+		assertThat(seen.authorization(), Matchers.nullValue());
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/draft/x,key-none,401", "/unknown/x,key-one,404", "/lookup/x,key-one,200" })
+	void whatIsNotDeclaredIsRejected(String path, String key, int status) throws Exception {
+		this.site.engine(1);
+		this.site.plain();
+		entry(1);
+		awaitServing();
+		assertThat(call("GET", path, key, new byte[0]).status(), Matchers.equalTo(status));
+	}
+
+	// An engine resets its stream after seven events and the beginning of an eighth. The
+	// caller reads all events once and in order, since the stream goes on at the other
+	// engine after the last whole one.
+	@Test
+	void aStreamThatBreaksGoesOnElsewhereAfterItsLastWholeEvent() throws Exception {
+		EmulatedRunner first = this.site.engine(1);
+		EmulatedRunner second = this.site.engine(1);
+		this.site.plain();
+		entry(1);
+		awaitServing();
+		first.breakAfter(7);
+		second.breakAfter(7);
+		HttpReply reply = stream();
+		assertThat(reply.status(), Matchers.equalTo(200));
+		assertThat(ids(reply), Matchers.equalTo(allIds()));
+		List<EmulatedRunner.Seen> seen = new ArrayList<>(first.seen());
+		seen.addAll(second.seen());
+		assertThat(seen.stream().filter((one) -> "7".equals(one.lastEvent())).count(), Matchers.equalTo(1L));
+	}
+
+	// New weights are named. The agent brings them to its engine: every piece that the
+	// engine takes is the named version's.
+	@Test
+	void namedWeightsReachEveryEngineWhole() throws Exception {
+		EmulatedRunner first = this.site.engine(1);
+		EmulatedRunner second = this.site.engine(1);
+		this.site.plain();
+		agent(1);
+		agent(2);
+		entry(1);
+		awaitServing();
+		this.site.name(2);
+		await("version 2 everywhere", () -> first.version() == 2 && second.version() == 2);
+		for (EmulatedRunner engine : List.of(first, second)) {
+			for (int piece = 0; piece < EmulatedSite.pieces(); piece++) {
+				assertThat(engine.taken().get(piece), Matchers.equalTo(EmulatedSite.piece(2, piece)));
+			}
+		}
+		await("requests on version 2",
+				() -> stream().header("X-Wisteriapost-Weight-Versions").map("2"::equals).orElse(false));
+	}
+
+	// An engine is added without weights; it gets the first version from its peer.
+	@Test
+	void anAddedEngineIsBroughtUp() throws Exception {
+		EmulatedRunner first = this.site.engine(1);
+		this.site.plain();
+		agent(1);
+		entry(1);
+		awaitServing();
+		EmulatedRunner added = this.site.engine(0);
+		agent(2);
+		await("the added engine holds weights", () -> added.version() == 1);
+		first.breakAfter(0);
+		await("it gets requests", () -> stream().status() == 200 && !added.seen().isEmpty());
+	}
+
+	// The store goes away and forgets its history meanwhile. Requests go on as before;
+	// once it is back, a route that was dropped is gone.
+	@Test
+	void anOutageOfTheStoreStopsNoRequestAndItsEndBringsTheChanges() throws Exception {
+		this.site.engine(1);
+		this.site.plain();
+		entry(1);
+		awaitServing();
+		this.site.store().down(true);
+		assertThat(stream().status(), Matchers.equalTo(200));
+		this.site.configure(false);
+		this.site.store().forget();
+		assertThat(call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status(), Matchers.equalTo(200));
+		this.site.store().down(false);
+		await("the dropped route is gone",
+				() -> call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status() == 404);
+	}
+
+	@Test
+	void aDrainedRunnerGetsNothingNew() throws Exception {
+		this.site.engine(1);
+		EmulatedRunner leaving = this.site.plain();
+		EmulatedRunner staying = this.site.plain();
+		entry(1);
+		awaitServing();
+		this.site.store().remove("servers", leaving.id());
+		TimeUnit.MILLISECONDS.sleep(300);
+		int before = leaving.seen().size();
+		for (int i = 0; i < 10; i++) {
+			assertThat(call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status(), Matchers.equalTo(200));
+		}
+		assertThat(leaving.seen().size(), Matchers.equalTo(before));
+		assertThat(staying.seen().size(), Matchers.greaterThanOrEqualTo(10));
+	}
+
+	// Two entries name each other to callers. One is told to leave: it is named no more
+	// at once, still answers who comes, and ends in time.
+	@Test
+	void aLeavingEntryIsNamedNoMoreAndStillAnswers() throws Exception {
+		this.site.engine(1);
+		this.site.plain();
+		DirectProcess first = entry(1);
+		entry(2);
+		awaitServing();
+		await("both are named", () -> directory(2).contains("127.7.1.1") && directory(2).contains("127.7.1.2"));
+		first.leave();
+		await("the leaving one is named no more", () -> !directory(2).contains("127.7.1.1"));
+		assertThat(stream().status(), Matchers.equalTo(200));
+		first.leave().get(MOST_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private String directory(int entry) {
+		URI target = URI.create("http://127.7.1." + entry + ":" + (this.site.port() + 2)
+				+ "/v1/resolution?name=desk.example&region=here&zone=hall-a");
+		return new String(this.caller.call(HttpCall.of("GET", target, Duration.ofSeconds(2))).join().body(),
+				StandardCharsets.UTF_8);
+	}
+
+}
