--- a/app/src/test/java/org/wisteriapost/app/ArchitectureTests.java
+++ b/app/src/test/java/org/wisteriapost/app/ArchitectureTests.java
@@ -1,11 +1,23 @@
 package org.wisteriapost.app;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
 import com.tngtech.archunit.library.Architectures;
+import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
 
 class ArchitectureTests {
 
@@ -30,10 +42,14 @@
 			.definedBy(ROOT + "agent..")
 			.layer("operator")
 			.definedBy(ROOT + "operator..")
+			.layer("platform")
+			.definedBy(ROOT + "platform..")
 			.layer("app")
 			.definedBy(ROOT + "app..")
 			.whereLayer("app")
 			.mayNotBeAccessedByAnyLayer()
+			.whereLayer("platform")
+			.mayNotBeAccessedByAnyLayer()
 			.whereLayer("entry")
 			.mayNotBeAccessedByAnyLayer()
 			.whereLayer("agent")
@@ -41,9 +57,9 @@
 			.whereLayer("operator")
 			.mayNotBeAccessedByAnyLayer()
 			.whereLayer("protocol")
-			.mayOnlyBeAccessedByLayers("entry", "agent", "operator", "app")
+			.mayOnlyBeAccessedByLayers("platform", "entry", "agent", "operator", "app")
 			.whereLayer("policy")
-			.mayOnlyBeAccessedByLayers("protocol", "entry", "agent", "operator", "app")
+			.mayOnlyBeAccessedByLayers("protocol", "platform", "entry", "agent", "operator", "app")
 			.check(this.classes);
 	}
 
@@ -70,6 +86,42 @@
 			.check(this.classes);
 	}
 
+	// What speaks of the platform stays in its folder: another site is another adapter.
+	@Test
+	void nobodyKnowsTheAdapterOfASite() {
+		ArchRuleDefinition.noClasses()
+			.that()
+			.resideOutsideOfPackage(ROOT + "platform..")
+			.should()
+			.dependOnClassesThat()
+			.resideInAPackage(ROOT + "platform..")
+			.check(this.classes);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "X-Wisteriapost-Attempt", "X-Wisteriapost-Deadline", "/v1/objects", "/v1/resolution",
+			"/v1/readyz", "/v1/report", "/v1/order", "stage-put", "sampleCount", "routeType", "apiKeys",
+			"coldRemainingMs", "WISTERIAPOST_SETTINGS" })
+	void thePlatformsNamesStandInItsFolderAlone(String name) throws IOException {
+		Path root = Path.of(System.getProperty("wisteriapost.root"));
+		try (Stream<Path> files = Files.walk(root)) {
+			List<Path> found = files.filter((file) -> file.toString().matches(".*/src/main/.*[.](java|proto)"))
+				.filter((file) -> !root.relativize(file).startsWith("platform"))
+				.filter((file) -> contains(file, name))
+				.toList();
+			assertThat(found, Matchers.empty());
+		}
+	}
+
+	private static boolean contains(Path file, String name) {
+		try {
+			return Files.readString(file).contains(name);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	@Test
 	void nothingStartsAProcess() {
 		ArchRuleDefinition.noClasses()
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.kernel.EventLoop;
@@ -15,6 +17,7 @@
 import org.wisteriapost.policy.dispatch.DispatchLimits;
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.protocol.admin.AdminServer;
 import org.wisteriapost.protocol.http.HttpCaller;
 import org.wisteriapost.protocol.link.Links;
 import org.wisteriapost.protocol.site.CallDialect;
@@ -49,18 +52,21 @@
 
 	private final DirectFront front;
 
+	private final AdminServer admin;
+
 	private final DirectView view;
 
 	private final DecisionLog log;
 
 	private DirectProcess(HttpCaller caller, Links links, ScheduledExecutorService timer, EventLoop<DirectEvent> loop,
-			Mesh mesh, DirectFront front, DirectView view, DecisionLog log) {
+			Mesh mesh, DirectFront front, AdminServer admin, DirectView view, DecisionLog log) {
 		this.caller = caller;
 		this.links = links;
 		this.timer = timer;
 		this.loop = loop;
 		this.mesh = mesh;
 		this.front = front;
+		this.admin = admin;
 		this.view = view;
 		this.log = log;
 	}
@@ -79,21 +85,25 @@
 		DirectView view = new DirectView();
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(System.nanoTime());
 		EntryInfo self = self(settings, random);
+		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		DirectState state = new DirectState(settings, self, Dispatcher.create(limits(settings), random),
-				new DirectOutput(caller, dialect, view::put), log, random, System::nanoTime, view);
+				new DirectOutput(caller, dialect, view::put), log, DirectMetrics.in(registry), random, System::nanoTime,
+				view);
 		EventLoop<DirectEvent> loop = EventLoop.start("entry", RING, state::apply);
 		view.loop(loop);
 		Mesh mesh = Mesh.start(links, new InetSocketAddress(settings.host(), settings.linkPort()), settings.name(),
 				settings.place(), timer, view::put);
 		state.connect(mesh, store);
 		DirectFront front = DirectFront.start(settings, dialect, caller.worker(), view);
+		AdminServer admin = AdminServer.start(new InetSocketAddress(settings.host(), settings.adminPort()), registry,
+				view::ready, caller.worker());
 		for (Kind kind : Kind.values()) {
 			Follower.start(store, kind, timer, listener(kind, view));
 		}
 		timer.scheduleWithFixedDelay(() -> view.offer(new DirectEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
 		log.decision("started", "role", "entry", "place", settings.place());
-		return new DirectProcess(caller, links, timer, loop, mesh, front, view, log);
+		return new DirectProcess(caller, links, timer, loop, mesh, front, admin, view, log);
 	}
 
 	private static EntryInfo self(SiteSettings settings, UniformRandomProvider random) {
@@ -156,6 +166,7 @@
 	public void close() {
 		this.timer.shutdownNow();
 		this.front.close();
+		this.admin.close();
 		this.mesh.close();
 		this.loop.close();
 		this.links.close();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -63,6 +63,8 @@
 
 	private final DecisionLog log;
 
+	private final DirectMetrics metrics;
+
 	private final UniformRandomProvider random;
 
 	private final LongSupplier clock;
@@ -90,11 +92,12 @@
 	private long ticks;
 
 	DirectState(SiteSettings settings, EntryInfo self, Dispatcher dispatcher, DirectOutput output, DecisionLog log,
-			UniformRandomProvider random, LongSupplier clock, DirectView view) {
+			DirectMetrics metrics, UniformRandomProvider random, LongSupplier clock, DirectView view) {
 		this.self = self;
 		this.dispatcher = dispatcher;
 		this.output = output;
 		this.log = log;
+		this.metrics = metrics;
 		this.random = random;
 		this.clock = clock;
 		this.roster = new EntryRoster(self);
@@ -170,12 +173,14 @@
 
 	private void refuse(Arrival arrival, Code code) {
 		this.log.failure("refused", "attempt", arrival.fields().attempt().orElse(""), "code", code.name());
+		this.metrics.answered("refused", code.name());
 		this.output.refuse(arrival, code, SHORT_RETRY_MILLIS);
 	}
 
 	private void reject(Arrival arrival, int status, Code code) {
 		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
 				arrival.host(), "path", arrival.path(), "table", this.table.map(RouteTable::version).orElse(-1L));
+		this.metrics.answered("rejected", code.name());
 		this.output.reject(arrival, status, code);
 	}
 
@@ -191,6 +196,7 @@
 
 	private void firstEvent(DirectEvent.FirstEvent first, long now) {
 		if (first.dispatch() == first.call().job().dispatch()) {
+			this.metrics.firstEvent(first.call().job(), now);
 			this.dispatcher.firstEvent(first.call().job(), now);
 		}
 	}
@@ -203,6 +209,7 @@
 		this.log.decision("dispatch-ended", "attempt", job.attempt(), "dispatch", ended.dispatch(), "outcome",
 				ended.outcome(), "detail", ended.detail(), "events", job.events(), "ageMs",
 				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
+		this.metrics.ended(job, ended.outcome(), now);
 		this.dispatcher.ended(job, ended.outcome(), now);
 		if (ended.outcome() == org.wisteriapost.policy.dispatch.Outcome.DONE) {
 			this.calls.remove(job.id());
@@ -267,18 +274,21 @@
 		switch (value) {
 			case Declared.Routes routes -> routes(routes.table());
 			case Declared.Weights weights -> weights(weights.named(), found, now);
-			case Declared.Runner runner -> {
-				this.log.decision("runner-changed", "runner", runner.info().id(), "service", runner.info().service(),
-						"draining", runner.info().draining(), "models", runner.info().models());
-				this.dispatcher.runner(runner.info(), now);
-				this.announcer.relink(this.table);
-			}
+			case Declared.Runner runner -> runner(runner.info(), now);
 			case Declared.Entry entry -> {
 				// Read with its revision, see entry.
 			}
 		}
 	}
 
+	private void runner(RunnerInfo info, long now) {
+		if (this.dispatcher.runner(info, now)) {
+			this.log.decision("runner-changed", "runner", info.id(), "address", info.address(), "service",
+					info.service(), "draining", info.draining(), "models", info.models());
+			this.announcer.relink(this.table);
+		}
+	}
+
 	// A listing that lags must not bring a dropped route or token back.
 	private void routes(RouteTable newer) {
 		if (this.table.isPresent() && this.table.get().version() >= newer.version()) {
@@ -387,18 +397,21 @@
 						"route", send.job().route().name(), "runner", send.runner().id(), "address",
 						send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
 						this.table.map(RouteTable::version).orElse(-1L));
+				this.metrics.dispatched();
 				this.output.send(call, send);
 			}
 			case DispatchEffect.Stop stop -> this.output.stop(call);
 			case DispatchEffect.Refuse refuse -> {
 				this.log.failure("refused", "attempt", refuse.job().attempt(), "code", refuse.code().name(), "route",
 						refuse.job().route().name(), "retryAfterMs", refuse.retryAfterMillis());
+				this.metrics.answered("refused", refuse.code().name());
 				this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
 				this.calls.remove(refuse.job().id());
 			}
 			case DispatchEffect.Fail fail -> {
 				this.log.failure("failed", "attempt", fail.job().attempt(), "code", fail.code().name(), "events",
 						fail.job().events());
+				this.metrics.answered("failed", fail.code().name());
 				this.output.fail(call, fail.code(), fail.timeout());
 				this.calls.remove(fail.job().id());
 			}
--- a/operator/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
+++ b/operator/src/main/resources/META-INF/services/org.wisteriapost.kernel.command.Command
@@ -7,3 +7,4 @@
 org.wisteriapost.operator.bundle.StatusCommand
 org.wisteriapost.operator.keys.GenerateCommand
 org.wisteriapost.operator.report.BurnCommand
+org.wisteriapost.operator.explain.ExplainCommand
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -123,11 +123,14 @@
 	}
 
 	/**
-	 * Hears of one runner.
+	 * Hears of one runner and returns whether that is new.
 	 */
-	public void runner(RunnerInfo info, long nowNanos) {
-		this.book.put(info);
-		pump(nowNanos);
+	public boolean runner(RunnerInfo info, long nowNanos) {
+		boolean news = this.book.put(info);
+		if (news) {
+			pump(nowNanos);
+		}
+		return news;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -121,6 +121,20 @@
 		return this.deadlineNanos;
 	}
 
+	/**
+	 * Returns the predicted time to the first event after the latest dispatch.
+	 */
+	public double predictedMillis() {
+		return this.predictedMillis;
+	}
+
+	/**
+	 * Returns when the latest dispatch went out.
+	 */
+	public long sentNanos() {
+		return this.sentNanos;
+	}
+
 	/**
 	 * Returns the number of the latest dispatch, from 1; what is heard of an earlier one
 	 * no longer counts.
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -64,9 +64,18 @@
 		missing.forEach((id) -> removed(id, nowNanos));
 	}
 
-	void put(RunnerInfo info) {
+	/**
+	 * Takes a registration and returns whether it says anything new but that the runner
+	 * lives.
+	 */
+	boolean put(RunnerInfo info) {
 		this.lapsed.remove(info.id());
-		RunnerState state = this.runners.computeIfAbsent(info.id(), (id) -> new RunnerState(info));
+		RunnerState known = this.runners.get(info.id());
+		if (known != null && info.equals(known.info) && !known.gone) {
+			return false;
+		}
+		RunnerState state = (known != null) ? known : new RunnerState(info);
+		this.runners.put(info.id(), state);
 		state.info = info;
 		state.gone = false;
 		AgentWord word = this.words.get(info.address());
@@ -74,6 +83,7 @@
 			apply(state, word);
 		}
 		index();
+		return true;
 	}
 
 	void removed(String id, long nowNanos) {
