A leaving entry takes nothing later than 2.9 s after the signal; addresses are kept one second

Ruled out: a runner's failure (it was at work), the route's time (6 s). Change: refusals from 2.9 s on, with nothing to wait for at another entry; the process stays until 0.4 s before it is killed; callers keep address answers 1 s, so that those who keep them three times as long have moved by then.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/Departure.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Departure.java
@@ -12,14 +12,16 @@
  */
 final class Departure {
 
-	// Callers keep an address answer for two seconds, some of them three times as long.
-	private static final long SERVE_NANOS = Duration.ofMillis(4800).toNanos();
+	// Callers keep an address answer for a second, some of them three times as long. What is
+	// taken later than this may not end before the process has to: a stream of a usual
+	// length lasts up to four seconds at a full engine.
+	private static final long SERVE_NANOS = Duration.ofMillis(2900).toNanos();
 
 	private static final long LEAST_NANOS = Duration.ofMillis(2600).toNanos();
 
 	private static final long QUIET_NANOS = Duration.ofMillis(900).toNanos();
 
-	private static final Duration RESERVE = Duration.ofMillis(700);
+	private static final Duration RESERVE = Duration.ofMillis(400);
 
 	private final long graceNanos;
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -65,9 +65,9 @@
 
 	private static final long FULL_RETRY_MILLIS = 300;
 
-	// How long callers keep an address answer: half of the longest, so that a leaving
-	// entry is forgotten before it stops.
-	private static final int KEEP_SECONDS = 2;
+	// How long callers keep an address answer. Some keep it three times as long, and a
+	// leaving entry takes requests for three seconds.
+	private static final int KEEP_SECONDS = 1;
 
 	private final DirectPort port;
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -51,6 +51,9 @@
 
 	private static final long SHORT_RETRY_MILLIS = 300;
 
+	// Another entry answers now; there is nothing to wait for.
+	private static final long AT_ONCE_MILLIS = 20;
+
 	private static final int TICKS_PER_REPORT = 5;
 
 	private static final int REPORTS_PER_FULL = 5;
@@ -138,11 +141,11 @@
 	private void arrived(Arrival arrival, long now) {
 		this.departure.arrived(now);
 		if (this.table.isEmpty()) {
-			refuse(arrival, TABLE_ABSENT);
+			refuse(arrival, TABLE_ABSENT, SHORT_RETRY_MILLIS);
 			return;
 		}
 		if (this.departure.refuses(now)) {
-			refuse(arrival, ENTRY_STOPPING);
+			refuse(arrival, ENTRY_STOPPING, AT_ONCE_MILLIS);
 			return;
 		}
 		RouteTable known = this.table.get();
@@ -171,10 +174,10 @@
 				arrival.nanos(), arrival.nanos() + Math.min(timeout, given));
 	}
 
-	private void refuse(Arrival arrival, Code code) {
+	private void refuse(Arrival arrival, Code code, long retryAfterMillis) {
 		this.log.failure("refused", "attempt", arrival.fields().attempt().orElse(""), "code", code.name());
 		this.metrics.answered("refused", code.name());
-		this.output.refuse(arrival, code, SHORT_RETRY_MILLIS);
+		this.output.refuse(arrival, code, retryAfterMillis);
 	}
 
 	private void reject(Arrival arrival, int status, Code code) {
