--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -48,7 +48,7 @@
  */
 final class EngineKeeper implements AutoCloseable {
 
-	private static final int ORIGIN_READS = 1;
+	private static final int ORIGIN_READS = 2;
 
 	private static final int NEIGHBOURS = 12;
 
@@ -64,7 +64,7 @@
 
 	private static final int UPLOADS_WAITING = 24;
 
-	private static final double LINK_SHARE = 0.75;
+	private static final double LINK_SHARE = 0.95;
 
 	private static final double LINK_SHARE_LATE = 0.3;
 
