Admission: a service's pace, one slot left to the others, a bounded wait

Predictions were too short by a factor that each entry learned for each engine by itself, from two requests a second; and the last slot was taken twice within the 100 ms between reports. Change: the factor of the service is learned from all its engines; one slot of an engine is left to the other entries; who waits does so for 0.3 of the expected time at most and not behind more than comes free in it. Tests: LoadTests.lateFirstEventsOfAnyEngineMakeItAdmitLess, nobodyWaitsBehindMoreThanCanBeServed (both fail without it).

--- a/entry/src/main/java/org/wisteriapost/entry/direct/Departure.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Departure.java
@@ -12,7 +12,8 @@
  */
 final class Departure {
 
-	// Callers keep an address answer for a second, some of them three times as long. What is
+	// Callers keep an address answer for a second, some of them three times as long. What
+	// is
 	// taken later than this may not end before the process has to: a stream of a usual
 	// length lasts up to four seconds at a full engine.
 	private static final long SERVE_NANOS = Duration.ofMillis(2900).toNanos();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -48,6 +48,8 @@
 
 	private final WeightsFence fence;
 
+	private final ServicePaces paces = new ServicePaces();
+
 	private final Placement placement;
 
 	private final Patience patience;
@@ -69,7 +71,7 @@
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
 		this.limits = limits;
 		this.fence = new WeightsFence(limits.weightsInForce());
-		this.placement = new Placement(this.book, this.fence, limits.place(), random);
+		this.placement = new Placement(this.book, this.paces, this.fence, limits.place(), random);
 		this.patience = new Patience(random);
 		this.recovery = new Recovery();
 	}
@@ -167,6 +169,7 @@
 	 */
 	public void entries(int count) {
 		this.entries = Math.max(1, count);
+		this.placement.entries(this.entries);
 	}
 
 	/**
@@ -207,8 +210,10 @@
 		job.headed = true;
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job.size().promptTokens());
-		if (job.predictedMillis > 0) {
-			runner.measured((nowNanos - job.sentNanos) / (job.predictedMillis * Placement.NANOS_PER_MILLI));
+		if (job.baseMillis > 0) {
+			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
+			runner.measured(ratio / this.paces.of(job.service()));
+			this.paces.measured(job.service(), ratio);
 		}
 		pump(nowNanos);
 	}
@@ -339,6 +344,7 @@
 		job.sentNanos = nowNanos;
 		job.firstSeen = false;
 		job.predictedMillis = choice.predictedMillis();
+		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
 		runner.sent(job.size().promptTokens());
 		long remaining = Math.max(1, (job.deadlineNanos() - nowNanos) / Placement.NANOS_PER_MILLI);
 		Optional<String> resume = job.lastEvent();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/EngineForecast.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EngineForecast.java
@@ -37,7 +37,7 @@
 		double passes = Math.ceil((double) tokens / engine.chunkTokens());
 		double read = tokens / engine.readTokensPerMilli() + pairMillis(engine, load, prompt);
 		double underWay = HALF * write;
-		double ahead = slotWaitMillis(engine, load, step);
+		double ahead = slotWaitMillis(engine, load);
 		return ahead + underWay + read + passes * write + engine.stride() * stepMillis(engine, writers + 1);
 	}
 
@@ -61,7 +61,10 @@
 		return write + engine.slots() * read;
 	}
 
-	private static double slotWaitMillis(EngineSpec engine, PeerLoad load, double step) {
+	/**
+	 * Returns how long a new request waits for a slot, as part of the whole.
+	 */
+	static double slotWaitMillis(EngineSpec engine, PeerLoad load) {
 		int over = load.active() + 1 - engine.slots();
 		if (over <= 0) {
 			return 0;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -52,6 +52,8 @@
 
 	double predictedMillis;
 
+	double baseMillis;
+
 	// When the caller first asked, if its remaining time tells of an earlier attempt.
 	long wantedNanos;
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -31,6 +31,10 @@
 	// While no runner is known, one may come up with the next message.
 	private static final long NO_RUNNER_WAIT_NANOS = Duration.ofMillis(250).toNanos();
 
+	// Of the time to the first event that callers expect. Later refusals leave them too
+	// little time to ask again.
+	private static final double WAIT_SHARE = 0.3;
+
 	private static final int MOST_RANK = 9;
 
 	private static final int LATE_RANK = 8;
@@ -72,8 +76,20 @@
 		if (choice.used() < SPARE) {
 			return Step.SEND;
 		}
-		boolean mayBe = !choice.room() && waitless(choice) <= left;
-		return mayBe ? Step.WAIT : Step.REFUSE;
+		return mayWait(job, choice, queued, left, nowNanos) ? Step.WAIT : Step.REFUSE;
+	}
+
+	// Waits here and not at an engine, so that the first slot of any engine serves it;
+	// for
+	// a part of the time only, and not behind more than can be served in it.
+	private static boolean mayWait(Job job, Placement.Choice choice, int queued, double left, long nowNanos) {
+		double waited = (double) (nowNanos - job.arrivedNanos()) / Placement.NANOS_PER_MILLI;
+		double most = WAIT_SHARE * job.route().target().toMillis();
+		if (choice.room() || waited >= most) {
+			return false;
+		}
+		double wait = (queued + 1) * choice.slotEveryMillis();
+		return wait <= most - waited && wait + choice.predictedMillis() - choice.slotWaitMillis() <= left;
 	}
 
 	/**
@@ -109,11 +125,6 @@
 		return job.route().target().toMillis() - gone - MARGIN_MILLIS;
 	}
 
-	// The prediction without the wait for a slot: what remains once one is free.
-	private static double waitless(Placement.Choice choice) {
-		return choice.predictedMillis() / 2;
-	}
-
 	/**
 	 * What to do with a request.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.policy.dispatch;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -28,21 +27,38 @@
 	// The way to another place and back, and what its bytes cost.
 	private static final double OTHER_PLACE_MILLIS = 4;
 
+	// Other entries send to the same engines and say so a tenth of a second later. A slot
+	// kept free for them costs a sixteenth of a usual engine; without it the last slot is
+	// taken twice and both first events are a slot's wait later.
+	private static final int SLOTS_FOR_OTHERS = 1;
+
 	private final RunnerBook book;
 
+	private final ServicePaces paces;
+
 	private final WeightsFence fence;
 
 	private final String place;
 
 	private final UniformRandomProvider random;
 
-	Placement(RunnerBook book, WeightsFence fence, String place, UniformRandomProvider random) {
+	private int entries = 1;
+
+	Placement(RunnerBook book, ServicePaces paces, WeightsFence fence, String place, UniformRandomProvider random) {
 		this.book = book;
+		this.paces = paces;
 		this.fence = fence;
 		this.place = place;
 		this.random = random;
 	}
 
+	/**
+	 * Hears how many entries there are.
+	 */
+	void entries(int count) {
+		this.entries = count;
+	}
+
 	/**
 	 * Returns the best runner for a request now.
 	 * @param engine present when its service runs model engines
@@ -68,25 +84,39 @@
 	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos, boolean healthy) {
 		Choice best = Choice.nobody(version);
 		double bestCost = Double.MAX_VALUE;
-		List<RunnerState> pool = this.book.of(job.service());
-		for (RunnerState runner : pool) {
+		int engines = 0;
+		for (RunnerState runner : this.book.of(job.service())) {
 			if (!fits(job, runner, engine, version, nowNanos) || (healthy && !healthy(runner, nowNanos))) {
 				continue;
 			}
+			engines++;
 			PeerLoad load = runner.total(nowNanos);
-			double predicted = predict(runner, engine, load, job);
+			double base = predict(runner, engine, load, job);
+			double predicted = base * this.paces.of(job.service()) * runner.pace;
 			double cost = predicted + (runner.info.place().equals(this.place) ? 0 : OTHER_PLACE_MILLIS)
 					+ this.random.nextDouble() * ALIKE_MILLIS;
 			if (cost < bestCost) {
 				bestCost = cost;
-				int slots = engine.map(EngineSpec::slots).orElse(runner.info.slots() + PLAIN_QUEUE);
-				boolean room = load.active() < slots && !runner.saidFull(nowNanos);
-				double used = (double) load.active() / slots;
-				OptionalInt bound = version.isPresent() ? runner.version(engine.orElseThrow().model()) : version;
-				best = new Choice(Optional.of(runner), predicted, room, used, engine.isPresent(), bound);
+				best = choice(runner, engine, load, base, predicted, version);
 			}
 		}
-		return best;
+		return best.among(engines, engine, this.entries);
+	}
+
+	private Choice choice(RunnerState runner, Optional<EngineSpec> engine, PeerLoad load, double base, double predicted,
+			OptionalInt version) {
+		if (engine.isEmpty()) {
+			int places = runner.info.slots() + PLAIN_QUEUE;
+			return new Choice(Optional.of(runner), base, predicted, 0, load.active() < places,
+					(double) load.active() / places, false, 0, version);
+		}
+		EngineSpec spec = engine.get();
+		int kept = (this.entries > 1) ? SLOTS_FOR_OTHERS : 0;
+		boolean room = load.active() < spec.slots() - kept;
+		double wait = EngineForecast.slotWaitMillis(spec, load) * predicted / base;
+		OptionalInt bound = version.isPresent() ? runner.version(spec.model()) : version;
+		return new Choice(Optional.of(runner), base, predicted, wait, room, (double) load.active() / spec.slots(), true,
+				0, bound);
 	}
 
 	private static boolean healthy(RunnerState runner, long nowNanos) {
@@ -122,7 +152,7 @@
 		if (engine.isEmpty()) {
 			return (double) load.active() / Math.max(1, runner.info.slots()) * ALIKE_MILLIS * 2;
 		}
-		return EngineForecast.firstEventMillis(engine.get(), load, prompt(job, engine.get())) * runner.pace;
+		return EngineForecast.firstEventMillis(engine.get(), load, prompt(job, engine.get()));
 	}
 
 	private static int prompt(Job job, EngineSpec engine) {
@@ -133,23 +163,35 @@
 	 * What the best runner promises.
 	 *
 	 * @param runner empty when no runner can be used
+	 * @param baseMillis to the first event, by the declared speed alone
 	 * @param predictedMillis to the first event
+	 * @param slotWaitMillis the part of it that is the wait for a slot
 	 * @param room whether one of its slots is free
 	 * @param used the share of its slots that are taken
 	 * @param engine whether it is a model engine
+	 * @param slotEveryMillis how often a slot comes free for this entry
 	 * @param requiredVersion the version that the request must start on
 	 */
-	record Choice(Optional<RunnerState> runner, double predictedMillis, boolean room, double used, boolean engine,
-			OptionalInt requiredVersion) {
+	record Choice(Optional<RunnerState> runner, double baseMillis, double predictedMillis, double slotWaitMillis,
+			boolean room, double used, boolean engine, double slotEveryMillis, OptionalInt requiredVersion) {
 
 		static Choice nobody(OptionalInt version) {
-			return new Choice(Optional.empty(), Double.MAX_VALUE, false, 1, false, version);
+			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, version);
 		}
 
 		boolean none() {
 			return this.runner.isEmpty();
 		}
 
+		private Choice among(int engines, Optional<EngineSpec> spec, int entries) {
+			if (none() || spec.isEmpty()) {
+				return this;
+			}
+			double slots = (double) engines * spec.get().slots() / entries;
+			return new Choice(this.runner, this.baseMillis, this.predictedMillis, this.slotWaitMillis, this.room,
+					this.used, true, EngineForecast.residenceMillis(spec.get()) / slots, this.requiredVersion);
+		}
+
 	}
 
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
@@ -60,6 +60,46 @@
 		assertThat(slow, Matchers.lessThan(5));
 	}
 
+	// Links are busy and every first event takes three times as long as the engines'
+	// declared speed says. What the entry sees of any engine counts for all of them, so
+	// it
+	// soon admits less: the engines hold fewer than their slots.
+	@Test
+	void lateFirstEventsOfAnyEngineMakeItAdmitLess() {
+		Desk desk = new Desk().with(Desk.engine("e1"), Desk.engine("e2"), Desk.engine("e3"));
+		for (int i = 0; i < 40; i++) {
+			Job job = desk.arrive(Desk.STREAM);
+			desk.done();
+			desk.after(390);
+			desk.firstEvent(job);
+			desk.ended(job, Outcome.DONE);
+		}
+		desk.done();
+		for (int i = 0; i < 60; i++) {
+			desk.arrive(Desk.STREAM);
+		}
+		for (int i = 0; i < 15; i++) {
+			desk.after(20);
+		}
+		long sent = desk.done().stream().filter((one) -> one.startsWith("Send")).count();
+		assertThat(sent, Matchers.lessThan(40L));
+	}
+
+	// All engines are full. Who cannot have a slot within a third of the time that its
+	// caller expects is told at once, not when that time is over.
+	@Test
+	void nobodyWaitsBehindMoreThanCanBeServed() {
+		Desk desk = new Desk().with(Desk.engine("e1"));
+		desk.dispatcher.peerLoad("other", "e1", new PeerLoad(16, 0, 0), desk.now);
+		for (int i = 0; i < 10; i++) {
+			desk.arrive(Desk.STREAM);
+		}
+		long atOnce = desk.done().stream().filter((one) -> one.startsWith("Refuse")).count();
+		assertThat(atOnce, Matchers.greaterThanOrEqualTo(8L));
+		desk.after(160);
+		assertThat(desk.dispatcher.inProgress(), Matchers.equalTo(0));
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 3, 11, 40 })
 	void evenLoadIsSpreadEvenly(int engines) {
