--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -23,10 +23,12 @@
 	// time: it takes none of the last quarter of an engine's slots.
 	private static final double SPARE = 0.75;
 
-	// A refused caller comes back once; a second later the load has moved on.
-	private static final long RETRY_MILLIS = 700;
+	// A refused caller comes back once. Engines that change weights are away for some 1.7
+	// s;
+	// who comes back sooner meets the same load and is lost.
+	private static final long RETRY_MILLIS = 1000;
 
-	private static final long RETRY_SPREAD_MILLIS = 900;
+	private static final long RETRY_SPREAD_MILLIS = 1000;
 
 	// While no runner is known, one may come up with the next message.
 	private static final long NO_RUNNER_WAIT_NANOS = Duration.ofMillis(250).toNanos();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -27,10 +27,13 @@
 	// The way to another place and back, and what its bytes cost.
 	private static final double OTHER_PLACE_MILLIS = 4;
 
-	// Other entries send to the same engines and say so a tenth of a second later. A slot
-	// kept free for them costs a sixteenth of a usual engine; without it the last slot is
-	// taken twice and both first events are a slot's wait later.
-	private static final int SLOTS_FOR_OTHERS = 1;
+	// An engine's own queue takes a few more than it has slots, so that a slot is taken
+	// the
+	// moment it comes free; the prediction counts the wait there. A slot left free for
+	// the
+	// other entries instead refused a fifth of all requests at nine tenths of the
+	// capacity.
+	private static final int QUEUED = 2;
 
 	private final RunnerBook book;
 
@@ -111,8 +114,7 @@
 					(double) load.active() / places, false, 0, version);
 		}
 		EngineSpec spec = engine.get();
-		int kept = (this.entries > 1) ? SLOTS_FOR_OTHERS : 0;
-		boolean room = load.active() < spec.slots() - kept;
+		boolean room = load.active() < spec.slots() + QUEUED;
 		double wait = EngineForecast.slotWaitMillis(spec, load) * predicted / base;
 		OptionalInt bound = version.isPresent() ? runner.version(spec.model()) : version;
 		return new Choice(Optional.of(runner), base, predicted, wait, room, (double) load.active() / spec.slots(), true,
