--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
@@ -30,7 +30,7 @@
 		try (DirectProcess process = DirectProcess.start(site.settings(), site, out)) {
 			Signals.on("HUP", () -> reload(process, site));
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(process), "entry-leave"));
-			process.leaveFuture().join();
+			process.left().join();
 			return ExitCodes.OK;
 		}
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -151,7 +151,7 @@
 	/**
 	 * Returns what completes when the entry has left.
 	 */
-	public CompletableFuture<Void> leaveFuture() {
+	public CompletableFuture<Void> left() {
 		return this.view.over();
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -10,8 +10,9 @@
 import org.wisteriapost.policy.routing.RouteKind;
 
 /**
- * One request in progress. The dispatcher's thread owns it, but for the two fields that
- * the thread that reads the runner's answer writes.
+ * One request in progress. The dispatcher's thread owns it, but for what
+ * {@link #progressed} and {@link #begunOn} note, which belongs to the thread that reads
+ * the runner's answer.
  */
 public final class Job {
 
@@ -31,7 +32,8 @@
 
 	private final long deadlineNanos;
 
-	// Events of the answer that went out to the caller, and when the last one came.
+	// Written by the thread that reads the answer: what went out to the caller, when the
+	// last of it came, and on which weights it began.
 	private volatile int events;
 
 	private volatile long progressNanos;
