--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -17,6 +17,7 @@
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.dispatch.Job;
+import org.wisteriapost.policy.dispatch.Outcome;
 import org.wisteriapost.policy.dispatch.PeerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.NamedWeights;
@@ -214,7 +215,7 @@
 				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
 		this.metrics.ended(job, ended.outcome(), now);
 		this.dispatcher.ended(job, ended.outcome(), now);
-		if (ended.outcome() == org.wisteriapost.policy.dispatch.Outcome.DONE) {
+		if (ended.outcome() == Outcome.DONE) {
 			this.calls.remove(job.id());
 		}
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EventSplitter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -39,7 +40,7 @@
 		}
 		this.rest.reset();
 		this.rest.write(all, start, all.length - start);
-		return java.util.Arrays.copyOf(all, start);
+		return Arrays.copyOf(all, start);
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.RouteTable;
 
 /**
@@ -232,7 +233,7 @@
 				finish(job);
 				this.effects.add(new DispatchEffect.PassOn(job));
 			}
-			case FAIL -> giveUp(job, outcome, nowNanos);
+			case FAIL -> giveUp(job, outcome);
 			case AGAIN -> again(job, outcome, nowNanos);
 		}
 		pump(nowNanos);
@@ -243,7 +244,7 @@
 	 */
 	public void gone(Job job, long nowNanos) {
 		if (!job.over) {
-			stop(job, nowNanos);
+			stop(job);
 			finish(job);
 			pump(nowNanos);
 		}
@@ -259,8 +260,7 @@
 				timeOver(job, nowNanos);
 			}
 			else if (job.runner.isPresent() && this.recovery.stalled(job, nowNanos)) {
-				stop(job, nowNanos, Outcome.BROKEN);
-				again(job, Outcome.BROKEN, nowNanos);
+				leaveSilent(job, nowNanos);
 			}
 		}
 		pump(nowNanos);
@@ -269,19 +269,19 @@
 	private void again(Job job, Outcome outcome, long nowNanos) {
 		boolean counts = outcome != Outcome.NOT_SENT;
 		if (counts && !allowance(job.service()).take(this.entries, nowNanos)) {
-			giveUp(job, outcome, nowNanos);
+			giveUp(job, outcome);
 			return;
 		}
 		place(job, nowNanos);
 	}
 
-	private void giveUp(Job job, Outcome outcome, long nowNanos) {
+	private void giveUp(Job job, Outcome outcome) {
 		finish(job);
 		switch (outcome) {
 			case ERROR -> this.effects.add(new DispatchEffect.PassOn(job));
 			case FULL, MISDIRECTED, NOT_SENT -> {
 				if (job.runs == 0) {
-					refuse(job, NO_ROOM, nowNanos);
+					refuse(job, NO_ROOM);
 				}
 				else {
 					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
@@ -293,18 +293,18 @@
 
 	private void timeOver(Job job, long nowNanos) {
 		boolean ran = job.runs > 0;
-		stop(job, nowNanos);
+		stop(job);
 		finish(job);
 		if (ran) {
 			this.effects.add(new DispatchEffect.Fail(job, TIME_OVER, true));
 		}
 		else {
-			refuse(job, TIME_OVER, nowNanos);
+			refuse(job, TIME_OVER);
 		}
 	}
 
-	private void refuse(Job job, Code code, long nowNanos) {
-		this.effects.add(new DispatchEffect.Refuse(job, code, this.patience.retryAfterMillis(job, nowNanos)));
+	private void refuse(Job job, Code code) {
+		this.effects.add(new DispatchEffect.Refuse(job, code, this.patience.retryAfterMillis()));
 	}
 
 	private void place(Job job, long nowNanos) {
@@ -326,7 +326,7 @@
 					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
 				}
 				else {
-					refuse(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
+					refuse(job, choice.none() ? NO_RUNNER : NO_ROOM);
 				}
 			}
 		}
@@ -384,7 +384,7 @@
 		job.runner = Optional.empty();
 	}
 
-	private void stop(Job job, long nowNanos) {
+	private void stop(Job job) {
 		job.runner.ifPresent((runner) -> {
 			runner.ended(job.firstSeen, job.size().promptTokens());
 			this.effects.add(new DispatchEffect.Stop(job));
@@ -392,9 +392,10 @@
 		job.runner = Optional.empty();
 	}
 
-	private void stop(Job job, long nowNanos, Outcome outcome) {
-		release(job, outcome, nowNanos);
+	private void leaveSilent(Job job, long nowNanos) {
+		release(job, Outcome.BROKEN, nowNanos);
 		this.effects.add(new DispatchEffect.Stop(job));
+		again(job, Outcome.BROKEN, nowNanos);
 	}
 
 	private void finish(Job job) {
@@ -407,7 +408,7 @@
 				this.limits.retryExtra(), this.limits.retryWindow()));
 	}
 
-	private Optional<org.wisteriapost.policy.routing.EngineSpec> spec(Job job) {
+	private Optional<EngineSpec> spec(Job job) {
 		return this.table.flatMap((known) -> known.service(job.service())).flatMap((service) -> service.engine());
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -97,7 +97,7 @@
 	/**
 	 * Returns the milliseconds after which a refused caller should come back.
 	 */
-	long retryAfterMillis(Job job, long nowNanos) {
+	long retryAfterMillis() {
 		return RETRY_MILLIS + (long) (this.random.nextDouble() * RETRY_SPREAD_MILLIS);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -240,8 +241,8 @@
 	/**
 	 * Returns the latest word to the entries, for one that has just come.
 	 */
-	public java.util.Optional<RolloutEffect.Tell> latest() {
-		return java.util.Optional.ofNullable(this.told);
+	public Optional<RolloutEffect.Tell> latest() {
+		return Optional.ofNullable(this.told);
 	}
 
 	private void decide(long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RouteTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RouteTable.java
@@ -1,5 +1,7 @@
 package org.wisteriapost.policy.routing;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -44,7 +46,7 @@
 		Map<String, List<Route>> byHost = new HashMap<>();
 		routes.stream()
 			.sorted(LONGEST_PREFIX_FIRST)
-			.forEach((route) -> byHost.computeIfAbsent(route.host(), (host) -> new java.util.ArrayList<>()).add(route));
+			.forEach((route) -> byHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route));
 		Map<String, ServiceSpec> byName = new HashMap<>();
 		services.forEach((service) -> byName.put(service.name(), service));
 		return new RouteTable(version, byHost, byName, Map.copyOf(tokens), limits);
@@ -103,7 +105,7 @@
 	/**
 	 * Returns all services.
 	 */
-	public java.util.Collection<ServiceSpec> services() {
+	public Collection<ServiceSpec> services() {
 		return this.services.values();
 	}
 
