--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -141,6 +142,13 @@
 		carryOut();
 	}
 
+	/**
+	 * Returns whether nothing is under way that needs a close look at time.
+	 */
+	boolean calm() {
+		return this.rollout.calm();
+	}
+
 	private void hello(Link link, Hello hello) {
 		if (hello.getRole() == Role.ENTRY) {
 			this.entries.add(link);
@@ -280,6 +288,10 @@
 			.setHoldsWeights(tell.version().isPresent())
 			.setVersion(tell.version().orElse(0))
 			.setSwitching(tell.switching());
+		tell.closesNanos().ifPresent((closes) -> {
+			long left = TimeUnit.NANOSECONDS.toMillis(closes - System.nanoTime());
+			state.setClosesInMillis((int) Math.max(1, left));
+		});
 		return Frame.newBuilder().setEngineState(state).build();
 	}
 
--- a/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
@@ -28,6 +28,9 @@
 	// An agent at rest is woken five times a second, which is most of what it costs then.
 	private static final long TICK_MILLIS = 200;
 
+	// While weights move an engine's turn comes at a moment that entries were told.
+	private static final long BUSY_TICK_MILLIS = 40;
+
 	private final HttpCaller caller;
 
 	private final Links links;
@@ -42,6 +45,8 @@
 
 	private LinkServer server;
 
+	private volatile boolean calm = true;
+
 	private SiteAgent(HttpCaller caller, Links links, ScheduledThreadPoolExecutor timer, EventLoop<Runnable> loop,
 			EngineKeeper keeper, DecisionLog log) {
 		this.caller = caller;
@@ -65,11 +70,21 @@
 		EngineKeeper keeper = new EngineKeeper(settings, site, caller, links, timer, loop::put, log);
 		SiteAgent agent = new SiteAgent(caller, links, timer, loop, keeper, log);
 		agent.server = links.listen(new InetSocketAddress(settings.host(), settings.linkPort()), agent.new Incoming());
-		timer.scheduleWithFixedDelay(() -> loop.offer(keeper::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		timer.schedule(agent::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
 		log.decision("started", "role", "agent", "engine", settings.runner().orElse("none"));
 		return agent;
 	}
 
+	private void tick() {
+		this.loop.offer(() -> {
+			this.keeper.tick();
+			this.calm = this.keeper.calm();
+		});
+		if (!this.timer.isShutdown()) {
+			this.timer.schedule(this::tick, this.calm ? TICK_MILLIS : BUSY_TICK_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	/**
 	 * Notes an event of the process.
 	 */
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -24,7 +24,7 @@
 	--add-modules java.base,java.logging,java.naming,java.management,java.xml,java.sql,java.security.jgss,java.security.sasl,jdk.unsupported,jdk.crypto.ec
 
 # The flags that decide what an archive holds must be those of deploy/system.toml.
-flags="-Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow -Dwisteriapost.log.target=System.out"
+flags="-Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData --sun-misc-unsafe-memory-access=allow -Dio.netty.machineId=02:00:00:00:00:01 -Dio.netty.processId=1 -Dwisteriapost.log.target=System.out"
 seconds=4
 train() {
 	WISTERIAPOST_SETTINGS=target/training/$1.json target/rt/bin/java $flags -Xmx128m -XX:ArchiveClassesAtExit="target/$1.jsa" \
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -45,6 +45,8 @@
 
 	private Optional<Mesh> mesh = Optional.empty();
 
+	private boolean leaves;
+
 	Announcer(SiteSettings settings, EntryRoster roster, Dispatcher dispatcher) {
 		this.settings = settings;
 		this.roster = roster;
@@ -67,10 +69,17 @@
 	}
 
 	/**
-	 * Says to the other entries that this one leaves.
+	 * Says to the other entries that this one leaves: to all that there is a link to,
+	 * since one may have linked here before its registration was read, and to those that
+	 * link later. Callers would be told of this entry until it has gone.
 	 */
 	void leaving() {
-		toEntries(Frame.newBuilder().setLeaving(Leaving.newBuilder().setVm(this.settings.name())).build());
+		this.leaves = true;
+		this.mesh.ifPresent((links) -> links.entries().forEach((name) -> links.send(name, leave())));
+	}
+
+	private Frame leave() {
+		return Frame.newBuilder().setLeaving(Leaving.newBuilder().setVm(this.settings.name())).build();
 	}
 
 	/**
@@ -79,6 +88,9 @@
 	void linked(String peer, Optional<RouteTable> known) {
 		this.reported.clear();
 		this.told.keySet().removeIf((key) -> key.startsWith(peer));
+		if (this.leaves) {
+			this.mesh.ifPresent((links) -> links.send(peer, leave()));
+		}
 		engines(known).stream()
 			.filter((info) -> info.address().equals(peer))
 			.findFirst()
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -7,6 +7,7 @@
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.LoadReport;
+import org.wisteriapost.protocol.wire.News;
 
 /**
  * What the entry's one state thread hears.
@@ -102,6 +103,24 @@
 	record PeerLoads(String peer, LoadReport report) implements DirectEvent {
 	}
 
+	/**
+	 * Another entry passes on what the store says.
+	 *
+	 * @param peer its name
+	 * @param news what it says
+	 */
+	record PeerNews(String peer, News news) implements DirectEvent {
+	}
+
+	/**
+	 * Another entry wants to be told what the store says, or does not any more.
+	 *
+	 * @param peer its name
+	 * @param wanted whether it does
+	 */
+	record PeerWantsNews(String peer, boolean wanted) implements DirectEvent {
+	}
+
 	/**
 	 * An agent says how its engine is.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -1,13 +1,11 @@
 package org.wisteriapost.entry.direct;
 
-import java.util.EnumSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -16,16 +14,14 @@
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.dispatch.EngineWord;
 import org.wisteriapost.policy.dispatch.Job;
 import org.wisteriapost.policy.dispatch.Outcome;
 import org.wisteriapost.policy.dispatch.PeerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
-import org.wisteriapost.policy.fleet.NamedWeights;
-import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteTable;
-import org.wisteriapost.protocol.site.Declared;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
@@ -81,15 +77,15 @@
 
 	private final Departure departure;
 
-	private final Map<Long, DirectCall> calls = new HashMap<>();
-
-	private final Set<Kind> read = EnumSet.noneOf(Kind.class);
+	private final SiteBeliefs beliefs;
 
-	private Optional<RouteTable> table = Optional.empty();
+	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ObjectStore> store = Optional.empty();
 
-	private boolean runnersRead;
+	private Optional<Mesh> mesh = Optional.empty();
+
+	private Optional<SiteNews> news = Optional.empty();
 
 	private boolean registering;
 
@@ -106,6 +102,7 @@
 		this.clock = clock;
 		this.roster = new EntryRoster(self);
 		this.announcer = new Announcer(settings, this.roster, dispatcher);
+		this.beliefs = new SiteBeliefs(dispatcher, this.roster, this.announcer, log);
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
 	}
@@ -116,6 +113,8 @@
 	void connect(Mesh links, ObjectStore objects) {
 		this.announcer.connect(links);
 		this.store = Optional.of(objects);
+		this.mesh = Optional.of(links);
+		this.news = Optional.of(new SiteNews(objects, links::send, this.log));
 	}
 
 	void apply(DirectEvent event) {
@@ -131,6 +130,9 @@
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
 			case DirectEvent.PeerLoads loads -> peerLoads(loads.peer(), loads.report(), now);
+			case DirectEvent.PeerNews heard -> news(heard, now);
+			case DirectEvent.PeerWantsNews wants ->
+				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.wanted()));
 			case DirectEvent.AgentSays says -> agentSays(says.state(), now);
 			case DirectEvent.Tick tick -> tick(now);
 			case DirectEvent.Leave leave -> leave(now);
@@ -141,7 +143,7 @@
 
 	private void arrived(Arrival arrival, long now) {
 		this.departure.arrived(now);
-		if (this.table.isEmpty()) {
+		if (this.beliefs.table().isEmpty()) {
 			refuse(arrival, TABLE_ABSENT, SHORT_RETRY_MILLIS);
 			return;
 		}
@@ -149,7 +151,7 @@
 			refuse(arrival, ENTRY_STOPPING, AT_ONCE_MILLIS);
 			return;
 		}
-		RouteTable known = this.table.get();
+		RouteTable known = this.beliefs.table().get();
 		Optional<Route> route = known.route(arrival.host(), arrival.path());
 		if (route.isEmpty()) {
 			reject(arrival, NOT_FOUND, ROUTE_UNKNOWN);
@@ -169,7 +171,8 @@
 		long timeout = route.timeout().toNanos();
 		long given = arrival.fields().remainingMillis().isPresent()
 				? TimeUnit.MILLISECONDS.toNanos(arrival.fields().remainingMillis().getAsLong()) : timeout;
-		Job.Size size = new Job.Size(arrival.fields().promptTokens(), arrival.fields().maxAnswerTokens());
+		Job.Size size = new Job.Size(arrival.fields().promptTokens(), arrival.fields().maxAnswerTokens(),
+				arrival.fields().likelyAnswerTokens());
 		return Job.arrived(arrival.id(), arrival.fields().attempt().orElseThrow(), route,
 				route.service(this.random.nextDouble()), organisation, size, arrival.fields().lastEvent(),
 				arrival.nanos(), arrival.nanos() + Math.min(timeout, given));
@@ -183,7 +186,8 @@
 
 	private void reject(Arrival arrival, int status, Code code) {
 		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
-				arrival.host(), "path", arrival.path(), "table", this.table.map(RouteTable::version).orElse(-1L));
+				arrival.host(), "path", arrival.path(), "table",
+				this.beliefs.table().map(RouteTable::version).orElse(-1L));
 		this.metrics.answered("rejected", code.name());
 		this.output.reject(arrival, status, code);
 	}
@@ -223,105 +227,35 @@
 	// What the store says.
 
 	private void all(Kind kind, List<ObjectStore.Item> items, long now) {
-		switch (kind) {
-			case ROUTES, WEIGHTS -> read(kind, items, now);
-			case RUNNERS -> {
-				List<RunnerInfo> infos = items.stream()
-					.flatMap((item) -> item.value().stream())
-					.filter(Declared.Runner.class::isInstance)
-					.map((value) -> ((Declared.Runner) value).info())
-					.toList();
-				this.runnersRead = true;
-				this.dispatcher.runners(infos, now);
-				this.log.decision("runners-read", "count", infos.size());
-				this.announcer.relink(this.table);
-			}
-			case ENTRIES -> {
-				Set<String> names = new HashSet<>();
-				items.forEach((item) -> {
-					names.add(item.name());
-					entry(item, now);
-				});
-				this.roster.keep(names);
-				this.announcer.relink(this.table);
-			}
-		}
-	}
-
-	private void read(Kind kind, List<ObjectStore.Item> items, long now) {
-		boolean first = this.read.add(kind);
-		items.forEach((item) -> item.value().ifPresent((value) -> declared(value, first, now)));
+		this.news.ifPresent((passed) -> passed.read(kind, items));
+		this.beliefs.all(kind, items, now);
 	}
 
 	private void changed(Kind kind, ObjectStore.Change change, long now) {
-		if (!change.deleted()) {
-			if (kind == Kind.ENTRIES) {
-				entry(change.item(), now);
-				this.announcer.relink(this.table);
-				return;
-			}
-			change.item().value().ifPresent((value) -> declared(value, false, now));
-			return;
-		}
-		if (kind == Kind.RUNNERS) {
-			this.log.decision("runner-removed", "runner", change.item().name());
-			this.dispatcher.runnerRemoved(change.item().name(), now);
-			this.announcer.relink(this.table);
-		}
-		if (kind == Kind.ENTRIES) {
-			this.roster.remove(change.item().name());
-			this.announcer.relink(this.table);
-		}
-	}
-
-	private void declared(Declared value, boolean found, long now) {
-		switch (value) {
-			case Declared.Routes routes -> routes(routes.table());
-			case Declared.Weights weights -> weights(weights.named(), found, now);
-			case Declared.Runner runner -> runner(runner.info(), now);
-			case Declared.Entry entry -> {
-				// Read with its revision, see entry.
-			}
-		}
-	}
-
-	private void runner(RunnerInfo info, long now) {
-		if (this.dispatcher.runner(info, now)) {
-			this.log.decision("runner-changed", "runner", info.id(), "address", info.address(), "service",
-					info.service(), "draining", info.draining(), "models", info.models());
-			this.announcer.relink(this.table);
-		}
-	}
-
-	// A listing that lags must not bring a dropped route or token back.
-	private void routes(RouteTable newer) {
-		if (this.table.isPresent() && this.table.get().version() >= newer.version()) {
-			return;
-		}
-		this.table = Optional.of(newer);
-		this.log.decision("table-in-force", "version", newer.version());
-		this.dispatcher.table(newer);
-		this.announcer.tellAgents(this.table);
-	}
-
-	private void weights(NamedWeights weights, boolean found, long now) {
-		this.dispatcher.named(weights, found, now);
-		if (this.announcer.named(weights)) {
-			this.log.decision("weights-named", "model", weights.model(), "version", weights.version());
-			this.announcer.tellAgents(this.table);
-		}
-	}
-
-	private void entry(ObjectStore.Item item, long now) {
-		if (item.value().isPresent() && item.value().get() instanceof Declared.Entry entry) {
-			this.roster.put(entry.info(), item.revision(), now);
-		}
+		this.news.ifPresent((passed) -> passed.read(kind, change));
+		this.beliefs.changed(kind, change, now);
 	}
 
 	private void reachable(DirectEvent.StoreReachable reachable, long now) {
 		this.log.decision("store", "kind", reachable.kind(), "reachable", reachable.reachable());
 		if (reachable.kind() == Kind.RUNNERS) {
 			this.dispatcher.store(reachable.reachable(), now);
+			this.news.ifPresent((passed) -> passed.reachable(reachable.reachable()));
+		}
+	}
+
+	// What another entry passes on while the store does not answer this one.
+	private void news(DirectEvent.PeerNews heard, long now) {
+		List<DirectEvent> fresh = this.news.map((passed) -> passed.heard(heard.peer(), heard.news())).orElse(List.of());
+		if (!fresh.isEmpty()) {
+			this.dispatcher.store(true, now);
+		}
+		for (DirectEvent one : fresh) {
+			switch (one) {
+				case DirectEvent.AllObjects every -> this.beliefs.all(every.kind(), every.items(), now);
+				case DirectEvent.ObjectChanged change -> this.beliefs.changed(change.kind(), change.change(), now);
+				default -> throw new IllegalStateException("not from the store: " + one);
+			}
 		}
 	}
 
@@ -331,7 +265,7 @@
 		this.roster.linked(peer, up, now);
 		this.dispatcher.entries(this.roster.alive());
 		if (up) {
-			this.announcer.linked(peer, this.table);
+			this.announcer.linked(peer, this.beliefs.table());
 		}
 	}
 
@@ -344,15 +278,18 @@
 
 	private void agentSays(EngineState says, long now) {
 		OptionalInt version = says.getHoldsWeights() ? OptionalInt.of(says.getVersion()) : OptionalInt.empty();
+		OptionalLong closes = (says.getClosesInMillis() > 0)
+				? OptionalLong.of(now + TimeUnit.MILLISECONDS.toNanos(says.getClosesInMillis())) : OptionalLong.empty();
 		this.log.decision("agent-says", "address", says.getAddress(), "version", says.getVersion(), "switching",
-				says.getSwitching());
-		this.dispatcher.agentSays(says.getAddress(), version, says.getSwitching(), now);
+				says.getSwitching(), "closesInMs", says.getClosesInMillis());
+		this.dispatcher.agentSays(says.getAddress(), new EngineWord(version, says.getSwitching(), closes), now);
 	}
 
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
 		if (this.ticks % TICKS_PER_REPORT == 0) {
+			this.news.ifPresent((passed) -> passed.tick(this.mesh.orElseThrow().entries(), now));
 			this.announcer.report(this.ticks % ((long) TICKS_PER_REPORT * REPORTS_PER_FULL) == 0);
 		}
 		register(now);
@@ -400,7 +337,9 @@
 				this.log.decision("dispatched", "attempt", send.job().attempt(), "dispatch", send.job().dispatch(),
 						"route", send.job().route().name(), "runner", send.runner().id(), "address",
 						send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
-						this.table.map(RouteTable::version).orElse(-1L));
+						this.beliefs.table().map(RouteTable::version).orElse(-1L), "prompt",
+						send.job().size().promptTokens(), "answer", send.job().size().answerTokens(), "predictedMs",
+						Math.round(send.job().predictedMillis()));
 				this.metrics.dispatched();
 				this.output.send(call, send);
 			}
@@ -428,12 +367,12 @@
 	}
 
 	private boolean ready() {
-		return this.table.isPresent() && this.runnersRead && !this.departure.leaving();
+		return this.beliefs.complete() && !this.departure.leaving();
 	}
 
 	private void publish() {
 		this.view.publish(ready(), this.departure.leaving(), this.roster.addresses(ready()),
-				this.table.map(RouteTable::limits),
+				this.beliefs.table().map(RouteTable::limits),
 				this.departure.over(this.dispatcher.inProgress(), this.clock.getAsLong()));
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -3,8 +3,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +42,9 @@
 
 	private final Map<String, Outgoing> outgoing = new ConcurrentHashMap<>();
 
+	// Links that other entries made, by their names.
+	private final Map<String, Link> incoming = new ConcurrentHashMap<>();
+
 	private LinkServer server;
 
 	private Mesh(Links links, ScheduledExecutorService timer, Consumer<DirectEvent> events, Frame hello) {
@@ -82,13 +87,31 @@
 	}
 
 	/**
-	 * Sends a frame to a peer; nothing happens when there is no link.
+	 * Sends a frame to a peer, on the link that it made if this entry has made none;
+	 * nothing happens when there is no link.
 	 */
 	void send(String name, Frame frame) {
 		Outgoing link = this.outgoing.get(name);
-		if (link != null) {
+		Link theirs = this.incoming.get(name);
+		if (link != null && link.up()) {
 			link.send(frame);
 		}
+		else if (theirs != null && theirs.writable()) {
+			theirs.send(frame);
+		}
+	}
+
+	/**
+	 * Returns the names of the entries to which there is a link.
+	 */
+	Set<String> entries() {
+		Set<String> names = new HashSet<>(this.incoming.keySet());
+		this.outgoing.forEach((name, link) -> {
+			if (link.up() && link.entry) {
+				names.add(name);
+			}
+		});
+		return names;
 	}
 
 	@Override
@@ -102,6 +125,9 @@
 			case ENGINE_STATE -> this.events.accept(new DirectEvent.AgentSays(frame.getEngineState()));
 			case LOAD_REPORT ->
 				peer.ifPresent((name) -> this.events.accept(new DirectEvent.PeerLoads(name, frame.getLoadReport())));
+			case NEWS -> peer.ifPresent((name) -> this.events.accept(new DirectEvent.PeerNews(name, frame.getNews())));
+			case NEWS_REQUEST -> peer.ifPresent((name) -> this.events
+				.accept(new DirectEvent.PeerWantsNews(name, frame.getNewsRequest().getWanted())));
 			case LEAVING -> this.events.accept(new DirectEvent.PeerLeaving(frame.getLeaving().getVm()));
 			default -> {
 				// Frames of the roles that serve the product's own interface.
@@ -123,6 +149,9 @@
 		public void onFrame(Link link, Frame frame) {
 			if (frame.getBodyCase() == Frame.BodyCase.HELLO) {
 				this.names.put(link, frame.getHello().getVm());
+				if (frame.getHello().getRole() == Role.ENTRY) {
+					Mesh.this.incoming.put(frame.getHello().getVm(), link);
+				}
 				return;
 			}
 			heard(Optional.ofNullable(this.names.get(link)), frame);
@@ -130,7 +159,10 @@
 
 		@Override
 		public void onClosed(Link link) {
-			this.names.remove(link);
+			String name = this.names.remove(link);
+			if (name != null) {
+				Mesh.this.incoming.remove(name, link);
+			}
 		}
 
 	}
@@ -146,6 +178,8 @@
 
 		private volatile boolean abandoned;
 
+		private volatile boolean entry;
+
 		private long pauseMillis = FIRST_PAUSE_MILLIS;
 
 		private Outgoing(String name, InetSocketAddress address) {
@@ -171,6 +205,10 @@
 			this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, this.pauseMillis * 2);
 		}
 
+		private boolean up() {
+			return this.link != null;
+		}
+
 		private void send(Frame frame) {
 			Link open = this.link;
 			if (open != null && open.writable()) {
@@ -197,6 +235,7 @@
 
 		@Override
 		public void onFrame(Link from, Frame frame) {
+			this.entry |= frame.getBodyCase() == Frame.BodyCase.HELLO && frame.getHello().getRole() == Role.ENTRY;
 			heard(Optional.of(this.name), frame);
 		}
 
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -0,0 +1,168 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.fleet.NamedWeights;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.protocol.site.Declared;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+
+/**
+ * What an entry believes of its site, from what the store says. Used by the state thread
+ * alone.
+ */
+final class SiteBeliefs {
+
+	private final Dispatcher dispatcher;
+
+	private final EntryRoster roster;
+
+	private final Announcer announcer;
+
+	private final DecisionLog log;
+
+	private final Set<Kind> read = EnumSet.noneOf(Kind.class);
+
+	private Optional<RouteTable> table = Optional.empty();
+
+	SiteBeliefs(Dispatcher dispatcher, EntryRoster roster, Announcer announcer, DecisionLog log) {
+		this.dispatcher = dispatcher;
+		this.roster = roster;
+		this.announcer = announcer;
+		this.log = log;
+	}
+
+	/**
+	 * Returns the declared routes in force.
+	 */
+	Optional<RouteTable> table() {
+		return this.table;
+	}
+
+	/**
+	 * Returns whether enough is known to answer callers.
+	 */
+	boolean complete() {
+		return this.table.isPresent() && this.read.contains(Kind.RUNNERS);
+	}
+
+	/**
+	 * Hears all objects of a kind.
+	 */
+	void all(Kind kind, List<ObjectStore.Item> items, long now) {
+		boolean first = this.read.add(kind);
+		switch (kind) {
+			case ROUTES, WEIGHTS ->
+				items.forEach((item) -> item.value().ifPresent((value) -> declared(value, first, now)));
+			case RUNNERS -> {
+				runners(items, now);
+				this.announcer.relink(this.table);
+			}
+			case ENTRIES -> {
+				Set<String> names = new HashSet<>();
+				items.forEach((item) -> {
+					names.add(item.name());
+					entry(item, now);
+				});
+				this.roster.keep(names);
+				this.announcer.relink(this.table);
+			}
+		}
+	}
+
+	private void runners(List<ObjectStore.Item> items, long now) {
+		List<RunnerInfo> infos = items.stream()
+			.flatMap((item) -> item.value().stream())
+			.filter(Declared.Runner.class::isInstance)
+			.map((value) -> ((Declared.Runner) value).info())
+			.toList();
+		this.dispatcher.runners(infos, now);
+		this.log.decision("runners-read", "count", infos.size());
+	}
+
+	/**
+	 * Hears of one object.
+	 */
+	void changed(Kind kind, ObjectStore.Change change, long now) {
+		if (change.deleted()) {
+			removed(kind, change.item().name(), now);
+			return;
+		}
+		if (kind == Kind.ENTRIES) {
+			entry(change.item(), now);
+			this.announcer.relink(this.table);
+			return;
+		}
+		change.item().value().ifPresent((value) -> declared(value, false, now));
+	}
+
+	private void removed(Kind kind, String name, long now) {
+		switch (kind) {
+			case RUNNERS -> {
+				this.log.decision("runner-removed", "runner", name);
+				this.dispatcher.runnerRemoved(name, now);
+				this.announcer.relink(this.table);
+			}
+			case ENTRIES -> {
+				this.roster.remove(name);
+				this.announcer.relink(this.table);
+			}
+			case ROUTES, WEIGHTS -> {
+				// What was declared stays in force until something newer is.
+			}
+		}
+	}
+
+	private void declared(Declared value, boolean found, long now) {
+		switch (value) {
+			case Declared.Routes routes -> routes(routes.table());
+			case Declared.Weights weights -> weights(weights.named(), found, now);
+			case Declared.Runner runner -> runner(runner.info(), now);
+			case Declared.Entry entry -> {
+				// Read with its revision, see entry.
+			}
+		}
+	}
+
+	private void runner(RunnerInfo info, long now) {
+		if (this.dispatcher.runner(info, now)) {
+			this.log.decision("runner-changed", "runner", info.id(), "address", info.address(), "service",
+					info.service(), "draining", info.draining(), "models", info.models());
+			this.announcer.relink(this.table);
+		}
+	}
+
+	// A listing that lags must not bring a dropped route or token back.
+	private void routes(RouteTable newer) {
+		if (this.table.isPresent() && this.table.get().version() >= newer.version()) {
+			return;
+		}
+		this.table = Optional.of(newer);
+		this.log.decision("table-in-force", "version", newer.version());
+		this.dispatcher.table(newer);
+		this.announcer.tellAgents(this.table);
+	}
+
+	private void weights(NamedWeights weights, boolean found, long now) {
+		this.dispatcher.named(weights, found, now);
+		if (this.announcer.named(weights)) {
+			this.log.decision("weights-named", "model", weights.model(), "version", weights.version());
+			this.announcer.tellAgents(this.table);
+		}
+	}
+
+	private void entry(ObjectStore.Item item, long now) {
+		if (item.value().isPresent() && item.value().get() instanceof Declared.Entry entry) {
+			this.roster.put(entry.info(), item.revision(), now);
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -0,0 +1,236 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import com.google.protobuf.ByteString;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.UpstreamChoice;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.NewsRequest;
+import org.wisteriapost.protocol.wire.StoreKind;
+import org.wisteriapost.protocol.wire.StoreObject;
+
+/**
+ * Passes what the site's store says on to entries that it does not answer, and takes it
+ * from another entry while it does not answer this one. Used by the state thread alone.
+ *
+ * An object is taken only when its revision is higher than the one known, and one that
+ * was removed stays away until the store has changed it again: another entry may be
+ * behind what this one has read itself.
+ */
+final class SiteNews {
+
+	private final ObjectStore store;
+
+	private final BiConsumer<String, Frame> sender;
+
+	private final DecisionLog log;
+
+	private final UpstreamChoice upstream = new UpstreamChoice();
+
+	private final Set<String> downstream = new HashSet<>();
+
+	private final Map<Kind, Map<String, ObjectStore.Item>> objects = new EnumMap<>(Kind.class);
+
+	private final Map<Kind, Map<String, Long>> removed = new EnumMap<>(Kind.class);
+
+	private boolean answered;
+
+	/**
+	 * Returns news of one entry.
+	 * @param sender sends a frame to an entry by name
+	 */
+	SiteNews(ObjectStore store, BiConsumer<String, Frame> sender, DecisionLog log) {
+		this.store = store;
+		this.sender = sender;
+		this.log = log;
+		for (Kind kind : Kind.values()) {
+			this.objects.put(kind, new LinkedHashMap<>());
+			this.removed.put(kind, new LinkedHashMap<>());
+		}
+	}
+
+	// From the store.
+
+	void read(Kind kind, List<ObjectStore.Item> all) {
+		Map<String, ObjectStore.Item> known = this.objects.get(kind);
+		known.clear();
+		this.removed.get(kind).clear();
+		all.forEach((item) -> known.put(item.name(), item));
+		tell(() -> all(kind));
+	}
+
+	void read(Kind kind, ObjectStore.Change change) {
+		note(kind, change);
+		tell(() -> News.newBuilder().setCurrent(true).setKind(wire(kind)).addObjects(object(change)).build());
+	}
+
+	/**
+	 * Hears whether the store answers this entry.
+	 */
+	void reachable(boolean reachable) {
+		this.answered = reachable;
+		this.upstream.store(reachable).ifPresent((peer) -> this.sender.accept(peer, request(false)));
+		if (!reachable) {
+			tell(() -> News.newBuilder().setCurrent(false).build());
+			this.downstream.clear();
+		}
+	}
+
+	// From and to other entries.
+
+	/**
+	 * Asks another entry when that is needed.
+	 * @param linked the entries to which there is a link
+	 */
+	void tick(Collection<String> linked, long nowNanos) {
+		this.downstream.retainAll(linked);
+		this.upstream.ask(linked, nowNanos).ifPresent((peer) -> {
+			this.log.decision("store-through-entry", "entry", peer);
+			this.sender.accept(peer, request(true));
+		});
+	}
+
+	/**
+	 * Hears that another entry wants to be told what the store says, or does not any
+	 * more.
+	 */
+	void asked(String peer, boolean wanted) {
+		if (!wanted) {
+			this.downstream.remove(peer);
+			return;
+		}
+		if (!this.answered) {
+			this.sender.accept(peer, frame(News.newBuilder().setCurrent(false).build()));
+			return;
+		}
+		this.downstream.add(peer);
+		for (Kind kind : Kind.values()) {
+			this.sender.accept(peer, frame(all(kind)));
+		}
+	}
+
+	/**
+	 * Returns what another entry says that is new here, as if the store had said it.
+	 */
+	List<DirectEvent> heard(String peer, News news) {
+		Optional<Kind> kind = kind(news.getKind());
+		if (!believed(peer, news) || kind.isEmpty()) {
+			return List.of();
+		}
+		this.upstream.heard(true);
+		List<DirectEvent> fresh = new ArrayList<>();
+		for (StoreObject object : news.getObjectsList()) {
+			if (newer(kind.get(), object)) {
+				ObjectStore.Item item = this.store.decode(kind.get(), object.getContent().toByteArray());
+				ObjectStore.Change change = new ObjectStore.Change(item, object.getDeleted());
+				note(kind.get(), change);
+				fresh.add(new DirectEvent.ObjectChanged(kind.get(), change));
+			}
+		}
+		return news.getAll() ? List.of(all(kind.get(), news)) : fresh;
+	}
+
+	private DirectEvent all(Kind kind, News news) {
+		Set<String> named = new HashSet<>();
+		news.getObjectsList().forEach((object) -> named.add(object.getName()));
+		Map<String, ObjectStore.Item> known = this.objects.get(kind);
+		List.copyOf(known.values())
+			.stream()
+			.filter((item) -> !named.contains(item.name()))
+			.forEach((item) -> note(kind, new ObjectStore.Change(item, true)));
+		return new DirectEvent.AllObjects(kind, List.copyOf(known.values()));
+	}
+
+	private boolean believed(String peer, News news) {
+		if (!this.upstream.believes(peer)) {
+			return false;
+		}
+		if (!news.getCurrent()) {
+			this.upstream.heard(false);
+		}
+		return news.getCurrent();
+	}
+
+	private boolean newer(Kind kind, StoreObject object) {
+		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
+		long gone = this.removed.get(kind).getOrDefault(object.getName(), -1L);
+		boolean same = known != null && known.revision() >= object.getRevision() && !object.getDeleted();
+		return !same && object.getRevision() > gone;
+	}
+
+	private void note(Kind kind, ObjectStore.Change change) {
+		ObjectStore.Item item = change.item();
+		if (change.deleted()) {
+			this.objects.get(kind).remove(item.name());
+			this.removed.get(kind).put(item.name(), item.revision());
+			return;
+		}
+		this.objects.get(kind).put(item.name(), item);
+	}
+
+	private void tell(Supplier<News> news) {
+		if (this.downstream.isEmpty()) {
+			return;
+		}
+		Frame frame = frame(news.get());
+		this.downstream.forEach((peer) -> this.sender.accept(peer, frame));
+	}
+
+	private News all(Kind kind) {
+		News.Builder news = News.newBuilder().setCurrent(true).setAll(true).setKind(wire(kind));
+		this.objects.get(kind).values().forEach((item) -> news.addObjects(object(new ObjectStore.Change(item, false))));
+		return news.build();
+	}
+
+	private static StoreObject object(ObjectStore.Change change) {
+		ObjectStore.Item item = change.item();
+		return StoreObject.newBuilder()
+			.setName(item.name())
+			.setRevision(item.revision())
+			.setDeleted(change.deleted())
+			.setContent(ByteString.copyFrom(item.content()))
+			.build();
+	}
+
+	private static Frame request(boolean wanted) {
+		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(wanted)).build();
+	}
+
+	private static Frame frame(News news) {
+		return Frame.newBuilder().setNews(news).build();
+	}
+
+	private static StoreKind wire(Kind kind) {
+		return switch (kind) {
+			case ROUTES -> StoreKind.STORE_ROUTES;
+			case RUNNERS -> StoreKind.STORE_RUNNERS;
+			case WEIGHTS -> StoreKind.STORE_WEIGHTS;
+			case ENTRIES -> StoreKind.STORE_ENTRIES;
+		};
+	}
+
+	private static Optional<Kind> kind(StoreKind kind) {
+		return switch (kind) {
+			case STORE_ROUTES -> Optional.of(Kind.ROUTES);
+			case STORE_RUNNERS -> Optional.of(Kind.RUNNERS);
+			case STORE_WEIGHTS -> Optional.of(Kind.WEIGHTS);
+			case STORE_ENTRIES -> Optional.of(Kind.ENTRIES);
+			case STORE_KIND_UNSPECIFIED, UNRECOGNIZED -> Optional.empty();
+		};
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -0,0 +1,165 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.News;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * Two entries, of which the store answers one.
+ */
+class SiteNewsTests {
+
+	private static final long SECOND = 1_000_000_000;
+
+	private final DecisionLog log = DecisionLog.start("test", new PrintStream(OutputStream.nullOutputStream()));
+
+	private final List<Frame> toCut = new ArrayList<>();
+
+	private final List<Frame> toSource = new ArrayList<>();
+
+	private final SiteNews source = new SiteNews(new Decoder(), (peer, frame) -> this.toCut.add(frame), this.log);
+
+	private final SiteNews cut = new SiteNews(new Decoder(), (peer, frame) -> this.toSource.add(frame), this.log);
+
+	@BeforeEach
+	void cutOff() {
+		this.source.reachable(true);
+		this.source.read(Kind.RUNNERS, List.of(item("a", 5), item("b", 6)));
+		this.cut.reachable(true);
+		this.cut.read(Kind.RUNNERS, List.of(item("a", 5), item("old", 4)));
+		this.cut.reachable(false);
+		this.cut.tick(List.of("source"), SECOND);
+		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest().getWanted()));
+	}
+
+	@AfterEach
+	void stop() {
+		this.log.close();
+	}
+
+	private static ObjectStore.Item item(String name, long revision) {
+		return new ObjectStore.Item(name, revision, Optional.empty(),
+				() -> (name + "@" + revision).getBytes(StandardCharsets.UTF_8));
+	}
+
+	private List<String> delivered() {
+		List<String> heard = new ArrayList<>();
+		for (Frame frame : this.toCut) {
+			for (DirectEvent event : this.cut.heard("source", frame.getNews())) {
+				heard.add(text(event));
+			}
+		}
+		this.toCut.clear();
+		return heard.stream().filter((one) -> !one.endsWith("[]")).toList();
+	}
+
+	private static String text(DirectEvent event) {
+		return switch (event) {
+			case DirectEvent.AllObjects all -> "all" + all.items().stream().map(ObjectStore.Item::name).toList();
+			case DirectEvent.ObjectChanged changed ->
+				(changed.change().deleted() ? "-" : "+") + changed.change().item().name();
+			default -> throw new IllegalArgumentException(event.toString());
+		};
+	}
+
+	@Test
+	void aCutEntryHearsAllThereIsAndThenEveryChange() {
+		assertThat(delivered(), Matchers.contains("all[a, b]"));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("c", 9), false));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 5), true));
+		assertThat(delivered(), Matchers.contains("+c", "-a"));
+	}
+
+	// The entry that is asked is behind: it tells again of a runner that has gone. Were
+	// it
+	// believed, callers would be sent to a machine that has left.
+	@Test
+	void whatWasRemovedDoesNotComeBackInAnOlderForm() {
+		delivered();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 7), true));
+		delivered();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 6), false));
+		assertThat(delivered(), Matchers.empty());
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 11), false));
+		assertThat(delivered(), Matchers.contains("+a"));
+	}
+
+	// The store answers the cut entry again while a message is still on its way.
+	@Test
+	void onceTheStoreAnswersNothingPassedOnIsTaken() {
+		this.cut.reachable(true);
+		assertThat(delivered(), Matchers.empty());
+		assertThat(this.toSource.getLast().getNewsRequest().getWanted(), Matchers.equalTo(false));
+	}
+
+	// The store stops answering the other entry too. It says so, and the next is asked.
+	@Test
+	void theNextEntryIsAskedWhenTheFirstIsCutOffAsWell() {
+		delivered();
+		this.source.reachable(false);
+		delivered();
+		this.toSource.clear();
+		this.cut.tick(List.of("source", "third"), 2 * SECOND);
+		assertThat(this.toSource, Matchers.hasSize(1));
+		assertThat(this.cut.heard("source", News.newBuilder().setCurrent(true).build()), Matchers.empty());
+	}
+
+	@Test
+	void inCalmTimesNothingIsSent() {
+		this.cut.reachable(true);
+		this.source.asked("cut", false);
+		this.toCut.clear();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("d", 12), false));
+		assertThat(this.toCut, Matchers.empty());
+	}
+
+	/** Reads what {@link #item} wrote. */
+	private static final class Decoder implements ObjectStore {
+
+		@Override
+		public Item decode(Kind kind, byte[] content) {
+			String[] parts = new String(content, StandardCharsets.UTF_8).split("@");
+			return item(parts[0], Long.parseLong(parts[1]));
+		}
+
+		@Override
+		public CompletableFuture<Page> list(Kind kind, Optional<String> after) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> register(EntryInfo entry) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> unregister(String name, long revision) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -61,6 +61,9 @@
 
 	private final Map<String, Deque<Job>> queues = new HashMap<>();
 
+	// Who can't be in time any more waits apart, and goes on after all others.
+	private final Map<String, Deque<Job>> lateQueues = new HashMap<>();
+
 	private final Map<String, RetryAllowance> allowances = new HashMap<>();
 
 	private List<DispatchEffect> effects = new ArrayList<>();
@@ -152,9 +155,10 @@
 
 	/**
 	 * Hears what the agent beside a runner says of it.
+	 * @param address the runner's address
 	 */
-	public void agentSays(String address, OptionalInt version, boolean switching, long nowNanos) {
-		this.book.agentSays(address, version, switching);
+	public void agentSays(String address, EngineWord word, long nowNanos) {
+		this.book.agentSays(address, word);
 		pump(nowNanos);
 	}
 
@@ -233,7 +237,7 @@
 				finish(job);
 				this.effects.add(new DispatchEffect.PassOn(job));
 			}
-			case FAIL -> giveUp(job, outcome);
+			case FAIL -> giveUp(job, outcome, nowNanos);
 			case AGAIN -> again(job, outcome, nowNanos);
 		}
 		pump(nowNanos);
@@ -269,19 +273,19 @@
 	private void again(Job job, Outcome outcome, long nowNanos) {
 		boolean counts = outcome != Outcome.NOT_SENT;
 		if (counts && !allowance(job.service()).take(this.entries, nowNanos)) {
-			giveUp(job, outcome);
+			giveUp(job, outcome, nowNanos);
 			return;
 		}
 		place(job, nowNanos);
 	}
 
-	private void giveUp(Job job, Outcome outcome) {
+	private void giveUp(Job job, Outcome outcome, long nowNanos) {
 		finish(job);
 		switch (outcome) {
 			case ERROR -> this.effects.add(new DispatchEffect.PassOn(job));
 			case FULL, MISDIRECTED, NOT_SENT -> {
 				if (job.runs == 0) {
-					refuse(job, NO_ROOM);
+					refuse(job, NO_ROOM, nowNanos);
 				}
 				else {
 					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
@@ -299,16 +303,18 @@
 			this.effects.add(new DispatchEffect.Fail(job, TIME_OVER, true));
 		}
 		else {
-			refuse(job, TIME_OVER);
+			refuse(job, TIME_OVER, nowNanos);
 		}
 	}
 
-	private void refuse(Job job, Code code) {
-		this.effects.add(new DispatchEffect.Refuse(job, code, this.patience.retryAfterMillis()));
+	private void refuse(Job job, Code code, long nowNanos) {
+		long retryAfter = this.patience.retryAfterMillis(job, nowNanos);
+		this.effects.add(new DispatchEffect.Refuse(job, code, retryAfter));
 	}
 
 	private void place(Job job, long nowNanos) {
-		Deque<Job> queue = this.queues.computeIfAbsent(job.service(), (name) -> new ArrayDeque<>());
+		Map<String, Deque<Job>> waiting = this.patience.late(job, nowNanos) ? this.lateQueues : this.queues;
+		Deque<Job> queue = waiting.computeIfAbsent(job.service(), (name) -> new ArrayDeque<>());
 		place(job, queue, queue.size(), nowNanos);
 	}
 
@@ -326,7 +332,7 @@
 					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
 				}
 				else {
-					refuse(job, choice.none() ? NO_RUNNER : NO_ROOM);
+					refuse(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
 				}
 			}
 		}
@@ -356,7 +362,12 @@
 	// Lets waiting requests go on in the order in which they came, as far as room has
 	// come up.
 	private void pump(long nowNanos) {
-		for (Deque<Job> queue : this.queues.values()) {
+		pump(this.queues, nowNanos);
+		pump(this.lateQueues, nowNanos);
+	}
+
+	private void pump(Map<String, Deque<Job>> waiting, long nowNanos) {
+		for (Deque<Job> queue : waiting.values()) {
 			for (int left = queue.size(); left > 0; left--) {
 				Job job = queue.pollFirst();
 				if (!job.over) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/EngineForecast.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EngineForecast.java
@@ -41,6 +41,22 @@
 		return ahead + underWay + read + passes * write + engine.stride() * stepMillis(engine, writers + 1);
 	}
 
+	/**
+	 * Returns the milliseconds from the first event to the last.
+	 *
+	 * Between two events of a stream the engine reads part of the prompts that came
+	 * meanwhile. In an engine that is about to change weights ever fewer come, so half of
+	 * what a busy engine reads is counted.
+	 * @param tokens of the answer
+	 */
+	static double answerMillis(EngineSpec engine, PeerLoad load, int tokens) {
+		int writers = Math.clamp(load.active() + 1, 1, engine.slots());
+		double reading = HALF * writers * engine.usualPrompt() / engine.readTokensPerMilli();
+		double passes = (double) tokens / engine.stride();
+		double usualPasses = Math.max(1, (double) engine.usualAnswer() / engine.stride());
+		return passes * (engine.stride() * stepMillis(engine, writers) + reading / usualPasses);
+	}
+
 	/**
 	 * Returns the time of one token step.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -204,8 +204,9 @@
 	 *
 	 * @param promptTokens to read; 0 when unknown
 	 * @param answerTokens to write at most; 0 when unknown
+	 * @param likelyAnswerTokens the caller's estimate of the tokens to write
 	 */
-	public record Size(int promptTokens, int answerTokens) {
+	public record Size(int promptTokens, int answerTokens, OptionalInt likelyAnswerTokens) {
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -20,18 +20,35 @@
 	private static final double MARGIN_MILLIS = 15;
 
 	// A late answer is still of some use, but must not make those late that can be in
-	// time: it takes none of the last quarter of an engine's slots.
+	// time: while there are more of those than room it takes none of the last quarter of
+	// an engine's slots.
 	private static final double SPARE = 0.75;
 
-	// A refused caller comes back once. Engines that change weights are away for some 1.7
-	// s;
-	// who comes back sooner meets the same load and is lost.
-	private static final long RETRY_MILLIS = 1000;
+	// How long after a request was turned away there is taken to be more than room. An
+	// engine at its limit frees a slot each 0.1 s.
+	private static final long CONTENDED_NANOS = Duration.ofMillis(300).toNanos();
 
-	private static final long RETRY_SPREAD_MILLIS = 1000;
+	// Who comes back after a refusal cannot be in time any more, and a second refusal is
+	// its last. It waits for a spare slot for as long as a caller takes for an answer
+	// that
+	// is on its way: half of the usual time to a first event.
+	private static final double LATE_WAIT_SHARE = 0.8;
 
-	// While no runner is known, one may come up with the next message.
-	private static final long NO_RUNNER_WAIT_NANOS = Duration.ofMillis(250).toNanos();
+	// A refused caller comes back once, and bears a third of the time that it has left.
+	// Engines that change weights or start anew are away for a second and more, so who
+	// comes back sooner meets the same load and is lost; spread, so that not all do so in
+	// the same moment.
+	private static final double RETRY_SHARE = 1.0 / 3;
+
+	private static final double RETRY_SPREAD = 0.3;
+
+	private static final long RETRY_LEAST_MILLIS = 100;
+
+	private static final long RETRY_MOST_MILLIS = 2000;
+
+	// While no runner is known, one may come up with the next message; as a part of the
+	// time that callers expect.
+	private static final double NO_RUNNER_WAIT_SHARE = 0.125;
 
 	// Of the time to the first event that callers expect. Later refusals leave them too
 	// little time to ask again.
@@ -47,6 +64,8 @@
 
 	private final UniformRandomProvider random;
 
+	private long contendedNanos = Long.MIN_VALUE / 2;
+
 	Patience(UniformRandomProvider random) {
 		this.random = random;
 	}
@@ -62,7 +81,7 @@
 
 	Step decide(Job job, Placement.Choice choice, int queued, long nowNanos) {
 		if (choice.none()) {
-			return (nowNanos - job.arrivedNanos() < NO_RUNNER_WAIT_NANOS) ? Step.WAIT : Step.REFUSE;
+			return (waitedShare(job, nowNanos) < NO_RUNNER_WAIT_SHARE) ? Step.WAIT : Step.REFUSE;
 		}
 		if (!choice.engine()) {
 			return plain(job, choice, nowNanos);
@@ -71,6 +90,9 @@
 			// It has begun once; what it cost is lost unless it goes on.
 			return Step.SEND;
 		}
+		if (late(job, nowNanos)) {
+			return late(job, choice, nowNanos);
+		}
 		double left = leftMillis(job, nowNanos);
 		if (choice.room() && choice.predictedMillis() <= left) {
 			return Step.SEND;
@@ -78,9 +100,30 @@
 		if (choice.used() < SPARE) {
 			return Step.SEND;
 		}
+		this.contendedNanos = nowNanos;
 		return mayWait(job, choice, queued, left, nowNanos) ? Step.WAIT : Step.REFUSE;
 	}
 
+	/**
+	 * Returns whether a request's first event can't come in the time that its caller
+	 * expects, wherever it goes.
+	 */
+	boolean late(Job job, long nowNanos) {
+		return job.stream() && leftMillis(job, nowNanos) <= 0;
+	}
+
+	private Step late(Job job, Placement.Choice choice, long nowNanos) {
+		boolean contended = nowNanos - this.contendedNanos < CONTENDED_NANOS;
+		if (choice.used() < (contended ? SPARE : 1)) {
+			return Step.SEND;
+		}
+		return (waitedShare(job, nowNanos) < LATE_WAIT_SHARE) ? Step.WAIT : Step.REFUSE;
+	}
+
+	private static double waitedShare(Job job, long nowNanos) {
+		return (double) (nowNanos - job.arrivedNanos()) / job.route().target().toNanos();
+	}
+
 	// Waits here and not at an engine, so that the first slot of any engine serves it;
 	// for
 	// a part of the time only, and not behind more than can be served in it.
@@ -97,15 +140,17 @@
 	/**
 	 * Returns the milliseconds after which a refused caller should come back.
 	 */
-	long retryAfterMillis() {
-		return RETRY_MILLIS + (long) (this.random.nextDouble() * RETRY_SPREAD_MILLIS);
+	long retryAfterMillis(Job job, long nowNanos) {
+		double left = (double) (job.deadlineNanos() - nowNanos) / Placement.NANOS_PER_MILLI;
+		double most = Math.clamp(left * RETRY_SHARE, RETRY_LEAST_MILLIS, RETRY_MOST_MILLIS);
+		return (long) (most * (1 - this.random.nextDouble() * RETRY_SPREAD));
 	}
 
 	/**
 	 * Returns how urgent a request is at its runner.
 	 */
 	int rank(Job job, long nowNanos) {
-		if (job.stream() && leftMillis(job, nowNanos) <= 0) {
+		if (late(job, nowNanos)) {
 			return LATE_RANK;
 		}
 		int declared = job.organisation()
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -24,9 +24,19 @@
 	// Predictions that differ by less are alike: half a token step of a usual engine.
 	private static final double ALIKE_MILLIS = 5;
 
-	// The way to another place and back, and what its bytes cost.
+	// The way to another place and back.
 	private static final double OTHER_PLACE_MILLIS = 4;
 
+	// Links between places are narrow and paid for, and a stream takes some five
+	// kilobytes
+	// of one. A request goes to a farther engine only for a gain that its caller notices:
+	// a
+	// fifth of the time that is left to the expected first event, 80 ms at most, which is
+	// more than an idle engine is ahead of one that has just begun to write.
+	private static final double OTHER_PLACE_SHARE = 0.2;
+
+	private static final double OTHER_PLACE_MOST_MILLIS = 80;
+
 	// An engine's own queue takes a few more than it has slots, so that a slot is taken
 	// the
 	// moment it comes free; the prediction counts the wait there. A slot left free for
@@ -69,11 +79,13 @@
 	Choice choose(Job job, Optional<EngineSpec> engine, long nowNanos) {
 		OptionalInt version = engine.isPresent() ? this.fence.required(engine.get().model(), nowNanos)
 				: OptionalInt.empty();
-		Choice best = best(job, engine, version, nowNanos, true);
-		// When all are left out for their failures the cause is likely elsewhere: one
-		// that
-		// fails part of its requests is better than none.
-		return best.none() ? best(job, engine, version, nowNanos, false) : best;
+		for (Wish wish : Wish.values()) {
+			Choice best = best(job, engine, version, nowNanos, wish);
+			if (!best.none()) {
+				return best;
+			}
+		}
+		return Choice.nobody(version);
 	}
 
 	/**
@@ -84,19 +96,22 @@
 		runner.full(job.sentNanos);
 	}
 
-	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos, boolean healthy) {
+	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos, Wish wish) {
 		Choice best = Choice.nobody(version);
 		double bestCost = Double.MAX_VALUE;
 		int engines = 0;
 		for (RunnerState runner : this.book.of(job.service())) {
-			if (!fits(job, runner, engine, version, nowNanos) || (healthy && !healthy(runner, nowNanos))) {
+			if (!fits(job, runner, engine, version, nowNanos) || (wish != Wish.ANY && !healthy(runner, nowNanos))) {
 				continue;
 			}
 			engines++;
 			PeerLoad load = runner.total(nowNanos);
 			double base = predict(runner, engine, load, job);
 			double predicted = base * this.paces.of(job.service()) * runner.pace;
-			double cost = predicted + (runner.info.place().equals(this.place) ? 0 : OTHER_PLACE_MILLIS)
+			if (wish == Wish.WELL_AND_ENDS && endsLate(job, runner, engine, load, predicted, nowNanos)) {
+				continue;
+			}
+			double cost = predicted + distance(job, runner, engine, predicted)
 					+ this.random.nextDouble() * ALIKE_MILLIS;
 			if (cost < bestCost) {
 				bestCost = cost;
@@ -121,6 +136,31 @@
 				0, bound);
 	}
 
+	// Load: engines change weights one after the other under full traffic. Harm
+	// prevented:
+	// an engine that has been given a long answer just before its turn is away until that
+	// has ended, with its other slots empty.
+	private static boolean endsLate(Job job, RunnerState runner, Optional<EngineSpec> engine, PeerLoad load,
+			double predicted, long nowNanos) {
+		if (engine.isEmpty() || runner.closesNanos.isEmpty()) {
+			return false;
+		}
+		double left = (double) (runner.closesNanos.getAsLong() - nowNanos) / NANOS_PER_MILLI;
+		int tokens = (job.size().answerTokens() > 0) ? job.size().answerTokens() : engine.get().usualAnswer();
+		return predicted + EngineForecast.answerMillis(engine.get(), load, tokens) > left;
+	}
+
+	private double distance(Job job, RunnerState runner, Optional<EngineSpec> engine, double predicted) {
+		if (runner.info.place().equals(this.place)) {
+			return 0;
+		}
+		if (engine.isEmpty()) {
+			return OTHER_PLACE_MILLIS;
+		}
+		double spare = (job.route().target().toMillis() - predicted) * OTHER_PLACE_SHARE;
+		return Math.clamp(spare, OTHER_PLACE_MILLIS, OTHER_PLACE_MOST_MILLIS);
+	}
+
 	private static boolean healthy(RunnerState runner, long nowNanos) {
 		if (!runner.health.usable(nowNanos)) {
 			return false;
@@ -161,6 +201,23 @@
 		return (job.size().promptTokens() > 0) ? job.size().promptTokens() : engine.usualPrompt();
 	}
 
+	/**
+	 * What is asked of a runner, the most first; less is asked when nobody meets it.
+	 */
+	private enum Wish {
+
+		/** It is well, and ends the answer before it changes weights. */
+		WELL_AND_ENDS,
+		/** It is well. */
+		WELL,
+		/**
+		 * Any. When all are left out for their failures the cause is likely elsewhere,
+		 * and one that fails part of its requests is better than none.
+		 */
+		ANY
+
+	}
+
 	/**
 	 * What the best runner promises.
 	 *
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 
 import org.wisteriapost.policy.fleet.RunnerInfo;
@@ -33,7 +32,7 @@
 
 	private final Map<String, List<RunnerState>> services = new HashMap<>();
 
-	private final Map<String, AgentWord> words = new HashMap<>();
+	private final Map<String, EngineWord> words = new HashMap<>();
 
 	private final Set<String> lapsed = new HashSet<>();
 
@@ -78,7 +77,7 @@
 		this.runners.put(info.id(), state);
 		state.info = info;
 		state.gone = false;
-		AgentWord word = this.words.get(info.address());
+		EngineWord word = this.words.get(info.address());
 		if (word != null) {
 			apply(state, word);
 		}
@@ -108,8 +107,7 @@
 	 * Hears what the agent beside a runner says of it.
 	 * @param address the runner's address
 	 */
-	void agentSays(String address, OptionalInt version, boolean switching) {
-		AgentWord word = new AgentWord(version, switching);
+	void agentSays(String address, EngineWord word) {
 		this.words.put(address, word);
 		this.runners.values()
 			.stream()
@@ -149,12 +147,10 @@
 				.add(state));
 	}
 
-	private static void apply(RunnerState state, AgentWord word) {
-		state.told(word.version);
-		state.switching = word.switching;
-	}
-
-	private record AgentWord(OptionalInt version, boolean switching) {
+	private static void apply(RunnerState state, EngineWord word) {
+		state.told(word.version());
+		state.switching = word.switching();
+		state.closesNanos = word.closesNanos();
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.wisteriapost.policy.fleet.RunnerInfo;
 
@@ -38,6 +39,8 @@
 
 	boolean switching;
 
+	OptionalLong closesNanos = OptionalLong.empty();
+
 	boolean gone;
 
 	private long fullUntilNanos = Long.MIN_VALUE;
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -5,15 +5,20 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * Brings one engine to the named weights, step by step: fetch, wait for its turn, check
  * what is staged, order, watch.
  *
- * The engine serves its older weights until the order, and the check comes directly
- * before the order: what is staged may go bad at any time, and an engine that takes a
- * spoilt piece answers from it. Entries are told first, so that requests do not meet an
- * engine that takes none.
+ * The engine serves its older weights until the order, and the check comes shortly before
+ * the order: what is staged may go bad at any time, and an engine that takes a spoilt
+ * piece answers from it.
+ *
+ * Load: an engine that is ordered ends what it runs before it takes weights, and takes
+ * nothing new meanwhile. Harm prevented: one with sixteen streams under way stands mostly
+ * idle until its longest has ended. So its turn is announced ahead, and entries give it
+ * until then what will have ended.
  *
  * A newer version that is named during a fetch waits for it when the fetch is more than
  * half done: with versions named faster than links carry them, an agent that always began
@@ -23,7 +28,7 @@
 
 	// Entries hear of it over a link within a few milliseconds; requests on their way to
 	// the engine have arrived by then.
-	private static final long QUIET_NANOS = Duration.ofMillis(120).toNanos();
+	private static final long QUIET_NANOS = Duration.ofMillis(80).toNanos();
 
 	private static final long TAKE_NANOS = Duration.ofSeconds(6).toNanos();
 
@@ -35,17 +40,31 @@
 
 	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
 
-	// Engines change over in two groups, so that half of them go on answering. An engine
-	// ends what it runs first and takes the weights then, which lasts some 1.7 s; the
-	// second group begins when the first is back, and in any case early enough to be in
-	// time. A version that a newer one waits for is not given that time.
-	private static final int GROUPS = 2;
+	// Engines change over one after the other, spread over the time that is left. An
+	// engine
+	// ends what it runs first and is away for that long and its own warm-up; the spread
+	// bounds how many are away at once. Longer than this it gains little: an engine whose
+	// turn is announced ahead is away for about a second.
+	private static final Duration SPREAD = Duration.ofMillis(4000);
+
+	// A version that a newer one waits for is taken quickly, since the fetch of the newer
+	// one can begin only then.
+	private static final Duration SPREAD_HURRIED = Duration.ofMillis(900);
 
-	private static final Duration BETWEEN_GROUPS = Duration.ofMillis(1700);
+	// Entries know an engine's turn ahead and give it only what ends before; half a
+	// second
+	// is what a short answer takes.
+	private static final Duration LEAD = Duration.ofMillis(500);
 
-	private static final Duration BETWEEN_HURRIED = Duration.ofMillis(800);
+	// The check reads all staged pieces back, which takes some 200 ms on a busy VM. Done
+	// ahead, the engine does not stand idle for it. What goes bad afterwards is found by
+	// the check of a later turn only, so an order follows its check within FRESH.
+	private static final Duration CHECK_AHEAD = Duration.ofMillis(450);
 
-	private static final double LATEST = 0.78;
+	private static final Duration FRESH = Duration.ofMillis(1500);
+
+	// Of the time until the weights must be in force: from then on no turn waits.
+	private static final double LATEST = 0.8;
 
 	private final long inForceNanos;
 
@@ -67,7 +86,11 @@
 
 	private long stepNanos;
 
-	private double group;
+	private double position;
+
+	private long turnNanos;
+
+	private long checkedNanos;
 
 	private OptionalInt taking = OptionalInt.empty();
 
@@ -118,6 +141,9 @@
 		this.wanted = OptionalInt.of(version);
 		this.namedNanos = nowNanos;
 		boolean worthIt = this.fetchedShare > 0.5;
+		if (this.step == Step.TURN) {
+			plan(nowNanos);
+		}
 		if (this.step == Step.FETCHING && this.target != version && !worthIt) {
 			this.effects.add(new RolloutEffect.Abandon(this.target));
 			idle(nowNanos);
@@ -129,7 +155,7 @@
 	 * Hears this engine's place among all that change over, from 0 to below 1.
 	 */
 	public void turn(double position) {
-		this.group = Math.floor(position * GROUPS);
+		this.position = position;
 	}
 
 	/**
@@ -151,8 +177,11 @@
 		if (whole && inForce(version)) {
 			idle(nowNanos);
 		}
+		else if (whole) {
+			await(nowNanos);
+		}
 		else {
-			go(whole ? Step.TURN : Step.PAUSE, nowNanos);
+			go(Step.PAUSE, nowNanos);
 		}
 		decide(nowNanos);
 	}
@@ -170,8 +199,9 @@
 			decide(nowNanos);
 			return;
 		}
-		go(Step.ORDERING, nowNanos);
-		this.effects.add(new RolloutEffect.Take(version, this.sequence));
+		this.checkedNanos = nowNanos;
+		go(Step.CHECKED, nowNanos);
+		decide(nowNanos);
 	}
 
 	/**
@@ -231,13 +261,20 @@
 			this.taking = OptionalInt.empty();
 		}
 		decide(nowNanos);
-		boolean calm = this.step == Step.IDLE && this.taking.isEmpty() && this.held.equals(this.wanted);
+		boolean calm = calm();
 		long since = nowNanos - this.readNanos;
 		if (since > (calm ? CALM_READ_NANOS : BUSY_READ_NANOS) && (!this.reading || since > READ_LOST_NANOS)) {
 			read(nowNanos);
 		}
 	}
 
+	/**
+	 * Returns whether nothing is under way, so that time brings nothing soon.
+	 */
+	public boolean calm() {
+		return this.step == Step.IDLE && this.taking.isEmpty() && this.held.equals(this.wanted);
+	}
+
 	/**
 	 * Returns the latest word to the entries, for one that has just come.
 	 */
@@ -249,12 +286,12 @@
 		switch (this.step) {
 			case IDLE -> begin(nowNanos);
 			case TURN -> turn(nowNanos);
-			case QUIET -> quiet(nowNanos);
+			case CHECKED -> checked(nowNanos);
 			case FETCHING, VERIFYING, ORDERING, PAUSE -> {
 				// Goes on when what is under way ends.
 			}
 		}
-		tell();
+		tell(nowNanos);
 	}
 
 	// An engine that holds the named weights already is fetched for too: what is staged
@@ -271,7 +308,7 @@
 		this.target = this.wanted.getAsInt();
 		this.targetNamedNanos = this.namedNanos;
 		if (there) {
-			go(Step.TURN, nowNanos);
+			await(nowNanos);
 			turn(nowNanos);
 			return;
 		}
@@ -286,40 +323,62 @@
 		return this.held.equals(one) || this.taking.equals(one);
 	}
 
+	private void await(long nowNanos) {
+		go(Step.TURN, nowNanos);
+		this.turnNanos = Long.MAX_VALUE;
+		plan(nowNanos);
+	}
+
 	// An engine without weights answers nothing, so it waits for nobody.
-	private void turn(long nowNanos) {
-		if (this.busy || this.taking.isPresent()) {
+	private void plan(long nowNanos) {
+		if (this.held.isEmpty()) {
+			this.turnNanos = nowNanos;
 			return;
 		}
 		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
-		Duration between = newest ? BETWEEN_GROUPS : BETWEEN_HURRIED;
-		boolean turn = nowNanos - this.stepNanos >= this.group * between.toNanos();
-		boolean latest = nowNanos - this.targetNamedNanos >= LATEST * this.inForceNanos;
-		if (this.held.isEmpty() || turn || latest) {
-			go(Step.QUIET, nowNanos);
-		}
+		long most = (newest ? SPREAD : SPREAD_HURRIED).toNanos();
+		long earliest = nowNanos + LEAD.toNanos();
+		long latest = this.targetNamedNanos + (long) (LATEST * this.inForceNanos);
+		long spread = Math.clamp(latest - earliest, 0, most);
+		this.turnNanos = Math.min(this.turnNanos, earliest + (long) (this.position * spread));
 	}
 
-	private void quiet(long nowNanos) {
-		if (this.held.isPresent() && nowNanos - this.stepNanos < QUIET_NANOS) {
+	private void turn(long nowNanos) {
+		if (this.busy || this.taking.isPresent() || nowNanos < this.turnNanos - CHECK_AHEAD.toNanos()) {
 			return;
 		}
 		go(Step.VERIFYING, nowNanos);
 		this.effects.add(new RolloutEffect.Verify(this.target));
 	}
 
+	private void checked(long nowNanos) {
+		if (this.held.isPresent() && nowNanos < this.turnNanos + QUIET_NANOS) {
+			return;
+		}
+		if (nowNanos - this.checkedNanos > FRESH.toNanos()) {
+			go(Step.VERIFYING, nowNanos);
+			this.effects.add(new RolloutEffect.Verify(this.target));
+			return;
+		}
+		go(Step.ORDERING, nowNanos);
+		this.effects.add(new RolloutEffect.Take(this.target, this.sequence));
+	}
+
 	private void read(long nowNanos) {
 		this.reading = true;
 		this.readNanos = nowNanos;
 		this.effects.add(new RolloutEffect.ReadReport());
 	}
 
-	private void tell() {
-		boolean switching = switch (this.step) {
-			case QUIET, VERIFYING, ORDERING -> true;
-			case IDLE, FETCHING, TURN, PAUSE -> this.taking.isPresent();
+	private void tell(long nowNanos) {
+		boolean planned = switch (this.step) {
+			case TURN, VERIFYING, CHECKED -> this.held.isPresent();
+			case IDLE, FETCHING, ORDERING, PAUSE -> false;
 		};
-		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching);
+		boolean closed = planned && nowNanos >= this.turnNanos;
+		boolean switching = closed || this.step == Step.ORDERING || this.taking.isPresent();
+		OptionalLong closes = (planned && !switching) ? OptionalLong.of(this.turnNanos) : OptionalLong.empty();
+		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching, closes);
 		if (this.engineSeen && !now.equals(this.told)) {
 			this.told = now;
 			this.effects.add(now);
@@ -337,7 +396,7 @@
 
 	private enum Step {
 
-		IDLE, FETCHING, TURN, QUIET, VERIFYING, ORDERING, PAUSE
+		IDLE, FETCHING, TURN, VERIFYING, CHECKED, ORDERING, PAUSE
 
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/RolloutEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/RolloutEffect.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.policy.rollout;
 
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * What an agent is to do.
@@ -49,8 +50,9 @@
 	 *
 	 * @param version that it holds
 	 * @param switching whether it takes no requests now
+	 * @param closesNanos when it will take none, when that is planned
 	 */
-	record Tell(OptionalInt version, boolean switching) implements RolloutEffect {
+	record Tell(OptionalInt version, boolean switching, OptionalLong closesNanos) implements RolloutEffect {
 	}
 
 }
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/NearRunnerTests.java
@@ -0,0 +1,48 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+class NearRunnerTests {
+
+	private final Desk desk = new Desk().with(Desk.engine("near"), Desk.engineIn("hall-b", "far"));
+
+	// Both engines can answer in time. The few milliseconds that the farther one is
+	// better
+	// by are not noticed by the caller, the bytes between places are paid for.
+	@Test
+	void aLittleMoreWorkNearByIsBetterThanALongWay() {
+		this.desk.dispatcher.peerLoad("other", "near", new PeerLoad(3, 0, 0), this.desk.now);
+		this.desk.arrive(Desk.STREAM, 200, 6000);
+		assertThat(this.desk.done(), Matchers.contains("Send:near"));
+	}
+
+	// The near engine has half a second of prompts to read. The caller would notice.
+	@Test
+	void aBusyNearEngineIsPassedBy() {
+		this.desk.dispatcher.peerLoad("other", "near", new PeerLoad(8, 5, 8000), this.desk.now);
+		this.desk.arrive(Desk.STREAM, 200, 6000);
+		assertThat(this.desk.done(), Matchers.contains("Send:far"));
+	}
+
+	// All callers come to the entries of one place. Its engines do not fill up while
+	// those
+	// of the other place stand idle.
+	@Test
+	void loadOfOnePlaceIsCarriedByBoth() {
+		List<String> sent = new ArrayList<>();
+		for (int i = 0; i < 24; i++) {
+			this.desk.arrive(Desk.STREAM, 1000, 6000);
+			this.desk.after(60);
+			sent.addAll(this.desk.done());
+		}
+		assertThat(Collections.frequency(sent, "Send:far"), Matchers.greaterThanOrEqualTo(7));
+	}
+
+}
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -2,7 +2,6 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,10 +26,6 @@
 
 	private static final Logger LOG = System.getLogger(Follower.class.getName());
 
-	// A connection can go silent without an end. The wait bounds how long that stays
-	// unnoticed; half of the usual bound for declarations to be in force.
-	private static final Duration WAIT = Duration.ofMillis(2000);
-
 	private static final long FIRST_PAUSE_MILLIS = 60;
 
 	private static final long LONGEST_PAUSE_MILLIS = 500;
@@ -88,14 +83,20 @@
 	}
 
 	private void watch(long from) {
-		this.store.watch(this.kind, from, WAIT).whenCompleteAsync((changes, failure) -> {
+		this.store.watch(this.kind, from, this.kind.watchWait()).whenCompleteAsync((changes, failure) -> {
 			if (failure != null) {
 				lapsed(failure);
 				return;
 			}
 			seen(true);
 			changes.list().forEach(this::change);
-			watch(Math.max(from, changes.at()));
+			long next = Math.max(from, changes.at());
+			if (changes.list().isEmpty()) {
+				watch(next);
+			}
+			else {
+				this.timer.schedule(() -> watch(next), this.kind.gather().toMillis(), TimeUnit.MILLISECONDS);
+			}
 		}, this.timer);
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Kind.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Kind.java
@@ -1,17 +1,59 @@
 package org.wisteriapost.protocol.site;
 
+import java.time.Duration;
+
 /**
  * The kinds of objects that wisteriapost reads or writes in a site's store.
+ *
+ * Each call of the store is paid for and counts against its rates, a watch that waits
+ * too. Harm prevented by the two times of a kind: a watch whose connection has gone
+ * silent is deaf, and every change of a burst costs every process a call.
  */
 public enum Kind {
 
 	/** The declaration of traffic; one object. */
-	ROUTES,
+	ROUTES(Watch.SOON, Duration.ofMillis(80)),
 	/** Runners, written by themselves. */
-	RUNNERS,
+	RUNNERS(Watch.SOON, Duration.ofMillis(150)),
 	/** Named weights, written by operators. */
-	WEIGHTS,
-	/** Entries, written by themselves. */
-	ENTRIES
+	WEIGHTS(Watch.SOON, Duration.ZERO),
+	/**
+	 * Entries, written by themselves. Who leaves or dies is known from the links; only
+	 * who is new is read here.
+	 */
+	ENTRIES(Duration.ofSeconds(15), Duration.ofMillis(400));
+
+	private final Duration wait;
+
+	private final Duration gather;
+
+	Kind(Duration wait, Duration gather) {
+		this.wait = wait;
+		this.gather = gather;
+	}
+
+	/**
+	 * Returns how long a watch waits for a change. A connection can go silent without an
+	 * end; the wait bounds how long that stays unnoticed.
+	 */
+	Duration watchWait() {
+		return this.wait;
+	}
+
+	/**
+	 * Returns how long the changes that follow a change are gathered before they are
+	 * asked for: runners register and change weights many at a time.
+	 */
+	Duration gather() {
+		return this.gather;
+	}
+
+	/** Times of watches. */
+	private static final class Watch {
+
+		// A bit less than the usual bound for declarations to be in force.
+		private static final Duration SOON = Duration.ofMillis(2200);
+
+	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -44,14 +45,30 @@
 	 */
 	CompletableFuture<Void> unregister(String name, long revision);
 
+	/**
+	 * Returns an object that another process has read in this store.
+	 * @param content as {@link Item#content} returned it there
+	 */
+	Item decode(Kind kind, byte[] content);
+
 	/**
 	 * One object.
 	 *
 	 * @param name within its kind
 	 * @param revision of its last change
 	 * @param value decoded; empty when it cannot be read
+	 * @param source writes it as the store did; done only for processes that the store
+	 * does not answer
 	 */
-	record Item(String name, long revision, Optional<Declared> value) {
+	record Item(String name, long revision, Optional<Declared> value, Supplier<byte[]> source) {
+
+		/**
+		 * Returns the object as the store wrote it.
+		 */
+		public byte[] content() {
+			return this.source.get();
+		}
+
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
@@ -141,6 +141,21 @@
     return switching_;
   }
 
+  public static final int CLOSES_IN_MILLIS_FIELD_NUMBER = 5;
+  private int closesInMillis_ = 0;
+  /**
+   * <pre>
+   * until it will be; 0 when nothing is planned
+   * </pre>
+   *
+   * <code>uint32 closes_in_millis = 5;</code>
+   * @return The closesInMillis.
+   */
+  @java.lang.Override
+  public int getClosesInMillis() {
+    return closesInMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -167,6 +182,9 @@
     if (switching_ != false) {
       output.writeBool(4, switching_);
     }
+    if (closesInMillis_ != 0) {
+      output.writeUInt32(5, closesInMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -186,6 +204,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, switching_);
     }
+    if (closesInMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, closesInMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -218,6 +240,8 @@
         != other.getVersion()) return false;
     if (getSwitching()
         != other.getSwitching()) return false;
+    if (getClosesInMillis()
+        != other.getClosesInMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -239,6 +263,8 @@
     hash = (37 * hash) + SWITCHING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getSwitching());
+    hash = (37 * hash) + CLOSES_IN_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getClosesInMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -378,6 +404,7 @@
       holdsWeights_ = false;
       version_ = 0;
       switching_ = false;
+      closesInMillis_ = 0;
       return this;
     }
 
@@ -423,6 +450,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.switching_ = switching_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.closesInMillis_ = closesInMillis_;
+      }
     }
 
     @java.lang.Override
@@ -451,6 +481,9 @@
       if (other.getSwitching() != false) {
         setSwitching(other.getSwitching());
       }
+      if (other.getClosesInMillis() != 0) {
+        setClosesInMillis(other.getClosesInMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -495,6 +528,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              closesInMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -724,6 +762,50 @@
       return this;
     }
 
+    private int closesInMillis_ ;
+    /**
+     * <pre>
+     * until it will be; 0 when nothing is planned
+     * </pre>
+     *
+     * <code>uint32 closes_in_millis = 5;</code>
+     * @return The closesInMillis.
+     */
+    @java.lang.Override
+    public int getClosesInMillis() {
+      return closesInMillis_;
+    }
+    /**
+     * <pre>
+     * until it will be; 0 when nothing is planned
+     * </pre>
+     *
+     * <code>uint32 closes_in_millis = 5;</code>
+     * @param value The closesInMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClosesInMillis(int value) {
+
+      closesInMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * until it will be; 0 when nothing is planned
+     * </pre>
+     *
+     * <code>uint32 closes_in_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClosesInMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      closesInMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.EngineState)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
@@ -55,4 +55,14 @@
    * @return The switching.
    */
   boolean getSwitching();
+
+  /**
+   * <pre>
+   * until it will be; 0 when nothing is planned
+   * </pre>
+   *
+   * <code>uint32 closes_in_millis = 5;</code>
+   * @return The closesInMillis.
+   */
+  int getClosesInMillis();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
@@ -79,6 +79,8 @@
     ENGINE_STATE(19),
     WEIGHTS_NAMED(20),
     ROSTER(21),
+    NEWS_REQUEST(22),
+    NEWS(23),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -116,6 +118,8 @@
         case 19: return ENGINE_STATE;
         case 20: return WEIGHTS_NAMED;
         case 21: return ROSTER;
+        case 22: return NEWS_REQUEST;
+        case 23: return NEWS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -762,6 +766,68 @@
     return org.wisteriapost.protocol.wire.Roster.getDefaultInstance();
   }
 
+  public static final int NEWS_REQUEST_FIELD_NUMBER = 22;
+  /**
+   * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+   * @return Whether the newsRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasNewsRequest() {
+    return bodyCase_ == 22;
+  }
+  /**
+   * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+   * @return The newsRequest.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.NewsRequest getNewsRequest() {
+    if (bodyCase_ == 22) {
+       return (org.wisteriapost.protocol.wire.NewsRequest) body_;
+    }
+    return org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.NewsRequestOrBuilder getNewsRequestOrBuilder() {
+    if (bodyCase_ == 22) {
+       return (org.wisteriapost.protocol.wire.NewsRequest) body_;
+    }
+    return org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance();
+  }
+
+  public static final int NEWS_FIELD_NUMBER = 23;
+  /**
+   * <code>.wisteriapost.News news = 23;</code>
+   * @return Whether the news field is set.
+   */
+  @java.lang.Override
+  public boolean hasNews() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.wisteriapost.News news = 23;</code>
+   * @return The news.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.News getNews() {
+    if (bodyCase_ == 23) {
+       return (org.wisteriapost.protocol.wire.News) body_;
+    }
+    return org.wisteriapost.protocol.wire.News.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.News news = 23;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.NewsOrBuilder getNewsOrBuilder() {
+    if (bodyCase_ == 23) {
+       return (org.wisteriapost.protocol.wire.News) body_;
+    }
+    return org.wisteriapost.protocol.wire.News.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -839,6 +905,12 @@
     if (bodyCase_ == 21) {
       output.writeMessage(21, (org.wisteriapost.protocol.wire.Roster) body_);
     }
+    if (bodyCase_ == 22) {
+      output.writeMessage(22, (org.wisteriapost.protocol.wire.NewsRequest) body_);
+    }
+    if (bodyCase_ == 23) {
+      output.writeMessage(23, (org.wisteriapost.protocol.wire.News) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -927,6 +999,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(21, (org.wisteriapost.protocol.wire.Roster) body_);
     }
+    if (bodyCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (org.wisteriapost.protocol.wire.NewsRequest) body_);
+    }
+    if (bodyCase_ == 23) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(23, (org.wisteriapost.protocol.wire.News) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1035,6 +1115,14 @@
         if (!getRoster()
             .equals(other.getRoster())) return false;
         break;
+      case 22:
+        if (!getNewsRequest()
+            .equals(other.getNewsRequest())) return false;
+        break;
+      case 23:
+        if (!getNews()
+            .equals(other.getNews())) return false;
+        break;
       case 0:
       default:
     }
@@ -1133,6 +1221,14 @@
         hash = (37 * hash) + ROSTER_FIELD_NUMBER;
         hash = (53 * hash) + getRoster().hashCode();
         break;
+      case 22:
+        hash = (37 * hash) + NEWS_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getNewsRequest().hashCode();
+        break;
+      case 23:
+        hash = (37 * hash) + NEWS_FIELD_NUMBER;
+        hash = (53 * hash) + getNews().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1333,6 +1429,12 @@
       if (rosterBuilder_ != null) {
         rosterBuilder_.clear();
       }
+      if (newsRequestBuilder_ != null) {
+        newsRequestBuilder_.clear();
+      }
+      if (newsBuilder_ != null) {
+        newsBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1457,6 +1559,14 @@
           rosterBuilder_ != null) {
         result.body_ = rosterBuilder_.build();
       }
+      if (bodyCase_ == 22 &&
+          newsRequestBuilder_ != null) {
+        result.body_ = newsRequestBuilder_.build();
+      }
+      if (bodyCase_ == 23 &&
+          newsBuilder_ != null) {
+        result.body_ = newsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1555,6 +1665,14 @@
           mergeRoster(other.getRoster());
           break;
         }
+        case NEWS_REQUEST: {
+          mergeNewsRequest(other.getNewsRequest());
+          break;
+        }
+        case NEWS: {
+          mergeNews(other.getNews());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1728,6 +1846,20 @@
               bodyCase_ = 21;
               break;
             } // case 170
+            case 178: {
+              input.readMessage(
+                  internalGetNewsRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 22;
+              break;
+            } // case 178
+            case 186: {
+              input.readMessage(
+                  internalGetNewsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 23;
+              break;
+            } // case 186
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4592,6 +4724,286 @@
       return rosterBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.NewsRequest, org.wisteriapost.protocol.wire.NewsRequest.Builder, org.wisteriapost.protocol.wire.NewsRequestOrBuilder> newsRequestBuilder_;
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     * @return Whether the newsRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasNewsRequest() {
+      return bodyCase_ == 22;
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     * @return The newsRequest.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.NewsRequest getNewsRequest() {
+      if (newsRequestBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          return (org.wisteriapost.protocol.wire.NewsRequest) body_;
+        }
+        return org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 22) {
+          return newsRequestBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    public Builder setNewsRequest(org.wisteriapost.protocol.wire.NewsRequest value) {
+      if (newsRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        newsRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    public Builder setNewsRequest(
+        org.wisteriapost.protocol.wire.NewsRequest.Builder builderForValue) {
+      if (newsRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        newsRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    public Builder mergeNewsRequest(org.wisteriapost.protocol.wire.NewsRequest value) {
+      if (newsRequestBuilder_ == null) {
+        if (bodyCase_ == 22 &&
+            body_ != org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.NewsRequest.newBuilder((org.wisteriapost.protocol.wire.NewsRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 22) {
+          newsRequestBuilder_.mergeFrom(value);
+        } else {
+          newsRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    public Builder clearNewsRequest() {
+      if (newsRequestBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        newsRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    public org.wisteriapost.protocol.wire.NewsRequest.Builder getNewsRequestBuilder() {
+      return internalGetNewsRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.NewsRequestOrBuilder getNewsRequestOrBuilder() {
+      if ((bodyCase_ == 22) && (newsRequestBuilder_ != null)) {
+        return newsRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 22) {
+          return (org.wisteriapost.protocol.wire.NewsRequest) body_;
+        }
+        return org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.NewsRequest, org.wisteriapost.protocol.wire.NewsRequest.Builder, org.wisteriapost.protocol.wire.NewsRequestOrBuilder> 
+        internalGetNewsRequestFieldBuilder() {
+      if (newsRequestBuilder_ == null) {
+        if (!(bodyCase_ == 22)) {
+          body_ = org.wisteriapost.protocol.wire.NewsRequest.getDefaultInstance();
+        }
+        newsRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.NewsRequest, org.wisteriapost.protocol.wire.NewsRequest.Builder, org.wisteriapost.protocol.wire.NewsRequestOrBuilder>(
+                (org.wisteriapost.protocol.wire.NewsRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 22;
+      onChanged();
+      return newsRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.News, org.wisteriapost.protocol.wire.News.Builder, org.wisteriapost.protocol.wire.NewsOrBuilder> newsBuilder_;
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     * @return Whether the news field is set.
+     */
+    @java.lang.Override
+    public boolean hasNews() {
+      return bodyCase_ == 23;
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     * @return The news.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.News getNews() {
+      if (newsBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          return (org.wisteriapost.protocol.wire.News) body_;
+        }
+        return org.wisteriapost.protocol.wire.News.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 23) {
+          return newsBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.News.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    public Builder setNews(org.wisteriapost.protocol.wire.News value) {
+      if (newsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        newsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    public Builder setNews(
+        org.wisteriapost.protocol.wire.News.Builder builderForValue) {
+      if (newsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        newsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    public Builder mergeNews(org.wisteriapost.protocol.wire.News value) {
+      if (newsBuilder_ == null) {
+        if (bodyCase_ == 23 &&
+            body_ != org.wisteriapost.protocol.wire.News.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.News.newBuilder((org.wisteriapost.protocol.wire.News) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 23) {
+          newsBuilder_.mergeFrom(value);
+        } else {
+          newsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    public Builder clearNews() {
+      if (newsBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        newsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    public org.wisteriapost.protocol.wire.News.Builder getNewsBuilder() {
+      return internalGetNewsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.NewsOrBuilder getNewsOrBuilder() {
+      if ((bodyCase_ == 23) && (newsBuilder_ != null)) {
+        return newsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 23) {
+          return (org.wisteriapost.protocol.wire.News) body_;
+        }
+        return org.wisteriapost.protocol.wire.News.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.News news = 23;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.News, org.wisteriapost.protocol.wire.News.Builder, org.wisteriapost.protocol.wire.NewsOrBuilder> 
+        internalGetNewsFieldBuilder() {
+      if (newsBuilder_ == null) {
+        if (!(bodyCase_ == 23)) {
+          body_ = org.wisteriapost.protocol.wire.News.getDefaultInstance();
+        }
+        newsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.News, org.wisteriapost.protocol.wire.News.Builder, org.wisteriapost.protocol.wire.NewsOrBuilder>(
+                (org.wisteriapost.protocol.wire.News) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 23;
+      onChanged();
+      return newsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.Frame)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
@@ -316,5 +316,35 @@
    */
   org.wisteriapost.protocol.wire.RosterOrBuilder getRosterOrBuilder();
 
+  /**
+   * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+   * @return Whether the newsRequest field is set.
+   */
+  boolean hasNewsRequest();
+  /**
+   * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+   * @return The newsRequest.
+   */
+  org.wisteriapost.protocol.wire.NewsRequest getNewsRequest();
+  /**
+   * <code>.wisteriapost.NewsRequest news_request = 22;</code>
+   */
+  org.wisteriapost.protocol.wire.NewsRequestOrBuilder getNewsRequestOrBuilder();
+
+  /**
+   * <code>.wisteriapost.News news = 23;</code>
+   * @return Whether the news field is set.
+   */
+  boolean hasNews();
+  /**
+   * <code>.wisteriapost.News news = 23;</code>
+   * @return The news.
+   */
+  org.wisteriapost.protocol.wire.News getNews();
+  /**
+   * <code>.wisteriapost.News news = 23;</code>
+   */
+  org.wisteriapost.protocol.wire.NewsOrBuilder getNewsOrBuilder();
+
   org.wisteriapost.protocol.wire.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -141,6 +141,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wisteriapost_WeightsNamed_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_NewsRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_NewsRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_News_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_News_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_StoreObject_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_StoreObject_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wisteriapost_Roster_descriptor;
   static final 
@@ -160,7 +175,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\014wisteriapost\"\314\007\n\005Frame\022\022\n\n" +
+      "\n\nwire.proto\022\014wisteriapost\"\243\010\n\005Frame\022\022\n\n" +
       "generation\030\001 \001(\004\022$\n\005hello\030\002 \001(\0132\023.wister" +
       "iapost.HelloH\000\022\"\n\004head\030\003 \001(\0132\022.wisteriap" +
       "ost.HeadH\000\0225\n\016bundle_request\030\004 \001(\0132\033.wis" +
@@ -184,65 +199,76 @@
       "dReportH\000\0221\n\014engine_state\030\023 \001(\0132\031.wister" +
       "iapost.EngineStateH\000\0223\n\rweights_named\030\024 " +
       "\001(\0132\032.wisteriapost.WeightsNamedH\000\022&\n\006ros" +
-      "ter\030\025 \001(\0132\024.wisteriapost.RosterH\000B\006\n\004bod" +
-      "y\"d\n\005Hello\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022 \n" +
-      "\004role\030\003 \001(\0162\022.wisteriapost.Role\022\017\n\007servi" +
-      "ce\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\"[\n\004Head\022\022\n\ngener" +
-      "ation\030\001 \001(\004\022\016\n\006digest\030\002 \001(\t\022\034\n\024confirmed" +
-      "_age_millis\030\003 \001(\004\022\021\n\tconfirmed\030\004 \001(\010\"\r\n\013" +
-      "HeadRequest\"\037\n\rBundleRequest\022\016\n\006digest\030\001" +
-      " \001(\t\"X\n\013BundleReply\022\016\n\006digest\030\001 \001(\t\022\016\n\006b" +
-      "undle\030\002 \001(\014\022)\n\tapprovals\030\003 \003(\0132\026.wisteri" +
-      "apost.Approval\"/\n\010Approval\022\020\n\010operator\030\001" +
-      " \001(\t\022\021\n\tsignature\030\002 \001(\014\"\256\002\n\006Report\022\n\n\002vm" +
-      "\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\r" +
-      "\n\005plain\030\004 \001(\010\022\021\n\tadmitting\030\005 \001(\010\022\017\n\007leav" +
-      "ing\030\006 \001(\010\022\026\n\016weights_digest\030\007 \001(\t\022\031\n\021bun" +
-      "dle_generation\030\010 \001(\004\022\017\n\007running\030\t \001(\r\022\020\n" +
-      "\010capacity\030\n \001(\r\022\016\n\006queued\030\013 \001(\r\022\027\n\017chunk" +
-      "s_verified\030\014 \001(\004\022\024\n\014chunks_total\030\r \001(\004\022\017" +
-      "\n\007failing\030\016 \001(\t\022\020\n\010prefixes\030\017 \003(\006\022\r\n\005epo" +
-      "ch\030\020 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005valu" +
-      "e\030\002 \001(\t\"\374\001\n\004Call\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030" +
-      "\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022%\n\007h" +
-      "eaders\030\005 \003(\0132\024.wisteriapost.Header\022\014\n\004bo" +
-      "dy\030\006 \001(\014\022\030\n\020remaining_millis\030\007 \001(\r\022(\n\010pr" +
-      "iority\030\010 \001(\0162\026.wisteriapost.Priority\022\026\n\016" +
-      "weights_digest\030\t \001(\t\022\024\n\014organisation\030\n \001" +
-      "(\t\022\022\n\nrequest_id\030\013 \001(\t\"h\n\013CallStarted\022\n\n" +
-      "\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022%\n\007headers\030\003 \003" +
-      "(\0132\024.wisteriapost.Header\022\026\n\016weights_dige" +
-      "st\030\004 \001(\t\"$\n\010CallData\022\n\n\002id\030\001 \001(\004\022\014\n\004data" +
-      "\030\002 \001(\014\"g\n\007CallEnd\022\n\n\002id\030\001 \001(\004\022&\n\007outcome" +
-      "\030\002 \001(\0162\025.wisteriapost.Outcome\022\014\n\004code\030\003 " +
-      "\001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030\n\nCallC" +
-      "ancel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002vm\030\001 \001(\t" +
-      "\"+\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030" +
-      "\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 " +
-      "\001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014\022\r\n\005add" +
-      "ed\030\005 \003(\r\"7\n\014ChunkRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
-      "file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\"n\n\nChunkReply\022" +
-      "\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r" +
-      "\022)\n\006status\030\004 \001(\0162\031.wisteriapost.ChunkSta" +
-      "tus\022\014\n\004data\030\005 \001(\014\"5\n\nLoadReport\022\'\n\005loads" +
-      "\030\001 \003(\0132\030.wisteriapost.RunnerLoad\"U\n\nRunn" +
-      "erLoad\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030\002 \001(\r\022\017" +
-      "\n\007waiting\030\003 \001(\r\022\026\n\016waiting_prompt\030\004 \001(\r\"" +
-      "Y\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025\n\rholds" +
-      "_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswitc" +
-      "hing\030\004 \001(\010\">\n\014WeightsNamed\022\r\n\005model\030\001 \001(" +
-      "\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"5\n\006Ro" +
-      "ster\022+\n\007members\030\001 \003(\0132\032.wisteriapost.Ros" +
-      "terMember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n" +
-      "\005place\030\002 \001(\t*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED" +
-      "\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006" +
-      "NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcom" +
-      "e\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007N" +
-      "OT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030" +
-      "CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001" +
-      "\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003B$\n\036o" +
-      "rg.wisteriapost.protocol.wireH\001P\001b\006proto" +
-      "3"
+      "ter\030\025 \001(\0132\024.wisteriapost.RosterH\000\0221\n\014new" +
+      "s_request\030\026 \001(\0132\031.wisteriapost.NewsReque" +
+      "stH\000\022\"\n\004news\030\027 \001(\0132\022.wisteriapost.NewsH\000" +
+      "B\006\n\004body\"d\n\005Hello\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002" +
+      " \001(\t\022 \n\004role\030\003 \001(\0162\022.wisteriapost.Role\022\017" +
+      "\n\007service\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\"[\n\004Head\022\022" +
+      "\n\ngeneration\030\001 \001(\004\022\016\n\006digest\030\002 \001(\t\022\034\n\024co" +
+      "nfirmed_age_millis\030\003 \001(\004\022\021\n\tconfirmed\030\004 " +
+      "\001(\010\"\r\n\013HeadRequest\"\037\n\rBundleRequest\022\016\n\006d" +
+      "igest\030\001 \001(\t\"X\n\013BundleReply\022\016\n\006digest\030\001 \001" +
+      "(\t\022\016\n\006bundle\030\002 \001(\014\022)\n\tapprovals\030\003 \003(\0132\026." +
+      "wisteriapost.Approval\"/\n\010Approval\022\020\n\010ope" +
+      "rator\030\001 \001(\t\022\021\n\tsignature\030\002 \001(\014\"\256\002\n\006Repor" +
+      "t\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022\017\n\007service\030" +
+      "\003 \001(\t\022\r\n\005plain\030\004 \001(\010\022\021\n\tadmitting\030\005 \001(\010\022" +
+      "\017\n\007leaving\030\006 \001(\010\022\026\n\016weights_digest\030\007 \001(\t" +
+      "\022\031\n\021bundle_generation\030\010 \001(\004\022\017\n\007running\030\t" +
+      " \001(\r\022\020\n\010capacity\030\n \001(\r\022\016\n\006queued\030\013 \001(\r\022\027" +
+      "\n\017chunks_verified\030\014 \001(\004\022\024\n\014chunks_total\030" +
+      "\r \001(\004\022\017\n\007failing\030\016 \001(\t\022\020\n\010prefixes\030\017 \003(\006" +
+      "\022\r\n\005epoch\030\020 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022" +
+      "\r\n\005value\030\002 \001(\t\"\374\001\n\004Call\022\n\n\002id\030\001 \001(\004\022\017\n\007s" +
+      "ervice\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\014\n\004path\030\004 \001" +
+      "(\t\022%\n\007headers\030\005 \003(\0132\024.wisteriapost.Heade" +
+      "r\022\014\n\004body\030\006 \001(\014\022\030\n\020remaining_millis\030\007 \001(" +
+      "\r\022(\n\010priority\030\010 \001(\0162\026.wisteriapost.Prior" +
+      "ity\022\026\n\016weights_digest\030\t \001(\t\022\024\n\014organisat" +
+      "ion\030\n \001(\t\022\022\n\nrequest_id\030\013 \001(\t\"h\n\013CallSta" +
+      "rted\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022%\n\007head" +
+      "ers\030\003 \003(\0132\024.wisteriapost.Header\022\026\n\016weigh" +
+      "ts_digest\030\004 \001(\t\"$\n\010CallData\022\n\n\002id\030\001 \001(\004\022" +
+      "\014\n\004data\030\002 \001(\014\"g\n\007CallEnd\022\n\n\002id\030\001 \001(\004\022&\n\007" +
+      "outcome\030\002 \001(\0162\025.wisteriapost.Outcome\022\014\n\004" +
+      "code\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030" +
+      "\n\nCallCancel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002v" +
+      "m\030\001 \001(\t\"+\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014" +
+      "\n\004file\030\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
+      "file\030\002 \001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014" +
+      "\022\r\n\005added\030\005 \003(\r\"7\n\014ChunkRequest\022\n\n\002id\030\001 " +
+      "\001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\"n\n\nChun" +
+      "kReply\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005inde" +
+      "x\030\003 \001(\r\022)\n\006status\030\004 \001(\0162\031.wisteriapost.C" +
+      "hunkStatus\022\014\n\004data\030\005 \001(\014\"5\n\nLoadReport\022\'" +
+      "\n\005loads\030\001 \003(\0132\030.wisteriapost.RunnerLoad\"" +
+      "U\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030" +
+      "\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n\016waiting_prompt" +
+      "\030\004 \001(\r\"s\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025" +
+      "\n\rholds_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021" +
+      "\n\tswitching\030\004 \001(\010\022\030\n\020closes_in_millis\030\005 " +
+      "\001(\r\">\n\014WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007ve" +
+      "rsion\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\035\n\013NewsReque" +
+      "st\022\016\n\006wanted\030\001 \001(\010\"w\n\004News\022\017\n\007current\030\001 " +
+      "\001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.StoreKi" +
+      "nd\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wiste" +
+      "riapost.StoreObject\"O\n\013StoreObject\022\014\n\004na" +
+      "me\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 " +
+      "\001(\010\022\017\n\007content\030\004 \001(\014\"5\n\006Roster\022+\n\007member" +
+      "s\030\001 \003(\0132\032.wisteriapost.RosterMember\")\n\014R" +
+      "osterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t*2" +
+      "\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022" +
+      "\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006UR" +
+      "GENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_U" +
+      "NSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UN" +
+      "KNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_U" +
+      "NSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISS" +
+      "ING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStoreKind\022\032\n\026ST" +
+      "ORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020\001" +
+      "\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021" +
+      "\n\rSTORE_ENTRIES\020\004B$\n\036org.wisteriapost.pr" +
+      "otocol.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -253,7 +279,7 @@
     internal_static_wisteriapost_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Frame_descriptor,
-        new java.lang.String[] { "Generation", "Hello", "Head", "BundleRequest", "BundleReply", "Report", "Call", "CallStarted", "CallData", "CallEnd", "CallCancel", "Leaving", "ChunkMapRequest", "ChunkMap", "ChunkRequest", "ChunkReply", "HeadRequest", "LoadReport", "EngineState", "WeightsNamed", "Roster", "Body", });
+        new java.lang.String[] { "Generation", "Hello", "Head", "BundleRequest", "BundleReply", "Report", "Call", "CallStarted", "CallData", "CallEnd", "CallCancel", "Leaving", "ChunkMapRequest", "ChunkMap", "ChunkRequest", "ChunkReply", "HeadRequest", "LoadReport", "EngineState", "WeightsNamed", "Roster", "NewsRequest", "News", "Body", });
     internal_static_wisteriapost_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_wisteriapost_Hello_fieldAccessorTable = new
@@ -379,21 +405,39 @@
     internal_static_wisteriapost_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_EngineState_descriptor,
-        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", });
+        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", "ClosesInMillis", });
     internal_static_wisteriapost_WeightsNamed_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_wisteriapost_WeightsNamed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_WeightsNamed_descriptor,
         new java.lang.String[] { "Model", "Version", "Origin", });
-    internal_static_wisteriapost_Roster_descriptor =
+    internal_static_wisteriapost_NewsRequest_descriptor =
       getDescriptor().getMessageType(23);
+    internal_static_wisteriapost_NewsRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_NewsRequest_descriptor,
+        new java.lang.String[] { "Wanted", });
+    internal_static_wisteriapost_News_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_wisteriapost_News_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_News_descriptor,
+        new java.lang.String[] { "Current", "Kind", "All", "Objects", });
+    internal_static_wisteriapost_StoreObject_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_wisteriapost_StoreObject_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_StoreObject_descriptor,
+        new java.lang.String[] { "Name", "Revision", "Deleted", "Content", });
+    internal_static_wisteriapost_Roster_descriptor =
+      getDescriptor().getMessageType(26);
     internal_static_wisteriapost_Roster_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Roster_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_wisteriapost_RosterMember_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(27);
     internal_static_wisteriapost_RosterMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RosterMember_descriptor,
