--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -346,7 +346,8 @@
 			case DispatchEffect.Stop stop -> this.output.stop(call);
 			case DispatchEffect.Refuse refuse -> {
 				this.log.failure("refused", "attempt", refuse.job().attempt(), "code", refuse.code().name(), "route",
-						refuse.job().route().name(), "retryAfterMs", refuse.retryAfterMillis());
+						refuse.job().route().name(), "retryAfterMs", refuse.retryAfterMillis(), "ageMs",
+						TimeUnit.NANOSECONDS.toMillis(this.clock.getAsLong() - refuse.job().arrivedNanos()));
 				this.metrics.answered("refused", refuse.code().name());
 				this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
 				this.calls.remove(refuse.job().id());
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -102,10 +102,7 @@
 			return late(job, choice, nowNanos);
 		}
 		double left = leftMillis(job, nowNanos);
-		if (choice.room() && choice.predictedMillis() <= left) {
-			return Step.SEND;
-		}
-		if (choice.used() < SPARE) {
+		if (choice.room() && (choice.predictedMillis() <= left || choice.used() < SPARE)) {
 			return Step.SEND;
 		}
 		this.contendedNanos = nowNanos;
@@ -122,7 +119,7 @@
 
 	private Step late(Job job, Placement.Choice choice, long nowNanos) {
 		boolean contended = nowNanos - this.contendedNanos < CONTENDED_NANOS;
-		if (choice.used() < (contended ? LATE_SPARE_CONTENDED : LATE_SPARE)) {
+		if (choice.room() && choice.used() < (contended ? LATE_SPARE_CONTENDED : LATE_SPARE)) {
 			return Step.SEND;
 		}
 		return (waitedShare(job, nowNanos) < LATE_WAIT_SHARE) ? Step.WAIT : Step.REFUSE;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -45,6 +45,9 @@
 	// capacity.
 	private static final int QUEUED = 2;
 
+	// More than any prediction that is still in time: whoever has room goes first.
+	private static final double NO_ROOM_MILLIS = 10_000;
+
 	private final RunnerBook book;
 
 	private final ServicePaces paces;
@@ -111,25 +114,27 @@
 			if (wish == Wish.WELL_AND_ENDS && endsLate(job, runner, engine, load, predicted, nowNanos)) {
 				continue;
 			}
-			double cost = predicted + distance(job, runner, engine, predicted)
+			Choice choice = choice(runner, engine, load, base, predicted, version, nowNanos);
+			double cost = predicted + distance(job, runner, engine, predicted) + (choice.room() ? 0 : NO_ROOM_MILLIS)
 					+ this.random.nextDouble() * ALIKE_MILLIS;
 			if (cost < bestCost) {
 				bestCost = cost;
-				best = choice(runner, engine, load, base, predicted, version);
+				best = choice;
 			}
 		}
 		return best.among(engines, engine, this.entries);
 	}
 
 	private Choice choice(RunnerState runner, Optional<EngineSpec> engine, PeerLoad load, double base, double predicted,
-			OptionalInt version) {
+			OptionalInt version, long nowNanos) {
 		if (engine.isEmpty()) {
 			int places = runner.info.slots() + PLAIN_QUEUE;
 			return new Choice(Optional.of(runner), base, predicted, 0, load.active() < places,
 					(double) load.active() / places, false, 0, version);
 		}
 		EngineSpec spec = engine.get();
-		boolean room = load.active() < spec.slots() + QUEUED;
+		int free = spec.slots() + QUEUED - load.active();
+		boolean room = free > 0 && runner.share.left(free, this.entries, this.random, nowNanos);
 		double wait = EngineForecast.slotWaitMillis(spec, load) * predicted / base;
 		OptionalInt bound = version.isPresent() ? runner.version(spec.model()) : version;
 		return new Choice(Optional.of(runner), base, predicted, wait, room, (double) load.active() / spec.slots(), true,
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -31,6 +31,8 @@
 
 	final RunnerHealth health = new RunnerHealth();
 
+	final FreshShare share = new FreshShare();
+
 	RunnerInfo info;
 
 	PeerLoad own = PeerLoad.NONE;
@@ -68,6 +70,7 @@
 	}
 
 	void sent(int promptTokens) {
+		this.share.took();
 		this.own = this.own.plus(new PeerLoad(1, 1, promptTokens));
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -40,12 +40,19 @@
 
 	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
 
-	// Engines change over one after the other, spread over the time that is left. An
-	// engine
-	// ends what it runs first and is away for that long and its own warm-up; the spread
-	// bounds how many are away at once. Longer than this it gains little: an engine whose
-	// turn is announced ahead is away for about a second.
-	private static final Duration SPREAD = Duration.ofMillis(4000);
+	// Engines change over in groups, so that the others go on answering. An engine ends
+	// what
+	// it runs and is away for some two seconds under full load; a group begins when the
+	// one
+	// before it is back, as far as time allows. Turns spread evenly over a time that is
+	// no
+	// longer than that put all engines away at its end: 73 of 360 requests in time then.
+	private static final Duration AWAY = Duration.ofMillis(2000);
+
+	private static final int LEAST_GROUPS = 2;
+
+	// More groups gain little: with four, three quarters of the engines answer.
+	private static final int MOST_GROUPS = 4;
 
 	// A version that a newer one waits for is taken quickly, since the fetch of the newer
 	// one can begin only then.
@@ -358,11 +365,12 @@
 
 	private long turnAfter(long fetchedNanos) {
 		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
-		long most = (newest ? SPREAD : SPREAD_HURRIED).toNanos();
 		long earliest = fetchedNanos + LEAD.toNanos();
 		long latest = this.targetNamedNanos + (long) (LATEST * this.inForceNanos);
-		long spread = Math.clamp(latest - earliest, 0, most);
-		return earliest + (long) (this.position * spread);
+		long spread = Math.max(0, newest ? latest - earliest : Math.min(latest - earliest, SPREAD_HURRIED.toNanos()));
+		int groups = (int) Math.clamp(1 + spread / AWAY.toNanos(), LEAST_GROUPS, MOST_GROUPS);
+		long between = Math.min(spread / (groups - 1), AWAY.toNanos());
+		return earliest + (long) (this.position * groups) * between;
 	}
 
 	private void turn(long nowNanos) {
