--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -37,9 +37,8 @@
 	private static final long CONTENDED_NANOS = Duration.ofMillis(300).toNanos();
 
 	// Who comes back after a refusal cannot be in time any more, and a second refusal is
-	// its last. It waits for a spare slot for as long as a caller takes for an answer
-	// that
-	// is on its way: half of the usual time to a first event.
+	// its last. While nobody else is turned away it waits for a spare slot, as a part of
+	// the time that callers expect; longer would keep it from asking elsewhere.
 	private static final double LATE_WAIT_SHARE = 0.8;
 
 	// A refused caller comes back once, and bears a third of the time that it has left.
@@ -122,7 +121,8 @@
 		if (choice.room() && choice.used() < (contended ? LATE_SPARE_CONTENDED : LATE_SPARE)) {
 			return Step.SEND;
 		}
-		return (waitedShare(job, nowNanos) < LATE_WAIT_SHARE) ? Step.WAIT : Step.REFUSE;
+		boolean hopes = !contended && waitedShare(job, nowNanos) < LATE_WAIT_SHARE;
+		return hopes ? Step.WAIT : Step.REFUSE;
 	}
 
 	private static double waitedShare(Job job, long nowNanos) {
