Load reports: entries of other places hear half as often, and all less often the more there are

Change: LoadReports, two groups, an entry sends a bounded number a second; what a peer had in flight is forgotten when its link ends instead of by time alone. Tests: LoadReportsTests.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 
 import org.wisteriapost.policy.dispatch.Dispatcher;
-import org.wisteriapost.policy.dispatch.PeerLoad;
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.routing.EngineSpec;
@@ -16,10 +15,8 @@
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.Leaving;
-import org.wisteriapost.protocol.wire.LoadReport;
 import org.wisteriapost.protocol.wire.Roster;
 import org.wisteriapost.protocol.wire.RosterMember;
-import org.wisteriapost.protocol.wire.RunnerLoad;
 import org.wisteriapost.protocol.wire.WeightsNamed;
 
 /**
@@ -39,8 +36,6 @@
 
 	private final Map<String, Integer> named = new HashMap<>();
 
-	private final Map<String, PeerLoad> reported = new HashMap<>();
-
 	private final Map<String, Frame> told = new HashMap<>();
 
 	private Optional<Mesh> mesh = Optional.empty();
@@ -86,7 +81,6 @@
 	 * Says all to a peer whose link has come up.
 	 */
 	void linked(String peer, Optional<RouteTable> known) {
-		this.reported.clear();
 		this.told.keySet().removeIf((key) -> key.startsWith(peer));
 		if (this.leaves) {
 			this.mesh.ifPresent((links) -> links.send(peer, leave()));
@@ -151,32 +145,6 @@
 		}
 	}
 
-	/**
-	 * Tells the other entries what this one has in flight.
-	 * @param full whether what has not changed is said again
-	 */
-	void report(boolean full) {
-		LoadReport.Builder report = LoadReport.newBuilder();
-		this.dispatcher.ownLoad().forEach((runner, load) -> {
-			boolean changed = !load.equals(this.reported.getOrDefault(runner, PeerLoad.NONE));
-			if (changed || (full && load.active() > 0)) {
-				this.reported.put(runner, load);
-				report.addLoads(RunnerLoad.newBuilder()
-					.setRunner(runner)
-					.setActive(load.active())
-					.setWaiting(Math.max(0, load.waiting()))
-					.setWaitingPrompt((int) Math.max(0, load.waitingPrompt())));
-			}
-		});
-		if (report.getLoadsCount() > 0) {
-			toEntries(Frame.newBuilder().setLoadReport(report).build());
-		}
-	}
-
-	private void toEntries(Frame frame) {
-		this.mesh.ifPresent((links) -> this.roster.others().forEach((info) -> links.send(info.name(), frame)));
-	}
-
 	private static InetSocketAddress address(String text) {
 		int colon = text.lastIndexOf(':');
 		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -51,9 +51,7 @@
 	// Another entry answers now; there is nothing to wait for.
 	private static final long AT_ONCE_MILLIS = 20;
 
-	private static final int TICKS_PER_REPORT = 5;
-
-	private static final int REPORTS_PER_FULL = 5;
+	private static final int TICKS_PER_NEWS = 5;
 
 	private final EntryInfo self;
 
@@ -87,6 +85,8 @@
 
 	private Optional<SiteNews> news = Optional.empty();
 
+	private Optional<LoadReports> reports = Optional.empty();
+
 	private boolean registering;
 
 	private long ticks;
@@ -115,6 +115,7 @@
 		this.store = Optional.of(objects);
 		this.mesh = Optional.of(links);
 		this.news = Optional.of(new SiteNews(objects, links::send, this.log));
+		this.reports = Optional.of(new LoadReports(this.self.place(), links::send));
 	}
 
 	void apply(DirectEvent event) {
@@ -266,6 +267,10 @@
 		this.dispatcher.entries(this.roster.alive());
 		if (up) {
 			this.announcer.linked(peer, this.beliefs.table());
+			this.reports.ifPresent(LoadReports::again);
+		}
+		else {
+			this.dispatcher.peerGone(peer);
 		}
 	}
 
@@ -288,9 +293,9 @@
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
-		if (this.ticks % TICKS_PER_REPORT == 0) {
+		this.reports.ifPresent((due) -> due.tick(this.ticks, this.roster.others(), this.dispatcher.ownLoad()));
+		if (this.ticks % TICKS_PER_NEWS == 0) {
 			this.news.ifPresent((passed) -> passed.tick(this.mesh.orElseThrow().entries(), now));
-			this.announcer.report(this.ticks % ((long) TICKS_PER_REPORT * REPORTS_PER_FULL) == 0);
 		}
 		register(now);
 	}
--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
@@ -0,0 +1,84 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.protocol.wire.Frame;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+class LoadReportsTests {
+
+	private static final int TICKS_IN_10_S = 500;
+
+	private final List<String> sent = new ArrayList<>();
+
+	private final List<Frame> frames = new ArrayList<>();
+
+	private final LoadReports reports = new LoadReports("hall-a", (peer, frame) -> {
+		this.sent.add(peer);
+		this.frames.add(frame);
+	});
+
+	private static List<EntryInfo> entries(int near, int far) {
+		List<EntryInfo> entries = new ArrayList<>();
+		for (int i = 0; i < near + far; i++) {
+			String place = (i < near) ? "hall-a" : "hall-b";
+			entries.add(new EntryInfo(place + "-" + i, i, "", "", place, ""));
+		}
+		return entries;
+	}
+
+	private static Map<String, PeerLoad> busy(long tick) {
+		return Map.of("runner", new PeerLoad(1 + (int) (tick % 7), 0, 0));
+	}
+
+	// Load changes all the time. However many entries there are, one of them sends no
+	// more
+	// than a bounded number of messages a second, or they would grow with the square.
+	@ParameterizedTest
+	@CsvSource({ "1,4,15,45", "13,28,70,100", "100,200,70,110" })
+	void messagesAreBoundedHoweverManyEntriesThereAre(int near, int far, int least, int most) {
+		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
+			this.reports.tick(tick, entries(near, far), busy(tick));
+		}
+		assertThat(this.sent.size() / 10,
+				Matchers.allOf(Matchers.greaterThanOrEqualTo(least), Matchers.lessThanOrEqualTo(most)));
+	}
+
+	@Test
+	void entriesOfTheSamePlaceAreToldTwiceAsOften() {
+		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
+			this.reports.tick(tick, entries(1, 1), busy(tick));
+		}
+		long near = this.sent.stream().filter((name) -> name.startsWith("hall-a")).count();
+		assertThat(near, Matchers.equalTo(2 * (this.sent.size() - near)));
+	}
+
+	// A message was lost. What is in flight without any change is said again each second,
+	// so that no entry goes on believing a runner empty.
+	@Test
+	void whatDoesNotChangeIsSaidAgainEachSecond() {
+		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
+			this.reports.tick(tick, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
+		}
+		assertThat(this.sent.size(), Matchers.allOf(Matchers.greaterThanOrEqualTo(9), Matchers.lessThanOrEqualTo(11)));
+	}
+
+	@Test
+	void whatHasEndedIsSaidOnce() {
+		this.reports.tick(0, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
+		this.reports.tick(10, entries(1, 0), Map.of("runner", PeerLoad.NONE));
+		this.reports.tick(20, entries(1, 0), Map.of("runner", PeerLoad.NONE));
+		assertThat(this.frames, Matchers.hasSize(2));
+		assertThat(this.frames.getLast().getLoadReport().getLoads(0).getActive(), Matchers.equalTo(0));
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -169,6 +169,14 @@
 		this.book.find(runner).ifPresent((state) -> state.heard(peer, load, nowNanos));
 	}
 
+	/**
+	 * Hears that another entry cannot be heard any more: its requests have ended with it,
+	 * or it is cut off.
+	 */
+	public void peerGone(String peer) {
+		this.book.states().forEach((state) -> state.forget(peer));
+	}
+
 	/**
 	 * Hears how many entries there are, this one included.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -14,8 +14,10 @@
  */
 final class RunnerState {
 
-	// Another entry that was killed says nothing any more; its requests ended with it.
-	private static final long PEER_TTL_NANOS = Duration.ofMillis(1500).toNanos();
+	// Another entry that is killed is known to be gone from its link. This is for one
+	// whose
+	// messages are lost: all that it has is said again each second.
+	private static final long PEER_TTL_NANOS = Duration.ofMillis(2500).toNanos();
 
 	// A runner that has just said that it is full is not asked again for the time in
 	// which a running answer may end.
@@ -86,6 +88,10 @@
 		this.peers.put(peer, new Heard(load, nowNanos));
 	}
 
+	void forget(String peer) {
+		this.peers.remove(peer);
+	}
+
 	/**
 	 * Returns what all entries together have there.
 	 */
