Weights: the window of pieces on their way follows the link

Both engines in the trace stand on VMs whose link was squeezed to 0.95 Mbit/s; eight pieces at once queue there for 2.2 s, and requests of the engine behind them. Ruled out: the entry, which closes its connection 5 ms after the caller's deadline (the engine says 'gone' at 24.769 s).

--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -52,19 +52,15 @@
 	private static final int ORIGIN_READS = 2;
 
 	// In virtual time, 12 to 40 VMs that fetch 64 pieces have them after 1.10 to 1.23
-	// times
-	// what the link alone takes with these two, 1.25 to 1.42 with twelve neighbours and
-	// three
-	// or four pieces at once (scripts/bench weights-sim). More neighbours queue at each
-	// other.
+	// times what the link alone takes with these two, 1.25 to 1.42 with twelve
+	// neighbours and three or four pieces at once (scripts/bench weights-sim). More
+	// neighbours queue at each other.
 	private static final int NEIGHBOURS = 8;
 
-	// Pieces go out in parts by turns (PacedReplies), so several can be on their way to
-	// one VM without holding up its engine's requests. On a link of 5 Mbit/s, while 12
-	// VMs
-	// fetch 2 MB under full load, 492 of 604 first events are in time with parts and 0.85
-	// of
-	// the link, 326 with whole pieces, three at once and 0.95.
+	// Pieces go out in parts by turns (PacedReplies), so several can be on their way
+	// to one VM without holding up its engine's requests. On a link of 5 Mbit/s, while
+	// 12 VMs fetch 2 MB under full load, 492 of 604 first events are in time with
+	// parts and 0.85 of the link, 326 with whole pieces, three at once and 0.95.
 	private static final int OUTSTANDING = 8;
 
 	private static final int PER_PEER = 1;
--- a/agent/src/test/java/org/wisteriapost/agent/transfer/PacedRepliesTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/PacedRepliesTests.java
@@ -45,11 +45,10 @@
 		return new PacedReplies.Sending(link, ChunkRequest.newBuilder().setId(id).build(), new byte[CHUNK]);
 	}
 
-	// Two peers ask at once on a link that carries a chunk in a tenth of a second. Sent
-	// one
-	// after the other as they are, each would hold up live answers for that long. They go
-	// out in parts by turns, so that whatever waits behind one part waits for a few
-	// milliseconds.
+	// Two peers ask at once on a link that carries a chunk in a tenth of a second.
+	// Sent one after the other as they are, each would hold up live answers for that
+	// long. They go out in parts by turns, so that whatever waits behind one part
+	// waits for a few milliseconds.
 	@Test
 	void chunksGoOutInPartsByTurns() throws Exception {
 		this.timer.submit(() -> {
@@ -68,9 +67,8 @@
 		assertThat(bytes, Matchers.equalTo((long) CHUNK));
 	}
 
-	// A peer goes away in the middle. What was kept for it is given free, or the places
-	// of
-	// chunks in memory would run out and no other peer would be served.
+	// A peer goes away in the middle. What was kept for it is given free, or the
+	// places of chunks in memory would run out and no other peer would be served.
 	@Test
 	void whatGoesToALostLinkIsDropped() throws Exception {
 		Recorder gone = new Recorder();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -31,11 +31,10 @@
 	// The runner answers its own time-out; the connection is given up a little later.
 	private static final Duration SLACK = Duration.ofMillis(300);
 
-	// A runner may drop an idle connection without notice, and what is sent on it then is
-	// reset: nobody knows whether it ran, so a call that may run once is lost. One that
-	// was
-	// used within this time is hardly ever dropped, and opening another costs a
-	// millisecond.
+	// A runner may drop an idle connection without notice, and what is sent on it then
+	// is reset: nobody knows whether it ran, so a call that may run once is lost. One
+	// that was used within this time is hardly ever dropped, and opening another costs
+	// a millisecond.
 	private static final Duration ONCE_MOST_IDLE = Duration.ofMillis(800);
 
 	private final HttpCaller caller;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
@@ -31,9 +31,8 @@
 
 	static final int PEERS_AT_ONCE = 6;
 
-	// All that is in flight is said again this often; what others hold is forgotten when
-	// it
-	// was not said for two and a half seconds.
+	// All that is in flight is said again this often; what others hold is forgotten
+	// when it was not said for two and a half seconds.
 	private static final long FULL_TICKS = 50;
 
 	private final String place;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
@@ -41,8 +41,8 @@
 	}
 
 	// Load changes all the time. However many entries there are, one of them sends no
-	// more
-	// than a bounded number of messages a second, or they would grow with the square.
+	// more than a bounded number of messages a second, or they would grow with the
+	// square.
 	@ParameterizedTest
 	@CsvSource({ "1,4,15,45", "13,28,70,100", "100,200,70,110" })
 	void messagesAreBoundedHoweverManyEntriesThereAre(int near, int far, int least, int most) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -88,9 +88,8 @@
 		assertThat(delivered(), Matchers.contains("+c", "-a"));
 	}
 
-	// The entry that is asked is behind: it tells again of a runner that has gone. Were
-	// it
-	// believed, callers would be sent to a machine that has left.
+	// The entry that is asked is behind: it tells again of a runner that has gone.
+	// Were it believed, callers would be sent to a machine that has left.
 	@Test
 	void whatWasRemovedDoesNotComeBackInAnOlderForm() {
 		delivered();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -24,10 +24,8 @@
 	private static final double SPARE = 0.75;
 
 	// Who comes back after a refusal is of some use only, and must not make those late
-	// that
-	// can be in time. It takes none of the last slots; while others are turned away it
-	// only
-	// takes from an engine that stands nearly empty.
+	// that can be in time. It takes none of the last slots; while others are turned
+	// away it only takes from an engine that stands nearly empty.
 	private static final double LATE_SPARE = 0.85;
 
 	private static final double LATE_SPARE_CONTENDED = 0.25;
@@ -130,8 +128,7 @@
 	}
 
 	// Waits here and not at an engine, so that the first slot of any engine serves it;
-	// for
-	// a part of the time only, and not behind more than can be served in it.
+	// for a part of the time only, and not behind more than can be served in it.
 	private static boolean mayWait(Job job, Placement.Choice choice, int queued, double left, long nowNanos) {
 		double waited = (double) (nowNanos - job.arrivedNanos()) / Placement.NANOS_PER_MILLI;
 		double most = WAIT_SHARE * job.route().target().toMillis();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -28,21 +28,18 @@
 	private static final double OTHER_PLACE_MILLIS = 4;
 
 	// Links between places are narrow and paid for, and a stream takes some five
-	// kilobytes
-	// of one. A request goes to a farther engine only for a gain that its caller notices:
-	// a
-	// fifth of the time that is left to the expected first event, 80 ms at most, which is
-	// more than an idle engine is ahead of one that has just begun to write.
+	// kilobytes of one. A request goes to a farther engine only for a gain that its
+	// caller notices: a fifth of the time that is left to the expected first event, 80
+	// ms at most, which is more than an idle engine is ahead of one that has just
+	// begun to write.
 	private static final double OTHER_PLACE_SHARE = 0.2;
 
 	private static final double OTHER_PLACE_MOST_MILLIS = 80;
 
-	// An engine's own queue takes a few more than it has slots, so that a slot is taken
-	// the
-	// moment it comes free; the prediction counts the wait there. A slot left free for
-	// the
-	// other entries instead refused a fifth of all requests at nine tenths of the
-	// capacity.
+	// An engine's own queue takes a few more than it has slots, so that a slot is
+	// taken the moment it comes free; the prediction counts the wait there. A slot
+	// left free for the other entries instead refused a fifth of all requests at nine
+	// tenths of the capacity.
 	private static final int QUEUED = 2;
 
 	// More than any prediction that is still in time: whoever has room goes first.
@@ -142,9 +139,8 @@
 	}
 
 	// Load: engines change weights one after the other under full traffic. Harm
-	// prevented:
-	// an engine that has been given a long answer just before its turn is away until that
-	// has ended, with its other slots empty.
+	// prevented: an engine that has been given a long answer just before its turn is
+	// away until that has ended, with its other slots empty.
 	private static boolean endsLate(Job job, RunnerState runner, Optional<EngineSpec> engine, PeerLoad load,
 			double predicted, long nowNanos) {
 		if (engine.isEmpty() || runner.closesNanos.isEmpty()) {
@@ -152,8 +148,7 @@
 		}
 		double left = (double) (runner.closesNanos.getAsLong() - nowNanos) / NANOS_PER_MILLI;
 		// Callers declare the same bound for long and short answers; their estimate is
-		// right
-		// in the median.
+		// right in the median.
 		int tokens = job.size().likelyAnswerTokens().orElse(engine.get().usualAnswer());
 		return predicted + EngineForecast.answerMillis(engine.get(), load, tokens) > left;
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -15,8 +15,7 @@
 final class RunnerState {
 
 	// Another entry that is killed is known to be gone from its link. This is for one
-	// whose
-	// messages are lost: all that it has is said again each second.
+	// whose messages are lost: all that it has is said again each second.
 	private static final long PEER_TTL_NANOS = Duration.ofMillis(2500).toNanos();
 
 	// A runner that has just said that it is full is not asked again for the time in
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/UpstreamChoice.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/UpstreamChoice.java
@@ -18,8 +18,7 @@
 public final class UpstreamChoice {
 
 	// Links carry a message in a few milliseconds; who has not answered by then is cut
-	// off
-	// or overloaded, and the next one is asked.
+	// off or overloaded, and the next one is asked.
 	private static final long ANSWER_NANOS = Duration.ofMillis(600).toNanos();
 
 	private boolean cut;
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -40,13 +40,11 @@
 
 	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
 
-	// Engines change over in groups, so that the others go on answering. An engine ends
-	// what
-	// it runs and is away for some two seconds under full load; a group begins when the
-	// one
-	// before it is back, as far as time allows. Turns spread evenly over a time that is
-	// no
-	// longer than that put all engines away at its end: 73 of 360 requests in time then.
+	// Engines change over in groups, so that the others go on answering. An engine
+	// ends what it runs and is away for some two seconds under full load; a group
+	// begins when the one before it is back, as far as time allows. Turns spread
+	// evenly over a time that is no longer than that put all engines away at its end:
+	// 73 of 360 requests in time then.
 	private static final Duration AWAY = Duration.ofMillis(2000);
 
 	private static final int LEAST_GROUPS = 2;
@@ -62,10 +60,8 @@
 	private static final Duration LEAD = Duration.ofMillis(450);
 
 	// A turn is announced while the fetch is under way, since what an engine runs when
-	// its
-	// turn comes began up to two seconds before. From this part of the fetch on its end
-	// is
-	// known to within some 200 ms.
+	// its turn comes began up to two seconds before. From this part of the fetch on
+	// its end is known to within some 200 ms.
 	private static final double FORESEEN = 0.4;
 
 	// What entries are told of a turn is this exact; each change is a message to each.
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -62,6 +62,8 @@
 
 	private final Deadline deadline;
 
+	private final RequestWindow window;
+
 	private final Pacer pacer = Pacer.create(BURST_SECONDS);
 
 	private List<Peer> peers = List.of();
@@ -92,6 +94,7 @@
 		this.neighbours = new Neighbourhood(self, limits, this.choice);
 		this.readers = new PlaceReaders(pieces, self);
 		this.deadline = new Deadline(limits.progressDeadline());
+		this.window = new RequestWindow(limits.outstanding());
 		int cursor = (pieces.count() > 0) ? random.nextInt(pieces.count()) : 0;
 		this.origin = new OriginDuty(pieces, limits, new OriginRank(pieces, self), this.choice, cursor);
 	}
@@ -207,6 +210,7 @@
 			Long askedAt = peer.asks().remove(piece);
 			if (askedAt != null) {
 				this.deadline.answered(now - askedAt);
+				this.window.answered(now - askedAt, now);
 			}
 		});
 	}
@@ -295,6 +299,7 @@
 		for (PeerState peer : this.neighbours.all()) {
 			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
 			if (late) {
+				this.window.late(now);
 				peer.release().forEach(this::reopen);
 				this.neighbours.discount(peer);
 				if (peer.silent(now, limit)) {
@@ -374,7 +379,7 @@
 	}
 
 	private Optional<PieceChoice.Choice> nextAsk(long now) {
-		if (this.neighbours.outstanding() + this.holdings.beingStored() >= this.limits.outstanding()
+		if (this.neighbours.outstanding() + this.holdings.beingStored() >= this.window.size()
 				|| this.pacer.delayNanos(now) > 0) {
 			return Optional.empty();
 		}
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/EngineTurnTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/EngineTurnTests.java
@@ -31,10 +31,9 @@
 		return this.desk.done();
 	}
 
-	// The other engine is busy, so the one that changes weights soon looks better. A long
-	// answer there would keep it from its new weights, with its other slots empty; a
-	// short
-	// one ends before and uses the time.
+	// The other engine is busy, so the one that changes weights soon looks better. A
+	// long answer there would keep it from its new weights, with its other slots
+	// empty; a short one ends before and uses the time.
 	@ParameterizedTest
 	@CsvSource({ "20,Send:e1", "250,Send:e2" })
 	void anEngineIsGivenOnlyWhatEndsBeforeItsTurn(int answerTokens, String sent) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -37,9 +37,8 @@
 		assertThat(this.desk.done(), Matchers.contains("Send:e1"));
 	}
 
-	// The same, while others are turned away: a slot given to a late answer is one less
-	// for
-	// an answer in time, so none but an idle engine's is given.
+	// The same, while others are turned away: a slot given to a late answer is one
+	// less for an answer in time, so none but an idle engine's is given.
 	@Test
 	void whileOthersAreTurnedAwaySlotsAreKeptForThem() {
 		atTheEngine(18);
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/NearRunnerTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/NearRunnerTests.java
@@ -14,8 +14,7 @@
 	private final Desk desk = new Desk().with(Desk.engine("near"), Desk.engineIn("hall-b", "far"));
 
 	// Both engines can answer in time. The few milliseconds that the farther one is
-	// better
-	// by are not noticed by the caller, the bytes between places are paid for.
+	// better by are not noticed by the caller, the bytes between places are paid for.
 	@Test
 	void aLittleMoreWorkNearByIsBetterThanALongWay() {
 		this.desk.dispatcher.peerLoad("other", "near", new PeerLoad(3, 0, 0), this.desk.now);
@@ -32,8 +31,7 @@
 	}
 
 	// All callers come to the entries of one place. Its engines do not fill up while
-	// those
-	// of the other place stand idle.
+	// those of the other place stand idle.
 	@Test
 	void loadOfOnePlaceIsCarriedByBoth() {
 		List<String> sent = new ArrayList<>();
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -105,10 +105,9 @@
 	}
 
 	// All engines have a version at the same moment. Were all to change over then, or
-	// each a
-	// little after the other, nobody would answer for a second or two. They go in groups:
-	// two when little time is left, more when the fetch was quick, the last of them well
-	// before the weights must be in force.
+	// each a little after the other, nobody would answer for a second or two. They go
+	// in groups: two when little time is left, more when the fetch was quick, the last
+	// of them well before the weights must be in force.
 	@ParameterizedTest
 	@CsvSource({ "4000,0,450", "4000,0.4,450", "4000,0.5,2450", "4000,0.99,2450", "1500,0.3,450", "1500,0.4,2450",
 			"1500,0.99,4450", "6500,0.99,450" })
@@ -125,10 +124,9 @@
 		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
 	}
 
-	// What an engine runs when its turn comes began up to two seconds before, so entries
-	// hear of the turn while the pieces are still being fetched; and again only when it
-	// has
-	// moved, since each time is a message to every entry.
+	// What an engine runs when its turn comes began up to two seconds before, so
+	// entries hear of the turn while the pieces are still being fetched; and again
+	// only when it has moved, since each time is a message to every entry.
 	@Test
 	void aTurnIsAnnouncedWhileTheFetchIsUnderWay() {
 		settled(1);
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -71,9 +71,8 @@
 	}
 
 	// The caller gives up on a slow answer; the answer comes later; the next call must
-	// not
-	// read it. The connection of the first call is closed, so there is nothing left to
-	// read.
+	// not read it. The connection of the first call is closed, so there is nothing
+	// left to read.
 	@Test
 	void lateAnswerIsNeverTakenForTheNextCalls() {
 		failure(HttpCall.of("GET", at("/slow"), SHORT));
