--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PlaceReaders.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PlaceReaders.java
@@ -16,8 +16,8 @@
  * the others wait until it is held near by. The reader may be dead or slow: a piece that
  * has been held somewhere for the progress deadline and is still missing here may be
  * asked of anyone. Pieces come by turns, each in up to half a second, so one that comes
- * through a reader takes a second and more; released sooner, pieces crossed twice: 35 MB
- * a day between regions instead of 22 on a site of 20 VMs.
+ * through a reader takes a second and more; released after 0.6 s, pieces crossed twice:
+ * 35 MB between regions instead of 29, for two rolls on 20 VMs and the same traffic.
  */
 final class PlaceReaders {
 
