Read again: nothing computed that nobody reads, or more often than it is used

Found in the whole change since: DispatchEffect.Send carried the remaining time and the last event, which DirectOutput works out anew when it sends; Job.waiting was written and never read; 'failed if it ran, else refused' stood in two places; load reports collected all loads and entries on each tick of 20 ms though one in five or ten is due; the roster for agents was built once for each agent. Change: the fields are gone, Dispatcher.refuseOrFail, suppliers asked when a report is due, one roster a service. Behaviour: as before, but for one thing: an entry that has had no peer in a place looks for one every 100 or 200 ms and not every 20 ms.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -21,7 +21,7 @@
 
 /**
  * What an entry tells others: agents which weights are named and who their peers are,
- * other entries what it has in flight. Used by the state thread alone.
+ * other entries that it leaves. Used by the state thread alone.
  */
 final class Announcer {
 
@@ -88,7 +88,7 @@
 		engines(known).stream()
 			.filter((info) -> info.address().equals(peer))
 			.findFirst()
-			.ifPresent((info) -> tellAgent(info, known));
+			.ifPresent((info) -> tellAgent(info, roster(info.service(), known), known));
 	}
 
 	/**
@@ -115,25 +115,31 @@
 	 * Tells agents what they have not been told yet.
 	 */
 	void tellAgents(Optional<RouteTable> known) {
-		engines(known).forEach((info) -> tellAgent(info, known));
+		Map<String, Frame> rosters = new HashMap<>();
+		engines(known).forEach((info) -> tellAgent(info,
+				rosters.computeIfAbsent(info.service(), (service) -> roster(service, known)), known));
 	}
 
-	private void tellAgent(RunnerInfo runner, Optional<RouteTable> known) {
+	private Frame roster(String service, Optional<RouteTable> known) {
+		Roster.Builder members = Roster.newBuilder();
+		engines(known).stream()
+			.filter((info) -> info.service().equals(service))
+			.sorted(Comparator.comparing(RunnerInfo::address))
+			.forEach((info) -> members.addMembers(RosterMember.newBuilder().setVm(info.host()).setPlace(info.place())));
+		return Frame.newBuilder().setRoster(members).build();
+	}
+
+	private void tellAgent(RunnerInfo runner, Frame roster, Optional<RouteTable> known) {
 		Optional<String> origin = known.flatMap(RouteTable::origin).map((spec) -> spec.address());
 		Optional<String> model = engine(known, runner.service()).map(EngineSpec::model);
 		if (origin.isEmpty() || model.isEmpty() || this.mesh.isEmpty()) {
 			return;
 		}
-		Roster.Builder members = Roster.newBuilder();
-		engines(known).stream()
-			.filter((info) -> info.service().equals(runner.service()))
-			.sorted(Comparator.comparing(RunnerInfo::address))
-			.forEach((info) -> members.addMembers(RosterMember.newBuilder().setVm(info.host()).setPlace(info.place())));
 		WeightsNamed.Builder weights = WeightsNamed.newBuilder()
 			.setModel(model.get())
 			.setVersion(this.named.getOrDefault(model.get(), FIRST_VERSION))
 			.setOrigin(origin.get());
-		tellOnce(runner.address(), Frame.newBuilder().setRoster(members).build());
+		tellOnce(runner.address(), roster);
 		tellOnce(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -293,7 +293,7 @@
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
-		this.reports.ifPresent((due) -> due.tick(this.ticks, this.roster.others(), this.dispatcher.ownLoad()));
+		this.reports.ifPresent((due) -> due.tick(this.ticks, this.roster::others, this.dispatcher::ownLoad));
 		if (this.ticks % TICKS_PER_NEWS == 0) {
 			this.news.ifPresent((passed) -> passed.tick(this.mesh.orElseThrow().entries(), now));
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 import org.wisteriapost.policy.dispatch.PeerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -54,10 +55,17 @@
 
 	/**
 	 * Sends what is due.
-	 * @param ticks counts the ticks of the entry, 20 ms each
-	 * @param loads what this entry has at each runner
+	 * @param ticks counts the ticks of the entry, 20 ms each; most of them bring no
+	 * report
+	 * @param registered the other entries
+	 * @param load what this entry has at each runner
 	 */
-	void tick(long ticks, List<EntryInfo> others, Map<String, PeerLoad> loads) {
+	void tick(long ticks, Supplier<List<EntryInfo>> registered, Supplier<Map<String, PeerLoad>> load) {
+		if (!this.near.due(ticks) && !this.far.due(ticks)) {
+			return;
+		}
+		List<EntryInfo> others = registered.get();
+		Map<String, PeerLoad> loads = load.get();
 		List<String> close = others.stream().filter(this::isNear).map(EntryInfo::name).toList();
 		List<String> away = others.stream().filter((info) -> !isNear(info)).map(EntryInfo::name).toList();
 		this.near.tick(ticks, close, loads);
@@ -91,12 +99,19 @@
 			this.leastTicks = leastTicks;
 		}
 
+		private boolean due(long ticks) {
+			return ticks >= this.nextTicks;
+		}
+
 		private void tick(long ticks, List<String> names, Map<String, PeerLoad> loads) {
-			if (names.isEmpty() || ticks < this.nextTicks) {
+			if (!due(ticks)) {
 				return;
 			}
-			int turns = (names.size() + PEERS_AT_ONCE - 1) / PEERS_AT_ONCE;
+			int turns = Math.max(1, (names.size() + PEERS_AT_ONCE - 1) / PEERS_AT_ONCE);
 			this.nextTicks = ticks + (long) turns * this.leastTicks;
+			if (names.isEmpty()) {
+				return;
+			}
 			boolean full = ticks >= this.fullTicks;
 			this.fullTicks = full ? ticks + FULL_TICKS : this.fullTicks;
 			LoadReport report = report(loads, full);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
@@ -27,6 +27,10 @@
 		this.frames.add(frame);
 	});
 
+	private void tick(long tick, List<EntryInfo> others, Map<String, PeerLoad> loads) {
+		this.reports.tick(tick, () -> others, () -> loads);
+	}
+
 	private static List<EntryInfo> entries(int near, int far) {
 		List<EntryInfo> entries = new ArrayList<>();
 		for (int i = 0; i < near + far; i++) {
@@ -47,7 +51,7 @@
 	@CsvSource({ "1,4,15,45", "13,28,70,100", "100,200,70,110" })
 	void messagesAreBoundedHoweverManyEntriesThereAre(int near, int far, int least, int most) {
 		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
-			this.reports.tick(tick, entries(near, far), busy(tick));
+			tick(tick, entries(near, far), busy(tick));
 		}
 		assertThat(this.sent.size() / 10,
 				Matchers.allOf(Matchers.greaterThanOrEqualTo(least), Matchers.lessThanOrEqualTo(most)));
@@ -56,7 +60,7 @@
 	@Test
 	void entriesOfTheSamePlaceAreToldTwiceAsOften() {
 		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
-			this.reports.tick(tick, entries(1, 1), busy(tick));
+			tick(tick, entries(1, 1), busy(tick));
 		}
 		long near = this.sent.stream().filter((name) -> name.startsWith("hall-a")).count();
 		assertThat(near, Matchers.equalTo(2 * (this.sent.size() - near)));
@@ -67,16 +71,16 @@
 	@Test
 	void whatDoesNotChangeIsSaidAgainEachSecond() {
 		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
-			this.reports.tick(tick, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
+			tick(tick, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
 		}
 		assertThat(this.sent.size(), Matchers.allOf(Matchers.greaterThanOrEqualTo(9), Matchers.lessThanOrEqualTo(11)));
 	}
 
 	@Test
 	void whatHasEndedIsSaidOnce() {
-		this.reports.tick(0, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
-		this.reports.tick(10, entries(1, 0), Map.of("runner", PeerLoad.NONE));
-		this.reports.tick(20, entries(1, 0), Map.of("runner", PeerLoad.NONE));
+		tick(0, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
+		tick(10, entries(1, 0), Map.of("runner", PeerLoad.NONE));
+		tick(20, entries(1, 0), Map.of("runner", PeerLoad.NONE));
 		assertThat(this.frames, Matchers.hasSize(2));
 		assertThat(this.frames.getLast().getLoadReport().getLoads(0).getActive(), Matchers.equalTo(0));
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.policy.dispatch;
 
-import java.util.Optional;
 import java.util.OptionalInt;
 
 import org.wisteriapost.kernel.Code;
@@ -21,13 +20,10 @@
 	 *
 	 * @param job the request
 	 * @param runner to whom
-	 * @param remainingMillis what is left of its time
 	 * @param rank 0 to 9, 0 is admitted first by the runner
 	 * @param weightsVersion the only version it may run on, when that matters
-	 * @param resumeAfter the last event that the caller has, when it has any
 	 */
-	record Send(Job job, RunnerInfo runner, long remainingMillis, int rank, OptionalInt weightsVersion,
-			Optional<String> resumeAfter) implements DispatchEffect {
+	record Send(Job job, RunnerInfo runner, int rank, OptionalInt weightsVersion) implements DispatchEffect {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -291,14 +291,7 @@
 		finish(job);
 		switch (outcome) {
 			case ERROR -> this.effects.add(new DispatchEffect.PassOn(job));
-			case FULL, MISDIRECTED, NOT_SENT -> {
-				if (job.runs == 0) {
-					refuse(job, NO_ROOM, nowNanos);
-				}
-				else {
-					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
-				}
-			}
+			case FULL, MISDIRECTED, NOT_SENT -> refuseOrFail(job, NO_ROOM, nowNanos);
 			case DONE, BROKEN -> this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
 		}
 	}
@@ -315,6 +308,15 @@
 		}
 	}
 
+	// That it has not run is said only of a request that no runner has begun.
+	private void refuseOrFail(Job job, Code code, long nowNanos) {
+		if (job.runs > 0) {
+			this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
+			return;
+		}
+		refuse(job, code, nowNanos);
+	}
+
 	private void refuse(Job job, Code code, long nowNanos) {
 		long retryAfter = this.patience.retryAfterMillis(job, nowNanos);
 		this.effects.add(new DispatchEffect.Refuse(job, code, retryAfter));
@@ -330,18 +332,10 @@
 		Placement.Choice choice = this.placement.choose(job, spec(job), nowNanos);
 		switch (this.patience.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
-			case WAIT -> {
-				job.waiting = true;
-				queue.addLast(job);
-			}
+			case WAIT -> queue.addLast(job);
 			case REFUSE -> {
 				finish(job);
-				if (job.runs > 0) {
-					this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
-				}
-				else {
-					refuse(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
-				}
+				refuseOrFail(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
 			}
 		}
 	}
@@ -360,11 +354,8 @@
 		job.predictedMillis = choice.predictedMillis();
 		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
 		runner.sent(job.size().promptTokens());
-		long remaining = Math.max(1, (job.deadlineNanos() - nowNanos) / Placement.NANOS_PER_MILLI);
-		Optional<String> resume = job.lastEvent();
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
-		this.effects.add(new DispatchEffect.Send(job, runner.info, remaining, this.patience.rank(job, nowNanos),
-				version, resume));
+		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version));
 	}
 
 	// Lets waiting requests go on in the order in which they came, as far as room has
@@ -379,7 +370,6 @@
 			for (int left = queue.size(); left > 0; left--) {
 				Job job = queue.pollFirst();
 				if (!job.over) {
-					job.waiting = false;
 					place(job, queue, 0, nowNanos);
 				}
 			}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -61,8 +61,6 @@
 
 	boolean headed;
 
-	boolean waiting;
-
 	boolean firstSeen;
 
 	boolean over;
