--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -232,7 +232,7 @@
 			}
 			Integer version = this.weights.map((known) -> report.versions().get(known.model)).orElse(null);
 			this.rollout.reported((version != null) ? OptionalInt.of(version) : OptionalInt.empty(), report.busy(),
-					report.sequence(), System.nanoTime());
+					report.sequence(), report.start(), System.nanoTime());
 		}));
 	}
 
@@ -291,6 +291,7 @@
 			.setHoldsWeights(tell.version().isPresent())
 			.setVersion(tell.version().orElse(0))
 			.setSwitching(tell.switching());
+		tell.start().bornMillis().ifPresent(state::setBornMillis);
 		tell.closesNanos().ifPresent((closes) -> {
 			long left = TimeUnit.NANOSECONDS.toMillis(closes - System.nanoTime());
 			state.setClosesInMillis((int) Math.max(1, left));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -17,7 +17,6 @@
 import org.wisteriapost.policy.dispatch.EngineWord;
 import org.wisteriapost.policy.dispatch.Job;
 import org.wisteriapost.policy.dispatch.Outcome;
-import org.wisteriapost.policy.dispatch.PeerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
@@ -27,7 +26,6 @@
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.LoadReport;
-import org.wisteriapost.protocol.wire.RunnerLoad;
 
 /**
  * The entry's state. One thread applies events to it.
@@ -174,8 +172,9 @@
 				? TimeUnit.MILLISECONDS.toNanos(arrival.fields().remainingMillis().getAsLong()) : timeout;
 		Job.Size size = new Job.Size(arrival.fields().promptTokens(), arrival.fields().maxAnswerTokens(),
 				arrival.fields().likelyAnswerTokens());
-		return Job.arrived(arrival.id(), arrival.fields().attempt().orElseThrow(), route,
-				route.service(this.random.nextDouble()), organisation, size, arrival.fields().lastEvent(),
+		Job.Attempt attempt = new Job.Attempt(arrival.fields().attempt().orElseThrow(),
+				RequestNames.of(route, organisation, arrival.fields()), arrival.fields().lastEvent());
+		return Job.arrived(arrival.id(), attempt, route, route.service(this.random.nextDouble()), organisation, size,
 				arrival.nanos(), arrival.nanos() + Math.min(timeout, given));
 	}
 
@@ -275,10 +274,8 @@
 	}
 
 	private void peerLoads(String peer, LoadReport report, long now) {
-		for (RunnerLoad load : report.getLoadsList()) {
-			PeerLoad heard = new PeerLoad(load.getActive(), load.getWaiting(), load.getWaitingPrompt());
-			this.dispatcher.peerLoad(peer, load.getRunner(), heard, now);
-		}
+		report.getRefusedList().forEach((one) -> this.dispatcher.peerRefused(LoadFrames.read(one, now)));
+		report.getLoadsList().forEach((load) -> this.dispatcher.peerLoad(peer, LoadFrames.read(load), now));
 	}
 
 	private void agentSays(EngineState says, long now) {
@@ -287,13 +284,14 @@
 				? OptionalLong.of(now + TimeUnit.MILLISECONDS.toNanos(says.getClosesInMillis())) : OptionalLong.empty();
 		this.log.decision("agent-says", "address", says.getAddress(), "version", says.getVersion(), "switching",
 				says.getSwitching(), "closesInMs", says.getClosesInMillis());
-		this.dispatcher.agentSays(says.getAddress(), new EngineWord(version, says.getSwitching(), closes), now);
+		EngineWord word = new EngineWord(version, says.getSwitching(), closes, LoadFrames.start(says.getBornMillis()));
+		this.dispatcher.agentSays(says.getAddress(), word, now);
 	}
 
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
-		this.reports.ifPresent((due) -> due.tick(this.ticks, this.roster::others, this.dispatcher::ownLoad));
+		this.reports.ifPresent((due) -> due.tick(this.ticks, now, this.roster::others, this.dispatcher::ownLoad));
 		if (this.ticks % TICKS_PER_NEWS == 0) {
 			this.news.ifPresent((passed) -> passed.tick(this.mesh.orElseThrow().entries(), now));
 		}
@@ -355,6 +353,7 @@
 						TimeUnit.NANOSECONDS.toMillis(this.clock.getAsLong() - refuse.job().arrivedNanos()));
 				this.metrics.answered("refused", refuse.code().name());
 				this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
+				tellRefused(refuse.job());
 				this.calls.remove(refuse.job().id());
 			}
 			case DispatchEffect.Fail fail -> {
@@ -362,6 +361,7 @@
 						fail.job().events());
 				this.metrics.answered("failed", fail.code().name());
 				this.output.fail(call, fail.code(), fail.timeout());
+				tellRefused(fail.job());
 				this.calls.remove(fail.job().id());
 			}
 			case DispatchEffect.PassOn passOn -> {
@@ -372,6 +372,10 @@
 		}
 	}
 
+	private void tellRefused(Job job) {
+		this.reports.ifPresent((due) -> job.refused().ifPresent(due::refused));
+	}
+
 	private boolean ready() {
 		return this.beliefs.complete() && !this.departure.leaving();
 	}
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadFrames.java
@@ -0,0 +1,62 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.dispatch.RefusedRequest;
+import org.wisteriapost.policy.dispatch.RunnerLoad;
+import org.wisteriapost.policy.fleet.RunnerStart;
+
+/**
+ * Writes and reads what entries tell each other of their load.
+ */
+final class LoadFrames {
+
+	// Of a start that the runner does not tell.
+	private static final long UNKNOWN = 0;
+
+	private LoadFrames() {
+	}
+
+	static org.wisteriapost.protocol.wire.RunnerLoad of(RunnerLoad one) {
+		return org.wisteriapost.protocol.wire.RunnerLoad.newBuilder()
+			.setRunner(one.runner())
+			.setBornMillis(born(one.start()))
+			.setActive(one.load().active())
+			.setWaiting(Math.max(0, one.load().waiting()))
+			.setWaitingPrompt((int) Math.max(0, one.load().waitingPrompt()))
+			.build();
+	}
+
+	static RunnerLoad read(org.wisteriapost.protocol.wire.RunnerLoad said) {
+		PeerLoad load = new PeerLoad(said.getActive(), said.getWaiting(), said.getWaitingPrompt());
+		return new RunnerLoad(said.getRunner(), start(said.getBornMillis()), load);
+	}
+
+	static org.wisteriapost.protocol.wire.RefusedRequest of(RefusedRequest one, long nowNanos) {
+		return org.wisteriapost.protocol.wire.RefusedRequest.newBuilder()
+			.setRequest(one.request())
+			.setAskedMillis(millis(nowNanos - one.askedNanos()))
+			.setLeftMillis(millis(one.deadlineNanos() - nowNanos))
+			.build();
+	}
+
+	static RefusedRequest read(org.wisteriapost.protocol.wire.RefusedRequest said, long nowNanos) {
+		return new RefusedRequest(said.getRequest(), nowNanos - TimeUnit.MILLISECONDS.toNanos(said.getAskedMillis()),
+				nowNanos + TimeUnit.MILLISECONDS.toNanos(said.getLeftMillis()));
+	}
+
+	static RunnerStart start(long bornMillis) {
+		return (bornMillis == UNKNOWN) ? RunnerStart.UNKNOWN : new RunnerStart(OptionalLong.of(bornMillis));
+	}
+
+	private static int millis(long nanos) {
+		return (int) Math.clamp(TimeUnit.NANOSECONDS.toMillis(nanos), 0, Integer.MAX_VALUE);
+	}
+
+	private static long born(RunnerStart start) {
+		return start.bornMillis().orElse(UNKNOWN);
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
@@ -1,16 +1,21 @@
 package org.wisteriapost.entry.direct;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.dispatch.RefusedRequest;
+import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.RunnerStart;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.LoadReport;
-import org.wisteriapost.protocol.wire.RunnerLoad;
 
 /**
  * Tells the other entries what this one has in flight at each runner. Used by the state
@@ -36,6 +41,11 @@
 	// when it was not said for two and a half seconds.
 	private static final long FULL_TICKS = 50;
 
+	// In one report; more are refused only by an entry that can place nothing, and what
+	// is
+	// not told counts as a first attempt.
+	private static final int MOST_REFUSED = 200;
+
 	private final String place;
 
 	private final BiConsumer<String, Frame> sender;
@@ -57,19 +67,29 @@
 	 * Sends what is due.
 	 * @param ticks counts the ticks of the entry, 20 ms each; most of them bring no
 	 * report
+	 * @param now what a refusal's times are told against
 	 * @param registered the other entries
 	 * @param load what this entry has at each runner
 	 */
-	void tick(long ticks, Supplier<List<EntryInfo>> registered, Supplier<Map<String, PeerLoad>> load) {
+	void tick(long ticks, long now, Supplier<List<EntryInfo>> registered, Supplier<List<RunnerLoad>> load) {
 		if (!this.near.due(ticks) && !this.far.due(ticks)) {
 			return;
 		}
 		List<EntryInfo> others = registered.get();
-		Map<String, PeerLoad> loads = load.get();
+		List<RunnerLoad> loads = load.get();
 		List<String> close = others.stream().filter(this::isNear).map(EntryInfo::name).toList();
 		List<String> away = others.stream().filter((info) -> !isNear(info)).map(EntryInfo::name).toList();
-		this.near.tick(ticks, close, loads);
-		this.far.tick(ticks, away, loads);
+		this.near.tick(ticks, now, close, loads);
+		this.far.tick(ticks, now, away, loads);
+	}
+
+	/**
+	 * Tells of a refused request with the next report: its caller comes back to any
+	 * entry, a second and more later.
+	 */
+	void refused(RefusedRequest request) {
+		this.near.refused(request);
+		this.far.refused(request);
 	}
 
 	/**
@@ -84,12 +104,23 @@
 		return info.place().equals(this.place);
 	}
 
+	/**
+	 * What others were told of.
+	 *
+	 * @param runner its id
+	 * @param start which start of it
+	 */
+	private record Told(String runner, RunnerStart start) {
+	}
+
 	/** Entries that are told equally often. */
 	private final class Group {
 
 		private final int leastTicks;
 
-		private final Map<String, PeerLoad> said = new HashMap<>();
+		private final Map<Told, PeerLoad> said = new HashMap<>();
+
+		private final List<RefusedRequest> refused = new ArrayList<>();
 
 		private long nextTicks;
 
@@ -103,7 +134,13 @@
 			return ticks >= this.nextTicks;
 		}
 
-		private void tick(long ticks, List<String> names, Map<String, PeerLoad> loads) {
+		private void refused(RefusedRequest request) {
+			if (this.refused.size() < MOST_REFUSED) {
+				this.refused.add(request);
+			}
+		}
+
+		private void tick(long ticks, long now, List<String> names, List<RunnerLoad> loads) {
 			if (!due(ticks)) {
 				return;
 			}
@@ -114,27 +151,28 @@
 			}
 			boolean full = ticks >= this.fullTicks;
 			this.fullTicks = full ? ticks + FULL_TICKS : this.fullTicks;
-			LoadReport report = report(loads, full);
-			if (report.getLoadsCount() > 0) {
+			LoadReport report = report(loads, full, now);
+			if (report.getLoadsCount() > 0 || report.getRefusedCount() > 0) {
 				Frame frame = Frame.newBuilder().setLoadReport(report).build();
 				names.forEach((name) -> LoadReports.this.sender.accept(name, frame));
 			}
 		}
 
-		private LoadReport report(Map<String, PeerLoad> loads, boolean full) {
+		private LoadReport report(List<RunnerLoad> loads, boolean full, long now) {
 			LoadReport.Builder report = LoadReport.newBuilder();
-			loads.forEach((runner, load) -> {
-				boolean changed = !load.equals(this.said.getOrDefault(runner, PeerLoad.NONE));
-				if (changed || (full && load.active() > 0)) {
-					this.said.put(runner, load);
-					report.addLoads(RunnerLoad.newBuilder()
-						.setRunner(runner)
-						.setActive(load.active())
-						.setWaiting(Math.max(0, load.waiting()))
-						.setWaitingPrompt((int) Math.max(0, load.waitingPrompt())));
+			Set<Told> there = new HashSet<>();
+			for (RunnerLoad one : loads) {
+				Told told = new Told(one.runner(), one.start());
+				there.add(told);
+				boolean changed = !one.load().equals(this.said.getOrDefault(told, PeerLoad.NONE));
+				if (changed || (full && one.load().active() > 0)) {
+					this.said.put(told, one.load());
+					report.addLoads(LoadFrames.of(one));
 				}
-			});
-			this.said.keySet().retainAll(loads.keySet());
+			}
+			this.said.keySet().retainAll(there);
+			this.refused.forEach((one) -> report.addRefused(LoadFrames.of(one, now)));
+			this.refused.clear();
 			return report.build();
 		}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -102,6 +102,13 @@
 			return;
 		}
 		change.item().value().ifPresent((value) -> declared(value, false, now));
+		if (kind == Kind.RUNNERS && change.item().value().isEmpty()) {
+			// Written over by somebody else: it names no runner until the runner writes
+			// anew.
+			this.log.decision("runner-unreadable", "runner", change.item().name());
+			this.dispatcher.runnerUnusable(change.item().name());
+			this.announcer.relink(this.table);
+		}
 	}
 
 	private void removed(Kind kind, String name, long now) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -135,10 +135,11 @@
 		List<DirectEvent> fresh = new ArrayList<>();
 		for (StoreObject object : news.getObjectsList()) {
 			if (newer(kind.get(), object)) {
-				ObjectStore.Item item = this.store.decode(kind.get(), object.getContent().toByteArray());
-				ObjectStore.Change change = new ObjectStore.Change(item, object.getDeleted());
-				note(kind.get(), change);
-				fresh.add(new DirectEvent.ObjectChanged(kind.get(), change));
+				this.store.decode(kind.get(), object.getContent().toByteArray()).ifPresent((item) -> {
+					ObjectStore.Change change = new ObjectStore.Change(item, object.getDeleted());
+					note(kind.get(), change);
+					fresh.add(new DirectEvent.ObjectChanged(kind.get(), change));
+				});
 			}
 		}
 		return news.getAll() ? List.of(all(kind.get(), news)) : fresh;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
@@ -2,14 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.RunnerStart;
 import org.wisteriapost.protocol.wire.Frame;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -27,8 +28,8 @@
 		this.frames.add(frame);
 	});
 
-	private void tick(long tick, List<EntryInfo> others, Map<String, PeerLoad> loads) {
-		this.reports.tick(tick, () -> others, () -> loads);
+	private void tick(long tick, List<EntryInfo> others, List<RunnerLoad> loads) {
+		this.reports.tick(tick, tick * 20_000_000, () -> others, () -> loads);
 	}
 
 	private static List<EntryInfo> entries(int near, int far) {
@@ -40,8 +41,12 @@
 		return entries;
 	}
 
-	private static Map<String, PeerLoad> busy(long tick) {
-		return Map.of("runner", new PeerLoad(1 + (int) (tick % 7), 0, 0));
+	private static List<RunnerLoad> at(PeerLoad load) {
+		return List.of(new RunnerLoad("runner", RunnerStart.UNKNOWN, load));
+	}
+
+	private static List<RunnerLoad> busy(long tick) {
+		return at(new PeerLoad(1 + (int) (tick % 7), 0, 0));
 	}
 
 	// Load changes all the time. However many entries there are, one of them sends no
@@ -71,16 +76,16 @@
 	@Test
 	void whatDoesNotChangeIsSaidAgainEachSecond() {
 		for (long tick = 0; tick < TICKS_IN_10_S; tick++) {
-			tick(tick, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
+			tick(tick, entries(1, 0), at(new PeerLoad(3, 0, 0)));
 		}
 		assertThat(this.sent.size(), Matchers.allOf(Matchers.greaterThanOrEqualTo(9), Matchers.lessThanOrEqualTo(11)));
 	}
 
 	@Test
 	void whatHasEndedIsSaidOnce() {
-		tick(0, entries(1, 0), Map.of("runner", new PeerLoad(3, 0, 0)));
-		tick(10, entries(1, 0), Map.of("runner", PeerLoad.NONE));
-		tick(20, entries(1, 0), Map.of("runner", PeerLoad.NONE));
+		tick(0, entries(1, 0), at(new PeerLoad(3, 0, 0)));
+		tick(10, entries(1, 0), at(PeerLoad.NONE));
+		tick(20, entries(1, 0), at(PeerLoad.NONE));
 		assertThat(this.frames, Matchers.hasSize(2));
 		assertThat(this.frames.getLast().getLoadReport().getLoads(0).getActive(), Matchers.equalTo(0));
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -134,9 +134,9 @@
 	private static final class Decoder implements ObjectStore {
 
 		@Override
-		public Item decode(Kind kind, byte[] content) {
+		public Optional<Item> decode(Kind kind, byte[] content) {
 			String[] parts = new String(content, StandardCharsets.UTF_8).split("@");
-			return item(parts[0], Long.parseLong(parts[1]));
+			return Optional.of(item(parts[0], Long.parseLong(parts[1])));
 		}
 
 		@Override
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -146,6 +146,13 @@
 		this.book.removed(id, nowNanos);
 	}
 
+	/**
+	 * Hears that a runner's registration names none that can be used any more.
+	 */
+	public void runnerUnusable(String id) {
+		this.book.unusable(id);
+	}
+
 	/**
 	 * Hears whether the site's store answers.
 	 */
@@ -165,8 +172,17 @@
 	/**
 	 * Hears what another entry has at a runner.
 	 */
-	public void peerLoad(String peer, String runner, PeerLoad load, long nowNanos) {
-		this.book.find(runner).ifPresent((state) -> state.heard(peer, load, nowNanos));
+	public void peerLoad(String peer, RunnerLoad said, long nowNanos) {
+		this.book.find(said.runner())
+			.filter((state) -> state.info.start().equals(said.start()))
+			.ifPresent((state) -> state.heard(peer, said.load(), nowNanos));
+	}
+
+	/**
+	 * Hears of a request that another entry has refused.
+	 */
+	public void peerRefused(RefusedRequest request) {
+		this.patience.refused(request);
 	}
 
 	/**
@@ -188,10 +204,11 @@
 	/**
 	 * Returns what this entry has at each runner.
 	 */
-	public Map<String, PeerLoad> ownLoad() {
-		Map<String, PeerLoad> loads = new HashMap<>();
-		this.book.states().forEach((state) -> loads.put(state.info.id(), state.own));
-		return loads;
+	public List<RunnerLoad> ownLoad() {
+		return this.book.states()
+			.stream()
+			.map((state) -> new RunnerLoad(state.info.id(), state.info.start(), state.own))
+			.toList();
 	}
 
 	/**
@@ -289,6 +306,7 @@
 
 	private void giveUp(Job job, Outcome outcome, long nowNanos) {
 		finish(job);
+		job.refused().ifPresent(this.patience::refused);
 		switch (outcome) {
 			case ERROR -> this.effects.add(new DispatchEffect.PassOn(job));
 			case FULL, MISDIRECTED, NOT_SENT -> refuseOrFail(job, NO_ROOM, nowNanos);
@@ -318,6 +336,7 @@
 	}
 
 	private void refuse(Job job, Code code, long nowNanos) {
+		job.refused().ifPresent(this.patience::refused);
 		long retryAfter = this.patience.retryAfterMillis(job, nowNanos);
 		this.effects.add(new DispatchEffect.Refuse(job, code, retryAfter));
 	}
@@ -384,7 +403,7 @@
 				runner.full(nowNanos);
 			}
 			if (outcome == Outcome.MISDIRECTED) {
-				this.placement.misdirected(runner, job);
+				runner.misdirected(nowNanos);
 			}
 			if (outcome == Outcome.NOT_SENT || outcome == Outcome.FULL || outcome == Outcome.MISDIRECTED) {
 				job.runs--;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.wisteriapost.policy.routing.Organisation;
@@ -18,7 +19,7 @@
 
 	private final long id;
 
-	private final String attempt;
+	private final Attempt attempt;
 
 	private final Route route;
 
@@ -56,7 +57,7 @@
 
 	double baseMillis;
 
-	// When the caller first asked, if its remaining time tells of an earlier attempt.
+	// When the caller first asked, if an earlier attempt is known.
 	long wantedNanos;
 
 	boolean headed;
@@ -65,15 +66,15 @@
 
 	boolean over;
 
-	private Job(long id, String attempt, Route route, String service, Optional<Organisation> organisation, Size size,
-			Optional<String> lastEvent, long arrivedNanos, long deadlineNanos) {
+	private Job(long id, Attempt attempt, Route route, String service, Optional<Organisation> organisation, Size size,
+			long arrivedNanos, long deadlineNanos) {
 		this.id = id;
 		this.attempt = attempt;
 		this.route = route;
 		this.service = service;
 		this.organisation = organisation;
 		this.size = size;
-		this.lastEvent = lastEvent;
+		this.lastEvent = attempt.lastEvent();
 		this.arrivedNanos = arrivedNanos;
 		this.deadlineNanos = deadlineNanos;
 		this.wantedNanos = arrivedNanos;
@@ -81,14 +82,13 @@
 
 	/**
 	 * Returns a request that has just arrived.
-	 * @param attempt the caller's name for it
+	 * @param attempt what its caller names it by
 	 * @param service the service that its route chose
-	 * @param lastEvent the event after which the caller resumes a stream
 	 * @param deadlineNanos when it must have its final answer
 	 */
-	public static Job arrived(long id, String attempt, Route route, String service, Optional<Organisation> organisation,
-			Size size, Optional<String> lastEvent, long arrivedNanos, long deadlineNanos) {
-		return new Job(id, attempt, route, service, organisation, size, lastEvent, arrivedNanos, deadlineNanos);
+	public static Job arrived(long id, Attempt attempt, Route route, String service,
+			Optional<Organisation> organisation, Size size, long arrivedNanos, long deadlineNanos) {
+		return new Job(id, attempt, route, service, organisation, size, arrivedNanos, deadlineNanos);
 	}
 
 	public long id() {
@@ -96,7 +96,14 @@
 	}
 
 	public String attempt() {
-		return this.attempt;
+		return this.attempt.id();
+	}
+
+	/**
+	 * Returns what is equal for all attempts of the request, when it is known.
+	 */
+	public OptionalLong request() {
+		return this.attempt.request();
 	}
 
 	public Route route() {
@@ -152,6 +159,15 @@
 		return this.lastEvent;
 	}
 
+	/**
+	 * Returns what is to be remembered of the request when it is refused.
+	 */
+	public Optional<RefusedRequest> refused() {
+		return request().isPresent()
+				? Optional.of(new RefusedRequest(request().getAsLong(), this.wantedNanos, this.deadlineNanos))
+				: Optional.empty();
+	}
+
 	/**
 	 * Returns how many events went out to the caller; for any thread.
 	 */
@@ -197,6 +213,16 @@
 		return this.route.kind() == RouteKind.STREAM;
 	}
 
+	/**
+	 * What a caller names its request by.
+	 *
+	 * @param id new with each attempt
+	 * @param request equal for all attempts of one request
+	 * @param lastEvent the event after which the caller resumes a stream
+	 */
+	public record Attempt(String id, OptionalLong request, Optional<String> lastEvent) {
+	}
+
 	/**
 	 * How much work a request is.
 	 *
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Patience.java
@@ -1,8 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -63,9 +61,7 @@
 
 	private static final int LATE_RANK = 8;
 
-	// The longest time that callers of a route have been seen to give; less tells of an
-	// earlier attempt.
-	private final Map<String, Long> longest = new HashMap<>();
+	private final RefusedRequests refused = new RefusedRequests();
 
 	private final UniformRandomProvider random;
 
@@ -76,12 +72,17 @@
 	}
 
 	/**
-	 * Notes how much time a caller gives.
+	 * Looks whether a request is an earlier one that came back.
 	 */
 	void arrived(Job job) {
-		long given = job.deadlineNanos() - job.arrivedNanos();
-		long most = this.longest.merge(job.route().name(), given, Math::max);
-		job.wantedNanos = job.arrivedNanos() - Math.max(0, most - given);
+		this.refused.of(job).ifPresent((earlier) -> job.wantedNanos = earlier.askedNanos());
+	}
+
+	/**
+	 * Notes a request whose caller may come back.
+	 */
+	void refused(RefusedRequest request) {
+		this.refused.note(request);
 	}
 
 	Step decide(Job job, Placement.Choice choice, int queued, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -88,14 +88,6 @@
 		return Choice.nobody(version);
 	}
 
-	/**
-	 * Notes that a runner refused a request as not meant for it.
-	 */
-	void misdirected(RunnerState runner, Job job) {
-		runner.told(OptionalInt.empty());
-		runner.full(job.sentNanos);
-	}
-
 	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos, Wish wish) {
 		Choice best = Choice.nobody(version);
 		double bestCost = Double.MAX_VALUE;
@@ -143,10 +135,10 @@
 	// away until that has ended, with its other slots empty.
 	private static boolean endsLate(Job job, RunnerState runner, Optional<EngineSpec> engine, PeerLoad load,
 			double predicted, long nowNanos) {
-		if (engine.isEmpty() || runner.closesNanos.isEmpty()) {
+		if (engine.isEmpty() || runner.closesNanos().isEmpty()) {
 			return false;
 		}
-		double left = (double) (runner.closesNanos.getAsLong() - nowNanos) / NANOS_PER_MILLI;
+		double left = (double) (runner.closesNanos().getAsLong() - nowNanos) / NANOS_PER_MILLI;
 		// Callers declare the same bound for long and short answers; their estimate is
 		// right in the median.
 		int tokens = job.size().likelyAnswerTokens().orElse(engine.get().usualAnswer());
@@ -173,7 +165,7 @@
 
 	private static boolean fits(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
 			long nowNanos) {
-		if (runner.info.draining() || runner.gone || runner.switching || runner.saidFull(nowNanos)) {
+		if (runner.info.draining() || runner.gone || runner.switching() || runner.saidFull(nowNanos)) {
 			return false;
 		}
 		if (job.tried.contains(runner.info.id()) && job.tried.size() < 3) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -70,21 +70,45 @@
 	boolean put(RunnerInfo info) {
 		this.lapsed.remove(info.id());
 		RunnerState known = this.runners.get(info.id());
-		if (known != null && info.equals(known.info) && !known.gone) {
-			return false;
+		if (known == null || known.info.start().before(info.start())) {
+			start(info);
+			return true;
 		}
-		RunnerState state = (known != null) ? known : new RunnerState(info);
-		this.runners.put(info.id(), state);
-		state.info = info;
-		state.gone = false;
-		EngineWord word = this.words.get(info.address());
-		if (word != null) {
-			apply(state, word);
+		boolean stale = info.start().before(known.info.start());
+		if (stale || (info.equals(known.info) && !known.gone)) {
+			return false;
 		}
+		known.registered(info);
+		applyWord(known);
 		index();
 		return true;
 	}
 
+	/**
+	 * Drops a runner whose registration no longer names one that can be used.
+	 */
+	void unusable(String id) {
+		drop(id);
+	}
+
+	// Nothing that was believed of a former start holds for this one.
+	private void start(RunnerInfo info) {
+		RunnerState state = new RunnerState(info);
+		RunnerState former = this.runners.put(info.id(), state);
+		if (former != null) {
+			former.gone = true;
+		}
+		applyWord(state);
+		index();
+	}
+
+	private void applyWord(RunnerState state) {
+		EngineWord word = this.words.get(state.info.address());
+		if (word != null && !word.start().before(state.info.start())) {
+			state.told(word);
+		}
+	}
+
 	void removed(String id, long nowNanos) {
 		if (unsettled(nowNanos)) {
 			this.lapsed.add(id);
@@ -108,11 +132,23 @@
 	 * @param address the runner's address
 	 */
 	void agentSays(String address, EngineWord word) {
+		EngineWord former = this.words.get(address);
+		if (former != null && word.start().before(former.start())) {
+			return;
+		}
 		this.words.put(address, word);
-		this.runners.values()
+		List<RunnerState> there = this.runners.values()
 			.stream()
 			.filter((state) -> state.info.address().equals(address))
-			.forEach((state) -> apply(state, word));
+			.toList();
+		for (RunnerState state : there) {
+			if (state.info.start().before(word.start())) {
+				start(state.info.startedAgain(word.start()));
+			}
+			else {
+				applyWord(state);
+			}
+		}
 	}
 
 	Optional<RunnerState> find(String id) {
@@ -147,10 +183,4 @@
 				.add(state));
 	}
 
-	private static void apply(RunnerState state, EngineWord word) {
-		state.told(word.version());
-		state.switching = word.switching();
-		state.closesNanos = word.closesNanos();
-	}
-
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -22,6 +23,9 @@
 	// which a running answer may end.
 	private static final long FULL_NANOS = Duration.ofMillis(40).toNanos();
 
+	// 1.3 s: until then a registration or an agent's word has come.
+	private static final int MOST_DOUBLINGS = 5;
+
 	private static final double PACE_SMOOTHING = 0.15;
 
 	private static final double LEAST_PACE = 0.5;
@@ -40,34 +44,54 @@
 
 	double pace = 1;
 
-	boolean switching;
-
-	OptionalLong closesNanos = OptionalLong.empty();
-
 	boolean gone;
 
 	private long fullUntilNanos = Long.MIN_VALUE;
 
-	private OptionalInt told = OptionalInt.empty();
+	private int misdirectedInRow;
+
+	private Optional<EngineWord> word = Optional.empty();
 
 	RunnerState(RunnerInfo info) {
 		this.info = info;
 	}
 
 	/**
-	 * Returns the version of a model's weights that the runner holds, as its agent or its
-	 * answers say, else as it registered.
+	 * Returns the version of a model's weights that the runner holds, as its agent says,
+	 * else as it registered. An agent that says that there are none is believed: a
+	 * registration is up to some seconds old.
 	 */
 	OptionalInt version(String model) {
-		if (this.told.isPresent()) {
-			return this.told;
+		if (this.word.isPresent()) {
+			return this.word.get().version();
 		}
 		Integer registered = this.info.models().get(model);
 		return (registered != null) ? OptionalInt.of(registered) : OptionalInt.empty();
 	}
 
-	void told(OptionalInt version) {
-		this.told = version;
+	/**
+	 * Takes a registration of the same start.
+	 */
+	void registered(RunnerInfo newer) {
+		this.info = newer;
+		this.gone = false;
+		forgive();
+	}
+
+	/**
+	 * Takes what the agent beside the runner says.
+	 */
+	void told(EngineWord newer) {
+		this.word = Optional.of(newer);
+		forgive();
+	}
+
+	boolean switching() {
+		return this.word.map(EngineWord::switching).orElse(false);
+	}
+
+	OptionalLong closesNanos() {
+		return this.word.map(EngineWord::closesNanos).orElse(OptionalLong.empty());
 	}
 
 	void sent(int promptTokens) {
@@ -108,6 +132,17 @@
 		this.fullUntilNanos = nowNanos + FULL_NANOS;
 	}
 
+	/**
+	 * Notes that the runner is not what it is taken for: another start, or on other
+	 * weights. It is left out for twice as long each time, until something new is heard
+	 * of it: what is believed of it is wrong for as long as the news takes, a second and
+	 * more after a crash.
+	 */
+	void misdirected(long nowNanos) {
+		this.fullUntilNanos = nowNanos + (FULL_NANOS << Math.min(MOST_DOUBLINGS, this.misdirectedInRow));
+		this.misdirectedInRow++;
+	}
+
 	boolean saidFull(long nowNanos) {
 		return nowNanos < this.fullUntilNanos;
 	}
@@ -119,6 +154,13 @@
 		this.pace += PACE_SMOOTHING * (Math.clamp(ratio, LEAST_PACE, MOST_PACE) - this.pace);
 	}
 
+	private void forgive() {
+		if (this.misdirectedInRow > 0) {
+			this.misdirectedInRow = 0;
+			this.fullUntilNanos = Long.MIN_VALUE;
+		}
+	}
+
 	private record Heard(PeerLoad load, long atNanos) {
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerInfo.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerInfo.java
@@ -5,7 +5,7 @@
 /**
  * One start of a runner, as it registers itself.
  *
- * @param id new with each start
+ * @param id its name; a later start may have it again
  * @param service the service that it belongs to
  * @param address as {@code IP:PORT}; used again by others after the runner has gone
  * @param place its failure domain
@@ -13,14 +13,24 @@
  * @param draining whether it is about to leave
  * @param coldMillis how much longer it is slow after its start
  * @param models the version of the weights that it holds, by model
+ * @param start tells this start from others under the same id
  */
 public record RunnerInfo(String id, String service, String address, String place, int slots, boolean draining,
-		long coldMillis, Map<String, Integer> models) {
+		long coldMillis, Map<String, Integer> models, RunnerStart start) {
 
 	public RunnerInfo {
 		models = Map.copyOf(models);
 	}
 
+	/**
+	 * Returns what is known of it after a later start, before it has registered: it holds
+	 * no weights.
+	 */
+	public RunnerInfo startedAgain(RunnerStart later) {
+		return new RunnerInfo(this.id, this.service, this.address, this.place, this.slots, this.draining,
+				this.coldMillis, Map.of(), later);
+	}
+
 	/**
 	 * Returns the IP number of its VM.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -7,6 +7,8 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import org.wisteriapost.policy.fleet.RunnerStart;
+
 /**
  * Brings one engine to the named weights, step by step: fetch, wait for its turn, check
  * what is staged, order, watch.
@@ -115,6 +117,8 @@
 
 	private long sequence;
 
+	private RunnerStart start = RunnerStart.UNKNOWN;
+
 	private long readNanos = Long.MIN_VALUE / 2;
 
 	private boolean reading;
@@ -246,9 +250,20 @@
 
 	/**
 	 * Hears the engine's report.
+	 *
+	 * Load: an engine crashes while it takes weights. Harm prevented: its order is waited
+	 * for until {@link #TAKE_NANOS} have passed, although it died with the engine. A
+	 * later start is known by its time, else by fewer orders than were accepted before.
 	 */
-	public void reported(OptionalInt version, boolean underWay, long orders, long nowNanos) {
+	public void reported(OptionalInt version, boolean underWay, long orders, RunnerStart from, long nowNanos) {
 		this.reading = false;
+		if (from.before(this.start)) {
+			return;
+		}
+		if (this.start.before(from) || orders < this.sequence) {
+			this.taking = OptionalInt.empty();
+		}
+		this.start = from;
 		this.engineSeen = true;
 		this.held = version;
 		this.busy = underWay;
@@ -405,7 +420,7 @@
 		boolean closed = planned && this.step != Step.FETCHING && nowNanos >= this.turnNanos;
 		boolean switching = closed || this.step == Step.ORDERING || this.taking.isPresent();
 		OptionalLong closes = (planned && !switching) ? OptionalLong.of(this.turnNanos) : OptionalLong.empty();
-		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching, closes);
+		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching, closes, this.start);
 		if (this.engineSeen && !now.equals(this.told)) {
 			this.told = now;
 			this.effects.add(now);
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/RolloutEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/RolloutEffect.java
@@ -3,6 +3,8 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import org.wisteriapost.policy.fleet.RunnerStart;
+
 /**
  * What an agent is to do.
  */
@@ -51,8 +53,10 @@
 	 * @param version that it holds
 	 * @param switching whether it takes no requests now
 	 * @param closesNanos when it will take none, when that is planned
+	 * @param start the start of the engine that this is said of
 	 */
-	record Tell(OptionalInt version, boolean switching, OptionalLong closesNanos) implements RolloutEffect {
+	record Tell(OptionalInt version, boolean switching, OptionalLong closesNanos,
+			RunnerStart start) implements RolloutEffect {
 	}
 
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.fleet.RunnerStart;
 import org.wisteriapost.policy.routing.CallLimits;
 import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.Route;
@@ -64,12 +66,12 @@
 
 	static RunnerInfo engineIn(String place, String id) {
 		return new RunnerInfo(id, "lm-notice", "10.0.0." + id.hashCode() % 200 + ":80", place, 16, false, 0,
-				Map.of("lm", 1));
+				Map.of("lm", 1), RunnerStart.UNKNOWN);
 	}
 
 	static RunnerInfo plain(String id) {
 		return new RunnerInfo(id, "registry-api", "10.0.1." + id.hashCode() % 200 + ":80", "hall-a", 6, false, 0,
-				Map.of());
+				Map.of(), RunnerStart.UNKNOWN);
 	}
 
 	Desk with(RunnerInfo... infos) {
@@ -88,13 +90,29 @@
 	}
 
 	Job arrive(Route route, Job.Size size, long remainingMillis) {
+		return arrive(route, size, remainingMillis, OptionalLong.empty());
+	}
+
+	/**
+	 * Lets a request arrive.
+	 * @param request equal for all attempts of one request
+	 */
+	Job arrive(Route route, Job.Size size, long remainingMillis, OptionalLong request) {
 		this.ids++;
-		Job job = Job.arrived(this.ids, "attempt-" + this.ids, route, route.service(0), Optional.empty(), size,
-				Optional.empty(), this.now, this.now + remainingMillis * MILLI);
+		Job.Attempt attempt = new Job.Attempt("attempt-" + this.ids, request, Optional.empty());
+		Job job = Job.arrived(this.ids, attempt, route, route.service(0), Optional.empty(), size, this.now,
+				this.now + remainingMillis * MILLI);
 		this.dispatcher.arrived(job, this.now);
 		return job;
 	}
 
+	/**
+	 * Another entry says what it has at a runner.
+	 */
+	void others(String runner, PeerLoad load) {
+		this.dispatcher.peerLoad("other", new RunnerLoad(runner, RunnerStart.UNKNOWN, load), this.now);
+	}
+
 	Desk after(long millis) {
 		this.now += millis * MILLI;
 		this.dispatcher.tick(this.now);
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/EngineTurnTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/EngineTurnTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.fleet.RunnerStart;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -21,9 +22,8 @@
 	private final Desk desk = new Desk().with(this.closing, this.open);
 
 	private void closes(RunnerInfo engine, long inMillis) {
-		this.desk.dispatcher.agentSays(engine.address(),
-				new EngineWord(OptionalInt.of(1), false, OptionalLong.of(this.desk.now + inMillis * Desk.MILLI)),
-				this.desk.now);
+		this.desk.dispatcher.agentSays(engine.address(), new EngineWord(OptionalInt.of(1), false,
+				OptionalLong.of(this.desk.now + inMillis * Desk.MILLI), RunnerStart.UNKNOWN), this.desk.now);
 	}
 
 	private List<String> arrive(int answerTokens) {
@@ -37,7 +37,7 @@
 	@ParameterizedTest
 	@CsvSource({ "20,Send:e1", "250,Send:e2" })
 	void anEngineIsGivenOnlyWhatEndsBeforeItsTurn(int answerTokens, String sent) {
-		this.desk.dispatcher.peerLoad("other", "e2", new PeerLoad(8, 2, 2000), this.desk.now);
+		this.desk.others("e2", new PeerLoad(8, 2, 2000));
 		closes(this.closing, 900);
 		assertThat(arrive(answerTokens), Matchers.contains(sent));
 	}
@@ -55,8 +55,8 @@
 	void afterItsTurnAnEngineTakesLongAnswersAgain() {
 		closes(this.closing, 300);
 		this.desk.dispatcher.agentSays(this.closing.address(),
-				new EngineWord(OptionalInt.of(2), false, OptionalLong.empty()), this.desk.now);
-		this.desk.dispatcher.peerLoad("other", "e2", new PeerLoad(8, 2, 2000), this.desk.now);
+				new EngineWord(OptionalInt.of(2), false, OptionalLong.empty(), RunnerStart.UNKNOWN), this.desk.now);
+		this.desk.others("e2", new PeerLoad(8, 2, 2000));
 		assertThat(arrive(250), Matchers.contains("Send:e1"));
 	}
 
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/FreshShareTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/FreshShareTests.java
@@ -8,6 +8,7 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.fleet.RunnerStart;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -18,8 +19,8 @@
 	private final RunnerInfo engine = Desk.engine("e1");
 
 	private void switching(Desk desk, boolean now) {
-		desk.dispatcher.agentSays(this.engine.address(), new EngineWord(OptionalInt.of(1), now, OptionalLong.empty()),
-				desk.now);
+		desk.dispatcher.agentSays(this.engine.address(),
+				new EngineWord(OptionalInt.of(1), now, OptionalLong.empty(), RunnerStart.UNKNOWN), desk.now);
 	}
 
 	private static long sent(Desk desk) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -1,31 +1,36 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.util.List;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.hamcrest.Matchers;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
 class LateRequestTests {
 
+	private static final Job.Size USUAL = new Job.Size(1000, 100, OptionalInt.empty());
+
 	private final Desk desk = new Desk().with(Desk.engine("e1"));
 
-	// The longest time that callers give, so that less tells of an earlier attempt.
-	@BeforeEach
-	void oneThatIsInTime() {
-		Job first = this.desk.arrive(Desk.STREAM, 100, 6000);
-		this.desk.after(100);
-		this.desk.firstEvent(first);
-		this.desk.ended(first, Outcome.DONE);
-		this.desk.done();
+	private long requests;
+
+	// Another entry refused it two seconds ago, and has said so.
+	private Job comesBack(long remainingMillis) {
+		this.requests++;
+		long askedNanos = this.desk.now - 2000 * Desk.MILLI;
+		this.desk.dispatcher
+			.peerRefused(new RefusedRequest(this.requests, askedNanos, this.desk.now + remainingMillis * Desk.MILLI));
+		return this.desk.arrive(Desk.STREAM, USUAL, remainingMillis, OptionalLong.of(this.requests));
 	}
 
 	private void atTheEngine(int requests) {
-		this.desk.dispatcher.peerLoad("other", "e1", new PeerLoad(requests, 0, 0), this.desk.now);
+		this.desk.others("e1", new PeerLoad(requests, 0, 0));
 	}
 
 	// A caller was refused and came back two seconds later: too late for a first event in
@@ -33,7 +38,7 @@
 	@Test
 	void whoComesBackIsServedFromASpareSlot() {
 		atTheEngine(13);
-		this.desk.arrive(Desk.STREAM, 1000, 4000);
+		comesBack(4000);
 		assertThat(this.desk.done(), Matchers.contains("Send:e1"));
 	}
 
@@ -46,17 +51,17 @@
 		this.desk.after(160);
 		assertThat(this.desk.done(), Matchers.contains("Refuse:no-room"));
 		atTheEngine(8);
-		this.desk.arrive(Desk.STREAM, 1000, 4000);
+		comesBack(4000);
 		assertThat(this.desk.done(), Matchers.contains("Refuse:no-room"));
 		this.desk.after(310);
-		this.desk.arrive(Desk.STREAM, 1000, 4000);
+		comesBack(4000);
 		assertThat(this.desk.done(), Matchers.contains("Send:e1"));
 	}
 
 	@Test
 	void aLateRequestWaitsForABoundedTimeOnly() {
 		atTheEngine(18);
-		this.desk.arrive(Desk.STREAM, 1000, 4000);
+		comesBack(4000);
 		assertThat(this.desk.done(), Matchers.empty());
 		this.desk.after(420);
 		assertThat(this.desk.done(), Matchers.contains("Refuse:no-room"));
@@ -77,4 +82,50 @@
 				Matchers.allOf(Matchers.greaterThanOrEqualTo(least * 9 / 10), Matchers.lessThanOrEqualTo(most)));
 	}
 
+	// Nobody has been refused. Callers give differently much time: evenly spread, of two
+	// kinds, or less since a newer declaration has lowered it. None of that says that
+	// they
+	// have asked before, so all of them go at their own rank.
+	@ParameterizedTest
+	@MethodSource("budgets")
+	void howMuchTimeACallerGivesDoesNotMakeItLate(List<Integer> remainingMillis) {
+		for (int remaining : remainingMillis) {
+			Job job = this.desk.arrive(Desk.STREAM, USUAL, remaining, OptionalLong.of(this.requests++));
+			assertThat(ranks(), Matchers.contains(Desk.STREAM.priority()));
+			this.desk.after(100);
+			this.desk.firstEvent(job);
+			this.desk.ended(job, Outcome.DONE);
+		}
+	}
+
+	static List<List<Integer>> budgets() {
+		return List.of(List.of(6000, 5100, 5900, 5500, 5300), List.of(6000, 2000, 6000, 2000),
+				List.of(6000, 6000, 3000, 3000));
+	}
+
+	// This entry refused the request itself, and it comes back: it is late, and goes
+	// after
+	// all others at the engine. Another one about the same prompt, whose caller gives up
+	// at another time, is a first attempt.
+	@ParameterizedTest
+	@CsvSource({ "4000,true", "6000,false" })
+	void whoWasRefusedIsKnownAgain(long remainingMillis, boolean known) {
+		atTheEngine(18);
+		this.desk.arrive(Desk.STREAM, USUAL, 6000, OptionalLong.of(7));
+		this.desk.after(160);
+		assertThat(this.desk.done(), Matchers.contains("Refuse:no-room"));
+		this.desk.after(1840);
+		atTheEngine(0);
+		this.desk.arrive(Desk.STREAM, USUAL, remainingMillis, OptionalLong.of(7));
+		assertThat(ranks().getFirst() > Desk.STREAM.priority(), Matchers.equalTo(known));
+	}
+
+	private List<Integer> ranks() {
+		return this.desk.dispatcher.drain()
+			.stream()
+			.filter(DispatchEffect.Send.class::isInstance)
+			.map((effect) -> ((DispatchEffect.Send) effect).rank())
+			.toList();
+	}
+
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
@@ -36,8 +36,8 @@
 	@Test
 	void aShortPromptGoesWhereLessIsWaitingToBeRead() {
 		Desk desk = new Desk().with(Desk.engine("e1"), Desk.engine("e2"));
-		desk.dispatcher.peerLoad("other", "e1", new PeerLoad(3, 3, 9000), desk.now);
-		desk.dispatcher.peerLoad("other", "e2", new PeerLoad(3, 3, 600), desk.now);
+		desk.others("e1", new PeerLoad(3, 3, 9000));
+		desk.others("e2", new PeerLoad(3, 3, 600));
 		desk.arrive(Desk.STREAM, 100, 6000);
 		assertThat(desk.done(), Matchers.contains("Send:e2"));
 	}
@@ -90,7 +90,7 @@
 	@Test
 	void nobodyWaitsBehindMoreThanCanBeServed() {
 		Desk desk = new Desk().with(Desk.engine("e1"));
-		desk.dispatcher.peerLoad("other", "e1", new PeerLoad(16, 0, 0), desk.now);
+		desk.others("e1", new PeerLoad(16, 0, 0));
 		for (int i = 0; i < 10; i++) {
 			desk.arrive(Desk.STREAM);
 		}
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/NearRunnerTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/NearRunnerTests.java
@@ -17,7 +17,7 @@
 	// better by are not noticed by the caller, the bytes between places are paid for.
 	@Test
 	void aLittleMoreWorkNearByIsBetterThanALongWay() {
-		this.desk.dispatcher.peerLoad("other", "near", new PeerLoad(3, 0, 0), this.desk.now);
+		this.desk.others("near", new PeerLoad(3, 0, 0));
 		this.desk.arrive(Desk.STREAM, 200, 6000);
 		assertThat(this.desk.done(), Matchers.contains("Send:near"));
 	}
@@ -25,7 +25,7 @@
 	// The near engine has half a second of prompts to read. The caller would notice.
 	@Test
 	void aBusyNearEngineIsPassedBy() {
-		this.desk.dispatcher.peerLoad("other", "near", new PeerLoad(8, 5, 8000), this.desk.now);
+		this.desk.others("near", new PeerLoad(8, 5, 8000));
 		this.desk.arrive(Desk.STREAM, 200, 6000);
 		assertThat(this.desk.done(), Matchers.contains("Send:far"));
 	}
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsFenceTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsFenceTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.fleet.RunnerStart;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -58,8 +59,8 @@
 	// go only to engines that hold them.
 	@Test
 	void anEngineThatLagsGetsNothingOnceTheVersionBinds() {
-		Desk desk = new Desk().with(Desk.engine("old"),
-				new RunnerInfo("new", "lm-notice", "10.0.0.9:80", "hall-a", 16, false, 0, Map.of("lm", 2)));
+		Desk desk = new Desk().with(Desk.engine("old"), new RunnerInfo("new", "lm-notice", "10.0.0.9:80", "hall-a", 16,
+				false, 0, Map.of("lm", 2), RunnerStart.UNKNOWN));
 		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
 		desk.after(10_000);
 		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wisteriapost.policy.fleet.RunnerStart;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -24,7 +25,8 @@
 	private long now = 100_000 * MILLI;
 
 	private void engine(int version, boolean busy) {
-		this.rollout.reported((version > 0) ? OptionalInt.of(version) : OptionalInt.empty(), busy, 0, this.now);
+		this.rollout.reported((version > 0) ? OptionalInt.of(version) : OptionalInt.empty(), busy, 0,
+				RunnerStart.UNKNOWN, this.now);
 		this.all.addAll(this.rollout.drain());
 	}
 
@@ -213,4 +215,29 @@
 		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
 	}
 
+	// The engine crashes while it takes weights and starts again with none. Its order is
+	// not waited for: it is ordered again as soon as what is staged is checked. A report
+	// of the former start that comes late says nothing.
+	@ParameterizedTest
+	@CsvSource({ "1000,2000,1", "0,0,0" })
+	void anOrderDiesWithItsEngine(long firstBorn, long secondBorn, long orders) {
+		RunnerStart first = (firstBorn > 0) ? RunnerStart.at(firstBorn) : RunnerStart.UNKNOWN;
+		RunnerStart second = (secondBorn > 0) ? RunnerStart.at(secondBorn) : RunnerStart.UNKNOWN;
+		this.rollout.reported(OptionalInt.empty(), false, 0, first, this.now);
+		named(2);
+		this.rollout.fetched(2, true, this.now);
+		after(100);
+		this.rollout.verified(2, true, this.now);
+		this.rollout.ordered(true, this.now);
+		this.rollout.reported(OptionalInt.empty(), true, 1, first, this.now);
+		this.rollout.drain();
+		this.all.clear();
+		this.rollout.reported(OptionalInt.empty(), false, orders, second, this.now);
+		if (first.before(second)) {
+			this.rollout.reported(OptionalInt.of(2), false, 1, first, this.now);
+		}
+		after(100);
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
+	}
+
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/EngineControl.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/EngineControl.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.fleet.RunnerStart;
 
 /**
  * Orders to the engine beside an agent.
@@ -32,8 +33,10 @@
 	 * @param sequence orders accepted since it started
 	 * @param waiting requests that wait
 	 * @param active requests in work
+	 * @param start tells this start of the engine from others
 	 */
-	record Report(Map<String, Integer> versions, boolean busy, long sequence, int waiting, int active) {
+	record Report(Map<String, Integer> versions, boolean busy, long sequence, int waiting, int active,
+			RunnerStart start) {
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
@@ -46,10 +46,11 @@
 	CompletableFuture<Void> unregister(String name, long revision);
 
 	/**
-	 * Returns an object that another process has read in this store.
+	 * Returns an object that another process has read in this store; empty when it has no
+	 * name that could be read.
 	 * @param content as {@link Item#content} returned it there
 	 */
-	Item decode(Kind kind, byte[] content);
+	Optional<Item> decode(Kind kind, byte[] content);
 
 	/**
 	 * One object.
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
@@ -156,6 +156,21 @@
     return closesInMillis_;
   }
 
+  public static final int BORN_MILLIS_FIELD_NUMBER = 6;
+  private long bornMillis_ = 0L;
+  /**
+   * <pre>
+   * Unix time of the engine's start; 0 when unknown
+   * </pre>
+   *
+   * <code>int64 born_millis = 6;</code>
+   * @return The bornMillis.
+   */
+  @java.lang.Override
+  public long getBornMillis() {
+    return bornMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -185,6 +200,9 @@
     if (closesInMillis_ != 0) {
       output.writeUInt32(5, closesInMillis_);
     }
+    if (bornMillis_ != 0L) {
+      output.writeInt64(6, bornMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -208,6 +226,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, closesInMillis_);
     }
+    if (bornMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, bornMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -242,6 +264,8 @@
         != other.getSwitching()) return false;
     if (getClosesInMillis()
         != other.getClosesInMillis()) return false;
+    if (getBornMillis()
+        != other.getBornMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -265,6 +289,9 @@
         getSwitching());
     hash = (37 * hash) + CLOSES_IN_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getClosesInMillis();
+    hash = (37 * hash) + BORN_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBornMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -405,6 +432,7 @@
       version_ = 0;
       switching_ = false;
       closesInMillis_ = 0;
+      bornMillis_ = 0L;
       return this;
     }
 
@@ -453,6 +481,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.closesInMillis_ = closesInMillis_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.bornMillis_ = bornMillis_;
+      }
     }
 
     @java.lang.Override
@@ -484,6 +515,9 @@
       if (other.getClosesInMillis() != 0) {
         setClosesInMillis(other.getClosesInMillis());
       }
+      if (other.getBornMillis() != 0L) {
+        setBornMillis(other.getBornMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -533,6 +567,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              bornMillis_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -806,6 +845,50 @@
       return this;
     }
 
+    private long bornMillis_ ;
+    /**
+     * <pre>
+     * Unix time of the engine's start; 0 when unknown
+     * </pre>
+     *
+     * <code>int64 born_millis = 6;</code>
+     * @return The bornMillis.
+     */
+    @java.lang.Override
+    public long getBornMillis() {
+      return bornMillis_;
+    }
+    /**
+     * <pre>
+     * Unix time of the engine's start; 0 when unknown
+     * </pre>
+     *
+     * <code>int64 born_millis = 6;</code>
+     * @param value The bornMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBornMillis(long value) {
+
+      bornMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Unix time of the engine's start; 0 when unknown
+     * </pre>
+     *
+     * <code>int64 born_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBornMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      bornMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.EngineState)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
@@ -65,4 +65,14 @@
    * @return The closesInMillis.
    */
   int getClosesInMillis();
+
+  /**
+   * <pre>
+   * Unix time of the engine's start; 0 when unknown
+   * </pre>
+   *
+   * <code>int64 born_millis = 6;</code>
+   * @return The bornMillis.
+   */
+  long getBornMillis();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReport.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReport.java
@@ -34,6 +34,7 @@
   }
   private LoadReport() {
     loads_ = java.util.Collections.emptyList();
+    refused_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -95,6 +96,47 @@
     return loads_.get(index);
   }
 
+  public static final int REFUSED_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wisteriapost.protocol.wire.RefusedRequest> refused_;
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wisteriapost.protocol.wire.RefusedRequest> getRefusedList() {
+    return refused_;
+  }
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wisteriapost.protocol.wire.RefusedRequestOrBuilder> 
+      getRefusedOrBuilderList() {
+    return refused_;
+  }
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  @java.lang.Override
+  public int getRefusedCount() {
+    return refused_.size();
+  }
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.RefusedRequest getRefused(int index) {
+    return refused_.get(index);
+  }
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.RefusedRequestOrBuilder getRefusedOrBuilder(
+      int index) {
+    return refused_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -112,6 +154,9 @@
     for (int i = 0; i < loads_.size(); i++) {
       output.writeMessage(1, loads_.get(i));
     }
+    for (int i = 0; i < refused_.size(); i++) {
+      output.writeMessage(2, refused_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -125,6 +170,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = refused_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(refused_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -151,6 +205,8 @@
 
     if (!getLoadsList()
         .equals(other.getLoadsList())) return false;
+    if (!getRefusedList()
+        .equals(other.getRefusedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -166,6 +222,10 @@
       hash = (37 * hash) + LOADS_FIELD_NUMBER;
       hash = (53 * hash) + getLoadsList().hashCode();
     }
+    if (getRefusedCount() > 0) {
+      hash = (37 * hash) + REFUSED_FIELD_NUMBER;
+      hash = (53 * hash) + getRefusedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -309,6 +369,13 @@
         loadsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      if (refusedBuilder_ == null) {
+        refused_ = java.util.Collections.emptyList();
+      } else {
+        refused_ = null;
+        refusedBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
       return this;
     }
 
@@ -351,6 +418,15 @@
       } else {
         result.loads_ = loadsBuilder_.build();
       }
+      if (refusedBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          refused_ = java.util.Collections.unmodifiableList(refused_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.refused_ = refused_;
+      } else {
+        result.refused_ = refusedBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wisteriapost.protocol.wire.LoadReport result) {
@@ -395,6 +471,32 @@
           }
         }
       }
+      if (refusedBuilder_ == null) {
+        if (!other.refused_.isEmpty()) {
+          if (refused_.isEmpty()) {
+            refused_ = other.refused_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureRefusedIsMutable();
+            refused_.addAll(other.refused_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.refused_.isEmpty()) {
+          if (refusedBuilder_.isEmpty()) {
+            refusedBuilder_.dispose();
+            refusedBuilder_ = null;
+            refused_ = other.refused_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            refusedBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRefusedFieldBuilder() : null;
+          } else {
+            refusedBuilder_.addAllMessages(other.refused_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -432,6 +534,19 @@
               }
               break;
             } // case 10
+            case 18: {
+              org.wisteriapost.protocol.wire.RefusedRequest m =
+                  input.readMessage(
+                      org.wisteriapost.protocol.wire.RefusedRequest.parser(),
+                      extensionRegistry);
+              if (refusedBuilder_ == null) {
+                ensureRefusedIsMutable();
+                refused_.add(m);
+              } else {
+                refusedBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -683,6 +798,240 @@
       return loadsBuilder_;
     }
 
+    private java.util.List<org.wisteriapost.protocol.wire.RefusedRequest> refused_ =
+      java.util.Collections.emptyList();
+    private void ensureRefusedIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        refused_ = new java.util.ArrayList<org.wisteriapost.protocol.wire.RefusedRequest>(refused_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.RefusedRequest, org.wisteriapost.protocol.wire.RefusedRequest.Builder, org.wisteriapost.protocol.wire.RefusedRequestOrBuilder> refusedBuilder_;
+
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.RefusedRequest> getRefusedList() {
+      if (refusedBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(refused_);
+      } else {
+        return refusedBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public int getRefusedCount() {
+      if (refusedBuilder_ == null) {
+        return refused_.size();
+      } else {
+        return refusedBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.RefusedRequest getRefused(int index) {
+      if (refusedBuilder_ == null) {
+        return refused_.get(index);
+      } else {
+        return refusedBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder setRefused(
+        int index, org.wisteriapost.protocol.wire.RefusedRequest value) {
+      if (refusedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRefusedIsMutable();
+        refused_.set(index, value);
+        onChanged();
+      } else {
+        refusedBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder setRefused(
+        int index, org.wisteriapost.protocol.wire.RefusedRequest.Builder builderForValue) {
+      if (refusedBuilder_ == null) {
+        ensureRefusedIsMutable();
+        refused_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        refusedBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder addRefused(org.wisteriapost.protocol.wire.RefusedRequest value) {
+      if (refusedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRefusedIsMutable();
+        refused_.add(value);
+        onChanged();
+      } else {
+        refusedBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder addRefused(
+        int index, org.wisteriapost.protocol.wire.RefusedRequest value) {
+      if (refusedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRefusedIsMutable();
+        refused_.add(index, value);
+        onChanged();
+      } else {
+        refusedBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder addRefused(
+        org.wisteriapost.protocol.wire.RefusedRequest.Builder builderForValue) {
+      if (refusedBuilder_ == null) {
+        ensureRefusedIsMutable();
+        refused_.add(builderForValue.build());
+        onChanged();
+      } else {
+        refusedBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder addRefused(
+        int index, org.wisteriapost.protocol.wire.RefusedRequest.Builder builderForValue) {
+      if (refusedBuilder_ == null) {
+        ensureRefusedIsMutable();
+        refused_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        refusedBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder addAllRefused(
+        java.lang.Iterable<? extends org.wisteriapost.protocol.wire.RefusedRequest> values) {
+      if (refusedBuilder_ == null) {
+        ensureRefusedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, refused_);
+        onChanged();
+      } else {
+        refusedBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder clearRefused() {
+      if (refusedBuilder_ == null) {
+        refused_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        refusedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public Builder removeRefused(int index) {
+      if (refusedBuilder_ == null) {
+        ensureRefusedIsMutable();
+        refused_.remove(index);
+        onChanged();
+      } else {
+        refusedBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.RefusedRequest.Builder getRefusedBuilder(
+        int index) {
+      return internalGetRefusedFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.RefusedRequestOrBuilder getRefusedOrBuilder(
+        int index) {
+      if (refusedBuilder_ == null) {
+        return refused_.get(index);  } else {
+        return refusedBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public java.util.List<? extends org.wisteriapost.protocol.wire.RefusedRequestOrBuilder> 
+         getRefusedOrBuilderList() {
+      if (refusedBuilder_ != null) {
+        return refusedBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(refused_);
+      }
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.RefusedRequest.Builder addRefusedBuilder() {
+      return internalGetRefusedFieldBuilder().addBuilder(
+          org.wisteriapost.protocol.wire.RefusedRequest.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.RefusedRequest.Builder addRefusedBuilder(
+        int index) {
+      return internalGetRefusedFieldBuilder().addBuilder(
+          index, org.wisteriapost.protocol.wire.RefusedRequest.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.RefusedRequest.Builder> 
+         getRefusedBuilderList() {
+      return internalGetRefusedFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.RefusedRequest, org.wisteriapost.protocol.wire.RefusedRequest.Builder, org.wisteriapost.protocol.wire.RefusedRequestOrBuilder> 
+        internalGetRefusedFieldBuilder() {
+      if (refusedBuilder_ == null) {
+        refusedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wisteriapost.protocol.wire.RefusedRequest, org.wisteriapost.protocol.wire.RefusedRequest.Builder, org.wisteriapost.protocol.wire.RefusedRequestOrBuilder>(
+                refused_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        refused_ = null;
+      }
+      return refusedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.LoadReport)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReportOrBuilder.java
@@ -33,4 +33,28 @@
    */
   org.wisteriapost.protocol.wire.RunnerLoadOrBuilder getLoadsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  java.util.List<org.wisteriapost.protocol.wire.RefusedRequest> 
+      getRefusedList();
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  org.wisteriapost.protocol.wire.RefusedRequest getRefused(int index);
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  int getRefusedCount();
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  java.util.List<? extends org.wisteriapost.protocol.wire.RefusedRequestOrBuilder> 
+      getRefusedOrBuilderList();
+  /**
+   * <code>repeated .wisteriapost.RefusedRequest refused = 2;</code>
+   */
+  org.wisteriapost.protocol.wire.RefusedRequestOrBuilder getRefusedOrBuilder(
+      int index);
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoad.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoad.java
@@ -141,6 +141,21 @@
     return waitingPrompt_;
   }
 
+  public static final int BORN_MILLIS_FIELD_NUMBER = 5;
+  private long bornMillis_ = 0L;
+  /**
+   * <pre>
+   * Unix time of the runner's start; 0 when unknown
+   * </pre>
+   *
+   * <code>int64 born_millis = 5;</code>
+   * @return The bornMillis.
+   */
+  @java.lang.Override
+  public long getBornMillis() {
+    return bornMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -167,6 +182,9 @@
     if (waitingPrompt_ != 0) {
       output.writeUInt32(4, waitingPrompt_);
     }
+    if (bornMillis_ != 0L) {
+      output.writeInt64(5, bornMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -186,6 +204,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, waitingPrompt_);
     }
+    if (bornMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, bornMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -218,6 +240,8 @@
         != other.getWaiting()) return false;
     if (getWaitingPrompt()
         != other.getWaitingPrompt()) return false;
+    if (getBornMillis()
+        != other.getBornMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -237,6 +261,9 @@
     hash = (53 * hash) + getWaiting();
     hash = (37 * hash) + WAITING_PROMPT_FIELD_NUMBER;
     hash = (53 * hash) + getWaitingPrompt();
+    hash = (37 * hash) + BORN_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBornMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -372,6 +399,7 @@
       active_ = 0;
       waiting_ = 0;
       waitingPrompt_ = 0;
+      bornMillis_ = 0L;
       return this;
     }
 
@@ -417,6 +445,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.waitingPrompt_ = waitingPrompt_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.bornMillis_ = bornMillis_;
+      }
     }
 
     @java.lang.Override
@@ -445,6 +476,9 @@
       if (other.getWaitingPrompt() != 0) {
         setWaitingPrompt(other.getWaitingPrompt());
       }
+      if (other.getBornMillis() != 0L) {
+        setBornMillis(other.getBornMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -489,6 +523,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              bornMillis_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -730,6 +769,50 @@
       return this;
     }
 
+    private long bornMillis_ ;
+    /**
+     * <pre>
+     * Unix time of the runner's start; 0 when unknown
+     * </pre>
+     *
+     * <code>int64 born_millis = 5;</code>
+     * @return The bornMillis.
+     */
+    @java.lang.Override
+    public long getBornMillis() {
+      return bornMillis_;
+    }
+    /**
+     * <pre>
+     * Unix time of the runner's start; 0 when unknown
+     * </pre>
+     *
+     * <code>int64 born_millis = 5;</code>
+     * @param value The bornMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBornMillis(long value) {
+
+      bornMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Unix time of the runner's start; 0 when unknown
+     * </pre>
+     *
+     * <code>int64 born_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBornMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      bornMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.RunnerLoad)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoadOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoadOrBuilder.java
@@ -59,4 +59,14 @@
    * @return The waitingPrompt.
    */
   int getWaitingPrompt();
+
+  /**
+   * <pre>
+   * Unix time of the runner's start; 0 when unknown
+   * </pre>
+   *
+   * <code>int64 born_millis = 5;</code>
+   * @return The bornMillis.
+   */
+  long getBornMillis();
 }
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -136,7 +136,7 @@
 		}
 
 		@Override
-		public Item decode(Kind kind, byte[] content) {
+		public Optional<Item> decode(Kind kind, byte[] content) {
 			throw new UnsupportedOperationException();
 		}
 
