--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -105,6 +105,8 @@
 
 	private Optional<WeightFile> file = Optional.empty();
 
+	private boolean idle;
+
 	private Optional<CompletableFuture<Void>> fetch = Optional.empty();
 
 	EngineKeeper(SiteSettings settings, SiteProvider site, HttpCaller caller, Links links,
@@ -231,11 +233,20 @@
 				return;
 			}
 			Integer version = this.weights.map((known) -> report.versions().get(known.model)).orElse(null);
+			idle(report);
 			this.rollout.reported((version != null) ? OptionalInt.of(version) : OptionalInt.empty(), report.busy(),
 					report.sequence(), report.start(), System.nanoTime());
 		}));
 	}
 
+	private void idle(EngineControl.Report report) {
+		boolean now = report.versions().isEmpty() && report.active() == 0;
+		this.weights.filter((known) -> now != this.idle).ifPresent((known) -> {
+			this.idle = now;
+			known.transfer.idle(now);
+		});
+	}
+
 	private void fetch(int version) {
 		Weights known = this.weights.orElseThrow();
 		String path = known.model + "/" + version;
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
@@ -160,6 +160,10 @@
 	public void busy(double share) {
 	}
 
+	@Override
+	public void idle(boolean now) {
+	}
+
 	@Override
 	public void close() {
 		this.current.cancel(false);
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
@@ -47,6 +47,8 @@
 
 	private double lateness;
 
+	private boolean idle;
+
 	private volatile Fetch current;
 
 	private PeerTransfer(TransferContext context, TransferOptions options) {
@@ -188,15 +190,27 @@
 	public void busy(double share) {
 		this.thread.run(() -> {
 			this.lateness = share;
-			this.server.rate(rate());
-			if (this.current != null) {
-				this.current.event(new TransferEvent.RateSet(rate()));
-			}
+			pace();
+		});
+	}
+
+	@Override
+	public void idle(boolean now) {
+		this.thread.run(() -> {
+			this.idle = now;
+			pace();
 		});
 	}
 
+	private void pace() {
+		this.server.rate(rate());
+		if (this.current != null) {
+			this.current.event(new TransferEvent.RateSet(rate()));
+		}
+	}
+
 	private double rate() {
-		return this.options.share().rate(this.lateness);
+		return this.idle ? this.options.share().idleRate() : this.options.share().rate(this.lateness);
 	}
 
 	private void lost(String file, int index) {
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/Transfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/Transfer.java
@@ -57,6 +57,12 @@
 	 */
 	void busy(double share);
 
+	/**
+	 * Hears whether there is no live traffic on this VM, so that weights may use nearly
+	 * all of the link.
+	 */
+	void idle(boolean now);
+
 	@Override
 	void close();
 
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/LinkShare.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/LinkShare.java
@@ -13,6 +13,19 @@
  */
 public record LinkShare(double linkBytesPerSecond, double calm, double late) {
 
+	// The rest is for heads, acknowledgements and control.
+	private static final double IDLE = 0.97;
+
+	/**
+	 * Returns the bytes per second while there is no live traffic.
+	 *
+	 * Made for engines that hold no weights: there is nothing on their links to spare,
+	 * and the traffic that they would take is refused until they hold all.
+	 */
+	public double idleRate() {
+		return this.linkBytesPerSecond * IDLE;
+	}
+
 	/**
 	 * Returns the bytes per second for a lateness from 0, calm, to 1.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/LinkPacingTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/LinkPacingTests.java
@@ -25,6 +25,13 @@
 		assertThat(new LinkShare(1000, 0.3, 0.9).rate(1), is(300.0));
 	}
 
+	// An engine that has just started holds no weights and answers nothing: there is
+	// nothing to leave the link to, and each tenth of it is 0.4 s until it can answer.
+	@Test
+	void nearlyAllOfTheLinkIsForWeightsWhileNothingElseUsesIt() {
+		assertThat(new LinkShare(1000, 0.85, 0.3).idleRate(), is(closeTo(970, 1e-6)));
+	}
+
 	@Test
 	void bytesInASecondStayUnderTheRateAndItsBurst() {
 		Pacer pacer = Pacer.create(0.1);
