The origin of weights is asked again within half a second of its return

Version 3 was named at 20.0, the origin crashed at 20.5 and was back at 26.5; no engine stored a piece between 20.0 and 31.7 s. A reader that finds the origin away pauses for twice as long each time, up to 5 s, so all of them went on waiting for 5 s after it was back, and from 26.8 s on no engine had weights that requests might start on. Ruled out: the abandoned fetch of version 2 (its failure is heard and ignored, the next fetch begins in the same millisecond); silent peers (pieces came within 0.5 s at 31.8). The test plays 6 s without an origin and was seen to fail with 5 s.

--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -103,6 +103,23 @@
 		assertThat(reads(apply(new TransferEvent.Tick())), is(not(empty())));
 	}
 
+	// Weights are named and the origin crashes with a part of its copy unread. For 6 s each
+	// read fails. Then it is back, and it is read within half a second: engines that wait
+	// longer have no weights that may be answered from.
+	@Test
+	void originIsReadSoonAfterItsReturnHoweverLongItWasAway() {
+		apply(new TransferEvent.PeersSeen(List.of()));
+		List<Integer> asked = reads(apply(new TransferEvent.Held(new BitSet())));
+		for (int tick = 0; tick < 300; tick++) {
+			asked.forEach((piece) -> apply(new TransferEvent.OriginFailed(piece, false)));
+			this.now += 20 * MILLI;
+			asked = reads(apply(new TransferEvent.Tick()));
+		}
+		asked.forEach((piece) -> apply(new TransferEvent.OriginFailed(piece, false)));
+		this.now += Duration.ofMillis(500).toNanos();
+		assertThat(reads(apply(new TransferEvent.Tick())), is(not(empty())));
+	}
+
 	// The first in rank for a piece has died with the list still naming it, or its link
 	// stalls. Nothing new appears, so the next in rank reads the piece; while others'
 	// pieces keep appearing the origin is only slow, and nobody does.
