What a quick fetch has read back is ordered without a second check

Change: an engine without weights whose fetch took less than the time for which a check holds (1.5 s) is ordered at once. anEngineWithoutWeightsWaitsForNobody had a fetch of no length and now has one of 4 s, so that it still plays the check; the quick one is new.

--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -200,6 +200,13 @@
 		if (whole && inForce(version)) {
 			idle(nowNanos);
 		}
+		else if (whole && this.held.isEmpty() && !this.busy && this.taking.isEmpty()
+				&& nowNanos - this.stepNanos < FRESH.toNanos()) {
+			// Every piece was checked within this fetch, and nothing is answered
+			// meanwhile.
+			this.checkedNanos = this.stepNanos;
+			go(Step.CHECKED, nowNanos);
+		}
 		else if (whole) {
 			await(nowNanos);
 		}
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -200,6 +200,7 @@
 		this.rollout.turn(0.99);
 		engine(0, false);
 		named(1);
+		after(4000);
 		this.rollout.fetched(1, true, this.now);
 		after(50);
 		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(1)));
@@ -240,4 +241,21 @@
 		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
 	}
 
+	// All engines were killed; what was staged is still there, and the fetch only reads
+	// it
+	// back. Checked a second time it is ordered a quarter of a second later, while nobody
+	// answers. A fetch that took long has pieces that were checked long ago.
+	@ParameterizedTest
+	@CsvSource({ "300,true", "4000,false" })
+	void whatAQuickFetchHasCheckedIsOrderedAtOnce(long fetchMillis, boolean atOnce) {
+		engine(0, false);
+		named(1);
+		after(fetchMillis);
+		this.all.clear();
+		this.rollout.fetched(1, true, this.now);
+		this.all.addAll(this.rollout.drain());
+		assertThat(this.all.contains(new RolloutEffect.Take(1, 0)), Matchers.equalTo(atOnce));
+		assertThat(this.all.contains(new RolloutEffect.Verify(1)), Matchers.equalTo(!atOnce));
+	}
+
 }
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -103,7 +103,8 @@
 		assertThat(reads(apply(new TransferEvent.Tick())), is(not(empty())));
 	}
 
-	// Weights are named and the origin crashes with a part of its copy unread. For 6 s each
+	// Weights are named and the origin crashes with a part of its copy unread. For 6 s
+	// each
 	// read fails. Then it is back, and it is read within half a second: engines that wait
 	// longer have no weights that may be answered from.
 	@Test
