--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.policy.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
@@ -59,10 +58,7 @@
 
 	private final Map<Long, Job> jobs = new LinkedHashMap<>();
 
-	private final Map<String, Deque<Job>> queues = new HashMap<>();
-
-	// Who can't be in time any more waits apart, and goes on after all others.
-	private final Map<String, Deque<Job>> lateQueues = new HashMap<>();
+	private final WaitingRequests waiting = new WaitingRequests();
 
 	private final Map<String, RetryAllowance> allowances = new HashMap<>();
 
@@ -342,8 +338,7 @@
 	}
 
 	private void place(Job job, long nowNanos) {
-		Map<String, Deque<Job>> waiting = this.patience.late(job, nowNanos) ? this.lateQueues : this.queues;
-		Deque<Job> queue = waiting.computeIfAbsent(job.service(), (name) -> new ArrayDeque<>());
+		Deque<Job> queue = this.waiting.of(job, this.patience.late(job, nowNanos));
 		place(job, queue, queue.size(), nowNanos);
 	}
 
@@ -380,19 +375,7 @@
 	// Lets waiting requests go on in the order in which they came, as far as room has
 	// come up.
 	private void pump(long nowNanos) {
-		pump(this.queues, nowNanos);
-		pump(this.lateQueues, nowNanos);
-	}
-
-	private void pump(Map<String, Deque<Job>> waiting, long nowNanos) {
-		for (Deque<Job> queue : waiting.values()) {
-			for (int left = queue.size(); left > 0; left--) {
-				Job job = queue.pollFirst();
-				if (!job.over) {
-					place(job, queue, 0, nowNanos);
-				}
-			}
-		}
+		this.waiting.retry((job, queue) -> place(job, queue, 0, nowNanos));
 	}
 
 	private void release(Job job, Outcome outcome, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -42,25 +42,6 @@
 
 	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
 
-	// Engines change over in groups, so that the others go on answering. An engine
-	// ends what it runs and is away for some two seconds under full load; a group
-	// begins when the one before it is back, as far as time allows. Turns spread
-	// evenly over a time that is no longer than that put all engines away at its end:
-	// 73 of 360 requests in time then.
-	private static final Duration AWAY = Duration.ofMillis(2000);
-
-	private static final int LEAST_GROUPS = 2;
-
-	// More groups gain little: with four, three quarters of the engines answer.
-	private static final int MOST_GROUPS = 4;
-
-	// A version that a newer one waits for is taken quickly, since the fetch of the newer
-	// one can begin only then.
-	private static final Duration SPREAD_HURRIED = Duration.ofMillis(900);
-
-	// From the end of a fetch to the first turn: the check of what is staged.
-	private static final Duration LEAD = Duration.ofMillis(450);
-
 	// A turn is announced while the fetch is under way, since what an engine runs when
 	// its turn comes began up to two seconds before. From this part of the fetch on
 	// its end is known to within some 200 ms.
@@ -76,10 +57,7 @@
 
 	private static final Duration FRESH = Duration.ofMillis(1500);
 
-	// Of the time until the weights must be in force: from then on no turn waits.
-	private static final double LATEST = 0.84;
-
-	private final long inForceNanos;
+	private final Turns turns;
 
 	private final List<RolloutEffect> effects = new ArrayList<>();
 
@@ -99,8 +77,6 @@
 
 	private long stepNanos;
 
-	private double position;
-
 	private long turnNanos;
 
 	private long checkedNanos;
@@ -126,7 +102,7 @@
 	private RolloutEffect.Tell told;
 
 	private Rollout(Duration inForce) {
-		this.inForceNanos = inForce.toNanos();
+		this.turns = new Turns(inForce);
 	}
 
 	/**
@@ -170,7 +146,7 @@
 	 * Hears this engine's place among all that change over, from 0 to below 1.
 	 */
 	public void turn(double position) {
-		this.position = position;
+		this.turns.position(position);
 	}
 
 	/**
@@ -374,7 +350,7 @@
 	private void plan(long nowNanos) {
 		long turn = turnAfter(nowNanos);
 		boolean near = Math.abs(turn - this.turnNanos) <= RETOLD_NANOS;
-		boolean kept = near && this.turnNanos >= nowNanos + LEAD.toNanos();
+		boolean kept = near && this.turnNanos >= nowNanos + Turns.LEAD.toNanos();
 		this.turnNanos = kept ? this.turnNanos : turn;
 		if (this.held.isEmpty()) {
 			this.turnNanos = nowNanos;
@@ -383,12 +359,7 @@
 
 	private long turnAfter(long fetchedNanos) {
 		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
-		long earliest = fetchedNanos + LEAD.toNanos();
-		long latest = this.targetNamedNanos + (long) (LATEST * this.inForceNanos);
-		long spread = Math.max(0, newest ? latest - earliest : Math.min(latest - earliest, SPREAD_HURRIED.toNanos()));
-		int groups = (int) Math.clamp(1 + spread / AWAY.toNanos(), LEAST_GROUPS, MOST_GROUPS);
-		long between = Math.min(spread / (groups - 1), AWAY.toNanos());
-		return earliest + (long) (this.position * groups) * between;
+		return this.turns.after(fetchedNanos, this.targetNamedNanos, newest);
 	}
 
 	private void turn(long nowNanos) {
