--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -185,11 +185,12 @@
 	// registration lapses, some four seconds, requests go to both, and those for the
 	// former one are answered 421: 378 of 700 in three seconds, each a retry of the
 	// budget
-	// that all share. An address has one runner at a time, the one that registered last.
+	// that all share. An address has one runner of a service at a time, the one that
+	// registered last. One of another service hides nobody: it may be somebody's mistake.
 	private void index() {
 		Map<String, RunnerState> latest = new HashMap<>();
 		this.runners.values()
-			.forEach((state) -> latest.merge(state.info.address(), state,
+			.forEach((state) -> latest.merge(state.info.service() + " " + state.info.address(), state,
 					(one, other) -> (one.info.revision() < other.info.revision()) ? other : one));
 		this.services.clear();
 		latest.values()
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStartTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStartTests.java
@@ -112,6 +112,15 @@
 		assertThat(this.desk.done(), Matchers.everyItem(Matchers.equalTo("Send:latest")));
 	}
 
+	// Another writer has put an object of a service that nobody declared into the store,
+	// with the address of a runner that is well. Its callers notice nothing.
+	@Test
+	void aRegistrationOfAnotherServiceHidesNobody() {
+		this.desk.with(engine(RunnerStart.UNKNOWN, Map.of("lm", 1)), new RunnerInfo("odd", "no-service", "10.0.0.1:80",
+				"hall-a", 16, false, 0, Map.of("lm", 1), 900, RunnerStart.UNKNOWN));
+		assertThat(sent(), Matchers.equalTo("Send:e1"));
+	}
+
 	// An agent says that its engine holds no weights, but the registration that was read
 	// last still lists some. Requests sent there are answered 421.
 	@Test
