--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
@@ -41,9 +41,9 @@
 	// when it was not said for two and a half seconds.
 	private static final long FULL_TICKS = 50;
 
-	// In one report; more are refused only by an entry that can place nothing, and what
+	// In one report. More are refused only by an entry that can place nothing, and what
 	// is
-	// not told counts as a first attempt.
+	// left out counts as a first attempt.
 	private static final int MOST_REFUSED = 200;
 
 	private final String place;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.dispatch.PeerLoad;
+import org.wisteriapost.policy.dispatch.RefusedRequest;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerStart;
@@ -81,6 +82,26 @@
 		assertThat(this.sent.size(), Matchers.allOf(Matchers.greaterThanOrEqualTo(9), Matchers.lessThanOrEqualTo(11)));
 	}
 
+	// A caller that was refused comes back to another entry, which must know it for a
+	// late
+	// one. Every entry is told once, near and far, with the age that the request has
+	// then.
+	@Test
+	void aRefusedRequestIsToldOnceToEveryEntry() {
+		tick(0, entries(1, 1), List.of());
+		this.reports.refused(new RefusedRequest(7, 0, 6_000_000_000L));
+		for (long tick = 1; tick < 100; tick++) {
+			tick(tick, entries(1, 1), List.of());
+		}
+		assertThat(this.sent, Matchers.containsInAnyOrder("hall-a-0", "hall-b-1"));
+		assertThat(this.frames.getFirst().getLoadReport().getRefused(0),
+				Matchers.equalTo(org.wisteriapost.protocol.wire.RefusedRequest.newBuilder()
+					.setRequest(7)
+					.setAskedMillis(LoadReports.NEAR_TICKS * 20)
+					.setLeftMillis(6000 - LoadReports.NEAR_TICKS * 20)
+					.build()));
+	}
+
 	@Test
 	void whatHasEndedIsSaidOnce() {
 		tick(0, entries(1, 0), at(new PeerLoad(3, 0, 0)));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -21,7 +21,7 @@
 
 	// A runner that has just said that it is full is not asked again for the time in
 	// which a running answer may end.
-	private static final long FULL_NANOS = Duration.ofMillis(40).toNanos();
+	private static final long LEFT_OUT_NANOS = Duration.ofMillis(40).toNanos();
 
 	// 1.3 s: until then a registration or an agent's word has come.
 	private static final int MOST_DOUBLINGS = 5;
@@ -46,7 +46,7 @@
 
 	boolean gone;
 
-	private long fullUntilNanos = Long.MIN_VALUE;
+	private long leftOutUntilNanos = Long.MIN_VALUE;
 
 	private int misdirectedInRow;
 
@@ -129,7 +129,7 @@
 	}
 
 	void full(long nowNanos) {
-		this.fullUntilNanos = nowNanos + FULL_NANOS;
+		this.leftOutUntilNanos = nowNanos + LEFT_OUT_NANOS;
 	}
 
 	/**
@@ -139,12 +139,12 @@
 	 * more after a crash.
 	 */
 	void misdirected(long nowNanos) {
-		this.fullUntilNanos = nowNanos + (FULL_NANOS << Math.min(MOST_DOUBLINGS, this.misdirectedInRow));
+		this.leftOutUntilNanos = nowNanos + (LEFT_OUT_NANOS << Math.min(MOST_DOUBLINGS, this.misdirectedInRow));
 		this.misdirectedInRow++;
 	}
 
-	boolean saidFull(long nowNanos) {
-		return nowNanos < this.fullUntilNanos;
+	boolean leftOut(long nowNanos) {
+		return nowNanos < this.leftOutUntilNanos;
 	}
 
 	/**
@@ -157,7 +157,7 @@
 	private void forgive() {
 		if (this.misdirectedInRow > 0) {
 			this.misdirectedInRow = 0;
-			this.fullUntilNanos = Long.MIN_VALUE;
+			this.leftOutUntilNanos = Long.MIN_VALUE;
 		}
 	}
 
