--- a/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/OriginTransfer.java
@@ -104,8 +104,7 @@
 			.read(file.path(), file.etag(), offset, file.chunkLength(index))
 			.thenCompose((bytes) -> {
 				// A chunk that went bad on the way would be served as weights: hashed
-				// before
-				// it is stored, it never reaches the engine.
+				// before it is stored, it never reaches the engine.
 				if (!Digests.sha256(bytes).equals(file.chunks().get(index))) {
 					throw CodedException.of(CHUNK_CORRUPT, file.path() + " chunk " + index);
 				}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
@@ -42,8 +42,7 @@
 	private static final long FULL_TICKS = 50;
 
 	// In one report. More are refused only by an entry that can place nothing, and what
-	// is
-	// left out counts as a first attempt.
+	// is left out counts as a first attempt.
 	private static final int MOST_REFUSED = 200;
 
 	private final String place;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReportsTests.java
@@ -83,9 +83,8 @@
 	}
 
 	// A caller that was refused comes back to another entry, which must know it for a
-	// late
-	// one. Every entry is told once, near and far, with the age that the request has
-	// then.
+	// late one. Every entry is told once, near and far, with the age that the request
+	// has then.
 	@Test
 	void aRefusedRequestIsToldOnceToEveryEntry() {
 		tick(0, entries(1, 1), List.of());
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -180,13 +180,12 @@
 		}
 	}
 
-	// Load: all engines crash and start again under new ids. Harm prevented: until a
-	// former
-	// registration lapses, some four seconds, requests go to both, and those for the
-	// former one are answered 421: 378 of 700 in three seconds, each a retry of the
-	// budget
-	// that all share. An address has one runner of a service at a time, the one that
-	// registered last. One of another service hides nobody: it may be somebody's mistake.
+	// Load: all engines crash and start again under new ids. Harm prevented: a former
+	// registration lapses some four seconds later. Until then requests go to both, and
+	// those for the former one are answered 421: 378 of 700 in three seconds, each a
+	// retry of the budget that all share. An address has one runner of a service at a
+	// time, the one that registered last. One of another service hides nobody: it may be
+	// somebody's mistake.
 	private void index() {
 		Map<String, RunnerState> latest = new HashMap<>();
 		this.runners.values()
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/OriginDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/OriginDuty.java
@@ -29,13 +29,11 @@
 	private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
 	// Load: the origin goes away for seconds just after weights were named, with a part
-	// of
-	// its one copy still unread. Harm prevented: every VM that found it away goes on
-	// waiting once it is back. With pauses of up to five seconds, an origin that was away
-	// for 6 s was read again 5 s after its return, and no engine could take the weights
-	// before they had to be in force. 810 VMs that ask twice a second are 1,600 attempts
-	// a
-	// second to connect, while it is away only.
+	// of its one copy still unread. Harm prevented: every VM that found it away goes on
+	// waiting once it is back. With pauses of up to five seconds, an origin that was
+	// away for 6 s was read again 5 s after its return, and no engine could take the
+	// weights before they had to be in force. 810 VMs that ask twice a second are 1,600
+	// attempts a second to connect, while it is away only.
 	private static final long MOST_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
 
 	private final TransferLimits limits;
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -82,10 +82,9 @@
 				Matchers.allOf(Matchers.greaterThanOrEqualTo(least * 9 / 10), Matchers.lessThanOrEqualTo(most)));
 	}
 
-	// Nobody has been refused. Callers give differently much time: evenly spread, of two
-	// kinds, or less since a newer declaration has lowered it. None of that says that
-	// they
-	// have asked before, so all of them go at their own rank.
+	// Nobody has been refused. Callers give differently much time: evenly spread, of
+	// two kinds, or less since a newer declaration has lowered it. None of that says
+	// that they have asked before, so all of them go at their own rank.
 	@ParameterizedTest
 	@MethodSource("budgets")
 	void howMuchTimeACallerGivesDoesNotMakeItLate(List<Integer> remainingMillis) {
@@ -104,9 +103,8 @@
 	}
 
 	// This entry refused the request itself, and it comes back: it is late, and goes
-	// after
-	// all others at the engine. Another one about the same prompt, whose caller gives up
-	// at another time, is a first attempt.
+	// after all others at the engine. Another one about the same prompt, whose caller
+	// gives up at another time, is a first attempt.
 	@ParameterizedTest
 	@CsvSource({ "4000,true", "6000,false" })
 	void whoWasRefusedIsKnownAgain(long remainingMillis, boolean known) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
@@ -62,8 +62,7 @@
 
 	// Links are busy and every first event takes three times as long as the engines'
 	// declared speed says. What the entry sees of any engine counts for all of them, so
-	// it
-	// soon admits less: the engines hold fewer than their slots.
+	// it soon admits less: the engines hold fewer than their slots.
 	@Test
 	void lateFirstEventsOfAnyEngineMakeItAdmitLess() {
 		Desk desk = new Desk().with(Desk.engine("e1"), Desk.engine("e2"), Desk.engine("e3"));
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStartTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStartTests.java
@@ -65,8 +65,7 @@
 	}
 
 	// Other entries had filled the engine when it crashed. What they said of it then
-	// would
-	// keep its slots taken for seconds after it is back.
+	// would keep its slots taken for seconds after it is back.
 	@Test
 	void whatOthersHadAtAFormerStartDoesNotFillThisOne() {
 		this.desk.with(engine(FIRST, Map.of("lm", 1)));
@@ -95,8 +94,7 @@
 
 	// An engine has crashed and started again under a new id, at its old address. Both
 	// registrations stand in the store for some seconds, and the agent says of the
-	// address
-	// that it holds weights. What is sent to the former start is answered 421.
+	// address that it holds weights. What is sent to the former start is answered 421.
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
 	void ofTwoRegistrationsAtOneAddressTheLaterOneIsMeant(boolean latestFirst) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsFenceTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsFenceTests.java
@@ -30,9 +30,8 @@
 	}
 
 	// A third version is named three seconds after the second, before the second has to
-	// be
-	// in force. The second still binds after its own time; were it forgotten, engines
-	// that lag would start requests on the first beyond the promise.
+	// be in force. The second still binds after its own time; were it forgotten,
+	// engines that lag would start requests on the first beyond the promise.
 	@Test
 	void aNewerNameDoesNotPutOffTheOneBefore() {
 		this.fence.named(new NamedWeights("lm", 2), false, 20 * SECOND);
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -242,9 +242,8 @@
 	}
 
 	// All engines were killed; what was staged is still there, and the fetch only reads
-	// it
-	// back. Checked a second time it is ordered a quarter of a second later, while nobody
-	// answers. A fetch that took long has pieces that were checked long ago.
+	// it back. Checked a second time it is ordered a quarter of a second later, while
+	// nobody answers. A fetch that took long has pieces that were checked long ago.
 	@ParameterizedTest
 	@CsvSource({ "300,true", "4000,false" })
 	void whatAQuickFetchHasCheckedIsOrderedAtOnce(long fetchMillis, boolean atOnce) {
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -104,9 +104,8 @@
 	}
 
 	// Weights are named and the origin crashes with a part of its copy unread. For 6 s
-	// each
-	// read fails. Then it is back, and it is read within half a second: engines that wait
-	// longer have no weights that may be answered from.
+	// each read fails. Then it is back, and it is read within half a second: engines
+	// that wait longer have no weights that may be answered from.
 	@Test
 	void originIsReadSoonAfterItsReturnHoweverLongItWasAway() {
 		apply(new TransferEvent.PeersSeen(List.of()));
@@ -291,8 +290,7 @@
 	}
 
 	// The process is paused for longer than the deadline, the answers wait in its
-	// sockets.
-	// Its first tick comes before them: no peer was silent.
+	// sockets. Its first tick comes before them: no peer was silent.
 	@Test
 	void ownPauseIsNotTakenForThePeersSilence() {
 		askedOfOther();
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -85,10 +85,8 @@
 	}
 
 	// A server takes few connections, and many processes call it now and then. One that
-	// is
-	// kept by a caller with nothing more to ask keeps another caller out; the next call
-	// to
-	// anybody closes it.
+	// is kept by a caller with nothing more to ask keeps another caller out; the next
+	// call to anybody closes it.
 	@Test
 	void aConnectionThatWasKeptLongEnoughIsClosed() throws Exception {
 		try (ServerSocket few = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
