Who greets a leaving entry is told that it leaves

An entry counts another as alive when its own link to it is up, but can be told things only when its greeting has been read there. One that leaves between the two tells all whom it knows by then; the greeting that is read after it was answered with nothing, and nothing is said again. Ruled out: the notice being undone by a later link (a notice travels behind its link's opening). Change: a greeting that is read while leaving is answered with the notice, on links of either direction. Test: a link whose greeting comes after the notice; it needs no load to fail.

--- a/app/src/test/java/org/wisteriapost/app/SiteTests.java
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -2,6 +2,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -9,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -26,7 +28,14 @@
 import org.wisteriapost.protocol.http.HttpCall;
 import org.wisteriapost.protocol.http.HttpCaller;
 import org.wisteriapost.protocol.http.HttpReply;
+import org.wisteriapost.protocol.link.Link;
+import org.wisteriapost.protocol.link.LinkHandler;
+import org.wisteriapost.protocol.link.Links;
 import org.wisteriapost.protocol.site.SiteProvider;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Hello;
+import org.wisteriapost.protocol.wire.Role;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -299,6 +308,31 @@
 		first.leave().get(MOST_SECONDS, TimeUnit.SECONDS);
 	}
 
+	// An entry links to one that leaves at that very moment, and its greeting is read
+	// after
+	// the notice was given to all that are known. It must have the notice too, or it
+	// names
+	// the leaving one to callers until the link breaks.
+	@Test
+	void whoGreetsALeavingEntryIsToldThatItLeaves() throws Exception {
+		this.site.engine(1);
+		this.site.plain();
+		DirectProcess leaving = entry(1);
+		awaitServing();
+		SiteSettings settings = this.provider.settings(this.site.entrySettings(this.folder, 1));
+		CompletableFuture<Link> open = new CompletableFuture<>();
+		CompletableFuture<Frame> told = new CompletableFuture<>();
+		try (Links links = Links.plain(1)) {
+			links.connect(new InetSocketAddress(settings.host(), settings.linkPort()), new Greeter(open, told)).join();
+			leaving.leave();
+			await("it leaves", () -> directory(1).isEmpty());
+			Hello hello = Hello.newBuilder().setVm("late-entry").setRole(Role.ENTRY).build();
+			open.join().send(Frame.newBuilder().setHello(hello).build());
+			assertThat(told.get(MOST_SECONDS, TimeUnit.SECONDS).getBodyCase(),
+					Matchers.equalTo(Frame.BodyCase.LEAVING));
+		}
+	}
+
 	private String directory(int entry) {
 		URI target = URI.create("http://127.7.1." + entry + ":" + (this.site.port() + 2)
 				+ "/v1/resolution?name=desk.example&region=here&zone=hall-a");
@@ -306,4 +340,31 @@
 				StandardCharsets.UTF_8);
 	}
 
+	/**
+	 * Says nothing by itself and waits for a notice.
+	 *
+	 * @param open when the link is up
+	 * @param told the notice
+	 */
+	private record Greeter(CompletableFuture<Link> open, CompletableFuture<Frame> told) implements LinkHandler {
+
+		@Override
+		public void onOpen(Link link) {
+			this.open.complete(link);
+		}
+
+		@Override
+		public void onFrame(Link link, Frame frame) {
+			if (frame.getBodyCase() == Frame.BodyCase.LEAVING) {
+				this.told.complete(frame);
+			}
+		}
+
+		@Override
+		public void onClosed(Link link) {
+			this.told.completeExceptionally(new IllegalStateException("closed without a notice"));
+		}
+
+	}
+
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -73,6 +73,17 @@
 		this.mesh.ifPresent((links) -> links.entries().forEach((name) -> links.send(name, leave())));
 	}
 
+	/**
+	 * Hears that an entry has said who it is. One whose greeting comes after the notice
+	 * was given has not had it: it would go on naming this entry until the link breaks,
+	 * and callers would be sent to an entry that takes nothing.
+	 */
+	void met(String peer) {
+		if (this.leaves) {
+			this.mesh.ifPresent((links) -> links.send(peer, leave()));
+		}
+	}
+
 	private Frame leave() {
 		return Frame.newBuilder().setLeaving(Leaving.newBuilder().setVm(this.settings.name())).build();
 	}
@@ -82,9 +93,7 @@
 	 */
 	void linked(String peer, Optional<RouteTable> known) {
 		this.told.keySet().removeIf((key) -> key.startsWith(peer));
-		if (this.leaves) {
-			this.mesh.ifPresent((links) -> links.send(peer, leave()));
-		}
+		met(peer);
 		engines(known).stream()
 			.filter((info) -> info.address().equals(peer))
 			.findFirst()
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -94,6 +94,14 @@
 	record PeerLeaving(String peer) implements DirectEvent {
 	}
 
+	/**
+	 * Another entry has said who it is on a link, from when on it can be told things.
+	 *
+	 * @param peer its name
+	 */
+	record PeerMet(String peer) implements DirectEvent {
+	}
+
 	/**
 	 * Another entry says what it has in flight.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -128,6 +128,7 @@
 			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
+			case DirectEvent.PeerMet met -> this.announcer.met(met.peer());
 			case DirectEvent.PeerLoads loads -> peerLoads(loads.peer(), loads.report(), now);
 			case DirectEvent.PeerNews heard -> news(heard, now);
 			case DirectEvent.PeerWantsNews wants ->
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -151,6 +151,7 @@
 				this.names.put(link, frame.getHello().getVm());
 				if (frame.getHello().getRole() == Role.ENTRY) {
 					Mesh.this.incoming.put(frame.getHello().getVm(), link);
+					Mesh.this.events.accept(new DirectEvent.PeerMet(frame.getHello().getVm()));
 				}
 				return;
 			}
@@ -235,7 +236,10 @@
 
 		@Override
 		public void onFrame(Link from, Frame frame) {
-			this.entry |= frame.getBodyCase() == Frame.BodyCase.HELLO && frame.getHello().getRole() == Role.ENTRY;
+			if (frame.getBodyCase() == Frame.BodyCase.HELLO && frame.getHello().getRole() == Role.ENTRY) {
+				this.entry = true;
+				Mesh.this.events.accept(new DirectEvent.PeerMet(this.name));
+			}
 			heard(Optional.of(this.name), frame);
 		}
 
