--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -302,7 +302,7 @@
 			.setHoldsWeights(tell.version().isPresent())
 			.setVersion(tell.version().orElse(0))
 			.setSwitching(tell.switching());
-		tell.start().bornMillis().ifPresent(state::setBornMillis);
+		tell.start().startedMillis().ifPresent(state::setStartedMillis);
 		tell.closesNanos().ifPresent((closes) -> {
 			long left = TimeUnit.NANOSECONDS.toMillis(closes - System.nanoTime());
 			state.setClosesInMillis((int) Math.max(1, left));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -285,7 +285,8 @@
 				? OptionalLong.of(now + TimeUnit.MILLISECONDS.toNanos(says.getClosesInMillis())) : OptionalLong.empty();
 		this.log.decision("agent-says", "address", says.getAddress(), "version", says.getVersion(), "switching",
 				says.getSwitching(), "closesInMs", says.getClosesInMillis());
-		EngineWord word = new EngineWord(version, says.getSwitching(), closes, LoadFrames.start(says.getBornMillis()));
+		EngineWord word = new EngineWord(version, says.getSwitching(), closes,
+				LoadFrames.start(says.getStartedMillis()));
 		this.dispatcher.agentSays(says.getAddress(), word, now);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadFrames.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadFrames.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.entry.direct;
 
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.policy.dispatch.PeerLoad;
@@ -22,7 +21,7 @@
 	static org.wisteriapost.protocol.wire.RunnerLoad of(RunnerLoad one) {
 		return org.wisteriapost.protocol.wire.RunnerLoad.newBuilder()
 			.setRunner(one.runner())
-			.setBornMillis(born(one.start()))
+			.setStartedMillis(startedMillis(one.start()))
 			.setActive(one.load().active())
 			.setWaiting(Math.max(0, one.load().waiting()))
 			.setWaitingPrompt((int) Math.max(0, one.load().waitingPrompt()))
@@ -31,7 +30,7 @@
 
 	static RunnerLoad read(org.wisteriapost.protocol.wire.RunnerLoad said) {
 		PeerLoad load = new PeerLoad(said.getActive(), said.getWaiting(), said.getWaitingPrompt());
-		return new RunnerLoad(said.getRunner(), start(said.getBornMillis()), load);
+		return new RunnerLoad(said.getRunner(), start(said.getStartedMillis()), load);
 	}
 
 	static org.wisteriapost.protocol.wire.RefusedRequest of(RefusedRequest one, long nowNanos) {
@@ -47,16 +46,16 @@
 				nowNanos + TimeUnit.MILLISECONDS.toNanos(said.getLeftMillis()));
 	}
 
-	static RunnerStart start(long bornMillis) {
-		return (bornMillis == UNKNOWN) ? RunnerStart.UNKNOWN : new RunnerStart(OptionalLong.of(bornMillis));
+	static RunnerStart start(long startedMillis) {
+		return (startedMillis == UNKNOWN) ? RunnerStart.UNKNOWN : RunnerStart.at(startedMillis);
 	}
 
 	private static int millis(long nanos) {
 		return (int) Math.clamp(TimeUnit.NANOSECONDS.toMillis(nanos), 0, Integer.MAX_VALUE);
 	}
 
-	private static long born(RunnerStart start) {
-		return start.bornMillis().orElse(UNKNOWN);
+	private static long startedMillis(RunnerStart start) {
+		return start.startedMillis().orElse(UNKNOWN);
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerStart.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerStart.java
@@ -10,9 +10,9 @@
  * lost its weights, counts of answers that ended with the crash fill its slots for ever,
  * and an order that died with it is waited for.
  *
- * @param bornMillis Unix time at which the runner started; empty when it does not say
+ * @param startedMillis Unix time at which the runner started; empty when it does not say
  */
-public record RunnerStart(OptionalLong bornMillis) {
+public record RunnerStart(OptionalLong startedMillis) {
 
 	/** A start of which nothing is known; neither before nor after another. */
 	public static final RunnerStart UNKNOWN = new RunnerStart(OptionalLong.empty());
@@ -20,16 +20,16 @@
 	/**
 	 * Returns the start at a time.
 	 */
-	public static RunnerStart at(long bornMillis) {
-		return new RunnerStart(OptionalLong.of(bornMillis));
+	public static RunnerStart at(long startedMillis) {
+		return new RunnerStart(OptionalLong.of(startedMillis));
 	}
 
 	/**
 	 * Returns whether this start was before another one; false unless both are known.
 	 */
 	public boolean before(RunnerStart other) {
-		return this.bornMillis.isPresent() && other.bornMillis.isPresent()
-				&& this.bornMillis.getAsLong() < other.bornMillis.getAsLong();
+		return this.startedMillis.isPresent() && other.startedMillis.isPresent()
+				&& this.startedMillis.getAsLong() < other.startedMillis.getAsLong();
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
@@ -156,19 +156,19 @@
     return closesInMillis_;
   }
 
-  public static final int BORN_MILLIS_FIELD_NUMBER = 6;
-  private long bornMillis_ = 0L;
+  public static final int STARTED_MILLIS_FIELD_NUMBER = 6;
+  private long startedMillis_ = 0L;
   /**
    * <pre>
    * Unix time of the engine's start; 0 when unknown
    * </pre>
    *
-   * <code>int64 born_millis = 6;</code>
-   * @return The bornMillis.
+   * <code>int64 started_millis = 6;</code>
+   * @return The startedMillis.
    */
   @java.lang.Override
-  public long getBornMillis() {
-    return bornMillis_;
+  public long getStartedMillis() {
+    return startedMillis_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -200,8 +200,8 @@
     if (closesInMillis_ != 0) {
       output.writeUInt32(5, closesInMillis_);
     }
-    if (bornMillis_ != 0L) {
-      output.writeInt64(6, bornMillis_);
+    if (startedMillis_ != 0L) {
+      output.writeInt64(6, startedMillis_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -226,9 +226,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, closesInMillis_);
     }
-    if (bornMillis_ != 0L) {
+    if (startedMillis_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(6, bornMillis_);
+        .computeInt64Size(6, startedMillis_);
     }
     return size;
   }
@@ -264,8 +264,8 @@
         != other.getSwitching()) return false;
     if (getClosesInMillis()
         != other.getClosesInMillis()) return false;
-    if (getBornMillis()
-        != other.getBornMillis()) return false;
+    if (getStartedMillis()
+        != other.getStartedMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -289,9 +289,9 @@
         getSwitching());
     hash = (37 * hash) + CLOSES_IN_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getClosesInMillis();
-    hash = (37 * hash) + BORN_MILLIS_FIELD_NUMBER;
+    hash = (37 * hash) + STARTED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getBornMillis());
+        getStartedMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -432,7 +432,7 @@
       version_ = 0;
       switching_ = false;
       closesInMillis_ = 0;
-      bornMillis_ = 0L;
+      startedMillis_ = 0L;
       return this;
     }
 
@@ -482,7 +482,7 @@
         result.closesInMillis_ = closesInMillis_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.bornMillis_ = bornMillis_;
+        result.startedMillis_ = startedMillis_;
       }
     }
 
@@ -515,8 +515,8 @@
       if (other.getClosesInMillis() != 0) {
         setClosesInMillis(other.getClosesInMillis());
       }
-      if (other.getBornMillis() != 0L) {
-        setBornMillis(other.getBornMillis());
+      if (other.getStartedMillis() != 0L) {
+        setStartedMillis(other.getStartedMillis());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -568,7 +568,7 @@
               break;
             } // case 40
             case 48: {
-              bornMillis_ = input.readInt64();
+              startedMillis_ = input.readInt64();
               bitField0_ |= 0x00000020;
               break;
             } // case 48
@@ -845,31 +845,31 @@
       return this;
     }
 
-    private long bornMillis_ ;
+    private long startedMillis_ ;
     /**
      * <pre>
      * Unix time of the engine's start; 0 when unknown
      * </pre>
      *
-     * <code>int64 born_millis = 6;</code>
-     * @return The bornMillis.
+     * <code>int64 started_millis = 6;</code>
+     * @return The startedMillis.
      */
     @java.lang.Override
-    public long getBornMillis() {
-      return bornMillis_;
+    public long getStartedMillis() {
+      return startedMillis_;
     }
     /**
      * <pre>
      * Unix time of the engine's start; 0 when unknown
      * </pre>
      *
-     * <code>int64 born_millis = 6;</code>
-     * @param value The bornMillis to set.
+     * <code>int64 started_millis = 6;</code>
+     * @param value The startedMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setBornMillis(long value) {
+    public Builder setStartedMillis(long value) {
 
-      bornMillis_ = value;
+      startedMillis_ = value;
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
@@ -879,12 +879,12 @@
      * Unix time of the engine's start; 0 when unknown
      * </pre>
      *
-     * <code>int64 born_millis = 6;</code>
+     * <code>int64 started_millis = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearBornMillis() {
+    public Builder clearStartedMillis() {
       bitField0_ = (bitField0_ & ~0x00000020);
-      bornMillis_ = 0L;
+      startedMillis_ = 0L;
       onChanged();
       return this;
     }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
@@ -71,8 +71,8 @@
    * Unix time of the engine's start; 0 when unknown
    * </pre>
    *
-   * <code>int64 born_millis = 6;</code>
-   * @return The bornMillis.
+   * <code>int64 started_millis = 6;</code>
+   * @return The startedMillis.
    */
-  long getBornMillis();
+  long getStartedMillis();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoad.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoad.java
@@ -141,19 +141,19 @@
     return waitingPrompt_;
   }
 
-  public static final int BORN_MILLIS_FIELD_NUMBER = 5;
-  private long bornMillis_ = 0L;
+  public static final int STARTED_MILLIS_FIELD_NUMBER = 5;
+  private long startedMillis_ = 0L;
   /**
    * <pre>
    * Unix time of the runner's start; 0 when unknown
    * </pre>
    *
-   * <code>int64 born_millis = 5;</code>
-   * @return The bornMillis.
+   * <code>int64 started_millis = 5;</code>
+   * @return The startedMillis.
    */
   @java.lang.Override
-  public long getBornMillis() {
-    return bornMillis_;
+  public long getStartedMillis() {
+    return startedMillis_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -182,8 +182,8 @@
     if (waitingPrompt_ != 0) {
       output.writeUInt32(4, waitingPrompt_);
     }
-    if (bornMillis_ != 0L) {
-      output.writeInt64(5, bornMillis_);
+    if (startedMillis_ != 0L) {
+      output.writeInt64(5, startedMillis_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -204,9 +204,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, waitingPrompt_);
     }
-    if (bornMillis_ != 0L) {
+    if (startedMillis_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(5, bornMillis_);
+        .computeInt64Size(5, startedMillis_);
     }
     return size;
   }
@@ -240,8 +240,8 @@
         != other.getWaiting()) return false;
     if (getWaitingPrompt()
         != other.getWaitingPrompt()) return false;
-    if (getBornMillis()
-        != other.getBornMillis()) return false;
+    if (getStartedMillis()
+        != other.getStartedMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -261,9 +261,9 @@
     hash = (53 * hash) + getWaiting();
     hash = (37 * hash) + WAITING_PROMPT_FIELD_NUMBER;
     hash = (53 * hash) + getWaitingPrompt();
-    hash = (37 * hash) + BORN_MILLIS_FIELD_NUMBER;
+    hash = (37 * hash) + STARTED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getBornMillis());
+        getStartedMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -399,7 +399,7 @@
       active_ = 0;
       waiting_ = 0;
       waitingPrompt_ = 0;
-      bornMillis_ = 0L;
+      startedMillis_ = 0L;
       return this;
     }
 
@@ -446,7 +446,7 @@
         result.waitingPrompt_ = waitingPrompt_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.bornMillis_ = bornMillis_;
+        result.startedMillis_ = startedMillis_;
       }
     }
 
@@ -476,8 +476,8 @@
       if (other.getWaitingPrompt() != 0) {
         setWaitingPrompt(other.getWaitingPrompt());
       }
-      if (other.getBornMillis() != 0L) {
-        setBornMillis(other.getBornMillis());
+      if (other.getStartedMillis() != 0L) {
+        setStartedMillis(other.getStartedMillis());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -524,7 +524,7 @@
               break;
             } // case 32
             case 40: {
-              bornMillis_ = input.readInt64();
+              startedMillis_ = input.readInt64();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
@@ -769,31 +769,31 @@
       return this;
     }
 
-    private long bornMillis_ ;
+    private long startedMillis_ ;
     /**
      * <pre>
      * Unix time of the runner's start; 0 when unknown
      * </pre>
      *
-     * <code>int64 born_millis = 5;</code>
-     * @return The bornMillis.
+     * <code>int64 started_millis = 5;</code>
+     * @return The startedMillis.
      */
     @java.lang.Override
-    public long getBornMillis() {
-      return bornMillis_;
+    public long getStartedMillis() {
+      return startedMillis_;
     }
     /**
      * <pre>
      * Unix time of the runner's start; 0 when unknown
      * </pre>
      *
-     * <code>int64 born_millis = 5;</code>
-     * @param value The bornMillis to set.
+     * <code>int64 started_millis = 5;</code>
+     * @param value The startedMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setBornMillis(long value) {
+    public Builder setStartedMillis(long value) {
 
-      bornMillis_ = value;
+      startedMillis_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
@@ -803,12 +803,12 @@
      * Unix time of the runner's start; 0 when unknown
      * </pre>
      *
-     * <code>int64 born_millis = 5;</code>
+     * <code>int64 started_millis = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearBornMillis() {
+    public Builder clearStartedMillis() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      bornMillis_ = 0L;
+      startedMillis_ = 0L;
       onChanged();
       return this;
     }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoadOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLoadOrBuilder.java
@@ -65,8 +65,8 @@
    * Unix time of the runner's start; 0 when unknown
    * </pre>
    *
-   * <code>int64 born_millis = 5;</code>
-   * @return The bornMillis.
+   * <code>int64 started_millis = 5;</code>
+   * @return The startedMillis.
    */
-  long getBornMillis();
+  long getStartedMillis();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -251,34 +251,34 @@
       "\030\001 \003(\0132\030.wisteriapost.RunnerLoad\022-\n\007refu" +
       "sed\030\002 \003(\0132\034.wisteriapost.RefusedRequest\"" +
       "L\n\016RefusedRequest\022\017\n\007request\030\001 \001(\006\022\024\n\014as" +
-      "ked_millis\030\002 \001(\r\022\023\n\013left_millis\030\003 \001(\r\"j\n" +
+      "ked_millis\030\002 \001(\r\022\023\n\013left_millis\030\003 \001(\r\"m\n" +
       "\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030\002 " +
       "\001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n\016waiting_prompt\030\004" +
-      " \001(\r\022\023\n\013born_millis\030\005 \001(\003\"\210\001\n\013EngineStat" +
-      "e\022\017\n\007address\030\001 \001(\t\022\025\n\rholds_weights\030\002 \001(" +
-      "\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswitching\030\004 \001(\010\022\030\n" +
-      "\020closes_in_millis\030\005 \001(\r\022\023\n\013born_millis\030\006" +
-      " \001(\003\">\n\014WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007v" +
-      "ersion\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\035\n\013NewsRequ" +
-      "est\022\016\n\006wanted\030\001 \001(\010\"w\n\004News\022\017\n\007current\030\001" +
-      " \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.StoreK" +
-      "ind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wist" +
-      "eriapost.StoreObject\"O\n\013StoreObject\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003" +
-      " \001(\010\022\017\n\007content\030\004 \001(\014\"5\n\006Roster\022+\n\007membe" +
-      "rs\030\001 \003(\0132\032.wisteriapost.RosterMember\")\n\014" +
-      "RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t*" +
-      "2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001" +
-      "\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006U" +
-      "RGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_" +
-      "UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007U" +
-      "NKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_" +
-      "UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MIS" +
-      "SING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStoreKind\022\032\n\026S" +
-      "TORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020" +
-      "\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022" +
-      "\021\n\rSTORE_ENTRIES\020\004B$\n\036org.wisteriapost.p" +
-      "rotocol.wireH\001P\001b\006proto3"
+      " \001(\r\022\026\n\016started_millis\030\005 \001(\003\"\213\001\n\013EngineS" +
+      "tate\022\017\n\007address\030\001 \001(\t\022\025\n\rholds_weights\030\002" +
+      " \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswitching\030\004 \001(\010" +
+      "\022\030\n\020closes_in_millis\030\005 \001(\r\022\026\n\016started_mi" +
+      "llis\030\006 \001(\003\">\n\014WeightsNamed\022\r\n\005model\030\001 \001(" +
+      "\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\035\n\013Ne" +
+      "wsRequest\022\016\n\006wanted\030\001 \001(\010\"w\n\004News\022\017\n\007cur" +
+      "rent\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost." +
+      "StoreKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132" +
+      "\031.wisteriapost.StoreObject\"O\n\013StoreObjec" +
+      "t\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007del" +
+      "eted\030\003 \001(\010\022\017\n\007content\030\004 \001(\014\"5\n\006Roster\022+\n" +
+      "\007members\030\001 \003(\0132\032.wisteriapost.RosterMemb" +
+      "er\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030" +
+      "\002 \001(\t*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005E" +
+      "NTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020" +
+      "\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OU" +
+      "TCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020" +
+      "\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_S" +
+      "TATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHU" +
+      "NK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStoreKin" +
+      "d\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_R" +
+      "OUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIG" +
+      "HTS\020\003\022\021\n\rSTORE_ENTRIES\020\004B$\n\036org.wisteria" +
+      "post.protocol.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -415,13 +415,13 @@
     internal_static_wisteriapost_RunnerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RunnerLoad_descriptor,
-        new java.lang.String[] { "Runner", "Active", "Waiting", "WaitingPrompt", "BornMillis", });
+        new java.lang.String[] { "Runner", "Active", "Waiting", "WaitingPrompt", "StartedMillis", });
     internal_static_wisteriapost_EngineState_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_wisteriapost_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_EngineState_descriptor,
-        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", "ClosesInMillis", "BornMillis", });
+        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", "ClosesInMillis", "StartedMillis", });
     internal_static_wisteriapost_WeightsNamed_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_wisteriapost_WeightsNamed_fieldAccessorTable = new
