What was given up is reset, not sent on over a full link

Cause: a request that waits in a full link is still delivered after its connection was closed in order; a runner begins it seconds after its caller left, or on weights that are over by then (GONE and VERSION on the landed code, dispatches of one to two seconds).

Ruled out: what entries know; the requests had been given up in time.

Change: a connection of a call that is given up is reset, which drops what has not left.

Before: the test read the rest of the body after the call was given up. After: it sees a reset.

--- a/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
@@ -26,6 +26,8 @@
 import io.undertow.util.HttpString;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -251,14 +253,17 @@
 
 	// Undertow's own close ends the sending side and then waits up to 10 seconds for the
 	// other side, which would work on, for nobody, that long. The bare connection closes
-	// at once.
+	// at once. It is reset, since what has not left over a full link would still be sent
+	// after a close in order, and a runner would begin it seconds after its caller left.
 	private static void drop(ClientConnection dropped) {
 		if (dropped == null) {
 			return;
 		}
 		dropped.getIoThread().execute(() -> {
 			try {
-				IoUtils.safeClose(dropped.performUpgrade());
+				StreamConnection bare = dropped.performUpgrade();
+				bare.setOption(Options.CLOSE_ABORT, true);
+				IoUtils.safeClose(bare);
 			}
 			catch (IOException ex) {
 				IoUtils.safeClose(dropped);
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -104,6 +105,32 @@
 		}
 	}
 
+	// A link is full, and a request waits in it for seconds. Its caller leaves and it is
+	// given up. Closed in order it would still be sent, and a runner would work on it for
+	// nobody, or start it on weights that are no longer accepted. Its connection is
+	// reset,
+	// which drops what has not left.
+	@Test
+	void whatWasGivenUpIsNotSentAnyMore() throws Exception {
+		try (ServerSocket deaf = new ServerSocket()) {
+			deaf.setReceiveBufferSize(8 << 10);
+			deaf.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+			URI target = URI.create("http://127.0.0.1:" + deaf.getLocalPort() + "/");
+			CompletableFuture<HttpReply> reply = this.caller
+				.call(HttpCall.of("PUT", target, SHORT).body(new byte[8 << 20]));
+			try (Socket open = deaf.accept()) {
+				open.setSoTimeout((int) LONG.toMillis());
+				assertThrows(CompletionException.class, reply::join);
+				assertThrows(SocketException.class, () -> readLater(open));
+			}
+		}
+	}
+
+	private static void readLater(Socket open) throws Exception {
+		TimeUnit.MILLISECONDS.sleep(200);
+		open.getInputStream().readAllBytes();
+	}
+
 	// A server drops an idle connection without a word; what is sent on it is reset, and
 	// nobody knows whether it ran. A call that may run once goes on a connection that was
 	// used a moment ago, or on a new one.
