--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -103,6 +105,8 @@
 
 	private List<VmList.Vm> roster = List.of();
 
+	private Roster told = Roster.getDefaultInstance();
+
 	private Optional<WeightFile> file = Optional.empty();
 
 	private boolean idle;
@@ -191,13 +195,21 @@
 		return new Weights(message.getModel(), origin, transfer);
 	}
 
+	// Several entries send the same list, and ordering hundreds by their hashes takes
+	// milliseconds, so only a list that differs from the last one is looked at.
 	private void roster(Roster message) {
+		if (message.equals(this.told)) {
+			return;
+		}
+		this.told = message;
 		List<VmList.Vm> members = new ArrayList<>();
 		for (RosterMember member : message.getMembersList()) {
 			members.add(new VmList.Vm(member.getVm(), member.getPlace(), "", "agent", this.settings.service(),
 					member.getVm(), this.settings.linkPort(), 0, false));
 		}
-		members.sort(Comparator.comparing((vm) -> Digests.sha256(vm.vm().getBytes())));
+		Map<String, String> hashes = new HashMap<>();
+		members.forEach((vm) -> hashes.put(vm.vm(), Digests.sha256(vm.vm().getBytes())));
+		members.sort(Comparator.comparing((vm) -> hashes.get(vm.vm())));
 		if (members.equals(this.roster) || members.isEmpty()) {
 			return;
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.entry.direct;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +9,8 @@
 import java.util.Optional;
 
 import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.fleet.AgentDuty;
+import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.routing.EngineSpec;
@@ -28,8 +31,14 @@
 	// Weights that nobody has named yet are the first version.
 	private static final int FIRST_VERSION = 1;
 
+	// Of a burst of registrations the last one is enough: each list of peers goes to
+	// hundreds of agents.
+	private static final long GATHER_NANOS = Duration.ofMillis(200).toNanos();
+
 	private final SiteSettings settings;
 
+	private final AgentDuty duty;
+
 	private final EntryRoster roster;
 
 	private final Dispatcher dispatcher;
@@ -42,8 +51,13 @@
 
 	private boolean leaves;
 
-	Announcer(SiteSettings settings, EntryRoster roster, Dispatcher dispatcher) {
+	private boolean stale;
+
+	private long relinkedNanos = Long.MIN_VALUE / 2;
+
+	Announcer(SiteSettings settings, EntryInfo self, EntryRoster roster, Dispatcher dispatcher) {
 		this.settings = settings;
+		this.duty = AgentDuty.of(self);
 		this.roster = roster;
 		this.dispatcher = dispatcher;
 	}
@@ -101,19 +115,43 @@
 	}
 
 	/**
-	 * Links to the entries and agents that there are now.
+	 * Hears that there are other entries or agents than before.
+	 */
+	void changed() {
+		this.stale = true;
+	}
+
+	/**
+	 * Links to the entries and agents that there are now, if there are others.
 	 */
-	void relink(Optional<RouteTable> known) {
+	void tick(Optional<RouteTable> known, long nowNanos) {
+		if (this.stale && nowNanos - this.relinkedNanos >= GATHER_NANOS) {
+			this.stale = false;
+			this.relinkedNanos = nowNanos;
+			relink(known);
+		}
+	}
+
+	private void relink(Optional<RouteTable> known) {
 		Map<String, InetSocketAddress> peers = new HashMap<>();
-		this.roster.others().forEach((info) -> peers.put(info.name(), address(info.link())));
-		engines(known)
+		this.roster.toLink().forEach((info) -> peers.put(info.name(), address(info.link())));
+		agents(known)
 			.forEach((info) -> peers.put(info.address(), new InetSocketAddress(info.host(), this.settings.linkPort())));
 		this.mesh.ifPresent((links) -> links.desired(peers));
 		tellAgents(known);
 	}
 
+	// The engines to whose agents this entry links.
+	private List<RunnerInfo> agents(Optional<RouteTable> known) {
+		return this.duty.linked(engines(known), this.roster.others());
+	}
+
 	private List<RunnerInfo> engines(Optional<RouteTable> known) {
-		return this.dispatcher.known().stream().filter((info) -> engine(known, info.service()).isPresent()).toList();
+		return this.dispatcher.fleet()
+			.known()
+			.stream()
+			.filter((info) -> engine(known, info.service()).isPresent())
+			.toList();
 	}
 
 	private static Optional<EngineSpec> engine(Optional<RouteTable> known, String service) {
@@ -125,7 +163,7 @@
 	 */
 	void tellAgents(Optional<RouteTable> known) {
 		Map<String, Frame> rosters = new HashMap<>();
-		engines(known).forEach((info) -> tellAgent(info,
+		agents(known).forEach((info) -> tellAgent(info,
 				rosters.computeIfAbsent(info.service(), (service) -> roster(service, known)), known));
 	}
 
@@ -148,7 +186,9 @@
 			.setModel(model.get())
 			.setVersion(this.named.getOrDefault(model.get(), FIRST_VERSION))
 			.setOrigin(origin.get());
-		tellOnce(runner.address(), roster);
+		if (this.duty.tells(runner, this.roster.living())) {
+			tellOnce(runner.address(), roster);
+		}
 		tellOnce(runner.address(), Frame.newBuilder().setWeightsNamed(weights).build());
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -8,6 +8,7 @@
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.LoadReport;
 import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.PlaceState;
 
 /**
  * What the entry's one state thread hears.
@@ -55,8 +56,9 @@
 	 *
 	 * @param kind the kind
 	 * @param items all there are
+	 * @param at the store's revision when the listing began
 	 */
-	record AllObjects(Kind kind, List<ObjectStore.Item> items) implements DirectEvent {
+	record AllObjects(Kind kind, List<ObjectStore.Item> items, long at) implements DirectEvent {
 	}
 
 	/**
@@ -111,6 +113,16 @@
 	record PeerLoads(String peer, LoadReport report) implements DirectEvent {
 	}
 
+	/**
+	 * Another entry says what those of a place have in flight and how the engines there
+	 * are.
+	 *
+	 * @param peer its name
+	 * @param state what has changed
+	 */
+	record PlaceSays(String peer, PlaceState state) implements DirectEvent {
+	}
+
 	/**
 	 * Another entry passes on what the store says.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -130,7 +131,9 @@
 	}
 
 	private void directory(HttpServerExchange exchange) {
-		List<String> addresses = this.port.addresses();
+		Optional<String> place = Optional.ofNullable(exchange.getQueryParameters().get(this.dialect.placeParameter()))
+			.map(Deque::peekFirst);
+		List<String> addresses = this.port.addresses(place);
 		if (!exchange.getRequestURI().equals(this.dialect.directoryPath()) || addresses.isEmpty()) {
 			exchange.setStatusCode(UNAVAILABLE);
 			exchange.endExchange();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectPort.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectPort.java
@@ -32,8 +32,9 @@
 
 	/**
 	 * Returns the addresses of ready entries, {@code IP:PORT}.
+	 * @param place where the caller is, when it tells
 	 */
-	List<String> addresses();
+	List<String> addresses(Optional<String> place);
 
 	/**
 	 * Returns what callers may send, once it is known.
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -93,12 +93,13 @@
 		view.loop(loop);
 		Mesh mesh = Mesh.start(links, new InetSocketAddress(settings.host(), settings.linkPort()), settings.name(),
 				settings.place(), timer, view::put);
-		state.connect(mesh, store);
+		Following following = new Following();
+		state.connect(mesh, store, following);
 		DirectFront front = DirectFront.start(settings, dialect, caller.worker(), view);
 		AdminServer admin = AdminServer.start(new InetSocketAddress(settings.host(), settings.adminPort()), registry,
 				view::ready, caller.worker());
 		for (Kind kind : Kind.values()) {
-			Follower.start(store, kind, timer, listener(kind, view));
+			following.add(Follower.start(store, kind, timer, listener(kind, view)));
 		}
 		timer.scheduleWithFixedDelay(() -> view.offer(new DirectEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -123,8 +124,8 @@
 		return new FollowListener() {
 
 			@Override
-			public void onAll(List<ObjectStore.Item> items) {
-				view.put(new DirectEvent.AllObjects(kind, items));
+			public void onAll(List<ObjectStore.Item> items, long at) {
+				view.put(new DirectEvent.AllObjects(kind, items, at));
 			}
 
 			@Override
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -4,8 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -14,10 +12,10 @@
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.Dispatcher;
-import org.wisteriapost.policy.dispatch.EngineWord;
 import org.wisteriapost.policy.dispatch.Job;
 import org.wisteriapost.policy.dispatch.Outcome;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteTable;
@@ -83,8 +81,12 @@
 
 	private Optional<SiteNews> news = Optional.empty();
 
+	private Optional<StoreReading> reading = Optional.empty();
+
 	private Optional<LoadReports> reports = Optional.empty();
 
+	private Optional<PlaceNews> places = Optional.empty();
+
 	private boolean registering;
 
 	private long ticks;
@@ -99,7 +101,7 @@
 		this.random = random;
 		this.clock = clock;
 		this.roster = new EntryRoster(self);
-		this.announcer = new Announcer(settings, this.roster, dispatcher);
+		this.announcer = new Announcer(settings, self, this.roster, dispatcher);
 		this.beliefs = new SiteBeliefs(dispatcher, this.roster, this.announcer, log);
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
@@ -108,12 +110,16 @@
 	/**
 	 * Sets what the entry tells others by.
 	 */
-	void connect(Mesh links, ObjectStore objects) {
+	void connect(Mesh links, ObjectStore objects, Following following) {
 		this.announcer.connect(links);
 		this.store = Optional.of(objects);
 		this.mesh = Optional.of(links);
-		this.news = Optional.of(new SiteNews(objects, links::send, this.log));
+		StoreDuty duty = StoreDuty.of(this.self.name());
+		SiteNews passed = new SiteNews(objects, duty, links::send, this.log);
+		this.news = Optional.of(passed);
+		this.reading = Optional.of(new StoreReading(duty, passed, following, links::send, this.log));
 		this.reports = Optional.of(new LoadReports(this.self.place(), links::send));
+		this.places = Optional.of(new PlaceNews(this.self.place(), this.roster, this.dispatcher, links::send));
 	}
 
 	void apply(DirectEvent event) {
@@ -123,13 +129,15 @@
 			case DirectEvent.CallerGone gone -> callerGone(gone.id(), now);
 			case DirectEvent.FirstEvent first -> firstEvent(first, now);
 			case DirectEvent.Ended ended -> ended(ended, now);
-			case DirectEvent.AllObjects all -> all(all.kind(), all.items(), now);
+			case DirectEvent.AllObjects all -> all(all, now);
 			case DirectEvent.ObjectChanged changed -> changed(changed.kind(), changed.change(), now);
 			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
 			case DirectEvent.PeerMet met -> this.announcer.met(met.peer());
 			case DirectEvent.PeerLoads loads -> peerLoads(loads.peer(), loads.report(), now);
+			case DirectEvent.PlaceSays says -> this.places
+				.ifPresent((all) -> all.heard(says.peer(), says.state(), now).forEach((one) -> agentSays(one, now)));
 			case DirectEvent.PeerNews heard -> news(heard, now);
 			case DirectEvent.PeerWantsNews wants ->
 				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.wanted()));
@@ -227,14 +235,22 @@
 
 	// What the store says.
 
-	private void all(Kind kind, List<ObjectStore.Item> items, long now) {
-		this.news.ifPresent((passed) -> passed.read(kind, items));
-		this.beliefs.all(kind, items, now);
+	// What was on its way here when a neighbour took over is older than what that says.
+	private void all(DirectEvent.AllObjects all, long now) {
+		if (!rests()) {
+			this.news.ifPresent((passed) -> passed.read(all.kind(), all.items(), all.at()));
+			this.beliefs.all(all.kind(), all.items(), now);
+		}
 	}
 
 	private void changed(Kind kind, ObjectStore.Change change, long now) {
-		this.news.ifPresent((passed) -> passed.read(kind, change));
-		this.beliefs.changed(kind, change, now);
+		if (!rests() && this.news.map((passed) -> passed.read(kind, change)).orElse(true)) {
+			this.beliefs.changed(kind, change, now);
+		}
+	}
+
+	private boolean rests() {
+		return this.reading.map(StoreReading::rests).orElse(false);
 	}
 
 	private void reachable(DirectEvent.StoreReachable reachable, long now) {
@@ -247,7 +263,8 @@
 
 	// What another entry passes on while the store does not answer this one.
 	private void news(DirectEvent.PeerNews heard, long now) {
-		List<DirectEvent> fresh = this.news.map((passed) -> passed.heard(heard.peer(), heard.news())).orElse(List.of());
+		List<DirectEvent> fresh = this.reading.map((all) -> all.heard(heard.peer(), heard.news(), now))
+			.orElse(List.of());
 		if (!fresh.isEmpty()) {
 			this.dispatcher.store(true, now);
 		}
@@ -264,7 +281,7 @@
 
 	private void peerLink(String peer, boolean up, long now) {
 		this.roster.linked(peer, up, now);
-		this.dispatcher.entries(this.roster.alive());
+		this.announcer.changed();
 		if (up) {
 			this.announcer.linked(peer, this.beliefs.table());
 			this.reports.ifPresent(LoadReports::again);
@@ -280,22 +297,21 @@
 	}
 
 	private void agentSays(EngineState says, long now) {
-		OptionalInt version = says.getHoldsWeights() ? OptionalInt.of(says.getVersion()) : OptionalInt.empty();
-		OptionalLong closes = (says.getClosesInMillis() > 0)
-				? OptionalLong.of(now + TimeUnit.MILLISECONDS.toNanos(says.getClosesInMillis())) : OptionalLong.empty();
 		this.log.decision("agent-says", "address", says.getAddress(), "version", says.getVersion(), "switching",
 				says.getSwitching(), "closesInMs", says.getClosesInMillis());
-		EngineWord word = new EngineWord(version, says.getSwitching(), closes,
-				LoadFrames.start(says.getStartedMillis()));
-		this.dispatcher.agentSays(says.getAddress(), word, now);
+		this.dispatcher.agentSays(says.getAddress(), EngineFrames.read(says, now), now);
 	}
 
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
-		this.reports.ifPresent((due) -> due.tick(this.ticks, now, this.roster::others, this.dispatcher::ownLoad));
+		this.announcer.tick(this.beliefs.table(), now);
+		this.reports.ifPresent((due) -> due.tick(this.ticks, now, this.roster::told, this.dispatcher.fleet()::ownLoad));
+		this.places.ifPresent((due) -> due.tick(this.ticks, now));
 		if (this.ticks % TICKS_PER_NEWS == 0) {
+			this.dispatcher.entries(this.roster.count());
 			this.news.ifPresent((passed) -> passed.tick(this.mesh.orElseThrow().entries(), now));
+			this.reading.ifPresent((all) -> all.tick(this.roster.sharingReader(), this.beliefs.whole(), now));
 		}
 		register(now);
 	}
@@ -383,7 +399,7 @@
 	}
 
 	private void publish() {
-		this.view.publish(ready(), this.departure.leaving(), this.roster.addresses(ready()),
+		this.view.publish(ready(), this.departure.leaving(), this.roster.ready(ready()), this.roster.byPlace(),
 				this.beliefs.table().map(RouteTable::limits),
 				this.departure.over(this.dispatcher.inProgress(), this.clock.getAsLong()));
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.wisteriapost.kernel.EventLoop;
+import org.wisteriapost.policy.fleet.CallerEntries;
+import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.routing.CallLimits;
 
 /**
@@ -12,7 +14,7 @@
  */
 final class DirectView implements DirectPort {
 
-	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), Optional.empty());
+	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), false, Optional.empty());
 
 	private final CompletableFuture<Void> over = new CompletableFuture<>();
 
@@ -24,8 +26,9 @@
 		this.loop = to;
 	}
 
-	void publish(boolean ready, boolean leaving, List<String> addresses, Optional<CallLimits> limits, boolean ended) {
-		Snapshot next = new Snapshot(ready, leaving, addresses, limits);
+	void publish(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace, Optional<CallLimits> limits,
+			boolean ended) {
+		Snapshot next = new Snapshot(ready, leaving, entries, byPlace, limits);
 		if (!next.equals(this.snapshot)) {
 			this.snapshot = next;
 		}
@@ -62,8 +65,9 @@
 	}
 
 	@Override
-	public List<String> addresses() {
-		return this.snapshot.addresses();
+	public List<String> addresses(Optional<String> place) {
+		Snapshot now = this.snapshot;
+		return CallerEntries.choose(now.entries(), place, now.byPlace()).stream().map(EntryInfo::front).toList();
 	}
 
 	@Override
@@ -71,7 +75,8 @@
 		return this.snapshot.limits();
 	}
 
-	private record Snapshot(boolean ready, boolean leaving, List<String> addresses, Optional<CallLimits> limits) {
+	private record Snapshot(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace,
+			Optional<CallLimits> limits) {
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
@@ -2,14 +2,20 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import org.wisteriapost.policy.dispatch.EntryCount;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.EntryLinks;
+import org.wisteriapost.policy.fleet.Rendezvous;
+import org.wisteriapost.policy.fleet.StoreDuty;
 
 /**
  * Which entries there are and which of them callers are told of.
@@ -33,11 +39,15 @@
 
 	private final Set<String> leaving = new HashSet<>();
 
+	// Asked for after every event, so worked out after changes only.
+	private Optional<Ready> ready = Optional.empty();
+
 	EntryRoster(EntryInfo self) {
 		this.self = self;
 	}
 
 	void put(EntryInfo info, long revision, long nowNanos) {
+		this.ready = Optional.empty();
 		Registered before = this.registered.get(info.name());
 		if (before == null || before.info.started() != info.started()) {
 			this.leaving.remove(info.name());
@@ -48,14 +58,17 @@
 	}
 
 	void remove(String name) {
+		this.ready = Optional.empty();
 		this.registered.remove(name);
 	}
 
 	void keep(Set<String> names) {
+		this.ready = Optional.empty();
 		this.registered.keySet().retainAll(names);
 	}
 
 	void linked(String name, boolean up, long nowNanos) {
+		this.ready = Optional.empty();
 		if (up) {
 			this.linked.add(name);
 			this.leaving.remove(name);
@@ -69,6 +82,7 @@
 	}
 
 	void leaving(String name) {
+		this.ready = Optional.empty();
 		this.leaving.add(name);
 	}
 
@@ -92,43 +106,115 @@
 	}
 
 	/**
-	 * Returns the addresses that callers are told of.
+	 * Returns the other entries to which this one is to be linked.
+	 */
+	List<EntryInfo> toLink() {
+		return EntryLinks.choose(this.self, others());
+	}
+
+	/**
+	 * Returns the other entries that live, as far as there are links to them.
+	 */
+	List<EntryInfo> living() {
+		return others().stream().filter((info) -> this.linked.contains(info.name())).toList();
+	}
+
+	/**
+	 * Returns the other living entries of this place.
+	 */
+	List<EntryInfo> near() {
+		return living().stream().filter((info) -> info.place().equals(this.self.place())).toList();
+	}
+
+	/**
+	 * Returns the entries that callers may be told of.
 	 * @param self whether this entry is one of them
 	 */
-	List<String> addresses(boolean self) {
-		List<String> addresses = new ArrayList<>();
-		if (self) {
-			addresses.add(this.self.front());
+	List<EntryInfo> ready(boolean self) {
+		if (this.ready.isEmpty() || this.ready.get().self != self) {
+			List<EntryInfo> list = new ArrayList<>();
+			if (self) {
+				list.add(this.self);
+			}
+			living().stream()
+				.filter((info) -> !this.leaving.contains(info.name()))
+				.sorted(Comparator.comparing(EntryInfo::front))
+				.forEach(list::add);
+			this.ready = Optional.of(new Ready(self, list));
 		}
-		others().stream()
-			.filter((info) -> this.linked.contains(info.name()) && !this.leaving.contains(info.name()))
-			.map(EntryInfo::front)
-			.sorted()
-			.forEach(addresses::add);
-		return addresses;
+		return this.ready.get().entries;
 	}
 
 	/**
-	 * Returns how many entries share the budgets: those alive, and this one.
+	 * Returns the place of another registered entry.
 	 */
-	int alive() {
-		return (int) others().stream().filter((info) -> this.linked.contains(info.name())).count() + 1;
+	Optional<String> placeOf(String name) {
+		return Optional.ofNullable(this.registered.get(name)).map((entry) -> entry.info.place());
+	}
+
+	/**
+	 * Returns the entries that hear from this one itself what it has in flight.
+	 */
+	List<EntryInfo> told() {
+		return byPlace() ? near() : others();
+	}
+
+	/**
+	 * Returns whether there are so many entries that places keep to themselves.
+	 */
+	boolean byPlace() {
+		return EntryLinks.byPlace(others().size() + 1);
+	}
+
+	/**
+	 * Returns how many entries share the budgets: those registered but for those that
+	 * this one should be linked to and is not.
+	 */
+	EntryCount count() {
+		List<EntryInfo> others = others();
+		long dead = toLink().stream().filter((info) -> !this.linked.contains(info.name())).count();
+		return new EntryCount((int) (others.size() - dead) + 1, near().size() + 1, byPlace());
+	}
+
+	/**
+	 * Returns the other entries of which one may read the store for all: those of this
+	 * place, or all where places do not keep to themselves.
+	 */
+	Set<String> sharingReader() {
+		if (others().size() < StoreDuty.MOST_READING_ALL) {
+			return Set.of();
+		}
+		return told().stream()
+			.map(EntryInfo::name)
+			.filter((name) -> this.linked.contains(name) && !this.leaving.contains(name))
+			.collect(Collectors.toSet());
+	}
+
+	/**
+	 * Returns whether this entry speaks for its place to the others: it is the first by
+	 * rendezvous of those that live there.
+	 */
+	boolean speaks() {
+		List<String> near = near().stream()
+			.map(EntryInfo::name)
+			.filter((name) -> !this.leaving.contains(name))
+			.toList();
+		return Rendezvous.among(this.self.name(), near, this.self.place(), 1);
 	}
 
 	/**
 	 * Returns a registration to remove: its entry has long been dead, and this entry is
-	 * the first by name of those alive, so that one removes it and not all.
+	 * the first by name of those alive near by, so that one removes it and not all.
 	 */
 	Optional<Registered> dead(long nowNanos) {
-		boolean first = others().stream()
-			.filter((info) -> this.linked.contains(info.name()))
-			.allMatch((info) -> info.name().compareTo(this.self.name()) > 0);
-		if (!first) {
+		List<EntryInfo> peers = byPlace() ? near() : living();
+		if (peers.stream().anyMatch((info) -> info.name().compareTo(this.self.name()) < 0)) {
 			return Optional.empty();
 		}
+		Set<String> watched = toLink().stream().map(EntryInfo::name).collect(Collectors.toSet());
 		return this.registered.values()
 			.stream()
-			.filter((entry) -> !entry.info.name().equals(this.self.name()))
+			.filter((entry) -> watched.contains(entry.info.name()))
 			.filter((entry) -> !this.linked.contains(entry.info.name()))
 			.filter((entry) -> nowNanos - entry.downSinceNanos > DEAD_NANOS)
 			.findFirst();
@@ -144,4 +230,7 @@
 	record Registered(EntryInfo info, long revision, long downSinceNanos) {
 	}
 
+	private record Ready(boolean self, List<EntryInfo> entries) {
+	}
+
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReports.java
@@ -67,7 +67,7 @@
 	 * @param ticks counts the ticks of the entry, 20 ms each; most of them bring no
 	 * report
 	 * @param now what a refusal's times are told against
-	 * @param registered the other entries
+	 * @param registered the other entries that hear it from this one
 	 * @param load what this entry has at each runner
 	 */
 	void tick(long ticks, long now, Supplier<List<EntryInfo>> registered, Supplier<List<RunnerLoad>> load) {
@@ -146,6 +146,7 @@
 			int turns = Math.max(1, (names.size() + PEERS_AT_ONCE - 1) / PEERS_AT_ONCE);
 			this.nextTicks = ticks + (long) turns * this.leastTicks;
 			if (names.isEmpty()) {
+				this.refused.clear();
 				return;
 			}
 			boolean full = ticks >= this.fullTicks;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -125,6 +125,8 @@
 			case ENGINE_STATE -> this.events.accept(new DirectEvent.AgentSays(frame.getEngineState()));
 			case LOAD_REPORT ->
 				peer.ifPresent((name) -> this.events.accept(new DirectEvent.PeerLoads(name, frame.getLoadReport())));
+			case PLACE_STATE ->
+				peer.ifPresent((name) -> this.events.accept(new DirectEvent.PlaceSays(name, frame.getPlaceState())));
 			case NEWS -> peer.ifPresent((name) -> this.events.accept(new DirectEvent.PeerNews(name, frame.getNews())));
 			case NEWS_REQUEST -> peer.ifPresent((name) -> this.events
 				.accept(new DirectEvent.PeerWantsNews(name, frame.getNewsRequest().getWanted())));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -54,6 +54,13 @@
 		return this.table.isPresent() && this.read.contains(Kind.RUNNERS);
 	}
 
+	/**
+	 * Returns whether all kinds have been read.
+	 */
+	boolean whole() {
+		return this.read.size() == Kind.values().length;
+	}
+
 	/**
 	 * Hears all objects of a kind.
 	 */
@@ -64,7 +71,7 @@
 				items.forEach((item) -> item.value().ifPresent((value) -> declared(value, first, now)));
 			case RUNNERS -> {
 				runners(items, now);
-				this.announcer.relink(this.table);
+				this.announcer.changed();
 			}
 			case ENTRIES -> {
 				Set<String> names = new HashSet<>();
@@ -73,7 +80,7 @@
 					entry(item, now);
 				});
 				this.roster.keep(names);
-				this.announcer.relink(this.table);
+				this.announcer.changed();
 			}
 		}
 	}
@@ -98,7 +105,7 @@
 		}
 		if (kind == Kind.ENTRIES) {
 			entry(change.item(), now);
-			this.announcer.relink(this.table);
+			this.announcer.changed();
 			return;
 		}
 		change.item().value().ifPresent((value) -> declared(value, false, now));
@@ -107,7 +114,7 @@
 			// anew.
 			this.log.decision("runner-unreadable", "runner", change.item().name());
 			this.dispatcher.runnerUnusable(change.item().name());
-			this.announcer.relink(this.table);
+			this.announcer.changed();
 		}
 	}
 
@@ -116,11 +123,11 @@
 			case RUNNERS -> {
 				this.log.decision("runner-removed", "runner", name);
 				this.dispatcher.runnerRemoved(name, now);
-				this.announcer.relink(this.table);
+				this.announcer.changed();
 			}
 			case ENTRIES -> {
 				this.roster.remove(name);
-				this.announcer.relink(this.table);
+				this.announcer.changed();
 			}
 			case ROUTES, WEIGHTS -> {
 				// What was declared stays in force until something newer is.
@@ -143,7 +150,7 @@
 		if (this.dispatcher.runner(info, now)) {
 			this.log.decision("runner-changed", "runner", info.id(), "address", info.address(), "service",
 					info.service(), "draining", info.draining(), "models", info.models());
-			this.announcer.relink(this.table);
+			this.announcer.changed();
 		}
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -14,6 +14,7 @@
 
 import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
@@ -24,8 +25,9 @@
 import org.wisteriapost.protocol.wire.StoreObject;
 
 /**
- * Passes what the site's store says on to entries that it does not answer, and takes it
- * from another entry while it does not answer this one. Used by the state thread alone.
+ * Passes what the site's store says on to entries that do not read it, for want of an
+ * answer or since this one reads for them, and takes it from another entry while this one
+ * does not read. Used by the state thread alone.
  *
  * An object is taken only when its revision is higher than the one known, and one that
  * was removed stays away until the store has changed it again: another entry may be
@@ -33,6 +35,9 @@
  */
 final class SiteNews {
 
+	// Half a second: who hears the store from here takes silence for a loss.
+	private static final int TICKS_PER_SIGN = 5;
+
 	private final ObjectStore store;
 
 	private final BiConsumer<String, Frame> sender;
@@ -41,20 +46,29 @@
 
 	private final UpstreamChoice upstream = new UpstreamChoice();
 
+	private final StoreDuty duty;
+
 	private final Set<String> downstream = new HashSet<>();
 
 	private final Map<Kind, Map<String, ObjectStore.Item>> objects = new EnumMap<>(Kind.class);
 
 	private final Map<Kind, Map<String, Long>> removed = new EnumMap<>(Kind.class);
 
+	// Up to which revision of the store the objects of a kind are known.
+	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
+
 	private boolean answered;
 
+	private int ticks;
+
 	/**
 	 * Returns news of one entry.
+	 * @param duty says whom to believe besides
 	 * @param sender sends a frame to an entry by name
 	 */
-	SiteNews(ObjectStore store, BiConsumer<String, Frame> sender, DecisionLog log) {
+	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, DecisionLog log) {
 		this.store = store;
+		this.duty = duty;
 		this.sender = sender;
 		this.log = log;
 		for (Kind kind : Kind.values()) {
@@ -65,7 +79,12 @@
 
 	// From the store.
 
-	void read(Kind kind, List<ObjectStore.Item> all) {
+	/**
+	 * Takes all objects of a kind.
+	 * @param at the store's revision when they were read
+	 */
+	void read(Kind kind, List<ObjectStore.Item> all, long at) {
+		this.readTo.put(kind, at);
 		Map<String, ObjectStore.Item> known = this.objects.get(kind);
 		known.clear();
 		this.removed.get(kind).clear();
@@ -73,9 +92,31 @@
 		tell(() -> all(kind));
 	}
 
-	void read(Kind kind, ObjectStore.Change change) {
+	/**
+	 * Takes a change and returns whether it is newer than what is known.
+	 */
+	boolean read(Kind kind, ObjectStore.Change change) {
+		ObjectStore.Item known = this.objects.get(kind).get(change.item().name());
+		if (known != null && known.revision() > change.item().revision()) {
+			return false;
+		}
 		note(kind, change);
 		tell(() -> News.newBuilder().setCurrent(true).setKind(wire(kind)).addObjects(object(change)).build());
+		return true;
+	}
+
+	/**
+	 * Hears that this entry stops reading the store.
+	 */
+	void rests() {
+		this.answered = false;
+	}
+
+	/**
+	 * Returns whether nobody would miss it if this entry stopped reading the store.
+	 */
+	boolean mayRest() {
+		return this.answered && this.downstream.isEmpty();
 	}
 
 	/**
@@ -93,11 +134,15 @@
 	// From and to other entries.
 
 	/**
-	 * Asks another entry when that is needed.
+	 * Asks another entry when that is needed. Called each 100 ms.
 	 * @param linked the entries to which there is a link
 	 */
 	void tick(Collection<String> linked, long nowNanos) {
 		this.downstream.retainAll(linked);
+		this.ticks++;
+		if (this.ticks % TICKS_PER_SIGN == 0) {
+			tell(() -> News.newBuilder().setCurrent(true).build());
+		}
 		this.upstream.ask(linked, nowNanos).ifPresent((peer) -> {
 			this.log.decision("store-through-entry", "entry", peer);
 			this.sender.accept(peer, request(true));
@@ -131,7 +176,9 @@
 		if (!believed(peer, news) || kind.isEmpty()) {
 			return List.of();
 		}
-		this.upstream.heard(true);
+		if (this.upstream.believes(peer)) {
+			this.upstream.heard(true);
+		}
 		List<DirectEvent> fresh = new ArrayList<>();
 		for (StoreObject object : news.getObjectsList()) {
 			if (newer(kind.get(), object)) {
@@ -145,18 +192,25 @@
 		return news.getAll() ? List.of(all(kind.get(), news)) : fresh;
 	}
 
+	// What the sender does not name is gone, unless it was made after the sender had
+	// read:
+	// taken for gone it would stay away until it changes again.
 	private DirectEvent all(Kind kind, News news) {
 		Set<String> named = new HashSet<>();
 		news.getObjectsList().forEach((object) -> named.add(object.getName()));
 		Map<String, ObjectStore.Item> known = this.objects.get(kind);
 		List.copyOf(known.values())
 			.stream()
-			.filter((item) -> !named.contains(item.name()))
+			.filter((item) -> !named.contains(item.name()) && item.revision() <= news.getAt())
 			.forEach((item) -> note(kind, new ObjectStore.Change(item, true)));
-		return new DirectEvent.AllObjects(kind, List.copyOf(known.values()));
+		this.readTo.merge(kind, news.getAt(), Math::max);
+		return new DirectEvent.AllObjects(kind, List.copyOf(known.values()), this.readTo.get(kind));
 	}
 
 	private boolean believed(String peer, News news) {
+		if (this.duty.believes(peer)) {
+			return news.getCurrent();
+		}
 		if (!this.upstream.believes(peer)) {
 			return false;
 		}
@@ -175,6 +229,7 @@
 
 	private void note(Kind kind, ObjectStore.Change change) {
 		ObjectStore.Item item = change.item();
+		this.readTo.merge(kind, item.revision(), Math::max);
 		if (change.deleted()) {
 			this.objects.get(kind).remove(item.name());
 			this.removed.get(kind).put(item.name(), item.revision());
@@ -192,7 +247,11 @@
 	}
 
 	private News all(Kind kind) {
-		News.Builder news = News.newBuilder().setCurrent(true).setAll(true).setKind(wire(kind));
+		News.Builder news = News.newBuilder()
+			.setCurrent(true)
+			.setAll(true)
+			.setKind(wire(kind))
+			.setAt(this.readTo.getOrDefault(kind, 0L));
 		this.objects.get(kind).values().forEach((item) -> news.addObjects(object(new ObjectStore.Change(item, false))));
 		return news.build();
 	}
@@ -207,7 +266,7 @@
 			.build();
 	}
 
-	private static Frame request(boolean wanted) {
+	static Frame request(boolean wanted) {
 		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(wanted)).build();
 	}
 
@@ -224,7 +283,7 @@
 		};
 	}
 
-	private static Optional<Kind> kind(StoreKind kind) {
+	static Optional<Kind> kind(StoreKind kind) {
 		return switch (kind) {
 			case STORE_ROUTES -> Optional.of(Kind.ROUTES);
 			case STORE_RUNNERS -> Optional.of(Kind.RUNNERS);
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -0,0 +1,95 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.StoreDuty;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.News;
+
+/**
+ * Carries out what {@link StoreDuty} decides. Used by the state thread alone.
+ */
+final class StoreReading {
+
+	private final StoreDuty duty;
+
+	private final SiteNews news;
+
+	private final Following following;
+
+	private final BiConsumer<String, Frame> sender;
+
+	private final DecisionLog log;
+
+	// What has come whole from the entry that was asked.
+	private final Set<Kind> delivered = EnumSet.noneOf(Kind.class);
+
+	/**
+	 * Returns the reading of one entry.
+	 * @param sender sends a frame to an entry by name
+	 */
+	StoreReading(StoreDuty duty, SiteNews news, Following following, BiConsumer<String, Frame> sender,
+			DecisionLog log) {
+		this.duty = duty;
+		this.news = news;
+		this.following = following;
+		this.sender = sender;
+		this.log = log;
+	}
+
+	/**
+	 * Returns whether this entry hears the store from a neighbour.
+	 */
+	boolean rests() {
+		return this.duty.rests();
+	}
+
+	/**
+	 * Does what is due.
+	 * @param group the entries that share a reader with this one
+	 * @param complete whether this entry has read all kinds
+	 */
+	void tick(Collection<String> group, boolean complete, long nowNanos) {
+		carryOut(this.duty.tick(group, complete && this.news.mayRest(), nowNanos));
+	}
+
+	/**
+	 * Hears an entry and returns what is new of it, as if the store had said it.
+	 */
+	List<DirectEvent> heard(String peer, News said, long nowNanos) {
+		List<DirectEvent> fresh = this.news.heard(peer, said);
+		if (this.duty.believes(peer)) {
+			if (said.getAll()) {
+				SiteNews.kind(said.getKind()).ifPresent(this.delivered::add);
+			}
+			boolean whole = this.delivered.size() == Kind.values().length;
+			carryOut(this.duty.heard(peer, said.getCurrent(), whole, nowNanos));
+		}
+		return fresh;
+	}
+
+	private void carryOut(List<StoreDuty.Step> steps) {
+		for (StoreDuty.Step step : steps) {
+			this.log.decision("store-duty", "step", step);
+			switch (step) {
+				case StoreDuty.Step.Ask ask -> {
+					this.delivered.clear();
+					this.sender.accept(ask.entry(), SiteNews.request(true));
+				}
+				case StoreDuty.Step.Dismiss dismiss -> this.sender.accept(dismiss.entry(), SiteNews.request(false));
+				case StoreDuty.Step.Rest rest -> {
+					this.news.rests();
+					this.following.pause();
+				}
+				case StoreDuty.Step.Read read -> this.following.resume();
+			}
+		}
+	}
+
+}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
@@ -35,16 +36,18 @@
 
 	private final List<Frame> toSource = new ArrayList<>();
 
-	private final SiteNews source = new SiteNews(new Decoder(), (peer, frame) -> this.toCut.add(frame), this.log);
+	private final SiteNews source = new SiteNews(new Decoder(), StoreDuty.of("source"),
+			(peer, frame) -> this.toCut.add(frame), this.log);
 
-	private final SiteNews cut = new SiteNews(new Decoder(), (peer, frame) -> this.toSource.add(frame), this.log);
+	private final SiteNews cut = new SiteNews(new Decoder(), StoreDuty.of("cut"),
+			(peer, frame) -> this.toSource.add(frame), this.log);
 
 	@BeforeEach
 	void cutOff() {
 		this.source.reachable(true);
-		this.source.read(Kind.RUNNERS, List.of(item("a", 5), item("b", 6)));
+		this.source.read(Kind.RUNNERS, List.of(item("a", 5), item("b", 6)), 6);
 		this.cut.reachable(true);
-		this.cut.read(Kind.RUNNERS, List.of(item("a", 5), item("old", 4)));
+		this.cut.read(Kind.RUNNERS, List.of(item("a", 5), item("old", 4)), 5);
 		this.cut.reachable(false);
 		this.cut.tick(List.of("source"), SECOND);
 		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest().getWanted()));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -44,10 +44,14 @@
 
 	private final DispatchLimits limits;
 
-	private final RunnerBook book = new RunnerBook();
+	private final RunnerBook book;
+
+	private final FleetView fleet;
 
 	private final WeightsFence fence;
 
+	private final SlowestStart waits = new SlowestStart();
+
 	private final ServicePaces paces = new ServicePaces();
 
 	private final Placement placement;
@@ -56,6 +60,8 @@
 
 	private final Recovery recovery;
 
+	private final FinalAnswers answers;
+
 	private final Map<Long, Job> jobs = new LinkedHashMap<>();
 
 	private final WaitingRequests waiting = new WaitingRequests();
@@ -66,14 +72,17 @@
 
 	private Optional<RouteTable> table = Optional.empty();
 
-	private int entries = 1;
+	private EntryCount entries = EntryCount.flat(1);
 
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
 		this.limits = limits;
+		this.book = new RunnerBook(new RunnerSubset(limits.place(), random.nextLong()));
+		this.fleet = new FleetView(this.book, limits.place());
 		this.fence = new WeightsFence(limits.weightsInForce());
-		this.placement = new Placement(this.book, this.paces, this.fence, limits.place(), random);
+		this.placement = new Placement(this.book, this.paces, this.fence, this.waits, limits.place(), random);
 		this.patience = new Patience(random);
 		this.recovery = new Recovery();
+		this.answers = new FinalAnswers(this.patience, (effect) -> this.effects.add(effect));
 	}
 
 	/**
@@ -190,28 +199,27 @@
 	}
 
 	/**
-	 * Hears how many entries there are, this one included.
+	 * Hears what all entries of another place have at a runner together.
 	 */
-	public void entries(int count) {
-		this.entries = Math.max(1, count);
-		this.placement.entries(this.entries);
+	public void placeLoad(String place, RunnerLoad said, long nowNanos) {
+		this.book.find(said.runner())
+			.filter((state) -> state.info.start().equals(said.start()))
+			.ifPresent((state) -> state.heardOfPlace(place, said.load(), nowNanos));
 	}
 
 	/**
-	 * Returns what this entry has at each runner.
+	 * Hears how many entries there are.
 	 */
-	public List<RunnerLoad> ownLoad() {
-		return this.book.states()
-			.stream()
-			.map((state) -> new RunnerLoad(state.info.id(), state.info.start(), state.own))
-			.toList();
+	public void entries(EntryCount count) {
+		this.entries = count;
+		this.placement.entries(count);
 	}
 
 	/**
-	 * Returns the runners that are believed to be there.
+	 * Returns what is believed of the runners.
 	 */
-	public List<RunnerInfo> known() {
-		return this.book.states().stream().map((state) -> state.info).toList();
+	public FleetView fleet() {
+		return this.fleet;
 	}
 
 	// What happens to requests.
@@ -237,6 +245,7 @@
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job.size().promptTokens());
 		if (job.baseMillis > 0) {
+			this.waits.waited(nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
 			runner.measured(ratio / this.paces.of(job.service()));
 			this.paces.measured(job.service(), ratio);
@@ -284,74 +293,86 @@
 			if (nowNanos >= job.deadlineNanos()) {
 				timeOver(job, nowNanos);
 			}
-			else if (job.runner.isPresent() && this.recovery.stalled(job, nowNanos)) {
-				leaveSilent(job, nowNanos);
+			else if (job.runner.isPresent()) {
+				watch(job, nowNanos);
 			}
 		}
-		pump(nowNanos);
+		this.waiting.retryAll((job) -> goesOnWaiting(job, 0, nowNanos));
 	}
 
-	private void again(Job job, Outcome outcome, long nowNanos) {
-		boolean counts = outcome != Outcome.NOT_SENT;
-		if (counts && !allowance(job.service()).take(this.entries, nowNanos)) {
-			giveUp(job, outcome, nowNanos);
-			return;
+	private void watch(Job job, long nowNanos) {
+		if (job.baseMillis > 0 && !job.firstSeen) {
+			this.waits.waited(nowNanos - job.sentNanos, nowNanos);
+		}
+		if (beginsTooLate(job, nowNanos)) {
+			takeBack(job, nowNanos);
+		}
+		else if (this.recovery.stalled(job, nowNanos)) {
+			leaveSilent(job, nowNanos);
 		}
-		place(job, nowNanos);
 	}
 
-	private void giveUp(Job job, Outcome outcome, long nowNanos) {
-		finish(job);
-		job.refused().ifPresent(this.patience::refused);
-		switch (outcome) {
-			case ERROR -> this.effects.add(new DispatchEffect.PassOn(job));
-			case FULL, MISDIRECTED, NOT_SENT -> refuseOrFail(job, NO_ROOM, nowNanos);
-			case DONE, BROKEN -> this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
+	private boolean beginsTooLate(Job job, long nowNanos) {
+		if (job.firstSeen || job.runner.isEmpty()) {
+			return false;
 		}
+		Optional<String> model = spec(job).map(EngineSpec::model);
+		OptionalInt held = model.map(job.runner.get()::version).orElse(OptionalInt.empty());
+		return held.isPresent() && nowNanos >= this.fence.beginBy(model.get(), held.getAsInt());
 	}
 
-	private void timeOver(Job job, long nowNanos) {
-		boolean ran = job.runs > 0;
+	// The runner is not to blame. The request may have begun this moment, so it goes on
+	// elsewhere only if it may run twice.
+	private void takeBack(Job job, long nowNanos) {
 		stop(job);
-		finish(job);
-		if (ran) {
-			this.effects.add(new DispatchEffect.Fail(job, TIME_OVER, true));
+		if (this.recovery.mayRunAgain(job)) {
+			again(job, Outcome.BROKEN, nowNanos);
 		}
 		else {
-			refuse(job, TIME_OVER, nowNanos);
+			giveUp(job, Outcome.BROKEN, nowNanos);
 		}
 	}
 
-	// That it has not run is said only of a request that no runner has begun.
-	private void refuseOrFail(Job job, Code code, long nowNanos) {
-		if (job.runs > 0) {
-			this.effects.add(new DispatchEffect.Fail(job, RUN_BROKEN, false));
+	private void again(Job job, Outcome outcome, long nowNanos) {
+		boolean counts = outcome != Outcome.NOT_SENT;
+		if (counts && !allowance(job.service()).take(this.entries.all(), nowNanos)) {
+			giveUp(job, outcome, nowNanos);
 			return;
 		}
-		refuse(job, code, nowNanos);
+		place(job, nowNanos);
 	}
 
-	private void refuse(Job job, Code code, long nowNanos) {
-		job.refused().ifPresent(this.patience::refused);
-		long retryAfter = this.patience.retryAfterMillis(job, nowNanos);
-		this.effects.add(new DispatchEffect.Refuse(job, code, retryAfter));
+	private void giveUp(Job job, Outcome outcome, long nowNanos) {
+		finish(job);
+		this.answers.noOtherRunner(job, outcome, nowNanos);
+	}
+
+	private void timeOver(Job job, long nowNanos) {
+		stop(job);
+		finish(job);
+		this.answers.timeOver(job, nowNanos);
 	}
 
 	private void place(Job job, long nowNanos) {
 		Deque<Job> queue = this.waiting.of(job, this.patience.late(job, nowNanos));
-		place(job, queue, queue.size(), nowNanos);
+		if (goesOnWaiting(job, queue.size(), nowNanos)) {
+			queue.addLast(job);
+		}
 	}
 
-	private void place(Job job, Deque<Job> queue, int ahead, long nowNanos) {
+	private boolean goesOnWaiting(Job job, int ahead, long nowNanos) {
 		Placement.Choice choice = this.placement.choose(job, spec(job), nowNanos);
 		switch (this.patience.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
-			case WAIT -> queue.addLast(job);
+			case WAIT -> {
+				return true;
+			}
 			case REFUSE -> {
 				finish(job);
-				refuseOrFail(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
+				this.answers.refuseOrFail(job, choice.none() ? NO_RUNNER : NO_ROOM, nowNanos);
 			}
 		}
+		return false;
 	}
 
 	private void send(Job job, Placement.Choice choice, long nowNanos) {
@@ -375,7 +396,7 @@
 	// Lets waiting requests go on in the order in which they came, as far as room has
 	// come up.
 	private void pump(long nowNanos) {
-		this.waiting.retry((job, queue) -> place(job, queue, 0, nowNanos));
+		this.waiting.retry((job) -> goesOnWaiting(job, 0, nowNanos));
 	}
 
 	private void release(Job job, Outcome outcome, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -51,16 +52,20 @@
 
 	private final WeightsFence fence;
 
+	private final SlowestStart waits;
+
 	private final String place;
 
 	private final UniformRandomProvider random;
 
-	private int entries = 1;
+	private EntryCount entries = EntryCount.flat(1);
 
-	Placement(RunnerBook book, ServicePaces paces, WeightsFence fence, String place, UniformRandomProvider random) {
+	Placement(RunnerBook book, ServicePaces paces, WeightsFence fence, SlowestStart waits, String place,
+			UniformRandomProvider random) {
 		this.book = book;
 		this.paces = paces;
 		this.fence = fence;
+		this.waits = waits;
 		this.place = place;
 		this.random = random;
 	}
@@ -68,7 +73,7 @@
 	/**
 	 * Hears how many entries there are.
 	 */
-	void entries(int count) {
+	void entries(EntryCount count) {
 		this.entries = count;
 	}
 
@@ -77,10 +82,21 @@
 	 * @param engine present when its service runs model engines
 	 */
 	Choice choose(Job job, Optional<EngineSpec> engine, long nowNanos) {
-		OptionalInt version = engine.isPresent() ? this.fence.required(engine.get().model(), nowNanos)
-				: OptionalInt.empty();
+		OptionalInt version = engine.isPresent()
+				? this.fence.required(engine.get().model(), this.waits.nanos(nowNanos), nowNanos) : OptionalInt.empty();
+		List<RunnerState> all = this.book.of(job.service());
+		List<RunnerState> candidates = this.book.candidates(job.service());
+		Choice best = best(job, engine, version, nowNanos, candidates);
+		if (best.none() && candidates.size() < all.size()) {
+			return best(job, engine, version, nowNanos, all);
+		}
+		return best;
+	}
+
+	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos,
+			List<RunnerState> runners) {
 		for (Wish wish : Wish.values()) {
-			Choice best = best(job, engine, version, nowNanos, wish);
+			Choice best = best(job, engine, version, nowNanos, runners, wish);
 			if (!best.none()) {
 				return best;
 			}
@@ -88,11 +104,12 @@
 		return Choice.nobody(version);
 	}
 
-	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos, Wish wish) {
+	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos,
+			List<RunnerState> runners, Wish wish) {
 		Choice best = Choice.nobody(version);
 		double bestCost = Double.MAX_VALUE;
 		int engines = 0;
-		for (RunnerState runner : this.book.of(job.service())) {
+		for (RunnerState runner : runners) {
 			if (!fits(job, runner, engine, version, nowNanos) || (wish != Wish.ANY && !healthy(runner, nowNanos))) {
 				continue;
 			}
@@ -111,7 +128,8 @@
 				best = choice;
 			}
 		}
-		return best.among(engines, engine, this.entries);
+		double shown = (double) this.book.of(job.service()).size() / Math.max(1, runners.size());
+		return best.among(engines * shown, engine, this.entries.all());
 	}
 
 	private Choice choice(RunnerState runner, Optional<EngineSpec> engine, PeerLoad load, double base, double predicted,
@@ -123,7 +141,8 @@
 		}
 		EngineSpec spec = engine.get();
 		int free = spec.slots() + QUEUED - load.active();
-		boolean room = free > 0 && runner.share.left(free, this.entries, this.random, nowNanos);
+		boolean room = free > 0 && runner.share.left(free, this.entries.sharing(runner.info.place(), this.place),
+				this.random, nowNanos);
 		double wait = EngineForecast.slotWaitMillis(spec, load) * predicted / base;
 		OptionalInt bound = version.isPresent() ? runner.version(spec.model()) : version;
 		return new Choice(Optional.of(runner), base, predicted, wait, room, (double) load.active() / spec.slots(), true,
@@ -178,11 +197,11 @@
 		if (held.isEmpty()) {
 			return false;
 		}
-		// A stream that has begun goes on only where the same weights are.
-		if (job.events() > 0 && job.weightsVersion().isPresent()) {
-			return held.equals(job.weightsVersion());
-		}
-		return version.isEmpty() || held.getAsInt() >= version.getAsInt();
+		// A stream that has begun goes on only where the same weights are, and begins
+		// anew
+		// there: not on weights that are over by then.
+		boolean same = job.events() == 0 || job.weightsVersion().isEmpty() || held.equals(job.weightsVersion());
+		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
 	}
 
 	private static double predict(RunnerState runner, Optional<EngineSpec> engine, PeerLoad load, Job job) {
@@ -237,11 +256,11 @@
 			return this.runner.isEmpty();
 		}
 
-		private Choice among(int engines, Optional<EngineSpec> spec, int entries) {
+		private Choice among(double engines, Optional<EngineSpec> spec, int entries) {
 			if (none() || spec.isEmpty()) {
 				return this;
 			}
-			double slots = (double) engines * spec.get().slots() / entries;
+			double slots = engines * spec.get().slots() / entries;
 			return new Choice(this.runner, this.baseMillis, this.predictedMillis, this.slotWaitMillis, this.room,
 					this.used, true, EngineForecast.residenceMillis(spec.get()) / slots, this.requiredVersion);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Recovery.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Recovery.java
@@ -51,7 +51,10 @@
 		return silent > STREAM_SILENCE_NANOS;
 	}
 
-	private static boolean mayRunAgain(Job job) {
+	/**
+	 * Returns whether a request may be sent to one more runner.
+	 */
+	boolean mayRunAgain(Job job) {
 		return job.route().repeatable() && job.runs < job.route().maxAttempts() && job.dispatches < MOST_DISPATCHES;
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -32,6 +32,10 @@
 
 	private final Map<String, List<RunnerState>> services = new HashMap<>();
 
+	private final Map<String, List<RunnerState>> candidates = new HashMap<>();
+
+	private final RunnerSubset subset;
+
 	private final Map<String, EngineWord> words = new HashMap<>();
 
 	private final Set<String> lapsed = new HashSet<>();
@@ -40,6 +44,10 @@
 
 	private long storeBackNanos = Long.MIN_VALUE / 2;
 
+	RunnerBook(RunnerSubset subset) {
+		this.subset = subset;
+	}
+
 	/**
 	 * Hears whether the store answers.
 	 */
@@ -163,6 +171,27 @@
 		return this.services.getOrDefault(service, List.of());
 	}
 
+	/**
+	 * Returns the runners of a service that this entry looks at for a request.
+	 */
+	List<RunnerState> candidates(String service) {
+		return this.candidates.getOrDefault(service, List.of());
+	}
+
+	/**
+	 * Returns what the agents beside the runners of a place have said last, by address.
+	 */
+	Map<String, EngineWord> words(String place) {
+		Map<String, EngineWord> there = new HashMap<>();
+		this.runners.values().stream().filter((state) -> state.info.place().equals(place)).forEach((state) -> {
+			EngineWord word = this.words.get(state.info.address());
+			if (word != null) {
+				there.put(state.info.address(), word);
+			}
+		});
+		return there;
+	}
+
 	Collection<RunnerState> states() {
 		return this.runners.values();
 	}
@@ -195,6 +224,8 @@
 		latest.values()
 			.forEach((state) -> this.services.computeIfAbsent(state.info.service(), (name) -> new ArrayList<>())
 				.add(state));
+		this.candidates.clear();
+		this.services.forEach((service, all) -> this.candidates.put(service, this.subset.of(all)));
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -32,8 +32,17 @@
 
 	private static final double MOST_PACE = 6;
 
+	// What single entries have there, by their names, and what all entries of another
+	// place have there together, by the place.
 	private final Map<String, Heard> peers = new HashMap<>();
 
+	private final Map<String, Heard> places = new HashMap<>();
+
+	private PeerLoad others = PeerLoad.NONE;
+
+	// From when on what was summed up last no longer holds: at once after news.
+	private long othersUntilNanos = Long.MIN_VALUE;
+
 	final RunnerHealth health = new RunnerHealth();
 
 	final FreshShare share = new FreshShare();
@@ -109,23 +118,50 @@
 
 	void heard(String peer, PeerLoad load, long nowNanos) {
 		this.peers.put(peer, new Heard(load, nowNanos));
+		this.othersUntilNanos = Long.MIN_VALUE;
+	}
+
+	void heardOfPlace(String place, PeerLoad load, long nowNanos) {
+		this.places.put(place, new Heard(load, nowNanos));
+		this.othersUntilNanos = Long.MIN_VALUE;
 	}
 
 	void forget(String peer) {
 		this.peers.remove(peer);
+		this.othersUntilNanos = Long.MIN_VALUE;
 	}
 
 	/**
-	 * Returns what all entries together have there.
+	 * Returns what all entries together have there. It is asked for at every runner for
+	 * every request, so the others' part is summed up when something was heard, not each
+	 * time.
 	 */
 	PeerLoad total(long nowNanos) {
-		PeerLoad total = this.own;
-		for (Heard heard : this.peers.values()) {
-			if (nowNanos - heard.atNanos < PEER_TTL_NANOS) {
-				total = total.plus(heard.load);
+		if (nowNanos >= this.othersUntilNanos) {
+			this.othersUntilNanos = Long.MAX_VALUE;
+			this.others = sum(this.peers, nowNanos).plus(sum(this.places, nowNanos));
+		}
+		return this.own.plus(this.others);
+	}
+
+	/**
+	 * Returns what this entry and those have there that tell it their own part: the
+	 * entries of its place, where places keep to themselves.
+	 */
+	PeerLoad nearTotal(long nowNanos) {
+		return this.own.plus(sum(this.peers, nowNanos));
+	}
+
+	private PeerLoad sum(Map<String, Heard> heard, long nowNanos) {
+		PeerLoad sum = PeerLoad.NONE;
+		for (Heard one : heard.values()) {
+			long until = one.atNanos + PEER_TTL_NANOS;
+			if (nowNanos < until) {
+				sum = sum.plus(one.load);
+				this.othersUntilNanos = Math.min(this.othersUntilNanos, until);
 			}
 		}
-		return total;
+		return sum;
 	}
 
 	void full(long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/WaitingRequests.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/WaitingRequests.java
@@ -4,7 +4,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Requests that wait for room, by service and in the order in which they came. Those that
@@ -24,23 +25,33 @@
 	}
 
 	/**
-	 * Takes each request out once, in order, and lets it be placed anew.
-	 * @param place puts it back into the given queue if it has to go on waiting
+	 * Lets requests be placed anew, in order, up to the first of each queue that still
+	 * finds no room.
+	 *
+	 * Load: every first event and every end of an answer may have brought room, and
+	 * dozens wait. Harm prevented: all of them look at all runners some hundred times a
+	 * second, and the entry answers late. Who waits behind the first would hardly fare
+	 * better; each is looked at in {@link #retryAll}.
+	 * @param waits places a request and returns whether it goes on waiting
 	 */
-	void retry(BiConsumer<Job, Deque<Job>> place) {
-		retry(this.inTime, place);
-		retry(this.late, place);
+	void retry(Predicate<Job> waits) {
+		queues().forEach((queue) -> {
+			while (!queue.isEmpty() && (queue.peekFirst().over || !waits.test(queue.peekFirst()))) {
+				queue.pollFirst();
+			}
+		});
 	}
 
-	private static void retry(Map<String, Deque<Job>> waiting, BiConsumer<Job, Deque<Job>> place) {
-		for (Deque<Job> queue : waiting.values()) {
-			for (int left = queue.size(); left > 0; left--) {
-				Job job = queue.pollFirst();
-				if (!job.over) {
-					place.accept(job, queue);
-				}
-			}
-		}
+	/**
+	 * Lets all requests be placed anew, in order.
+	 * @param waits places a request and returns whether it goes on waiting
+	 */
+	void retryAll(Predicate<Job> waits) {
+		queues().forEach((queue) -> queue.removeIf((job) -> job.over || !waits.test(job)));
+	}
+
+	private Stream<Deque<Job>> queues() {
+		return Stream.concat(this.inTime.values().stream(), this.late.values().stream());
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
@@ -22,15 +22,28 @@
 
 	private static final Duration MARGIN = Duration.ofMillis(1200);
 
+	// The part of the margin that is not the wait at the runner: the way of the news to
+	// this entry and of the request to the runner.
+	private static final Duration WAYS = Duration.ofMillis(400);
+
+	// A request may wait longer than the slowest that was seen, while a burst grows.
+	private static final double WAIT_FACTOR = 1.5;
+
+	// Taken back so long before the bound: the runner hears of it within this time.
+	private static final Duration LAST_CHANCE = Duration.ofMillis(100);
+
 	// What an entry finds named when it starts was named at a time that it does not know.
 	// It binds soon: the older weights may be over their time already.
 	private static final Duration FOUND = Duration.ofMillis(3000);
 
+	private final long inForceNanos;
+
 	private final long openNanos;
 
 	private final Map<String, List<Named>> named = new HashMap<>();
 
 	WeightsFence(Duration inForce) {
+		this.inForceNanos = inForce.toNanos();
 		this.openNanos = inForce.minus(MARGIN).toNanos();
 	}
 
@@ -44,7 +57,30 @@
 			return;
 		}
 		long wait = found ? Math.min(FOUND.toNanos(), this.openNanos) : this.openNanos;
-		list.add(new Named(weights.version(), nowNanos + wait));
+		list.add(new Named(weights.version(), nowNanos + wait, nowNanos + this.inForceNanos));
+	}
+
+	/**
+	 * Returns the version that requests must start on, or a newer one, when they wait at
+	 * runners for as long as was seen lately.
+	 * @param waitNanos the longest wait for a first event of late
+	 */
+	OptionalInt required(String model, long waitNanos, long nowNanos) {
+		long margin = WAYS.toNanos() + (long) (WAIT_FACTOR * waitNanos);
+		return required(model, nowNanos + Math.max(0, margin - MARGIN.toNanos()));
+	}
+
+	/**
+	 * Returns until when a request that was sent to a runner with a version must have
+	 * begun there, or be taken back.
+	 */
+	long beginBy(String model, int version) {
+		return this.named.getOrDefault(model, List.of())
+			.stream()
+			.filter((one) -> one.version > version)
+			.mapToLong((one) -> one.endsNanos - LAST_CHANCE.toNanos())
+			.min()
+			.orElse(Long.MAX_VALUE);
 	}
 
 	/**
@@ -60,7 +96,14 @@
 		return required;
 	}
 
-	private record Named(int version, long bindsNanos) {
+	/**
+	 * One naming.
+	 *
+	 * @param version what was named
+	 * @param bindsNanos from when on requests are sent to nothing older
+	 * @param endsNanos from when on none may begin on anything older
+	 */
+	private record Named(int version, long bindsNanos, long endsNanos) {
 	}
 
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/FreshShareTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/FreshShareTests.java
@@ -35,7 +35,7 @@
 		List<Desk> entries = new ArrayList<>();
 		for (int i = 0; i < ENTRIES; i++) {
 			Desk desk = new Desk().with(this.engine);
-			desk.dispatcher.entries(ENTRIES);
+			desk.dispatcher.entries(EntryCount.flat(ENTRIES));
 			switching(desk, true);
 			for (int request = 0; request < 10; request++) {
 				desk.arrive(Desk.STREAM, 300, 6000);
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/CallDialect.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/CallDialect.java
@@ -42,6 +42,11 @@
 	 */
 	String directoryPath();
 
+	/**
+	 * Returns the query parameter in which a caller tells the directory where it is.
+	 */
+	String placeParameter();
+
 	/**
 	 * Returns the path that says whether an entry is ready.
 	 */
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/FollowListener.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/FollowListener.java
@@ -9,8 +9,9 @@
 
 	/**
 	 * Hears all objects of the kind; whatever is not among them is gone.
+	 * @param at the store's revision when the listing began
 	 */
-	void onAll(List<ObjectStore.Item> items);
+	void onAll(List<ObjectStore.Item> items, long at);
 
 	/**
 	 * Hears one change.
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -44,6 +44,12 @@
 
 	private long pauseMillis = FIRST_PAUSE_MILLIS;
 
+	// Calls that were made before the latest pause or return belong to an earlier round,
+	// and what they bring may be older than what is known by now.
+	private int round;
+
+	private boolean paused;
+
 	private Follower(ObjectStore store, Kind kind, ScheduledExecutorService timer, FollowListener listener) {
 		this.store = store;
 		this.kind = kind;
@@ -55,17 +61,50 @@
 	 * Starts to follow a kind.
 	 * @param timer its thread runs the listener, one call after the other
 	 */
-	public static void start(ObjectStore store, Kind kind, ScheduledExecutorService timer, FollowListener listener) {
+	public static Follower start(ObjectStore store, Kind kind, ScheduledExecutorService timer,
+			FollowListener listener) {
 		Follower follower = new Follower(store, kind, timer, listener);
 		timer.execute(follower::list);
+		return follower;
+	}
+
+	/**
+	 * Makes no further call, and leaves out what the last one brings.
+	 */
+	public void pause() {
+		this.timer.execute(() -> {
+			this.paused = true;
+			this.round++;
+		});
+	}
+
+	/**
+	 * Reads all again and goes on, after a pause.
+	 */
+	public void resume() {
+		this.timer.execute(() -> {
+			if (this.paused) {
+				this.paused = false;
+				this.reachable = Optional.empty();
+				this.pauseMillis = FIRST_PAUSE_MILLIS;
+				list();
+			}
+		});
 	}
 
 	private void list() {
+		if (this.paused) {
+			return;
+		}
 		page(new Listing(new ArrayList<>(), -1), Optional.empty());
 	}
 
 	private void page(Listing listing, Optional<String> after) {
+		int asked = this.round;
 		this.store.list(this.kind, after).whenCompleteAsync((page, failure) -> {
+			if (asked != this.round) {
+				return;
+			}
 			if (failure != null) {
 				failed(failure);
 				return;
@@ -77,13 +116,17 @@
 				page(new Listing(listing.items, from), Optional.of(page.items().getLast().name()));
 				return;
 			}
-			all(listing.items);
+			all(listing.items, from);
 			watch(from);
 		}, this.timer);
 	}
 
 	private void watch(long from) {
+		int asked = this.round;
 		this.store.watch(this.kind, from, this.kind.watchWait()).whenCompleteAsync((changes, failure) -> {
+			if (asked != this.round) {
+				return;
+			}
 			if (failure != null) {
 				lapsed(failure);
 				return;
@@ -95,12 +138,16 @@
 				watch(next);
 			}
 			else {
-				this.timer.schedule(() -> watch(next), this.kind.gather().toMillis(), TimeUnit.MILLISECONDS);
+				this.timer.schedule(() -> {
+					if (asked == this.round) {
+						watch(next);
+					}
+				}, this.kind.gather().toMillis(), TimeUnit.MILLISECONDS);
 			}
 		}, this.timer);
 	}
 
-	private void all(List<ObjectStore.Item> items) {
+	private void all(List<ObjectStore.Item> items, long at) {
 		Set<String> names = new HashSet<>();
 		List<ObjectStore.Item> fresh = new ArrayList<>();
 		for (ObjectStore.Item item : items) {
@@ -112,7 +159,7 @@
 			fresh.add(item);
 		}
 		this.revisions.keySet().retainAll(names);
-		this.listener.onAll(fresh);
+		this.listener.onAll(fresh, at);
 	}
 
 	private void change(ObjectStore.Change change) {
@@ -139,7 +186,12 @@
 	private void failed(Throwable failure) {
 		LOG.log(Level.INFO, "listing-failed: " + this.kind + ", " + cause(failure).getMessage());
 		seen(false);
-		this.timer.schedule(this::list, this.pauseMillis, TimeUnit.MILLISECONDS);
+		int failed = this.round;
+		this.timer.schedule(() -> {
+			if (failed == this.round) {
+				list();
+			}
+		}, this.pauseMillis, TimeUnit.MILLISECONDS);
 		this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, this.pauseMillis * 2);
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
@@ -81,6 +81,7 @@
     ROSTER(21),
     NEWS_REQUEST(22),
     NEWS(23),
+    PLACE_STATE(24),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -120,6 +121,7 @@
         case 21: return ROSTER;
         case 22: return NEWS_REQUEST;
         case 23: return NEWS;
+        case 24: return PLACE_STATE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -828,6 +830,37 @@
     return org.wisteriapost.protocol.wire.News.getDefaultInstance();
   }
 
+  public static final int PLACE_STATE_FIELD_NUMBER = 24;
+  /**
+   * <code>.wisteriapost.PlaceState place_state = 24;</code>
+   * @return Whether the placeState field is set.
+   */
+  @java.lang.Override
+  public boolean hasPlaceState() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.wisteriapost.PlaceState place_state = 24;</code>
+   * @return The placeState.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.PlaceState getPlaceState() {
+    if (bodyCase_ == 24) {
+       return (org.wisteriapost.protocol.wire.PlaceState) body_;
+    }
+    return org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.PlaceState place_state = 24;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.PlaceStateOrBuilder getPlaceStateOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.wisteriapost.protocol.wire.PlaceState) body_;
+    }
+    return org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -911,6 +944,9 @@
     if (bodyCase_ == 23) {
       output.writeMessage(23, (org.wisteriapost.protocol.wire.News) body_);
     }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.wisteriapost.protocol.wire.PlaceState) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1007,6 +1043,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(23, (org.wisteriapost.protocol.wire.News) body_);
     }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.wisteriapost.protocol.wire.PlaceState) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1123,6 +1163,10 @@
         if (!getNews()
             .equals(other.getNews())) return false;
         break;
+      case 24:
+        if (!getPlaceState()
+            .equals(other.getPlaceState())) return false;
+        break;
       case 0:
       default:
     }
@@ -1229,6 +1273,10 @@
         hash = (37 * hash) + NEWS_FIELD_NUMBER;
         hash = (53 * hash) + getNews().hashCode();
         break;
+      case 24:
+        hash = (37 * hash) + PLACE_STATE_FIELD_NUMBER;
+        hash = (53 * hash) + getPlaceState().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1435,6 +1483,9 @@
       if (newsBuilder_ != null) {
         newsBuilder_.clear();
       }
+      if (placeStateBuilder_ != null) {
+        placeStateBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1567,6 +1618,10 @@
           newsBuilder_ != null) {
         result.body_ = newsBuilder_.build();
       }
+      if (bodyCase_ == 24 &&
+          placeStateBuilder_ != null) {
+        result.body_ = placeStateBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1673,6 +1728,10 @@
           mergeNews(other.getNews());
           break;
         }
+        case PLACE_STATE: {
+          mergePlaceState(other.getPlaceState());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1860,6 +1919,13 @@
               bodyCase_ = 23;
               break;
             } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetPlaceStateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5004,6 +5070,146 @@
       return newsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.PlaceState, org.wisteriapost.protocol.wire.PlaceState.Builder, org.wisteriapost.protocol.wire.PlaceStateOrBuilder> placeStateBuilder_;
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     * @return Whether the placeState field is set.
+     */
+    @java.lang.Override
+    public boolean hasPlaceState() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     * @return The placeState.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.PlaceState getPlaceState() {
+      if (placeStateBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.wisteriapost.protocol.wire.PlaceState) body_;
+        }
+        return org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return placeStateBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    public Builder setPlaceState(org.wisteriapost.protocol.wire.PlaceState value) {
+      if (placeStateBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        placeStateBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    public Builder setPlaceState(
+        org.wisteriapost.protocol.wire.PlaceState.Builder builderForValue) {
+      if (placeStateBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        placeStateBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    public Builder mergePlaceState(org.wisteriapost.protocol.wire.PlaceState value) {
+      if (placeStateBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.PlaceState.newBuilder((org.wisteriapost.protocol.wire.PlaceState) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          placeStateBuilder_.mergeFrom(value);
+        } else {
+          placeStateBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    public Builder clearPlaceState() {
+      if (placeStateBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        placeStateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    public org.wisteriapost.protocol.wire.PlaceState.Builder getPlaceStateBuilder() {
+      return internalGetPlaceStateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.PlaceStateOrBuilder getPlaceStateOrBuilder() {
+      if ((bodyCase_ == 24) && (placeStateBuilder_ != null)) {
+        return placeStateBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (org.wisteriapost.protocol.wire.PlaceState) body_;
+        }
+        return org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.PlaceState place_state = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.PlaceState, org.wisteriapost.protocol.wire.PlaceState.Builder, org.wisteriapost.protocol.wire.PlaceStateOrBuilder> 
+        internalGetPlaceStateFieldBuilder() {
+      if (placeStateBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
+        }
+        placeStateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.PlaceState, org.wisteriapost.protocol.wire.PlaceState.Builder, org.wisteriapost.protocol.wire.PlaceStateOrBuilder>(
+                (org.wisteriapost.protocol.wire.PlaceState) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return placeStateBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.Frame)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
@@ -346,5 +346,20 @@
    */
   org.wisteriapost.protocol.wire.NewsOrBuilder getNewsOrBuilder();
 
+  /**
+   * <code>.wisteriapost.PlaceState place_state = 24;</code>
+   * @return Whether the placeState field is set.
+   */
+  boolean hasPlaceState();
+  /**
+   * <code>.wisteriapost.PlaceState place_state = 24;</code>
+   * @return The placeState.
+   */
+  org.wisteriapost.protocol.wire.PlaceState getPlaceState();
+  /**
+   * <code>.wisteriapost.PlaceState place_state = 24;</code>
+   */
+  org.wisteriapost.protocol.wire.PlaceStateOrBuilder getPlaceStateOrBuilder();
+
   org.wisteriapost.protocol.wire.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
@@ -143,6 +143,21 @@
     return objects_.get(index);
   }
 
+  public static final int AT_FIELD_NUMBER = 5;
+  private long at_ = 0L;
+  /**
+   * <pre>
+   * with all: the store's revision up to which the sender has read
+   * </pre>
+   *
+   * <code>uint64 at = 5;</code>
+   * @return The at.
+   */
+  @java.lang.Override
+  public long getAt() {
+    return at_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -169,6 +184,9 @@
     for (int i = 0; i < objects_.size(); i++) {
       output.writeMessage(4, objects_.get(i));
     }
+    if (at_ != 0L) {
+      output.writeUInt64(5, at_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -194,6 +212,10 @@
           }
           size += 1 * count;
         }
+    if (at_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, at_);
+    }
     return size;
   }
   @java.lang.Override
@@ -225,6 +247,8 @@
         != other.getAll()) return false;
     if (!getObjectsList()
         .equals(other.getObjectsList())) return false;
+    if (getAt()
+        != other.getAt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -248,6 +272,9 @@
       hash = (37 * hash) + OBJECTS_FIELD_NUMBER;
       hash = (53 * hash) + getObjectsList().hashCode();
     }
+    hash = (37 * hash) + AT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAt());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -393,6 +420,7 @@
         objectsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      at_ = 0L;
       return this;
     }
 
@@ -448,6 +476,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.all_ = all_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.at_ = at_;
+      }
     }
 
     @java.lang.Override
@@ -497,6 +528,9 @@
           }
         }
       }
+      if (other.getAt() != 0L) {
+        setAt(other.getAt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -549,6 +583,11 @@
               }
               break;
             } // case 34
+            case 40: {
+              at_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -940,6 +979,50 @@
       return objectsBuilder_;
     }
 
+    private long at_ ;
+    /**
+     * <pre>
+     * with all: the store's revision up to which the sender has read
+     * </pre>
+     *
+     * <code>uint64 at = 5;</code>
+     * @return The at.
+     */
+    @java.lang.Override
+    public long getAt() {
+      return at_;
+    }
+    /**
+     * <pre>
+     * with all: the store's revision up to which the sender has read
+     * </pre>
+     *
+     * <code>uint64 at = 5;</code>
+     * @param value The at to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAt(long value) {
+
+      at_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * with all: the store's revision up to which the sender has read
+     * </pre>
+     *
+     * <code>uint64 at = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAt() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      at_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.News)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
@@ -64,4 +64,14 @@
    */
   org.wisteriapost.protocol.wire.StoreObjectOrBuilder getObjectsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * with all: the store's revision up to which the sender has read
+   * </pre>
+   *
+   * <code>uint64 at = 5;</code>
+   * @return The at.
+   */
+  long getAt();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Sent by an entry that the site's store does not answer to one that it may answer.
+ * Sent by an entry that does not read the site's store to one that does.
  * </pre>
  *
  * Protobuf type {@code wisteriapost.NewsRequest}
@@ -231,7 +231,7 @@
   }
   /**
    * <pre>
-   * Sent by an entry that the site's store does not answer to one that it may answer.
+   * Sent by an entry that does not read the site's store to one that does.
    * </pre>
    *
    * Protobuf type {@code wisteriapost.NewsRequest}
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -48,7 +48,7 @@
 		Follower.start(this.store, Kind.RUNNERS, this.timer, new FollowListener() {
 
 			@Override
-			public void onAll(List<Item> items) {
+			public void onAll(List<Item> items, long at) {
 				FollowerTests.this.heard.add("all" + items.stream().map(Item::name).toList());
 			}
 
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
@@ -22,9 +22,9 @@
 /**
  * One roll over N machines in virtual time, replayed from its seed.
  *
- * Each VM's link carries {@code linkBytesPerSecond} in each direction, the origin's twice
- * that: the ratio of the users' surroundings. Pieces take turns on a link; what they wait
- * for is modelled, what processors do is not.
+ * Each VM's link carries {@code linkBytesPerSecond} in each direction, the origin's a
+ * multiple of that. Pieces take turns on a link; what they wait for is modelled, what
+ * processors do is not.
  */
 final class Simulation {
 
@@ -66,6 +66,8 @@
 
 	private long originPieces;
 
+	private long crossed;
+
 	private boolean originChanged;
 
 	private int open;
@@ -251,6 +253,7 @@
 
 	private void deliver(SimVm from, SimVm.Upload upload) {
 		SimVm to = upload.to();
+		this.crossed += from.peer.place().equals(to.peer.place()) ? 0 : 1;
 		if (from.gone() || to.gone() || !to.links.contains(from.peer.vm())) {
 			return;
 		}
@@ -270,12 +273,12 @@
 			return;
 		}
 		this.originPieces++;
-		this.originFreeAt = Math.max(this.now + LATENCY, this.originFreeAt) + pieceNanos() / 2;
+		this.originFreeAt = Math.max(this.now + LATENCY, this.originFreeAt) + originNanos();
 		schedule(this.originFreeAt - this.now, () -> deliverFromOrigin(vm, piece));
 	}
 
 	private void deliverFromOrigin(SimVm vm, int piece) {
-		vm.receiveFreeAt = Math.max(this.now + pieceNanos() / 2, vm.receiveFreeAt + pieceNanos());
+		vm.receiveFreeAt = Math.max(this.now + originNanos(), vm.receiveFreeAt + pieceNanos());
 		schedule(vm.receiveFreeAt - this.now + LATENCY, () -> arrive(vm, piece, TransferMachine.ORIGIN, false));
 	}
 
@@ -306,6 +309,10 @@
 		return (long) (this.plan.chunkBytes() * 1e9 / this.plan.linkBytesPerSecond());
 	}
 
+	private long originNanos() {
+		return (long) (pieceNanos() / this.plan.originRatio());
+	}
+
 	private long bound(double share) {
 		return (long) (share * this.plan.chunks() * pieceNanos());
 	}
@@ -320,7 +327,8 @@
 		double doubled = healthy.stream().mapToLong((vm) -> vm.received).average().orElse(0) / this.pieces.count() - 1;
 		return new Result(healthy.size(), (int) finished, (int) healthy.stream().filter((vm) -> vm.failed).count(),
 				last, mean, (double) this.originPieces / this.pieces.count(), control, control / (this.now / 1e9),
-				doubled, this.invariants.violations());
+				doubled, (double) this.crossed / this.pieces.count() / this.plan.places(),
+				this.invariants.violations());
 	}
 
 	private record Step(long at, long number, Runnable action) implements Comparable<Step> {
@@ -342,11 +350,12 @@
 	 * @param chunks of the weights
 	 * @param chunkBytes size of each
 	 * @param linkBytesPerSecond of a VM, each way
+	 * @param originRatio the origin's link as a multiple of a VM's
 	 * @param faults what goes wrong
 	 * @param seed of all chance
 	 */
 	record Plan(TransferLimits limits, int vms, int places, int chunks, int chunkBytes, double linkBytesPerSecond,
-			Faults faults, long seed) {
+			double originRatio, Faults faults, long seed) {
 	}
 
 	/**
@@ -361,10 +370,12 @@
 	 * @param controlBytes sent by each VM on average, besides pieces
 	 * @param controlBytesPerSecond the same for each second of the roll
 	 * @param received more than once, as a share of the weights
+	 * @param crossed copies that came into each place from others
 	 * @param violations of invariants, by name
 	 */
 	record Result(int healthy, int finished, int failed, double last, double mean, double originCopies,
-			double controlBytes, double controlBytesPerSecond, double received, Map<String, Long> violations) {
+			double controlBytes, double controlBytesPerSecond, double received, double crossed,
+			Map<String, Long> violations) {
 	}
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Variants.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Variants.java
@@ -43,6 +43,7 @@
 		switch (word.replaceAll("[0-9]", "")) {
 			case "rarest" -> builder.rarestOf(number);
 			case "anyplace" -> builder.samePlaceFirst(false);
+			case "readers" -> builder.placeReaders();
 			case "copies" -> builder.originCopies(number);
 			case "reads" -> builder.originReads(number);
 			case "degree" -> builder.neighbours(number);
@@ -102,11 +103,15 @@
 		}
 
 		Builder rarestOf(int value) {
-			return flags(value, this.limits.samePlaceFirst());
+			return flags(value, this.limits.samePlaceFirst(), this.limits.placeReaders());
 		}
 
 		Builder samePlaceFirst(boolean value) {
-			return flags(this.limits.rarestOf(), value);
+			return flags(this.limits.rarestOf(), value, this.limits.placeReaders());
+		}
+
+		Builder placeReaders() {
+			return flags(this.limits.rarestOf(), this.limits.samePlaceFirst(), true);
 		}
 
 		TransferLimits build() {
@@ -116,21 +121,23 @@
 		private Builder set(Design design, int copies, int reads, int neighbours, int outstanding, int perPeer) {
 			this.limits = new TransferLimits(design, copies, reads, neighbours, outstanding, perPeer,
 					this.limits.progressDeadline(), this.limits.announceInterval(), this.limits.rarestOf(),
-					this.limits.samePlaceFirst());
+					this.limits.samePlaceFirst(), this.limits.placeReaders());
 			return this;
 		}
 
 		private Builder times(Duration deadline, Duration announce) {
 			TransferLimits old = this.limits;
 			this.limits = new TransferLimits(old.design(), old.originCopies(), old.originReads(), old.neighbours(),
-					old.outstanding(), old.perPeer(), deadline, announce, old.rarestOf(), old.samePlaceFirst());
+					old.outstanding(), old.perPeer(), deadline, announce, old.rarestOf(), old.samePlaceFirst(),
+					old.placeReaders());
 			return this;
 		}
 
-		private Builder flags(int rarest, boolean near) {
+		private Builder flags(int rarest, boolean near, boolean readers) {
 			TransferLimits old = this.limits;
 			this.limits = new TransferLimits(old.design(), old.originCopies(), old.originReads(), old.neighbours(),
-					old.outstanding(), old.perPeer(), old.progressDeadline(), old.announceInterval(), rarest, near);
+					old.outstanding(), old.perPeer(), old.progressDeadline(), old.announceInterval(), rarest, near,
+					readers);
 			return this;
 		}
 
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/WeightsSim.java
@@ -40,7 +40,9 @@
 			.addOption(option("faults", "none|kill|stall|corrupt|change[,…], default none"))
 			.addOption(option("policy", "design[+variant…][,…], default naive,chain,swarm"))
 			.addOption(option("chunks", "of the weights, default " + DEFAULT_CHUNKS))
-			.addOption(option("bound", "S/L in seconds, default 8"));
+			.addOption(option("bound", "S/L in seconds, default 8"))
+			.addOption(option("places", "over which the VMs are spread, default 10"))
+			.addOption(option("origin", "its link as a multiple of a VM's, default 2"));
 		try {
 			compare(new DefaultParser().parse(options, args.toArray(new String[0])), out);
 			return ExitCodes.OK;
@@ -53,30 +55,33 @@
 
 	private static void compare(CommandLine line, PrintStream out) {
 		int chunks = Integer.parseInt(line.getOptionValue("chunks", DEFAULT_CHUNKS));
+		int places = Integer.parseInt(line.getOptionValue("places", "10"));
+		double origin = Double.parseDouble(line.getOptionValue("origin", "2"));
 		double bound = Double.parseDouble(line.getOptionValue("bound", "" + BOUND_SECONDS));
 		for (String faults : line.getOptionValue("faults", "none").split(",")) {
 			for (String vms : line.getOptionValue("vms", "12,24,48").split(",")) {
 				for (String policy : line.getOptionValue("policy", "naive,chain,swarm").split(",")) {
 					for (String seed : line.getOptionValue("seed", "1").split(",")) {
-						run(policy, Integer.parseInt(vms), faults, Long.parseLong(seed), chunks, bound, out);
+						run(policy, Integer.parseInt(vms), faults, Long.parseLong(seed), chunks, bound, places, origin,
+								out);
 					}
 				}
 			}
 		}
 	}
 
-	private static void run(String policy, int vms, String faults, long seed, int chunks, double bound,
-			PrintStream out) {
+	private static void run(String policy, int vms, String faults, long seed, int chunks, double bound, int places,
+			double origin, PrintStream out) {
 		double link = (double) CHUNK_BYTES * chunks / bound;
-		Simulation.Result result = Simulation.run(new Simulation.Plan(Variants.named(policy), vms, 10, chunks,
-				CHUNK_BYTES, link, Faults.named(faults), seed));
+		Simulation.Result result = Simulation.run(new Simulation.Plan(Variants.named(policy), vms, places, chunks,
+				CHUNK_BYTES, link, origin, Faults.named(faults), seed));
 		out.printf(Locale.ROOT, "{\"experiment\":\"weights-sim\",\"policy\":\"%s\",\"vms\":%d,\"faults\":\"%s\","
 				+ "\"seed\":%d,\"chunks\":%d,\"boundSeconds\":%.1f,\"healthy\":%d,\"finished\":%d,\"failed\":%d,"
 				+ "\"ratio\":%.3f,\"meanRatio\":%.3f,\"originCopies\":%.3f,\"controlBytesPerVm\":%.0f,"
-				+ "\"controlBytesPerSecond\":%.0f,\"receivedTwice\":%.4f,\"violations\":\"%s\"}%n", policy, vms, faults,
-				seed, chunks, bound, result.healthy(), result.finished(), result.failed(), result.last(), result.mean(),
-				result.originCopies(), result.controlBytes(), result.controlBytesPerSecond(), result.received(),
-				result.violations());
+				+ "\"controlBytesPerSecond\":%.0f,\"receivedTwice\":%.4f,\"crossed\":%.2f,\"violations\":\"%s\"}%n",
+				policy, vms, faults, seed, chunks, bound, result.healthy(), result.finished(), result.failed(),
+				result.last(), result.mean(), result.originCopies(), result.controlBytes(),
+				result.controlBytesPerSecond(), result.received(), result.crossed(), result.violations());
 	}
 
 	private static Option option(String name, String text) {
--- a/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
@@ -59,7 +59,7 @@
 
 	private static Simulation.Result run(String policy, int vms, Faults faults, long seed) {
 		return Simulation.run(new Simulation.Plan(Variants.named(policy), vms, 3, CHUNKS, 64 << 10,
-				CHUNKS * (64 << 10) / 8.0, faults, seed));
+				CHUNKS * (64 << 10) / 8.0, 2, faults, seed));
 	}
 
 }
