Rollout: the oldest naming counts for a turn; a fetch is finished when another would be too late; turns told roughly

Cause: two versions named 4 s apart before 62 engines. An engine's turn was planned by the newer naming, though the older one binds first. At the start of a fetch the progress of the last one was taken for it.

Tests seen to fail before: aTurnComesBeforeTheOlderOfTwoNamingsBinds, aFetchIsAbandonedOnlyWhileThereIsTimeForAnother (two cases), aTurnThatIsFarOffIsToldRoughly (20 messages, now 3 at most).

--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -142,7 +142,7 @@
 	}
 
 	void tick() {
-		this.weights.ifPresent((known) -> {
+		this.weights.filter((known) -> this.fetch.isPresent()).ifPresent((known) -> {
 			Progress progress = known.transfer.progress();
 			double share = (progress.total() > 0) ? (double) progress.verified() / progress.total() : 0;
 			this.rollout.fetching(share, System.nanoTime());
@@ -262,6 +262,8 @@
 	private void fetch(int version) {
 		Weights known = this.weights.orElseThrow();
 		String path = known.model + "/" + version;
+		// Until the new fetch begins, what the transfer tells is the end of the last one.
+		this.fetch = Optional.empty();
 		known.origin.manifest(path).whenComplete((manifest, failure) -> back(() -> {
 			if (failure != null) {
 				this.log.failure("manifest-failed", "version", version, "cause", failure.getMessage());
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -23,8 +23,9 @@
  * until then what will have ended.
  *
  * A newer version that is named during a fetch waits for it when the fetch is more than
- * half done: with versions named faster than links carry them, an agent that always began
- * anew would never finish one, and the entries would run out of engines that may answer.
+ * half done, or when another whole one would end after the older version has to be in
+ * force: with versions named faster than links carry them, agents that always began anew
+ * would never finish one, and the entries would run out of engines that may answer.
  */
 public final class Rollout {
 
@@ -47,9 +48,20 @@
 	// its end is known to within some 200 ms.
 	private static final double FORESEEN = 0.4;
 
-	// What entries are told of a turn is this exact; each change is a message to each.
+	// From this part on a fetch is finished whatever is named.
+	private static final double MOSTLY_DONE = 0.5;
+
+	// Until then what has come says nothing of how long the whole will take.
+	private static final Duration TELLING = Duration.ofSeconds(1);
+
+	private static final double LEAST_SHARE = 0.02;
+
+	// What entries are told of a turn is this exact, or a fifth of the time until then;
+	// each change is a message to each of them.
 	private static final long RETOLD_NANOS = Duration.ofMillis(150).toNanos();
 
+	private static final double RETOLD_SHARE = 0.2;
+
 	// The check reads all staged pieces back, which takes some 200 ms on a busy VM. Done
 	// ahead, the engine does not stand idle for it. What goes bad afterwards is found by
 	// the check of a later turn only, so an order follows its check within FRESH.
@@ -63,7 +75,7 @@
 
 	private OptionalInt wanted = OptionalInt.empty();
 
-	private long namedNanos;
+	private final Namings namings = new Namings();
 
 	private OptionalInt held = OptionalInt.empty();
 
@@ -85,8 +97,6 @@
 
 	private long takingNanos;
 
-	private long targetNamedNanos;
-
 	private double fetchedShare;
 
 	private boolean busy;
@@ -130,18 +140,29 @@
 			return;
 		}
 		this.wanted = OptionalInt.of(version);
-		this.namedNanos = nowNanos;
-		boolean worthIt = this.fetchedShare > 0.5;
+		this.namings.named(version, nowNanos);
 		if (this.step == Step.TURN) {
 			plan(nowNanos);
 		}
-		if (this.step == Step.FETCHING && this.target != version && !worthIt) {
+		if (this.step == Step.FETCHING && this.target != version && !worthFinishing(nowNanos)) {
 			this.effects.add(new RolloutEffect.Abandon(this.target));
 			idle(nowNanos);
 		}
 		decide(nowNanos);
 	}
 
+	private boolean worthFinishing(long nowNanos) {
+		long gone = nowNanos - this.stepNanos;
+		if (this.fetchedShare > MOSTLY_DONE) {
+			return true;
+		}
+		if (gone < TELLING.toNanos()) {
+			return false;
+		}
+		double another = gone / Math.max(LEAST_SHARE, this.fetchedShare);
+		return nowNanos + another > this.turns.latest(this.namings.oldest(this.stepNanos));
+	}
+
 	/**
 	 * Hears this engine's place among all that change over, from 0 to below 1.
 	 */
@@ -159,7 +180,8 @@
 		}
 		long left = (long) ((nowNanos - this.stepNanos) * (1 - share) / share);
 		long turn = turnAfter(nowNanos + left);
-		if (Math.abs(turn - this.turnNanos) > RETOLD_NANOS) {
+		long exact = Math.max(RETOLD_NANOS, (long) (RETOLD_SHARE * (turn - nowNanos)));
+		if (Math.abs(turn - this.turnNanos) > exact) {
 			this.turnNanos = turn;
 		}
 	}
@@ -249,6 +271,7 @@
 		this.start = from;
 		this.engineSeen = true;
 		this.held = version;
+		this.namings.held(version);
 		this.busy = underWay;
 		this.sequence = orders;
 		if (!underWay && this.taking.isPresent() && version.equals(this.taking)) {
@@ -323,7 +346,6 @@
 			return;
 		}
 		this.target = this.wanted.getAsInt();
-		this.targetNamedNanos = this.namedNanos;
 		if (there) {
 			await(nowNanos);
 			turn(nowNanos);
@@ -359,7 +381,7 @@
 
 	private long turnAfter(long fetchedNanos) {
 		boolean newest = this.wanted.equals(OptionalInt.of(this.target));
-		return this.turns.after(fetchedNanos, this.targetNamedNanos, newest);
+		return this.turns.after(fetchedNanos, this.namings.oldest(this.stepNanos), newest);
 	}
 
 	private void turn(long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Turns.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Turns.java
@@ -47,6 +47,13 @@
 		this.position = among;
 	}
 
+	/**
+	 * Returns until when a turn may wait for weights that were named at a time.
+	 */
+	long latest(long namedNanos) {
+		return namedNanos + (long) (LATEST * this.inForceNanos);
+	}
+
 	/**
 	 * Returns when this engine's turn comes.
 	 * @param fetchedNanos when its fetch ends
@@ -55,7 +62,7 @@
 	 */
 	long after(long fetchedNanos, long namedNanos, boolean newest) {
 		long earliest = fetchedNanos + LEAD.toNanos();
-		long latest = namedNanos + (long) (LATEST * this.inForceNanos);
+		long latest = latest(namedNanos);
 		long spread = Math.max(0, newest ? latest - earliest : Math.min(latest - earliest, SPREAD_HURRIED.toNanos()));
 		int groups = (int) Math.clamp(1 + spread / AWAY.toNanos(), LEAST_GROUPS, MOST_GROUPS);
 		long between = Math.min(spread / (groups - 1), AWAY.toNanos());
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -257,4 +257,59 @@
 		assertThat(this.all.contains(new RolloutEffect.Verify(1)), Matchers.equalTo(!atOnce));
 	}
 
+	// Two versions are named half a second apart, and the second is fetched. The engine
+	// holds neither: it may answer until the first has to be in force, so its turn comes
+	// before that, not before the second has to be.
+	@Test
+	void aTurnComesBeforeTheOlderOfTwoNamingsBinds() {
+		settled(1);
+		this.rollout.turn(0.99);
+		named(2);
+		after(500);
+		named(3);
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Fetch(3)));
+		after(5500);
+		this.rollout.fetched(3, true, this.now);
+		after(50);
+		long closes = this.rollout.latest().orElseThrow().closesNanos().orElseThrow() - this.now;
+		assertThat((double) closes / MILLI, Matchers.closeTo(720 - 50, 60));
+	}
+
+	// Hundreds of engines fetch, which takes most of the time until the weights have to
+	// be in force, and a newer version is named when each has a fifth to a half of the
+	// first. Were it abandoned then, no engine would have either in time, and nobody
+	// would
+	// answer: it is finished.
+	@ParameterizedTest
+	@CsvSource({ "3000,0.3,false", "3000,0.5,false", "300,0.05,true", "1000,0.45,true" })
+	void aFetchIsAbandonedOnlyWhileThereIsTimeForAnother(long elapsedMillis, double share, boolean abandoned) {
+		settled(1);
+		named(2);
+		after(elapsedMillis);
+		this.rollout.fetching(share, this.now);
+		this.all.clear();
+		named(3);
+		assertThat(this.all.contains(new RolloutEffect.Abandon(2)), Matchers.equalTo(abandoned));
+	}
+
+	// What has come of a fetch grows by whole pieces, so that its foreseen end jumps by
+	// some tenths of a second. Hundreds of engines that tell each jump to every entry
+	// fill
+	// the links with it: a turn that is far off is told roughly.
+	@Test
+	void aTurnThatIsFarOffIsToldRoughly() {
+		settled(1);
+		named(2);
+		after(3000);
+		this.rollout.fetching(0.45, this.now);
+		after(50);
+		this.all.clear();
+		for (int i = 0; i < 20; i++) {
+			this.rollout.fetching(0.46 + 0.01 * i + ((i % 2 == 0) ? 0.015 : -0.015), this.now);
+			after(50);
+		}
+		long told = this.all.stream().filter(RolloutEffect.Tell.class::isInstance).count();
+		assertThat(told, Matchers.lessThanOrEqualTo(3L));
+	}
+
 }
