--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/StoreReadingTests.java
@@ -0,0 +1,208 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.Rendezvous;
+import org.wisteriapost.policy.fleet.StoreDuty;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.Frame;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * Two entries of one place before the site's store. The first by rendezvous reads for
+ * both; what the other believes must be what the store says.
+ */
+class StoreReadingTests {
+
+	private static final long TICK = 100_000_000;
+
+	private final DecisionLog log = DecisionLog.start("test", new PrintStream(OutputStream.nullOutputStream()));
+
+	private final String readerName = Rendezvous.order(List.of("a", "b"), "store").getFirst();
+
+	private final String resterName = this.readerName.equals("a") ? "b" : "a";
+
+	private final Entry reader = new Entry(this.readerName);
+
+	private final Entry rester = new Entry(this.resterName);
+
+	private boolean linked = true;
+
+	private long now;
+
+	StoreReadingTests() {
+		this.reader.other = this.rester;
+		this.rester.other = this.reader;
+	}
+
+	@AfterEach
+	void stop() {
+		this.log.close();
+	}
+
+	private static ObjectStore.Item item(String name, long revision) {
+		return new ObjectStore.Item(name, revision, Optional.empty(),
+				() -> (name + "@" + revision).getBytes(StandardCharsets.UTF_8));
+	}
+
+	private void run(int ticks) {
+		for (int i = 0; i < ticks; i++) {
+			this.now += TICK;
+			this.reader.tick();
+			this.rester.tick();
+		}
+	}
+
+	private void bothRead(long at, ObjectStore.Item... runners) {
+		for (Entry entry : List.of(this.reader, this.rester)) {
+			for (Kind kind : Kind.values()) {
+				entry.news.read(kind, (kind == Kind.RUNNERS) ? List.of(runners) : List.of(), at);
+			}
+			entry.news.reachable(true);
+		}
+	}
+
+	@Test
+	void oneReadsAndTheOtherHearsEveryChange() {
+		bothRead(5, item("r1", 5));
+		run(15);
+		assertThat(this.rester.reading.rests(), Matchers.equalTo(true));
+		assertThat(this.reader.reading.rests(), Matchers.equalTo(false));
+		this.reader.news.read(Kind.RUNNERS, new ObjectStore.Change(item("r2", 9), false));
+		this.reader.news.read(Kind.RUNNERS, new ObjectStore.Change(item("r1", 5), true));
+		assertThat(this.rester.heard, Matchers.hasItems("+r2", "-r1"));
+	}
+
+	// A runner registers while the entry that is about to rest has read it already and
+	// the reader has not. Taken for gone it would stay away until it changes again, and
+	// callers would be refused for want of it.
+	@Test
+	void whatTheReaderHasNotReadYetStays() {
+		bothRead(5, item("r1", 5));
+		this.rester.news.read(Kind.RUNNERS, new ObjectStore.Change(item("r2", 7), false));
+		run(15);
+		assertThat(this.rester.heard, Matchers.hasItem("all[r1, r2]"));
+	}
+
+	// The store turns the reader away. It says so, and the other reads itself at once.
+	@Test
+	void whoRestsReadsAgainWhenTheReaderIsTurnedAway() {
+		bothRead(5, item("r1", 5));
+		run(15);
+		this.reader.news.reachable(false);
+		assertThat(this.rester.reading.rests(), Matchers.equalTo(false));
+	}
+
+	// The link to the reader is open and silent.
+	@Test
+	void whoRestsReadsAgainWhenTheReaderIsSilent() {
+		bothRead(5, item("r1", 5));
+		run(15);
+		this.linked = false;
+		run(13);
+		assertThat(this.rester.reading.rests(), Matchers.equalTo(false));
+	}
+
+	@Test
+	void aReaderOnWhichAnotherDependsGoesOnReading() {
+		bothRead(5, item("r1", 5));
+		run(15);
+		assertThat(this.reader.news.mayRest(), Matchers.equalTo(false));
+	}
+
+	/** One entry. */
+	private final class Entry {
+
+		private final String name;
+
+		private final SiteNews news;
+
+		private final StoreReading reading;
+
+		private final List<String> heard = new ArrayList<>();
+
+		private Entry other;
+
+		private Entry(String name) {
+			this.name = name;
+			StoreDuty duty = StoreDuty.of(name);
+			this.news = new SiteNews(new NamedOnly(), duty, this::send, StoreReadingTests.this.log);
+			this.reading = new StoreReading(duty, this.news, new Following(), this::send, StoreReadingTests.this.log);
+		}
+
+		private void tick() {
+			this.news.tick(Set.of(this.other.name), StoreReadingTests.this.now);
+			this.reading.tick(Set.of(this.other.name), true, StoreReadingTests.this.now);
+		}
+
+		private void send(String peer, Frame frame) {
+			if (!StoreReadingTests.this.linked) {
+				return;
+			}
+			if (frame.hasNewsRequest()) {
+				this.other.news.asked(this.name, frame.getNewsRequest().getWanted());
+				return;
+			}
+			this.other.reading.heard(this.name, frame.getNews(), StoreReadingTests.this.now)
+				.forEach((event) -> this.other.heard.add(text(event)));
+		}
+
+		private static String text(DirectEvent event) {
+			return switch (event) {
+				case DirectEvent.AllObjects all ->
+					"all" + all.items().stream().map(ObjectStore.Item::name).sorted().toList();
+				case DirectEvent.ObjectChanged changed ->
+					(changed.change().deleted() ? "-" : "+") + changed.change().item().name();
+				default -> throw new IllegalArgumentException(event.toString());
+			};
+		}
+
+	}
+
+	/** Reads back what {@code item} wrote. */
+	private static final class NamedOnly implements ObjectStore {
+
+		@Override
+		public CompletableFuture<Page> list(Kind kind, Optional<String> after) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> register(EntryInfo entry) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<Void> unregister(String name, long revision) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public Optional<Item> decode(Kind kind, byte[] content) {
+			String[] parts = new String(content, StandardCharsets.UTF_8).split("@");
+			return Optional.of(item(parts[0], Long.parseLong(parts[1])));
+		}
+
+	}
+
+}
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -45,7 +45,18 @@
 	}
 
 	private List<String> follow() throws Exception {
-		Follower.start(this.store, Kind.RUNNERS, this.timer, new FollowListener() {
+		start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		return heard();
+	}
+
+	private List<String> heard() throws Exception {
+		return CompletableFuture.supplyAsync(() -> List.copyOf(this.heard), this.timer)
+			.get(MOST_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private Follower start() {
+		return Follower.start(this.store, Kind.RUNNERS, this.timer, new FollowListener() {
 
 			@Override
 			public void onAll(List<Item> items, long at) {
@@ -64,9 +75,6 @@
 			}
 
 		});
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
-		return CompletableFuture.supplyAsync(() -> List.copyOf(this.heard), this.timer)
-			.get(MOST_SECONDS, TimeUnit.SECONDS);
 	}
 
 	// The listing takes two pages, and a runner changes between them. The watch goes on
@@ -100,6 +108,33 @@
 		assertThat(follow(), Matchers.contains("back", "all[]", "lost", "back", "all[]"));
 	}
 
+	// A neighbour reads the store now. What the last watch brings is older than what the
+	// neighbour has said by then: a runner that left would be taken for ready again.
+	@Test
+	void whatComesAfterAPauseIsLeftOut() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		follower.pause();
+		heard();
+		this.store.waiting.complete(new Changes(List.of(new Change(item("a", 6), false)), 6));
+		assertThat(heard(), Matchers.contains("back", "all[a]"));
+	}
+
+	// The neighbour is gone: everything is read again at once, and that the store answers
+	// is said again.
+	@Test
+	void afterAPauseAllIsReadAgain() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		this.store.pages.add(new Page(List.of(item("b", 8)), false, 8));
+		Follower follower = start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		follower.pause();
+		follower.resume();
+		heard();
+		assertThat(heard(), Matchers.contains("back", "all[a]", "back", "all[b]"));
+	}
+
 	/** Answers from a script, and says when it is over. */
 	private final class ScriptedStore implements ObjectStore {
 
@@ -109,6 +144,8 @@
 
 		private final Queue<Code> failures = new ArrayDeque<>();
 
+		private final CompletableFuture<Changes> waiting = new CompletableFuture<>();
+
 		private int listFailures;
 
 		private boolean listedOnce;
@@ -132,7 +169,7 @@
 				return CompletableFuture.failedFuture(CodedException.of(this.failures.remove(), "scripted"));
 			}
 			FollowerTests.this.scriptOver.complete(null);
-			return new CompletableFuture<>();
+			return this.waiting;
 		}
 
 		@Override
