The second in rank watches the first: who is gone or fetches something else holds up nobody

Cause: a piece has one reader at the origin and one in each place.

Ruled out: the naming (all began within 20 ms); the links (no squeeze then); parameters of the transfer.

Change: a VM links besides to those that read, for it or its place, the pieces for which it comes second (at most four each), and hears from a peer that knows nothing of a file that it does not fetch it. Who can't be had or is idle is left out of the ranks.

--- a/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
@@ -84,6 +84,19 @@
 		send(link, whole(request.getId(), request.getFile()));
 	}
 
+	/**
+	 * Tells who asked for a file before this VM knew it that it is fetched here now, so
+	 * that nobody takes over what this VM is to read.
+	 */
+	void begun(String file) {
+		this.watchers.forEach((link, files) -> {
+			Long id = files.get(file);
+			if (id != null) {
+				send(link, whole(id, file));
+			}
+		});
+	}
+
 	/**
 	 * Tells of chunks that were added to a file.
 	 */
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerLinks.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerLinks.java
@@ -198,7 +198,9 @@
 				.stream()
 				.filter((index) -> index >= 0 && index < size)
 				.forEach((index) -> held.set(first + index));
-			tell(new TransferEvent.PeerHolds(this.vm, held));
+			// Who knows the file says how many chunks it has; a change names those added.
+			boolean idle = map.getChunks() == 0 && held.isEmpty();
+			tell(idle ? new TransferEvent.PeerIdle(this.vm) : new TransferEvent.PeerHolds(this.vm, held));
 		}
 
 		// An answer counts only for the request it names: what comes late, twice or for
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
@@ -84,6 +84,7 @@
 		BitSet known = known(pieces);
 		for (int number = 0; number < pieces.files().size(); number++) {
 			this.shelf.know(pieces.digestOfFile(number), pieces.files().get(number));
+			this.server.begun(pieces.digestOfFile(number));
 		}
 		Fetch fetch = new Fetch(this.context, this.thread, this.meters, this.shelf, this.server, pieces,
 				this.options.limits(), result);
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -78,9 +79,11 @@
 	/**
 	 * Chooses neighbours among the live VMs and returns the pieces that were asked of
 	 * those that are neighbours no longer.
+	 * @param watched VMs that are to be neighbours besides
 	 */
-	List<Integer> meet(List<Peer> seen, long now, List<TransferEffect> effects) {
-		Set<String> chosen = Neighbours.choose(this.self, seen, this.limits);
+	List<Integer> meet(List<Peer> seen, Set<String> watched, long now, List<TransferEffect> effects) {
+		Set<String> chosen = new LinkedHashSet<>(Neighbours.choose(this.self, seen, this.limits));
+		chosen.addAll(watched);
 		List<Integer> released = new ArrayList<>();
 		for (PeerState peer : List.copyOf(this.neighbours.values())) {
 			if (!chosen.contains(peer.vm())) {
@@ -124,6 +127,7 @@
 	 * Takes in what a neighbour holds and returns what may now be asked of it.
 	 */
 	BitSet learn(PeerState peer, BitSet pieces) {
+		peer.fetches(true);
 		BitSet added = (BitSet) pieces.clone();
 		added.andNot(peer.has());
 		peer.greeted(true);
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/OriginDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/OriginDuty.java
@@ -151,6 +151,13 @@
 		return MOST_STEPS * deadlineNanos * (this.ranks.size() + steps) / this.ranks.size();
 	}
 
+	/**
+	 * Returns the VMs in whose place this one reads when they fail.
+	 */
+	Set<String> readersBefore() {
+		return this.ranks.readersBefore();
+	}
+
 	/**
 	 * Ranks anew after a change.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/OriginRank.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/OriginRank.java
@@ -1,6 +1,8 @@
 package org.wisteriapost.policy.transfer;
 
 import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -14,6 +16,9 @@
  */
 final class OriginRank {
 
+	// Of 64 pieces each of 34 VMs comes second for two.
+	private static final int MOST_WATCHED = 4;
+
 	private final Pieces pieces;
 
 	private final Peer self;
@@ -22,6 +27,8 @@
 
 	private int size = 1;
 
+	private Set<String> readersBefore = Set.of();
+
 	OriginRank(Pieces pieces, Peer self) {
 		this.pieces = pieces;
 		this.self = self;
@@ -32,10 +39,8 @@
 	 * Ranks anew over this VM and its peers without those that are known to fail.
 	 */
 	void update(Collection<Peer> peers, Set<String> failing, TransferLimits.Design design) {
-		long[] others = peers.stream()
-			.filter((peer) -> !failing.contains(peer.vm()))
-			.mapToLong((peer) -> Hashing.komihash5_0().hashCharsToLong(peer.vm()))
-			.toArray();
+		List<Peer> living = peers.stream().filter((peer) -> !failing.contains(peer.vm())).toList();
+		long[] others = living.stream().mapToLong((peer) -> Hashing.komihash5_0().hashCharsToLong(peer.vm())).toArray();
 		this.size = others.length + 1;
 		if (design == TransferLimits.Design.CHAIN) {
 			java.util.Arrays.fill(this.ranks, Neighbours.ring(this.self, peers).indexOf(this.self));
@@ -45,6 +50,31 @@
 		for (int piece = 0; piece < this.ranks.length; piece++) {
 			this.ranks[piece] = rank(piece, own, others);
 		}
+		this.readersBefore = readersBefore(own, living);
+	}
+
+	// The reader of each piece for which this VM comes second.
+	private Set<String> readersBefore(long own, List<Peer> living) {
+		Set<String> readers = new LinkedHashSet<>();
+		for (int piece = 0; piece < this.ranks.length && readers.size() < MOST_WATCHED; piece++) {
+			if (this.ranks[piece] != 1) {
+				continue;
+			}
+			long content = Hashing.komihash5_0().hashCharsToLong(this.pieces.hash(piece));
+			long weight = weight(content, own);
+			living.stream()
+				.filter((peer) -> weight(content, Hashing.komihash5_0().hashCharsToLong(peer.vm())) > weight)
+				.findFirst()
+				.ifPresent((peer) -> readers.add(peer.vm()));
+		}
+		return readers;
+	}
+
+	/**
+	 * Returns the VMs that read pieces which this VM is to read when they don't.
+	 */
+	Set<String> readersBefore() {
+		return this.readersBefore;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -31,6 +31,8 @@
 
 	private boolean greeted;
 
+	private boolean idle;
+
 	private long pausedUntil = Long.MIN_VALUE;
 
 	private long distrustedUntil = Long.MIN_VALUE;
@@ -106,6 +108,14 @@
 		this.greeted = said;
 	}
 
+	/**
+	 * Hears whether it fetches or holds what this VM fetches. One that does neither reads
+	 * nothing from the origin, whatever its rank.
+	 */
+	void fetches(boolean does) {
+		this.idle = !does;
+	}
+
 	void linkUp() {
 		this.up = true;
 		this.down = false;
@@ -137,7 +147,7 @@
 	 * Returns whether others must not count on it.
 	 */
 	boolean failing(long now) {
-		return this.down || this.strikes >= FAILING_STRIKES || now < this.distrustedUntil;
+		return this.down || this.idle || this.strikes >= FAILING_STRIKES || now < this.distrustedUntil;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PlaceReaders.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PlaceReaders.java
@@ -53,6 +53,14 @@
 		}
 	}
 
+	/**
+	 * Returns the VMs of this place in whose stead this one brings pieces in when they
+	 * fail.
+	 */
+	Set<String> readersBefore() {
+		return this.ranks.readersBefore();
+	}
+
 	/**
 	 * Lets go of pieces that others have held for the deadline.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferEvent.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferEvent.java
@@ -37,6 +37,14 @@
 	record LinkDown(String vm) implements TransferEvent {
 	}
 
+	/**
+	 * A neighbour does not fetch these files and holds nothing of them.
+	 *
+	 * @param vm the neighbour
+	 */
+	record PeerIdle(String vm) implements TransferEvent {
+	}
+
 	/**
 	 * A neighbour holds these pieces, besides those it said before.
 	 *
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -137,6 +138,10 @@
 				.ifPresent((peer) -> this.neighbours.lose(peer, now).forEach(this::reopen));
 			case TransferEvent.PeerHolds holds ->
 				this.neighbours.peer(holds.vm()).ifPresent((peer) -> learn(peer, holds.pieces(), now));
+			case TransferEvent.PeerIdle idle -> this.neighbours.peer(idle.vm()).ifPresent((peer) -> {
+				peer.greeted(true);
+				peer.fetches(false);
+			});
 			case TransferEvent.Held held -> start(held.pieces(), now, effects);
 			case TransferEvent.Verified verified -> take(verified.piece(), verified.source(), now, effects);
 			case TransferEvent.Corrupt corrupt -> reject(corrupt.piece(), corrupt.source(), now, effects);
@@ -155,10 +160,28 @@
 
 	private void meet(List<Peer> seen, long now, List<TransferEffect> effects) {
 		this.peers = seen;
-		this.neighbours.meet(seen, now, effects).forEach(this::reopen);
 		this.failing = Set.of();
 		this.origin.rank(this.peers, this.failing);
 		this.readers.update(this.peers, this.failing);
+		this.neighbours.meet(seen, watched(), now, effects).forEach(this::reopen);
+	}
+
+	// Load: some of the VMs that are believed to be there are gone, or fetch something
+	// else. Harm prevented: the pieces that they were to read appear only after nothing
+	// else does, and everybody waits for these: 2.0 to 2.3 times S/L with one in ten
+	// gone,
+	// in virtual time. The second in rank has a link to the first, so it sees at once
+	// that
+	// it can't be had: 1.4 to 1.6 times S/L.
+	private Set<String> watched() {
+		if (this.limits.design() != TransferLimits.Design.SWARM) {
+			return Set.of();
+		}
+		Set<String> watched = new HashSet<>(this.origin.readersBefore());
+		if (this.limits.placeReaders()) {
+			watched.addAll(this.readers.readersBefore());
+		}
+		return watched;
 	}
 
 	private void reopen(int piece) {
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
@@ -16,7 +16,11 @@
 	/** One VM sends wrong bytes for every chunk, from the start. */
 	CORRUPT,
 	/** The origin's content changes. */
-	CHANGE;
+	CHANGE,
+	/** One VM in ten is gone from the start, and the others have not heard of it. */
+	ABSENT,
+	/** One VM in ten fetches another version. */
+	IDLE;
 
 	static Faults named(String name) {
 		return valueOf(name.toUpperCase(java.util.Locale.ROOT));
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
@@ -39,6 +39,8 @@
 
 	boolean stalled;
 
+	boolean idle;
+
 	boolean corrupt;
 
 	boolean failed;
@@ -53,7 +55,7 @@
 	}
 
 	boolean gone() {
-		return this.dead || this.stalled;
+		return this.dead || this.stalled || this.idle;
 	}
 
 	record Upload(SimVm to, int piece) {
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
@@ -103,12 +103,28 @@
 		}
 		this.open = this.order.size();
 		this.order.getLast().corrupt = this.plan.faults() == Faults.CORRUPT;
+		missing();
 		for (SimVm vm : this.order) {
 			long start = this.random.nextLong(START_SPREAD);
 			schedule(start, () -> begin(vm));
 		}
 	}
 
+	private void missing() {
+		boolean absent = this.plan.faults() == Faults.ABSENT;
+		if (absent || this.plan.faults() == Faults.IDLE) {
+			this.order.subList(0, hit()).forEach((vm) -> {
+				vm.dead = absent;
+				vm.idle = !absent;
+				this.open--;
+			});
+		}
+	}
+
+	private int hit() {
+		return Math.max(1, this.order.size() / 10);
+	}
+
 	private void begin(SimVm vm) {
 		List<Peer> others = this.order.stream().filter((other) -> other != vm).map((other) -> other.peer).toList();
 		apply(vm, new TransferEvent.RateSet(this.plan.linkBytesPerSecond()));
@@ -135,9 +151,9 @@
 	}
 
 	private void fault() {
-		int hit = Math.max(1, this.order.size() / 10);
+		int hit = hit();
 		switch (this.plan.faults()) {
-			case NONE, CORRUPT -> {
+			case NONE, CORRUPT, ABSENT, IDLE -> {
 			}
 			case KILL -> this.order.subList(0, hit).forEach(this::kill);
 			case STALL -> this.order.subList(0, hit).forEach(this::stall);
@@ -213,6 +229,10 @@
 		}
 		to.subscribers.add(from);
 		to.controlBytes += 2 * FRAME_BYTES + this.pieces.count() / 8;
+		if (to.idle) {
+			schedule(LATENCY, () -> apply(from, new TransferEvent.PeerIdle(to.peer.vm())));
+			return;
+		}
 		BitSet held = to.machine.held();
 		schedule(LATENCY, () -> apply(from, new TransferEvent.PeerHolds(to.peer.vm(), held)));
 	}
--- a/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
@@ -22,7 +22,8 @@
 	// or one peer has them, no invariant breaks, and the origin is not read for each.
 	@ParameterizedTest
 	@CsvSource({ "NONE, 1, 1.1", "NONE, 3, 1.1", "NONE, 12, 1.1", "NONE, 48, 1.1", "KILL, 12, 1.5", "KILL, 48, 1.5",
-			"STALL, 12, 1.5", "STALL, 48, 1.5", "CORRUPT, 12, 1.5", "CORRUPT, 48, 1.5" })
+			"STALL, 12, 1.5", "STALL, 48, 1.5", "CORRUPT, 12, 1.5", "CORRUPT, 48, 1.5", "ABSENT, 12, 1.5",
+			"ABSENT, 48, 1.5", "IDLE, 12, 1.5", "IDLE, 48, 1.5" })
 	void everyHealthyVmFinishesAndTheOriginIsReadAboutOnce(Faults faults, int vms, double copies) {
 		for (long seed = 1; seed <= 20; seed++) {
 			Simulation.Result result = run("swarm", vms, faults, seed);
@@ -52,6 +53,23 @@
 		assertThat(run("swarm+copies2", 12, Faults.NONE, 1).originCopies(), is(lessThanOrEqualTo(2.0)));
 	}
 
+	// One VM in ten is gone, or fetches another version, and the others count on it for
+	// their shares of the origin. Nobody waits for it: a roll takes at most a quarter
+	// longer than with all of them. Found out late it takes half as long again, in which
+	// engines without the weights in force answer nothing.
+	@ParameterizedTest
+	@CsvSource({ "ABSENT, 34", "IDLE, 34", "ABSENT, 62", "IDLE, 62" })
+	void whoIsNotThereHoldsUpNobody(Faults faults, int vms) {
+		String site = "swarm+readers+degree8+out6+each1+tell80+deadline600";
+		double all = 0;
+		double some = 0;
+		for (long seed = 1; seed <= 5; seed++) {
+			all += run(site, vms, Faults.NONE, seed).last();
+			some += run(site, vms, faults, seed).last();
+		}
+		assertThat(some, is(lessThanOrEqualTo(all * 1.25)));
+	}
+
 	@Test
 	void sameSeedGivesTheSameRoll() {
 		assertThat(run("swarm", 24, Faults.KILL, 5), is(run("swarm", 24, Faults.KILL, 5)));
