--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
@@ -79,7 +79,7 @@
 	/**
 	 * Chooses neighbours among the live VMs and returns the pieces that were asked of
 	 * those that are neighbours no longer.
-	 * @param watched VMs that are to be neighbours besides
+	 * @param watched neighbours besides those of the rings
 	 */
 	List<Integer> meet(List<Peer> seen, Set<String> watched, long now, List<TransferEffect> effects) {
 		Set<String> chosen = new LinkedHashSet<>(Neighbours.choose(this.self, seen, this.limits));
