--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/NamedObjects.java
@@ -0,0 +1,48 @@
+package org.wisteriapost.entry.direct;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+
+/**
+ * A store of which only the decoding is used: an object is its name and revision.
+ */
+final class NamedObjects implements ObjectStore {
+
+	static Item item(String name, long revision) {
+		return new Item(name, revision, Optional.empty(),
+				() -> (name + "@" + revision).getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public Optional<Item> decode(Kind kind, byte[] content) {
+		String[] parts = new String(content, StandardCharsets.UTF_8).split("@");
+		return Optional.of(item(parts[0], Long.parseLong(parts[1])));
+	}
+
+	@Override
+	public CompletableFuture<Page> list(Kind kind, Optional<String> after) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<Void> register(EntryInfo entry) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<Void> unregister(String name, long revision) {
+		throw new UnsupportedOperationException();
+	}
+
+}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -2,19 +2,14 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.kernel.log.DecisionLog;
-import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
@@ -36,18 +31,18 @@
 
 	private final List<Frame> toSource = new ArrayList<>();
 
-	private final SiteNews source = new SiteNews(new Decoder(), StoreDuty.of("source"),
+	private final SiteNews source = new SiteNews(new NamedObjects(), StoreDuty.of("source"),
 			(peer, frame) -> this.toCut.add(frame), this.log);
 
-	private final SiteNews cut = new SiteNews(new Decoder(), StoreDuty.of("cut"),
+	private final SiteNews cut = new SiteNews(new NamedObjects(), StoreDuty.of("cut"),
 			(peer, frame) -> this.toSource.add(frame), this.log);
 
 	@BeforeEach
 	void cutOff() {
 		this.source.reachable(true);
-		this.source.read(Kind.RUNNERS, List.of(item("a", 5), item("b", 6)), 6);
+		this.source.read(Kind.RUNNERS, List.of(NamedObjects.item("a", 5), NamedObjects.item("b", 6)), 6);
 		this.cut.reachable(true);
-		this.cut.read(Kind.RUNNERS, List.of(item("a", 5), item("old", 4)), 5);
+		this.cut.read(Kind.RUNNERS, List.of(NamedObjects.item("a", 5), NamedObjects.item("old", 4)), 5);
 		this.cut.reachable(false);
 		this.cut.tick(List.of("source"), SECOND);
 		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest().getWanted()));
@@ -58,11 +53,6 @@
 		this.log.close();
 	}
 
-	private static ObjectStore.Item item(String name, long revision) {
-		return new ObjectStore.Item(name, revision, Optional.empty(),
-				() -> (name + "@" + revision).getBytes(StandardCharsets.UTF_8));
-	}
-
 	private List<String> delivered() {
 		List<String> heard = new ArrayList<>();
 		for (Frame frame : this.toCut) {
@@ -86,8 +76,8 @@
 	@Test
 	void aCutEntryHearsAllThereIsAndThenEveryChange() {
 		assertThat(delivered(), Matchers.contains("all[a, b]"));
-		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("c", 9), false));
-		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 5), true));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("c", 9), false));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("a", 5), true));
 		assertThat(delivered(), Matchers.contains("+c", "-a"));
 	}
 
@@ -96,11 +86,11 @@
 	@Test
 	void whatWasRemovedDoesNotComeBackInAnOlderForm() {
 		delivered();
-		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 7), true));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("a", 7), true));
 		delivered();
-		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 6), false));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("a", 6), false));
 		assertThat(delivered(), Matchers.empty());
-		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("a", 11), false));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("a", 11), false));
 		assertThat(delivered(), Matchers.contains("+a"));
 	}
 
@@ -129,39 +119,8 @@
 		this.cut.reachable(true);
 		this.source.asked("cut", false);
 		this.toCut.clear();
-		this.source.read(Kind.RUNNERS, new ObjectStore.Change(item("d", 12), false));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("d", 12), false));
 		assertThat(this.toCut, Matchers.empty());
 	}
 
-	/** Reads what {@link #item} wrote. */
-	private static final class Decoder implements ObjectStore {
-
-		@Override
-		public Optional<Item> decode(Kind kind, byte[] content) {
-			String[] parts = new String(content, StandardCharsets.UTF_8).split("@");
-			return Optional.of(item(parts[0], Long.parseLong(parts[1])));
-		}
-
-		@Override
-		public CompletableFuture<Page> list(Kind kind, Optional<String> after) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> register(EntryInfo entry) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> unregister(String name, long revision) {
-			throw new UnsupportedOperationException();
-		}
-
-	}
-
 }
--- a/entry/src/test/java/org/wisteriapost/entry/direct/StoreReadingTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/StoreReadingTests.java
@@ -2,19 +2,14 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.kernel.log.DecisionLog;
-import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.Rendezvous;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.protocol.site.Kind;
@@ -55,11 +50,6 @@
 		this.log.close();
 	}
 
-	private static ObjectStore.Item item(String name, long revision) {
-		return new ObjectStore.Item(name, revision, Optional.empty(),
-				() -> (name + "@" + revision).getBytes(StandardCharsets.UTF_8));
-	}
-
 	private void run(int ticks) {
 		for (int i = 0; i < ticks; i++) {
 			this.now += TICK;
@@ -79,12 +69,12 @@
 
 	@Test
 	void oneReadsAndTheOtherHearsEveryChange() {
-		bothRead(5, item("r1", 5));
+		bothRead(5, NamedObjects.item("r1", 5));
 		run(15);
 		assertThat(this.rester.reading.rests(), Matchers.equalTo(true));
 		assertThat(this.reader.reading.rests(), Matchers.equalTo(false));
-		this.reader.news.read(Kind.RUNNERS, new ObjectStore.Change(item("r2", 9), false));
-		this.reader.news.read(Kind.RUNNERS, new ObjectStore.Change(item("r1", 5), true));
+		this.reader.news.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("r2", 9), false));
+		this.reader.news.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("r1", 5), true));
 		assertThat(this.rester.heard, Matchers.hasItems("+r2", "-r1"));
 	}
 
@@ -93,8 +83,8 @@
 	// callers would be refused for want of it.
 	@Test
 	void whatTheReaderHasNotReadYetStays() {
-		bothRead(5, item("r1", 5));
-		this.rester.news.read(Kind.RUNNERS, new ObjectStore.Change(item("r2", 7), false));
+		bothRead(5, NamedObjects.item("r1", 5));
+		this.rester.news.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("r2", 7), false));
 		run(15);
 		assertThat(this.rester.heard, Matchers.hasItem("all[r1, r2]"));
 	}
@@ -102,7 +92,7 @@
 	// The store turns the reader away. It says so, and the other reads itself at once.
 	@Test
 	void whoRestsReadsAgainWhenTheReaderIsTurnedAway() {
-		bothRead(5, item("r1", 5));
+		bothRead(5, NamedObjects.item("r1", 5));
 		run(15);
 		this.reader.news.reachable(false);
 		assertThat(this.rester.reading.rests(), Matchers.equalTo(false));
@@ -111,7 +101,7 @@
 	// The link to the reader is open and silent.
 	@Test
 	void whoRestsReadsAgainWhenTheReaderIsSilent() {
-		bothRead(5, item("r1", 5));
+		bothRead(5, NamedObjects.item("r1", 5));
 		run(15);
 		this.linked = false;
 		run(13);
@@ -120,7 +110,7 @@
 
 	@Test
 	void aReaderOnWhichAnotherDependsGoesOnReading() {
-		bothRead(5, item("r1", 5));
+		bothRead(5, NamedObjects.item("r1", 5));
 		run(15);
 		assertThat(this.reader.news.mayRest(), Matchers.equalTo(false));
 	}
@@ -141,7 +131,7 @@
 		private Entry(String name) {
 			this.name = name;
 			StoreDuty duty = StoreDuty.of(name);
-			this.news = new SiteNews(new NamedOnly(), duty, this::send, StoreReadingTests.this.log);
+			this.news = new SiteNews(new NamedObjects(), duty, this::send, StoreReadingTests.this.log);
 			this.reading = new StoreReading(duty, this.news, new Following(), this::send, StoreReadingTests.this.log);
 		}
 
@@ -174,35 +164,4 @@
 
 	}
 
-	/** Reads back what {@code item} wrote. */
-	private static final class NamedOnly implements ObjectStore {
-
-		@Override
-		public CompletableFuture<Page> list(Kind kind, Optional<String> after) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> register(EntryInfo entry) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> unregister(String name, long revision) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public Optional<Item> decode(Kind kind, byte[] content) {
-			String[] parts = new String(content, StandardCharsets.UTF_8).split("@");
-			return Optional.of(item(parts[0], Long.parseLong(parts[1])));
-		}
-
-	}
-
 }
