The fence's margin follows the wait of requests like the one that is sent

Cause: callers that come back late go last at engines and wait a second and more; with their wait the margin of all requests grows to two or three seconds, in which engines that have not changed over may still answer.

Change: the waits of requests that go first and of those that are late are kept apart. Test seen to fail before.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -79,7 +79,7 @@
 		this.book = new RunnerBook(new RunnerSubset(limits.place(), random.nextLong()));
 		this.fleet = new FleetView(this.book, limits.place());
 		this.fence = new WeightsFence(limits.weightsInForce());
-		this.placement = new Placement(this.book, this.paces, this.fence, this.waits, limits.place(), random);
+		this.placement = new Placement(this.book, this.paces, this.fence, limits.place(), random);
 		this.patience = new Patience(random);
 		this.recovery = new Recovery();
 		this.answers = new FinalAnswers(this.patience, (effect) -> this.effects.add(effect));
@@ -245,7 +245,7 @@
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job.size().promptTokens());
 		if (job.baseMillis > 0) {
-			this.waits.waited(nowNanos - job.sentNanos, nowNanos);
+			this.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
 			runner.measured(ratio / this.paces.of(job.service()));
 			this.paces.measured(job.service(), ratio);
@@ -302,7 +302,7 @@
 
 	private void watch(Job job, long nowNanos) {
 		if (job.baseMillis > 0 && !job.firstSeen) {
-			this.waits.waited(nowNanos - job.sentNanos, nowNanos);
+			this.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 		}
 		if (beginsTooLate(job, nowNanos)) {
 			takeBack(job, nowNanos);
@@ -361,7 +361,8 @@
 	}
 
 	private boolean goesOnWaiting(Job job, int ahead, long nowNanos) {
-		Placement.Choice choice = this.placement.choose(job, spec(job), nowNanos);
+		long wait = this.waits.nanos(this.patience.late(job, nowNanos), nowNanos);
+		Placement.Choice choice = this.placement.choose(job, spec(job), wait, nowNanos);
 		switch (this.patience.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
 			case WAIT -> {
@@ -385,6 +386,7 @@
 		job.tried.add(runner.info.id());
 		job.runner = Optional.of(runner);
 		job.sentNanos = nowNanos;
+		job.sentLate = this.patience.late(job, nowNanos);
 		job.firstSeen = false;
 		job.predictedMillis = choice.predictedMillis();
 		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -60,6 +60,9 @@
 	// When the caller first asked, if an earlier attempt is known.
 	long wantedNanos;
 
+	// Whether it was sent to go last at its runner.
+	boolean sentLate;
+
 	boolean headed;
 
 	boolean firstSeen;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -52,20 +52,16 @@
 
 	private final WeightsFence fence;
 
-	private final SlowestStart waits;
-
 	private final String place;
 
 	private final UniformRandomProvider random;
 
 	private EntryCount entries = EntryCount.flat(1);
 
-	Placement(RunnerBook book, ServicePaces paces, WeightsFence fence, SlowestStart waits, String place,
-			UniformRandomProvider random) {
+	Placement(RunnerBook book, ServicePaces paces, WeightsFence fence, String place, UniformRandomProvider random) {
 		this.book = book;
 		this.paces = paces;
 		this.fence = fence;
-		this.waits = waits;
 		this.place = place;
 		this.random = random;
 	}
@@ -80,10 +76,11 @@
 	/**
 	 * Returns the best runner for a request now.
 	 * @param engine present when its service runs model engines
+	 * @param waitNanos how long requests like it have waited at runners of late
 	 */
-	Choice choose(Job job, Optional<EngineSpec> engine, long nowNanos) {
-		OptionalInt version = engine.isPresent()
-				? this.fence.required(engine.get().model(), this.waits.nanos(nowNanos), nowNanos) : OptionalInt.empty();
+	Choice choose(Job job, Optional<EngineSpec> engine, long waitNanos, long nowNanos) {
+		OptionalInt version = engine.isPresent() ? this.fence.required(engine.get().model(), waitNanos, nowNanos)
+				: OptionalInt.empty();
 		List<RunnerState> all = this.book.of(job.service());
 		List<RunnerState> candidates = this.book.candidates(job.service());
 		Choice best = best(job, engine, version, nowNanos, candidates);
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsFenceTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsFenceTests.java
@@ -100,6 +100,29 @@
 		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:new")));
 	}
 
+	// Callers that were refused come back and wait behind all others for a second.
+	// That
+	// says nothing of requests that go first: bound as early as the last of the queue
+	// they
+	// would be refused for seconds in which engines may still answer them.
+	@Test
+	void theWaitOfThoseThatComeLastDoesNotCountForTheOthers() {
+		Desk desk = oldAndNew();
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		desk.after(4900);
+		desk.dispatcher.peerRefused(new RefusedRequest(7, desk.now - 2000 * Desk.MILLI, desk.now + 4000 * Desk.MILLI));
+		Job late = desk.arrive(Desk.STREAM, new Job.Size(1000, 100, OptionalInt.empty()), 4000,
+				java.util.OptionalLong.of(7));
+		for (int i = 0; i < 10; i++) {
+			desk.after(110);
+		}
+		desk.firstEvent(late);
+		desk.done();
+		desk.after(200);
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:old"));
+	}
+
 	// A request waits longer at its engine than anybody foresaw. Just before the named
 	// version has to be in force it is taken back, and goes to an engine that holds it.
 	@Test
