Who begins a fetch first does not read what the others are about to

Cause, by reading: a peer that knows nothing of a file was left out of the ranks at once. A naming reaches agents within some tens of milliseconds of each other, so the first to begin took itself for the reader of its neighbours' pieces.

Change: a peer that still knows nothing after a second is left out.

Test seen to fail before (TransferMachineTests.onlyWhoKnowsNothingForLongIsNotWaitedFor, by its first half: on the former code all 40 pieces are read at once).

--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -105,7 +105,7 @@
 
 	private List<VmList.Vm> roster = List.of();
 
-	private Roster told = Roster.getDefaultInstance();
+	private Roster lastRoster = Roster.getDefaultInstance();
 
 	private Optional<WeightFile> file = Optional.empty();
 
@@ -198,10 +198,10 @@
 	// Several entries send the same list, and ordering hundreds by their hashes takes
 	// milliseconds, so only a list that differs from the last one is looked at.
 	private void roster(Roster message) {
-		if (message.equals(this.told)) {
+		if (message.equals(this.lastRoster)) {
 			return;
 		}
-		this.told = message;
+		this.lastRoster = message;
 		List<VmList.Vm> members = new ArrayList<>();
 		for (RosterMember member : message.getMembersList()) {
 			members.add(new VmList.Vm(member.getVm(), member.getPlace(), "", "agent", this.settings.service(),
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
@@ -163,7 +163,8 @@
 	 * Returns whether there are so many entries that places keep to themselves.
 	 */
 	boolean byPlace() {
-		return EntryLinks.byPlace(others().size() + 1);
+		int own = this.registered.containsKey(this.self.name()) ? 1 : 0;
+		return EntryLinks.byPlace(this.registered.size() - own + 1);
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
@@ -127,7 +127,7 @@
 	 * Takes in what a neighbour holds and returns what may now be asked of it.
 	 */
 	BitSet learn(PeerState peer, BitSet pieces) {
-		peer.fetches(true);
+		peer.busy();
 		BitSet added = (BitSet) pieces.clone();
 		added.andNot(peer.has());
 		peer.greeted(true);
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.transfer;
 
+import java.time.Duration;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +16,12 @@
 
 	private static final int MOST_DOUBLINGS = 5;
 
+	private static final long NEVER = Long.MAX_VALUE;
+
+	// A naming reaches all VMs within a second. Until then those that began first would
+	// read what the others are about to read.
+	private static final long IDLE_NANOS = Duration.ofSeconds(1).toNanos();
+
 	private final Peer peer;
 
 	private final boolean near;
@@ -31,7 +38,7 @@
 
 	private boolean greeted;
 
-	private boolean idle;
+	private long idleSince = NEVER;
 
 	private long pausedUntil = Long.MIN_VALUE;
 
@@ -109,11 +116,18 @@
 	}
 
 	/**
-	 * Hears whether it fetches or holds what this VM fetches. One that does neither reads
-	 * nothing from the origin, whatever its rank.
+	 * Hears that it neither fetches nor holds what this VM fetches: it reads nothing from
+	 * the origin, whatever its rank.
+	 */
+	void idle(long now) {
+		this.idleSince = Math.min(this.idleSince, now);
+	}
+
+	/**
+	 * Hears that it fetches or holds what this VM fetches.
 	 */
-	void fetches(boolean does) {
-		this.idle = !does;
+	void busy() {
+		this.idleSince = NEVER;
 	}
 
 	void linkUp() {
@@ -147,7 +161,8 @@
 	 * Returns whether others must not count on it.
 	 */
 	boolean failing(long now) {
-		return this.down || this.idle || this.strikes >= FAILING_STRIKES || now < this.distrustedUntil;
+		boolean idle = this.idleSince != NEVER && now - this.idleSince > IDLE_NANOS;
+		return this.down || idle || this.strikes >= FAILING_STRIKES || now < this.distrustedUntil;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -140,7 +140,7 @@
 				this.neighbours.peer(holds.vm()).ifPresent((peer) -> learn(peer, holds.pieces(), now));
 			case TransferEvent.PeerIdle idle -> this.neighbours.peer(idle.vm()).ifPresent((peer) -> {
 				peer.greeted(true);
-				peer.fetches(false);
+				peer.idle(now);
 			});
 			case TransferEvent.Held held -> start(held.pieces(), now, effects);
 			case TransferEvent.Verified verified -> take(verified.piece(), verified.source(), now, effects);
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -57,6 +57,27 @@
 		assertThat(this.machine.held().get(piece), is(true));
 	}
 
+	// A version is named, and this VM is the first to begin: its peers know nothing of
+	// the
+	// file yet. It reads its own pieces and not theirs, or each would read a copy. One
+	// that
+	// still knows nothing after a second fetches something else, and its pieces are read
+	// here.
+	@Test
+	void onlyWhoKnowsNothingForLongIsNotWaitedFor() {
+		apply(new TransferEvent.PeersSeen(List.of(OTHER, THIRD)));
+		for (Peer peer : List.of(OTHER, THIRD)) {
+			apply(new TransferEvent.LinkUp(peer.vm()));
+			apply(new TransferEvent.PeerIdle(peer.vm()));
+		}
+		List<TransferEffect> first = apply(new TransferEvent.Held(new BitSet()));
+		int own = readAll(first).cardinality();
+		assertThat(own < 25, is(true));
+		this.now += Duration.ofMillis(1100).toNanos();
+		readAll(apply(new TransferEvent.Tick()));
+		assertThat(this.machine.held().cardinality(), is(40));
+	}
+
 	// A chunk that went bad in a peer's memory looks like any other on the wire. It must
 	// neither be stored nor told to others; its sender is left alone, and the piece is
 	// fetched elsewhere.
