--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -59,10 +59,6 @@
 	// What entries are told of a turn is this exact; each change is a message to each.
 	private static final long RETOLD_NANOS = Duration.ofMillis(150).toNanos();
 
-	// The foreseen end of a fetch jumps with each piece; three times a second is enough.
-	// Told less exactly instead, engines got answers that ended after their turn.
-	private static final long RETOLD_EVERY_NANOS = Duration.ofMillis(350).toNanos();
-
 	// The check reads all staged pieces back, which takes some 200 ms on a busy VM. Done
 	// ahead, the engine does not stand idle for it. What goes bad afterwards is found by
 	// the check of a later turn only, so an order follows its check within FRESH.
@@ -92,8 +88,6 @@
 
 	private long turnNanos;
 
-	private long foreseenNanos = Long.MIN_VALUE / 2;
-
 	private long checkedNanos;
 
 	private OptionalInt taking = OptionalInt.empty();
@@ -183,10 +177,8 @@
 		}
 		long left = (long) ((nowNanos - this.stepNanos) * (1 - share) / share);
 		long turn = turnAfter(nowNanos + left);
-		boolean due = nowNanos - this.foreseenNanos >= RETOLD_EVERY_NANOS;
-		if (due && Math.abs(turn - this.turnNanos) > RETOLD_NANOS) {
+		if (Math.abs(turn - this.turnNanos) > RETOLD_NANOS) {
 			this.turnNanos = turn;
-			this.foreseenNanos = nowNanos;
 		}
 	}
 
