--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -92,7 +92,7 @@
 		EventLoop<DirectEvent> loop = EventLoop.start("entry", RING, state::apply);
 		view.loop(loop);
 		Mesh mesh = Mesh.start(links, new InetSocketAddress(settings.host(), settings.linkPort()), settings.name(),
-				settings.place(), timer, view::put);
+				settings.place(), timer, view::put, log);
 		Following following = new Following();
 		state.connect(mesh, store, following);
 		DirectFront front = DirectFront.start(settings, dialect, caller.worker(), view);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -197,7 +197,7 @@
 	private void reject(Arrival arrival, int status, Code code) {
 		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
 				arrival.host(), "path", arrival.path(), "table",
-				this.beliefs.table().map(RouteTable::version).orElse(-1L));
+				this.beliefs.table().map(RouteTable::version).orElse(-1L), "rests", rests());
 		this.metrics.answered("rejected", code.name());
 		this.output.reject(arrival, status, code);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.protocol.link.Link;
 import org.wisteriapost.protocol.link.LinkHandler;
 import org.wisteriapost.protocol.link.LinkServer;
@@ -40,6 +41,8 @@
 
 	private final Frame hello;
 
+	private final DecisionLog log;
+
 	private final Map<String, Outgoing> outgoing = new ConcurrentHashMap<>();
 
 	// Links that other entries made, by their names.
@@ -47,17 +50,19 @@
 
 	private LinkServer server;
 
-	private Mesh(Links links, ScheduledExecutorService timer, Consumer<DirectEvent> events, Frame hello) {
+	private Mesh(Links links, ScheduledExecutorService timer, Consumer<DirectEvent> events, Frame hello,
+			DecisionLog log) {
 		this.links = links;
 		this.timer = timer;
 		this.events = events;
 		this.hello = hello;
+		this.log = log;
 	}
 
 	static Mesh start(Links links, InetSocketAddress address, String name, String place, ScheduledExecutorService timer,
-			Consumer<DirectEvent> events) {
+			Consumer<DirectEvent> events, DecisionLog log) {
 		Hello hello = Hello.newBuilder().setVm(name).setPlace(place).setRole(Role.ENTRY).build();
-		Mesh mesh = new Mesh(links, timer, events, Frame.newBuilder().setHello(hello).build());
+		Mesh mesh = new Mesh(links, timer, events, Frame.newBuilder().setHello(hello).build(), log);
 		mesh.server = links.listen(address, mesh.new Incoming());
 		return mesh;
 	}
@@ -88,17 +93,22 @@
 
 	/**
 	 * Sends a frame to a peer, on the link that it made if this entry has made none;
-	 * nothing happens when there is no link.
+	 * nothing happens when there is no link. A frame for a full link is left out.
 	 */
 	void send(String name, Frame frame) {
-		Outgoing link = this.outgoing.get(name);
-		Link theirs = this.incoming.get(name);
-		if (link != null && link.up()) {
-			link.send(frame);
-		}
-		else if (theirs != null && theirs.writable()) {
-			theirs.send(frame);
+		Optional<Link> link = linkTo(name);
+		if (link.isPresent() && !link.get().writable()) {
+			this.log.failure("frame-left-out", "peer", name, "kind", frame.getBodyCase(), "bytes",
+					frame.getSerializedSize());
+			return;
 		}
+		link.ifPresent((open) -> open.send(frame));
+	}
+
+	private Optional<Link> linkTo(String name) {
+		Outgoing made = this.outgoing.get(name);
+		Link own = (made != null) ? made.link : null;
+		return Optional.ofNullable((own != null) ? own : this.incoming.get(name));
 	}
 
 	/**
@@ -212,13 +222,6 @@
 			return this.link != null;
 		}
 
-		private void send(Frame frame) {
-			Link open = this.link;
-			if (open != null && open.writable()) {
-				open.send(frame);
-			}
-		}
-
 		private void abandon() {
 			this.abandoned = true;
 			Link open = this.link;
