A request is called wrong only by a table that is recent

What callers saw: 404 for routes and 401 for tokens that had been declared five seconds before, by entries that could not read the store meanwhile. A rejection is final, and nothing looked at how old the table was on which it rested. Now it rests on a table that is known to have been the newest within nine tenths of the site's bound for declarations; otherwise the request is refused as not run, with a time to come back. The same holds for limits of heads and bodies.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -64,7 +64,7 @@
 	// Callers reuse a connection within the declared limit; twice the usual one.
 	private static final int IDLE_MILLIS = 60_000;
 
-	private static final long FULL_RETRY_MILLIS = 300;
+	private static final long SHORT_RETRY_MILLIS = 300;
 
 	// How long callers keep an address answer. Some keep it three times as long, and a
 	// leaving entry takes requests for three seconds.
@@ -152,13 +152,13 @@
 		CallerAnswer answer = CallerAnswer.withFractions(exchange, fields.attempt().orElse("none"), UNSENT_BYTES);
 		Optional<CallLimits> limits = this.port.limits();
 		if (limits.isPresent() && headBytes(exchange) > limits.get().maxHeaderBytes()) {
-			refuse(exchange, answer, HEAD_LARGE, HEAD_TOO_LARGE);
+			overLimit(exchange, answer, HEAD_LARGE, HEAD_TOO_LARGE);
 			return;
 		}
 		long most = limits.map(CallLimits::maxBodyBytes).orElse(4L << 20);
 		if (exchange.getRequestContentLength() > most) {
 			exchange.setPersistent(false);
-			refuse(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
+			overLimit(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
 			return;
 		}
 		if (fields.attempt().isEmpty()) {
@@ -175,7 +175,7 @@
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
 			Arrival arrival = arrival(exchange, fields, body, answer, now);
 			if (!this.port.offer(new DirectEvent.Arrived(arrival))) {
-				answer.refuse(Refusal.later(LOOP_FULL.name(), LOOP_FULL.summary(), FULL_RETRY_MILLIS));
+				answer.refuse(Refusal.later(LOOP_FULL.name(), LOOP_FULL.summary(), SHORT_RETRY_MILLIS));
 				return;
 			}
 			HangUpWatch.start(exchange, () -> this.port.put(new DirectEvent.CallerGone(arrival.id())));
@@ -227,12 +227,23 @@
 	private void unreadable(HttpServerExchange exchange, CallerAnswer answer, IOException ex) {
 		exchange.setPersistent(false);
 		if (ex instanceof Receiver.RequestToLargeException || ex instanceof RequestTooBigException) {
-			refuse(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
+			overLimit(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
 			return;
 		}
 		IoUtils.safeClose(exchange.getConnection());
 	}
 
+	// The limit may have been raised since: see RejectionGuard.
+	private void overLimit(HttpServerExchange exchange, CallerAnswer answer, int status, Code code) {
+		if (this.port.mayReject()) {
+			refuse(exchange, answer, status, code);
+			return;
+		}
+		Code doubtful = DirectState.TABLE_DOUBTFUL;
+		exchange.dispatch(SameThreadExecutor.INSTANCE,
+				() -> answer.refuse(Refusal.later(doubtful.name(), doubtful.summary(), SHORT_RETRY_MILLIS)));
+	}
+
 	private static void refuse(HttpServerExchange exchange, CallerAnswer answer, int status, Code code) {
 		exchange.dispatch(SameThreadExecutor.INSTANCE,
 				() -> answer.refuse(Refusal.bad(status, code.name(), code.summary())));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectPort.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectPort.java
@@ -41,4 +41,10 @@
 	 */
 	Optional<CallLimits> limits();
 
+	/**
+	 * Returns whether what is declared is known recently enough to call a request wrong
+	 * by it.
+	 */
+	boolean mayReject();
+
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -32,6 +32,9 @@
 
 	static final Code TABLE_ABSENT = Code.refusal("table-absent", "The entry does not know the declared routes yet.");
 
+	static final Code TABLE_DOUBTFUL = Code.refusal("table-doubtful",
+			"The entry's table does not cover the request and may be old.");
+
 	static final Code ROUTE_UNKNOWN = Code.error("route-unknown", "No declared route covers the host and path.");
 
 	static final Code KEY_UNKNOWN = Code.error("key-unknown", "The bearer token is not one of an organisation.");
@@ -102,7 +105,8 @@
 		this.clock = clock;
 		this.roster = new EntryRoster(self);
 		this.announcer = new Announcer(settings, self, this.roster, dispatcher);
-		this.beliefs = new SiteBeliefs(dispatcher, this.roster, this.announcer, log);
+		this.beliefs = new SiteBeliefs(dispatcher, this.roster, this.announcer, log,
+				settings.bounds().declaredInForce());
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
 	}
@@ -132,6 +136,7 @@
 			case DirectEvent.AllObjects all -> all(all, now);
 			case DirectEvent.ObjectChanged changed -> changed(changed.kind(), changed.change(), now);
 			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
+			case DirectEvent.StoreConfirmed known -> this.beliefs.confirmed(known.kind(), known.asOfNanos());
 			case DirectEvent.StoreDoubtful doubtful -> this.news.ifPresent(SiteNews::dismiss);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
@@ -163,12 +168,12 @@
 		RouteTable known = this.beliefs.table().get();
 		Optional<Route> route = known.route(arrival.host(), arrival.path());
 		if (route.isEmpty()) {
-			reject(arrival, NOT_FOUND, ROUTE_UNKNOWN);
+			reject(arrival, NOT_FOUND, ROUTE_UNKNOWN, now);
 			return;
 		}
 		Optional<Organisation> organisation = arrival.token().flatMap(known::organisation);
 		if (organisation.isEmpty() && known.asksForTokens() && !route.get().anonymous()) {
-			reject(arrival, UNAUTHORIZED, KEY_UNKNOWN);
+			reject(arrival, UNAUTHORIZED, KEY_UNKNOWN, now);
 			return;
 		}
 		Job job = job(arrival, route.get(), organisation);
@@ -189,19 +194,28 @@
 	}
 
 	private void refuse(Arrival arrival, Code code, long retryAfterMillis) {
-		this.log.failure("refused", "attempt", arrival.fields().attempt().orElse(""), "code", code.name());
+		this.log.failure("refused", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "table",
+				version(), "tableAgeMs", this.beliefs.tableAgeMillis(this.clock.getAsLong()).orElse(-1));
 		this.metrics.answered("refused", code.name());
 		this.output.refuse(arrival, code, retryAfterMillis);
 	}
 
-	private void reject(Arrival arrival, int status, Code code) {
+	private void reject(Arrival arrival, int status, Code code, long now) {
+		if (!this.beliefs.mayReject(now)) {
+			refuse(arrival, TABLE_DOUBTFUL, SHORT_RETRY_MILLIS);
+			return;
+		}
 		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
-				arrival.host(), "path", arrival.path(), "table",
-				this.beliefs.table().map(RouteTable::version).orElse(-1L), "rests", rests());
+				arrival.host(), "path", arrival.path(), "table", version(), "tableAgeMs",
+				this.beliefs.tableAgeMillis(now).orElse(-1), "rests", rests());
 		this.metrics.answered("rejected", code.name());
 		this.output.reject(arrival, status, code);
 	}
 
+	private long version() {
+		return this.beliefs.table().map(RouteTable::version).orElse(-1L);
+	}
+
 	private void callerGone(long id, long now) {
 		DirectCall call = this.calls.get(id);
 		if (call != null) {
@@ -359,9 +373,8 @@
 				this.log.decision("dispatched", "attempt", send.job().attempt(), "dispatch", send.job().dispatch(),
 						"route", send.job().route().name(), "runner", send.runner().id(), "address",
 						send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
-						this.beliefs.table().map(RouteTable::version).orElse(-1L), "prompt",
-						send.job().size().promptTokens(), "answer", send.job().size().answerTokens(), "predictedMs",
-						Math.round(send.job().predictedMillis()));
+						version(), "prompt", send.job().size().promptTokens(), "answer",
+						send.job().size().answerTokens(), "predictedMs", Math.round(send.job().predictedMillis()));
 				this.metrics.dispatched();
 				this.output.send(call, send);
 			}
@@ -401,7 +414,7 @@
 
 	private void publish() {
 		this.view.publish(ready(), this.departure.leaving(), this.roster.ready(ready()), this.roster.byPlace(),
-				this.beliefs.table().map(RouteTable::limits),
+				this.beliefs.table().map(RouteTable::limits), this.beliefs.mayReject(this.clock.getAsLong()),
 				this.departure.over(this.dispatcher.inProgress(), this.clock.getAsLong()));
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -14,7 +14,7 @@
  */
 final class DirectView implements DirectPort {
 
-	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), false, Optional.empty());
+	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), false, Optional.empty(), false);
 
 	private final CompletableFuture<Void> over = new CompletableFuture<>();
 
@@ -27,8 +27,8 @@
 	}
 
 	void publish(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace, Optional<CallLimits> limits,
-			boolean ended) {
-		Snapshot next = new Snapshot(ready, leaving, entries, byPlace, limits);
+			boolean mayReject, boolean ended) {
+		Snapshot next = new Snapshot(ready, leaving, entries, byPlace, limits, mayReject);
 		if (!next.equals(this.snapshot)) {
 			this.snapshot = next;
 		}
@@ -75,8 +75,13 @@
 		return this.snapshot.limits();
 	}
 
+	@Override
+	public boolean mayReject() {
+		return this.snapshot.mayReject();
+	}
+
 	private record Snapshot(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace,
-			Optional<CallLimits> limits) {
+			Optional<CallLimits> limits, boolean mayReject) {
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -1,15 +1,19 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.RejectionGuard;
 import org.wisteriapost.policy.routing.RouteTable;
 import org.wisteriapost.protocol.site.Declared;
 import org.wisteriapost.protocol.site.Kind;
@@ -31,13 +35,21 @@
 
 	private final Set<Kind> read = EnumSet.noneOf(Kind.class);
 
+	private final RejectionGuard guard;
+
 	private Optional<RouteTable> table = Optional.empty();
 
-	SiteBeliefs(Dispatcher dispatcher, EntryRoster roster, Announcer announcer, DecisionLog log) {
+	/**
+	 * Returns the beliefs of one entry, which knows nothing.
+	 * @param declaredInForce from a declaration until it binds
+	 */
+	SiteBeliefs(Dispatcher dispatcher, EntryRoster roster, Announcer announcer, DecisionLog log,
+			Duration declaredInForce) {
 		this.dispatcher = dispatcher;
 		this.roster = roster;
 		this.announcer = announcer;
 		this.log = log;
+		this.guard = RejectionGuard.of(declaredInForce);
 	}
 
 	/**
@@ -47,6 +59,31 @@
 		return this.table;
 	}
 
+	/**
+	 * Returns whether the table is recent enough to call a request wrong by it.
+	 */
+	boolean mayReject(long now) {
+		return this.guard.allows(now);
+	}
+
+	/**
+	 * Returns how long ago the table was last known to be the newest; empty when it never
+	 * was.
+	 */
+	OptionalLong tableAgeMillis(long now) {
+		OptionalLong age = this.guard.ageNanos(now);
+		return age.isPresent() ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(age.getAsLong())) : age;
+	}
+
+	/**
+	 * Hears that all that the store had of a kind at some moment is known.
+	 */
+	void confirmed(Kind kind, long asOfNanos) {
+		if (kind == Kind.ROUTES) {
+			this.guard.confirmed(asOfNanos);
+		}
+	}
+
 	/**
 	 * Returns whether enough is known to answer callers.
 	 */
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
@@ -0,0 +1,64 @@
+package org.wisteriapost.policy.routing;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+
+/**
+ * Whether what this process knows of the declared routes, tokens and limits is recent
+ * enough to call a request wrong for good.
+ *
+ * Load: declarations change while the way to where they are read is full, slow or cut.
+ * Harm prevented: a caller whose route or token was declared seconds ago is told that
+ * there is none, and does not come back, since an answer of that kind is final. A request
+ * that an old table does not cover is refused as not run instead; the caller comes back
+ * or asks another entry.
+ *
+ * A declaration binds when the site's bound for it has passed. What was known to be the
+ * newest within a little less than that holds everything that binds, so this is enough.
+ */
+public final class RejectionGuard {
+
+	// What is left of the bound covers the time from the check to the answer.
+	private static final double USED_SHARE = 0.9;
+
+	private final long mostAgeNanos;
+
+	private OptionalLong asOfNanos = OptionalLong.empty();
+
+	private RejectionGuard(long mostAgeNanos) {
+		this.mostAgeNanos = mostAgeNanos;
+	}
+
+	/**
+	 * Returns a guard that rejects nothing until something was confirmed.
+	 * @param inForce from a declaration until it binds
+	 */
+	public static RejectionGuard of(Duration inForce) {
+		return new RejectionGuard((long) (inForce.toNanos() * USED_SHARE));
+	}
+
+	/**
+	 * Hears that all that was declared up to a moment is known.
+	 */
+	public void confirmed(long nanos) {
+		if (this.asOfNanos.isEmpty() || nanos - this.asOfNanos.getAsLong() > 0) {
+			this.asOfNanos = OptionalLong.of(nanos);
+		}
+	}
+
+	/**
+	 * Returns whether a request may be called wrong now.
+	 */
+	public boolean allows(long nowNanos) {
+		OptionalLong age = ageNanos(nowNanos);
+		return age.isPresent() && age.getAsLong() <= this.mostAgeNanos;
+	}
+
+	/**
+	 * Returns how long ago the newest moment is as of which all is known.
+	 */
+	public OptionalLong ageNanos(long nowNanos) {
+		return this.asOfNanos.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nowNanos - this.asOfNanos.getAsLong());
+	}
+
+}
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/SiteSettings.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/SiteSettings.java
@@ -31,14 +31,16 @@
 	 * The site's promises.
 	 *
 	 * @param grace from the signal to leave until the process is killed
+	 * @param declaredInForce from a declaration of routes, tokens or limits until it
+	 * binds
 	 * @param weightsInForce from naming weights until no request starts on older ones
 	 * @param retryShare requests sent again, as a share of all, over all entries
 	 * @param retryExtra more of them in one window, over all entries
 	 * @param retryWindow the window in which they are counted
 	 * @param directoryKeep the longest time that callers keep an address answer
 	 */
-	public record Bounds(Duration grace, Duration weightsInForce, double retryShare, int retryExtra,
-			Duration retryWindow, Duration directoryKeep) {
+	public record Bounds(Duration grace, Duration declaredInForce, Duration weightsInForce, double retryShare,
+			int retryExtra, Duration retryWindow, Duration directoryKeep) {
 	}
 
 }
