What a bundle lacks is rejected only while it is known to be the newest

What callers saw: 404 model-unknown or service-unknown for what the newest bundle has, at an entry that had heard of it and could not read it, or had not heard the platform for long. Now it rests on a bundle that the platform confirmed within the eight seconds in which rolls are to be in force, and never while a newer head is known; otherwise the request is refused as not run.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
@@ -37,6 +37,9 @@
 
 	static final Code BUNDLE_ABSENT = Code.refusal("bundle-absent", "The entry does not know an accepted bundle yet.");
 
+	static final Code BUNDLE_DOUBTFUL = Code.refusal("bundle-doubtful",
+			"The entry's bundle does not have what was asked for and may be old.");
+
 	private static final Map<Code, Integer> STATUS = Map.of(CallCheck.TOKEN_UNKNOWN, 401, CallCheck.SERVICE_UNKNOWN,
 			404, CallCheck.MODEL_UNKNOWN, 404, CallCheck.PATH_UNKNOWN, 404, CallCheck.METHOD_UNKNOWN, 405,
 			BODY_TOO_LARGE, 413, BODY_TOO_SLOW, 408);
@@ -162,12 +165,22 @@
 				}
 			}
 			catch (CodedException ex) {
-				this.port.turnedAway(ex.code().name());
-				answer.refuse(bad(ex));
+				Refusal refusal = refusal(ex);
+				this.port.turnedAway(refusal.code());
+				answer.refuse(refusal);
 			}
 		});
 	}
 
+	// What a bundle lacks is wrong only if no newer one has it: see RejectionGuard.
+	private Refusal refusal(CodedException ex) {
+		boolean byBundle = ex.code().equals(CallCheck.SERVICE_UNKNOWN) || ex.code().equals(CallCheck.MODEL_UNKNOWN);
+		if (byBundle && !this.port.view().mayReject()) {
+			return Refusal.later(BUNDLE_DOUBTFUL.name(), BUNDLE_DOUBTFUL.summary(), ABSENT_MILLIS);
+		}
+		return bad(ex);
+	}
+
 	private void answerNow(HttpServerExchange exchange, CallerAnswer answer, Refusal refusal) {
 		this.port.turnedAway(refusal.code());
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> answer.refuse(refusal));
--- a/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
@@ -14,12 +14,13 @@
  * @param entries addresses for callers
  * @param leaving whether this entry refuses new requests because it leaves
  * @param ready whether it has a bundle and a link to an agent
+ * @param mayReject whether the bundle is recent enough to call a request wrong by it
  */
 public record ServiceView(long generation, Map<String, ServiceSpec> services, List<String> entries, boolean leaving,
-		boolean ready) {
+		boolean ready, boolean mayReject) {
 
 	/** Nothing is known yet. */
-	public static final ServiceView EMPTY = new ServiceView(0, Map.of(), List.of(), false, false);
+	public static final ServiceView EMPTY = new ServiceView(0, Map.of(), List.of(), false, false, false);
 
 	public ServiceView {
 		services = Map.copyOf(services);
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -64,6 +64,8 @@
 
 	private long bundleAskedNanos;
 
+	private boolean mayReject;
+
 	private long idleNanos;
 
 	private boolean finished;
@@ -267,6 +269,10 @@
 
 	private void tick() {
 		long now = this.clock.getAsLong();
+		// The view is made anew after changes only, and a bundle grows old without one.
+		if (this.heads.mayReject(now) != this.mayReject) {
+			publish();
+		}
 		this.calls.decide(new RequestEvent.Tick());
 		this.claims.tick();
 		if (this.heads.wanted().isPresent() && now - this.bundleAskedNanos > RETRY_BUNDLE_NANOS) {
@@ -296,6 +302,7 @@
 	}
 
 	private void publish() {
+		this.mayReject = this.heads.mayReject(this.clock.getAsLong());
 		Map<String, ServiceSpec> services = this.heads.bundle()
 			.map((bundle) -> bundle.services()
 				.stream()
@@ -306,8 +313,8 @@
 			.map((member) -> "http://" + member.host() + ":" + member.httpPort())
 			.toList();
 		boolean ready = this.heads.generation() > 0 && this.peers.agents() > 0 && !this.draining.started();
-		this.output
-			.publish(new ServiceView(this.heads.generation(), services, entries, this.draining.refusing(), ready));
+		this.output.publish(new ServiceView(this.heads.generation(), services, entries, this.draining.refusing(), ready,
+				this.mayReject));
 	}
 
 	private void sendHeads() {
--- a/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.process;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import org.wisteriapost.policy.bundle.BundleCodec;
 import org.wisteriapost.policy.bundle.Digests;
 import org.wisteriapost.policy.bundle.ServiceSpec;
+import org.wisteriapost.policy.routing.RejectionGuard;
 
 /**
  * The bundle in force as this entry knows it. Its generation never goes down, whoever
@@ -23,8 +25,13 @@
 	// Agents report every second.
 	private static final long FIRST_REPORTS_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+	// Until a bundle that operators have rolled is to be in force at every entry.
+	private static final Duration IN_FORCE = Duration.ofSeconds(8);
+
 	private final Invariants invariants;
 
+	private final RejectionGuard guard = RejectionGuard.of(IN_FORCE);
+
 	private Known current = Known.NONE;
 
 	private Optional<Known> wanted = Optional.empty();
@@ -61,6 +68,7 @@
 			if (same && fromPlatform) {
 				this.confirmed = true;
 				this.confirmedNanos = nowNanos;
+				this.guard.confirmed(nowNanos);
 			}
 			return false;
 		}
@@ -94,6 +102,9 @@
 		this.content = Optional.of(read);
 		this.confirmed = next.fromPlatform;
 		this.confirmedNanos = nowNanos;
+		if (this.confirmed) {
+			this.guard.confirmed(nowNanos);
+		}
 		return true;
 	}
 
@@ -148,6 +159,15 @@
 		return Map.copyOf(this.previous);
 	}
 
+	/**
+	 * Returns whether the bundle in force is known to be the newest, recently enough to
+	 * call a request wrong by it. One whose head is known and that is not here yet may
+	 * hold what the request asks for.
+	 */
+	boolean mayReject(long nowNanos) {
+		return this.wanted.isEmpty() && this.guard.allows(nowNanos);
+	}
+
 	/**
 	 * Returns for each service the digests an answer may come from.
 	 */
