--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -47,7 +47,7 @@
 
 	private final Map<String, Frame> told = new HashMap<>();
 
-	private Optional<Mesh> mesh = Optional.empty();
+	private Optional<PeerSender> mesh = Optional.empty();
 
 	private boolean leaves;
 
@@ -62,7 +62,7 @@
 		this.dispatcher = dispatcher;
 	}
 
-	void connect(Mesh links) {
+	void connect(PeerSender links) {
 		this.mesh = Optional.of(links);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -25,7 +25,7 @@
  * The links from this entry to the other entries and to agents, made again when they
  * break. What others send on links that they made comes in here too.
  */
-final class Mesh implements AutoCloseable {
+final class Mesh implements AutoCloseable, PeerSender {
 
 	private static final Logger LOG = System.getLogger(Mesh.class.getName());
 
@@ -71,11 +71,8 @@
 		return this.server.port();
 	}
 
-	/**
-	 * Sets whom to be linked to.
-	 * @param peers addresses by name
-	 */
-	void desired(Map<String, InetSocketAddress> peers) {
+	@Override
+	public void desired(Map<String, InetSocketAddress> peers) {
 		this.outgoing.forEach((name, link) -> {
 			if (!link.address.equals(peers.get(name))) {
 				this.outgoing.remove(name);
@@ -91,18 +88,19 @@
 		});
 	}
 
-	/**
-	 * Sends a frame to a peer, on the link that it made if this entry has made none;
-	 * nothing happens when there is no link. A frame for a full link is left out.
-	 */
-	void send(String name, Frame frame) {
+	// On the link that the peer made, if this entry has made none.
+	@Override
+	public Sending send(String name, Frame frame) {
 		Optional<Link> link = linkTo(name);
-		if (link.isPresent() && !link.get().writable()) {
+		if (link.isEmpty()) {
+			return Sending.NO_LINK;
+		}
+		if (!link.get().writable()) {
 			this.log.failure("frame-left-out", "peer", name, "kind", frame.getBodyCase(), "bytes",
 					frame.getSerializedSize());
-			return;
+			return Sending.LINK_FULL;
 		}
-		link.ifPresent((open) -> open.send(frame));
+		return link.get().send(frame) ? Sending.SENT : Sending.NO_LINK;
 	}
 
 	private Optional<Link> linkTo(String name) {
@@ -111,10 +109,8 @@
 		return Optional.ofNullable((own != null) ? own : this.incoming.get(name));
 	}
 
-	/**
-	 * Returns the names of the entries to which there is a link.
-	 */
-	Set<String> entries() {
+	@Override
+	public Set<String> entries() {
 		Set<String> names = new HashSet<>(this.incoming.keySet());
 		this.outgoing.forEach((name, link) -> {
 			if (link.up() && link.entry) {
