What a full link did not take is said again

What callers saw is a matter of what can happen, not of what was seen: an entry told agents of named weights, and other entries that it leaves, once, and took it for said also when the link was full and left the frame out. An engine would keep weights that are over, and callers would be named an entry that has left. Now only what was sent counts as told; the rest is tried again with the next look at the links. Ruled out: a larger queue, which only moves the bound.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Announcer.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.fleet.AgentDuty;
@@ -47,6 +49,8 @@
 
 	private final Map<String, Frame> told = new HashMap<>();
 
+	private final Set<String> notToldOfLeaving = new HashSet<>();
+
 	private Optional<PeerSender> mesh = Optional.empty();
 
 	private boolean leaves;
@@ -84,7 +88,7 @@
 	 */
 	void leaving() {
 		this.leaves = true;
-		this.mesh.ifPresent((links) -> links.entries().forEach((name) -> links.send(name, leave())));
+		this.mesh.ifPresent((links) -> links.entries().forEach(this::tellLeaving));
 	}
 
 	/**
@@ -94,8 +98,22 @@
 	 */
 	void met(String peer) {
 		if (this.leaves) {
-			this.mesh.ifPresent((links) -> links.send(peer, leave()));
+			tellLeaving(peer);
+		}
+	}
+
+	// A full link leaves the notice out, and its peer would go on naming this entry to
+	// callers. So it is kept until the link takes it; who has no link asks when it has.
+	private void tellLeaving(String peer) {
+		if (sent(peer, leave())) {
+			this.notToldOfLeaving.remove(peer);
+			return;
 		}
+		this.notToldOfLeaving.add(peer);
+	}
+
+	private boolean sent(String peer, Frame frame) {
+		return this.mesh.map((links) -> links.send(peer, frame) != PeerSender.Sending.LINK_FULL).orElse(true);
 	}
 
 	private Frame leave() {
@@ -125,6 +143,7 @@
 	 * Links to the entries and agents that there are now, if there are others.
 	 */
 	void tick(Optional<RouteTable> known, long nowNanos) {
+		List.copyOf(this.notToldOfLeaving).forEach(this::tellLeaving);
 		if (this.stale && nowNanos - this.relinkedNanos >= GATHER_NANOS) {
 			this.stale = false;
 			this.relinkedNanos = nowNanos;
@@ -193,11 +212,18 @@
 	}
 
 	// Registrations change all the time, what agents are told of them seldom. Said again
-	// each time it took most of the bytes between regions.
+	// each time it took most of the bytes between regions. What a full link left out
+	// counts as not said: an engine would keep weights that are over.
 	private void tellOnce(String agent, Frame frame) {
-		if (!frame.equals(this.told.put(agent + frame.getBodyCase(), frame))) {
-			this.mesh.ifPresent((links) -> links.send(agent, frame));
+		String what = agent + frame.getBodyCase();
+		if (frame.equals(this.told.get(what))) {
+			return;
 		}
+		if (sent(agent, frame)) {
+			this.told.put(what, frame);
+			return;
+		}
+		this.stale = true;
 	}
 
 	private static InetSocketAddress address(String text) {
