An HTTP call may bound the waits within its answer, and its connection

What callers saw: requests for routes declared seconds before were rejected, since entries never had the grown table whole.

Cause: a call had one limit, on its whole answer. Over a full link a large answer is cut while it comes, whatever the limit that is chosen for small ones; and the connection had 0.4 s, the time of a runner, though a handshake waits behind what others fetch.

HttpTimes holds the limits of a call: connection, beginning of the answer, silence after a piece of it, whole answer. The limit on silence is put off by each piece, so an answer that comes is not cut for its size, and the one on the whole bounds a trickle. Calls that name one duration have the limits they had.

Seen to fail first, with the new limits there but not heeded: 4 cases of HttpCallerTests: anAnswerThatKeepsComingIsNotCut (connection reset by the caller), anAnswerThatStopsIsGivenUp (both cases, another failure than silence), aCallSaysHowLongItWaitsForItsConnection (no connection). aCallCanAskForAConnectionThatWasNotIdleForLong names the times by their new type; it holds the same.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -16,6 +16,7 @@
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.protocol.http.HttpCall;
 import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.http.HttpTimes;
 import org.wisteriapost.protocol.site.CallDialect;
 import org.wisteriapost.protocol.site.OutboundCall;
 
@@ -125,7 +126,8 @@
 				send.rank(), send.weightsVersion(), job.lastEvent());
 		this.dialect.outbound(added).forEach((header) -> headers.put(header.getKey(), header.getValue()));
 		URI target = URI.create("http://" + send.runner().address() + arrival.target());
-		return new HttpCall(arrival.method(), target, headers, arrival.body(), Duration.ofMillis(remaining).plus(SLACK),
+		return new HttpCall(arrival.method(), target, headers, arrival.body(),
+				HttpTimes.whole(Duration.ofMillis(remaining).plus(SLACK)),
 				job.route().repeatable() ? Optional.empty() : Optional.of(ONCE_MOST_IDLE), Optional.empty());
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
@@ -37,10 +37,6 @@
  */
 final class Exchange implements HttpExchange {
 
-	// Within a site a connection is there after a few milliseconds. A lost opening packet
-	// is sent again only after a second, which is later than another runner answers.
-	private static final long CONNECT_MILLIS = 400;
-
 	private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d+)");
 
 	private final HttpCall call;
@@ -63,6 +59,14 @@
 
 	private volatile XnioExecutor.Key connectTimer;
 
+	private volatile XnioExecutor.Key progressTimer;
+
+	private volatile long sentNanos;
+
+	private volatile long heardNanos;
+
+	private volatile boolean begun;
+
 	private long keptOpenMillis = ConnectionPool.USUAL_IDLE_MILLIS;
 
 	Exchange(HttpCall call, HttpListener listener, ConnectionPool pool) {
@@ -72,28 +76,54 @@
 	}
 
 	void start() {
-		this.timer = this.pool.worker()
-			.getIoThread()
-			.executeAfter(() -> fail(new TimeoutException("no whole answer in " + this.call.timeout())),
-					this.call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+		Duration whole = this.call.times().whole();
+		this.timer = after(whole, () -> fail(new TimeoutException("no whole answer in " + whole)));
 		Optional<ClientConnection> pooled = this.pool.take(this.call.target(), this.call.mostIdle());
 		if (pooled.isPresent()) {
 			ClientConnection reused = pooled.get();
 			reused.getIoThread().execute(() -> send(reused));
 			return;
 		}
-		this.connectTimer = this.pool.worker()
-			.getIoThread()
-			.executeAfter(this::connectLate, CONNECT_MILLIS, TimeUnit.MILLISECONDS);
+		this.connectTimer = after(this.call.times().connect(), this::connectLate);
 		this.pool.connect(this.call.target(), new Step<>(this::send));
 	}
 
 	private void connectLate() {
 		if (this.connection == null) {
-			fail(new TimeoutException("no connection in " + CONNECT_MILLIS + " ms"));
+			fail(new TimeoutException("no connection in " + this.call.times().connect().toMillis() + " ms"));
+		}
+	}
+
+	// Failure: a limit on the whole answer alone cuts a large one that is coming, or lets
+	// one that has gone silent wait as long. Pieces that come put this limit off, and the
+	// one on the whole answer bounds a trickle.
+	private void progress() {
+		if (this.done.get()) {
+			return;
+		}
+		HttpTimes times = this.call.times();
+		long now = System.nanoTime();
+		long left = this.sentNanos + times.first().toNanos() - now;
+		if (this.begun) {
+			left = Math.max(left, this.heardNanos + times.stall().toNanos() - now);
+		}
+		if (left > 0) {
+			this.progressTimer = after(Duration.ofNanos(left), this::progress);
+		}
+		else if (this.paused) {
+			// Its reader does not want more for now.
+			this.progressTimer = after(times.stall(), this::progress);
+		}
+		else {
+			fail(new TimeoutException(
+					this.begun ? "no further byte in " + times.stall() : "no answer in " + times.first()));
 		}
 	}
 
+	private XnioExecutor.Key after(Duration wait, Runnable task) {
+		return this.pool.worker().getIoThread().executeAfter(task, wait.toNanos(), TimeUnit.NANOSECONDS);
+	}
+
 	@Override
 	public void cancel() {
 		fail(new Cancelled());
@@ -132,6 +162,10 @@
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, this.call.body().length);
 		}
 		this.sent = true;
+		this.sentNanos = System.nanoTime();
+		if (this.call.times().watchesProgress()) {
+			progress();
+		}
 		to.sendRequest(request, new Step<>(this::exchange));
 	}
 
@@ -181,6 +215,7 @@
 			header.forEach((value) -> all.add(Map.entry(name, value)));
 		});
 		keptOpen(headers);
+		heard();
 		this.answer = exchange.getResponseChannel();
 		if (!this.done.get()) {
 			this.listener.onHead(response.getResponseCode(), headers, all);
@@ -220,6 +255,7 @@
 					channel.resumeReads();
 					return;
 				}
+				heard();
 				byte[] data = new byte[count];
 				buffer.flip().get(data);
 				this.listener.onData(data);
@@ -230,9 +266,14 @@
 		}
 	}
 
+	private void heard() {
+		this.heardNanos = System.nanoTime();
+		this.begun = true;
+	}
+
 	private void end() {
 		if (this.done.compareAndSet(false, true)) {
-			this.timer.remove();
+			stopTimers();
 			long most = this.call.keptIdle().map(Duration::toMillis).orElse(Long.MAX_VALUE);
 			this.pool.giveBack(this.call.target(), this.connection, Math.min(most, this.keptOpenMillis));
 			this.listener.onEnd();
@@ -241,7 +282,7 @@
 
 	private void fail(Throwable cause) {
 		if (this.done.compareAndSet(false, true)) {
-			this.timer.remove();
+			stopTimers();
 			drop(this.connection);
 			if (!(cause instanceof Cancelled)) {
 				// Idle connections to a machine that was cut off are as dead as this one.
@@ -251,6 +292,14 @@
 		}
 	}
 
+	private void stopTimers() {
+		this.timer.remove();
+		XnioExecutor.Key progress = this.progressTimer;
+		if (progress != null) {
+			progress.remove();
+		}
+	}
+
 	// Undertow's own close ends the sending side and then waits up to 10 seconds for the
 	// other side, which would work on, for nobody, that long. The bare connection closes
 	// at once. It is reset, since what has not left over a full link would still be sent
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCall.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCall.java
@@ -13,23 +13,30 @@
  * @param target the absolute URI, host as an IP number
  * @param headers by name
  * @param body empty for none
- * @param timeout until the whole answer; the connection is closed when it passes, never
- * reused
+ * @param times how long it waits
  * @param mostIdle how long a reused connection may have been idle; empty for as long as
  * it is kept
  * @param keptIdle how long its connection is kept afterwards at most; empty for as long
  * as the server keeps it
  */
-public record HttpCall(String method, URI target, Map<String, String> headers, byte[] body, Duration timeout,
+public record HttpCall(String method, URI target, Map<String, String> headers, byte[] body, HttpTimes times,
 		Optional<Duration> mostIdle, Optional<Duration> keptIdle) {
 
 	private static final byte[] NO_BODY = new byte[0];
 
 	/**
 	 * Returns a request without a body.
+	 * @param timeout until the whole answer
 	 */
 	public static HttpCall of(String method, URI target, Duration timeout) {
-		return new HttpCall(method, target, Map.of(), NO_BODY, timeout, Optional.empty(), Optional.empty());
+		return of(method, target, HttpTimes.whole(timeout));
+	}
+
+	/**
+	 * Returns a request without a body.
+	 */
+	public static HttpCall of(String method, URI target, HttpTimes times) {
+		return new HttpCall(method, target, Map.of(), NO_BODY, times, Optional.empty(), Optional.empty());
 	}
 
 	/**
@@ -38,7 +45,7 @@
 	public HttpCall header(String name, String value) {
 		Map<String, String> more = new LinkedHashMap<>(this.headers);
 		more.put(name, value);
-		return new HttpCall(this.method, this.target, more, this.body, this.timeout, this.mostIdle, this.keptIdle);
+		return new HttpCall(this.method, this.target, more, this.body, this.times, this.mostIdle, this.keptIdle);
 	}
 
 	/**
@@ -46,7 +53,7 @@
 	 * afterwards, for a server that many share and that takes few connections.
 	 */
 	public HttpCall keptIdle(Duration most) {
-		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeout, this.mostIdle,
+		return new HttpCall(this.method, this.target, this.headers, this.body, this.times, this.mostIdle,
 				Optional.of(most));
 	}
 
@@ -54,7 +61,7 @@
 	 * Returns this request with a body.
 	 */
 	public HttpCall body(byte[] body) {
-		return new HttpCall(this.method, this.target, this.headers, body, this.timeout, this.mostIdle, this.keptIdle);
+		return new HttpCall(this.method, this.target, this.headers, body, this.times, this.mostIdle, this.keptIdle);
 	}
 
 }
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -1,13 +1,17 @@
 package org.wisteriapost.protocol.http;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.URI;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -20,9 +24,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.xnio.IoUtils;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -36,6 +43,8 @@
 
 	private final HttpCaller caller = HttpCaller.create(1);
 
+	private final List<SocketChannel> before = new ArrayList<>();
+
 	private Undertow server;
 
 	@BeforeEach
@@ -52,6 +61,7 @@
 	void stop() {
 		this.caller.close();
 		this.server.stop();
+		this.before.forEach(IoUtils::safeClose);
 	}
 
 	@Test
@@ -126,6 +136,80 @@
 		}
 	}
 
+	// An answer is larger than its link is fast. It comes all the while, so it is not cut
+	// when the time has passed in which a small one would have been there.
+	@Test
+	void anAnswerThatKeepsComingIsNotCut() throws Exception {
+		try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			HttpTimes times = HttpTimes.whole(LONG).progress(Duration.ofSeconds(2), Duration.ofSeconds(2));
+			CompletableFuture<HttpReply> reply = this.caller.call(HttpCall.of("GET", address(slow), times));
+			try (Socket open = slow.accept()) {
+				write(open, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+				for (int i = 0; i < 10; i++) {
+					TimeUnit.MILLISECONDS.sleep(300);
+					write(open, "b");
+				}
+				assertThat(reply.join().body().length, equalTo(10));
+			}
+		}
+	}
+
+	// The server dies, or its link does, in the middle of an answer or before it. That is
+	// known long before the time for a large answer has passed.
+	@ParameterizedTest
+	@CsvSource({ "'', no answer in PT0.3S",
+			"'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nb', no further byte in PT0.2S" })
+	void anAnswerThatStopsIsGivenUp(String said, String why) throws Exception {
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			HttpTimes times = HttpTimes.whole(LONG).progress(SHORT, Duration.ofMillis(200));
+			CompletableFuture<HttpReply> reply = this.caller.call(HttpCall.of("GET", address(silent), times));
+			try (Socket open = silent.accept()) {
+				write(open, said);
+				CompletionException ex = assertThrows(CompletionException.class, reply::join);
+				assertThat(ex.getMessage(), endsWith(why));
+			}
+		}
+	}
+
+	// The link to a server is full, and its handshake takes longer than runners get for
+	// theirs. There is no other such server, so its caller waits: the server takes no
+	// connection until it has taken those that came before.
+	@Test
+	void aCallSaysHowLongItWaitsForItsConnection() throws Exception {
+		try (ServerSocket busy = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			for (int i = 0; i < 4; i++) {
+				SocketChannel before = SocketChannel.open();
+				before.configureBlocking(false);
+				before.connect(busy.getLocalSocketAddress());
+				this.before.add(before);
+			}
+			HttpTimes times = HttpTimes.whole(LONG).connect(LONG);
+			CompletableFuture<HttpReply> reply = this.caller.call(HttpCall.of("GET", address(busy), times));
+			TimeUnit.MILLISECONDS.sleep(600);
+			Thread.ofVirtual().start(() -> answerAll(busy));
+			assertThat(reply.join().status(), is(204));
+		}
+	}
+
+	private static void answerAll(ServerSocket server) {
+		try {
+			while (!server.isClosed()) {
+				write(server.accept(), "HTTP/1.1 204 No Content\r\n\r\n");
+			}
+		}
+		catch (IOException ex) {
+			// The test is over.
+		}
+	}
+
+	private static URI address(ServerSocket server) {
+		return URI.create("http://127.0.0.1:" + server.getLocalPort() + "/");
+	}
+
+	private static void write(Socket open, String text) throws IOException {
+		open.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+	}
+
 	private static void readLater(Socket open) throws Exception {
 		TimeUnit.MILLISECONDS.sleep(200);
 		open.getInputStream().readAllBytes();
@@ -146,7 +230,8 @@
 
 	// The port on which the server sees a call come in.
 	private String port(Optional<Duration> mostIdle) {
-		HttpCall call = new HttpCall("GET", at("/port"), Map.of(), new byte[0], LONG, mostIdle, Optional.empty());
+		HttpCall call = new HttpCall("GET", at("/port"), Map.of(), new byte[0], HttpTimes.whole(LONG), mostIdle,
+				Optional.empty());
 		return new String(this.caller.call(call).join().body(), StandardCharsets.UTF_8);
 	}
 
