A pause gives the call in progress up

What callers saw: the entry that reads for its place was late with new routes while its neighbours, which had begun to rest, still fetched copies over the same link for nobody.

--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.SequencedMap;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -59,6 +60,8 @@
 
 	private long pauseMillis = FIRST_PAUSE_MILLIS;
 
+	private CompletableFuture<?> call = CompletableFuture.completedFuture(null);
+
 	// Calls that were made before the latest pause or return belong to an earlier round,
 	// and what they bring may be older than what is known by now.
 	private int round;
@@ -95,12 +98,14 @@
 	}
 
 	/**
-	 * Makes no further call, and leaves out what the last one brings.
+	 * Makes no further call, gives the last one up and leaves out what it brings.
 	 */
 	public void pause() {
 		this.timer.execute(() -> {
 			this.paused = true;
 			this.round++;
+			// What nobody wants any more would still take its share of a full link.
+			this.call.cancel(false);
 		});
 	}
 
@@ -143,7 +148,7 @@
 
 	private void catchUp(long from) {
 		int asked = this.round;
-		this.store.watch(this.kind, from, Duration.ZERO).whenCompleteAsync((changes, failure) -> {
+		ask(from, Duration.ZERO).whenCompleteAsync((changes, failure) -> {
 			if (asked != this.round) {
 				return;
 			}
@@ -173,7 +178,9 @@
 
 	private void page(Listing listing, Optional<String> after) {
 		int asked = this.round;
-		this.store.list(this.kind, after).whenCompleteAsync((page, failure) -> {
+		CompletableFuture<ObjectStore.Page> answer = this.store.list(this.kind, after);
+		this.call = answer;
+		answer.whenCompleteAsync((page, failure) -> {
 			if (asked != this.round) {
 				return;
 			}
@@ -197,7 +204,7 @@
 	private void watch(long from) {
 		int asked = this.round;
 		Duration wait = this.reliedOn ? this.kind.reliedWait() : this.kind.watchWait();
-		this.store.watch(this.kind, from, wait).whenCompleteAsync((changes, failure) -> {
+		ask(from, wait).whenCompleteAsync((changes, failure) -> {
 			if (asked != this.round) {
 				return;
 			}
@@ -211,6 +218,12 @@
 		}, this.timer);
 	}
 
+	private CompletableFuture<ObjectStore.Changes> ask(long from, Duration wait) {
+		CompletableFuture<ObjectStore.Changes> answer = this.store.watch(this.kind, from, wait);
+		this.call = answer;
+		return answer;
+	}
+
 	private void told(ObjectStore.Changes changes, long at) {
 		this.told = at;
 		if (changes.list().isEmpty()) {
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
@@ -13,7 +13,8 @@
  * A site's store: objects by kind and name, one revision that grows with every change,
  * watches from a revision on.
  *
- * A failed future carries a {@link org.wisteriapost.kernel.CodedException}.
+ * A failed future carries a {@link org.wisteriapost.kernel.CodedException}. One of a
+ * listing or a watch that is cancelled gives the call up.
  */
 public interface ObjectStore {
 
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
@@ -170,16 +171,41 @@
 	}
 
 	// A neighbour reads the store now. What the last watch brings is older than what the
-	// neighbour has said by then: a runner that left would be taken for ready again.
+	// neighbour has said by then: a runner that left would be taken for ready again. It
+	// is there already when the pause begins, too late for its call to be given up.
 	@Test
 	void whatComesAfterAPauseIsLeftOut() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		CountDownLatch busy = new CountDownLatch(1);
+		this.timer.execute(() -> awaitQuietly(busy));
+		follower.pause();
+		assertThat(this.store.waiting.complete(new Changes(List.of(new Change(item("a", 6), false)), 6)),
+				Matchers.is(true));
+		busy.countDown();
+		assertThat(heard(), Matchers.contains("back", "all[a]"));
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	// A neighbour reads the store now. What this one had asked for would take its share
+	// of a link that may be full.
+	@Test
+	void aPauseGivesUpTheCallInProgress() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start();
 		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
 		follower.pause();
-		heard();
-		this.store.waiting.complete(new Changes(List.of(new Change(item("a", 6), false)), 6));
 		assertThat(heard(), Matchers.contains("back", "all[a]"));
+		assertThat(this.store.waiting.isCancelled(), Matchers.is(true));
 	}
 
 	// The neighbour is gone: what was changed meanwhile is read at once, and that the
