A follower says as of when all the store had has been told

What callers saw: an entry rejected requests by a table that was 5 s old, for good, since nothing tells it how old its table is.

Cause: that the store answers is known, and what has changed, but not the moment up to which all is known.

FollowListener.onConfirmed names that moment, after what it confirms has been told: when the first page of a listing was asked for; when a watch was asked for, or the end of its wait when the store held it empty for all of it. Each of them is a lower bound, whatever the link takes. The watch of ROUTES waits a second, so that its confirmations are younger than the bound for a declaration; what is relied on waits as before. DirectEvent.StoreConfirmed carries it to the state, which does nothing with it yet.

Seen to fail first: aListingIsConfirmedAsOfItsFirstPage, changesAreConfirmedAsOfTheirCall (2 cases) and anEmptyWatchIsConfirmedAsOfItsEnd (2 cases) with nothing confirmed, aWatchWaitsAsLongAsItsKindMay for ROUTES alone (2.2 s).

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -79,6 +79,15 @@
 	record StoreReachable(Kind kind, boolean reachable) implements DirectEvent {
 	}
 
+	/**
+	 * All that the store had of a kind at a moment has been told.
+	 *
+	 * @param kind the kind
+	 * @param asOfNanos the moment, by this process's {@link System#nanoTime}
+	 */
+	record StoreConfirmed(Kind kind, long asOfNanos) implements DirectEvent {
+	}
+
 	/** What is known of the store may be old: a watch was lost and no answer has come. */
 	record StoreDoubtful() implements DirectEvent {
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -133,6 +133,11 @@
 				view.put(new DirectEvent.ObjectChanged(kind, change));
 			}
 
+			@Override
+			public void onConfirmed(long asOfNanos) {
+				view.put(new DirectEvent.StoreConfirmed(kind, asOfNanos));
+			}
+
 			@Override
 			public void onDoubt() {
 				view.put(new DirectEvent.StoreDoubtful());
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -132,6 +132,9 @@
 			case DirectEvent.AllObjects all -> all(all, now);
 			case DirectEvent.ObjectChanged changed -> changed(changed.kind(), changed.change(), now);
 			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
+			case DirectEvent.StoreConfirmed confirmed -> {
+				// Nothing depends on the age of what is known yet.
+			}
 			case DirectEvent.StoreDoubtful doubtful -> this.news.ifPresent(SiteNews::dismiss);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/FollowListener.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/FollowListener.java
@@ -18,6 +18,12 @@
 	 */
 	void onChange(ObjectStore.Change change);
 
+	/**
+	 * Hears that all that the store had at a moment has been told.
+	 * @param asOfNanos the moment, by this process's {@link System#nanoTime}
+	 */
+	void onConfirmed(long asOfNanos);
+
 	/**
 	 * Hears that a watch was lost and the store has not answered since: what is known may
 	 * be old. Called only while others rely on it.
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -139,7 +139,7 @@
 			return;
 		}
 		if (this.told == NOTHING) {
-			page(new Listing(new ArrayList<>(), NOTHING), Optional.empty());
+			page(new Listing(new ArrayList<>(), NOTHING, System.nanoTime()), Optional.empty());
 		}
 		else {
 			catchUp(this.told);
@@ -148,6 +148,7 @@
 
 	private void catchUp(long from) {
 		int asked = this.round;
+		long askedNanos = System.nanoTime();
 		ask(from, Duration.ZERO).whenCompleteAsync((changes, failure) -> {
 			if (asked != this.round) {
 				return;
@@ -164,6 +165,7 @@
 				return;
 			}
 			latest(changes.list()).forEach(this::change);
+			this.listener.onConfirmed(askedNanos);
 			told(changes, changes.at());
 		}, this.timer);
 	}
@@ -192,10 +194,11 @@
 			listing.items.addAll(page.items());
 			long from = (listing.from < 0) ? page.at() : listing.from;
 			if (page.more() && !page.items().isEmpty()) {
-				page(new Listing(listing.items, from), Optional.of(page.items().getLast().name()));
+				page(new Listing(listing.items, from, listing.askedNanos), Optional.of(page.items().getLast().name()));
 				return;
 			}
 			all(listing.items, from);
+			this.listener.onConfirmed(listing.askedNanos);
 			this.told = from;
 			watch(from);
 		}, this.timer);
@@ -204,6 +207,7 @@
 	private void watch(long from) {
 		int asked = this.round;
 		Duration wait = this.reliedOn ? this.kind.reliedWait() : this.kind.watchWait();
+		long askedNanos = System.nanoTime();
 		ask(from, wait).whenCompleteAsync((changes, failure) -> {
 			if (asked != this.round) {
 				return;
@@ -213,11 +217,22 @@
 				return;
 			}
 			seen(true);
+			long asOfNanos = asOf(changes, askedNanos, wait);
 			changes.list().forEach(this::change);
+			this.listener.onConfirmed(asOfNanos);
 			told(changes, Math.max(from, changes.at()));
 		}, this.timer);
 	}
 
+	// A store that held a watch for its whole wait had no change until the end of it;
+	// that it may have held it longer, or its answer have been long under way, is not
+	// counted. One that ended it sooner may have had a change right after the call.
+	private static long asOf(ObjectStore.Changes changes, long askedNanos, Duration wait) {
+		long endNanos = askedNanos + wait.toNanos();
+		boolean held = changes.list().isEmpty() && System.nanoTime() - endNanos >= 0;
+		return held ? endNanos : askedNanos;
+	}
+
 	private CompletableFuture<ObjectStore.Changes> ask(long from, Duration wait) {
 		CompletableFuture<ObjectStore.Changes> answer = this.store.watch(this.kind, from, wait);
 		this.call = answer;
@@ -325,7 +340,7 @@
 		}
 	}
 
-	private record Listing(List<ObjectStore.Item> items, long from) {
+	private record Listing(List<ObjectStore.Item> items, long from, long askedNanos) {
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Kind.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Kind.java
@@ -12,7 +12,7 @@
 public enum Kind {
 
 	/** The declaration of traffic; one object. */
-	ROUTES(Watch.SOON, Duration.ofMillis(80)),
+	ROUTES(Watch.CONFIRMED, Duration.ofMillis(80)),
 	/** Runners, written by themselves. */
 	RUNNERS(Watch.SOON, Duration.ofMillis(150)),
 	/** Named weights, written by operators. */
@@ -46,7 +46,7 @@
 	 * the least: a connection that has gone silent has to be noticed well within that.
 	 */
 	Duration reliedWait() {
-		return (this.wait == Watch.SOON) ? Watch.RELIED : this.wait;
+		return (this.wait.compareTo(Watch.SOON) <= 0) ? Watch.RELIED : this.wait;
 	}
 
 	/**
@@ -63,7 +63,11 @@
 		// A bit less than the usual bound for declarations to be in force.
 		private static final Duration SOON = Duration.ofMillis(2200);
 
-		// With 0.6 s until a silent watch is given up and 0.4 s for the listing after it,
+		// Harm prevented: a table that is not known to be new may not reject a request. A
+		// watch without a change confirms it at its end, well within that usual bound.
+		private static final Duration CONFIRMED = Duration.ofSeconds(1);
+
+		// With 0.6 s until a silent watch is given up and 0.4 s for the call after it,
 		// silence is known after 1.8 s.
 		private static final Duration RELIED = Duration.ofMillis(800);
 
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -15,6 +15,9 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -35,6 +38,10 @@
 
 	private final List<String> heard = new ArrayList<>();
 
+	private final long startedNanos = System.nanoTime();
+
+	private final List<Confirmed> confirmed = new ArrayList<>();
+
 	private final CompletableFuture<Void> scriptOver = new CompletableFuture<>();
 
 	@AfterEach
@@ -58,7 +65,11 @@
 	}
 
 	private Follower start() {
-		return Follower.start(this.store, Kind.RUNNERS, this.timer, new FollowListener() {
+		return start(Kind.RUNNERS);
+	}
+
+	private Follower start(Kind kind) {
+		return Follower.start(this.store, kind, this.timer, new FollowListener() {
 
 			@Override
 			public void onAll(List<Item> items, long at) {
@@ -71,6 +82,11 @@
 					.add((change.deleted() ? "-" : "+") + change.item().name() + "@" + change.item().revision());
 			}
 
+			@Override
+			public void onConfirmed(long asOfNanos) {
+				FollowerTests.this.confirmed.add(new Confirmed(asOfNanos, List.copyOf(FollowerTests.this.heard)));
+			}
+
 			@Override
 			public void onDoubt() {
 				FollowerTests.this.heard.add("doubt");
@@ -261,6 +277,90 @@
 		assertThat(heard(), Matchers.contains("back", "all[a]", "doubt"));
 	}
 
+	// An entry that does not know a route says so for good only when it knows that its
+	// table is new enough. What is confirmed is what the store had when it was asked, at
+	// the earliest of a listing's calls, and it is said after what it confirms.
+	@Test
+	void aListingIsConfirmedAsOfItsFirstPage() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), true, 5));
+		this.store.pages.add(new Page(List.of(item("b", 9)), false, 9));
+		follow();
+		Confirmed only = confirmed().getFirst();
+		assertAsked(0, only.asOf);
+		assertThat(only.before, Matchers.contains("back", "all[a, b]"));
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void changesAreConfirmedAsOfTheirCall(boolean afterALostWatch) throws Exception {
+		Changes changes = new Changes(List.of(new Change(item("b", 7), false)), 9);
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		if (afterALostWatch) {
+			this.store.failures.add(ObjectStore.UNAVAILABLE);
+			this.store.gaps.add(changes);
+		}
+		else {
+			this.store.changes.add(changes);
+		}
+		follow();
+		Confirmed last = confirmed().getLast();
+		assertAsked(afterALostWatch ? 2 : 1, last.asOf);
+		assertThat(last.before, Matchers.contains("back", "all[a]", "+b@7"));
+	}
+
+	// The store held a watch for all its wait, so it had nothing until then; what the
+	// answer took over a slow link is not counted. One that it ended early says nothing
+	// of the time after it was asked.
+	@ParameterizedTest
+	@CsvSource({ "ENTRIES,false", "ROUTES,true" })
+	void anEmptyWatchIsConfirmedAsOfItsEnd(Kind kind, boolean held) throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start(kind);
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		long waited = this.store.waits.getLast().toNanos();
+		if (held) {
+			TimeUnit.NANOSECONDS.sleep(waited + TimeUnit.MILLISECONDS.toNanos(100));
+		}
+		this.store.waiting.complete(new Changes(List.of(), 5));
+		follower.pause();
+		heard();
+		assertAsked(1, confirmed().get(1).asOf - (held ? waited : 0));
+	}
+
+	// What confirms the table of routes must come well within the usual bound for a
+	// declaration to be in force; and who is relied on notices a silent store sooner.
+	@ParameterizedTest
+	@CsvSource({ "ROUTES,false,1000", "ROUTES,true,800", "RUNNERS,false,2200", "RUNNERS,true,800", "WEIGHTS,true,800",
+			"ENTRIES,false,15000", "ENTRIES,true,15000" })
+	void aWatchWaitsAsLongAsItsKindMay(Kind kind, boolean relied, long millis) throws Exception {
+		this.store.pages.add(new Page(List.of(), false, 5));
+		start(kind).reliedOn(relied);
+		for (int i = 0; i < 100 && this.store.asked.size() < 2; i++) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		this.store.waiting.complete(new Changes(List.of(), 5));
+		for (int i = 0; i < 100 && this.store.asked.size() < 3; i++) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		assertThat(this.store.waits.getLast(), Matchers.is(Duration.ofMillis(millis)));
+	}
+
+	// Between the store's hearing of the call before and of the call itself.
+	private void assertAsked(int call, long nanos) {
+		long before = (call > 0) ? this.store.askedNanos.get(call - 1) : this.startedNanos;
+		assertThat(nanos, Matchers.greaterThanOrEqualTo(before));
+		assertThat(nanos, Matchers.lessThanOrEqualTo(this.store.askedNanos.get(call)));
+	}
+
+	private List<Confirmed> confirmed() throws Exception {
+		return CompletableFuture.supplyAsync(() -> List.copyOf(this.confirmed), this.timer)
+			.get(MOST_SECONDS, TimeUnit.SECONDS);
+	}
+
+	/** What was confirmed, and what had been heard by then. */
+	private record Confirmed(long asOf, List<String> before) {
+	}
+
 	/** Answers from a script, and says when it is over. */
 	private final class ScriptedStore implements ObjectStore {
 
@@ -272,9 +372,13 @@
 
 		private final Queue<Changes> gaps = new ArrayDeque<>();
 
+		private final List<Long> askedNanos = new CopyOnWriteArrayList<>();
+
+		private final List<Duration> waits = new CopyOnWriteArrayList<>();
+
 		private final List<String> asked = new CopyOnWriteArrayList<>();
 
-		private CompletableFuture<Changes> waiting = new CompletableFuture<>();
+		private volatile CompletableFuture<Changes> waiting = new CompletableFuture<>();
 
 		private int listFailures;
 
@@ -282,6 +386,7 @@
 
 		@Override
 		public synchronized CompletableFuture<Page> list(Kind kind, Optional<String> after) {
+			this.askedNanos.add(System.nanoTime());
 			this.asked.add("list");
 			if (this.silent) {
 				return new CompletableFuture<>();
@@ -295,6 +400,8 @@
 
 		@Override
 		public synchronized CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
+			this.askedNanos.add(System.nanoTime());
+			this.waits.add(wait);
 			this.asked.add((wait.isZero() ? "since " : "watch ") + revision);
 			if (this.silent) {
 				return new CompletableFuture<>();
