--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -80,10 +80,10 @@
 	}
 
 	/**
-	 * All that the store had of a kind at some moment has been told.
+	 * All that the store had of a kind at a moment has been told.
 	 *
-	 * @param kind the kind of objects
-	 * @param asOfNanos the moment, on this process's own clock
+	 * @param kind the kind
+	 * @param asOfNanos the moment, by this process's {@link System#nanoTime}
 	 */
 	record StoreConfirmed(Kind kind, long asOfNanos) implements DirectEvent {
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -136,7 +136,7 @@
 			case DirectEvent.AllObjects all -> all(all, now);
 			case DirectEvent.ObjectChanged changed -> changed(changed.kind(), changed.change(), now);
 			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
-			case DirectEvent.StoreConfirmed known -> this.beliefs.confirmed(known.kind(), known.asOfNanos());
+			case DirectEvent.StoreConfirmed known -> confirmed(known);
 			case DirectEvent.StoreDoubtful doubtful -> this.news.ifPresent(SiteNews::dismiss);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
@@ -252,18 +252,35 @@
 
 	// What was on its way here when a neighbour took over is older than what that says.
 	private void all(DirectEvent.AllObjects all, long now) {
-		if (!rests()) {
-			this.news.ifPresent((passed) -> passed.read(all.kind(), all.items(), all.at()));
-			this.beliefs.all(all.kind(), all.items(), now);
+		if (rests()) {
+			missed(all.kind());
+			return;
 		}
+		this.news.ifPresent((passed) -> passed.read(all.kind(), all.items(), all.at()));
+		this.beliefs.all(all.kind(), all.items(), now);
 	}
 
 	private void changed(Kind kind, ObjectStore.Change change, long now) {
-		if (!rests() && this.news.map((passed) -> passed.read(kind, change)).orElse(true)) {
+		if (rests()) {
+			missed(kind);
+		}
+		else if (this.news.map((passed) -> passed.read(kind, change)).orElse(true)) {
 			this.beliefs.changed(kind, change, now);
 		}
 	}
 
+	// What was read while a neighbour took over was not taken, so nothing is confirmed by
+	// it.
+	private void confirmed(DirectEvent.StoreConfirmed known) {
+		if (!rests()) {
+			this.beliefs.confirmed(known.kind(), known.asOfNanos());
+		}
+	}
+
+	private void missed(Kind kind) {
+		this.reading.ifPresent((all) -> all.missed(kind));
+	}
+
 	private boolean rests() {
 		return this.reading.map(StoreReading::rests).orElse(false);
 	}
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -7,12 +7,17 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -33,6 +38,10 @@
 
 	private final List<String> heard = new ArrayList<>();
 
+	private final long startedNanos = System.nanoTime();
+
+	private final List<Confirmed> confirmed = new ArrayList<>();
+
 	private final CompletableFuture<Void> scriptOver = new CompletableFuture<>();
 
 	@AfterEach
@@ -56,7 +65,11 @@
 	}
 
 	private Follower start() {
-		return Follower.start(this.store, Kind.RUNNERS, this.timer, new FollowListener() {
+		return start(Kind.RUNNERS);
+	}
+
+	private Follower start(Kind kind) {
+		return Follower.start(this.store, kind, this.timer, new FollowListener() {
 
 			@Override
 			public void onAll(List<Item> items, long at) {
@@ -69,6 +82,11 @@
 					.add((change.deleted() ? "-" : "+") + change.item().name() + "@" + change.item().revision());
 			}
 
+			@Override
+			public void onConfirmed(long asOfNanos) {
+				FollowerTests.this.confirmed.add(new Confirmed(asOfNanos, List.copyOf(FollowerTests.this.heard)));
+			}
+
 			@Override
 			public void onDoubt() {
 				FollowerTests.this.heard.add("doubt");
@@ -104,40 +122,141 @@
 		assertThat(follow(), Matchers.contains("back", "all[a]", "all[c]"));
 	}
 
+	// The watch ends and its history has gone by then: only the call for the changes
+	// since says so.
 	@Test
-	void anOutageIsSaidOnceAndItsEnd() throws Exception {
+	void aHistoryThatIsGoneAfterALostWatchIsFollowedByANewListing() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		this.store.failures.add(ObjectStore.UNAVAILABLE);
+		this.store.failures.add(ObjectStore.HISTORY_GONE);
+		this.store.pages.add(new Page(List.of(item("c", 8)), false, 8));
+		assertThat(follow(), Matchers.contains("back", "all[a]", "all[c]"));
+		assertThat(this.store.asked, Matchers.contains("list", "watch 5", "since 5", "list", "watch 8"));
+	}
+
+	// Entries across a narrow link saw old tables for long: a watch that ended was
+	// followed by a copy of everything, for each of them, over the link that was full
+	// already. What was changed in the gap is all that is missing.
+	@Test
+	void aLostWatchIsFollowedByTheChangesSince() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1), item("b", 2)), false, 5));
+		this.store.failures.add(ObjectStore.UNAVAILABLE);
+		this.store.gaps.add(new Changes(List.of(new Change(item("b", 7), false)), 9));
+		assertThat(follow(), Matchers.contains("back", "all[a, b]", "+b@7"));
+		assertThat(this.store.asked, Matchers.contains("list", "watch 5", "since 5", "watch 9"));
+	}
+
+	// A runner comes and goes in a gap. Said one after the other, it would be sent
+	// requests though it has gone.
+	@Test
+	void ofAnObjectThatChangedOftenInAGapTheLatestIsSaid() throws Exception {
 		this.store.pages.add(new Page(List.of(), false, 5));
 		this.store.failures.add(ObjectStore.UNAVAILABLE);
-		this.store.listFailures = 3;
+		this.store.gaps.add(new Changes(List.of(new Change(item("a", 6), false), new Change(item("b", 7), false),
+				new Change(item("a", 6), true), new Change(item("b", 9), false)), 9));
+		assertThat(follow(), Matchers.contains("back", "all[]", "-a@6", "+b@9"));
+	}
+
+	// The store comes back from an older copy of itself, at a lower revision. It would
+	// say nothing of its changes until it is as far again.
+	@Test
+	void aStoreThatIsBehindIsListedAgain() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		this.store.failures.add(ObjectStore.UNAVAILABLE);
+		this.store.gaps.add(new Changes(List.of(), 3));
+		this.store.pages.add(new Page(List.of(item("c", 2)), false, 3));
+		assertThat(follow(), Matchers.contains("back", "all[a]", "all[c]"));
+	}
+
+	@Test
+	void anOutageIsSaidOnceAndItsEnd() throws Exception {
 		this.store.pages.add(new Page(List.of(), false, 5));
-		assertThat(follow(), Matchers.contains("back", "all[]", "lost", "back", "all[]"));
+		for (int i = 0; i < 4; i++) {
+			this.store.failures.add(ObjectStore.UNAVAILABLE);
+		}
+		assertThat(follow(), Matchers.contains("back", "all[]", "lost", "back"));
+		assertThat(this.store.asked,
+				Matchers.contains("list", "watch 5", "since 5", "since 5", "since 5", "since 5", "watch 5"));
+	}
+
+	@Test
+	void anOutageBeforeAnythingWasReadIsFollowedByAListing() throws Exception {
+		this.store.listFailures = 2;
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		assertThat(follow(), Matchers.contains("lost", "back", "all[a]"));
 	}
 
 	// A neighbour reads the store now. What the last watch brings is older than what the
-	// neighbour has said by then: a runner that left would be taken for ready again.
+	// neighbour has said by then: a runner that left would be taken for ready again. It
+	// is there already when the pause begins, too late for its call to be given up.
 	@Test
 	void whatComesAfterAPauseIsLeftOut() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start();
 		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		CountDownLatch busy = new CountDownLatch(1);
+		this.timer.execute(() -> awaitQuietly(busy));
 		follower.pause();
-		heard();
-		this.store.waiting.complete(new Changes(List.of(new Change(item("a", 6), false)), 6));
+		assertThat(this.store.waiting.complete(new Changes(List.of(new Change(item("a", 6), false)), 6)),
+				Matchers.is(true));
+		busy.countDown();
 		assertThat(heard(), Matchers.contains("back", "all[a]"));
 	}
 
-	// The neighbour is gone: everything is read again at once, and that the store answers
-	// is said again.
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	// A neighbour reads the store now. What this one had asked for would take its share
+	// of a link that may be full.
+	@Test
+	void aPauseGivesUpTheCallInProgress() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		follower.pause();
+		assertThat(heard(), Matchers.contains("back", "all[a]"));
+		assertThat(this.store.waiting.isCancelled(), Matchers.is(true));
+	}
+
+	// The neighbour is gone: what was changed meanwhile is read at once, and that the
+	// store answers is said again.
 	@Test
-	void afterAPauseAllIsReadAgain() throws Exception {
+	void afterAPauseTheChangesSinceAreRead() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		this.store.gaps.add(new Changes(List.of(new Change(item("b", 8), false)), 8));
+		Follower follower = start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		follower.pause();
+		follower.resume();
+		assertThat(heardAfter(4), Matchers.contains("back", "all[a]", "back", "+b@8"));
+		assertThat(this.store.asked, Matchers.contains("list", "watch 5", "since 5", "watch 8"));
+	}
+
+	// What this one read last came while a neighbour took over, and was not taken. It
+	// can't be counted on as known, so all is read again.
+	@Test
+	void whatWasNotTakenIsReadAgain() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		this.store.pages.add(new Page(List.of(item("b", 8)), false, 8));
 		Follower follower = start();
 		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
 		follower.pause();
+		follower.forget();
 		follower.resume();
-		heard();
-		assertThat(heard(), Matchers.contains("back", "all[a]", "back", "all[b]"));
+		assertThat(heardAfter(4), Matchers.contains("back", "all[a]", "back", "all[b]"));
+	}
+
+	private List<String> heardAfter(int calls) throws Exception {
+		for (int i = 0; i < 100 && this.store.asked.size() < calls; i++) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		return heard();
 	}
 
 	// Others rely on what this process follows, and its connection to the store has gone
@@ -150,7 +269,7 @@
 		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
 		follower.reliedOn(true);
 		heard();
-		this.store.silentListing = true;
+		this.store.silent = true;
 		this.store.waiting.completeExceptionally(CodedException.of(ObjectStore.UNAVAILABLE, "scripted"));
 		for (int i = 0; i < 100 && !heard().contains("doubt"); i++) {
 			TimeUnit.MILLISECONDS.sleep(50);
@@ -158,6 +277,90 @@
 		assertThat(heard(), Matchers.contains("back", "all[a]", "doubt"));
 	}
 
+	// An entry that does not know a route says so for good only when it knows that its
+	// table is new enough. What is confirmed is what the store had when it was asked, at
+	// the earliest of a listing's calls, and it is said after what it confirms.
+	@Test
+	void aListingIsConfirmedAsOfItsFirstPage() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), true, 5));
+		this.store.pages.add(new Page(List.of(item("b", 9)), false, 9));
+		follow();
+		Confirmed only = confirmed().getFirst();
+		assertAsked(0, only.asOf);
+		assertThat(only.before, Matchers.contains("back", "all[a, b]"));
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void changesAreConfirmedAsOfTheirCall(boolean afterALostWatch) throws Exception {
+		Changes changes = new Changes(List.of(new Change(item("b", 7), false)), 9);
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		if (afterALostWatch) {
+			this.store.failures.add(ObjectStore.UNAVAILABLE);
+			this.store.gaps.add(changes);
+		}
+		else {
+			this.store.changes.add(changes);
+		}
+		follow();
+		Confirmed last = confirmed().getLast();
+		assertAsked(afterALostWatch ? 2 : 1, last.asOf);
+		assertThat(last.before, Matchers.contains("back", "all[a]", "+b@7"));
+	}
+
+	// The store held a watch for all its wait, so it had nothing until then; what the
+	// answer took over a slow link is not counted. One that it ended early says nothing
+	// of the time after it was asked.
+	@ParameterizedTest
+	@CsvSource({ "ENTRIES,false", "ROUTES,true" })
+	void anEmptyWatchIsConfirmedAsOfItsEnd(Kind kind, boolean held) throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start(kind);
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		long waited = this.store.waits.getLast().toNanos();
+		if (held) {
+			TimeUnit.NANOSECONDS.sleep(waited + TimeUnit.MILLISECONDS.toNanos(100));
+		}
+		this.store.waiting.complete(new Changes(List.of(), 5));
+		follower.pause();
+		heard();
+		assertAsked(1, confirmed().get(1).asOf - (held ? waited : 0));
+	}
+
+	// What confirms the table of routes must come well within the usual bound for a
+	// declaration to be in force; and who is relied on notices a silent store sooner.
+	@ParameterizedTest
+	@CsvSource({ "ROUTES,false,1000", "ROUTES,true,800", "RUNNERS,false,2200", "RUNNERS,true,800", "WEIGHTS,true,800",
+			"ENTRIES,false,15000", "ENTRIES,true,15000" })
+	void aWatchWaitsAsLongAsItsKindMay(Kind kind, boolean relied, long millis) throws Exception {
+		this.store.pages.add(new Page(List.of(), false, 5));
+		start(kind).reliedOn(relied);
+		for (int i = 0; i < 100 && this.store.asked.size() < 2; i++) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		this.store.waiting.complete(new Changes(List.of(), 5));
+		for (int i = 0; i < 100 && this.store.asked.size() < 3; i++) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		assertThat(this.store.waits.getLast(), Matchers.is(Duration.ofMillis(millis)));
+	}
+
+	// Between the store's hearing of the call before and of the call itself.
+	private void assertAsked(int call, long nanos) {
+		long before = (call > 0) ? this.store.askedNanos.get(call - 1) : this.startedNanos;
+		assertThat(nanos, Matchers.greaterThanOrEqualTo(before));
+		assertThat(nanos, Matchers.lessThanOrEqualTo(this.store.askedNanos.get(call)));
+	}
+
+	private List<Confirmed> confirmed() throws Exception {
+		return CompletableFuture.supplyAsync(() -> List.copyOf(this.confirmed), this.timer)
+			.get(MOST_SECONDS, TimeUnit.SECONDS);
+	}
+
+	/** What was confirmed, and what had been heard by then. */
+	private record Confirmed(long asOf, List<String> before) {
+	}
+
 	/** Answers from a script, and says when it is over. */
 	private final class ScriptedStore implements ObjectStore {
 
@@ -167,35 +370,53 @@
 
 		private final Queue<Code> failures = new ArrayDeque<>();
 
-		private final CompletableFuture<Changes> waiting = new CompletableFuture<>();
+		private final Queue<Changes> gaps = new ArrayDeque<>();
 
-		private int listFailures;
+		private final List<Long> askedNanos = new CopyOnWriteArrayList<>();
+
+		private final List<Duration> waits = new CopyOnWriteArrayList<>();
 
-		private boolean silentListing;
+		private final List<String> asked = new CopyOnWriteArrayList<>();
 
-		private boolean listedOnce;
+		private volatile CompletableFuture<Changes> waiting = new CompletableFuture<>();
+
+		private int listFailures;
+
+		private boolean silent;
 
 		@Override
 		public synchronized CompletableFuture<Page> list(Kind kind, Optional<String> after) {
-			if (this.listedOnce && this.silentListing) {
+			this.askedNanos.add(System.nanoTime());
+			this.asked.add("list");
+			if (this.silent) {
 				return new CompletableFuture<>();
 			}
-			if (this.listedOnce && this.listFailures > 0) {
+			if (this.listFailures > 0) {
 				this.listFailures--;
 				return CompletableFuture.failedFuture(CodedException.of(UNAVAILABLE, "scripted"));
 			}
-			this.listedOnce = true;
 			return CompletableFuture.completedFuture(this.pages.remove());
 		}
 
 		@Override
 		public synchronized CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
+			this.askedNanos.add(System.nanoTime());
+			this.waits.add(wait);
+			this.asked.add((wait.isZero() ? "since " : "watch ") + revision);
+			if (this.silent) {
+				return new CompletableFuture<>();
+			}
 			if (!this.changes.isEmpty()) {
 				return CompletableFuture.completedFuture(this.changes.remove());
 			}
 			if (!this.failures.isEmpty()) {
 				return CompletableFuture.failedFuture(CodedException.of(this.failures.remove(), "scripted"));
 			}
+			if (wait.isZero()) {
+				return CompletableFuture
+					.completedFuture(this.gaps.isEmpty() ? new Changes(List.of(), revision) : this.gaps.remove());
+			}
+			this.waiting = new CompletableFuture<>();
 			FollowerTests.this.scriptOver.complete(null);
 			return this.waiting;
 		}
