Who is no longer asked for the store's news is told so

Entries of other places saw their link fill with copies of every change: an entry that cannot read the store asked one other entry after the other and told none of them that nothing more was wanted. Each went on sending it every change for ever and, since it had somebody downstream, never rested. UpstreamChoice.ask now says whom to dismiss beside whom to ask. A word that is lost with a link is said again: who passes on what is not believed here is told once a tick. An entry that stays the choice of StoreDuty or of UpstreamChoice is not dismissed by the other of the two.

SiteNewsTests.whoIsNoLongerAskedIsToldSo and whoPassesOnUnaskedIsToldSo failed on the code before.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -57,6 +57,11 @@
 	// Up to which revision of the store the objects of a kind are known.
 	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
 
+	// Who passes on what is not wanted here, since the word that ended it was lost with a
+	// link. Left alone it would do so for ever and never rest. Told once a tick, it ends
+	// as soon as one word arrives.
+	private final Set<String> strays = new HashSet<>();
+
 	private boolean answered;
 
 	private int ticks;
@@ -124,7 +129,7 @@
 	 */
 	void reachable(boolean reachable) {
 		this.answered = reachable;
-		this.upstream.store(reachable).ifPresent((peer) -> this.sender.accept(peer, request(false)));
+		this.upstream.store(reachable).ifPresent(this::unwanted);
 		if (!reachable) {
 			dismiss();
 		}
@@ -157,10 +162,30 @@
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
 		}
-		this.upstream.ask(linked, nowNanos).ifPresent((peer) -> {
-			this.log.decision("store-through-entry", "entry", peer);
-			this.sender.accept(peer, request(true));
-		});
+		List.copyOf(this.strays).forEach(this::unwanted);
+		this.strays.clear();
+		carryOut(this.upstream.ask(linked, nowNanos));
+	}
+
+	/**
+	 * Tells an entry that nothing more is wanted of it, unless something is.
+	 */
+	void unwanted(String peer) {
+		if (!this.duty.believes(peer) && !this.upstream.believes(peer)) {
+			this.sender.accept(peer, request(false));
+		}
+	}
+
+	private void carryOut(List<UpstreamChoice.Step> steps) {
+		for (UpstreamChoice.Step step : steps) {
+			switch (step) {
+				case UpstreamChoice.Step.Ask ask -> {
+					this.log.decision("store-through-entry", "entry", ask.entry());
+					this.sender.accept(ask.entry(), request(true));
+				}
+				case UpstreamChoice.Step.Dismiss dismiss -> unwanted(dismiss.entry());
+			}
+		}
 	}
 
 	/**
@@ -226,6 +251,9 @@
 			return news.getCurrent();
 		}
 		if (!this.upstream.believes(peer)) {
+			if (news.getCurrent()) {
+				this.strays.add(peer);
+			}
 			return false;
 		}
 		if (!news.getCurrent()) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -88,7 +88,7 @@
 					this.delivered.clear();
 					this.sender.accept(ask.entry(), SiteNews.request(true));
 				}
-				case StoreDuty.Step.Dismiss dismiss -> this.sender.accept(dismiss.entry(), SiteNews.request(false));
+				case StoreDuty.Step.Dismiss dismiss -> this.news.unwanted(dismiss.entry());
 				case StoreDuty.Step.Rest rest -> {
 					this.news.rests();
 					this.following.pause();
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -31,11 +31,13 @@
 
 	private final List<Frame> toSource = new ArrayList<>();
 
+	// Every request of the cut entry and to whom.
+	private final List<String> requests = new ArrayList<>();
+
 	private final SiteNews source = new SiteNews(new NamedObjects(), StoreDuty.of("source"),
 			(peer, frame) -> this.toCut.add(frame), this.log);
 
-	private final SiteNews cut = new SiteNews(new NamedObjects(), StoreDuty.of("cut"),
-			(peer, frame) -> this.toSource.add(frame), this.log);
+	private final SiteNews cut = new SiteNews(new NamedObjects(), StoreDuty.of("cut"), this::fromCut, this.log);
 
 	@BeforeEach
 	void cutOff() {
@@ -53,6 +55,11 @@
 		this.log.close();
 	}
 
+	private void fromCut(String peer, Frame frame) {
+		this.toSource.add(frame);
+		this.requests.add((frame.getNewsRequest().getWanted() ? "+" : "-") + peer);
+	}
+
 	private List<String> delivered() {
 		List<String> heard = new ArrayList<>();
 		for (Frame frame : this.toCut) {
@@ -108,12 +115,33 @@
 		delivered();
 		this.source.reachable(false);
 		delivered();
-		this.toSource.clear();
+		this.requests.clear();
 		this.cut.tick(List.of("source", "third"), 2 * SECOND);
-		assertThat(this.toSource, Matchers.hasSize(1));
+		assertThat(this.requests, Matchers.contains("-source", "+third"));
 		assertThat(this.cut.heard("source", News.newBuilder().setCurrent(true).build()), Matchers.empty());
 	}
 
+	// The first entry asked does not answer in time, and the next one is asked. The first
+	// one would go on sending every change, over a link that is full as it is.
+	@Test
+	void whoIsNoLongerAskedIsToldSo() {
+		this.cut.tick(List.of("source", "third"), 2 * SECOND);
+		assertThat(this.requests, Matchers.contains("+source", "-source", "+third"));
+	}
+
+	// The link to the entry that passes on ends and another is asked. When the link is
+	// back the former still sends: it was told nothing, since there was no link.
+	@Test
+	void whoPassesOnUnaskedIsToldSo() {
+		delivered();
+		this.cut.tick(List.of("third"), 2 * SECOND);
+		this.requests.clear();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("c", 9), false));
+		assertThat(delivered(), Matchers.empty());
+		this.cut.tick(List.of("source", "third"), 2 * SECOND + SECOND / 10);
+		assertThat(this.requests, Matchers.contains("-source"));
+	}
+
 	@Test
 	void inCalmTimesNothingIsSent() {
 		this.cut.reachable(true);
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/UpstreamChoice.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/UpstreamChoice.java
@@ -1,7 +1,9 @@
 package org.wisteriapost.policy.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
 
@@ -12,8 +14,8 @@
  * Load: the store turns some machines away for many seconds while runners come and go,
  * tokens are taken away and weights are named. Harm prevented: callers of a cut entry are
  * refused for want of runners that have long been there, or sent to ones that have left.
- * One other entry is asked at a time, so in calm times this costs nothing and in a cut
- * one message a change.
+ * One other entry is asked at a time and the former is told that nothing more is wanted
+ * of it, so in calm times this costs nothing and in a cut one message a change.
  */
 public final class UpstreamChoice {
 
@@ -62,21 +64,25 @@
 	}
 
 	/**
-	 * Returns whom to ask now, if anybody.
+	 * Looks whom to ask now, if anybody, and whom to tell that nothing more is wanted.
 	 * @param linked the entries to which there is a link
 	 */
-	public Optional<String> ask(Collection<String> linked, long nowNanos) {
+	public List<Step> ask(Collection<String> linked, long nowNanos) {
 		boolean lost = this.asked.isPresent() && !linked.contains(this.asked.get());
 		boolean waits = this.asked.isPresent() && !lost && (this.answered || nowNanos - this.askedNanos < ANSWER_NANOS);
 		if (!this.cut || waits || linked.isEmpty()) {
-			return Optional.empty();
+			return List.of();
 		}
 		TreeSet<String> names = new TreeSet<>(linked);
 		String after = this.asked.map(names::higher).orElse(null);
-		this.asked = Optional.of((after != null) ? after : names.first());
+		String next = (after != null) ? after : names.first();
+		List<Step> steps = new ArrayList<>();
+		this.asked.filter((before) -> !before.equals(next)).ifPresent((before) -> steps.add(new Step.Dismiss(before)));
+		steps.add(new Step.Ask(next));
+		this.asked = Optional.of(next);
 		this.answered = false;
 		this.askedNanos = nowNanos;
-		return this.asked;
+		return steps;
 	}
 
 	private void forget() {
@@ -84,4 +90,27 @@
 		this.answered = false;
 	}
 
+	/**
+	 * What an entry that the store does not answer says to others.
+	 */
+	public sealed interface Step {
+
+		/**
+		 * Ask an entry for all that the store says.
+		 *
+		 * @param entry its name
+		 */
+		record Ask(String entry) implements Step {
+		}
+
+		/**
+		 * Tell an entry that nothing more is wanted of it.
+		 *
+		 * @param entry its name
+		 */
+		record Dismiss(String entry) implements Step {
+		}
+
+	}
+
 }
--- a/policy/src/test/java/org/wisteriapost/policy/fleet/UpstreamChoiceTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/fleet/UpstreamChoiceTests.java
@@ -5,6 +5,7 @@
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
+import org.wisteriapost.policy.fleet.UpstreamChoice.Step;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -19,7 +20,7 @@
 	@Test
 	void nobodyIsAskedWhileTheStoreAnswers() {
 		this.choice.store(true);
-		assertThat(this.choice.ask(LINKED, 0), Matchers.equalTo(Optional.empty()));
+		assertThat(this.choice.ask(LINKED, 0), Matchers.empty());
 	}
 
 	// The store turns this entry away. Of the others one is asked, and while it passes on
@@ -27,23 +28,26 @@
 	@Test
 	void oneIsAskedAndKept() {
 		this.choice.store(false);
-		assertThat(this.choice.ask(LINKED, 0), Matchers.equalTo(Optional.of("a")));
+		assertThat(this.choice.ask(LINKED, 0), Matchers.contains(new Step.Ask("a")));
 		this.choice.heard(true);
-		assertThat(this.choice.ask(LINKED, 60_000 * MILLI), Matchers.equalTo(Optional.empty()));
+		assertThat(this.choice.ask(LINKED, 60_000 * MILLI), Matchers.empty());
 	}
 
 	// The first one asked is cut off as well and says nothing, the second says that the
-	// store does not answer it, the third one's link ends after a while.
+	// store does not answer it, the third one's link ends after a while. Each is told
+	// that
+	// nothing more is wanted of it, or it would send every change from then on.
 	@Test
 	void theNextOneIsAskedWhenOneDoesNotHelp() {
 		this.choice.store(false);
 		this.choice.ask(LINKED, 0);
-		assertThat(this.choice.ask(LINKED, 500 * MILLI), Matchers.equalTo(Optional.empty()));
-		assertThat(this.choice.ask(LINKED, 700 * MILLI), Matchers.equalTo(Optional.of("b")));
+		assertThat(this.choice.ask(LINKED, 500 * MILLI), Matchers.empty());
+		assertThat(this.choice.ask(LINKED, 700 * MILLI), Matchers.contains(new Step.Dismiss("a"), new Step.Ask("b")));
 		this.choice.heard(false);
-		assertThat(this.choice.ask(LINKED, 710 * MILLI), Matchers.equalTo(Optional.of("c")));
+		assertThat(this.choice.ask(LINKED, 710 * MILLI), Matchers.contains(new Step.Dismiss("b"), new Step.Ask("c")));
 		this.choice.heard(true);
-		assertThat(this.choice.ask(List.of("a", "b"), 5000 * MILLI), Matchers.equalTo(Optional.of("a")));
+		assertThat(this.choice.ask(List.of("a", "b"), 5000 * MILLI),
+				Matchers.contains(new Step.Dismiss("c"), new Step.Ask("a")));
 	}
 
 	// A late message of the one that was asked comes when the store has answered again.
