An entry that cannot read the store asks near by first, and gives more time while nobody answers

Links between regions stayed full of copies of the table: an entry that the store does not answer asked all linked entries in the order of their names, over regions too, each 0.6 s, and where no answer came through in that time each of them sent a whole copy that nobody took. Now the entries of its place come first, then those of its region, then others, in an order of its own; the time for an answer doubles up to 4 s until one that is current has answered; one that is not current is passed over at once, and all are not gone through more often than once a second. When nobody else is left the one that was asked is waited for and not dismissed. Only a current answer sets the time back: that a resting neighbour says no at once tells nothing about the link to the one that can deliver.

UpstreamChoiceTests: the four new cases and the four of the others that name who is asked failed with the order of names (with the new signature and the old logic). SiteNewsTests.whoIsNotCurrentIsPassedOverAtOnce failed with the question left to the next tick. EntryRosterTests.whoIsLinkedIsNearOrFar was written with the code. Changed tests: entries have distances now, so others are asked first; UpstreamChoiceTests' four tests expect c, b, a instead of a, b, c and are otherwise as strict.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -16,6 +16,7 @@
 import org.wisteriapost.policy.dispatch.Outcome;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.StoreDuty;
+import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteTable;
@@ -115,7 +116,8 @@
 		this.store = Optional.of(objects);
 		this.mesh = Optional.of(links);
 		StoreDuty duty = StoreDuty.of(this.self.name());
-		SiteNews passed = new SiteNews(objects, duty, links::send, this.log);
+		UpstreamChoice upstream = UpstreamChoice.of(this.self.name());
+		SiteNews passed = new SiteNews(objects, duty, upstream, links::send, this.log);
 		this.news = Optional.of(passed);
 		this.reading = Optional.of(new StoreReading(duty, passed, following, links::send, this.log));
 		this.reports = Optional.of(new LoadReports(this.self.place(), links::send));
@@ -311,7 +313,7 @@
 		this.places.ifPresent((due) -> due.tick(this.ticks, now));
 		if (this.ticks % TICKS_PER_NEWS == 0) {
 			this.dispatcher.entries(this.roster.count());
-			this.news.ifPresent((passed) -> passed.tick(this.mesh.orElseThrow().entries(), now));
+			this.news.ifPresent((passed) -> passed.tick(this.roster.distances(this.mesh.orElseThrow().entries()), now));
 			this.reading.ifPresent((all) -> all.tick(this.roster.sharingReader(), this.beliefs.whole(), now));
 		}
 		register(now);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +15,7 @@
 import org.wisteriapost.policy.dispatch.EntryCount;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.EntryLinks;
+import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.Rendezvous;
 import org.wisteriapost.policy.fleet.StoreDuty;
 
@@ -152,6 +154,18 @@
 		return Optional.ofNullable(this.registered.get(name)).map((entry) -> entry.info.place());
 	}
 
+	/**
+	 * Returns how far away entries are.
+	 * @param names of those to which there is a link
+	 */
+	List<LinkedEntry> distances(Collection<String> names) {
+		return names.stream()
+			.map((name) -> Optional.ofNullable(this.registered.get(name))
+				.map((entry) -> LinkedEntry.of(this.self, entry.info))
+				.orElse(LinkedEntry.unknown(name)))
+			.toList();
+	}
+
 	/**
 	 * Returns the entries that hear from this one itself what it has in flight.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -11,9 +11,11 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.protocol.site.Kind;
@@ -44,7 +46,7 @@
 
 	private final DecisionLog log;
 
-	private final UpstreamChoice upstream = new UpstreamChoice();
+	private final UpstreamChoice upstream;
 
 	private final StoreDuty duty;
 
@@ -62,6 +64,10 @@
 	// as soon as one word arrives.
 	private final Set<String> strays = new HashSet<>();
 
+	private List<LinkedEntry> linked = List.of();
+
+	private long tickNanos;
+
 	private boolean answered;
 
 	private int ticks;
@@ -69,11 +75,14 @@
 	/**
 	 * Returns news of one entry.
 	 * @param duty says whom to believe besides
+	 * @param upstream says whom to ask while the store does not answer
 	 * @param sender sends a frame to an entry by name
 	 */
-	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, DecisionLog log) {
+	SiteNews(ObjectStore store, StoreDuty duty, UpstreamChoice upstream, BiConsumer<String, Frame> sender,
+			DecisionLog log) {
 		this.store = store;
 		this.duty = duty;
+		this.upstream = upstream;
 		this.sender = sender;
 		this.log = log;
 		for (Kind kind : Kind.values()) {
@@ -156,8 +165,10 @@
 	 * Asks another entry when that is needed. Called each 100 ms.
 	 * @param linked the entries to which there is a link
 	 */
-	void tick(Collection<String> linked, long nowNanos) {
-		this.downstream.retainAll(linked);
+	void tick(Collection<LinkedEntry> linked, long nowNanos) {
+		this.linked = List.copyOf(linked);
+		this.tickNanos = nowNanos;
+		this.downstream.retainAll(linked.stream().map(LinkedEntry::name).collect(Collectors.toSet()));
 		this.ticks++;
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
@@ -258,6 +269,7 @@
 		}
 		if (!news.getCurrent()) {
 			this.upstream.heard(false);
+			carryOut(this.upstream.ask(this.linked, this.tickNanos));
 		}
 		return news.getCurrent();
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryRosterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryRosterTests.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.dispatch.EntryCount;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.LinkedEntry;
+import org.wisteriapost.policy.fleet.LinkedEntry.Distance;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -84,6 +86,21 @@
 		assertThat(linked(entries, entries.getFirst()).sharingReader(), Matchers.hasSize(others));
 	}
 
+	@Test
+	void whoIsLinkedIsNearOrFar() {
+		EntryRoster roster = new EntryRoster(entry("self", "hall-1", "north"));
+		roster.put(entry("a", "hall-1", "north"), 1, 0);
+		roster.put(entry("b", "hall-2", "north"), 1, 0);
+		roster.put(entry("c", "hall-1", "south"), 1, 0);
+		assertThat(roster.distances(List.of("a", "b", "c", "d")),
+				Matchers.contains(new LinkedEntry("a", Distance.OWN_PLACE), new LinkedEntry("b", Distance.OWN_REGION),
+						new LinkedEntry("c", Distance.ELSEWHERE), new LinkedEntry("d", Distance.ELSEWHERE)));
+	}
+
+	private static EntryInfo entry(String name, String place, String region) {
+		return new EntryInfo(name, 1, name + ":80", name + ":7700", place, region);
+	}
+
 	@Test
 	void oneOfEachPlaceSpeaksForIt() {
 		List<EntryInfo> entries = entries(5, 10);
