When a reader is lost the next one reads, and the others ask it instead of all reading at once

Callers got 404 for routes declared seconds before: when the reader of a place failed or was late, all entries of the place took up the store at once, each with a whole copy over a narrow link, on which none came through in time; cut off and begun anew they kept the link full. Now the next by rendezvous reads at once and the others ask it, again each tick while it has only begun. Who has not been helped for half a second begins too, one after the other by rank, the last after two seconds, and those that come after it ask it as well: the first that comes through serves all. A next reader that is gone or says nothing is left out and the one after it has its turn at once; with nobody left to ask an entry reads at once, as before.

ReaderLossTests, 14 entries in virtual time: 8 of 14 cases failed on the StoreDuty before (12 or 13 reading at once). StoreDutyTests.whoeverHearsNothingHasAnotherReaderAtOnce is the former whoeverHearsNothingReadsAtOnce with a bound on who reads besides; that failed with 9. whoIsHelpedByNobodyReadsInTheEnd and the other cases bound what the new code may not lose and were not seen to fail.

--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
@@ -0,0 +1,353 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.LinkedEntry;
+import org.wisteriapost.policy.fleet.LinkedEntry.Distance;
+import org.wisteriapost.policy.fleet.StoreDuty;
+import org.wisteriapost.policy.fleet.UpstreamChoice;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.StoreKind;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * Fourteen entries of one place, of which one reads the site's store for all, in virtual
+ * time. When the reader fails, the link to the store must not be filled with a copy of
+ * everything for each of the others.
+ */
+class ReaderLossTests {
+
+	private static final int SIZE = 14;
+
+	private static final long STEP = Duration.ofMillis(10).toNanos();
+
+	private static final int STEPS_PER_TICK = 10;
+
+	// A change of the store.
+	private static final int STEPS_PER_CHANGE = 20;
+
+	private static final long SILENT_MILLIS = 1300;
+
+	private final DecisionLog log = DecisionLog.start("test", new PrintStream(OutputStream.nullOutputStream()));
+
+	private final Map<String, Entry> entries = new LinkedHashMap<>();
+
+	private final Deque<Sent> underway = new ArrayDeque<>();
+
+	private final List<Long> revisionNanos = new ArrayList<>(List.of(0L));
+
+	private final List<String> unbelieved = new ArrayList<>();
+
+	private long steps;
+
+	private long readNanos = Duration.ofMillis(200).toNanos();
+
+	private int mostReading;
+
+	private int wholeAnswers;
+
+	ReaderLossTests() {
+		IntStream.range(0, SIZE)
+			.mapToObj((i) -> "entry-" + i)
+			.forEach((name) -> this.entries.put(name, new Entry(name, this.entries.size())));
+	}
+
+	@AfterEach
+	void stop() {
+		this.log.close();
+	}
+
+	// The reader dies, is turned away by the store or freezes for three seconds. The next
+	// one reads, the others hear it. Were each to read, the narrow link between regions
+	// would carry thirteen copies, none of which comes through in time.
+	@ParameterizedTest
+	@EnumSource
+	void oneOrTwoReadForAReaderThatIsLost(Loss loss) {
+		Entry lost = settled();
+		lose(lost, loss);
+		run(8000);
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(3));
+		assertThat(this.wholeAnswers, Matchers.lessThanOrEqualTo(SIZE + 2));
+		assertThat(behind(), Matchers.empty());
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void allHearTheStoreAgainSoonAfterTheLossIsNoticed(Loss loss) {
+		Entry lost = settled();
+		lose(lost, loss);
+		run((loss == Loss.FREEZES) ? SILENT_MILLIS + 1000 : 1000);
+		assertThat(behind(), Matchers.empty());
+	}
+
+	// The next reader has not come through after half a second. The others begin one
+	// after
+	// the other, and all hear the first that has come through.
+	@ParameterizedTest
+	@CsvSource({ "600,4", "1000,7" })
+	void aSlowNextReaderIsNotFollowedByAllAtOnce(long readMillis, int most) {
+		Entry lost = settled();
+		this.readNanos = Duration.ofMillis(readMillis).toNanos();
+		lose(lost, Loss.DIES);
+		run(2 * readMillis + 300);
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(most));
+		assertThat(behind(), Matchers.empty());
+	}
+
+	// The next reader is lost with the reader: it dies, too, or the store turns it away.
+	@ParameterizedTest
+	@EnumSource
+	void theOneAfterItReadsWhenTheNextIsLostToo(Loss loss) {
+		Entry first = settled();
+		lose(first, loss);
+		run((loss == Loss.FREEZES) ? SILENT_MILLIS : 100);
+		Entry next = this.entries.values()
+			.stream()
+			.filter((entry) -> entry != first && !entry.reading.rests())
+			.findFirst()
+			.orElseThrow();
+		lose(next, loss);
+		run((loss == Loss.FREEZES) ? SILENT_MILLIS + 1200 : 1200);
+		assertThat(behind(), Matchers.empty());
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(5));
+	}
+
+	// At the end nobody sends to one that does not want it: it would go on for ever, and
+	// the sender, with somebody to tell, would never rest.
+	@ParameterizedTest
+	@EnumSource
+	void nobodyPassesOnWhatIsNotWanted(Loss loss) {
+		Entry lost = settled();
+		lose(lost, loss);
+		run(8000);
+		this.unbelieved.clear();
+		run(2000);
+		assertThat(this.unbelieved, Matchers.empty());
+	}
+
+	private Entry settled() {
+		this.entries.values().forEach((entry) -> entry.readAll(0));
+		run(4000);
+		List<Entry> reading = this.entries.values().stream().filter((entry) -> !entry.reading.rests()).toList();
+		assertThat(reading, Matchers.hasSize(1));
+		this.mostReading = 0;
+		this.wholeAnswers = 0;
+		return reading.getFirst();
+	}
+
+	private void lose(Entry entry, Loss loss) {
+		switch (loss) {
+			case DIES -> entry.dead = true;
+			case TURNED_AWAY -> {
+				entry.turnedAway = true;
+				entry.news.reachable(false);
+			}
+			case FREEZES -> entry.frozenUntil = this.steps * STEP + Duration.ofSeconds(3).toNanos();
+		}
+	}
+
+	private void run(long millis) {
+		for (long until = this.steps * STEP + Duration.ofMillis(millis).toNanos(); now() < until;) {
+			this.steps++;
+			if (this.steps % STEPS_PER_CHANGE == 0) {
+				this.revisionNanos.add(now());
+			}
+			deliver();
+			this.entries.values().stream().filter(Entry::runs).forEach(Entry::step);
+			this.mostReading = Math.max(this.mostReading,
+					(int) this.entries.values()
+						.stream()
+						.filter((entry) -> entry.runs() && !entry.turnedAway && !entry.reading.rests())
+						.count());
+		}
+	}
+
+	private void deliver() {
+		List<Sent> due = List.copyOf(this.underway);
+		this.underway.clear();
+		for (Sent sent : due) {
+			Entry to = this.entries.get(sent.to);
+			if (to.runs()) {
+				to.take(sent);
+			}
+			else if (!to.dead) {
+				this.underway.add(sent);
+			}
+		}
+	}
+
+	private long now() {
+		return this.steps * STEP;
+	}
+
+	private int revision() {
+		return this.revisionNanos.size() - 1;
+	}
+
+	// Who has not heard what changed half a second ago.
+	private List<String> behind() {
+		long before = now() - Duration.ofMillis(500).toNanos();
+		long known = this.revisionNanos.stream().filter((nanos) -> nanos <= before).count() - 1;
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> entry.runs() && entry.known < known)
+			.map((entry) -> entry.name + " knows " + entry.known + " of " + known)
+			.toList();
+	}
+
+	/** How a reader fails. */
+	enum Loss {
+
+		/** Its links close. */
+		DIES,
+		/** The store does not answer it, which it says. */
+		TURNED_AWAY,
+		/** It says nothing for three seconds and its links stay open. */
+		FREEZES
+
+	}
+
+	private record Sent(String from, String to, Frame frame) {
+	}
+
+	/** One entry. */
+	private final class Entry {
+
+		private final String name;
+
+		private final int offset;
+
+		private final StoreDuty duty;
+
+		private final UpstreamChoice upstream;
+
+		private final SiteNews news;
+
+		private final StoreReading reading;
+
+		private boolean dead;
+
+		private boolean turnedAway;
+
+		private long frozenUntil;
+
+		private boolean rested;
+
+		private boolean readAll;
+
+		private long resumedNanos;
+
+		private long known;
+
+		private Entry(String name, int offset) {
+			this.name = name;
+			this.offset = offset;
+			this.duty = StoreDuty.of(name);
+			this.upstream = UpstreamChoice.of(name);
+			this.news = new SiteNews(new NamedObjects(), this.duty, this.upstream, this::send,
+					ReaderLossTests.this.log);
+			this.reading = new StoreReading(this.duty, this.news, new Following(), this::send,
+					ReaderLossTests.this.log);
+		}
+
+		private boolean runs() {
+			return !this.dead && now() >= this.frozenUntil;
+		}
+
+		private void step() {
+			if ((ReaderLossTests.this.steps + this.offset) % STEPS_PER_TICK == 0) {
+				Set<String> others = ReaderLossTests.this.entries.values()
+					.stream()
+					.filter((entry) -> entry != this && !entry.dead)
+					.map((entry) -> entry.name)
+					.collect(Collectors.toSet());
+				this.news.tick(others.stream().map((other) -> new LinkedEntry(other, Distance.OWN_PLACE)).toList(),
+						now());
+				this.reading.tick(others, this.readAll || this.rested, now());
+			}
+			read();
+		}
+
+		private void read() {
+			if (this.reading.rests()) {
+				this.rested = true;
+				this.readAll = false;
+				return;
+			}
+			if (this.rested) {
+				this.rested = false;
+				this.resumedNanos = now();
+			}
+			if (this.turnedAway || now() - this.resumedNanos < ReaderLossTests.this.readNanos) {
+				return;
+			}
+			if (!this.readAll) {
+				readAll(revision());
+			}
+			while (this.known < revision()) {
+				this.known++;
+				this.news.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("r", this.known), false));
+			}
+		}
+
+		private void readAll(long at) {
+			this.readAll = true;
+			this.known = at;
+			for (Kind kind : Kind.values()) {
+				this.news.read(kind, (kind == Kind.RUNNERS) ? List.of(NamedObjects.item("r", at)) : List.of(), at);
+			}
+			this.news.reachable(true);
+		}
+
+		private void send(String peer, Frame frame) {
+			if (this.dead || ReaderLossTests.this.entries.get(peer).dead) {
+				return;
+			}
+			if (frame.getNews().getAll() && frame.getNews().getKind() == StoreKind.STORE_ROUTES) {
+				ReaderLossTests.this.wholeAnswers++;
+			}
+			ReaderLossTests.this.underway.add(new Sent(this.name, peer, frame));
+		}
+
+		private void take(Sent sent) {
+			if (sent.frame.hasNewsRequest()) {
+				this.news.asked(sent.from, sent.frame.getNewsRequest().getWanted());
+				return;
+			}
+			if (sent.frame.getNews().getCurrent() && !this.duty.believes(sent.from)
+					&& !this.upstream.believes(sent.from)) {
+				ReaderLossTests.this.unbelieved.add(sent.from + " to " + this.name);
+			}
+			for (DirectEvent event : this.reading.heard(sent.from, sent.frame.getNews(), now())) {
+				List<ObjectStore.Item> items = switch (event) {
+					case DirectEvent.AllObjects all -> all.items();
+					case DirectEvent.ObjectChanged changed -> List.of(changed.change().item());
+					default -> throw new IllegalArgumentException(event.toString());
+				};
+				items.forEach((item) -> this.known = Math.max(this.known, item.revision()));
+			}
+		}
+
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -20,9 +20,17 @@
  *
  * The reader may die, freeze, be cut off or be turned away by the store, and what it does
  * not pass on would be missing: callers would be sent to runners that have left. So an
- * entry that rests reads again at once when the reader says that it is not current, when
+ * entry that rests takes the reader for lost when it says that it is not current, when
  * the link to it is gone, and when nothing came for {@value #SILENT_MILLIS} ms, of which
  * the reader sends something every half second. Two that both read do no harm.
+ *
+ * All of a group lose their reader at the same time. Were all to read, a narrow link to
+ * the store would be full of copies of which none comes through in time, and stay full.
+ * So the next by rendezvous reads at once and the others ask it, over and over while it
+ * has only begun. Those that nobody has helped within {@value #HEIR_MILLIS} ms begin to
+ * read one after the other, the last after {@value #LATEST_MILLIS} ms, and are asked by
+ * those that come after them: whichever comes through first serves all, and an entry with
+ * nobody left to ask reads at once.
  */
 public final class StoreDuty {
 
@@ -31,6 +39,21 @@
 
 	static final int SILENT_MILLIS = 1200;
 
+	// As long as the next reader is given before the one after it begins as well.
+	static final int HEIR_MILLIS = 500;
+
+	static final int LATEST_MILLIS = 2000;
+
+	private static final long HEIR_NANOS = Duration.ofMillis(HEIR_MILLIS).toNanos();
+
+	private static final long LATEST_NANOS = Duration.ofMillis(LATEST_MILLIS).toNanos();
+
+	// Between two that begin one after the other: enough to ask the one before.
+	private static final long STAGGER_NANOS = Duration.ofMillis(150).toNanos();
+
+	// Who is to read next says at once whether it does.
+	private static final long HEIR_ANSWER_NANOS = Duration.ofMillis(400).toNanos();
+
 	private static final long SILENT_NANOS = Duration.ofMillis(SILENT_MILLIS).toNanos();
 
 	// A link carries everything within it, or is no good for news.
@@ -54,6 +77,19 @@
 
 	private long sinceNanos;
 
+	// As it was at the last look.
+	private Collection<String> group = List.of();
+
+	// Who is to read before this entry does, the next reader first.
+	private final List<String> heirs = new ArrayList<>();
+
+	private long lostNanos;
+
+	// Since when the first of them has had its turn.
+	private long turnNanos;
+
+	private Answer answer = Answer.NONE;
+
 	private StoreDuty(String self) {
 		this.self = self;
 		this.reader = self;
@@ -67,10 +103,11 @@
 	}
 
 	/**
-	 * Returns whether this entry hears the store from a neighbour.
+	 * Returns whether this entry leaves the store to a neighbour, also while it looks for
+	 * another one.
 	 */
 	public boolean rests() {
-		return this.stage == Stage.RESTS;
+		return this.stage == Stage.RESTS || this.stage == Stage.SEEKS;
 	}
 
 	/**
@@ -88,11 +125,13 @@
 	 * the store from it
 	 */
 	public List<Step> tick(Collection<String> group, boolean mayRest, long nowNanos) {
+		this.group = List.copyOf(group);
 		return switch (this.stage) {
 			case READS -> reads(group, mayRest, nowNanos);
 			case ASKED -> asked(group, mayRest, nowNanos);
-			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS) ? read(nowNanos)
+			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS) ? lost(nowNanos)
 					: List.of();
+			case SEEKS -> seeks(nowNanos);
 		};
 	}
 
@@ -105,18 +144,15 @@
 		if (!believes(peer)) {
 			return List.of();
 		}
-		if (!current) {
-			return read(nowNanos);
-		}
-		if (this.stage == Stage.RESTS) {
-			this.sinceNanos = nowNanos;
-			return List.of();
-		}
-		if (complete) {
-			enter(Stage.RESTS, peer, nowNanos);
-			return List.of(new Step.Rest());
-		}
-		return List.of();
+		return switch (this.stage) {
+			case READS -> List.of();
+			case ASKED -> current ? answered(complete, nowNanos) : read(nowNanos);
+			case RESTS -> current ? confirmed(nowNanos) : lost(nowNanos);
+			case SEEKS -> {
+				this.answer = current ? Answer.CURRENT : Answer.NOT_CURRENT;
+				yield (current && complete) ? confirmed(nowNanos) : heirSays(current, nowNanos);
+			}
+		};
 	}
 
 	private List<Step> reads(Collection<String> group, boolean mayRest, long nowNanos) {
@@ -141,28 +177,114 @@
 		return (late || !mayRest || !group.contains(this.reader)) ? read(nowNanos) : List.of();
 	}
 
+	private List<Step> answered(boolean complete, long nowNanos) {
+		if (!complete) {
+			return List.of();
+		}
+		enter(Stage.RESTS, this.reader, nowNanos);
+		return List.of(new Step.Rest());
+	}
+
+	private List<Step> confirmed(long nowNanos) {
+		enter(Stage.RESTS, this.reader, nowNanos);
+		return List.of();
+	}
+
+	private List<Step> heirSays(boolean current, long nowNanos) {
+		this.sinceNanos = nowNanos;
+		return current ? List.of()
+				: heirAfter(this.reader, nowNanos).map((next) -> ask(next, nowNanos)).orElse(List.of());
+	}
+
 	private List<Step> read(long nowNanos) {
+		Step dismiss = new Step.Dismiss(this.reader);
+		suspect(this.reader, nowNanos);
+		enter(Stage.READS, this.self, nowNanos);
+		return List.of(dismiss);
+	}
+
+	private List<Step> lost(long nowNanos) {
 		List<Step> steps = new ArrayList<>();
 		steps.add(new Step.Dismiss(this.reader));
-		if (this.stage == Stage.RESTS) {
+		suspect(this.reader, nowNanos);
+		this.heirs.clear();
+		order(this.group, nowNanos).stream().takeWhile((name) -> !name.equals(this.self)).forEach(this.heirs::add);
+		this.lostNanos = nowNanos;
+		this.turnNanos = nowNanos;
+		enter(Stage.SEEKS, this.self, nowNanos);
+		steps.addAll(seeks(nowNanos));
+		return steps;
+	}
+
+	private List<Step> seeks(long nowNanos) {
+		leaveOut(nowNanos);
+		boolean helps = this.heirs.contains(this.reader) && this.answer != Answer.NOT_CURRENT;
+		boolean passesOn = helps && this.answer == Answer.CURRENT;
+		boolean due = !passesOn && nowNanos - this.turnNanos >= startNanos(this.heirs.size());
+		if (due || nowNanos - this.lostNanos >= LATEST_NANOS) {
+			List<Step> steps = new ArrayList<>(leave());
 			steps.add(new Step.Read());
+			enter(Stage.READS, this.self, nowNanos);
+			return steps;
 		}
-		this.suspects.put(this.reader, nowNanos + SUSPECT_NANOS);
-		enter(Stage.READS, this.self, nowNanos);
+		return helps ? List.of() : ask(this.heirs.getFirst(), nowNanos);
+	}
+
+	// Who is gone or says nothing reads no more; the one after it has its turn at once.
+	private void leaveOut(long nowNanos) {
+		Optional<String> first = this.heirs.stream().findFirst();
+		if (this.heirs.contains(this.reader) && nowNanos - this.sinceNanos > HEIR_ANSWER_NANOS) {
+			suspect(this.reader, nowNanos);
+			this.heirs.remove(this.reader);
+		}
+		this.heirs.retainAll(this.group);
+		if (!first.equals(this.heirs.stream().findFirst())) {
+			this.turnNanos = nowNanos;
+		}
+	}
+
+	private List<Step> ask(String heir, long nowNanos) {
+		List<Step> steps = new ArrayList<>(heir.equals(this.reader) ? List.of() : leave());
+		steps.add(new Step.Ask(heir));
+		this.answer = Answer.NONE;
+		enter(Stage.SEEKS, heir, nowNanos);
 		return steps;
 	}
 
+	// Who has said that it is not current passes nothing on.
+	private List<Step> leave() {
+		boolean none = this.reader.equals(this.self) || this.answer == Answer.NOT_CURRENT;
+		return none ? List.of() : List.of(new Step.Dismiss(this.reader));
+	}
+
+	// The next that has begun to read by now.
+	private Optional<String> heirAfter(String heir, long nowNanos) {
+		int rank = this.heirs.indexOf(heir) + 1;
+		boolean begun = rank < this.heirs.size() && nowNanos - this.turnNanos >= startNanos(rank);
+		return begun ? Optional.of(this.heirs.get(rank)) : Optional.empty();
+	}
+
+	// How long after the loss the entry of a rank begins to read.
+	private static long startNanos(int rank) {
+		return (rank == 0) ? 0 : Math.min(HEIR_NANOS + (rank - 1) * STAGGER_NANOS, LATEST_NANOS);
+	}
+
+	private void suspect(String peer, long nowNanos) {
+		this.suspects.put(peer, nowNanos + SUSPECT_NANOS);
+	}
+
 	// Whom to hear; empty when this entry is to read.
 	private Optional<String> wanted(Collection<String> group, long nowNanos) {
+		return Optional.of(order(group, nowNanos).getFirst()).filter((first) -> !first.equals(this.self));
+	}
+
+	// This entry and those of the group that have not failed, the one to read first.
+	private List<String> order(Collection<String> group, long nowNanos) {
 		this.suspects.values().removeIf((until) -> nowNanos >= until);
 		List<String> candidates = new ArrayList<>(group);
 		candidates.removeAll(this.suspects.keySet());
-		if (candidates.isEmpty()) {
-			return Optional.empty();
-		}
 		candidates.add(this.self);
-		String first = Rendezvous.order(candidates, PURPOSE).getFirst();
-		return first.equals(this.self) ? Optional.empty() : Optional.of(first);
+		return Rendezvous.order(candidates, PURPOSE);
 	}
 
 	private void enter(Stage next, String of, long nowNanos) {
@@ -204,7 +326,13 @@
 
 	private enum Stage {
 
-		READS, ASKED, RESTS
+		READS, ASKED, RESTS, SEEKS
+
+	}
+
+	private enum Answer {
+
+		NONE, CURRENT, NOT_CURRENT
 
 	}
 
--- a/policy/src/test/java/org/wisteriapost/policy/fleet/StoreDutyTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/fleet/StoreDutyTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
@@ -38,12 +39,14 @@
 	}
 
 	// The reader dies, freezes, or is turned away by the store. Nobody is without news
-	// for longer than its silence is borne, and after that one reads for all again.
+	// for longer than its silence is borne, and after that one reads for all again. All
+	// never read at once: their copies would fill a narrow link to the store.
 	@ParameterizedTest
 	@EnumSource
-	void whoeverHearsNothingReadsAtOnce(Loss loss) {
+	void whoeverHearsNothingHasAnotherReaderAtOnce(Loss loss) {
 		this.group.run(3000);
 		String reader = this.group.reading().iterator().next();
+		this.group.reads = 0;
 		this.group.lose(reader, loss);
 		this.group.run(StoreDuty.SILENT_MILLIS + 200);
 		assertThat(this.group.uninformed(reader), Matchers.empty());
@@ -51,6 +54,37 @@
 		Set<String> reading = this.group.reading();
 		reading.remove(reader);
 		assertThat(reading, Matchers.hasSize(1));
+		assertThat(this.group.reads, Matchers.lessThanOrEqualTo(2));
+	}
+
+	// The reader is lost to this entry alone, or the store turns away all others: all say
+	// that they do not read. It reads itself then.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 10, 40 })
+	void whoIsHelpedByNobodyReadsInTheEnd(int others) {
+		Set<String> group = new TreeSet<>();
+		IntStream.range(0, others).forEach((i) -> group.add("entry-" + i));
+		String self = Rendezvous.order(IntStream.range(0, 1000).mapToObj((i) -> "self-" + i).toList(), "store")
+			.getLast();
+		StoreDuty duty = StoreDuty.of(self);
+		List<Step> steps = new ArrayList<>();
+		long now = 0;
+		for (; !duty.rests(); now += TICK) {
+			for (Step step : duty.tick(group, true, now)) {
+				if (step instanceof Step.Ask ask) {
+					duty.heard(ask.entry(), true, true, now);
+				}
+			}
+		}
+		long lost = now;
+		for (; duty.rests(); now += TICK) {
+			steps.addAll(duty.tick(group, false, now));
+			for (String peer : group) {
+				steps.addAll(duty.heard(peer, false, false, now));
+			}
+		}
+		assertThat(steps.getLast(), Matchers.equalTo(new Step.Read()));
+		assertThat(now - lost, Matchers.lessThanOrEqualTo(StoreDuty.LATEST_MILLIS * MILLI + TICK));
 	}
 
 	// Half of the entries believe that the reader is dead: a link is cut one way. There
@@ -111,6 +145,8 @@
 
 		private long now;
 
+		private int reads;
+
 		private Group(int size) {
 			for (int i = 0; i < size; i++) {
 				this.duties.put("entry-" + i, StoreDuty.of("entry-" + i));
@@ -164,8 +200,7 @@
 					case Step.Dismiss dismiss -> this.downstream.get(dismiss.entry()).remove(name);
 					case Step.Rest rest -> {
 					}
-					case Step.Read read -> {
-					}
+					case Step.Read read -> this.reads++;
 				}
 			}
 		}
