What a call to the store found before an entry came to rest does not make it ask others

An entry that had just come to rest could ask other entries for everything, for as long as it rested: its own last call to the store failed while the answer of its reader was on its way, and nobody took the loss back, since it reads no more. It leaves that out now; when it reads again the first answer tells anew whether the store is there.

SiteNewsTests.whatItsOwnLastCallFoundIsNothingToWhoRests failed on the code before: one request to another entry.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -134,9 +134,14 @@
 	}
 
 	/**
-	 * Hears whether the store answers this entry.
+	 * Hears whether the store answers this entry. What a call found that was made before
+	 * this entry came to rest is left out: it would make it ask others for all, or say
+	 * that it reads, until it reads again.
 	 */
 	void reachable(boolean reachable) {
+		if (this.duty.rests()) {
+			return;
+		}
 		this.answered = reachable;
 		this.upstream.store(reachable).ifPresent(this::unwanted);
 		if (!reachable) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -166,6 +166,26 @@
 		assertThat(this.requests, Matchers.contains("-source"));
 	}
 
+	// An entry has come to rest, and what its own last call to the store found is still
+	// on
+	// its way. Taken for a loss it would make the entry ask others for everything, for as
+	// long as it rests.
+	@Test
+	void whatItsOwnLastCallFoundIsNothingToWhoRests() {
+		StoreDuty duty = StoreDuty.of("cut");
+		SiteNews resting = new SiteNews(new NamedObjects(), duty, UpstreamChoice.of("cut"), this::fromCut, this.log);
+		resting.reachable(true);
+		List.of(0L, 2 * SECOND).forEach((nanos) -> duty.tick(List.of("source"), true, nanos));
+		duty.heard("source", true, true, 2 * SECOND);
+		resting.rests();
+		this.requests.clear();
+		resting.reachable(false);
+		resting.tick(linked("source", "third"), 3 * SECOND);
+		assertThat(this.requests, Matchers.empty());
+		resting.reachable(true);
+		assertThat(resting.mayRest(), Matchers.equalTo(false));
+	}
+
 	@Test
 	void inCalmTimesNothingIsSent() {
 		this.cut.reachable(true);
