--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -11,9 +11,11 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.protocol.site.Kind;
@@ -44,7 +46,7 @@
 
 	private final DecisionLog log;
 
-	private final UpstreamChoice upstream = new UpstreamChoice();
+	private final UpstreamChoice upstream;
 
 	private final StoreDuty duty;
 
@@ -57,6 +59,15 @@
 	// Up to which revision of the store the objects of a kind are known.
 	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
 
+	// Who passes on what is not wanted here, since the word that ended it was lost with a
+	// link. Left alone it would do so for ever and never rest. Told once a tick, it ends
+	// as soon as one word arrives.
+	private final Set<String> strays = new HashSet<>();
+
+	private List<LinkedEntry> linked = List.of();
+
+	private long tickNanos;
+
 	private boolean answered;
 
 	private int ticks;
@@ -64,11 +75,14 @@
 	/**
 	 * Returns news of one entry.
 	 * @param duty says whom to believe besides
+	 * @param upstream says whom to ask while the store does not answer
 	 * @param sender sends a frame to an entry by name
 	 */
-	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, DecisionLog log) {
+	SiteNews(ObjectStore store, StoreDuty duty, UpstreamChoice upstream, BiConsumer<String, Frame> sender,
+			DecisionLog log) {
 		this.store = store;
 		this.duty = duty;
+		this.upstream = upstream;
 		this.sender = sender;
 		this.log = log;
 		for (Kind kind : Kind.values()) {
@@ -120,11 +134,16 @@
 	}
 
 	/**
-	 * Hears whether the store answers this entry.
+	 * Hears whether the store answers this entry. What a call found that was made before
+	 * this entry came to rest is left out: it would make it ask others for all, or say
+	 * that it reads, until it reads again.
 	 */
 	void reachable(boolean reachable) {
+		if (this.duty.rests()) {
+			return;
+		}
 		this.answered = reachable;
-		this.upstream.store(reachable).ifPresent((peer) -> this.sender.accept(peer, request(false)));
+		this.upstream.store(reachable).ifPresent(this::unwanted);
 		if (!reachable) {
 			dismiss();
 		}
@@ -151,16 +170,38 @@
 	 * Asks another entry when that is needed. Called each 100 ms.
 	 * @param linked the entries to which there is a link
 	 */
-	void tick(Collection<String> linked, long nowNanos) {
-		this.downstream.retainAll(linked);
+	void tick(Collection<LinkedEntry> linked, long nowNanos) {
+		this.linked = List.copyOf(linked);
+		this.tickNanos = nowNanos;
+		this.downstream.retainAll(linked.stream().map(LinkedEntry::name).collect(Collectors.toSet()));
 		this.ticks++;
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
 		}
-		this.upstream.ask(linked, nowNanos).ifPresent((peer) -> {
-			this.log.decision("store-through-entry", "entry", peer);
-			this.sender.accept(peer, request(true));
-		});
+		List.copyOf(this.strays).forEach(this::unwanted);
+		this.strays.clear();
+		carryOut(this.upstream.ask(linked, nowNanos));
+	}
+
+	/**
+	 * Tells an entry that nothing more is wanted of it, unless something is.
+	 */
+	void unwanted(String peer) {
+		if (!this.duty.believes(peer) && !this.upstream.believes(peer)) {
+			this.sender.accept(peer, request(false));
+		}
+	}
+
+	private void carryOut(List<UpstreamChoice.Step> steps) {
+		for (UpstreamChoice.Step step : steps) {
+			switch (step) {
+				case UpstreamChoice.Step.Ask ask -> {
+					this.log.decision("store-through-entry", "entry", ask.entry());
+					this.sender.accept(ask.entry(), request(true));
+				}
+				case UpstreamChoice.Step.Dismiss dismiss -> unwanted(dismiss.entry());
+			}
+		}
 	}
 
 	/**
@@ -226,10 +267,14 @@
 			return news.getCurrent();
 		}
 		if (!this.upstream.believes(peer)) {
+			if (news.getCurrent()) {
+				this.strays.add(peer);
+			}
 			return false;
 		}
 		if (!news.getCurrent()) {
 			this.upstream.heard(false);
+			carryOut(this.upstream.ask(this.linked, this.tickNanos));
 		}
 		return news.getCurrent();
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -4,13 +4,16 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.StoreDuty;
+import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
@@ -31,11 +34,14 @@
 
 	private final List<Frame> toSource = new ArrayList<>();
 
+	// Every request of the cut entry and to whom.
+	private final List<String> requests = new ArrayList<>();
+
 	private final SiteNews source = new SiteNews(new NamedObjects(), StoreDuty.of("source"),
-			(peer, frame) -> this.toCut.add(frame), this.log);
+			UpstreamChoice.of("source"), (peer, frame) -> this.toCut.add(frame), this.log);
 
-	private final SiteNews cut = new SiteNews(new NamedObjects(), StoreDuty.of("cut"),
-			(peer, frame) -> this.toSource.add(frame), this.log);
+	private final SiteNews cut = new SiteNews(new NamedObjects(), StoreDuty.of("cut"), UpstreamChoice.of("cut"),
+			this::fromCut, this.log);
 
 	@BeforeEach
 	void cutOff() {
@@ -44,7 +50,7 @@
 		this.cut.reachable(true);
 		this.cut.read(Kind.RUNNERS, List.of(NamedObjects.item("a", 5), NamedObjects.item("old", 4)), 5);
 		this.cut.reachable(false);
-		this.cut.tick(List.of("source"), SECOND);
+		this.cut.tick(linked("source"), SECOND);
 		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest().getWanted()));
 	}
 
@@ -53,6 +59,15 @@
 		this.log.close();
 	}
 
+	private static List<LinkedEntry> linked(String... names) {
+		return Stream.of(names).map(LinkedEntry::unknown).toList();
+	}
+
+	private void fromCut(String peer, Frame frame) {
+		this.toSource.add(frame);
+		this.requests.add((frame.getNewsRequest().getWanted() ? "+" : "-") + peer);
+	}
+
 	private List<String> delivered() {
 		List<String> heard = new ArrayList<>();
 		for (Frame frame : this.toCut) {
@@ -106,14 +121,71 @@
 	@Test
 	void theNextEntryIsAskedWhenTheFirstIsCutOffAsWell() {
 		delivered();
+		this.requests.clear();
 		this.source.reachable(false);
 		delivered();
-		this.toSource.clear();
-		this.cut.tick(List.of("source", "third"), 2 * SECOND);
-		assertThat(this.toSource, Matchers.hasSize(1));
+		this.cut.tick(linked("source", "third"), 2 * SECOND);
+		assertThat(this.requests, Matchers.contains("-source", "+third"));
 		assertThat(this.cut.heard("source", News.newBuilder().setCurrent(true).build()), Matchers.empty());
 	}
 
+	// Most entries rest, and each says at once that it does not read the store. The one
+	// that
+	// does is found without waiting for a tick at each of them.
+	@Test
+	void whoIsNotCurrentIsPassedOverAtOnce() {
+		this.cut.reachable(true);
+		this.cut.reachable(false);
+		this.requests.clear();
+		this.cut.tick(linked("x", "y", "z"), 2 * SECOND);
+		for (int i = 0; i < 3; i++) {
+			this.cut.heard(this.requests.getLast().substring(1), News.newBuilder().setCurrent(false).build());
+		}
+		assertThat(this.requests.stream().filter((request) -> request.startsWith("+")).toList(),
+				Matchers.containsInAnyOrder("+x", "+y", "+z"));
+	}
+
+	// The first entry asked does not answer in time, and the next one is asked. The first
+	// one would go on sending every change, over a link that is full as it is.
+	@Test
+	void whoIsNoLongerAskedIsToldSo() {
+		this.cut.tick(linked("source", "third"), 2 * SECOND);
+		assertThat(this.requests, Matchers.contains("+source", "-source", "+third"));
+	}
+
+	// The link to the entry that passes on ends and another is asked. When the link is
+	// back the former still sends: it was told nothing, since there was no link.
+	@Test
+	void whoPassesOnUnaskedIsToldSo() {
+		delivered();
+		this.cut.tick(linked("third"), 2 * SECOND);
+		this.requests.clear();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("c", 9), false));
+		assertThat(delivered(), Matchers.empty());
+		this.cut.tick(linked("source", "third"), 2 * SECOND + SECOND / 10);
+		assertThat(this.requests, Matchers.contains("-source"));
+	}
+
+	// An entry has come to rest, and what its own last call to the store found is still
+	// on
+	// its way. Taken for a loss it would make the entry ask others for everything, for as
+	// long as it rests.
+	@Test
+	void whatItsOwnLastCallFoundIsNothingToWhoRests() {
+		StoreDuty duty = StoreDuty.of("cut");
+		SiteNews resting = new SiteNews(new NamedObjects(), duty, UpstreamChoice.of("cut"), this::fromCut, this.log);
+		resting.reachable(true);
+		List.of(0L, 2 * SECOND).forEach((nanos) -> duty.tick(List.of("source"), true, nanos));
+		duty.heard("source", true, true, 2 * SECOND);
+		resting.rests();
+		this.requests.clear();
+		resting.reachable(false);
+		resting.tick(linked("source", "third"), 3 * SECOND);
+		assertThat(this.requests, Matchers.empty());
+		resting.reachable(true);
+		assertThat(resting.mayRest(), Matchers.equalTo(false));
+	}
+
 	@Test
 	void inCalmTimesNothingIsSent() {
 		this.cut.reachable(true);
