An entry that passes the store's news on and falls silent is not waited for without end

An entry that the store does not answer believed the one it had asked for as long as the link was open, also when that one had started anew, or its word that it is not current was left out for a full link: an old table was in force with nothing to end it. Signs come every half second; after 4 s without any the next one is asked and the silent one dismissed. A sign alone is no answer: the objects that were asked for may have been lost.

UpstreamChoiceTests.whoFallsSilentIsNotWaitedForWithoutEnd failed on the code before, with the new signature and no other change; SiteNewsTests.whoGivesSignsIsKeptAndWhoFallsSilentIsNot fails with the signs left out. oneIsAskedAndKept had one answer in a minute and now has an answer and signs, and looks each tenth of a second instead of once.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -232,7 +232,7 @@
 			return List.of();
 		}
 		if (this.upstream.believes(peer)) {
-			this.upstream.heard(true);
+			this.upstream.heard(true, this.tickNanos);
 		}
 		List<DirectEvent> fresh = new ArrayList<>();
 		for (StoreObject object : news.getObjectsList()) {
@@ -273,10 +273,12 @@
 			return false;
 		}
 		if (!news.getCurrent()) {
-			this.upstream.heard(false);
+			this.upstream.heard(false, this.tickNanos);
 			carryOut(this.upstream.ask(this.linked, this.tickNanos));
+			return false;
 		}
-		return news.getCurrent();
+		this.upstream.sign(this.tickNanos);
+		return true;
 	}
 
 	private boolean newer(Kind kind, StoreObject object) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -117,6 +117,23 @@
 		assertThat(this.toSource.getLast().getNewsRequest().getWanted(), Matchers.equalTo(false));
 	}
 
+	// Nothing changes for a minute, and the entry that passes on gives signs. Then it
+	// starts
+	// anew while the link is open, and knows nothing of the cut entry.
+	@Test
+	void whoGivesSignsIsKeptAndWhoFallsSilentIsNot() {
+		delivered();
+		this.requests.clear();
+		for (int tick = 1; tick <= 600; tick++) {
+			this.source.tick(linked("cut", "third"), SECOND + tick * SECOND / 10);
+			delivered();
+			this.cut.tick(linked("source", "third"), SECOND + tick * SECOND / 10);
+		}
+		assertThat(this.requests, Matchers.empty());
+		this.cut.tick(linked("source", "third"), 66 * SECOND);
+		assertThat(this.requests, Matchers.contains("-source", "+third"));
+	}
+
 	// The store stops answering the other entry too. It says so, and the next is asked.
 	@Test
 	void theNextEntryIsAskedWhenTheFirstIsCutOffAsWell() {
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/UpstreamChoice.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/UpstreamChoice.java
@@ -34,6 +34,9 @@
 
 	private static final long LONGEST_ANSWER_NANOS = Duration.ofSeconds(4).toNanos();
 
+	// Over a full link signs wait behind objects.
+	private static final long SILENT_NANOS = Duration.ofSeconds(4).toNanos();
+
 	// Entries that rest say at once that they do not read; asking all of them without a
 	// pause would cost more than following the store.
 	private static final long ROUND_NANOS = Duration.ofSeconds(1).toNanos();
@@ -51,6 +54,8 @@
 
 	private long askedNanos;
 
+	private long heardNanos;
+
 	private long patienceNanos = FIRST_ANSWER_NANOS;
 
 	// Who has been asked in this round, and when it began.
@@ -96,7 +101,8 @@
 	 * Hears that the entry that was asked has answered.
 	 * @param current whether the store answers it
 	 */
-	public void heard(boolean current) {
+	public void heard(boolean current, long nowNanos) {
+		this.heardNanos = nowNanos;
 		this.answer = current ? Answer.CURRENT : Answer.NOT_CURRENT;
 		if (current) {
 			this.served = true;
@@ -104,6 +110,13 @@
 		}
 	}
 
+	/**
+	 * Hears a sign that the entry that was asked still passes on, without any objects.
+	 */
+	public void sign(long nowNanos) {
+		this.heardNanos = nowNanos;
+	}
+
 	/**
 	 * Looks whom to ask now, if anybody, and whom to tell that nothing more is wanted.
 	 * @param linked the entries to which there is a link
@@ -112,7 +125,7 @@
 		if (!this.cut) {
 			return List.of();
 		}
-		boolean helps = this.asked.isPresent() && this.answer != Answer.NOT_CURRENT
+		boolean helps = this.answer != Answer.NOT_CURRENT && !silent(nowNanos)
 				&& linked.stream().anyMatch((entry) -> this.asked.equals(Optional.of(entry.name())));
 		boolean late = this.answer == Answer.NONE && nowNanos - this.askedNanos >= this.patienceNanos;
 		if (helps && !late) {
@@ -129,6 +142,13 @@
 		return moveTo(next, nowNanos);
 	}
 
+	// It started anew or its last word was lost, so that it knows nothing of this entry:
+	// what it said would be believed for as long as the store does not answer. Who passes
+	// on sends something every half second.
+	private boolean silent(long nowNanos) {
+		return this.answer == Answer.CURRENT && nowNanos - this.heardNanos > SILENT_NANOS;
+	}
+
 	private List<Step> moveTo(Optional<String> next, long nowNanos) {
 		List<Step> steps = new ArrayList<>();
 		this.asked.filter((before) -> !next.equals(Optional.of(before)))
--- a/policy/src/test/java/org/wisteriapost/policy/fleet/UpstreamChoiceTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/fleet/UpstreamChoiceTests.java
@@ -38,7 +38,7 @@
 				if (step instanceof Step.Ask ask) {
 					asked.add(ask.entry() + "@" + millis);
 					if (refused) {
-						this.choice.heard(false);
+						this.choice.heard(false, millis * MILLI);
 					}
 				}
 			}
@@ -58,8 +58,37 @@
 	void oneIsAskedAndKept() {
 		this.choice.store(false);
 		assertThat(this.choice.ask(LINKED, 0), Matchers.contains(new Step.Ask("c")));
-		this.choice.heard(true);
-		assertThat(this.choice.ask(LINKED, 60_000 * MILLI), Matchers.empty());
+		this.choice.heard(true, 0);
+		for (long millis = 100; millis <= 60_000; millis += 100) {
+			assertThat(this.choice.ask(LINKED, millis * MILLI), Matchers.empty());
+			if (millis % 500 == 0) {
+				this.choice.sign(millis * MILLI);
+			}
+		}
+	}
+
+	// The one that passed on has started anew, or its word that it is not current was
+	// lost:
+	// it does not know of this entry any more, and says nothing over an open link.
+	// Callers
+	// would be sent by what it said last for as long as the store turns this entry away.
+	@Test
+	void whoFallsSilentIsNotWaitedForWithoutEnd() {
+		this.choice.store(false);
+		this.choice.ask(LINKED, 0);
+		this.choice.heard(true, 100 * MILLI);
+		this.choice.sign(600 * MILLI);
+		assertThat(this.choice.ask(LINKED, 4500 * MILLI), Matchers.empty());
+		assertThat(this.choice.ask(LINKED, 4700 * MILLI), Matchers.contains(new Step.Dismiss("c"), new Step.Ask("b")));
+	}
+
+	// A sign that it lives is no answer to the question: the objects were lost.
+	@Test
+	void aSignIsNoAnswer() {
+		this.choice.store(false);
+		this.choice.ask(LINKED, 0);
+		this.choice.sign(500 * MILLI);
+		assertThat(this.choice.ask(LINKED, 700 * MILLI), Matchers.contains(new Step.Dismiss("c"), new Step.Ask("b")));
 	}
 
 	// The first one asked is cut off as well and says nothing, the second says that the
@@ -72,9 +101,9 @@
 		this.choice.ask(LINKED, 0);
 		assertThat(this.choice.ask(LINKED, 500 * MILLI), Matchers.empty());
 		assertThat(this.choice.ask(LINKED, 700 * MILLI), Matchers.contains(new Step.Dismiss("c"), new Step.Ask("b")));
-		this.choice.heard(false);
+		this.choice.heard(false, 705 * MILLI);
 		assertThat(this.choice.ask(LINKED, 710 * MILLI), Matchers.contains(new Step.Dismiss("b"), new Step.Ask("a")));
-		this.choice.heard(true);
+		this.choice.heard(true, 4900 * MILLI);
 		assertThat(this.choice.ask(List.of(B, C), 5000 * MILLI),
 				Matchers.contains(new Step.Dismiss("a"), new Step.Ask("c")));
 	}
@@ -118,7 +147,7 @@
 		this.choice.store(false);
 		assertThat(askedWithin(LINKED, 0, 15_000, false),
 				Matchers.contains("c@0", "b@600", "a@1800", "c@4200", "b@8200", "a@12200"));
-		this.choice.heard(true);
+		this.choice.heard(true, 15_000 * MILLI);
 		assertThat(askedWithin(List.of(B, C), 15_000, 16_000, false), Matchers.contains("c@15000", "b@15600"));
 	}
 
