--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
@@ -54,6 +54,7 @@
             org.wisteriapost.protocol.wire.News.class, org.wisteriapost.protocol.wire.News.Builder.class);
   }
 
+  private int bitField0_;
   public static final int CURRENT_FIELD_NUMBER = 1;
   private boolean current_ = false;
   /**
@@ -158,6 +159,75 @@
     return at_;
   }
 
+  public static final int SEQUENCE_FIELD_NUMBER = 6;
+  private long sequence_ = 0L;
+  /**
+   * <pre>
+   * counts the frames to this hearer from 1; 0: not counted
+   * </pre>
+   *
+   * <code>uint64 sequence = 6;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  public static final int AGE_MILLIS_FIELD_NUMBER = 7;
+  private long ageMillis_ = 0L;
+  /**
+   * <pre>
+   * since the sender's routes were last known to be the store's
+   * </pre>
+   *
+   * <code>optional uint64 age_millis = 7;</code>
+   * @return Whether the ageMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasAgeMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * since the sender's routes were last known to be the store's
+   * </pre>
+   *
+   * <code>optional uint64 age_millis = 7;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public long getAgeMillis() {
+    return ageMillis_;
+  }
+
+  public static final int STAMP_FIELD_NUMBER = 8;
+  private long stamp_ = 0L;
+  /**
+   * <pre>
+   * the latest that the hearer has sent
+   * </pre>
+   *
+   * <code>optional int64 stamp = 8;</code>
+   * @return Whether the stamp field is set.
+   */
+  @java.lang.Override
+  public boolean hasStamp() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * the latest that the hearer has sent
+   * </pre>
+   *
+   * <code>optional int64 stamp = 8;</code>
+   * @return The stamp.
+   */
+  @java.lang.Override
+  public long getStamp() {
+    return stamp_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -187,6 +257,15 @@
     if (at_ != 0L) {
       output.writeUInt64(5, at_);
     }
+    if (sequence_ != 0L) {
+      output.writeUInt64(6, sequence_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(7, ageMillis_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeInt64(8, stamp_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -216,6 +295,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, at_);
     }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, sequence_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, ageMillis_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, stamp_);
+    }
     return size;
   }
   @java.lang.Override
@@ -249,6 +340,18 @@
         .equals(other.getObjectsList())) return false;
     if (getAt()
         != other.getAt()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
+    if (hasAgeMillis() != other.hasAgeMillis()) return false;
+    if (hasAgeMillis()) {
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+    }
+    if (hasStamp() != other.hasStamp()) return false;
+    if (hasStamp()) {
+      if (getStamp()
+          != other.getStamp()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -275,6 +378,19 @@
     hash = (37 * hash) + AT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAt());
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
+    if (hasAgeMillis()) {
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+    }
+    if (hasStamp()) {
+      hash = (37 * hash) + STAMP_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStamp());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -421,6 +537,9 @@
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       at_ = 0L;
+      sequence_ = 0L;
+      ageMillis_ = 0L;
+      stamp_ = 0L;
       return this;
     }
 
@@ -479,6 +598,19 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.at_ = at_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.ageMillis_ = ageMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.stamp_ = stamp_;
+        to_bitField0_ |= 0x00000002;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -531,6 +663,15 @@
       if (other.getAt() != 0L) {
         setAt(other.getAt());
       }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
+      if (other.hasAgeMillis()) {
+        setAgeMillis(other.getAgeMillis());
+      }
+      if (other.hasStamp()) {
+        setStamp(other.getStamp());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -588,6 +729,21 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              ageMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              stamp_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1023,6 +1179,162 @@
       return this;
     }
 
+    private long sequence_ ;
+    /**
+     * <pre>
+     * counts the frames to this hearer from 1; 0: not counted
+     * </pre>
+     *
+     * <code>uint64 sequence = 6;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <pre>
+     * counts the frames to this hearer from 1; 0: not counted
+     * </pre>
+     *
+     * <code>uint64 sequence = 6;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * counts the frames to this hearer from 1; 0: not counted
+     * </pre>
+     *
+     * <code>uint64 sequence = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long ageMillis_ ;
+    /**
+     * <pre>
+     * since the sender's routes were last known to be the store's
+     * </pre>
+     *
+     * <code>optional uint64 age_millis = 7;</code>
+     * @return Whether the ageMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasAgeMillis() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * since the sender's routes were last known to be the store's
+     * </pre>
+     *
+     * <code>optional uint64 age_millis = 7;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <pre>
+     * since the sender's routes were last known to be the store's
+     * </pre>
+     *
+     * <code>optional uint64 age_millis = 7;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(long value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * since the sender's routes were last known to be the store's
+     * </pre>
+     *
+     * <code>optional uint64 age_millis = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      ageMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long stamp_ ;
+    /**
+     * <pre>
+     * the latest that the hearer has sent
+     * </pre>
+     *
+     * <code>optional int64 stamp = 8;</code>
+     * @return Whether the stamp field is set.
+     */
+    @java.lang.Override
+    public boolean hasStamp() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * the latest that the hearer has sent
+     * </pre>
+     *
+     * <code>optional int64 stamp = 8;</code>
+     * @return The stamp.
+     */
+    @java.lang.Override
+    public long getStamp() {
+      return stamp_;
+    }
+    /**
+     * <pre>
+     * the latest that the hearer has sent
+     * </pre>
+     *
+     * <code>optional int64 stamp = 8;</code>
+     * @param value The stamp to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStamp(long value) {
+
+      stamp_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the latest that the hearer has sent
+     * </pre>
+     *
+     * <code>optional int64 stamp = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStamp() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      stamp_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.News)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
@@ -74,4 +74,52 @@
    * @return The at.
    */
   long getAt();
+
+  /**
+   * <pre>
+   * counts the frames to this hearer from 1; 0: not counted
+   * </pre>
+   *
+   * <code>uint64 sequence = 6;</code>
+   * @return The sequence.
+   */
+  long getSequence();
+
+  /**
+   * <pre>
+   * since the sender's routes were last known to be the store's
+   * </pre>
+   *
+   * <code>optional uint64 age_millis = 7;</code>
+   * @return Whether the ageMillis field is set.
+   */
+  boolean hasAgeMillis();
+  /**
+   * <pre>
+   * since the sender's routes were last known to be the store's
+   * </pre>
+   *
+   * <code>optional uint64 age_millis = 7;</code>
+   * @return The ageMillis.
+   */
+  long getAgeMillis();
+
+  /**
+   * <pre>
+   * the latest that the hearer has sent
+   * </pre>
+   *
+   * <code>optional int64 stamp = 8;</code>
+   * @return Whether the stamp field is set.
+   */
+  boolean hasStamp();
+  /**
+   * <pre>
+   * the latest that the hearer has sent
+   * </pre>
+   *
+   * <code>optional int64 stamp = 8;</code>
+   * @return The stamp.
+   */
+  long getStamp();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
@@ -32,6 +32,7 @@
     super(builder);
   }
   private NewsRequest() {
+    known_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -52,6 +53,7 @@
             org.wisteriapost.protocol.wire.NewsRequest.class, org.wisteriapost.protocol.wire.NewsRequest.Builder.class);
   }
 
+  private int bitField0_;
   public static final int WANTED_FIELD_NUMBER = 1;
   private boolean wanted_ = false;
   /**
@@ -67,6 +69,109 @@
     return wanted_;
   }
 
+  public static final int KNOWN_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wisteriapost.protocol.wire.KnownKind> known_;
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wisteriapost.protocol.wire.KnownKind> getKnownList() {
+    return known_;
+  }
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wisteriapost.protocol.wire.KnownKindOrBuilder> 
+      getKnownOrBuilderList() {
+    return known_;
+  }
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  @java.lang.Override
+  public int getKnownCount() {
+    return known_.size();
+  }
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.KnownKind getKnown(int index) {
+    return known_.get(index);
+  }
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.KnownKindOrBuilder getKnownOrBuilder(
+      int index) {
+    return known_.get(index);
+  }
+
+  public static final int STAMP_FIELD_NUMBER = 3;
+  private long stamp_ = 0L;
+  /**
+   * <pre>
+   * the asker's own clock, sent back as it came
+   * </pre>
+   *
+   * <code>optional int64 stamp = 3;</code>
+   * @return Whether the stamp field is set.
+   */
+  @java.lang.Override
+  public boolean hasStamp() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * the asker's own clock, sent back as it came
+   * </pre>
+   *
+   * <code>optional int64 stamp = 3;</code>
+   * @return The stamp.
+   */
+  @java.lang.Override
+  public long getStamp() {
+    return stamp_;
+  }
+
+  public static final int KEEP_ALIVE_FIELD_NUMBER = 4;
+  private boolean keepAlive_ = false;
+  /**
+   * <pre>
+   * only the stamp is new: answered by a sign, unless the asker is not known
+   * </pre>
+   *
+   * <code>bool keep_alive = 4;</code>
+   * @return The keepAlive.
+   */
+  @java.lang.Override
+  public boolean getKeepAlive() {
+    return keepAlive_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -84,6 +189,15 @@
     if (wanted_ != false) {
       output.writeBool(1, wanted_);
     }
+    for (int i = 0; i < known_.size(); i++) {
+      output.writeMessage(2, known_.get(i));
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(3, stamp_);
+    }
+    if (keepAlive_ != false) {
+      output.writeBool(4, keepAlive_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -92,6 +206,23 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(1, wanted_);
     }
+
+        {
+          final int count = known_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(known_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, stamp_);
+    }
+    if (keepAlive_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, keepAlive_);
+    }
     return size;
   }
   @java.lang.Override
@@ -118,6 +249,15 @@
 
     if (getWanted()
         != other.getWanted()) return false;
+    if (!getKnownList()
+        .equals(other.getKnownList())) return false;
+    if (hasStamp() != other.hasStamp()) return false;
+    if (hasStamp()) {
+      if (getStamp()
+          != other.getStamp()) return false;
+    }
+    if (getKeepAlive()
+        != other.getKeepAlive()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -132,6 +272,18 @@
     hash = (37 * hash) + WANTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getWanted());
+    if (getKnownCount() > 0) {
+      hash = (37 * hash) + KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + getKnownList().hashCode();
+    }
+    if (hasStamp()) {
+      hash = (37 * hash) + STAMP_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStamp());
+    }
+    hash = (37 * hash) + KEEP_ALIVE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getKeepAlive());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -268,6 +420,15 @@
       super.clear();
       bitField0_ = 0;
       wanted_ = false;
+      if (knownBuilder_ == null) {
+        known_ = java.util.Collections.emptyList();
+      } else {
+        known_ = null;
+        knownBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
+      stamp_ = 0L;
+      keepAlive_ = false;
       return this;
     }
 
@@ -294,16 +455,38 @@
     @java.lang.Override
     public org.wisteriapost.protocol.wire.NewsRequest buildPartial() {
       org.wisteriapost.protocol.wire.NewsRequest result = new org.wisteriapost.protocol.wire.NewsRequest(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.wisteriapost.protocol.wire.NewsRequest result) {
+      if (knownBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          known_ = java.util.Collections.unmodifiableList(known_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.known_ = known_;
+      } else {
+        result.known_ = knownBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.wisteriapost.protocol.wire.NewsRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.wanted_ = wanted_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.stamp_ = stamp_;
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.keepAlive_ = keepAlive_;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -321,6 +504,38 @@
       if (other.getWanted() != false) {
         setWanted(other.getWanted());
       }
+      if (knownBuilder_ == null) {
+        if (!other.known_.isEmpty()) {
+          if (known_.isEmpty()) {
+            known_ = other.known_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureKnownIsMutable();
+            known_.addAll(other.known_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.known_.isEmpty()) {
+          if (knownBuilder_.isEmpty()) {
+            knownBuilder_.dispose();
+            knownBuilder_ = null;
+            known_ = other.known_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            knownBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetKnownFieldBuilder() : null;
+          } else {
+            knownBuilder_.addAllMessages(other.known_);
+          }
+        }
+      }
+      if (other.hasStamp()) {
+        setStamp(other.getStamp());
+      }
+      if (other.getKeepAlive() != false) {
+        setKeepAlive(other.getKeepAlive());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -350,6 +565,29 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 18: {
+              org.wisteriapost.protocol.wire.KnownKind m =
+                  input.readMessage(
+                      org.wisteriapost.protocol.wire.KnownKind.parser(),
+                      extensionRegistry);
+              if (knownBuilder_ == null) {
+                ensureKnownIsMutable();
+                known_.add(m);
+              } else {
+                knownBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
+            case 24: {
+              stamp_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              keepAlive_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -411,6 +649,412 @@
       return this;
     }
 
+    private java.util.List<org.wisteriapost.protocol.wire.KnownKind> known_ =
+      java.util.Collections.emptyList();
+    private void ensureKnownIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        known_ = new java.util.ArrayList<org.wisteriapost.protocol.wire.KnownKind>(known_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.KnownKind, org.wisteriapost.protocol.wire.KnownKind.Builder, org.wisteriapost.protocol.wire.KnownKindOrBuilder> knownBuilder_;
+
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.KnownKind> getKnownList() {
+      if (knownBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(known_);
+      } else {
+        return knownBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public int getKnownCount() {
+      if (knownBuilder_ == null) {
+        return known_.size();
+      } else {
+        return knownBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.KnownKind getKnown(int index) {
+      if (knownBuilder_ == null) {
+        return known_.get(index);
+      } else {
+        return knownBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder setKnown(
+        int index, org.wisteriapost.protocol.wire.KnownKind value) {
+      if (knownBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureKnownIsMutable();
+        known_.set(index, value);
+        onChanged();
+      } else {
+        knownBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder setKnown(
+        int index, org.wisteriapost.protocol.wire.KnownKind.Builder builderForValue) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        knownBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder addKnown(org.wisteriapost.protocol.wire.KnownKind value) {
+      if (knownBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureKnownIsMutable();
+        known_.add(value);
+        onChanged();
+      } else {
+        knownBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder addKnown(
+        int index, org.wisteriapost.protocol.wire.KnownKind value) {
+      if (knownBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureKnownIsMutable();
+        known_.add(index, value);
+        onChanged();
+      } else {
+        knownBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder addKnown(
+        org.wisteriapost.protocol.wire.KnownKind.Builder builderForValue) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.add(builderForValue.build());
+        onChanged();
+      } else {
+        knownBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder addKnown(
+        int index, org.wisteriapost.protocol.wire.KnownKind.Builder builderForValue) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        knownBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder addAllKnown(
+        java.lang.Iterable<? extends org.wisteriapost.protocol.wire.KnownKind> values) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, known_);
+        onChanged();
+      } else {
+        knownBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder clearKnown() {
+      if (knownBuilder_ == null) {
+        known_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        knownBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public Builder removeKnown(int index) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.remove(index);
+        onChanged();
+      } else {
+        knownBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.KnownKind.Builder getKnownBuilder(
+        int index) {
+      return internalGetKnownFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.KnownKindOrBuilder getKnownOrBuilder(
+        int index) {
+      if (knownBuilder_ == null) {
+        return known_.get(index);  } else {
+        return knownBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public java.util.List<? extends org.wisteriapost.protocol.wire.KnownKindOrBuilder> 
+         getKnownOrBuilderList() {
+      if (knownBuilder_ != null) {
+        return knownBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(known_);
+      }
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.KnownKind.Builder addKnownBuilder() {
+      return internalGetKnownFieldBuilder().addBuilder(
+          org.wisteriapost.protocol.wire.KnownKind.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.KnownKind.Builder addKnownBuilder(
+        int index) {
+      return internalGetKnownFieldBuilder().addBuilder(
+          index, org.wisteriapost.protocol.wire.KnownKind.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * what the asker has; its content is left out of the answer
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.KnownKind.Builder> 
+         getKnownBuilderList() {
+      return internalGetKnownFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.KnownKind, org.wisteriapost.protocol.wire.KnownKind.Builder, org.wisteriapost.protocol.wire.KnownKindOrBuilder> 
+        internalGetKnownFieldBuilder() {
+      if (knownBuilder_ == null) {
+        knownBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wisteriapost.protocol.wire.KnownKind, org.wisteriapost.protocol.wire.KnownKind.Builder, org.wisteriapost.protocol.wire.KnownKindOrBuilder>(
+                known_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        known_ = null;
+      }
+      return knownBuilder_;
+    }
+
+    private long stamp_ ;
+    /**
+     * <pre>
+     * the asker's own clock, sent back as it came
+     * </pre>
+     *
+     * <code>optional int64 stamp = 3;</code>
+     * @return Whether the stamp field is set.
+     */
+    @java.lang.Override
+    public boolean hasStamp() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * the asker's own clock, sent back as it came
+     * </pre>
+     *
+     * <code>optional int64 stamp = 3;</code>
+     * @return The stamp.
+     */
+    @java.lang.Override
+    public long getStamp() {
+      return stamp_;
+    }
+    /**
+     * <pre>
+     * the asker's own clock, sent back as it came
+     * </pre>
+     *
+     * <code>optional int64 stamp = 3;</code>
+     * @param value The stamp to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStamp(long value) {
+
+      stamp_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the asker's own clock, sent back as it came
+     * </pre>
+     *
+     * <code>optional int64 stamp = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStamp() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      stamp_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean keepAlive_ ;
+    /**
+     * <pre>
+     * only the stamp is new: answered by a sign, unless the asker is not known
+     * </pre>
+     *
+     * <code>bool keep_alive = 4;</code>
+     * @return The keepAlive.
+     */
+    @java.lang.Override
+    public boolean getKeepAlive() {
+      return keepAlive_;
+    }
+    /**
+     * <pre>
+     * only the stamp is new: answered by a sign, unless the asker is not known
+     * </pre>
+     *
+     * <code>bool keep_alive = 4;</code>
+     * @param value The keepAlive to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeepAlive(boolean value) {
+
+      keepAlive_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only the stamp is new: answered by a sign, unless the asker is not known
+     * </pre>
+     *
+     * <code>bool keep_alive = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeepAlive() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      keepAlive_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.NewsRequest)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequestOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequestOrBuilder.java
@@ -19,4 +19,77 @@
    * @return The wanted.
    */
   boolean getWanted();
+
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  java.util.List<org.wisteriapost.protocol.wire.KnownKind> 
+      getKnownList();
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  org.wisteriapost.protocol.wire.KnownKind getKnown(int index);
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  int getKnownCount();
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  java.util.List<? extends org.wisteriapost.protocol.wire.KnownKindOrBuilder> 
+      getKnownOrBuilderList();
+  /**
+   * <pre>
+   * what the asker has; its content is left out of the answer
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.KnownKind known = 2;</code>
+   */
+  org.wisteriapost.protocol.wire.KnownKindOrBuilder getKnownOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * the asker's own clock, sent back as it came
+   * </pre>
+   *
+   * <code>optional int64 stamp = 3;</code>
+   * @return Whether the stamp field is set.
+   */
+  boolean hasStamp();
+  /**
+   * <pre>
+   * the asker's own clock, sent back as it came
+   * </pre>
+   *
+   * <code>optional int64 stamp = 3;</code>
+   * @return The stamp.
+   */
+  long getStamp();
+
+  /**
+   * <pre>
+   * only the stamp is new: answered by a sign, unless the asker is not known
+   * </pre>
+   *
+   * <code>bool keep_alive = 4;</code>
+   * @return The keepAlive.
+   */
+  boolean getKeepAlive();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObject.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObject.java
@@ -130,6 +130,21 @@
     return content_;
   }
 
+  public static final int KNOWN_FIELD_NUMBER = 5;
+  private boolean known_ = false;
+  /**
+   * <pre>
+   * content is left out: the hearer has this revision
+   * </pre>
+   *
+   * <code>bool known = 5;</code>
+   * @return The known.
+   */
+  @java.lang.Override
+  public boolean getKnown() {
+    return known_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +171,9 @@
     if (!content_.isEmpty()) {
       output.writeBytes(4, content_);
     }
+    if (known_ != false) {
+      output.writeBool(5, known_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -175,6 +193,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, content_);
     }
+    if (known_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, known_);
+    }
     return size;
   }
   @java.lang.Override
@@ -207,6 +229,8 @@
         != other.getDeleted()) return false;
     if (!getContent()
         .equals(other.getContent())) return false;
+    if (getKnown()
+        != other.getKnown()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -228,6 +252,9 @@
         getDeleted());
     hash = (37 * hash) + CONTENT_FIELD_NUMBER;
     hash = (53 * hash) + getContent().hashCode();
+    hash = (37 * hash) + KNOWN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getKnown());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -363,6 +390,7 @@
       revision_ = 0L;
       deleted_ = false;
       content_ = com.google.protobuf.ByteString.EMPTY;
+      known_ = false;
       return this;
     }
 
@@ -408,6 +436,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.content_ = content_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.known_ = known_;
+      }
     }
 
     @java.lang.Override
@@ -436,6 +467,9 @@
       if (!other.getContent().isEmpty()) {
         setContent(other.getContent());
       }
+      if (other.getKnown() != false) {
+        setKnown(other.getKnown());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -480,6 +514,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              known_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -689,6 +728,50 @@
       return this;
     }
 
+    private boolean known_ ;
+    /**
+     * <pre>
+     * content is left out: the hearer has this revision
+     * </pre>
+     *
+     * <code>bool known = 5;</code>
+     * @return The known.
+     */
+    @java.lang.Override
+    public boolean getKnown() {
+      return known_;
+    }
+    /**
+     * <pre>
+     * content is left out: the hearer has this revision
+     * </pre>
+     *
+     * <code>bool known = 5;</code>
+     * @param value The known to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnown(boolean value) {
+
+      known_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * content is left out: the hearer has this revision
+     * </pre>
+     *
+     * <code>bool known = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnown() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      known_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.StoreObject)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObjectOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObjectOrBuilder.java
@@ -47,4 +47,14 @@
    * @return The content.
    */
   com.google.protobuf.ByteString getContent();
+
+  /**
+   * <pre>
+   * content is left out: the hearer has this revision
+   * </pre>
+   *
+   * <code>bool known = 5;</code>
+   * @return The known.
+   */
+  boolean getKnown();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -151,6 +151,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wisteriapost_NewsRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_KnownKind_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_KnownKind_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_KnownObject_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_KnownObject_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wisteriapost_News_descriptor;
   static final 
@@ -266,29 +276,37 @@
       "ing\030\004 \001(\010\022\030\n\020closes_in_millis\030\005 \001(\r\022\026\n\016s" +
       "tarted_millis\030\006 \001(\003\">\n\014WeightsNamed\022\r\n\005m" +
       "odel\030\001 \001(\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin\030\003 " +
-      "\001(\t\"\035\n\013NewsRequest\022\016\n\006wanted\030\001 \001(\010\"\203\001\n\004N" +
-      "ews\022\017\n\007current\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wis" +
-      "teriapost.StoreKind\022\013\n\003all\030\003 \001(\010\022*\n\007obje" +
-      "cts\030\004 \003(\0132\031.wisteriapost.StoreObject\022\n\n\002" +
-      "at\030\005 \001(\004\"O\n\013StoreObject\022\014\n\004name\030\001 \001(\t\022\020\n" +
-      "\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017\n\007cont" +
-      "ent\030\004 \001(\014\"5\n\006Roster\022+\n\007members\030\001 \003(\0132\032.w" +
-      "isteriapost.RosterMember\")\n\014RosterMember" +
-      "\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p\n\nPlaceStat" +
-      "e\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003(\0132\030.wister" +
-      "iapost.RunnerLoad\022*\n\007engines\030\003 \003(\0132\031.wis" +
-      "teriapost.EngineState*2\n\004Role\022\024\n\020ROLE_UN" +
-      "SPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Pri" +
-      "ority\022\n\n\006NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*" +
-      "E\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003R" +
-      "AN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkS" +
-      "tatus\022\034\n\030CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010C" +
-      "HUNK_OK\020\001\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BU" +
-      "SY\020\003*r\n\tStoreKind\022\032\n\026STORE_KIND_UNSPECIF" +
-      "IED\020\000\022\020\n\014STORE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS" +
-      "\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004" +
-      "B$\n\036org.wisteriapost.protocol.wireH\001P\001b\006" +
-      "proto3"
+      "\001(\t\"w\n\013NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005kn" +
+      "own\030\002 \003(\0132\027.wisteriapost.KnownKind\022\022\n\005st" +
+      "amp\030\003 \001(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010B\010\n\006_s" +
+      "tamp\"^\n\tKnownKind\022%\n\004kind\030\001 \001(\0162\027.wister" +
+      "iapost.StoreKind\022*\n\007objects\030\002 \003(\0132\031.wist" +
+      "eriapost.KnownObject\"-\n\013KnownObject\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\333\001\n\004News\022\017\n\007" +
+      "current\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapo" +
+      "st.StoreKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003" +
+      "(\0132\031.wisteriapost.StoreObject\022\n\n\002at\030\005 \001(" +
+      "\004\022\020\n\010sequence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H" +
+      "\000\210\001\001\022\022\n\005stamp\030\010 \001(\003H\001\210\001\001B\r\n\013_age_millisB" +
+      "\010\n\006_stamp\"^\n\013StoreObject\022\014\n\004name\030\001 \001(\t\022\020" +
+      "\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017\n\007con" +
+      "tent\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\"5\n\006Roster\022+\n\007m" +
+      "embers\030\001 \003(\0132\032.wisteriapost.RosterMember" +
+      "\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 " +
+      "\001(\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n\005load" +
+      "s\030\002 \003(\0132\030.wisteriapost.RunnerLoad\022*\n\007eng" +
+      "ines\030\003 \003(\0132\031.wisteriapost.EngineState*2\n" +
+      "\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t" +
+      "\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006URG" +
+      "ENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UN" +
+      "SPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNK" +
+      "NOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_UN" +
+      "SPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSI" +
+      "NG\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStoreKind\022\032\n\026STO" +
+      "RE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020\001\022" +
+      "\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021\n" +
+      "\rSTORE_ENTRIES\020\004B$\n\036org.wisteriapost.pro" +
+      "tocol.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -443,33 +461,45 @@
     internal_static_wisteriapost_NewsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_NewsRequest_descriptor,
-        new java.lang.String[] { "Wanted", });
-    internal_static_wisteriapost_News_descriptor =
+        new java.lang.String[] { "Wanted", "Known", "Stamp", "KeepAlive", });
+    internal_static_wisteriapost_KnownKind_descriptor =
       getDescriptor().getMessageType(25);
+    internal_static_wisteriapost_KnownKind_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_KnownKind_descriptor,
+        new java.lang.String[] { "Kind", "Objects", });
+    internal_static_wisteriapost_KnownObject_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_wisteriapost_KnownObject_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_KnownObject_descriptor,
+        new java.lang.String[] { "Name", "Revision", });
+    internal_static_wisteriapost_News_descriptor =
+      getDescriptor().getMessageType(27);
     internal_static_wisteriapost_News_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_News_descriptor,
-        new java.lang.String[] { "Current", "Kind", "All", "Objects", "At", });
+        new java.lang.String[] { "Current", "Kind", "All", "Objects", "At", "Sequence", "AgeMillis", "Stamp", });
     internal_static_wisteriapost_StoreObject_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_wisteriapost_StoreObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_StoreObject_descriptor,
-        new java.lang.String[] { "Name", "Revision", "Deleted", "Content", });
+        new java.lang.String[] { "Name", "Revision", "Deleted", "Content", "Known", });
     internal_static_wisteriapost_Roster_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_wisteriapost_Roster_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Roster_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_wisteriapost_RosterMember_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_wisteriapost_RosterMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RosterMember_descriptor,
         new java.lang.String[] { "Vm", "Place", });
     internal_static_wisteriapost_PlaceState_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_wisteriapost_PlaceState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_PlaceState_descriptor,
