A frame that was left out between entries is missed and asked for again

Callers were rejected with 401 or 404 by entries that rest or are cut off and had a table that others had replaced long ago. Mesh leaves a frame out when the link is full; a change lost so stayed unknown until the object changed again, and the half-second signs that followed said that all was well. A lost part of the first answer stayed silent in the same way.

Frames to each hearer are numbered. After a jump, and until all four kinds have come whole since, the hearer asks again, at least 300 ms apart and then less often, so that answers on their way over a narrow link aren't multiplied. A kind that comes whole after the gap holds what was lost in it, since frames of a link come in order; until then changes don't raise the revision up to which the kind is known. A resting entry whose news stay incomplete for as long as a silent reader may be silent reads the store itself. The count goes on for one that was told "not current", so a loss of that word shows as well; a new link (PeerMet) forgets the numbers.

SiteNewsTests and StoreReadingTests: calls adapted, assertions as they were.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -8,6 +8,7 @@
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.LoadReport;
 import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.NewsRequest;
 import org.wisteriapost.protocol.wire.PlaceState;
 
 /**
@@ -140,9 +141,9 @@
 	 * Another entry wants to be told what the store says, or does not any more.
 	 *
 	 * @param peer its name
-	 * @param wanted whether it does
+	 * @param request what it says
 	 */
-	record PeerWantsNews(String peer, boolean wanted) implements DirectEvent {
+	record PeerWantsNews(String peer, NewsRequest request) implements DirectEvent {
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -115,7 +115,7 @@
 		this.store = Optional.of(objects);
 		this.mesh = Optional.of(links);
 		StoreDuty duty = StoreDuty.of(this.self.name());
-		SiteNews passed = new SiteNews(objects, duty, links::send, this.log);
+		SiteNews passed = new SiteNews(objects, duty, links::send, this.clock, this.log);
 		this.news = Optional.of(passed);
 		this.reading = Optional.of(new StoreReading(duty, passed, following, links::send, this.log));
 		this.reports = Optional.of(new LoadReports(this.self.place(), links::send));
@@ -135,13 +135,13 @@
 			case DirectEvent.StoreDoubtful doubtful -> this.news.ifPresent(SiteNews::dismiss);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
-			case DirectEvent.PeerMet met -> this.announcer.met(met.peer());
+			case DirectEvent.PeerMet met -> peerMet(met.peer());
 			case DirectEvent.PeerLoads loads -> peerLoads(loads.peer(), loads.report(), now);
 			case DirectEvent.PlaceSays says -> this.places
 				.ifPresent((all) -> all.heard(says.peer(), says.state(), now).forEach((one) -> agentSays(one, now)));
 			case DirectEvent.PeerNews heard -> news(heard, now);
 			case DirectEvent.PeerWantsNews wants ->
-				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.wanted()));
+				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.request()));
 			case DirectEvent.AgentSays says -> agentSays(says.state(), now);
 			case DirectEvent.Tick tick -> tick(now);
 			case DirectEvent.Leave leave -> leave(now);
@@ -292,6 +292,11 @@
 		}
 	}
 
+	private void peerMet(String peer) {
+		this.announcer.met(peer);
+		this.news.ifPresent((passed) -> passed.linked(peer));
+	}
+
 	private void peerLoads(String peer, LoadReport report, long now) {
 		report.getRefusedList().forEach((one) -> this.dispatcher.peerRefused(LoadFrames.read(one, now)));
 		report.getLoadsList().forEach((load) -> this.dispatcher.peerLoad(peer, LoadFrames.read(load), now));
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
@@ -0,0 +1,131 @@
+package org.wisteriapost.entry.direct;
+
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.StoreObject;
+
+/**
+ * What an entry knows of the site's store, read or heard. Used by the state thread alone.
+ *
+ * What is heard is taken only when its revision is higher than the one known, and an
+ * object that was removed stays away until the store has changed it again: another entry
+ * may be behind what this one has read itself.
+ */
+final class KnownObjects {
+
+	private final ObjectStore store;
+
+	private final Map<Kind, Map<String, ObjectStore.Item>> objects = new EnumMap<>(Kind.class);
+
+	private final Map<Kind, Map<String, Long>> removed = new EnumMap<>(Kind.class);
+
+	// Up to which revision of the store the objects of a kind are known.
+	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
+
+	KnownObjects(ObjectStore store) {
+		this.store = store;
+		for (Kind kind : Kind.values()) {
+			this.objects.put(kind, new LinkedHashMap<>());
+			this.removed.put(kind, new LinkedHashMap<>());
+		}
+	}
+
+	/**
+	 * Returns all objects of a kind.
+	 */
+	List<ObjectStore.Item> items(Kind kind) {
+		return List.copyOf(this.objects.get(kind).values());
+	}
+
+	/**
+	 * Returns up to which revision of the store the objects of a kind are known.
+	 */
+	long readTo(Kind kind) {
+		return this.readTo.getOrDefault(kind, 0L);
+	}
+
+	/**
+	 * Notes that the objects of a kind are known up to a revision of the store.
+	 */
+	void reached(Kind kind, long at) {
+		this.readTo.merge(kind, at, Math::max);
+	}
+
+	/**
+	 * Takes all objects of a kind from the store.
+	 * @param at the store's revision when they were read
+	 */
+	void read(Kind kind, List<ObjectStore.Item> all, long at) {
+		this.readTo.put(kind, at);
+		Map<String, ObjectStore.Item> known = this.objects.get(kind);
+		known.clear();
+		this.removed.get(kind).clear();
+		all.forEach((item) -> known.put(item.name(), item));
+	}
+
+	/**
+	 * Takes a change from the store and returns whether it is newer than what is known.
+	 */
+	boolean read(Kind kind, ObjectStore.Change change) {
+		ObjectStore.Item known = this.objects.get(kind).get(change.item().name());
+		if (known != null && known.revision() > change.item().revision()) {
+			return false;
+		}
+		note(kind, change);
+		reached(kind, change.item().revision());
+		return true;
+	}
+
+	/**
+	 * Takes an object that was heard; empty when it is not newer than what is known.
+	 */
+	Optional<ObjectStore.Change> heard(Kind kind, StoreObject object) {
+		if (!newer(kind, object)) {
+			return Optional.empty();
+		}
+		Optional<ObjectStore.Change> change = this.store.decode(kind, object.getContent().toByteArray())
+			.map((item) -> new ObjectStore.Change(item, object.getDeleted()));
+		change.ifPresent((one) -> note(kind, one));
+		return change;
+	}
+
+	/**
+	 * Removes the objects of a kind that were not named by an entry that names all,
+	 * unless they were made after it had read: taken for gone they would stay away until
+	 * they change again.
+	 * @param at the store's revision up to which that entry has read
+	 */
+	void keep(Kind kind, Set<String> named, long at) {
+		items(kind).stream()
+			.filter((item) -> !named.contains(item.name()) && item.revision() <= at)
+			.forEach((item) -> note(kind, new ObjectStore.Change(item, true)));
+	}
+
+	private boolean newer(Kind kind, StoreObject object) {
+		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
+		boolean same = known != null && known.revision() >= object.getRevision() && !object.getDeleted();
+		return !same && object.getRevision() > removedAt(kind, object.getName());
+	}
+
+	private long removedAt(Kind kind, String name) {
+		return this.removed.get(kind).getOrDefault(name, -1L);
+	}
+
+	private void note(Kind kind, ObjectStore.Change change) {
+		ObjectStore.Item item = change.item();
+		if (change.deleted()) {
+			this.objects.get(kind).remove(item.name());
+			this.removed.get(kind).put(item.name(), item.revision());
+			return;
+		}
+		this.objects.get(kind).put(item.name(), item);
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -138,8 +138,8 @@
 			case PLACE_STATE ->
 				peer.ifPresent((name) -> this.events.accept(new DirectEvent.PlaceSays(name, frame.getPlaceState())));
 			case NEWS -> peer.ifPresent((name) -> this.events.accept(new DirectEvent.PeerNews(name, frame.getNews())));
-			case NEWS_REQUEST -> peer.ifPresent((name) -> this.events
-				.accept(new DirectEvent.PeerWantsNews(name, frame.getNewsRequest().getWanted())));
+			case NEWS_REQUEST -> peer
+				.ifPresent((name) -> this.events.accept(new DirectEvent.PeerWantsNews(name, frame.getNewsRequest())));
 			case LEAVING -> this.events.accept(new DirectEvent.PeerLeaving(frame.getLeaving().getVm()));
 			default -> {
 				// Frames of the roles that serve the product's own interface.
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -0,0 +1,184 @@
+package org.wisteriapost.entry.direct;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.NewsRequest;
+
+/**
+ * What an entry has heard from those that it asked for news, and whether something is
+ * missing. Used by the state thread alone.
+ *
+ * A link that is full leaves frames out. Harm prevented: a change that was left out would
+ * stay unknown until the object changes again, while the signs that follow say that all
+ * is well, and proper requests would be rejected by an old route table. The numbers of
+ * the frames show what is missing; then all kinds count as not delivered, and the entry
+ * is asked again until they are. That is enough: a kind that comes whole after the gap
+ * holds what was lost in it.
+ */
+final class NewsHearer {
+
+	private static final long PAUSE_NANOS = Duration.ofMillis(300).toNanos();
+
+	// An answer may take longer than the first pause on a narrow link, which one for each
+	// request would keep full.
+	private static final long LONGEST_PAUSE_NANOS = Duration.ofMillis(1200).toNanos();
+
+	private final LongSupplier clock;
+
+	private final DecisionLog log;
+
+	private final Map<String, Subscription> subscriptions = new HashMap<>();
+
+	NewsHearer(LongSupplier clock, DecisionLog log) {
+		this.clock = clock;
+		this.log = log;
+	}
+
+	/**
+	 * Returns the request by which another entry is asked for everything from now on.
+	 */
+	Frame ask(String peer) {
+		Subscription begun = new Subscription(this.clock.getAsLong());
+		this.subscriptions.put(peer, begun);
+		return begun.request();
+	}
+
+	/**
+	 * Forgets all that are not believed any more.
+	 */
+	void keep(Predicate<String> believed) {
+		this.subscriptions.keySet().removeIf(believed.negate());
+	}
+
+	/**
+	 * Forgets an entry that says it is not current.
+	 */
+	void forget(String peer) {
+		this.subscriptions.remove(peer);
+	}
+
+	/**
+	 * Hears that there is a new link to another entry, which may be a new process: the
+	 * old numbers mean nothing any more.
+	 */
+	void linked(String peer) {
+		this.subscriptions.computeIfPresent(peer,
+				(name, before) -> new Subscription(this.clock.getAsLong() - PAUSE_NANOS));
+	}
+
+	/**
+	 * Hears the number of a frame.
+	 * @param sequence 0 from a process that does not count
+	 */
+	void counted(String peer, long sequence) {
+		Subscription heard = of(peer);
+		if (sequence == 0) {
+			return;
+		}
+		if (heard.sequence != 0 && sequence != heard.sequence + 1) {
+			this.log.failure("news-missed", "peer", peer, "frames", Math.max(0, sequence - heard.sequence - 1));
+			heard.delivered.clear();
+		}
+		heard.sequence = sequence;
+	}
+
+	/**
+	 * Hears that all objects of a kind have come from another entry.
+	 */
+	void delivered(String peer, Kind kind) {
+		Subscription heard = of(peer);
+		heard.delivered.add(kind);
+		heard.quietNanos = this.clock.getAsLong();
+		if (heard.whole()) {
+			heard.pauseNanos = PAUSE_NANOS;
+		}
+	}
+
+	/**
+	 * Returns whether nothing of a kind that another entry has said is missing.
+	 */
+	boolean has(String peer, Kind kind) {
+		return this.subscriptions.containsKey(peer) && of(peer).delivered.contains(kind);
+	}
+
+	/**
+	 * Returns whether nothing that another entry has said is missing.
+	 */
+	boolean whole(String peer) {
+		return this.subscriptions.containsKey(peer) && of(peer).whole();
+	}
+
+	/**
+	 * Returns the entries that are heard.
+	 */
+	Collection<String> heard() {
+		return List.copyOf(this.subscriptions.keySet());
+	}
+
+	/**
+	 * Returns the request by which an entry is asked once more, when something is missing
+	 * and the pause is over.
+	 */
+	Optional<Frame> again(String peer) {
+		Subscription heard = of(peer);
+		long now = this.clock.getAsLong();
+		if (heard.whole() || now - heard.quietNanos < heard.pauseNanos) {
+			return Optional.empty();
+		}
+		this.log.decision("news-asked-again", "peer", peer, "missing", heard.missing());
+		heard.quietNanos = now;
+		heard.pauseNanos = Math.min(LONGEST_PAUSE_NANOS, heard.pauseNanos * 2);
+		return Optional.of(heard.request());
+	}
+
+	// One may be believed again after it was forgotten; it is asked then.
+	private Subscription of(String peer) {
+		return this.subscriptions.computeIfAbsent(peer, (name) -> new Subscription(this.clock.getAsLong()));
+	}
+
+	/** What has come from one entry since it was asked first. */
+	private static final class Subscription {
+
+		private final Set<Kind> delivered = EnumSet.noneOf(Kind.class);
+
+		private long sequence;
+
+		// Since when neither it was asked nor a part of an answer came.
+		private long quietNanos;
+
+		private long pauseNanos = PAUSE_NANOS;
+
+		private Subscription(long quietNanos) {
+			this.quietNanos = quietNanos;
+		}
+
+		private boolean whole() {
+			return this.delivered.size() == Kind.values().length;
+		}
+
+		private List<Kind> missing() {
+			List<Kind> missing = new ArrayList<>(List.of(Kind.values()));
+			missing.removeAll(this.delivered);
+			return missing;
+		}
+
+		private Frame request() {
+			return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(true)).build();
+		}
+
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -2,14 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -28,17 +28,15 @@
  * Passes what the site's store says on to entries that do not read it, for want of an
  * answer or since this one reads for them, and takes it from another entry while this one
  * does not read. Used by the state thread alone.
- *
- * An object is taken only when its revision is higher than the one known, and one that
- * was removed stays away until the store has changed it again: another entry may be
- * behind what this one has read itself.
  */
 final class SiteNews {
 
 	// Half a second: who hears the store from here takes silence for a loss.
 	private static final int TICKS_PER_SIGN = 5;
 
-	private final ObjectStore store;
+	private final KnownObjects known;
+
+	private final NewsHearer hearer;
 
 	private final BiConsumer<String, Frame> sender;
 
@@ -50,12 +48,9 @@
 
 	private final Set<String> downstream = new HashSet<>();
 
-	private final Map<Kind, Map<String, ObjectStore.Item>> objects = new EnumMap<>(Kind.class);
-
-	private final Map<Kind, Map<String, Long>> removed = new EnumMap<>(Kind.class);
-
-	// Up to which revision of the store the objects of a kind are known.
-	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
+	// How many frames were sent to each that is linked. It is kept for one that wants no
+	// more: was it told so by a frame that is lost, the next one shows it.
+	private final Map<String, Long> sent = new HashMap<>();
 
 	private boolean answered;
 
@@ -66,15 +61,12 @@
 	 * @param duty says whom to believe besides
 	 * @param sender sends a frame to an entry by name
 	 */
-	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, DecisionLog log) {
-		this.store = store;
+	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, LongSupplier clock, DecisionLog log) {
+		this.known = new KnownObjects(store);
+		this.hearer = new NewsHearer(clock, log);
 		this.duty = duty;
 		this.sender = sender;
 		this.log = log;
-		for (Kind kind : Kind.values()) {
-			this.objects.put(kind, new LinkedHashMap<>());
-			this.removed.put(kind, new LinkedHashMap<>());
-		}
 	}
 
 	// From the store.
@@ -84,11 +76,7 @@
 	 * @param at the store's revision when they were read
 	 */
 	void read(Kind kind, List<ObjectStore.Item> all, long at) {
-		this.readTo.put(kind, at);
-		Map<String, ObjectStore.Item> known = this.objects.get(kind);
-		known.clear();
-		this.removed.get(kind).clear();
-		all.forEach((item) -> known.put(item.name(), item));
+		this.known.read(kind, all, at);
 		tell(() -> all(kind));
 	}
 
@@ -96,11 +84,9 @@
 	 * Takes a change and returns whether it is newer than what is known.
 	 */
 	boolean read(Kind kind, ObjectStore.Change change) {
-		ObjectStore.Item known = this.objects.get(kind).get(change.item().name());
-		if (known != null && known.revision() > change.item().revision()) {
+		if (!this.known.read(kind, change)) {
 			return false;
 		}
-		note(kind, change);
 		tell(() -> News.newBuilder().setCurrent(true).setKind(wire(kind)).addObjects(object(change)).build());
 		return true;
 	}
@@ -153,32 +139,56 @@
 	 */
 	void tick(Collection<String> linked, long nowNanos) {
 		this.downstream.retainAll(linked);
+		this.sent.keySet().retainAll(linked);
 		this.ticks++;
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
 		}
 		this.upstream.ask(linked, nowNanos).ifPresent((peer) -> {
 			this.log.decision("store-through-entry", "entry", peer);
-			this.sender.accept(peer, request(true));
+			this.sender.accept(peer, ask(peer));
 		});
+		this.hearer.keep((peer) -> this.duty.believes(peer) || this.upstream.believes(peer));
+		this.hearer.heard().forEach(this::askAgain);
+	}
+
+	/**
+	 * Hears that there is a new link to another entry.
+	 */
+	void linked(String peer) {
+		this.hearer.linked(peer);
+	}
+
+	/**
+	 * Returns the request by which another entry is asked for what the store says.
+	 */
+	Frame ask(String peer) {
+		return this.hearer.ask(peer);
+	}
+
+	/**
+	 * Returns whether nothing that another entry has said is missing.
+	 */
+	boolean whole(String peer) {
+		return this.hearer.whole(peer);
 	}
 
 	/**
 	 * Hears that another entry wants to be told what the store says, or does not any
 	 * more.
 	 */
-	void asked(String peer, boolean wanted) {
-		if (!wanted) {
+	void asked(String peer, NewsRequest request) {
+		if (!request.getWanted()) {
 			this.downstream.remove(peer);
 			return;
 		}
 		if (!this.answered) {
-			this.sender.accept(peer, frame(News.newBuilder().setCurrent(false).build()));
+			send(peer, News.newBuilder().setCurrent(false).build());
 			return;
 		}
 		this.downstream.add(peer);
 		for (Kind kind : Kind.values()) {
-			this.sender.accept(peer, frame(all(kind)));
+			send(peer, all(kind));
 		}
 	}
 
@@ -186,39 +196,47 @@
 	 * Returns what another entry says that is new here, as if the store had said it.
 	 */
 	List<DirectEvent> heard(String peer, News news) {
-		Optional<Kind> kind = kind(news.getKind());
-		if (!believed(peer, news) || kind.isEmpty()) {
+		if (!believed(peer, news)) {
+			this.hearer.forget(peer);
 			return List.of();
 		}
+		this.hearer.counted(peer, news.getSequence());
+		List<DirectEvent> fresh = kind(news.getKind()).map((kind) -> taken(peer, kind, news)).orElse(List.of());
+		askAgain(peer);
+		return fresh;
+	}
+
+	private void askAgain(String peer) {
+		this.hearer.again(peer).ifPresent((frame) -> this.sender.accept(peer, frame));
+	}
+
+	private List<DirectEvent> taken(String peer, Kind kind, News news) {
 		if (this.upstream.believes(peer)) {
 			this.upstream.heard(true);
 		}
 		List<DirectEvent> fresh = new ArrayList<>();
 		for (StoreObject object : news.getObjectsList()) {
-			if (newer(kind.get(), object)) {
-				this.store.decode(kind.get(), object.getContent().toByteArray()).ifPresent((item) -> {
-					ObjectStore.Change change = new ObjectStore.Change(item, object.getDeleted());
-					note(kind.get(), change);
-					fresh.add(new DirectEvent.ObjectChanged(kind.get(), change));
-				});
-			}
+			this.known.heard(kind, object)
+				.ifPresent((change) -> fresh.add(new DirectEvent.ObjectChanged(kind, change)));
+		}
+		if (news.getAll()) {
+			this.hearer.delivered(peer, kind);
+			return List.of(all(kind, news));
+		}
+		// With a change before it missing it says nothing of how far the kind is known:
+		// what was made in between would be taken for gone by whoever hears this entry.
+		if (this.hearer.has(peer, kind)) {
+			news.getObjectsList().forEach((object) -> this.known.reached(kind, object.getRevision()));
 		}
-		return news.getAll() ? List.of(all(kind.get(), news)) : fresh;
+		return fresh;
 	}
 
-	// What the sender does not name is gone, unless it was made after the sender had
-	// read:
-	// taken for gone it would stay away until it changes again.
 	private DirectEvent all(Kind kind, News news) {
 		Set<String> named = new HashSet<>();
 		news.getObjectsList().forEach((object) -> named.add(object.getName()));
-		Map<String, ObjectStore.Item> known = this.objects.get(kind);
-		List.copyOf(known.values())
-			.stream()
-			.filter((item) -> !named.contains(item.name()) && item.revision() <= news.getAt())
-			.forEach((item) -> note(kind, new ObjectStore.Change(item, true)));
-		this.readTo.merge(kind, news.getAt(), Math::max);
-		return new DirectEvent.AllObjects(kind, List.copyOf(known.values()), this.readTo.get(kind));
+		this.known.keep(kind, named, news.getAt());
+		this.known.reached(kind, news.getAt());
+		return new DirectEvent.AllObjects(kind, this.known.items(kind), this.known.readTo(kind));
 	}
 
 	private boolean believed(String peer, News news) {
@@ -234,30 +252,19 @@
 		return news.getCurrent();
 	}
 
-	private boolean newer(Kind kind, StoreObject object) {
-		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
-		long gone = this.removed.get(kind).getOrDefault(object.getName(), -1L);
-		boolean same = known != null && known.revision() >= object.getRevision() && !object.getDeleted();
-		return !same && object.getRevision() > gone;
-	}
-
-	private void note(Kind kind, ObjectStore.Change change) {
-		ObjectStore.Item item = change.item();
-		this.readTo.merge(kind, item.revision(), Math::max);
-		if (change.deleted()) {
-			this.objects.get(kind).remove(item.name());
-			this.removed.get(kind).put(item.name(), item.revision());
-			return;
-		}
-		this.objects.get(kind).put(item.name(), item);
-	}
-
 	private void tell(Supplier<News> news) {
 		if (this.downstream.isEmpty()) {
 			return;
 		}
-		Frame frame = frame(news.get());
-		this.downstream.forEach((peer) -> this.sender.accept(peer, frame));
+		News said = news.get();
+		List.copyOf(this.downstream).forEach((peer) -> send(peer, said));
+	}
+
+	// Who hears finds what a full link has left out by the numbers. The objects are
+	// shared by the frames to all.
+	private void send(String peer, News said) {
+		long sequence = this.sent.merge(peer, 1L, Long::sum);
+		this.sender.accept(peer, Frame.newBuilder().setNews(said.toBuilder().setSequence(sequence)).build());
 	}
 
 	private News all(Kind kind) {
@@ -265,8 +272,8 @@
 			.setCurrent(true)
 			.setAll(true)
 			.setKind(wire(kind))
-			.setAt(this.readTo.getOrDefault(kind, 0L));
-		this.objects.get(kind).values().forEach((item) -> news.addObjects(object(new ObjectStore.Change(item, false))));
+			.setAt(this.known.readTo(kind));
+		this.known.items(kind).forEach((item) -> news.addObjects(object(new ObjectStore.Change(item, false))));
 		return news.build();
 	}
 
@@ -280,14 +287,13 @@
 			.build();
 	}
 
+	/**
+	 * Returns the frame that says whether news are wanted, without what is known.
+	 */
 	static Frame request(boolean wanted) {
 		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(wanted)).build();
 	}
 
-	private static Frame frame(News news) {
-		return Frame.newBuilder().setNews(news).build();
-	}
-
 	private static StoreKind wire(Kind kind) {
 		return switch (kind) {
 			case ROUTES -> StoreKind.STORE_ROUTES;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -1,14 +1,11 @@
 package org.wisteriapost.entry.direct;
 
 import java.util.Collection;
-import java.util.EnumSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.BiConsumer;
 
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.fleet.StoreDuty;
-import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
 
@@ -27,9 +24,6 @@
 
 	private final DecisionLog log;
 
-	// What has come whole from the entry that was asked.
-	private final Set<Kind> delivered = EnumSet.noneOf(Kind.class);
-
 	private boolean relied;
 
 	/**
@@ -71,23 +65,26 @@
 	List<DirectEvent> heard(String peer, News said, long nowNanos) {
 		List<DirectEvent> fresh = this.news.heard(peer, said);
 		if (this.duty.believes(peer)) {
-			if (said.getAll()) {
-				SiteNews.kind(said.getKind()).ifPresent(this.delivered::add);
-			}
-			boolean whole = this.delivered.size() == Kind.values().length;
-			carryOut(this.duty.heard(peer, said.getCurrent(), whole, nowNanos));
+			reader(peer, said.getCurrent(), nowNanos);
 		}
 		return fresh;
 	}
 
+	// Signs that follow a lost frame tell nothing. An entry that rests takes a reader
+	// whose news stay incomplete for silent, and reads itself: it would go on with an old
+	// table otherwise.
+	private void reader(String peer, boolean current, long nowNanos) {
+		boolean whole = this.news.whole(peer);
+		if (whole || !current || !this.duty.rests()) {
+			carryOut(this.duty.heard(peer, current, whole, nowNanos));
+		}
+	}
+
 	private void carryOut(List<StoreDuty.Step> steps) {
 		for (StoreDuty.Step step : steps) {
 			this.log.decision("store-duty", "step", step);
 			switch (step) {
-				case StoreDuty.Step.Ask ask -> {
-					this.delivered.clear();
-					this.sender.accept(ask.entry(), SiteNews.request(true));
-				}
+				case StoreDuty.Step.Ask ask -> this.sender.accept(ask.entry(), this.news.ask(ask.entry()));
 				case StoreDuty.Step.Dismiss dismiss -> this.sender.accept(dismiss.entry(), SiteNews.request(false));
 				case StoreDuty.Step.Rest rest -> {
 					this.news.rests();
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -15,6 +15,7 @@
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.NewsRequest;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -32,10 +33,10 @@
 	private final List<Frame> toSource = new ArrayList<>();
 
 	private final SiteNews source = new SiteNews(new NamedObjects(), StoreDuty.of("source"),
-			(peer, frame) -> this.toCut.add(frame), this.log);
+			(peer, frame) -> this.toCut.add(frame), () -> SECOND, this.log);
 
 	private final SiteNews cut = new SiteNews(new NamedObjects(), StoreDuty.of("cut"),
-			(peer, frame) -> this.toSource.add(frame), this.log);
+			(peer, frame) -> this.toSource.add(frame), () -> SECOND, this.log);
 
 	@BeforeEach
 	void cutOff() {
@@ -45,7 +46,7 @@
 		this.cut.read(Kind.RUNNERS, List.of(NamedObjects.item("a", 5), NamedObjects.item("old", 4)), 5);
 		this.cut.reachable(false);
 		this.cut.tick(List.of("source"), SECOND);
-		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest().getWanted()));
+		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest()));
 	}
 
 	@AfterEach
@@ -117,7 +118,7 @@
 	@Test
 	void inCalmTimesNothingIsSent() {
 		this.cut.reachable(true);
-		this.source.asked("cut", false);
+		this.source.asked("cut", NewsRequest.getDefaultInstance());
 		this.toCut.clear();
 		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("d", 12), false));
 		assertThat(this.toCut, Matchers.empty());
--- a/entry/src/test/java/org/wisteriapost/entry/direct/StoreReadingTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/StoreReadingTests.java
@@ -141,7 +141,8 @@
 		private Entry(String name) {
 			this.name = name;
 			StoreDuty duty = StoreDuty.of(name);
-			this.news = new SiteNews(new NamedObjects(), duty, this::send, StoreReadingTests.this.log);
+			this.news = new SiteNews(new NamedObjects(), duty, this::send, () -> StoreReadingTests.this.now,
+					StoreReadingTests.this.log);
 			this.reading = new StoreReading(duty, this.news, new Following(), this::send, StoreReadingTests.this.log);
 		}
 
@@ -155,7 +156,7 @@
 				return;
 			}
 			if (frame.hasNewsRequest()) {
-				this.other.news.asked(this.name, frame.getNewsRequest().getWanted());
+				this.other.news.asked(this.name, frame.getNewsRequest());
 				return;
 			}
 			this.other.reading.heard(this.name, frame.getNews(), StoreReadingTests.this.now)
