An entry that asks for news is sent only what it does not have

Links between regions were full of copies of the route table: each entry that asked another was sent all objects of all kinds whole, also those that it had, over and over while the store did not answer. Of that, tables came late or not at all.

A request names what the asker has; the answer names all objects and leaves out the content of those. What is not named is gone, as before. An object named so that the asker no longer has (its own listing came in between) makes the answer count as not delivered: nothing of it is taken, an entry does not rest on it, and the next request asks for everything, so nothing can be missing for good. One that was removed here meanwhile is not missing. A process of an older version names nothing and is sent everything. Objects are written once for all hearers.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
@@ -1,14 +1,19 @@
 package org.wisteriapost.entry.direct;
 
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import com.google.protobuf.ByteString;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.wire.KnownKind;
+import org.wisteriapost.protocol.wire.KnownObject;
 import org.wisteriapost.protocol.wire.StoreObject;
 
 /**
@@ -26,6 +31,9 @@
 
 	private final Map<Kind, Map<String, Long>> removed = new EnumMap<>(Kind.class);
 
+	// As they are sent: written once for all who hear them.
+	private final Map<Kind, Map<String, StoreObject>> written = new EnumMap<>(Kind.class);
+
 	// Up to which revision of the store the objects of a kind are known.
 	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
 
@@ -34,6 +42,7 @@
 		for (Kind kind : Kind.values()) {
 			this.objects.put(kind, new LinkedHashMap<>());
 			this.removed.put(kind, new LinkedHashMap<>());
+			this.written.put(kind, new HashMap<>());
 		}
 	}
 
@@ -68,6 +77,7 @@
 		known.clear();
 		this.removed.get(kind).clear();
 		all.forEach((item) -> known.put(item.name(), item));
+		this.written.get(kind).keySet().retainAll(known.keySet());
 	}
 
 	/**
@@ -87,7 +97,7 @@
 	 * Takes an object that was heard; empty when it is not newer than what is known.
 	 */
 	Optional<ObjectStore.Change> heard(Kind kind, StoreObject object) {
-		if (!newer(kind, object)) {
+		if (object.getKnown() || !newer(kind, object)) {
 			return Optional.empty();
 		}
 		Optional<ObjectStore.Change> change = this.store.decode(kind, object.getContent().toByteArray())
@@ -108,6 +118,69 @@
 			.forEach((item) -> note(kind, new ObjectStore.Change(item, true)));
 	}
 
+	/**
+	 * Returns whether all objects whose content a sender left out are known here.
+	 */
+	boolean holds(Kind kind, List<StoreObject> named) {
+		return named.stream().filter(StoreObject::getKnown).allMatch((object) -> holds(kind, object));
+	}
+
+	/**
+	 * Returns the names and revisions of all objects.
+	 */
+	List<KnownKind> revisions() {
+		List<KnownKind> revisions = new ArrayList<>();
+		this.objects.forEach((kind, all) -> {
+			KnownKind.Builder one = KnownKind.newBuilder().setKind(SiteNews.wire(kind));
+			all.values()
+				.forEach((item) -> one
+					.addObjects(KnownObject.newBuilder().setName(item.name()).setRevision(item.revision())));
+			revisions.add(one.build());
+		});
+		return revisions;
+	}
+
+	/**
+	 * Returns all objects of a kind as they are sent.
+	 * @param held revisions by name that the hearer has: content is left out of those
+	 */
+	List<StoreObject> written(Kind kind, Map<String, Long> held) {
+		return items(kind).stream()
+			.map((item) -> (held.getOrDefault(item.name(), -1L) >= item.revision()) ? named(item) : written(kind, item))
+			.toList();
+	}
+
+	/**
+	 * Returns a change as it is sent.
+	 */
+	StoreObject written(Kind kind, ObjectStore.Change change) {
+		return change.deleted() ? written(change.item()).setDeleted(true).build() : written(kind, change.item());
+	}
+
+	private StoreObject written(Kind kind, ObjectStore.Item item) {
+		return this.written.get(kind)
+			.compute(item.name(), (name, before) -> (before != null && before.getRevision() == item.revision()) ? before
+					: written(item).build());
+	}
+
+	private static StoreObject.Builder written(ObjectStore.Item item) {
+		return StoreObject.newBuilder()
+			.setName(item.name())
+			.setRevision(item.revision())
+			.setContent(ByteString.copyFrom(item.content()));
+	}
+
+	private static StoreObject named(ObjectStore.Item item) {
+		return StoreObject.newBuilder().setName(item.name()).setRevision(item.revision()).setKnown(true).build();
+	}
+
+	// One that was removed since the request is not missing.
+	private boolean holds(Kind kind, StoreObject object) {
+		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
+		long revision = (known != null) ? known.revision() : removedAt(kind, object.getName());
+		return revision >= object.getRevision();
+	}
+
 	private boolean newer(Kind kind, StoreObject object) {
 		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
 		boolean same = known != null && known.revision() >= object.getRevision() && !object.getDeleted();
@@ -122,6 +195,7 @@
 		ObjectStore.Item item = change.item();
 		if (change.deleted()) {
 			this.objects.get(kind).remove(item.name());
+			this.written.get(kind).remove(item.name());
 			this.removed.get(kind).put(item.name(), item.revision());
 			return;
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -36,13 +36,20 @@
 	// request would keep full.
 	private static final long LONGEST_PAUSE_NANOS = Duration.ofMillis(1200).toNanos();
 
+	private final KnownObjects known;
+
 	private final LongSupplier clock;
 
 	private final DecisionLog log;
 
 	private final Map<String, Subscription> subscriptions = new HashMap<>();
 
-	NewsHearer(LongSupplier clock, DecisionLog log) {
+	/**
+	 * Returns the hearer of one entry.
+	 * @param known what others need not send
+	 */
+	NewsHearer(KnownObjects known, LongSupplier clock, DecisionLog log) {
+		this.known = known;
 		this.clock = clock;
 		this.log = log;
 	}
@@ -53,7 +60,7 @@
 	Frame ask(String peer) {
 		Subscription begun = new Subscription(this.clock.getAsLong());
 		this.subscriptions.put(peer, begun);
-		return begun.request();
+		return request(begun);
 	}
 
 	/**
@@ -104,9 +111,22 @@
 		heard.quietNanos = this.clock.getAsLong();
 		if (heard.whole()) {
 			heard.pauseNanos = PAUSE_NANOS;
+			heard.askedForAll = false;
 		}
 	}
 
+	/**
+	 * Hears that another entry has left out the content of objects that are not known
+	 * here any more. It is asked for everything: a kind without them would have routes
+	 * and runners missing until they change.
+	 */
+	void lacking(String peer, Kind kind) {
+		this.log.failure("news-lacking", "peer", peer, "kind", kind);
+		Subscription heard = of(peer);
+		heard.delivered.remove(kind);
+		heard.askedForAll = true;
+	}
+
 	/**
 	 * Returns whether nothing of a kind that another entry has said is missing.
 	 */
@@ -141,7 +161,15 @@
 		this.log.decision("news-asked-again", "peer", peer, "missing", heard.missing());
 		heard.quietNanos = now;
 		heard.pauseNanos = Math.min(LONGEST_PAUSE_NANOS, heard.pauseNanos * 2);
-		return Optional.of(heard.request());
+		return Optional.of(request(heard));
+	}
+
+	private Frame request(Subscription of) {
+		NewsRequest.Builder request = NewsRequest.newBuilder().setWanted(true);
+		if (!of.askedForAll) {
+			request.addAllKnown(this.known.revisions());
+		}
+		return Frame.newBuilder().setNewsRequest(request).build();
 	}
 
 	// One may be believed again after it was forgotten; it is asked then.
@@ -161,6 +189,8 @@
 
 		private long pauseNanos = PAUSE_NANOS;
 
+		private boolean askedForAll;
+
 		private Subscription(long quietNanos) {
 			this.quietNanos = quietNanos;
 		}
@@ -175,10 +205,6 @@
 			return missing;
 		}
 
-		private Frame request() {
-			return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(true)).build();
-		}
-
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,13 +13,13 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.KnownKind;
 import org.wisteriapost.protocol.wire.News;
 import org.wisteriapost.protocol.wire.NewsRequest;
 import org.wisteriapost.protocol.wire.StoreKind;
@@ -63,7 +64,7 @@
 	 */
 	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, LongSupplier clock, DecisionLog log) {
 		this.known = new KnownObjects(store);
-		this.hearer = new NewsHearer(clock, log);
+		this.hearer = new NewsHearer(this.known, clock, log);
 		this.duty = duty;
 		this.sender = sender;
 		this.log = log;
@@ -77,7 +78,7 @@
 	 */
 	void read(Kind kind, List<ObjectStore.Item> all, long at) {
 		this.known.read(kind, all, at);
-		tell(() -> all(kind));
+		tell(() -> all(kind, Map.of()));
 	}
 
 	/**
@@ -87,7 +88,11 @@
 		if (!this.known.read(kind, change)) {
 			return false;
 		}
-		tell(() -> News.newBuilder().setCurrent(true).setKind(wire(kind)).addObjects(object(change)).build());
+		tell(() -> News.newBuilder()
+			.setCurrent(true)
+			.setKind(wire(kind))
+			.addObjects(this.known.written(kind, change))
+			.build());
 		return true;
 	}
 
@@ -187,8 +192,9 @@
 			return;
 		}
 		this.downstream.add(peer);
+		Map<Kind, Map<String, Long>> held = held(request);
 		for (Kind kind : Kind.values()) {
-			send(peer, all(kind));
+			send(peer, all(kind, held.getOrDefault(kind, Map.of())));
 		}
 	}
 
@@ -214,6 +220,10 @@
 		if (this.upstream.believes(peer)) {
 			this.upstream.heard(true);
 		}
+		if (!this.known.holds(kind, news.getObjectsList())) {
+			this.hearer.lacking(peer, kind);
+			return List.of();
+		}
 		List<DirectEvent> fresh = new ArrayList<>();
 		for (StoreObject object : news.getObjectsList()) {
 			this.known.heard(kind, object)
@@ -267,24 +277,24 @@
 		this.sender.accept(peer, Frame.newBuilder().setNews(said.toBuilder().setSequence(sequence)).build());
 	}
 
-	private News all(Kind kind) {
-		News.Builder news = News.newBuilder()
+	private News all(Kind kind, Map<String, Long> held) {
+		return News.newBuilder()
 			.setCurrent(true)
 			.setAll(true)
 			.setKind(wire(kind))
-			.setAt(this.known.readTo(kind));
-		this.known.items(kind).forEach((item) -> news.addObjects(object(new ObjectStore.Change(item, false))));
-		return news.build();
+			.setAt(this.known.readTo(kind))
+			.addAllObjects(this.known.written(kind, held))
+			.build();
 	}
 
-	private static StoreObject object(ObjectStore.Change change) {
-		ObjectStore.Item item = change.item();
-		return StoreObject.newBuilder()
-			.setName(item.name())
-			.setRevision(item.revision())
-			.setDeleted(change.deleted())
-			.setContent(ByteString.copyFrom(item.content()))
-			.build();
+	private static Map<Kind, Map<String, Long>> held(NewsRequest request) {
+		Map<Kind, Map<String, Long>> held = new EnumMap<>(Kind.class);
+		for (KnownKind of : request.getKnownList()) {
+			Map<String, Long> revisions = new HashMap<>();
+			of.getObjectsList().forEach((object) -> revisions.put(object.getName(), object.getRevision()));
+			kind(of.getKind()).ifPresent((kind) -> held.put(kind, revisions));
+		}
+		return held;
 	}
 
 	/**
@@ -294,7 +304,7 @@
 		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(wanted)).build();
 	}
 
-	private static StoreKind wire(Kind kind) {
+	static StoreKind wire(Kind kind) {
 		return switch (kind) {
 			case ROUTES -> StoreKind.STORE_ROUTES;
 			case RUNNERS -> StoreKind.STORE_RUNNERS;
