An entry that hears the store from another knows as of when its routes are

A hearer could not tell how old the reader's own routes are: "current" says only that the store answers the reader. An old table was used to reject for good.

A hearer stamps its requests and keep-alives with its own clock; the reader sends the latest stamp back with the age of its routes (SiteNews.confirmed, from the new event StoreConfirmed). The moment at the hearer is the stamp less the age: the stamp was taken before the age was said, so the way makes routes seem older, never younger; ages are rounded up, and only a stamp that was sent to this peer since it was asked first counts. A moment counts only when the routes have come whole and nothing has been missed since. SiteNews.asOfNanos never goes back. DirectState.heardAsOf is the hook for what is believed.

Who hears another sends a keep-alive each half second, answered by one sign. An entry that the reader has forgotten is told a number that it does not expect, and asks again. A process that doesn't count its frames is sent none: it would answer with everything. What tells hearers moved from SiteNews to NewsTeller.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -84,6 +84,15 @@
 	record StoreDoubtful() implements DirectEvent {
 	}
 
+	/**
+	 * The store has confirmed that what is known of a kind is all there is.
+	 *
+	 * @param kind the kind of objects
+	 * @param asOfNanos the moment as of which it is, by this process's monotonic clock
+	 */
+	record StoreConfirmed(Kind kind, long asOfNanos) implements DirectEvent {
+	}
+
 	/**
 	 * The link to another entry or an agent is up or gone.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -133,6 +134,7 @@
 			case DirectEvent.ObjectChanged changed -> changed(changed.kind(), changed.change(), now);
 			case DirectEvent.StoreReachable reachable -> reachable(reachable, now);
 			case DirectEvent.StoreDoubtful doubtful -> this.news.ifPresent(SiteNews::dismiss);
+			case DirectEvent.StoreConfirmed known -> confirmed(known);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
 			case DirectEvent.PeerMet met -> peerMet(met.peer());
@@ -262,6 +264,14 @@
 		}
 	}
 
+	// What was on its way here when a neighbour took over was not taken, so it confirms
+	// nothing.
+	private void confirmed(DirectEvent.StoreConfirmed known) {
+		if (known.kind() == Kind.ROUTES && !rests()) {
+			this.news.ifPresent((passed) -> passed.confirmed(known.asOfNanos()));
+		}
+	}
+
 	// What another entry passes on while the store does not answer this one.
 	private void news(DirectEvent.PeerNews heard, long now) {
 		List<DirectEvent> fresh = this.reading.map((all) -> all.heard(heard.peer(), heard.news(), now))
@@ -276,6 +286,11 @@
 				default -> throw new IllegalStateException("not from the store: " + one);
 			}
 		}
+		this.news.map(SiteNews::asOfNanos).orElse(OptionalLong.empty()).ifPresent(this::heardAsOf);
+	}
+
+	private void heardAsOf(long asOfNanos) {
+		// Nothing that is believed depends on how old the routes are yet.
 	}
 
 	// What others say, and what they are told.
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -8,13 +8,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.News;
 import org.wisteriapost.protocol.wire.NewsRequest;
 
 /**
@@ -36,6 +39,9 @@
 	// request would keep full.
 	private static final long LONGEST_PAUSE_NANOS = Duration.ofMillis(1200).toNanos();
 
+	// An age beyond it is no age that a moment could be reckoned from.
+	private static final long LONGEST_AGE_MILLIS = Duration.ofHours(1).toMillis();
+
 	private final KnownObjects known;
 
 	private final LongSupplier clock;
@@ -82,8 +88,7 @@
 	 * old numbers mean nothing any more.
 	 */
 	void linked(String peer) {
-		this.subscriptions.computeIfPresent(peer,
-				(name, before) -> new Subscription(this.clock.getAsLong() - PAUSE_NANOS));
+		this.subscriptions.computeIfPresent(peer, (name, before) -> Subscription.due(this.clock.getAsLong()));
 	}
 
 	/**
@@ -141,6 +146,36 @@
 		return this.subscriptions.containsKey(peer) && of(peer).whole();
 	}
 
+	/**
+	 * Returns as of when the store's routes are known here by what another entry says;
+	 * empty when it does not say it or something before it is missing.
+	 *
+	 * The stamp was taken here before the other entry said how old its routes are, so
+	 * time on the way makes them seem older, never younger.
+	 */
+	OptionalLong asOf(String peer, News news) {
+		Subscription heard = of(peer);
+		boolean said = news.hasStamp() && news.hasAgeMillis() && news.getAgeMillis() >= 0
+				&& news.getAgeMillis() <= LONGEST_AGE_MILLIS;
+		if (!said || !heard.sent(news.getStamp()) || !heard.delivered.contains(Kind.ROUTES)) {
+			return OptionalLong.empty();
+		}
+		return OptionalLong.of(news.getStamp() - TimeUnit.MILLISECONDS.toNanos(news.getAgeMillis()));
+	}
+
+	/**
+	 * Returns the frame by which another entry is told that its news are still wanted;
+	 * empty when it does not count its frames: one of an older version would answer with
+	 * everything.
+	 */
+	Optional<Frame> keepAlive(String peer) {
+		Subscription heard = of(peer);
+		if (heard.sequence == 0) {
+			return Optional.empty();
+		}
+		return Optional.of(request(heard, NewsRequest.newBuilder().setKeepAlive(true)));
+	}
+
 	/**
 	 * Returns the entries that are heard.
 	 */
@@ -165,10 +200,16 @@
 	}
 
 	private Frame request(Subscription of) {
-		NewsRequest.Builder request = NewsRequest.newBuilder().setWanted(true);
+		NewsRequest.Builder request = NewsRequest.newBuilder();
 		if (!of.askedForAll) {
 			request.addAllKnown(this.known.revisions());
 		}
+		return request(of, request);
+	}
+
+	private Frame request(Subscription of, NewsRequest.Builder request) {
+		of.stampNanos = OptionalLong.of(this.clock.getAsLong());
+		request.setWanted(true).setStamp(of.stampNanos.getAsLong());
 		return Frame.newBuilder().setNewsRequest(request).build();
 	}
 
@@ -182,6 +223,10 @@
 
 		private final Set<Kind> delivered = EnumSet.noneOf(Kind.class);
 
+		private final long begunNanos;
+
+		private OptionalLong stampNanos = OptionalLong.empty();
+
 		private long sequence;
 
 		// Since when neither it was asked nor a part of an answer came.
@@ -191,8 +236,22 @@
 
 		private boolean askedForAll;
 
-		private Subscription(long quietNanos) {
-			this.quietNanos = quietNanos;
+		private Subscription(long nowNanos) {
+			this.begunNanos = nowNanos;
+			this.quietNanos = nowNanos;
+		}
+
+		private static Subscription due(long nowNanos) {
+			Subscription due = new Subscription(nowNanos);
+			due.quietNanos = nowNanos - PAUSE_NANOS;
+			return due;
+		}
+
+		// Whether a stamp is one of these: one of a former process of this name counts on
+		// another clock.
+		private boolean sent(long stamp) {
+			return this.stampNanos.isPresent() && stamp - this.begunNanos >= 0
+					&& this.stampNanos.getAsLong() - stamp >= 0;
 		}
 
 		private boolean whole() {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
@@ -39,6 +40,8 @@
 
 	private final NewsHearer hearer;
 
+	private final NewsTeller teller;
+
 	private final BiConsumer<String, Frame> sender;
 
 	private final DecisionLog log;
@@ -47,11 +50,7 @@
 
 	private final StoreDuty duty;
 
-	private final Set<String> downstream = new HashSet<>();
-
-	// How many frames were sent to each that is linked. It is kept for one that wants no
-	// more: was it told so by a frame that is lost, the next one shows it.
-	private final Map<String, Long> sent = new HashMap<>();
+	private OptionalLong asOfNanos = OptionalLong.empty();
 
 	private boolean answered;
 
@@ -65,6 +64,7 @@
 	SiteNews(ObjectStore store, StoreDuty duty, BiConsumer<String, Frame> sender, LongSupplier clock, DecisionLog log) {
 		this.known = new KnownObjects(store);
 		this.hearer = new NewsHearer(this.known, clock, log);
+		this.teller = new NewsTeller(sender, clock);
 		this.duty = duty;
 		this.sender = sender;
 		this.log = log;
@@ -96,6 +96,22 @@
 		return true;
 	}
 
+	/**
+	 * Hears as of when the store's routes are known, by this process's monotonic clock.
+	 */
+	void confirmed(long asOfNanos) {
+		this.teller.confirmed(asOfNanos);
+		known(asOfNanos);
+	}
+
+	/**
+	 * Returns the newest moment as of which the store's routes are known here, read or
+	 * heard.
+	 */
+	OptionalLong asOfNanos() {
+		return this.asOfNanos;
+	}
+
 	/**
 	 * Hears that this entry stops reading the store.
 	 */
@@ -107,7 +123,7 @@
 	 * Returns whether nobody would miss it if this entry stopped reading the store.
 	 */
 	boolean mayRest() {
-		return this.answered && this.downstream.isEmpty();
+		return this.answered && this.teller.unheard();
 	}
 
 	/**
@@ -126,14 +142,14 @@
 	 */
 	void dismiss() {
 		tell(() -> News.newBuilder().setCurrent(false).build());
-		this.downstream.clear();
+		this.teller.clear();
 	}
 
 	/**
 	 * Returns whether others hear the store from here.
 	 */
 	boolean reliedOn() {
-		return !this.downstream.isEmpty();
+		return !this.teller.unheard();
 	}
 
 	// From and to other entries.
@@ -143,8 +159,7 @@
 	 * @param linked the entries to which there is a link
 	 */
 	void tick(Collection<String> linked, long nowNanos) {
-		this.downstream.retainAll(linked);
-		this.sent.keySet().retainAll(linked);
+		this.teller.keep(linked);
 		this.ticks++;
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
@@ -155,6 +170,10 @@
 		});
 		this.hearer.keep((peer) -> this.duty.believes(peer) || this.upstream.believes(peer));
 		this.hearer.heard().forEach(this::askAgain);
+		if (this.ticks % TICKS_PER_SIGN == 0) {
+			this.hearer.heard()
+				.forEach((peer) -> this.hearer.keepAlive(peer).ifPresent((frame) -> this.sender.accept(peer, frame)));
+		}
 	}
 
 	/**
@@ -184,17 +203,22 @@
 	 */
 	void asked(String peer, NewsRequest request) {
 		if (!request.getWanted()) {
-			this.downstream.remove(peer);
+			this.teller.remove(peer);
 			return;
 		}
+		this.teller.stamped(peer, request);
 		if (!this.answered) {
-			send(peer, News.newBuilder().setCurrent(false).build());
+			this.teller.send(peer, News.newBuilder().setCurrent(false).build());
 			return;
 		}
-		this.downstream.add(peer);
+		if (request.getKeepAlive()) {
+			this.teller.sign(peer, News.newBuilder().setCurrent(true).build());
+			return;
+		}
+		this.teller.add(peer);
 		Map<Kind, Map<String, Long>> held = held(request);
 		for (Kind kind : Kind.values()) {
-			send(peer, all(kind, held.getOrDefault(kind, Map.of())));
+			this.teller.send(peer, all(kind, held.getOrDefault(kind, Map.of())));
 		}
 	}
 
@@ -208,6 +232,7 @@
 		}
 		this.hearer.counted(peer, news.getSequence());
 		List<DirectEvent> fresh = kind(news.getKind()).map((kind) -> taken(peer, kind, news)).orElse(List.of());
+		this.hearer.asOf(peer, news).ifPresent(this::known);
 		askAgain(peer);
 		return fresh;
 	}
@@ -263,18 +288,15 @@
 	}
 
 	private void tell(Supplier<News> news) {
-		if (this.downstream.isEmpty()) {
-			return;
+		if (!this.teller.unheard()) {
+			this.teller.tell(news.get());
 		}
-		News said = news.get();
-		List.copyOf(this.downstream).forEach((peer) -> send(peer, said));
 	}
 
-	// Who hears finds what a full link has left out by the numbers. The objects are
-	// shared by the frames to all.
-	private void send(String peer, News said) {
-		long sequence = this.sent.merge(peer, 1L, Long::sum);
-		this.sender.accept(peer, Frame.newBuilder().setNews(said.toBuilder().setSequence(sequence)).build());
+	private void known(long asOf) {
+		if (this.asOfNanos.isEmpty() || asOf - this.asOfNanos.getAsLong() > 0) {
+			this.asOfNanos = OptionalLong.of(asOf);
+		}
 	}
 
 	private News all(Kind kind, Map<String, Long> held) {
