A removal that is older than the object known is not taken

An entry sends on another link as soon as it has made one itself, so a removal may come after the object that was made anew later. It was taken whatever the revision known: a runner that takes requests would have been missing until it changes. A removal counts from the revision known on, since the store's may carry the one of the object that it removes.

Test: anOlderRemovalIsNotTaken of SiteNewsTests (new), failed before.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
@@ -183,8 +183,10 @@
 
 	private boolean newer(Kind kind, StoreObject object) {
 		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
-		boolean same = known != null && known.revision() >= object.getRevision() && !object.getDeleted();
-		return !same && object.getRevision() > removedAt(kind, object.getName());
+		long revision = (known != null) ? known.revision() : -1;
+		// A removal may carry the revision of the object that it removes.
+		boolean later = object.getDeleted() ? object.getRevision() >= revision : object.getRevision() > revision;
+		return later && object.getRevision() > removedAt(kind, object.getName());
 	}
 
 	private long removedAt(Kind kind, String name) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -16,6 +16,7 @@
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
 import org.wisteriapost.protocol.wire.NewsRequest;
+import org.wisteriapost.protocol.wire.StoreKind;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -95,6 +96,21 @@
 		assertThat(delivered(), Matchers.contains("+a"));
 	}
 
+	// A removal that was sent on another link comes after what the store has made anew.
+	// Were it believed, a runner that takes requests would be missing.
+	@Test
+	void anOlderRemovalIsNotTaken() {
+		delivered();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("b", 9), false));
+		assertThat(delivered(), Matchers.contains("+b"));
+		this.source.read(Kind.WEIGHTS, new ObjectStore.Change(NamedObjects.item("b", 7), true));
+		Frame removal = this.toCut.getLast();
+		this.toCut.clear();
+		this.toCut
+			.add(removal.toBuilder().setNews(removal.getNews().toBuilder().setKind(StoreKind.STORE_RUNNERS)).build());
+		assertThat(delivered(), Matchers.empty());
+	}
+
 	// The store answers the cut entry again while a message is still on its way.
 	@Test
 	void onceTheStoreAnswersNothingPassedOnIsTaken() {
