An entry that stops reading the store says so to who hears it

One that asked between the last look at whether the entry may rest and its resting stayed among the hearers and was sent signs without news: it would have gone on with an old table. It is told that the entry is not current.

Test: whoHearsAnEntryThatStopsReadingIsToldSo of LossyNewsTests, failed before.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -113,10 +113,12 @@
 	}
 
 	/**
-	 * Hears that this entry stops reading the store.
+	 * Hears that this entry stops reading the store. Whoever has begun to hear it from
+	 * here meanwhile is told: the signs alone would keep it on what it has.
 	 */
 	void rests() {
 		this.answered = false;
+		dismiss();
 	}
 
 	/**
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
@@ -166,6 +166,19 @@
 		assertThat(this.rester.reading.rests(), Matchers.equalTo(false));
 	}
 
+	// The entry begins to rest while a third hears the store from it. Told nothing, that
+	// one would take its signs for news and go on with an old table.
+	@Test
+	void whoHearsAnEntryThatStopsReadingIsToldSo() {
+		start(1);
+		this.rester.news.asked("third", SiteNews.request(true).getNewsRequest());
+		this.rester.sent.clear();
+		this.rester.news.rests();
+		assertThat(this.rester.sent.stream().map((frame) -> frame.getNews().getCurrent()).toList(),
+				Matchers.contains(false));
+		assertThat(this.rester.news.reliedOn(), Matchers.equalTo(false));
+	}
+
 	// The other process is another one now and counts from one again, and frames are
 	// missing just up to the number that is expected next.
 	@Test
