When the reader lists again, its hearers are sent only what is new

After each lost watch the reader lists all objects and told them whole to each hearer, with the table in it, just while links are full. Who hears it was told what it knew before, so that much is only named; who has missed some of it finds objects that it lacks and asks for them. It says what it has in that request unless nothing was missed: the sender doesn't know yet, and the answer is small. An entry of an older version, which sends no stamp, is told everything as before.

Tests: whenTheReaderListsAgainOnlyWhatIsNewIsSent failed before; whatWasMissedBeforeAListingIsAskedFor fails with the distinction in NewsHearer.lacking taken out.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
@@ -125,6 +125,15 @@
 		return named.stream().filter(StoreObject::getKnown).allMatch((object) -> holds(kind, object));
 	}
 
+	/**
+	 * Returns the revisions of the objects of a kind by name.
+	 */
+	Map<String, Long> revisions(Kind kind) {
+		Map<String, Long> revisions = new HashMap<>();
+		this.objects.get(kind).values().forEach((item) -> revisions.put(item.name(), item.revision()));
+		return revisions;
+	}
+
 	/**
 	 * Returns the names and revisions of all objects.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -103,6 +103,7 @@
 		if (heard.sequence != 0 && sequence != heard.sequence + 1) {
 			this.log.failure("news-missed", "peer", peer, "frames", Math.max(0, sequence - heard.sequence - 1));
 			heard.delivered.clear();
+			heard.missed = true;
 		}
 		heard.sequence = sequence;
 	}
@@ -122,14 +123,15 @@
 
 	/**
 	 * Hears that another entry has left out the content of objects that are not known
-	 * here any more. It is asked for everything: a kind without them would have routes
-	 * and runners missing until they change.
+	 * here any more: a kind without them would have routes and runners missing until they
+	 * change. It is asked for everything, unless frames are missing since it was asked:
+	 * the objects came with those, and it does not know yet what is known here.
 	 */
 	void lacking(String peer, Kind kind) {
 		this.log.failure("news-lacking", "peer", peer, "kind", kind);
 		Subscription heard = of(peer);
 		heard.delivered.remove(kind);
-		heard.askedForAll = true;
+		heard.askedForAll |= !heard.missed;
 	}
 
 	/**
@@ -201,6 +203,7 @@
 
 	private Frame request(Subscription of) {
 		NewsRequest.Builder request = NewsRequest.newBuilder();
+		of.missed = false;
 		if (!of.askedForAll) {
 			request.addAllKnown(this.known.revisions());
 		}
@@ -234,6 +237,9 @@
 
 		private long pauseNanos = PAUSE_NANOS;
 
+		// Whether frames are missing since the last request.
+		private boolean missed;
+
 		private boolean askedForAll;
 
 		private Subscription(long nowNanos) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsTeller.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsTeller.java
@@ -79,6 +79,21 @@
 		return this.hearers.isEmpty();
 	}
 
+	/**
+	 * Returns the entries that hear the store from here.
+	 */
+	List<String> hearers() {
+		return List.copyOf(this.hearers);
+	}
+
+	/**
+	 * Returns whether an entry says what its clock is, as a process of an older version
+	 * does not.
+	 */
+	boolean stamps(String peer) {
+		return of(peer).stamp.isPresent();
+	}
+
 	/**
 	 * Hears what an entry says of its own clock.
 	 */
@@ -102,7 +117,7 @@
 	 * Tells all hearers. The objects are shared by the frames to all.
 	 */
 	void tell(News said) {
-		List.copyOf(this.hearers).forEach((peer) -> send(peer, said));
+		hearers().forEach((peer) -> send(peer, said));
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -77,8 +77,15 @@
 	 * @param at the store's revision when they were read
 	 */
 	void read(Kind kind, List<ObjectStore.Item> all, long at) {
+		Map<String, Long> told = this.known.revisions(kind);
 		this.known.read(kind, all, at);
-		tell(() -> all(kind, Map.of()));
+		this.teller.hearers().forEach((peer) -> this.teller.send(peer, all(kind, has(peer, told))));
+	}
+
+	// Who hears this entry was told what it knew before, and asks for what it has missed;
+	// only a process of an older version does not.
+	private Map<String, Long> has(String peer, Map<String, Long> told) {
+		return this.teller.stamps(peer) ? told : Map.of();
 	}
 
 	/**
--- a/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
@@ -199,6 +199,48 @@
 		assertThat(this.asker.whole(this.readerName), Matchers.equalTo(true));
 	}
 
+	// The reader's watch was lost and it lists again. All that is new is one object.
+	@Test
+	void whenTheReaderListsAgainOnlyWhatIsNewIsSent() {
+		cut();
+		ask();
+		hear();
+		this.reader.read(Kind.ROUTES, List.of(large("table", 5), NamedObjects.item("s", 8)), 9);
+		assertThat(answerBytes(), Matchers.lessThan(SMALL));
+		assertThat(names(hear(), Kind.ROUTES), Matchers.contains("s", "table"));
+		assertThat(this.asker.whole(this.readerName), Matchers.equalTo(true));
+	}
+
+	// The asker misses a change, and the listing after it takes the change for told. It
+	// asks for what it misses and not for everything.
+	@Test
+	void whatWasMissedBeforeAListingIsAskedFor() {
+		cut();
+		ask();
+		hear();
+		this.reader.read(Kind.ROUTES, new ObjectStore.Change(NamedObjects.item("s", 8), false));
+		this.answers.clear();
+		this.reader.read(Kind.ROUTES, List.of(large("table", 5), NamedObjects.item("s", 8)), 9);
+		hear();
+		assertThat(this.asker.whole(this.readerName), Matchers.equalTo(false));
+		for (int i = 0; i < 4; i++) {
+			tick();
+		}
+		ask();
+		assertThat(answerBytes(), Matchers.lessThan(SMALL));
+		assertThat(names(hear(), Kind.ROUTES), Matchers.contains("s", "table"));
+		assertThat(this.asker.whole(this.readerName), Matchers.equalTo(true));
+	}
+
+	// It could not make anything of an object without content.
+	@Test
+	void anEntryOfAnOlderVersionIsSentTheWholeListing() {
+		this.reader.asked("older", SiteNews.request(true).getNewsRequest());
+		this.answers.clear();
+		this.reader.read(Kind.ROUTES, List.of(large("table", 5), NamedObjects.item("s", 8)), 9);
+		assertThat(answerBytes(), Matchers.greaterThan(LARGE));
+	}
+
 	// An entry of an older version says nothing of what it has.
 	@Test
 	void whoSaysNothingOfWhatItHasIsSentEverything() {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
@@ -141,6 +141,35 @@
 		assertThat(this.rester.objects, Matchers.equalTo(this.stored));
 	}
 
+	// The same while the reader's watch is lost now and then and it lists again.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12 })
+	void aCutEntryEndsWithWhatAnEntryHasThatListsAgain(long seed) {
+		start(seed);
+		this.rester.news.reachable(false);
+		this.loss = LOSS;
+		for (int i = 0; i < 30; i++) {
+			change();
+			if (this.random.nextBoolean()) {
+				listAgain();
+			}
+			run(1);
+		}
+		this.loss = 0;
+		run(20);
+		assertThat(this.rester.objects, Matchers.equalTo(this.stored));
+	}
+
+	private void listAgain() {
+		Kind kind = Kind.values()[this.random.nextInt(Kind.values().length)];
+		List<ObjectStore.Item> all = this.stored.get(kind)
+			.entrySet()
+			.stream()
+			.map((one) -> NamedObjects.item(one.getKey(), one.getValue()))
+			.toList();
+		this.reader.news.read(kind, all, this.revision);
+	}
+
 	// The last thing that is said is lost: only the next sign can tell.
 	@Test
 	void aChangeThatIsLostIsHeardAtTheNextSign() {
