--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -121,7 +122,7 @@
 		this.mesh = Optional.of(links);
 		StoreDuty duty = StoreDuty.of(this.self.name());
 		UpstreamChoice upstream = UpstreamChoice.of(this.self.name());
-		SiteNews passed = new SiteNews(objects, duty, upstream, links::send, this.log);
+		SiteNews passed = new SiteNews(objects, duty, upstream, links::send, this.clock, this.log);
 		this.news = Optional.of(passed);
 		this.reading = Optional.of(new StoreReading(duty, passed, following, links::send, this.log));
 		this.reports = Optional.of(new LoadReports(this.self.place(), links::send));
@@ -142,13 +143,13 @@
 			case DirectEvent.StoreDoubtful doubtful -> this.news.ifPresent(SiteNews::dismiss);
 			case DirectEvent.PeerLink link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.leaving(leaving.peer());
-			case DirectEvent.PeerMet met -> this.announcer.met(met.peer());
+			case DirectEvent.PeerMet met -> peerMet(met.peer());
 			case DirectEvent.PeerLoads loads -> peerLoads(loads.peer(), loads.report(), now);
 			case DirectEvent.PlaceSays says -> this.places
 				.ifPresent((all) -> all.heard(says.peer(), says.state(), now).forEach((one) -> agentSays(one, now)));
 			case DirectEvent.PeerNews heard -> news(heard, now);
 			case DirectEvent.PeerWantsNews wants ->
-				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.wanted()));
+				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.request()));
 			case DirectEvent.AgentSays says -> agentSays(says.state(), now);
 			case DirectEvent.Tick tick -> tick(now);
 			case DirectEvent.Leave leave -> leave(now);
@@ -271,14 +272,6 @@
 		}
 	}
 
-	// What was read while a neighbour took over was not taken, so nothing is confirmed by
-	// it.
-	private void confirmed(DirectEvent.StoreConfirmed known) {
-		if (!rests()) {
-			this.beliefs.confirmed(known.kind(), known.asOfNanos());
-		}
-	}
-
 	private void missed(Kind kind) {
 		this.reading.ifPresent((all) -> all.missed(kind));
 	}
@@ -295,6 +288,15 @@
 		}
 	}
 
+	// What was on its way here when a neighbour took over was not taken, so it confirms
+	// nothing.
+	private void confirmed(DirectEvent.StoreConfirmed known) {
+		if (known.kind() == Kind.ROUTES && !rests()) {
+			this.beliefs.confirmed(known.asOfNanos());
+			this.news.ifPresent((passed) -> passed.confirmed(known.asOfNanos()));
+		}
+	}
+
 	// What another entry passes on while the store does not answer this one.
 	private void news(DirectEvent.PeerNews heard, long now) {
 		List<DirectEvent> fresh = this.reading.map((all) -> all.heard(heard.peer(), heard.news(), now))
@@ -309,6 +311,7 @@
 				default -> throw new IllegalStateException("not from the store: " + one);
 			}
 		}
+		this.news.map(SiteNews::asOfNanos).orElse(OptionalLong.empty()).ifPresent(this.beliefs::confirmed);
 	}
 
 	// What others say, and what they are told.
@@ -325,6 +328,11 @@
 		}
 	}
 
+	private void peerMet(String peer) {
+		this.announcer.met(peer);
+		this.news.ifPresent((passed) -> passed.linked(peer));
+	}
+
 	private void peerLoads(String peer, LoadReport report, long now) {
 		report.getRefusedList().forEach((one) -> this.dispatcher.peerRefused(LoadFrames.read(one, now)));
 		report.getLoadsList().forEach((load) -> this.dispatcher.peerLoad(peer, LoadFrames.read(load), now));
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -0,0 +1,275 @@
+package org.wisteriapost.entry.direct;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.NewsRequest;
+
+/**
+ * What an entry has heard from those that it asked for news, and whether something is
+ * missing. Used by the state thread alone.
+ *
+ * A link that is full leaves frames out. Harm prevented: a change that was left out would
+ * stay unknown until the object changes again, while the signs that follow say that all
+ * is well, and proper requests would be rejected by an old route table. The numbers of
+ * the frames show what is missing; then all kinds count as not delivered, and the entry
+ * is asked again until they are. That is enough: a kind that comes whole after the gap
+ * holds what was lost in it.
+ */
+final class NewsHearer {
+
+	private static final long PAUSE_NANOS = Duration.ofMillis(300).toNanos();
+
+	// An answer may take longer than the first pause on a narrow link, which one for each
+	// request would keep full.
+	private static final long LONGEST_PAUSE_NANOS = Duration.ofMillis(1200).toNanos();
+
+	// An age beyond it is no age that a moment could be reckoned from.
+	private static final long LONGEST_AGE_MILLIS = Duration.ofHours(1).toMillis();
+
+	private final KnownObjects known;
+
+	private final LongSupplier clock;
+
+	private final DecisionLog log;
+
+	private final Map<String, Subscription> subscriptions = new HashMap<>();
+
+	/**
+	 * Returns the hearer of one entry.
+	 * @param known what others need not send
+	 */
+	NewsHearer(KnownObjects known, LongSupplier clock, DecisionLog log) {
+		this.known = known;
+		this.clock = clock;
+		this.log = log;
+	}
+
+	/**
+	 * Returns the request by which another entry is asked for everything from now on.
+	 */
+	Frame ask(String peer) {
+		Subscription begun = new Subscription(this.clock.getAsLong());
+		this.subscriptions.put(peer, begun);
+		return request(begun);
+	}
+
+	/**
+	 * Forgets all that are not believed any more.
+	 */
+	void keep(Predicate<String> believed) {
+		this.subscriptions.keySet().removeIf(believed.negate());
+	}
+
+	/**
+	 * Forgets an entry that says it is not current.
+	 */
+	void forget(String peer) {
+		this.subscriptions.remove(peer);
+	}
+
+	/**
+	 * Hears that there is a new link to another entry, which may be a new process: the
+	 * old numbers mean nothing any more.
+	 */
+	void linked(String peer) {
+		this.subscriptions.computeIfPresent(peer, (name, before) -> Subscription.due(this.clock.getAsLong()));
+	}
+
+	/**
+	 * Hears the number of a frame.
+	 * @param sequence 0 from a process that does not count
+	 */
+	void counted(String peer, long sequence) {
+		Subscription heard = of(peer);
+		if (sequence == 0) {
+			return;
+		}
+		if (heard.sequence != 0 && sequence != heard.sequence + 1) {
+			this.log.failure("news-missed", "peer", peer, "frames", Math.max(0, sequence - heard.sequence - 1));
+			heard.delivered.clear();
+			heard.missed = true;
+		}
+		heard.sequence = sequence;
+	}
+
+	/**
+	 * Hears that all objects of a kind have come from another entry.
+	 */
+	void delivered(String peer, Kind kind) {
+		Subscription heard = of(peer);
+		heard.delivered.add(kind);
+		heard.quietNanos = this.clock.getAsLong();
+		if (heard.whole()) {
+			heard.pauseNanos = PAUSE_NANOS;
+			heard.askedForAll = false;
+		}
+	}
+
+	/**
+	 * Hears that another entry has left out the content of objects that are not known
+	 * here any more: a kind without them would have routes and runners missing until they
+	 * change. It is asked for everything, unless frames are missing since it was asked:
+	 * the objects came with those, and it does not know yet what is known here.
+	 */
+	void lacking(String peer, Kind kind) {
+		this.log.failure("news-lacking", "peer", peer, "kind", kind);
+		Subscription heard = of(peer);
+		heard.delivered.remove(kind);
+		heard.askedForAll |= !heard.missed;
+	}
+
+	/**
+	 * Returns whether nothing of a kind that another entry has said is missing.
+	 */
+	boolean has(String peer, Kind kind) {
+		return this.subscriptions.containsKey(peer) && of(peer).delivered.contains(kind);
+	}
+
+	/**
+	 * Returns whether nothing that another entry has said is missing.
+	 */
+	boolean whole(String peer) {
+		return this.subscriptions.containsKey(peer) && of(peer).whole();
+	}
+
+	/**
+	 * Returns as of when the store's routes are known here by what another entry says;
+	 * empty when it does not say it or something before it is missing.
+	 *
+	 * The stamp was taken here before the other entry said how old its routes are, so
+	 * time on the way makes them seem older, never younger.
+	 */
+	OptionalLong asOf(String peer, News news) {
+		Subscription heard = of(peer);
+		boolean said = news.hasStamp() && news.hasAgeMillis() && news.getAgeMillis() >= 0
+				&& news.getAgeMillis() <= LONGEST_AGE_MILLIS;
+		if (!said || !heard.sent(news.getStamp()) || !heard.delivered.contains(Kind.ROUTES)) {
+			return OptionalLong.empty();
+		}
+		return OptionalLong.of(news.getStamp() - TimeUnit.MILLISECONDS.toNanos(news.getAgeMillis()));
+	}
+
+	/**
+	 * Returns the frame by which another entry is told that its news are still wanted;
+	 * empty when it does not count its frames: one of an older version would answer with
+	 * everything.
+	 */
+	Optional<Frame> keepAlive(String peer) {
+		Subscription heard = of(peer);
+		if (heard.sequence == 0) {
+			return Optional.empty();
+		}
+		return Optional.of(request(heard, NewsRequest.newBuilder().setKeepAlive(true)));
+	}
+
+	/**
+	 * Returns the entries that are heard.
+	 */
+	Collection<String> heard() {
+		return List.copyOf(this.subscriptions.keySet());
+	}
+
+	/**
+	 * Returns the request by which an entry is asked once more, when something is missing
+	 * and the pause is over.
+	 */
+	Optional<Frame> again(String peer) {
+		Subscription heard = of(peer);
+		long now = this.clock.getAsLong();
+		if (heard.whole() || now - heard.quietNanos < heard.pauseNanos) {
+			return Optional.empty();
+		}
+		this.log.decision("news-asked-again", "peer", peer, "missing", heard.missing());
+		heard.quietNanos = now;
+		heard.pauseNanos = Math.min(LONGEST_PAUSE_NANOS, heard.pauseNanos * 2);
+		return Optional.of(request(heard));
+	}
+
+	private Frame request(Subscription of) {
+		NewsRequest.Builder request = NewsRequest.newBuilder();
+		of.missed = false;
+		if (!of.askedForAll) {
+			request.addAllKnown(this.known.revisions());
+		}
+		return request(of, request);
+	}
+
+	private Frame request(Subscription of, NewsRequest.Builder request) {
+		of.stampNanos = OptionalLong.of(this.clock.getAsLong());
+		request.setWanted(true).setStamp(of.stampNanos.getAsLong());
+		return Frame.newBuilder().setNewsRequest(request).build();
+	}
+
+	// One may be believed again after it was forgotten; it is asked then.
+	private Subscription of(String peer) {
+		return this.subscriptions.computeIfAbsent(peer, (name) -> new Subscription(this.clock.getAsLong()));
+	}
+
+	/** What has come from one entry since it was asked first. */
+	private static final class Subscription {
+
+		private final Set<Kind> delivered = EnumSet.noneOf(Kind.class);
+
+		private final long begunNanos;
+
+		private OptionalLong stampNanos = OptionalLong.empty();
+
+		private long sequence;
+
+		// Since when neither it was asked nor a part of an answer came.
+		private long quietNanos;
+
+		private long pauseNanos = PAUSE_NANOS;
+
+		// Whether frames are missing since the last request.
+		private boolean missed;
+
+		private boolean askedForAll;
+
+		private Subscription(long nowNanos) {
+			this.begunNanos = nowNanos;
+			this.quietNanos = nowNanos;
+		}
+
+		private static Subscription due(long nowNanos) {
+			Subscription due = new Subscription(nowNanos);
+			due.quietNanos = nowNanos - PAUSE_NANOS;
+			return due;
+		}
+
+		// Whether a stamp is one of these: one of a former process of this name counts on
+		// another clock.
+		private boolean sent(long stamp) {
+			return this.stampNanos.isPresent() && stamp - this.begunNanos >= 0
+					&& this.stampNanos.getAsLong() - stamp >= 0;
+		}
+
+		private boolean whole() {
+			return this.delivered.size() == Kind.values().length;
+		}
+
+		private List<Kind> missing() {
+			List<Kind> missing = new ArrayList<>(List.of(Kind.values()));
+			missing.removeAll(this.delivered);
+			return missing;
+		}
+
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -76,12 +76,10 @@
 	}
 
 	/**
-	 * Hears that all that the store had of a kind at some moment is known.
+	 * Hears that the routes are known as the store had them at some moment.
 	 */
-	void confirmed(Kind kind, long asOfNanos) {
-		if (kind == Kind.ROUTES) {
-			this.guard.confirmed(asOfNanos);
-		}
+	void confirmed(long asOfNanos) {
+		this.guard.confirmed(asOfNanos);
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -3,17 +3,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
-import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.StoreDuty;
@@ -21,6 +22,7 @@
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.KnownKind;
 import org.wisteriapost.protocol.wire.News;
 import org.wisteriapost.protocol.wire.NewsRequest;
 import org.wisteriapost.protocol.wire.StoreKind;
@@ -30,17 +32,17 @@
  * Passes what the site's store says on to entries that do not read it, for want of an
  * answer or since this one reads for them, and takes it from another entry while this one
  * does not read. Used by the state thread alone.
- *
- * An object is taken only when its revision is higher than the one known, and one that
- * was removed stays away until the store has changed it again: another entry may be
- * behind what this one has read itself.
  */
 final class SiteNews {
 
 	// Half a second: who hears the store from here takes silence for a loss.
 	private static final int TICKS_PER_SIGN = 5;
 
-	private final ObjectStore store;
+	private final KnownObjects known;
+
+	private final NewsHearer hearer;
+
+	private final NewsTeller teller;
 
 	private final BiConsumer<String, Frame> sender;
 
@@ -50,14 +52,7 @@
 
 	private final StoreDuty duty;
 
-	private final Set<String> downstream = new HashSet<>();
-
-	private final Map<Kind, Map<String, ObjectStore.Item>> objects = new EnumMap<>(Kind.class);
-
-	private final Map<Kind, Map<String, Long>> removed = new EnumMap<>(Kind.class);
-
-	// Up to which revision of the store the objects of a kind are known.
-	private final Map<Kind, Long> readTo = new EnumMap<>(Kind.class);
+	private OptionalLong asOfNanos = OptionalLong.empty();
 
 	// Who passes on what is not wanted here, since the word that ended it was lost with a
 	// link. Left alone it would do so for ever and never rest. Told once a tick, it ends
@@ -79,16 +74,14 @@
 	 * @param sender sends a frame to an entry by name
 	 */
 	SiteNews(ObjectStore store, StoreDuty duty, UpstreamChoice upstream, BiConsumer<String, Frame> sender,
-			DecisionLog log) {
-		this.store = store;
+			LongSupplier clock, DecisionLog log) {
+		this.known = new KnownObjects(store);
+		this.hearer = new NewsHearer(this.known, clock, log);
+		this.teller = new NewsTeller(sender, clock);
 		this.duty = duty;
 		this.upstream = upstream;
 		this.sender = sender;
 		this.log = log;
-		for (Kind kind : Kind.values()) {
-			this.objects.put(kind, new LinkedHashMap<>());
-			this.removed.put(kind, new LinkedHashMap<>());
-		}
 	}
 
 	// From the store.
@@ -98,39 +91,62 @@
 	 * @param at the store's revision when they were read
 	 */
 	void read(Kind kind, List<ObjectStore.Item> all, long at) {
-		this.readTo.put(kind, at);
-		Map<String, ObjectStore.Item> known = this.objects.get(kind);
-		known.clear();
-		this.removed.get(kind).clear();
-		all.forEach((item) -> known.put(item.name(), item));
-		tell(() -> all(kind));
+		Map<String, Long> told = this.known.revisions(kind);
+		this.known.read(kind, all, at);
+		this.teller.hearers().forEach((peer) -> this.teller.send(peer, all(kind, has(peer, told))));
+	}
+
+	// Who hears this entry was told what it knew before, and asks for what it has missed;
+	// only a process of an older version does not.
+	private Map<String, Long> has(String peer, Map<String, Long> told) {
+		return this.teller.stamps(peer) ? told : Map.of();
 	}
 
 	/**
 	 * Takes a change and returns whether it is newer than what is known.
 	 */
 	boolean read(Kind kind, ObjectStore.Change change) {
-		ObjectStore.Item known = this.objects.get(kind).get(change.item().name());
-		if (known != null && known.revision() > change.item().revision()) {
+		if (!this.known.read(kind, change)) {
 			return false;
 		}
-		note(kind, change);
-		tell(() -> News.newBuilder().setCurrent(true).setKind(wire(kind)).addObjects(object(change)).build());
+		tell(() -> News.newBuilder()
+			.setCurrent(true)
+			.setKind(wire(kind))
+			.addObjects(this.known.written(kind, change))
+			.build());
 		return true;
 	}
 
 	/**
-	 * Hears that this entry stops reading the store.
+	 * Hears as of when the store's routes are known, by this process's monotonic clock.
+	 */
+	void confirmed(long asOfNanos) {
+		this.teller.confirmed(asOfNanos);
+		known(asOfNanos);
+	}
+
+	/**
+	 * Returns the newest moment as of which the store's routes are known here, read or
+	 * heard.
+	 */
+	OptionalLong asOfNanos() {
+		return this.asOfNanos;
+	}
+
+	/**
+	 * Hears that this entry stops reading the store. Whoever has begun to hear it from
+	 * here meanwhile is told: the signs alone would keep it on what it has.
 	 */
 	void rests() {
 		this.answered = false;
+		dismiss();
 	}
 
 	/**
 	 * Returns whether nobody would miss it if this entry stopped reading the store.
 	 */
 	boolean mayRest() {
-		return this.answered && this.downstream.isEmpty();
+		return this.answered && this.teller.unheard();
 	}
 
 	/**
@@ -154,14 +170,14 @@
 	 */
 	void dismiss() {
 		tell(() -> News.newBuilder().setCurrent(false).build());
-		this.downstream.clear();
+		this.teller.clear();
 	}
 
 	/**
 	 * Returns whether others hear the store from here.
 	 */
 	boolean reliedOn() {
-		return !this.downstream.isEmpty();
+		return !this.teller.unheard();
 	}
 
 	// From and to other entries.
@@ -173,7 +189,7 @@
 	void tick(Collection<LinkedEntry> linked, long nowNanos) {
 		this.linked = List.copyOf(linked);
 		this.tickNanos = nowNanos;
-		this.downstream.retainAll(linked.stream().map(LinkedEntry::name).collect(Collectors.toSet()));
+		this.teller.keep(linked.stream().map(LinkedEntry::name).collect(Collectors.toSet()));
 		this.ticks++;
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
@@ -181,6 +197,33 @@
 		List.copyOf(this.strays).forEach(this::unwanted);
 		this.strays.clear();
 		carryOut(this.upstream.ask(linked, nowNanos));
+		this.hearer.keep((peer) -> this.duty.believes(peer) || this.upstream.believes(peer));
+		this.hearer.heard().forEach(this::askAgain);
+		if (this.ticks % TICKS_PER_SIGN == 0) {
+			this.hearer.heard()
+				.forEach((peer) -> this.hearer.keepAlive(peer).ifPresent((frame) -> this.sender.accept(peer, frame)));
+		}
+	}
+
+	/**
+	 * Hears that there is a new link to another entry.
+	 */
+	void linked(String peer) {
+		this.hearer.linked(peer);
+	}
+
+	/**
+	 * Returns the request by which another entry is asked for what the store says.
+	 */
+	Frame ask(String peer) {
+		return this.hearer.ask(peer);
+	}
+
+	/**
+	 * Returns whether nothing that another entry has said is missing.
+	 */
+	boolean whole(String peer) {
+		return this.hearer.whole(peer);
 	}
 
 	/**
@@ -197,7 +240,7 @@
 			switch (step) {
 				case UpstreamChoice.Step.Ask ask -> {
 					this.log.decision("store-through-entry", "entry", ask.entry());
-					this.sender.accept(ask.entry(), request(true));
+					this.sender.accept(ask.entry(), ask(ask.entry()));
 				}
 				case UpstreamChoice.Step.Dismiss dismiss -> unwanted(dismiss.entry());
 			}
@@ -208,18 +251,24 @@
 	 * Hears that another entry wants to be told what the store says, or does not any
 	 * more.
 	 */
-	void asked(String peer, boolean wanted) {
-		if (!wanted) {
-			this.downstream.remove(peer);
+	void asked(String peer, NewsRequest request) {
+		if (!request.getWanted()) {
+			this.teller.remove(peer);
 			return;
 		}
+		this.teller.stamped(peer, request);
 		if (!this.answered) {
-			this.sender.accept(peer, frame(News.newBuilder().setCurrent(false).build()));
+			this.teller.send(peer, News.newBuilder().setCurrent(false).build());
 			return;
 		}
-		this.downstream.add(peer);
+		if (request.getKeepAlive()) {
+			this.teller.sign(peer, News.newBuilder().setCurrent(true).build());
+			return;
+		}
+		this.teller.add(peer);
+		Map<Kind, Map<String, Long>> held = held(request);
 		for (Kind kind : Kind.values()) {
-			this.sender.accept(peer, frame(all(kind)));
+			this.teller.send(peer, all(kind, held.getOrDefault(kind, Map.of())));
 		}
 	}
 
@@ -227,39 +276,52 @@
 	 * Returns what another entry says that is new here, as if the store had said it.
 	 */
 	List<DirectEvent> heard(String peer, News news) {
-		Optional<Kind> kind = kind(news.getKind());
-		if (!believed(peer, news) || kind.isEmpty()) {
+		if (!believed(peer, news)) {
+			this.hearer.forget(peer);
 			return List.of();
 		}
+		this.hearer.counted(peer, news.getSequence());
+		List<DirectEvent> fresh = kind(news.getKind()).map((kind) -> taken(peer, kind, news)).orElse(List.of());
+		this.hearer.asOf(peer, news).ifPresent(this::known);
+		askAgain(peer);
+		return fresh;
+	}
+
+	private void askAgain(String peer) {
+		this.hearer.again(peer).ifPresent((frame) -> this.sender.accept(peer, frame));
+	}
+
+	private List<DirectEvent> taken(String peer, Kind kind, News news) {
 		if (this.upstream.believes(peer)) {
 			this.upstream.heard(true, this.tickNanos);
 		}
+		if (!this.known.holds(kind, news.getObjectsList())) {
+			this.hearer.lacking(peer, kind);
+			return List.of();
+		}
 		List<DirectEvent> fresh = new ArrayList<>();
 		for (StoreObject object : news.getObjectsList()) {
-			if (newer(kind.get(), object)) {
-				this.store.decode(kind.get(), object.getContent().toByteArray()).ifPresent((item) -> {
-					ObjectStore.Change change = new ObjectStore.Change(item, object.getDeleted());
-					note(kind.get(), change);
-					fresh.add(new DirectEvent.ObjectChanged(kind.get(), change));
-				});
-			}
+			this.known.heard(kind, object)
+				.ifPresent((change) -> fresh.add(new DirectEvent.ObjectChanged(kind, change)));
+		}
+		if (news.getAll()) {
+			this.hearer.delivered(peer, kind);
+			return List.of(all(kind, news));
 		}
-		return news.getAll() ? List.of(all(kind.get(), news)) : fresh;
+		// With a change before it missing it says nothing of how far the kind is known:
+		// what was made in between would be taken for gone by whoever hears this entry.
+		if (this.hearer.has(peer, kind)) {
+			news.getObjectsList().forEach((object) -> this.known.reached(kind, object.getRevision()));
+		}
+		return fresh;
 	}
 
-	// What the sender does not name is gone, unless it was made after the sender had
-	// read:
-	// taken for gone it would stay away until it changes again.
 	private DirectEvent all(Kind kind, News news) {
 		Set<String> named = new HashSet<>();
 		news.getObjectsList().forEach((object) -> named.add(object.getName()));
-		Map<String, ObjectStore.Item> known = this.objects.get(kind);
-		List.copyOf(known.values())
-			.stream()
-			.filter((item) -> !named.contains(item.name()) && item.revision() <= news.getAt())
-			.forEach((item) -> note(kind, new ObjectStore.Change(item, true)));
-		this.readTo.merge(kind, news.getAt(), Math::max);
-		return new DirectEvent.AllObjects(kind, List.copyOf(known.values()), this.readTo.get(kind));
+		this.known.keep(kind, named, news.getAt());
+		this.known.reached(kind, news.getAt());
+		return new DirectEvent.AllObjects(kind, this.known.items(kind), this.known.readTo(kind));
 	}
 
 	private boolean believed(String peer, News news) {
@@ -281,61 +343,46 @@
 		return true;
 	}
 
-	private boolean newer(Kind kind, StoreObject object) {
-		ObjectStore.Item known = this.objects.get(kind).get(object.getName());
-		long gone = this.removed.get(kind).getOrDefault(object.getName(), -1L);
-		boolean same = known != null && known.revision() >= object.getRevision() && !object.getDeleted();
-		return !same && object.getRevision() > gone;
-	}
-
-	private void note(Kind kind, ObjectStore.Change change) {
-		ObjectStore.Item item = change.item();
-		this.readTo.merge(kind, item.revision(), Math::max);
-		if (change.deleted()) {
-			this.objects.get(kind).remove(item.name());
-			this.removed.get(kind).put(item.name(), item.revision());
-			return;
+	private void tell(Supplier<News> news) {
+		if (!this.teller.unheard()) {
+			this.teller.tell(news.get());
 		}
-		this.objects.get(kind).put(item.name(), item);
 	}
 
-	private void tell(Supplier<News> news) {
-		if (this.downstream.isEmpty()) {
-			return;
+	private void known(long asOf) {
+		if (this.asOfNanos.isEmpty() || asOf - this.asOfNanos.getAsLong() > 0) {
+			this.asOfNanos = OptionalLong.of(asOf);
 		}
-		Frame frame = frame(news.get());
-		this.downstream.forEach((peer) -> this.sender.accept(peer, frame));
 	}
 
-	private News all(Kind kind) {
-		News.Builder news = News.newBuilder()
+	private News all(Kind kind, Map<String, Long> held) {
+		return News.newBuilder()
 			.setCurrent(true)
 			.setAll(true)
 			.setKind(wire(kind))
-			.setAt(this.readTo.getOrDefault(kind, 0L));
-		this.objects.get(kind).values().forEach((item) -> news.addObjects(object(new ObjectStore.Change(item, false))));
-		return news.build();
+			.setAt(this.known.readTo(kind))
+			.addAllObjects(this.known.written(kind, held))
+			.build();
 	}
 
-	private static StoreObject object(ObjectStore.Change change) {
-		ObjectStore.Item item = change.item();
-		return StoreObject.newBuilder()
-			.setName(item.name())
-			.setRevision(item.revision())
-			.setDeleted(change.deleted())
-			.setContent(ByteString.copyFrom(item.content()))
-			.build();
+	private static Map<Kind, Map<String, Long>> held(NewsRequest request) {
+		Map<Kind, Map<String, Long>> held = new EnumMap<>(Kind.class);
+		for (KnownKind of : request.getKnownList()) {
+			Map<String, Long> revisions = new HashMap<>();
+			of.getObjectsList().forEach((object) -> revisions.put(object.getName(), object.getRevision()));
+			kind(of.getKind()).ifPresent((kind) -> held.put(kind, revisions));
+		}
+		return held;
 	}
 
+	/**
+	 * Returns the frame that says whether news are wanted, without what is known.
+	 */
 	static Frame request(boolean wanted) {
 		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(wanted)).build();
 	}
 
-	private static Frame frame(News news) {
-		return Frame.newBuilder().setNews(news).build();
-	}
-
-	private static StoreKind wire(Kind kind) {
+	static StoreKind wire(Kind kind) {
 		return switch (kind) {
 			case ROUTES -> StoreKind.STORE_ROUTES;
 			case RUNNERS -> StoreKind.STORE_RUNNERS;
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -110,6 +110,13 @@
 		return this.stage == Stage.RESTS || this.stage == Stage.SEEKS;
 	}
 
+	/**
+	 * Returns whether this entry has a neighbour from which it hears the store.
+	 */
+	public boolean settled() {
+		return this.stage == Stage.RESTS;
+	}
+
 	/**
 	 * Returns whether what an entry passes on is to be believed.
 	 */
