After a rest reading goes on from what the neighbour has passed on

An entry that rested meanwhile and reads again asked for all changes since its own last call: the table once for each declaration, over the link that is full already. What a neighbour passed on is known up to a revision, and reading goes on from there. whatANeighbourHasPassedOnIsNotReadAgain failed before (since 5 instead of 25).

--- a/entry/src/main/java/org/wisteriapost/entry/direct/Following.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Following.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
 
 import org.wisteriapost.protocol.site.Follower;
 import org.wisteriapost.protocol.site.Kind;
@@ -33,8 +34,12 @@
 		Optional.ofNullable(this.followers.get(kind)).ifPresent(Follower::forget);
 	}
 
-	void resume() {
-		this.followers.values().forEach(Follower::resume);
+	/**
+	 * Goes on after a pause.
+	 * @param known up to which revision all of a kind is known
+	 */
+	void resume(ToLongFunction<Kind> known) {
+		this.followers.forEach((kind, follower) -> follower.resume(known.applyAsLong(kind)));
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -125,6 +125,13 @@
 		known(asOfNanos);
 	}
 
+	/**
+	 * Returns up to which revision of the store the objects of a kind are known.
+	 */
+	long readTo(Kind kind) {
+		return this.known.readTo(kind);
+	}
+
 	/**
 	 * Returns the newest moment as of which the store's routes are known here, read or
 	 * heard.
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -99,7 +99,7 @@
 					this.news.rests();
 					this.following.pause();
 				}
-				case StoreDuty.Step.Read read -> this.following.resume();
+				case StoreDuty.Step.Read read -> this.following.resume(this.news::readTo);
 			}
 		}
 	}
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -118,12 +118,15 @@
 	}
 
 	/**
-	 * Goes on after a pause, from where it was.
+	 * Goes on after a pause, from where it was or from what a neighbour has passed on
+	 * meanwhile: an object that changed often would else come in all its forms.
+	 * @param known up to which revision all is known
 	 */
-	public void resume() {
+	public void resume(long known) {
 		this.timer.execute(() -> {
 			if (this.paused) {
 				this.paused = false;
+				this.told = (this.told == NOTHING) ? NOTHING : Math.max(this.told, known);
 				this.reachable = Optional.empty();
 				this.pauseMillis = FIRST_PAUSE_MILLIS;
 				goOn();
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -233,11 +233,25 @@
 		Follower follower = start();
 		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
 		follower.pause();
-		follower.resume();
+		follower.resume(0);
 		assertThat(heardAfter(4), Matchers.contains("back", "all[a]", "back", "+b@8"));
 		assertThat(this.store.asked, Matchers.contains("list", "watch 5", "since 5", "watch 8"));
 	}
 
+	// The table was declared anew ten times while a neighbour read the store and passed
+	// each on. Asked for all that was changed since its own last call, the store would
+	// send the table ten times over a link that may be full.
+	@Test
+	void whatANeighbourHasPassedOnIsNotReadAgain() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start();
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		follower.pause();
+		follower.resume(25);
+		heardAfter(4);
+		assertThat(this.store.asked, Matchers.contains("list", "watch 5", "since 25", "watch 25"));
+	}
+
 	// What this one read last came while a neighbour took over, and was not taken. It
 	// can't be counted on as known, so all is read again.
 	@Test
@@ -248,7 +262,7 @@
 		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
 		follower.pause();
 		follower.forget();
-		follower.resume();
+		follower.resume(0);
 		assertThat(heardAfter(4), Matchers.contains("back", "all[a]", "back", "all[b]"));
 	}
 
