Tests of the number that shows a forgotten hearer, and of what a gap leaves unread

Both safeguards stood without a test that needs them. whoWasTakenOffByALateWordAsksAgain fails without the skipped number in NewsTeller.sign, whatWasMissedIsNotSaidToBeRead without the condition in SiteNews.taken; both seen.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
@@ -17,6 +17,7 @@
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.News;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -199,6 +200,28 @@
 		assertThat(this.asker.whole(this.readerName), Matchers.equalTo(true));
 	}
 
+	// A runner that the asker has missed was made before a change that it has heard. The
+	// store answers the asker again, and a third hears it from there. If the asker said
+	// that it had read up to that change, the third would take the runner for gone.
+	@Test
+	void whatWasMissedIsNotSaidToBeRead() {
+		cut();
+		ask();
+		hear();
+		this.reader.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("s", 8), false));
+		this.answers.clear();
+		this.reader.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("t", 9), false));
+		this.answers.forEach((frame) -> this.asker.heard(this.readerName, frame.getNews()));
+		this.asker.reachable(true);
+		this.requests.clear();
+		this.asker.asked("third", SiteNews.request(true).getNewsRequest());
+		assertThat(this.requests.stream()
+			.map(Frame::getNews)
+			.filter((news) -> news.getKind() == SiteNews.wire(Kind.RUNNERS))
+			.map(News::getAt)
+			.toList(), Matchers.contains(7L));
+	}
+
 	// The reader's watch was lost and it lists again. All that is new is one object.
 	@Test
 	void whenTheReaderListsAgainOnlyWhatIsNewIsSent() {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/NewsAgeTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/NewsAgeTests.java
@@ -214,6 +214,19 @@
 		assertThat(this.reader.reliedOn(), Matchers.equalTo(true));
 	}
 
+	// A late word that nothing more is wanted, of a hearing before this one, takes the
+	// hearer off the reader's list. No frame is lost, and the signs would go on.
+	@Test
+	void whoWasTakenOffByALateWordAsksAgain() {
+		asked();
+		this.reader.asked("hearer", SiteNews.request(false).getNewsRequest());
+		run(4);
+		asked();
+		asked();
+		assertThat(this.reader.reliedOn(), Matchers.equalTo(true));
+		assertThat(this.hearer.whole("reader"), Matchers.equalTo(true));
+	}
+
 	@Test
 	void aKeepAliveIsAnsweredByOneSign() {
 		asked();
