--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -1,13 +1,10 @@
 package org.wisteriapost.protocol.site;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -18,9 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
-import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.protocol.site.ObjectStore.Change;
 import org.wisteriapost.protocol.site.ObjectStore.Changes;
 import org.wisteriapost.protocol.site.ObjectStore.Item;
@@ -34,8 +29,6 @@
 
 	private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
 
-	private final ScriptedStore store = new ScriptedStore();
-
 	private final List<String> heard = new ArrayList<>();
 
 	private final long startedNanos = System.nanoTime();
@@ -44,6 +37,8 @@
 
 	private final CompletableFuture<Void> scriptOver = new CompletableFuture<>();
 
+	private final ScriptedStore store = new ScriptedStore(this.scriptOver);
+
 	@AfterEach
 	void stop() {
 		this.timer.shutdownNow();
@@ -375,81 +370,4 @@
 	private record Confirmed(long asOf, List<String> before) {
 	}
 
-	/** Answers from a script, and says when it is over. */
-	private final class ScriptedStore implements ObjectStore {
-
-		private final Queue<Page> pages = new ArrayDeque<>();
-
-		private final Queue<Changes> changes = new ArrayDeque<>();
-
-		private final Queue<Code> failures = new ArrayDeque<>();
-
-		private final Queue<Changes> gaps = new ArrayDeque<>();
-
-		private final List<Long> askedNanos = new CopyOnWriteArrayList<>();
-
-		private final List<Duration> waits = new CopyOnWriteArrayList<>();
-
-		private final List<String> asked = new CopyOnWriteArrayList<>();
-
-		private volatile CompletableFuture<Changes> waiting = new CompletableFuture<>();
-
-		private int listFailures;
-
-		private boolean silent;
-
-		@Override
-		public synchronized CompletableFuture<Page> list(Kind kind, Optional<String> after) {
-			this.askedNanos.add(System.nanoTime());
-			this.asked.add("list");
-			if (this.silent) {
-				return new CompletableFuture<>();
-			}
-			if (this.listFailures > 0) {
-				this.listFailures--;
-				return CompletableFuture.failedFuture(CodedException.of(UNAVAILABLE, "scripted"));
-			}
-			return CompletableFuture.completedFuture(this.pages.remove());
-		}
-
-		@Override
-		public synchronized CompletableFuture<Changes> watch(Kind kind, long revision, Duration wait) {
-			this.askedNanos.add(System.nanoTime());
-			this.waits.add(wait);
-			this.asked.add((wait.isZero() ? "since " : "watch ") + revision);
-			if (this.silent) {
-				return new CompletableFuture<>();
-			}
-			if (!this.changes.isEmpty()) {
-				return CompletableFuture.completedFuture(this.changes.remove());
-			}
-			if (!this.failures.isEmpty()) {
-				return CompletableFuture.failedFuture(CodedException.of(this.failures.remove(), "scripted"));
-			}
-			if (wait.isZero()) {
-				return CompletableFuture
-					.completedFuture(this.gaps.isEmpty() ? new Changes(List.of(), revision) : this.gaps.remove());
-			}
-			this.waiting = new CompletableFuture<>();
-			FollowerTests.this.scriptOver.complete(null);
-			return this.waiting;
-		}
-
-		@Override
-		public Optional<Item> decode(Kind kind, byte[] content) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public CompletableFuture<Void> register(EntryInfo entry) {
-			return CompletableFuture.completedFuture(null);
-		}
-
-		@Override
-		public CompletableFuture<Void> unregister(String name, long revision) {
-			return CompletableFuture.completedFuture(null);
-		}
-
-	}
-
 }
