Measure an agent process at rest: run time and waits by thread

The agent itself keeps no link to its peers: a fetch closes its own when it ends, so that candidate is ruled out.

--- /dev/null
+++ b/app/src/test/java/org/wisteriapost/app/RestingAgent.java
@@ -0,0 +1,192 @@
+package org.wisteriapost.app;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import org.wisteriapost.platform.emulator.EmulatedSite;
+import org.wisteriapost.protocol.link.Link;
+import org.wisteriapost.protocol.link.LinkHandler;
+import org.wisteriapost.protocol.link.Links;
+import org.wisteriapost.protocol.site.SiteProvider;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.ChunkMapRequest;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.Hello;
+import org.wisteriapost.protocol.wire.Role;
+import org.wisteriapost.protocol.wire.Roster;
+import org.wisteriapost.protocol.wire.RosterMember;
+import org.wisteriapost.protocol.wire.WeightsNamed;
+
+/**
+ * Measures an agent process at rest: run time and voluntary waits by thread, and calls
+ * that read or write. Entries and peers are links of this process, the engine is
+ * emulated.
+ */
+public final class RestingAgent {
+
+	private static final long SETTLE_SECONDS = 8;
+
+	private final Links links = Links.plain(2);
+
+	private final Set<Link> ofAgent = ConcurrentHashMap.newKeySet();
+
+	private final Set<Link> toAgent = ConcurrentHashMap.newKeySet();
+
+	private RestingAgent() {
+	}
+
+	/**
+	 * Measures once and prints a line a thread.
+	 * @param args seconds, entries, peers, and the agent's command without its role
+	 */
+	public static void main(String[] args) throws Exception {
+		long seconds = Long.parseLong(args[0]);
+		List<String> command = new ArrayList<>(Arrays.asList(args).subList(3, args.length));
+		command.addAll(List.of("site", "agent"));
+		Path folder = Files.createTempDirectory("resting-agent");
+		try (EmulatedSite site = EmulatedSite.start()) {
+			new RestingAgent().measure(site, folder, command, seconds, Integer.parseInt(args[1]),
+					Integer.parseInt(args[2]));
+		}
+		System.exit(0);
+	}
+
+	private void measure(EmulatedSite site, Path folder, List<String> command, long seconds, int entries, int peers)
+			throws Exception {
+		site.engine(1);
+		Path settings = site.agentSettings(folder, 1);
+		SiteSettings read = SiteProvider.load().settings(settings);
+		Handler peer = new Handler(this.ofAgent, List.of());
+		for (int i = 2; i < 2 + peers; i++) {
+			this.links.listen(new InetSocketAddress("127.7.2." + i, read.linkPort()), peer);
+		}
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+			.redirectOutput(folder.resolve("agent.log").toFile());
+		builder.environment().put(SiteProvider.load().settingsVariable(), settings.toString());
+		Process agent = builder.start();
+		try {
+			InetSocketAddress at = new InetSocketAddress("127.7.2.1", read.linkPort());
+			for (int i = 0; i < entries; i++) {
+				connect(at, entry(site, peers));
+			}
+			for (int i = 0; i < peers; i++) {
+				connect(at, asking());
+			}
+			TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
+			Map<String, Long> before = counts(agent.pid());
+			TimeUnit.SECONDS.sleep(seconds);
+			print(before, counts(agent.pid()), seconds);
+			System.out.println("links that the agent made: " + this.ofAgent.size() + ", took: " + this.toAgent.size());
+		}
+		finally {
+			agent.destroy();
+			agent.waitFor();
+		}
+	}
+
+	// The process takes a moment to start.
+	private void connect(InetSocketAddress at, List<Frame> first) throws InterruptedException {
+		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(SETTLE_SECONDS);
+		while (true) {
+			try {
+				this.links.connect(at, new Handler(this.toAgent, first)).join();
+				return;
+			}
+			catch (CompletionException ex) {
+				if (System.nanoTime() > until) {
+					throw ex;
+				}
+				TimeUnit.MILLISECONDS.sleep(50);
+			}
+		}
+	}
+
+	private static List<Frame> entry(EmulatedSite site, int peers) {
+		Roster.Builder roster = Roster.newBuilder();
+		for (int i = 1; i < 2 + peers; i++) {
+			roster.addMembers(RosterMember.newBuilder().setVm("127.7.2." + i).setPlace("hall-a"));
+		}
+		WeightsNamed named = WeightsNamed.newBuilder()
+			.setModel(EmulatedSite.MODEL)
+			.setVersion(1)
+			.setOrigin("127.7.0.2:" + site.port())
+			.build();
+		return List.of(Frame.newBuilder().setHello(Hello.newBuilder().setVm("entry").setRole(Role.ENTRY)).build(),
+				Frame.newBuilder().setRoster(roster).build(), Frame.newBuilder().setWeightsNamed(named).build());
+	}
+
+	private static List<Frame> asking() {
+		return List.of(Frame.newBuilder().setHello(Hello.newBuilder().setVm("peer").setRole(Role.AGENT)).build(),
+				Frame.newBuilder().setChunkMapRequest(ChunkMapRequest.newBuilder().setFile("some")).build());
+	}
+
+	private static Map<String, Long> counts(long pid) throws IOException {
+		Map<String, Long> counts = new TreeMap<>();
+		Path process = Path.of("/proc", Long.toString(pid));
+		try (Stream<Path> tasks = Files.list(process.resolve("task"))) {
+			for (Path task : tasks.toList()) {
+				String name = Files.readString(task.resolve("comm")).strip() + " " + task.getFileName();
+				counts.put("run-us " + name,
+						Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]) / 1000);
+				counts.put("waits " + name, field(task.resolve("status"), "voluntary_ctxt_switches:"));
+			}
+		}
+		counts.put("reads", field(process.resolve("io"), "syscr:"));
+		counts.put("writes", field(process.resolve("io"), "syscw:"));
+		return counts;
+	}
+
+	private static long field(Path file, String name) throws IOException {
+		return Files.readAllLines(file)
+			.stream()
+			.filter((line) -> line.startsWith(name))
+			.mapToLong((line) -> Long.parseLong(line.substring(name.length()).strip()))
+			.findFirst()
+			.orElse(0);
+	}
+
+	private static void print(Map<String, Long> before, Map<String, Long> after, long seconds) {
+		Map<String, Long> sums = new TreeMap<>();
+		after.forEach((name, count) -> {
+			long change = count - before.getOrDefault(name, 0L);
+			if (change > 0) {
+				sums.merge("all " + name.split(" ")[0], change, Long::sum);
+				System.out.printf("%10.1f a second  %s%n", (double) change / seconds, name);
+			}
+		});
+		sums.forEach((name, sum) -> System.out.printf("%10.1f a second  %s%n", (double) sum / seconds, name));
+	}
+
+	private record Handler(Set<Link> open, List<Frame> first) implements LinkHandler {
+
+		@Override
+		public void onOpen(Link link) {
+			this.open.add(link);
+			this.first.forEach(link::send);
+		}
+
+		@Override
+		public void onFrame(Link link, Frame frame) {
+			// What the agent says does not matter here.
+		}
+
+		@Override
+		public void onClosed(Link link) {
+			this.open.remove(link);
+		}
+
+	}
+
+}
