One timer of an I/O thread keeps all its links alive

Cause: Netty's IdleStateHandler keeps two timers a channel. Its selector wakes up to half a millisecond before a timer is due and polls until then: a trace of an agent at rest with ten links shows 102 epoll_wait a second, most with a timeout of 0, for 10 reads and 10 writes. Ruled out: links to peers that stay after a fetch; the agent keeps none.

Change: Heartbeats looks at all links of a thread once a second. What was said in the last quarter of a second does for a heartbeat, so a link is silent for 1.25 s at most instead of 1 s; a loss is taken after 3 s as before. Now bytes count as heard, not whole frames: a frame that took longer than 3 s on a narrow link closed it, also when its bytes came all the time. The test of that fails on the code as it was (broken pipe after 3.2 s); the other new tests pass on both.

--- a/app/src/test/java/org/wisteriapost/app/RestingAgent.java
+++ b/app/src/test/java/org/wisteriapost/app/RestingAgent.java
@@ -38,7 +38,9 @@
 
 	private static final long SETTLE_SECONDS = 8;
 
-	private final Links links = Links.plain(2);
+	private static final long APART_MILLIS = 37;
+
+	private final Links peers = Links.plain(1);
 
 	private final Set<Link> ofAgent = ConcurrentHashMap.newKeySet();
 
@@ -70,7 +72,7 @@
 		SiteSettings read = SiteProvider.load().settings(settings);
 		Handler peer = new Handler(this.ofAgent, List.of());
 		for (int i = 2; i < 2 + peers; i++) {
-			this.links.listen(new InetSocketAddress("127.7.2." + i, read.linkPort()), peer);
+			this.peers.listen(new InetSocketAddress("127.7.2." + i, read.linkPort()), peer);
 		}
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(folder.resolve("agent.log").toFile());
@@ -96,12 +98,15 @@
 		}
 	}
 
-	// The process takes a moment to start.
+	// The process takes a moment to start. Each other side has its own thread and time of
+	// heartbeats, as processes have.
 	private void connect(InetSocketAddress at, List<Frame> first) throws InterruptedException {
+		Links links = Links.plain(1);
 		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(SETTLE_SECONDS);
 		while (true) {
 			try {
-				this.links.connect(at, new Handler(this.toAgent, first)).join();
+				links.connect(at, new Handler(this.toAgent, first)).join();
+				TimeUnit.MILLISECONDS.sleep(APART_MILLIS);
 				return;
 			}
 			catch (CompletionException ex) {
--- a/protocol/src/main/java/org/wisteriapost/protocol/link/LinkChannel.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/link/LinkChannel.java
@@ -9,20 +9,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.ssl.SslHandler;
-import io.netty.handler.timeout.IdleState;
-import io.netty.handler.timeout.IdleStateEvent;
 import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.protocol.wire.Frame;
 
 /**
- * Turns one Netty channel into a {@link Link}, and keeps it alive with empty frames.
+ * Turns one Netty channel into a {@link Link}. Empty frames are heartbeats; no handler
+ * hears them.
  */
 final class LinkChannel extends SimpleChannelInboundHandler<Frame> implements Link {
 
 	private static final Logger LOG = System.getLogger(LinkChannel.class.getName());
 
-	private static final Frame HEARTBEAT = Frame.getDefaultInstance();
-
 	private final LinkHandler handler;
 
 	private final CompletableFuture<Void> opened;
@@ -109,18 +106,6 @@
 		}
 	}
 
-	@Override
-	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof IdleStateEvent idle) {
-			if (idle.state() == IdleState.WRITER_IDLE) {
-				context.writeAndFlush(HEARTBEAT);
-			}
-			else {
-				context.close();
-			}
-		}
-	}
-
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		LOG.log(Level.WARNING, "link-broken: " + cause);
--- a/protocol/src/main/java/org/wisteriapost/protocol/link/Links.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/link/Links.java
@@ -1,8 +1,10 @@
 package org.wisteriapost.protocol.link;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -12,6 +14,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
@@ -23,7 +26,6 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.CodedException;
@@ -48,18 +50,14 @@
 
 	private static final int CONNECT_MILLIS = 1000;
 
-	// A link that stalls without closing looks open to the kernel for many minutes. Each
-	// side sends something every second, so three silent seconds mean it is gone.
-	private static final long SEND_IDLE_MILLIS = 1000;
-
-	private static final long SILENT_MILLIS = 3000;
-
 	private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(256 << 10, 1 << 20);
 
 	private final EventLoopGroup group;
 
 	private final Optional<Supplier<LinkTls>> tls;
 
+	private final Map<EventLoop, Heartbeats> heartbeats = new ConcurrentHashMap<>();
+
 	private Links(EventLoopGroup group, Optional<Supplier<LinkTls>> tls) {
 		this.group = group;
 		this.tls = tls;
@@ -148,12 +146,13 @@
 		@Override
 		protected void initChannel(SocketChannel channel) {
 			Links.this.tls.map(Supplier::get).ifPresent((both) -> secure(channel, both));
+			Heartbeats ofThread = Links.this.heartbeats.computeIfAbsent(channel.eventLoop(), Heartbeats::new);
 			channel.pipeline()
+				.addLast(new LinkLife(ofThread))
 				.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
 				.addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
 				.addLast(new LengthFieldPrepender(LENGTH_BYTES))
 				.addLast(new ProtobufEncoder())
-				.addLast(new IdleStateHandler(SILENT_MILLIS, SEND_IDLE_MILLIS, 0, TimeUnit.MILLISECONDS))
 				.addLast(new LinkChannel(this.handler, this.opened));
 		}
 
--- a/protocol/src/test/java/org/wisteriapost/protocol/link/LinksTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/link/LinksTests.java
@@ -1,6 +1,10 @@
 package org.wisteriapost.protocol.link;
 
+import java.io.DataOutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -9,15 +13,22 @@
 import com.google.protobuf.ByteString;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.protocol.wire.CallData;
 import org.wisteriapost.protocol.wire.Frame;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class LinksTests {
 
+	private static final long LONGER_THAN_SILENCE_SECONDS = 5;
+
+	private static final int PARTS = 25;
+
 	private final Links links = Links.plain(1);
 
 	@AfterEach
@@ -59,6 +70,82 @@
 				() -> this.links.connect(new InetSocketAddress("127.0.0.1", 1), new Recorder()).join());
 	}
 
+	@Test
+	void aLinkOnWhichNothingIsSentStaysOpen() throws InterruptedException {
+		Recorder server = new Recorder();
+		Recorder client = new Recorder();
+		try (LinkServer at = this.links.listen(new InetSocketAddress("127.0.0.1", 0), server)) {
+			this.links.connect(new InetSocketAddress("127.0.0.1", at.port()), client).join();
+			assertThat(client.closed.poll(LONGER_THAN_SILENCE_SECONDS, TimeUnit.SECONDS), is(nullValue()));
+			client.opened.remove().send(data(1, 1));
+			assertThat(server.frames.poll(20, TimeUnit.SECONDS), is(data(1, 1)));
+		}
+	}
+
+	// The other process is stopped or its machine is cut off: the connection stays open
+	// and nothing comes over it, not even a heartbeat. The handler hears that the link is
+	// gone, also on one over which this side sends all the time.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aSilentPeerIsTakenForLost(boolean sending) throws Exception {
+		Recorder client = new Recorder();
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			this.links.connect(new InetSocketAddress("127.0.0.1", silent.getLocalPort()), client).join();
+			Link link = client.opened.remove();
+			Link closed = null;
+			for (int i = 0; closed == null && i < 200; i++) {
+				if (sending) {
+					link.send(data(i, 1));
+				}
+				closed = client.closed.poll(100, TimeUnit.MILLISECONDS);
+			}
+			assertThat(closed, is(link));
+		}
+	}
+
+	// A frame of several hundred kilobytes comes over a link so narrow that it takes
+	// longer than the silence after which a link is closed. Its bytes arrive all the
+	// time; closing the link would lose the frame, and the next one on a new link too.
+	@Test
+	void aFrameThatTakesLongToArriveIsNoSilence() throws Exception {
+		Recorder client = new Recorder();
+		byte[] frame = data(1, PARTS * 100).toByteArray();
+		try (ServerSocket narrow = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			this.links.connect(new InetSocketAddress("127.0.0.1", narrow.getLocalPort()), client).join();
+			try (Socket socket = narrow.accept()) {
+				DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+				out.writeInt(frame.length);
+				int part = frame.length / PARTS;
+				for (int i = 0; i < PARTS; i++) {
+					TimeUnit.MILLISECONDS.sleep(TimeUnit.SECONDS.toMillis(LONGER_THAN_SILENCE_SECONDS) / PARTS);
+					out.write(frame, i * part, (i < PARTS - 1) ? part : frame.length - i * part);
+				}
+				assertThat(client.frames.poll(20, TimeUnit.SECONDS), is(data(1, PARTS * 100)));
+			}
+		}
+	}
+
+	// One side has nothing to say and the other sends without a pause. The busy side
+	// leaves out its heartbeats and the quiet side's keep the link open.
+	@Test
+	void aLinkThatIsUsedOneWayStaysOpen() throws InterruptedException {
+		Recorder server = new Recorder();
+		Recorder client = new Recorder();
+		try (LinkServer at = this.links.listen(new InetSocketAddress("127.0.0.1", 0), server)) {
+			this.links.connect(new InetSocketAddress("127.0.0.1", at.port()), client).join();
+			Link link = client.opened.remove();
+			int sent = 10 * (int) LONGER_THAN_SILENCE_SECONDS;
+			for (int i = 0; i < sent; i++) {
+				link.send(data(i, 1));
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
+			for (int i = 0; i < sent; i++) {
+				assertThat(server.frames.poll(20, TimeUnit.SECONDS), is(data(i, 1)));
+			}
+			assertThat(client.closed.isEmpty(), is(true));
+		}
+	}
+
 	private static Frame data(long id, int size) {
 		return Frame.newBuilder()
 			.setCallData(CallData.newBuilder().setId(id).setData(ByteString.copyFrom(new byte[size])))
