--- a/kernel/src/main/java/org/wisteriapost/kernel/log/DecisionLog.java
+++ b/kernel/src/main/java/org/wisteriapost/kernel/log/DecisionLog.java
@@ -30,7 +30,7 @@
 
 	private static final int QUEUE = 4096;
 
-	private static final long FLUSH_MILLIS = 250;
+	private static final long PAUSE_MILLIS = 250;
 
 	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE);
 
@@ -112,10 +112,7 @@
 		StringBuilder batch = new StringBuilder();
 		while (!this.closed || !this.lines.isEmpty()) {
 			try {
-				String first = this.lines.poll(FLUSH_MILLIS, TimeUnit.MILLISECONDS);
-				if (first == null) {
-					continue;
-				}
+				String first = this.lines.take();
 				batch.setLength(0);
 				for (String line = first; line != null; line = this.lines.poll()) {
 					batch.append(line).append('\n');
@@ -123,7 +120,7 @@
 				this.out.print(batch);
 				this.out.flush();
 				// One write for many lines: a write costs more than the lines in it.
-				TimeUnit.MILLISECONDS.sleep(FLUSH_MILLIS);
+				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
 			}
 			catch (InterruptedException ex) {
 				// Only close interrupts; what is queued is still written.
