An agent is woken when its rollout has a moment due, not five times a second

Cause: a timer ticked every 200 ms at rest and every 40 ms while weights move or no weights were ever named, each tick two wake-ups (timer, state thread), though at rest time brings only the read of the engine's report once a second.

Change: Rollout.nextNanos says which moment is next: the read of the report, the check ahead of a turn, the turn, the order after it, the end of a pause, the end of the wait for an order. SiteAgent plans one tick for it and brings it forward whenever something is heard. Reads stay at 1 s at rest and 150 ms otherwise (ReportReads, taken out of Rollout for its length), so a crash of an engine is seen as soon as before; a turn is kept to the millisecond instead of within 40. How far a fetch has come is looked at with the reads, 150 ms, which is also the step in which entries are told.

SiteTests, RolloutTests, AgentProcessTests, PeerTransferTests pass.

--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -152,10 +152,10 @@
 	}
 
 	/**
-	 * Returns whether nothing is under way that needs a close look at time.
+	 * Returns when the next tick is due if nothing is heard until then.
 	 */
-	boolean calm() {
-		return this.rollout.calm();
+	long nextNanos(long nowNanos) {
+		return this.rollout.nextNanos(nowNanos);
 	}
 
 	private void hello(Link link, Hello hello) {
--- a/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
@@ -2,8 +2,10 @@
 
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
@@ -25,11 +27,10 @@
 
 	private static final int RING = 1024;
 
-	// An agent at rest is woken five times a second, which is most of what it costs then.
-	private static final long TICK_MILLIS = 200;
-
-	// While weights move an engine's turn comes at a moment that entries were told.
-	private static final long BUSY_TICK_MILLIS = 40;
+	// Failure: a moment that is due stays due. Symptom: the agent spins and takes the
+	// engine's core. A tick each so many milliseconds is little work, and no step of a
+	// rollout needs a finer one.
+	private static final long LEAST_TICK_MILLIS = 10;
 
 	private final HttpCaller caller;
 
@@ -45,16 +46,19 @@
 
 	private LinkServer server;
 
-	private volatile boolean calm = true;
+	// Of the loop's thread.
+	private Optional<ScheduledFuture<?>> ticking = Optional.empty();
+
+	private long tickNanos;
 
-	private SiteAgent(HttpCaller caller, Links links, ScheduledThreadPoolExecutor timer, EventLoop<Runnable> loop,
-			EngineKeeper keeper, DecisionLog log) {
-		this.caller = caller;
-		this.links = links;
-		this.timer = timer;
-		this.loop = loop;
-		this.keeper = keeper;
-		this.log = log;
+	private SiteAgent(SiteSettings settings, SiteProvider site, PrintStream out) {
+		this.log = DecisionLog.start(settings.name(), out);
+		this.caller = HttpCaller.create(1);
+		this.links = Links.plain(1);
+		this.timer = new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().daemon().factory());
+		this.timer.setRemoveOnCancelPolicy(true);
+		this.loop = EventLoop.start("agent", RING, Runnable::run);
+		this.keeper = new EngineKeeper(settings, site, this.caller, this.links, this.timer, this::run, this.log);
 	}
 
 	/**
@@ -62,26 +66,52 @@
 	 * @param out where decisions are logged
 	 */
 	public static SiteAgent start(SiteSettings settings, SiteProvider site, PrintStream out) {
-		DecisionLog log = DecisionLog.start(settings.name(), out);
-		HttpCaller caller = HttpCaller.create(1);
-		Links links = Links.plain(1);
-		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().daemon().factory());
-		EventLoop<Runnable> loop = EventLoop.start("agent", RING, Runnable::run);
-		EngineKeeper keeper = new EngineKeeper(settings, site, caller, links, timer, loop::put, log);
-		SiteAgent agent = new SiteAgent(caller, links, timer, loop, keeper, log);
-		agent.server = links.listen(new InetSocketAddress(settings.host(), settings.linkPort()), agent.new Incoming());
-		timer.schedule(agent::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
-		log.decision("started", "role", "agent", "engine", settings.runner().orElse("none"));
+		SiteAgent agent = new SiteAgent(settings, site, out);
+		agent.server = agent.links.listen(new InetSocketAddress(settings.host(), settings.linkPort()),
+				agent.new Incoming());
+		agent.run(agent.keeper::tick);
+		agent.log.decision("started", "role", "agent", "engine", settings.runner().orElse("none"));
 		return agent;
 	}
 
-	private void tick() {
-		this.loop.offer(() -> {
-			this.keeper.tick();
-			this.calm = this.keeper.calm();
+	/**
+	 * Runs a task on the loop's thread; what it changed may bring the next tick forward.
+	 */
+	private void run(Runnable task) {
+		this.loop.put(() -> look(task));
+	}
+
+	private void look(Runnable task) {
+		try {
+			task.run();
+		}
+		finally {
+			plan();
+		}
+	}
+
+	// A tick that comes too early plans the next one, so only a later one is replaced.
+	private void plan() {
+		long now = System.nanoTime();
+		long next = this.keeper.nextNanos(now);
+		boolean early = this.ticking.isPresent() && this.tickNanos - next <= 0;
+		if (early || this.timer.isShutdown()) {
+			return;
+		}
+		this.ticking.ifPresent((later) -> later.cancel(false));
+		this.tickNanos = next;
+		long millis = TimeUnit.NANOSECONDS.toMillis(next - now) + 1;
+		this.ticking = Optional
+			.of(this.timer.schedule(this::due, Math.max(millis, LEAST_TICK_MILLIS), TimeUnit.MILLISECONDS));
+	}
+
+	private void due() {
+		boolean taken = this.loop.offer(() -> {
+			this.ticking = Optional.empty();
+			look(this.keeper::tick);
 		});
-		if (!this.timer.isShutdown()) {
-			this.timer.schedule(this::tick, this.calm ? TICK_MILLIS : BUSY_TICK_MILLIS, TimeUnit.MILLISECONDS);
+		if (!taken && !this.timer.isShutdown()) {
+			this.timer.schedule(this::due, LEAST_TICK_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -115,13 +145,13 @@
 
 		@Override
 		public void onFrame(Link link, Frame frame) {
-			SiteAgent.this.loop.put(() -> SiteAgent.this.keeper.heard(link, frame));
+			SiteAgent.this.run(() -> SiteAgent.this.keeper.heard(link, frame));
 		}
 
 		@Override
 		public void onClosed(Link link) {
 			this.open.remove(link);
-			SiteAgent.this.loop.put(() -> SiteAgent.this.keeper.closed(link));
+			SiteAgent.this.run(() -> SiteAgent.this.keeper.closed(link));
 		}
 
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.LongStream;
 
 import org.wisteriapost.policy.fleet.RunnerStart;
 
@@ -37,12 +38,6 @@
 
 	private static final long AGAIN_NANOS = Duration.ofMillis(400).toNanos();
 
-	private static final long CALM_READ_NANOS = Duration.ofMillis(1000).toNanos();
-
-	private static final long BUSY_READ_NANOS = Duration.ofMillis(150).toNanos();
-
-	private static final long READ_LOST_NANOS = Duration.ofMillis(1500).toNanos();
-
 	// A turn is announced while the fetch is under way, since what an engine runs when
 	// its turn comes began up to two seconds before. From this part of the fetch on
 	// its end is known to within some 200 ms.
@@ -102,9 +97,7 @@
 
 	private RunnerStart start = RunnerStart.UNKNOWN;
 
-	private long readNanos = Long.MIN_VALUE / 2;
-
-	private boolean reading;
+	private final ReportReads reads = new ReportReads();
 
 	private RolloutEffect.Tell told;
 
@@ -257,7 +250,7 @@
 	 * later start is known by its time, else by fewer orders than were accepted before.
 	 */
 	public void reported(OptionalInt version, boolean underWay, long orders, RunnerStart from, long nowNanos) {
-		this.reading = false;
+		this.reads.ended();
 		if (from.before(this.start)) {
 			return;
 		}
@@ -280,7 +273,7 @@
 	 * Hears that the engine did not report.
 	 */
 	public void silent(long nowNanos) {
-		this.reading = false;
+		this.reads.ended();
 		this.engineSeen = false;
 		decide(nowNanos);
 	}
@@ -297,20 +290,37 @@
 			this.taking = OptionalInt.empty();
 		}
 		decide(nowNanos);
-		boolean calm = calm();
-		long since = nowNanos - this.readNanos;
-		if (since > (calm ? CALM_READ_NANOS : BUSY_READ_NANOS) && (!this.reading || since > READ_LOST_NANOS)) {
+		if (this.reads.due(calm(), nowNanos)) {
 			read(nowNanos);
 		}
 	}
 
 	/**
-	 * Returns whether nothing is under way, so that time brings nothing soon.
+	 * Returns when to look at time next if nothing is heard until then.
 	 */
-	public boolean calm() {
+	public long nextNanos(long nowNanos) {
+		long next = this.reads.nextNanos(calm(), nowNanos);
+		if (this.taking.isPresent()) {
+			next = Math.min(next, this.takingNanos + TAKE_NANOS);
+		}
+		return Math.min(next, switch (this.step) {
+			case PAUSE -> this.stepNanos + AGAIN_NANOS;
+			case TURN, VERIFYING, CHECKED -> nextOfTurnNanos(nowNanos);
+			case IDLE, FETCHING, ORDERING -> Long.MAX_VALUE;
+		});
+	}
+
+	private boolean calm() {
 		return this.step == Step.IDLE && this.taking.isEmpty() && this.held.equals(this.wanted);
 	}
 
+	private long nextOfTurnNanos(long nowNanos) {
+		return LongStream.of(this.turnNanos - CHECK_AHEAD.toNanos(), this.turnNanos, this.turnNanos + QUIET_NANOS)
+			.filter((moment) -> moment > nowNanos)
+			.findFirst()
+			.orElse(Long.MAX_VALUE);
+	}
+
 	/**
 	 * Returns the latest word to the entries, for one that has just come.
 	 */
@@ -402,8 +412,7 @@
 	}
 
 	private void read(long nowNanos) {
-		this.reading = true;
-		this.readNanos = nowNanos;
+		this.reads.begun(nowNanos);
 		this.effects.add(new RolloutEffect.ReadReport());
 	}
 
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -38,6 +38,29 @@
 		this.all.addAll(this.rollout.drain());
 	}
 
+	// Time goes on from one moment that the rollout names to the next; the engine answers
+	// each read at once. Returns how many moments there were.
+	private int moments(long millis, int version) {
+		long end = this.now + millis * MILLI;
+		int moments = 0;
+		for (long next = next(); next <= end; next = next()) {
+			this.now = next;
+			moments++;
+			this.rollout.tick(this.now);
+			List<RolloutEffect> effects = this.rollout.drain();
+			this.all.addAll(effects);
+			if (effects.contains(new RolloutEffect.ReadReport())) {
+				engine(version, false);
+			}
+		}
+		this.now = end;
+		return moments;
+	}
+
+	private long next() {
+		return Math.max(this.now, this.rollout.nextNanos(this.now)) + MILLI;
+	}
+
 	private void settled(int version) {
 		engine(version, false);
 		named(version);
@@ -292,4 +315,76 @@
 		assertThat(this.all.contains(new RolloutEffect.Abandon(2)), Matchers.equalTo(abandoned));
 	}
 
+	@Test
+	void atRestTimeIsLookedAtOnlyToReadTheReport() {
+		settled(1);
+		moments(2000, 1);
+		this.all.clear();
+		int moments = moments(10_000, 1);
+		assertThat(moments, Matchers.lessThanOrEqualTo(10));
+		assertThat(this.all, Matchers.everyItem(Matchers.is(new RolloutEffect.ReadReport())));
+		assertThat(this.all, Matchers.hasSize(moments));
+	}
+
+	// New weights are named after a long rest. What was planned at rest is a second away;
+	// the moment that is due next is nearer at once, and the turn that entries were told
+	// is kept to the millisecond: check ahead of it, then closed, then the order.
+	@ParameterizedTest
+	@CsvSource({ "0", "0.5", "0.99" })
+	void aTurnIsKeptByTheMomentsAlone(double position) {
+		settled(1);
+		this.rollout.turn(position);
+		moments(5000, 1);
+		named(2);
+		assertThat((this.rollout.nextNanos(this.now) - this.now) / MILLI, Matchers.lessThanOrEqualTo(150L));
+		moments(1500, 1);
+		this.rollout.fetched(2, true, this.now);
+		long turn = this.rollout.latest().orElseThrow().closesNanos().orElseThrow();
+		this.all.clear();
+		moments((turn - this.now) / MILLI - 401, 1);
+		assertThat(this.all, Matchers.not(Matchers.hasItem(new RolloutEffect.Verify(2))));
+		moments(4, 1);
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
+		this.rollout.verified(2, true, this.now);
+		moments((turn - this.now) / MILLI - 1, 1);
+		assertThat(this.rollout.latest().orElseThrow().switching(), Matchers.is(false));
+		moments(4, 1);
+		assertThat(this.rollout.latest().orElseThrow().switching(), Matchers.is(true));
+		moments(80, 1);
+		assertThat(this.all, Matchers.hasItem(Matchers.instanceOf(RolloutEffect.Take.class)));
+	}
+
+	// The engine does not answer a read at all. The read is made again when it counts as
+	// lost, without anything being heard in between, and not before.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void aLostReadIsMadeAgain(boolean rest) {
+		settled(1);
+		moments(2000, 1);
+		if (!rest) {
+			named(2);
+		}
+		while (!this.rollout.drain().contains(new RolloutEffect.ReadReport())) {
+			this.now = next();
+			this.rollout.tick(this.now);
+		}
+		long read = this.now;
+		do {
+			this.now = next();
+			this.rollout.tick(this.now);
+		}
+		while (!this.rollout.drain().contains(new RolloutEffect.ReadReport()));
+		assertThat((this.now - read) / MILLI, Matchers.allOf(Matchers.greaterThan(1400L), Matchers.lessThan(1600L)));
+	}
+
+	@Test
+	void aFetchThatFailedIsMadeAgainByTheMomentsAlone() {
+		settled(1);
+		named(2);
+		this.rollout.fetched(2, false, this.now);
+		this.all.clear();
+		moments(500, 1);
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Fetch(2)));
+	}
+
 }
