--- a/app/src/test/java/org/wisteriapost/app/RestingAgent.java
+++ b/app/src/test/java/org/wisteriapost/app/RestingAgent.java
@@ -87,6 +87,7 @@
 				connect(at, asking());
 			}
 			TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
+			System.out.println("processor time until then: " + agent.info().totalCpuDuration().orElseThrow());
 			Map<String, Long> before = counts(agent.pid());
 			TimeUnit.SECONDS.sleep(seconds);
 			print(before, counts(agent.pid()), seconds);
