--- a/app/src/test/java/org/wisteriapost/app/RestingAgent.java
+++ b/app/src/test/java/org/wisteriapost/app/RestingAgent.java
@@ -77,11 +77,16 @@
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(folder.resolve("agent.log").toFile());
 		builder.environment().put(SiteProvider.load().settingsVariable(), settings.toString());
+		long startNanos = System.nanoTime();
 		Process agent = builder.start();
 		try {
 			InetSocketAddress at = new InetSocketAddress("127.7.2.1", read.linkPort());
 			for (int i = 0; i < entries; i++) {
 				connect(at, entry(site, peers));
+				if (i == 0) {
+					System.out.println("millis until the first link: "
+							+ TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+				}
 			}
 			for (int i = 0; i < peers; i++) {
 				connect(at, asking());
@@ -114,7 +119,7 @@
 				if (System.nanoTime() > until) {
 					throw ex;
 				}
-				TimeUnit.MILLISECONDS.sleep(50);
+				TimeUnit.MILLISECONDS.sleep(5);
 			}
 		}
 	}
