--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -369,12 +369,15 @@
 			this.rollout.tick(this.now);
 		}
 		long read = this.now;
+		int moments = 0;
 		do {
+			moments++;
 			this.now = next();
 			this.rollout.tick(this.now);
 		}
 		while (!this.rollout.drain().contains(new RolloutEffect.ReadReport()));
 		assertThat((this.now - read) / MILLI, Matchers.allOf(Matchers.greaterThan(1400L), Matchers.lessThan(1600L)));
+		assertThat(moments, Matchers.lessThan(5));
 	}
 
 	@Test
