Test that agents keep no links at rest and make them again

A fetch closes its links when it ends, so rest costs none; no test held that. Taking the close out of Fetch.stop fails it (links are left after 60 s).

--- a/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
@@ -6,10 +6,13 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 import com.google.protobuf.ByteString;
@@ -32,6 +35,7 @@
 import org.wisteriapost.protocol.wire.Hello;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -49,6 +53,10 @@
 
 	private final List<Vm> vms = new ArrayList<>();
 
+	private final Set<Link> open = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger linksMade = new AtomicInteger();
+
 	private final byte[] content = content(1);
 
 	// However slow the machine, nobody looks for a chunk elsewhere before its first
@@ -134,6 +142,40 @@
 		assertThat(this.origin.reads() - before, is(2));
 	}
 
+	// All have the first version and rest; their links to one another are closed, so that
+	// rest costs no heartbeats. The second version is fetched: the links are made again,
+	// and each piece is read from the origin once and passed on.
+	@Test
+	void linksAreClosedAtRestAndMadeAgainForTheNextFetch() throws Exception {
+		this.origin.serve("model", this.content);
+		for (int i = 0; i < 3; i++) {
+			new Vm("vm-" + i, PATIENT);
+		}
+		fetchAll();
+		awaitNoLinks();
+		int made = this.linksMade.get();
+		byte[] next = content(3);
+		WeightFile second = file("model-2", next);
+		this.origin.serve("model-2", next);
+		for (var whole : this.vms.stream().map((vm) -> vm.transfer.fetch(List.of(second))).toList()) {
+			whole.get(60, TimeUnit.SECONDS);
+		}
+		for (Vm vm : this.vms) {
+			assertThat(vm.store.content(second), is(next));
+		}
+		assertThat(this.origin.reads(), is(2 * CHUNKS));
+		assertThat(this.linksMade.get(), is(greaterThan(made)));
+		awaitNoLinks();
+	}
+
+	private void awaitNoLinks() throws InterruptedException {
+		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+		while (!this.open.isEmpty()) {
+			assertThat("links are left", System.nanoTime() < until);
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+	}
+
 	// The first VM has its bundle before its first VM list. Alone, as far as it knows, it
 	// would read a whole copy from the origin; it waits, and then gets it from the
 	// second.
@@ -222,6 +264,8 @@
 
 		@Override
 		public void onOpen(Link link) {
+			PeerTransferTests.this.open.add(link);
+			PeerTransferTests.this.linksMade.incrementAndGet();
 		}
 
 		@Override
@@ -239,6 +283,7 @@
 
 		@Override
 		public void onClosed(Link link) {
+			PeerTransferTests.this.open.remove(link);
 			this.transfer.onClosed(link);
 		}
 
