--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -239,7 +239,7 @@
 			refuse(exchange, answer, status, code);
 			return;
 		}
-		Code doubtful = DirectState.TABLE_DOUBTFUL;
+		Code doubtful = Intake.TABLE_DOUBTFUL;
 		exchange.dispatch(SameThreadExecutor.INSTANCE,
 				() -> answer.refuse(Refusal.later(doubtful.name(), doubtful.summary(), SHORT_RETRY_MILLIS)));
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -9,7 +9,6 @@
 import java.util.function.LongSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
-import org.wisteriapost.kernel.Code;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.Dispatcher;
@@ -18,8 +17,6 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
-import org.wisteriapost.policy.routing.Organisation;
-import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteTable;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
@@ -32,26 +29,6 @@
  */
 final class DirectState {
 
-	static final Code TABLE_ABSENT = Code.refusal("table-absent", "The entry does not know the declared routes yet.");
-
-	static final Code TABLE_DOUBTFUL = Code.refusal("table-doubtful",
-			"The entry's table does not cover the request and may be old.");
-
-	static final Code ROUTE_UNKNOWN = Code.error("route-unknown", "No declared route covers the host and path.");
-
-	static final Code KEY_UNKNOWN = Code.error("key-unknown", "The bearer token is not one of an organisation.");
-
-	static final Code ENTRY_STOPPING = Code.refusal("entry-stopping", "The entry is about to stop.");
-
-	private static final int UNAUTHORIZED = 401;
-
-	private static final int NOT_FOUND = 404;
-
-	private static final long SHORT_RETRY_MILLIS = 300;
-
-	// Another entry answers now; there is nothing to wait for.
-	private static final long AT_ONCE_MILLIS = 20;
-
 	private static final int TICKS_PER_NEWS = 5;
 
 	private final EntryInfo self;
@@ -64,8 +41,6 @@
 
 	private final DirectMetrics metrics;
 
-	private final UniformRandomProvider random;
-
 	private final LongSupplier clock;
 
 	private final EntryRoster roster;
@@ -78,6 +53,8 @@
 
 	private final SiteBeliefs beliefs;
 
+	private final Intake intake;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ObjectStore> store = Optional.empty();
@@ -103,7 +80,6 @@
 		this.output = output;
 		this.log = log;
 		this.metrics = metrics;
-		this.random = random;
 		this.clock = clock;
 		this.roster = new EntryRoster(self);
 		this.announcer = new Announcer(settings, self, this.roster, dispatcher);
@@ -111,6 +87,7 @@
 				settings.bounds().declaredInForce());
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
+		this.intake = new Intake(this.beliefs, this.departure, output, log, metrics, random);
 	}
 
 	/**
@@ -159,64 +136,10 @@
 	}
 
 	private void arrived(Arrival arrival, long now) {
-		this.departure.arrived(now);
-		if (this.beliefs.table().isEmpty()) {
-			refuse(arrival, TABLE_ABSENT, SHORT_RETRY_MILLIS);
-			return;
-		}
-		if (this.departure.refuses(now)) {
-			refuse(arrival, ENTRY_STOPPING, AT_ONCE_MILLIS);
-			return;
-		}
-		RouteTable known = this.beliefs.table().get();
-		Optional<Route> route = known.route(arrival.host(), arrival.path());
-		if (route.isEmpty()) {
-			reject(arrival, NOT_FOUND, ROUTE_UNKNOWN, now);
-			return;
-		}
-		Optional<Organisation> organisation = arrival.token().flatMap(known::organisation);
-		if (organisation.isEmpty() && known.asksForTokens() && !route.get().anonymous()) {
-			reject(arrival, UNAUTHORIZED, KEY_UNKNOWN, now);
-			return;
-		}
-		Job job = job(arrival, route.get(), organisation);
-		this.calls.put(arrival.id(), new DirectCall(arrival, job));
-		this.dispatcher.arrived(job, now);
-	}
-
-	private Job job(Arrival arrival, Route route, Optional<Organisation> organisation) {
-		long timeout = route.timeout().toNanos();
-		long given = arrival.fields().remainingMillis().isPresent()
-				? TimeUnit.MILLISECONDS.toNanos(arrival.fields().remainingMillis().getAsLong()) : timeout;
-		Job.Size size = new Job.Size(arrival.fields().promptTokens(), arrival.fields().maxAnswerTokens(),
-				arrival.fields().likelyAnswerTokens());
-		Job.Attempt attempt = new Job.Attempt(arrival.fields().attempt().orElseThrow(),
-				RequestNames.of(route, organisation, arrival.fields()), arrival.fields().lastEvent());
-		return Job.arrived(arrival.id(), attempt, route, route.service(this.random.nextDouble()), organisation, size,
-				arrival.nanos(), arrival.nanos() + Math.min(timeout, given));
-	}
-
-	private void refuse(Arrival arrival, Code code, long retryAfterMillis) {
-		this.log.failure("refused", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "table",
-				version(), "tableAgeMs", this.beliefs.tableAgeMillis(this.clock.getAsLong()).orElse(-1));
-		this.metrics.answered("refused", code.name());
-		this.output.refuse(arrival, code, retryAfterMillis);
-	}
-
-	private void reject(Arrival arrival, int status, Code code, long now) {
-		if (!this.beliefs.mayReject(now)) {
-			refuse(arrival, TABLE_DOUBTFUL, SHORT_RETRY_MILLIS);
-			return;
-		}
-		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
-				arrival.host(), "path", arrival.path(), "table", version(), "tableAgeMs",
-				this.beliefs.tableAgeMillis(now).orElse(-1), "rests", rests());
-		this.metrics.answered("rejected", code.name());
-		this.output.reject(arrival, status, code);
-	}
-
-	private long version() {
-		return this.beliefs.table().map(RouteTable::version).orElse(-1L);
+		this.intake.admit(arrival, now).ifPresent((job) -> {
+			this.calls.put(arrival.id(), new DirectCall(arrival, job));
+			this.dispatcher.arrived(job, now);
+		});
 	}
 
 	private void callerGone(long id, long now) {
@@ -400,7 +323,7 @@
 				this.log.decision("dispatched", "attempt", send.job().attempt(), "dispatch", send.job().dispatch(),
 						"route", send.job().route().name(), "runner", send.runner().id(), "address",
 						send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
-						version(), "prompt", send.job().size().promptTokens(), "answer",
+						this.beliefs.version(), "prompt", send.job().size().promptTokens(), "answer",
 						send.job().size().answerTokens(), "predictedMs", Math.round(send.job().predictedMillis()));
 				this.metrics.dispatched();
 				this.output.send(call, send);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -59,6 +59,13 @@
 		return this.table;
 	}
 
+	/**
+	 * Returns the version of the declared routes in force; -1 for none.
+	 */
+	long version() {
+		return this.table.map(RouteTable::version).orElse(-1L);
+	}
+
 	/**
 	 * Returns whether the table is recent enough to call a request wrong by it.
 	 */
