A bundle is the newest as of when its head was named; an entry that rests asks nobody else

What callers saw: nothing yet, both were found by reading. An entry whose platform was cut off after it had named a head, and that had the bundle later from a neighbour, could say 404 for good for what a bundle has that was rolled meanwhile, and told agents that its head was confirmed just now; an agent that has just started takes an old head for the newest by that. HeadTracker.take counted from the bundle's coming. It counts from when the head was named: the way of the bundle makes it older, never younger.

An entry whose own call to the store failed between its question and the last part of the reader's answer came to rest with that loss kept. When the entry reads again, the follower says anew whether the store is there.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -142,10 +142,13 @@
 
 	/**
 	 * Hears that this entry stops reading the store. Whoever has begun to hear it from
-	 * here meanwhile is told: the signs alone would keep it on what it has.
+	 * here meanwhile is told: the signs alone would keep it on what it has. That the
+	 * store did not answer its last call is forgotten: it would hear another entry beside
+	 * its reader.
 	 */
 	void rests() {
 		this.answered = false;
+		this.upstream.store(true).ifPresent(this::unwanted);
 		dismiss();
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
@@ -75,7 +75,7 @@
 		if (generation <= this.wanted.map(Known::generation).orElse(this.current.generation)) {
 			return false;
 		}
-		this.wanted = Optional.of(new Known(generation, digest, fromPlatform));
+		this.wanted = Optional.of(new Known(generation, digest, fromPlatform, nowNanos));
 		return true;
 	}
 
@@ -101,9 +101,10 @@
 		this.bundle = Optional.of(now);
 		this.content = Optional.of(read);
 		this.confirmed = next.fromPlatform;
-		this.confirmedNanos = nowNanos;
+		// The bundle may have been long under way, and a newer one been rolled since.
+		this.confirmedNanos = next.namedNanos;
 		if (this.confirmed) {
-			this.guard.confirmed(nowNanos);
+			this.guard.confirmed(next.namedNanos);
 		}
 		return true;
 	}
@@ -238,9 +239,15 @@
 		return bundle.flatMap((known) -> known.service(service).map(known::weightsDigest));
 	}
 
-	private record Known(long generation, String digest, boolean fromPlatform) {
+	/**
+	 * A head.
+	 *
+	 * @param fromPlatform whether the platform itself named it
+	 * @param namedNanos when it was heard first
+	 */
+	private record Known(long generation, String digest, boolean fromPlatform, long namedNanos) {
 
-		private static final Known NONE = new Known(0, "", false);
+		private static final Known NONE = new Known(0, "", false, 0);
 
 	}
 
