--- a/app/src/test/java/org/wisteriapost/app/LargeTableTests.java
+++ b/app/src/test/java/org/wisteriapost/app/LargeTableTests.java
@@ -13,6 +13,7 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -120,6 +121,22 @@
 		awaitServed(entries, "/" + EmulatedSite.further(MORE_ROUTES - 1) + "/x");
 	}
 
+	// The table is declared anew while an entry fetches it. All that has changed since is
+	// more than comes within a call; cut off and asked for again each time it never came
+	// within a minute, though the table alone takes three seconds.
+	@Test
+	void aTableThatIsDeclaredOftenComesIntoForce() throws Exception {
+		NarrowLink link = NarrowLink.start(this.site.storeAddress(), 100_000);
+		this.parts.add(link);
+		entries(1, link);
+		awaitServed(1, "/lookup/x");
+		for (int more = 0; more <= 8; more++) {
+			this.site.configure(true, MORE_ROUTES + more);
+			TimeUnit.MILLISECONDS.sleep(300);
+		}
+		awaitServed(1, "/" + EmulatedSite.further(MORE_ROUTES + 7) + "/x");
+	}
+
 	// The link carries a table in twenty seconds, so no entry can have it in time. What
 	// it does not know it can't call wrong: the caller may come back, or ask elsewhere.
 	@ParameterizedTest
