--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/platform/BundleReaderTests.java
@@ -0,0 +1,83 @@
+package org.wisteriapost.entry.platform;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.protocol.outside.FakePlatform;
+import org.wisteriapost.protocol.outside.Platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class BundleReaderTests {
+
+	private final SlowPlatform platform = new SlowPlatform();
+
+	private final BundleReader reader = BundleReader.of(this.platform);
+
+	// A bundle takes seconds over a full link, and the entry asks for it again each half
+	// second while it is not here. Were each a read of its own, all entries together
+	// would
+	// fill the link with copies, of which none comes in the time of a call.
+	@Test
+	void whatIsUnderWayIsNotReadAgain() {
+		CompletableFuture<Optional<BundleContent>> first = this.reader.read("d");
+		CompletableFuture<Optional<BundleContent>> second = this.reader.read("d");
+		assertThat(this.platform.reads, is(1));
+		this.platform.answer.complete(Optional.empty());
+		assertThat(first.join().isEmpty() && second.join().isEmpty(), is(true));
+	}
+
+	// The read fails, or the platform does not have the bundle yet.
+	@Test
+	void whatHasEndedIsReadAgain() {
+		CompletableFuture<Optional<BundleContent>> failed = this.reader.read("d");
+		this.platform.answer.completeExceptionally(new IllegalStateException("scripted"));
+		assertThat(failed.isCompletedExceptionally(), is(true));
+		this.platform.answer = CompletableFuture
+			.completedFuture(Optional.of(new Platform.Stored("bundles/d", new byte[] { 7 }, 1)));
+		assertThat(this.reader.read("d").join().map((content) -> content.bytes().length), is(Optional.of(1)));
+		assertThat(this.reader.read("d").join().map(BundleContent::approvals), is(Optional.of(Map.of())));
+		assertThat(this.platform.reads, is(3));
+	}
+
+	/** Its answers to reads are late. */
+	private static final class SlowPlatform implements Platform {
+
+		private final FakePlatform fake = new FakePlatform();
+
+		private CompletableFuture<Optional<Stored>> answer = new CompletableFuture<>();
+
+		private int reads;
+
+		@Override
+		public CompletableFuture<Optional<Stored>> get(String key) {
+			this.reads++;
+			return this.answer;
+		}
+
+		@Override
+		public CompletableFuture<PutResult> put(String key, byte[] value, Expected expected) {
+			return this.fake.put(key, value, expected);
+		}
+
+		@Override
+		public CompletableFuture<Listing> list(String prefix) {
+			return this.fake.list(prefix);
+		}
+
+		@Override
+		public CompletableFuture<Listing> watch(String prefix, long afterRevision, Duration wait) {
+			return this.fake.watch(prefix, afterRevision, wait);
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+}
