A bundle that is under way is not read again

What callers saw: nothing yet, found by reading. An entry that has heard of a head asks for its bundle each half second until it is here, and each was a read of its own.

The read under way serves who asks again; what has ended, failed or empty, is read again as before. All asks come from the state thread. Left: a bundle that takes more than the 4 s of a call is still cut and begun anew, one at a time.

Seen to fail before: BundleReaderTests.whatIsUnderWayIsNotReadAgain.

--- a/entry/src/main/java/org/wisteriapost/entry/platform/BundleReader.java
+++ b/entry/src/main/java/org/wisteriapost/entry/platform/BundleReader.java
@@ -8,7 +8,7 @@
 import org.wisteriapost.protocol.outside.Platform;
 
 /**
- * Reads bundles and their signatures from the platform.
+ * Reads bundles and their signatures from the platform. Used by one thread.
  */
 public final class BundleReader {
 
@@ -18,6 +18,10 @@
 
 	private final Platform platform;
 
+	private String lastDigest = "";
+
+	private CompletableFuture<Optional<BundleContent>> last = CompletableFuture.completedFuture(Optional.empty());
+
 	private BundleReader(Platform platform) {
 		this.platform = platform;
 	}
@@ -31,8 +35,19 @@
 
 	/**
 	 * Returns a bundle with its signatures, empty when the platform has no such digest.
+	 *
+	 * Failure: over a full link a bundle takes longer than its asker waits until it asks
+	 * again, and copies would fill the link. So the read under way serves again.
 	 */
 	public CompletableFuture<Optional<BundleContent>> read(String digest) {
+		if (this.last.isDone() || !digest.equals(this.lastDigest)) {
+			this.last = fetch(digest);
+			this.lastDigest = digest;
+		}
+		return this.last;
+	}
+
+	private CompletableFuture<Optional<BundleContent>> fetch(String digest) {
 		String prefix = APPROVALS + digest + "/";
 		return this.platform.get(BUNDLES + digest)
 			.thenCombine(this.platform.list(prefix), (stored, listing) -> stored
