A store that is behind between two watches is listed again

Found by review: a store that was put back from an older copy of itself answered each watch without changes, and the old table was confirmed again and again. Only a catch-up noticed. aStoreThatIsBehindBetweenTwoWatchesIsListedAgain failed before (never listed).

--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -167,10 +167,7 @@
 				return;
 			}
 			seen(true);
-			if (changes.at() < from) {
-				// A store that began anew would say nothing until it is as far again.
-				this.told = NOTHING;
-				goOn();
+			if (beganAnew(changes, from)) {
 				return;
 			}
 			latest(changes.list()).forEach(this::change);
@@ -227,13 +224,26 @@
 				return;
 			}
 			seen(true);
+			if (beganAnew(changes, from)) {
+				return;
+			}
 			long asOfNanos = asOf(changes, askedNanos, wait);
 			changes.list().forEach(this::change);
 			this.listener.onConfirmed(asOfNanos);
-			told(changes, Math.max(from, changes.at()));
+			told(changes, changes.at());
 		}, this.timer);
 	}
 
+	// A store that began anew would say nothing until it is as far again.
+	private boolean beganAnew(ObjectStore.Changes changes, long from) {
+		boolean behind = changes.at() < from;
+		if (behind) {
+			this.told = NOTHING;
+			goOn();
+		}
+		return behind;
+	}
+
 	// A store that held a watch for its whole wait had no change until the end of it;
 	// that it may have held it longer, or its answer have been long under way, is not
 	// counted. One that ended it sooner may have had a change right after the call.
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -163,6 +163,16 @@
 		assertThat(follow(), Matchers.contains("back", "all[a]", "all[c]"));
 	}
 
+	// The same between two watches: the old table would be confirmed again and again.
+	@Test
+	void aStoreThatIsBehindBetweenTwoWatchesIsListedAgain() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		this.store.changes.add(new Changes(List.of(), 3));
+		this.store.pages.add(new Page(List.of(item("c", 2)), false, 3));
+		assertThat(follow(), Matchers.contains("back", "all[a]", "all[c]"));
+		assertThat(confirmed(), Matchers.hasSize(2));
+	}
+
 	@Test
 	void anOutageIsSaidOnceAndItsEnd() throws Exception {
 		this.store.pages.add(new Page(List.of(), false, 5));
