After a suspension of its VM an entry rejects nothing until its routes are confirmed anew

Found by review: ages are reckoned on the monotonic clock, which stands still while a VM is suspended. After waking an entry could reject by a table that was older by the whole suspension, and tell its neighbours an age too low by as much. The time of day that ran ahead shows it. One that was set forward costs a moment of doubt. afterASuspensionNothingThatWasKnownBeforeCounts fails with doubt doing nothing (seen). The log line of a rejected request says again whether its entry rests.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.kernel.SuspensionWatch;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.Dispatcher;
@@ -55,6 +56,8 @@
 
 	private final Intake intake;
 
+	private final SuspensionWatch suspension;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ObjectStore> store = Optional.empty();
@@ -87,7 +90,8 @@
 				settings.bounds().declaredInForce());
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
-		this.intake = new Intake(this.beliefs, this.departure, output, log, metrics, random);
+		this.intake = new Intake(this.beliefs, this.departure, output, log, metrics, random, this::rests);
+		this.suspension = SuspensionWatch.start(clock.getAsLong(), System.currentTimeMillis());
 	}
 
 	/**
@@ -108,6 +112,9 @@
 
 	void apply(DirectEvent event) {
 		long now = this.clock.getAsLong();
+		if (this.suspension.woke(now, System.currentTimeMillis())) {
+			woke(now);
+		}
 		switch (event) {
 			case DirectEvent.Arrived arrived -> arrived(arrived.arrival(), now);
 			case DirectEvent.CallerGone gone -> callerGone(gone.id(), now);
@@ -135,6 +142,12 @@
 		publish();
 	}
 
+	private void woke(long now) {
+		this.log.decision("woke");
+		this.beliefs.suspended(now);
+		this.news.ifPresent(SiteNews::suspended);
+	}
+
 	private void arrived(Arrival arrival, long now) {
 		this.intake.admit(arrival, now).ifPresent((job) -> {
 			this.calls.put(arrival.id(), new DirectCall(arrival, job));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Intake.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Intake.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.kernel.Code;
@@ -52,14 +53,21 @@
 
 	private final UniformRandomProvider random;
 
+	private final BooleanSupplier rests;
+
+	/**
+	 * Returns the intake of one entry.
+	 * @param rests whether the entry hears the store from a neighbour, for the log
+	 */
 	Intake(SiteBeliefs beliefs, Departure departure, DirectOutput output, DecisionLog log, DirectMetrics metrics,
-			UniformRandomProvider random) {
+			UniformRandomProvider random, BooleanSupplier rests) {
 		this.beliefs = beliefs;
 		this.departure = departure;
 		this.output = output;
 		this.log = log;
 		this.metrics = metrics;
 		this.random = random;
+		this.rests = rests;
 	}
 
 	/**
@@ -111,7 +119,7 @@
 		}
 		this.log.failure("rejected", "attempt", arrival.fields().attempt().orElse(""), "code", code.name(), "host",
 				arrival.host(), "path", arrival.path(), "table", this.beliefs.version(), "tableAgeMs",
-				this.beliefs.tableAgeMillis(now).orElse(-1));
+				this.beliefs.tableAgeMillis(now).orElse(-1), "rests", this.rests.getAsBoolean());
 		this.metrics.answered("rejected", code.name());
 		this.output.reject(arrival, status, code);
 		return Optional.empty();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsTeller.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsTeller.java
@@ -52,6 +52,14 @@
 		this.confirmedNanos = OptionalLong.of(asOfNanos);
 	}
 
+	/**
+	 * Hears that this VM was suspended: how old its routes are is not known until they
+	 * are confirmed again.
+	 */
+	void suspended() {
+		this.confirmedNanos = OptionalLong.empty();
+	}
+
 	/**
 	 * Forgets all to which there is no link.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -89,6 +89,13 @@
 		this.guard.confirmed(asOfNanos);
 	}
 
+	/**
+	 * Hears that this VM was suspended: what is known is older than it seems.
+	 */
+	void suspended(long now) {
+		this.guard.doubt(now);
+	}
+
 	/**
 	 * Returns whether enough is known to answer callers.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -140,6 +140,13 @@
 		return this.asOfNanos;
 	}
 
+	/**
+	 * Hears that this VM was suspended.
+	 */
+	void suspended() {
+		this.teller.suspended();
+	}
+
 	/**
 	 * Hears that this entry stops reading the store. Whoever has begun to hear it from
 	 * here meanwhile is told: the signs alone would keep it on what it has. That the
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
@@ -25,6 +25,8 @@
 
 	private OptionalLong asOfNanos = OptionalLong.empty();
 
+	private OptionalLong doubtNanos = OptionalLong.empty();
+
 	private RejectionGuard(long mostAgeNanos) {
 		this.mostAgeNanos = mostAgeNanos;
 	}
@@ -41,11 +43,21 @@
 	 * Hears that all that was declared up to a moment is known.
 	 */
 	public void confirmed(long nanos) {
-		if (this.asOfNanos.isEmpty() || nanos - this.asOfNanos.getAsLong() > 0) {
+		boolean doubtful = this.doubtNanos.isPresent() && nanos - this.doubtNanos.getAsLong() < 0;
+		if (!doubtful && (this.asOfNanos.isEmpty() || nanos - this.asOfNanos.getAsLong() > 0)) {
 			this.asOfNanos = OptionalLong.of(nanos);
 		}
 	}
 
+	/**
+	 * Hears that what was known before a moment may be older than the clock says: this VM
+	 * was suspended. It counts no more.
+	 */
+	public void doubt(long nowNanos) {
+		this.asOfNanos = OptionalLong.empty();
+		this.doubtNanos = OptionalLong.of(nowNanos);
+	}
+
 	/**
 	 * Returns whether a request may be called wrong now.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/routing/RejectionGuardTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/routing/RejectionGuardTests.java
@@ -35,6 +35,21 @@
 		assertThat(this.guard.allows(confirmed + ageMillis * MILLI), Matchers.equalTo(allowed));
 	}
 
+	// The VM is suspended for ten seconds, which its own clock does not count: right
+	// after
+	// waking the table seems a few milliseconds old. Nothing is rejected until something
+	// asked for since has confirmed it.
+	@Test
+	void afterASuspensionNothingThatWasKnownBeforeCounts() {
+		this.guard.confirmed(1000 * MILLI);
+		this.guard.doubt(1005 * MILLI);
+		assertThat(this.guard.allows(1006 * MILLI), Matchers.equalTo(false));
+		this.guard.confirmed(1004 * MILLI);
+		assertThat(this.guard.allows(1007 * MILLI), Matchers.equalTo(false));
+		this.guard.confirmed(1008 * MILLI);
+		assertThat(this.guard.allows(1009 * MILLI), Matchers.equalTo(true));
+	}
+
 	@Test
 	void whatIsConfirmedForAnEarlierMomentChangesNothing() {
 		this.guard.confirmed(1000 * MILLI);
