A table that is under way is not asked for again

Callers were rejected by old route tables for as long as links were full. An entry asked again after 0.3, 0.6 and each 1.2 s for a table that takes longer than that to arrive, and with one linked entry each round of UpstreamChoice set the pauses back.

Frames of a link come in order and an answer is sent at once, so a frame behind it that echoes the stamp of the request, or a gap, proves that it has passed. Only then is the rest asked for. Until then only frames that keep alive are sent; they bring the proof also when the request or the whole answer was left out. If nothing else has come by then, one request follows at once, since an entry that is to rest waits 600 ms.

Asked once more, an entry whose news are incomplete keeps its subscription and pauses. Whoever is told that nothing more is wanted is forgotten, so it is asked anew. One that echoes no stamp is asked by the clock as before. Answers hold runners, entries and weights before the routes.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -30,13 +30,21 @@
  * the frames show what is missing; then all kinds count as not delivered, and the entry
  * is asked again until they are. That is enough: a kind that comes whole after the gap
  * holds what was lost in it.
+ *
+ * A large answer takes longer than any pause on a narrow link. Harm prevented: asked for
+ * again while it is under way, each copy is sent behind the one before, and the link
+ * stays full of them. Frames come in the order in which they were sent, and the other
+ * entry sends all parts of an answer at once; so a later frame that echoes the stamp of
+ * the request, or a later one, proves that the answer has passed, and so does a gap. Only
+ * then is it asked again. That is enough: as long as neither comes, a frame that only
+ * keeps alive brings the proof also when the request itself was lost.
  */
 final class NewsHearer {
 
 	private static final long PAUSE_NANOS = Duration.ofMillis(300).toNanos();
 
-	// An answer may take longer than the first pause on a narrow link, which one for each
-	// request would keep full.
+	// One of an older version echoes no stamp. Its answer may take longer than the first
+	// pause on a narrow link, which one for each request would keep full.
 	private static final long LONGEST_PAUSE_NANOS = Duration.ofMillis(1200).toNanos();
 
 	// An age beyond it is no age that a moment could be reckoned from.
@@ -61,12 +69,19 @@
 	}
 
 	/**
-	 * Returns the request by which another entry is asked for everything from now on.
+	 * Returns the frame by which another entry is asked for everything from now on. While
+	 * something is missing that it was asked for, the pauses go on, and while its answer
+	 * is under way it is only told that it is still wanted.
 	 */
 	Frame ask(String peer) {
-		Subscription begun = new Subscription(this.clock.getAsLong());
-		this.subscriptions.put(peer, begun);
-		return request(begun);
+		Subscription open = this.subscriptions.get(peer);
+		if (open == null || open.whole()) {
+			Subscription begun = new Subscription(this.clock.getAsLong());
+			this.subscriptions.put(peer, begun);
+			return request(begun);
+		}
+		open.quietNanos = this.clock.getAsLong();
+		return open.waits() ? alive(open) : request(open);
 	}
 
 	/**
@@ -92,18 +107,28 @@
 	}
 
 	/**
-	 * Hears the number of a frame.
-	 * @param sequence 0 from a process that does not count
+	 * Hears the number and the stamp of a frame. A process of an older version says none.
 	 */
-	void counted(String peer, long sequence) {
+	void counted(String peer, News news) {
 		Subscription heard = of(peer);
-		if (sequence == 0) {
-			return;
+		if (!news.getAll() && heard.answers(news)) {
+			heard.passed(this.clock.getAsLong());
+		}
+		heard.version = (news.hasStamp() && news.getSequence() != 0) ? Version.ECHOES : Version.OLDER;
+		if (news.getSequence() != 0) {
+			counted(peer, heard, news);
 		}
+	}
+
+	// What is missing before a frame that was sent before the last request arrived comes
+	// with the answer to that.
+	private void counted(String peer, Subscription heard, News news) {
+		long sequence = news.getSequence();
 		if (heard.sequence != 0 && sequence != heard.sequence + 1) {
 			this.log.failure("news-missed", "peer", peer, "frames", Math.max(0, sequence - heard.sequence - 1));
 			heard.delivered.clear();
 			heard.missed = true;
+			heard.underWay &= !heard.answers(news);
 		}
 		heard.sequence = sequence;
 	}
@@ -127,11 +152,12 @@
 	 * change. It is asked for everything, unless frames are missing since it was asked:
 	 * the objects came with those, and it does not know yet what is known here.
 	 */
-	void lacking(String peer, Kind kind) {
+	void lacking(String peer, Kind kind, News news) {
 		this.log.failure("news-lacking", "peer", peer, "kind", kind);
 		Subscription heard = of(peer);
 		heard.delivered.remove(kind);
 		heard.askedForAll |= !heard.missed;
+		heard.underWay &= !heard.answers(news);
 	}
 
 	/**
@@ -175,7 +201,7 @@
 		if (heard.sequence == 0) {
 			return Optional.empty();
 		}
-		return Optional.of(request(heard, NewsRequest.newBuilder().setKeepAlive(true)));
+		return Optional.of(alive(heard));
 	}
 
 	/**
@@ -186,28 +212,41 @@
 	}
 
 	/**
-	 * Returns the request by which an entry is asked once more, when something is missing
-	 * and the pause is over.
+	 * Returns the frame by which an entry is asked once more, when something is missing
+	 * that is not under way and the pause is over.
 	 */
 	Optional<Frame> again(String peer) {
 		Subscription heard = of(peer);
 		long now = this.clock.getAsLong();
-		if (heard.whole() || now - heard.quietNanos < heard.pauseNanos) {
+		// Who has said something is kept alive in any case.
+		boolean quiet = heard.waits() && heard.version != Version.UNKNOWN;
+		if (heard.whole() || quiet || now - heard.quietNanos < heard.pauseNanos) {
 			return Optional.empty();
 		}
-		this.log.decision("news-asked-again", "peer", peer, "missing", heard.missing());
 		heard.quietNanos = now;
 		heard.pauseNanos = Math.min(LONGEST_PAUSE_NANOS, heard.pauseNanos * 2);
+		if (heard.waits()) {
+			return Optional.of(alive(heard));
+		}
+		this.log.decision("news-asked-again", "peer", peer, "missing", heard.missing());
 		return Optional.of(request(heard));
 	}
 
+	// Who hears it answers by one sign, which comes after all that was sent before.
+	private Frame alive(Subscription of) {
+		return request(of, NewsRequest.newBuilder().setKeepAlive(true));
+	}
+
 	private Frame request(Subscription of) {
 		NewsRequest.Builder request = NewsRequest.newBuilder();
 		of.missed = false;
 		if (!of.askedForAll) {
 			request.addAllKnown(this.known.revisions());
 		}
-		return request(of, request);
+		Frame frame = request(of, request);
+		of.requestNanos = of.stampNanos;
+		of.underWay = true;
+		return frame;
 	}
 
 	private Frame request(Subscription of, NewsRequest.Builder request) {
@@ -230,6 +269,14 @@
 
 		private OptionalLong stampNanos = OptionalLong.empty();
 
+		// The stamp of the last request for objects.
+		private OptionalLong requestNanos = OptionalLong.empty();
+
+		// Whether nothing proves yet that the answer to it has passed.
+		private boolean underWay;
+
+		private Version version = Version.UNKNOWN;
+
 		private long sequence;
 
 		// Since when neither it was asked nor a part of an answer came.
@@ -260,6 +307,27 @@
 					&& this.stampNanos.getAsLong() - stamp >= 0;
 		}
 
+		// Whether a frame was sent after the last request had arrived. One without a
+		// stamp proves nothing.
+		private boolean answers(News news) {
+			return news.hasStamp() && sent(news.getStamp()) && this.requestNanos.isPresent()
+					&& news.getStamp() - this.requestNanos.getAsLong() >= 0;
+		}
+
+		// When nothing has come before the proof, the request or all of the answer was
+		// lost. One more request at once can't fill the link; after a pause it would come
+		// too late for an entry that is to rest, and that would read itself.
+		private void passed(long nowNanos) {
+			if (this.underWay && this.version == Version.UNKNOWN) {
+				this.quietNanos = nowNanos - this.pauseNanos;
+			}
+			this.underWay = false;
+		}
+
+		private boolean waits() {
+			return this.underWay && this.version != Version.OLDER;
+		}
+
 		private boolean whole() {
 			return this.delivered.size() == Kind.values().length;
 		}
@@ -272,4 +340,16 @@
 
 	}
 
+	/** What is known of another entry's version. */
+	private enum Version {
+
+		/** Nothing has come yet. */
+		UNKNOWN,
+		/** It numbers its frames and echoes stamps. */
+		ECHOES,
+		/** It does not. */
+		OLDER
+
+	}
+
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -38,6 +38,10 @@
 	// Half a second: who hears the store from here takes silence for a loss.
 	private static final int TICKS_PER_SIGN = 5;
 
+	// What is large comes last: on a narrow link what is small would wait behind it, and
+	// callers would find no runner for as long as the route table takes.
+	private static final List<Kind> ANSWER_ORDER = List.of(Kind.RUNNERS, Kind.ENTRIES, Kind.WEIGHTS, Kind.ROUTES);
+
 	private final KnownObjects known;
 
 	private final NewsHearer hearer;
@@ -223,7 +227,7 @@
 	}
 
 	/**
-	 * Returns the request by which another entry is asked for what the store says.
+	 * Returns the frame by which another entry is asked for what the store says.
 	 */
 	Frame ask(String peer) {
 		return this.hearer.ask(peer);
@@ -237,10 +241,13 @@
 	}
 
 	/**
-	 * Tells an entry that nothing more is wanted of it, unless something is.
+	 * Tells an entry that nothing more is wanted of it, unless something is. What was
+	 * asked of it is forgotten: it does not send it any more, and is asked anew when it
+	 * is wanted again.
 	 */
 	void unwanted(String peer) {
 		if (!this.duty.believes(peer) && !this.upstream.believes(peer)) {
+			this.hearer.forget(peer);
 			this.sender.accept(peer, request(false));
 		}
 	}
@@ -277,7 +284,7 @@
 		}
 		this.teller.add(peer);
 		Map<Kind, Map<String, Long>> held = held(request);
-		for (Kind kind : Kind.values()) {
+		for (Kind kind : ANSWER_ORDER) {
 			this.teller.send(peer, all(kind, held.getOrDefault(kind, Map.of())));
 		}
 	}
@@ -290,7 +297,7 @@
 			this.hearer.forget(peer);
 			return List.of();
 		}
-		this.hearer.counted(peer, news.getSequence());
+		this.hearer.counted(peer, news);
 		List<DirectEvent> fresh = kind(news.getKind()).map((kind) -> taken(peer, kind, news)).orElse(List.of());
 		this.hearer.asOf(peer, news).ifPresent(this::known);
 		askAgain(peer);
@@ -306,7 +313,7 @@
 			this.upstream.heard(true, this.tickNanos);
 		}
 		if (!this.known.holds(kind, news.getObjectsList())) {
-			this.hearer.lacking(peer, kind);
+			this.hearer.lacking(peer, kind, news);
 			return List.of();
 		}
 		List<DirectEvent> fresh = new ArrayList<>();
