--- a/protocol/src/test/java/org/wisteriapost/protocol/site/LargeGapTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/LargeGapTests.java
@@ -35,18 +35,16 @@
 	}
 
 	// A table is declared again and again while the link is full, and the store sends
-	// each
-	// form of it. The answer is cut while it comes. Asked for once more it would be as
-	// long or longer, and no table would ever come; the table alone is one copy. An
-	// answer
-	// that has not begun says nothing of that, and the table may be the same.
+	// each form of it. The answer is cut while it comes. Asked for once more it would be
+	// as long or longer, and no table would ever come; the table alone is one copy. An
+	// answer that has not begun says nothing of that, and the table may be the same.
 	@ParameterizedTest
 	@CsvSource({ "ROUTES,3200,list", "ROUTES,0,since 5", "RUNNERS,2500,since 5" })
 	void whatWasCutWhileItCameIsNotAskedForAgain(Kind kind, long millis, String next) throws Exception {
 		this.store.failsAfterMillis = millis;
 		Follower.start(this.store, kind, this.timer, new Deaf());
 		assertThat(this.store.over.await(MOST_SECONDS, TimeUnit.SECONDS), Matchers.is(true));
-		assertThat(this.store.asked.subList(0, 4), Matchers.contains("list", "watch 5", "since 5", next));
+		assertThat(List.copyOf(this.store.asked).subList(0, 4), Matchers.contains("list", "watch 5", "since 5", next));
 	}
 
 	/** Hears nothing. */
