--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -61,7 +61,7 @@
 	// Who passes on what is not wanted here, since the word that ended it was lost with a
 	// link. Left alone it would do so for ever and never rest. Told once a tick, it ends
 	// as soon as one word arrives.
-	private final Set<String> strays = new HashSet<>();
+	private final Set<String> unasked = new HashSet<>();
 
 	private List<LinkedEntry> linked = List.of();
 
@@ -126,7 +126,7 @@
 	 */
 	void confirmed(long asOfNanos) {
 		this.teller.confirmed(asOfNanos);
-		known(asOfNanos);
+		newer(asOfNanos);
 	}
 
 	/**
@@ -157,7 +157,7 @@
 	 * store did not answer its last call is forgotten: it would hear another entry beside
 	 * its reader.
 	 */
-	void rests() {
+	void stopReading() {
 		this.answered = false;
 		this.upstream.store(true).ifPresent(this::unwanted);
 		dismiss();
@@ -215,9 +215,10 @@
 		if (this.ticks % TICKS_PER_SIGN == 0) {
 			tell(() -> News.newBuilder().setCurrent(true).build());
 		}
-		List.copyOf(this.strays).forEach(this::unwanted);
-		this.strays.clear();
+		List.copyOf(this.unasked).forEach(this::unwanted);
+		this.unasked.clear();
 		carryOut(this.upstream.ask(linked, nowNanos));
+		// After the choice above, so that only who is believed now is asked again.
 		this.hearer.keep((peer) -> this.duty.believes(peer) || this.upstream.believes(peer));
 		this.hearer.heard().forEach(this::askAgain);
 		if (this.ticks % TICKS_PER_SIGN == 0) {
@@ -306,7 +307,7 @@
 		}
 		this.hearer.counted(peer, news);
 		List<DirectEvent> fresh = kind(news.getKind()).map((kind) -> taken(peer, kind, news)).orElse(List.of());
-		this.hearer.asOf(peer, news).ifPresent(this::known);
+		this.hearer.asOf(peer, news).ifPresent(this::newer);
 		askAgain(peer);
 		return fresh;
 	}
@@ -354,7 +355,7 @@
 		}
 		if (!this.upstream.believes(peer)) {
 			if (news.getCurrent()) {
-				this.strays.add(peer);
+				this.unasked.add(peer);
 			}
 			return false;
 		}
@@ -373,7 +374,7 @@
 		}
 	}
 
-	private void known(long asOf) {
+	private void newer(long asOf) {
 		if (this.asOfNanos.isEmpty() || asOf - this.asOfNanos.getAsLong() > 0) {
 			this.asOfNanos = OptionalLong.of(asOf);
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -96,7 +96,7 @@
 				case StoreDuty.Step.Ask ask -> this.sender.accept(ask.entry(), this.news.ask(ask.entry()));
 				case StoreDuty.Step.Dismiss dismiss -> this.news.unwanted(dismiss.entry());
 				case StoreDuty.Step.Rest rest -> {
-					this.news.rests();
+					this.news.stopReading();
 					this.following.pause();
 				}
 				case StoreDuty.Step.Read read -> this.following.resume(this.news::readTo);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
@@ -204,7 +204,7 @@
 		start(1);
 		this.rester.news.asked("third", SiteNews.request(true).getNewsRequest());
 		this.rester.sent.clear();
-		this.rester.news.rests();
+		this.rester.news.stopReading();
 		assertThat(this.rester.sent.stream().map((frame) -> frame.getNews().getCurrent()).toList(),
 				Matchers.contains(false));
 		assertThat(this.rester.news.reliedOn(), Matchers.equalTo(false));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -215,7 +215,7 @@
 		resting.reachable(true);
 		List.of(0L, 2 * SECOND).forEach((nanos) -> duty.tick(List.of("source"), true, nanos));
 		duty.heard("source", true, true, 2 * SECOND);
-		resting.rests();
+		resting.stopReading();
 		this.requests.clear();
 		resting.reachable(false);
 		resting.tick(linked("source", "third"), 3 * SECOND);
@@ -236,7 +236,7 @@
 		List.of(0L, 2 * SECOND).forEach((nanos) -> duty.tick(List.of("source"), true, nanos));
 		resting.reachable(false);
 		duty.heard("source", true, true, 2 * SECOND);
-		resting.rests();
+		resting.stopReading();
 		this.requests.clear();
 		resting.tick(linked("source", "third"), 3 * SECOND);
 		assertThat(this.requests, Matchers.empty());
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -27,10 +27,10 @@
  * All of a group lose their reader at the same time. Were all to read, a narrow link to
  * the store would be full of copies of which none comes through in time, and stay full.
  * So the next by rendezvous reads at once and the others ask it, over and over while it
- * has only begun. Those that nobody has helped within {@value #HEIR_MILLIS} ms begin to
- * read one after the other, the last after {@value #LATEST_MILLIS} ms, and are asked by
- * those that come after them: whichever comes through first serves all, and an entry with
- * nobody left to ask reads at once.
+ * has only begun. Those that nobody has helped within {@value #SUCCESSOR_MILLIS} ms begin
+ * to read one after the other, the last after {@value #LATEST_MILLIS} ms, and are asked
+ * by those that come after them: whichever comes through first serves all, and an entry
+ * with nobody left to ask reads at once.
  */
 public final class StoreDuty {
 
@@ -40,11 +40,11 @@
 	static final int SILENT_MILLIS = 1200;
 
 	// As long as the next reader is given before the one after it begins as well.
-	static final int HEIR_MILLIS = 500;
+	static final int SUCCESSOR_MILLIS = 500;
 
 	static final int LATEST_MILLIS = 2000;
 
-	private static final long HEIR_NANOS = Duration.ofMillis(HEIR_MILLIS).toNanos();
+	private static final long SUCCESSOR_NANOS = Duration.ofMillis(SUCCESSOR_MILLIS).toNanos();
 
 	private static final long LATEST_NANOS = Duration.ofMillis(LATEST_MILLIS).toNanos();
 
@@ -52,7 +52,7 @@
 	private static final long STAGGER_NANOS = Duration.ofMillis(150).toNanos();
 
 	// Who is to read next says at once whether it does.
-	private static final long HEIR_ANSWER_NANOS = Duration.ofMillis(400).toNanos();
+	private static final long SUCCESSOR_ANSWER_NANOS = Duration.ofMillis(400).toNanos();
 
 	private static final long SILENT_NANOS = Duration.ofMillis(SILENT_MILLIS).toNanos();
 
@@ -73,15 +73,17 @@
 
 	private Stage stage = Stage.READS;
 
+	// Whom this entry hears or has asked; itself while it reads.
 	private String reader;
 
+	// Since when the stage is entered, or since the reader was last heard.
 	private long sinceNanos;
 
 	// As it was at the last look.
 	private Collection<String> group = List.of();
 
 	// Who is to read before this entry does, the next reader first.
-	private final List<String> heirs = new ArrayList<>();
+	private final List<String> successors = new ArrayList<>();
 
 	private long lostNanos;
 
@@ -157,7 +159,7 @@
 			case RESTS -> current ? confirmed(nowNanos) : lost(nowNanos);
 			case SEEKS -> {
 				this.answer = current ? Answer.CURRENT : Answer.NOT_CURRENT;
-				yield (current && complete) ? confirmed(nowNanos) : heirSays(current, nowNanos);
+				yield (current && complete) ? confirmed(nowNanos) : successorSays(current, nowNanos);
 			}
 		};
 	}
@@ -197,10 +199,10 @@
 		return List.of();
 	}
 
-	private List<Step> heirSays(boolean current, long nowNanos) {
+	private List<Step> successorSays(boolean current, long nowNanos) {
 		this.sinceNanos = nowNanos;
 		return current ? List.of()
-				: heirAfter(this.reader, nowNanos).map((next) -> ask(next, nowNanos)).orElse(List.of());
+				: successorAfter(this.reader, nowNanos).map((next) -> ask(next, nowNanos)).orElse(List.of());
 	}
 
 	private List<Step> read(long nowNanos) {
@@ -214,8 +216,8 @@
 		List<Step> steps = new ArrayList<>();
 		steps.add(new Step.Dismiss(this.reader));
 		suspect(this.reader, nowNanos);
-		this.heirs.clear();
-		order(this.group, nowNanos).stream().takeWhile((name) -> !name.equals(this.self)).forEach(this.heirs::add);
+		this.successors.clear();
+		order(this.group, nowNanos).stream().takeWhile((name) -> !name.equals(this.self)).forEach(this.successors::add);
 		this.lostNanos = nowNanos;
 		this.turnNanos = nowNanos;
 		enter(Stage.SEEKS, this.self, nowNanos);
@@ -225,36 +227,36 @@
 
 	private List<Step> seeks(long nowNanos) {
 		leaveOut(nowNanos);
-		boolean helps = this.heirs.contains(this.reader) && this.answer != Answer.NOT_CURRENT;
+		boolean helps = this.successors.contains(this.reader) && this.answer != Answer.NOT_CURRENT;
 		boolean passesOn = helps && this.answer == Answer.CURRENT;
-		boolean due = !passesOn && nowNanos - this.turnNanos >= startNanos(this.heirs.size());
+		boolean due = !passesOn && nowNanos - this.turnNanos >= startNanos(this.successors.size());
 		if (due || nowNanos - this.lostNanos >= LATEST_NANOS) {
 			List<Step> steps = new ArrayList<>(leave());
 			steps.add(new Step.Read());
 			enter(Stage.READS, this.self, nowNanos);
 			return steps;
 		}
-		return helps ? List.of() : ask(this.heirs.getFirst(), nowNanos);
+		return helps ? List.of() : ask(this.successors.getFirst(), nowNanos);
 	}
 
 	// Who is gone or says nothing reads no more; the one after it has its turn at once.
 	private void leaveOut(long nowNanos) {
-		Optional<String> first = this.heirs.stream().findFirst();
-		if (this.heirs.contains(this.reader) && nowNanos - this.sinceNanos > HEIR_ANSWER_NANOS) {
+		Optional<String> first = this.successors.stream().findFirst();
+		if (this.successors.contains(this.reader) && nowNanos - this.sinceNanos > SUCCESSOR_ANSWER_NANOS) {
 			suspect(this.reader, nowNanos);
-			this.heirs.remove(this.reader);
+			this.successors.remove(this.reader);
 		}
-		this.heirs.retainAll(this.group);
-		if (!first.equals(this.heirs.stream().findFirst())) {
+		this.successors.retainAll(this.group);
+		if (!first.equals(this.successors.stream().findFirst())) {
 			this.turnNanos = nowNanos;
 		}
 	}
 
-	private List<Step> ask(String heir, long nowNanos) {
-		List<Step> steps = new ArrayList<>(heir.equals(this.reader) ? List.of() : leave());
-		steps.add(new Step.Ask(heir));
+	private List<Step> ask(String successor, long nowNanos) {
+		List<Step> steps = new ArrayList<>(successor.equals(this.reader) ? List.of() : leave());
+		steps.add(new Step.Ask(successor));
 		this.answer = Answer.NONE;
-		enter(Stage.SEEKS, heir, nowNanos);
+		enter(Stage.SEEKS, successor, nowNanos);
 		return steps;
 	}
 
@@ -265,15 +267,15 @@
 	}
 
 	// The next that has begun to read by now.
-	private Optional<String> heirAfter(String heir, long nowNanos) {
-		int rank = this.heirs.indexOf(heir) + 1;
-		boolean begun = rank < this.heirs.size() && nowNanos - this.turnNanos >= startNanos(rank);
-		return begun ? Optional.of(this.heirs.get(rank)) : Optional.empty();
+	private Optional<String> successorAfter(String successor, long nowNanos) {
+		int rank = this.successors.indexOf(successor) + 1;
+		boolean begun = rank < this.successors.size() && nowNanos - this.turnNanos >= startNanos(rank);
+		return begun ? Optional.of(this.successors.get(rank)) : Optional.empty();
 	}
 
 	// How long after the loss the entry of a rank begins to read.
 	private static long startNanos(int rank) {
-		return (rank == 0) ? 0 : Math.min(HEIR_NANOS + (rank - 1) * STAGGER_NANOS, LATEST_NANOS);
+		return (rank == 0) ? 0 : Math.min(SUCCESSOR_NANOS + (rank - 1) * STAGGER_NANOS, LATEST_NANOS);
 	}
 
 	private void suspect(String peer, long nowNanos) {
@@ -325,7 +327,7 @@
 		record Rest() implements Step {
 		}
 
-		/** Read the store again, all of it. */
+		/** Read the store again: what has changed since it rested. */
 		record Read() implements Step {
 		}
 
