FollowerTests waits for the follower before it goes on

Cause: the scripted store says that its script is over inside the call of watch. The test then answers that call and pauses the follower; when both come before the follower waits for the answer, the answer is taken up after the pause and left out, as it is to be.

Change: every test of the class waits for a turn of the follower's thread after the script. No assertion is changed.

--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -50,10 +50,18 @@
 
 	private List<String> follow() throws Exception {
 		start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		return heard();
 	}
 
+	// The store says that its script is over inside the last call, before the follower
+	// has that call's answer to wait for. What a test does next must come after it, or
+	// an answer that was there first could be left out by a pause that was made later.
+	private void awaitScriptOver() throws Exception {
+		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		heard();
+	}
+
 	private List<String> heard() throws Exception {
 		return CompletableFuture.supplyAsync(() -> List.copyOf(this.heard), this.timer)
 			.get(MOST_SECONDS, TimeUnit.SECONDS);
@@ -198,7 +206,7 @@
 	void whatComesAfterAPauseIsLeftOut() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		CountDownLatch busy = new CountDownLatch(1);
 		this.timer.execute(() -> awaitQuietly(busy));
 		follower.pause();
@@ -223,7 +231,7 @@
 	void aPauseGivesUpTheCallInProgress() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		follower.pause();
 		assertThat(heard(), Matchers.contains("back", "all[a]"));
 		assertThat(this.store.waiting.isCancelled(), Matchers.is(true));
@@ -236,7 +244,7 @@
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		this.store.gaps.add(new Changes(List.of(new Change(item("b", 8), false)), 8));
 		Follower follower = start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		follower.pause();
 		follower.resume(0);
 		assertThat(heardAfter(4), Matchers.contains("back", "all[a]", "back", "+b@8"));
@@ -250,7 +258,7 @@
 	void whatANeighbourHasPassedOnIsNotReadAgain() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		follower.pause();
 		follower.resume(25);
 		heardAfter(4);
@@ -264,7 +272,7 @@
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		this.store.pages.add(new Page(List.of(item("b", 8)), false, 8));
 		Follower follower = start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		follower.pause();
 		follower.forget();
 		follower.resume(0);
@@ -285,7 +293,7 @@
 	void whoIsReliedOnSaysSoonThatItMayBeBehind() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start();
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		follower.reliedOn(true);
 		heard();
 		this.store.silent = true;
@@ -335,7 +343,7 @@
 	void anEmptyWatchIsConfirmedAsOfItsEnd(Kind kind, boolean held) throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
 		Follower follower = start(kind);
-		this.scriptOver.get(MOST_SECONDS, TimeUnit.SECONDS);
+		awaitScriptOver();
 		long waited = this.store.waits.getLast().toNanos();
 		if (held) {
 			TimeUnit.NANOSECONDS.sleep(waited + TimeUnit.MILLISECONDS.toNanos(100));
