--- a/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
@@ -4,6 +4,8 @@
 import java.lang.System.Logger.Level;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -23,8 +25,8 @@
  * alone.
  *
  * Every chunk is read back from the VM's store and hashed before it is sent, so that a
- * store that went bad does not spread; at most {@value #HELD} are in memory at once,
- * whatever the size of the weights.
+ * store that went bad does not spread; at most {@value #HELD} and, of those sent last,
+ * {@value #KEPT_BYTES} bytes are in memory at once, whatever the size of the weights.
  */
 final class ChunkServer {
 
@@ -35,6 +37,8 @@
 
 	private static final int HELD = 4;
 
+	private static final int KEPT_BYTES = 512 << 10;
+
 	private static final int UPLOADS_PER_PEER = 2;
 
 	// A peer that asked for more files than any bundle has would grow this map.
@@ -54,6 +58,9 @@
 
 	private final Map<Link, Map<String, Long>> watchers = new HashMap<>();
 
+	// Chunks that were sent last, by their hashes.
+	private final Map<String, byte[]> kept = new LinkedHashMap<>(16, 0.75F, true);
+
 	private int held;
 
 	ChunkServer(TransferContext context, TransferThread thread, TransferMeters meters, ChunkShelf shelf,
@@ -112,8 +119,7 @@
 	}
 
 	void request(Link link, ChunkRequest request) {
-		boolean held = this.shelf.held(request.getFile()).get(request.getIndex());
-		if (!held) {
+		if (!this.shelf.held(request.getFile()).get(request.getIndex()) || !within(request)) {
 			refuse(link, request, ChunkStatus.CHUNK_MISSING);
 			return;
 		}
@@ -125,6 +131,12 @@
 		pump();
 	}
 
+	private boolean within(ChunkRequest request) {
+		int length = this.shelf.length(request.getFile(), request.getIndex());
+		return request.getOffset() >= 0 && request.getLength() >= 0 && request.getOffset() < length
+				&& request.getLength() <= length - request.getOffset();
+	}
+
 	void closed(Link link) {
 		this.watchers.remove(link);
 		this.uploads.drop(link);
@@ -150,6 +162,11 @@
 		}
 		String hash = this.shelf.hash(file, index);
 		this.held++;
+		byte[] kept = this.kept.get(hash);
+		if (kept != null) {
+			finish(upload, Optional.of(kept), true);
+			return;
+		}
 		this.context.store().get(file, index).whenComplete((found, failure) -> this.thread.compute(() -> {
 			Optional<byte[]> bytes = (failure != null) ? Optional.empty() : found;
 			boolean good = bytes.isPresent() && ChunkShelf.matches(bytes.get(), hash);
@@ -159,8 +176,10 @@
 
 	private void finish(Upload upload, Optional<byte[]> bytes, boolean answered) {
 		if (bytes.isPresent()) {
-			this.meters.toPeers().increment(bytes.get().length);
-			this.replies.add(new PacedReplies.Sending(upload.link, upload.request, bytes.get()));
+			keep(upload, bytes.get());
+			PacedReplies.Sending sending = new PacedReplies.Sending(upload.link, upload.request, bytes.get());
+			this.meters.toPeers().increment(sending.length());
+			this.replies.add(sending);
 			return;
 		}
 		if (answered) {
@@ -172,6 +191,17 @@
 		released();
 	}
 
+	// The parts of a chunk are asked for one by one, and each would cost a reading and a
+	// hash.
+	private void keep(Upload upload, byte[] bytes) {
+		this.kept.put(this.shelf.hash(upload.request.getFile(), upload.request.getIndex()), bytes);
+		Iterator<byte[]> oldest = this.kept.values().iterator();
+		while (this.kept.size() > 1 && (long) this.kept.size() * bytes.length > KEPT_BYTES) {
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
 	private void released() {
 		this.held--;
 		pump();
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/Fetch.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/Fetch.java
@@ -144,7 +144,8 @@
 		switch (effect) {
 			case TransferEffect.Connect connect -> this.links.connect(connect.vm());
 			case TransferEffect.Disconnect disconnect -> this.links.disconnect(disconnect.vm());
-			case TransferEffect.Request request -> this.links.request(request.vm(), request.piece());
+			case TransferEffect.Request request -> this.links.request(request);
+			case TransferEffect.Drop drop -> this.links.drop(drop.vm(), drop.piece());
 			case TransferEffect.ReadOrigin read -> readOrigin(read.piece());
 			case TransferEffect.Store store -> store(store.piece(), this.arrived.get(store.piece()));
 			case TransferEffect.Copy copy -> copy(copy.from(), copy.to());
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PacedReplies.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PacedReplies.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
 import org.wisteriapost.policy.transfer.Pacer;
+import org.wisteriapost.policy.transfer.PartSize;
 import org.wisteriapost.protocol.link.Link;
 import org.wisteriapost.protocol.wire.ChunkReply;
 import org.wisteriapost.protocol.wire.ChunkRequest;
@@ -28,13 +29,6 @@
  */
 final class PacedReplies {
 
-	// What one part may hold up the link for.
-	private static final double PART_SECONDS = 0.012;
-
-	private static final int LEAST_PART = 4 << 10;
-
-	private static final int MOST_PART = 256 << 10;
-
 	// Makes up for the pauses of a timer, and no more.
 	private static final double BURST_SECONDS = 0.02;
 
@@ -50,7 +44,7 @@
 
 	private final Deque<Sending> turns = new ArrayDeque<>();
 
-	private int part = MOST_PART;
+	private int part = PartSize.of(0);
 
 	private boolean waiting;
 
@@ -69,8 +63,7 @@
 
 	void rate(double bytesPerSecond) {
 		this.pacer.rate(bytesPerSecond, System.nanoTime());
-		this.part = (bytesPerSecond > 0) ? (int) Math.clamp(bytesPerSecond * PART_SECONDS, LEAST_PART, MOST_PART)
-				: MOST_PART;
+		this.part = PartSize.of(bytesPerSecond);
 	}
 
 	void add(Sending sending) {
@@ -99,11 +92,11 @@
 				return;
 			}
 			Sending next = this.turns.poll();
-			int length = Math.min(this.part, next.bytes.length - next.offset);
+			int length = Math.min(this.part, next.end - next.offset);
 			this.pacer.take(length);
 			next.link.send(this.frames.get().setChunkReply(reply(next, length)).build());
 			next.offset += length;
-			if (next.offset < next.bytes.length) {
+			if (next.offset < next.end) {
 				this.turns.add(next);
 			}
 			else {
@@ -132,7 +125,7 @@
 			.build();
 	}
 
-	/** A chunk on its way to a peer. */
+	/** A chunk, or the part of it that was asked for, on its way to a peer. */
 	static final class Sending {
 
 		private final Link link;
@@ -141,12 +134,21 @@
 
 		private final byte[] bytes;
 
+		private final int end;
+
 		private int offset;
 
 		Sending(Link link, ChunkRequest request, byte[] bytes) {
 			this.link = link;
 			this.request = request;
 			this.bytes = bytes;
+			this.offset = request.getOffset();
+			int length = request.getLength();
+			this.end = (length > 0) ? Math.min(bytes.length, this.offset + length) : bytes.length;
+		}
+
+		int length() {
+			return this.end - this.offset;
 		}
 
 	}
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerLinks.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerLinks.java
@@ -10,6 +10,7 @@
 
 import org.wisteriapost.policy.transfer.Peer;
 import org.wisteriapost.policy.transfer.Pieces;
+import org.wisteriapost.policy.transfer.TransferEffect;
 import org.wisteriapost.policy.transfer.TransferEvent;
 import org.wisteriapost.protocol.link.Link;
 import org.wisteriapost.protocol.link.LinkHandler;
@@ -91,10 +92,20 @@
 		List.copyOf(this.links.keySet()).forEach(this::disconnect);
 	}
 
-	void request(String vm, int piece) {
+	void request(TransferEffect.Request request) {
+		PeerLink link = this.links.get(request.vm());
+		if (link != null) {
+			link.request(this.nextId++, request);
+		}
+	}
+
+	/**
+	 * Forgets what has come of a piece from a peer.
+	 */
+	void drop(String vm, int piece) {
 		PeerLink link = this.links.get(vm);
 		if (link != null) {
-			link.request(this.nextId++, piece);
+			link.parts.remove(piece);
 		}
 	}
 
@@ -121,16 +132,39 @@
 
 	}
 
+	/** A piece of which the first bytes have come. */
+	private static final class Partial {
+
+		private final byte[] bytes;
+
+		private int come;
+
+		private Partial(byte[] bytes) {
+			this.bytes = bytes;
+		}
+
+	}
+
+	/**
+	 * A request without an answer.
+	 *
+	 * @param piece of which a part was asked for
+	 * @param whole the piece's length in bytes
+	 * @param end where the part ends
+	 */
+	private record Asked(int piece, int whole, int end) {
+	}
+
 	private final class PeerLink implements LinkHandler {
 
 		private final String vm;
 
 		// Requests that the machine gave up on stay here until the link closes: a late
 		// answer is still a good piece. Bounded by one entry for each request.
-		private final Map<Long, Integer> asked = new ConcurrentHashMap<>();
+		private final Map<Long, Asked> asked = new ConcurrentHashMap<>();
 
-		// Chunks of which parts have come. Only the link's thread uses them.
-		private final Map<Long, byte[]> parts = new HashMap<>();
+		// Pieces of which parts have come.
+		private final Map<Integer, Partial> parts = new ConcurrentHashMap<>();
 
 		private volatile Link link;
 
@@ -172,12 +206,17 @@
 			PeerLinks.this.thread.run(() -> down(this));
 		}
 
-		private void request(long id, int piece) {
-			this.asked.put(id, piece);
+		private void request(long id, TransferEffect.Request request) {
+			int piece = request.piece();
+			int whole = PeerLinks.this.pieces.length(piece);
+			int end = (request.length() == 0) ? whole : request.offset() + request.length();
+			this.asked.put(id, new Asked(piece, whole, end));
 			ChunkRequest ask = ChunkRequest.newBuilder()
 				.setId(id)
 				.setFile(PeerLinks.this.pieces.digest(piece))
 				.setIndex(PeerLinks.this.pieces.index(piece))
+				.setOffset(request.offset())
+				.setLength(request.length())
 				.build();
 			send(PeerLinks.this.context.frames().get().setChunkRequest(ask).build());
 		}
@@ -210,34 +249,47 @@
 				part(reply);
 				return;
 			}
-			Integer piece = this.asked.remove(reply.getId());
-			if (piece == null) {
+			Asked request = this.asked.remove(reply.getId());
+			if (request == null) {
 				return;
 			}
 			boolean busy = reply.getStatus() == ChunkStatus.CHUNK_BUSY;
-			tell(new TransferEvent.Refused(piece, this.vm, busy));
+			tell(new TransferEvent.Refused(request.piece(), this.vm, busy));
 		}
 
 		// Whether the bytes are right is seen by their hash; here only that they fit.
 		private void part(ChunkReply reply) {
-			Integer piece = this.asked.get(reply.getId());
-			if (piece == null) {
+			Asked request = this.asked.get(reply.getId());
+			if (request == null) {
 				return;
 			}
-			int whole = PeerLinks.this.pieces.length(piece);
+			int piece = request.piece();
+			int whole = request.whole();
 			int end = reply.getOffset() + reply.getData().size();
 			if (reply.getLength() != whole || reply.getOffset() < 0 || end > whole) {
 				this.asked.remove(reply.getId());
 				PeerLinks.this.receiver.bytes(piece, this.vm, reply.getData().toByteArray());
 				return;
 			}
-			byte[] bytes = this.parts.computeIfAbsent(reply.getId(), (id) -> new byte[whole]);
-			reply.getData().copyTo(bytes, reply.getOffset());
-			if (end == whole) {
+			Partial partial = this.parts.computeIfAbsent(piece, (number) -> new Partial(new byte[whole]));
+			if (reply.getOffset() > partial.come) {
+				// What came before was forgotten meanwhile.
 				this.asked.remove(reply.getId());
-				this.parts.remove(reply.getId());
-				PeerLinks.this.receiver.bytes(piece, this.vm, bytes);
+				tell(new TransferEvent.Refused(piece, this.vm, true));
+				return;
+			}
+			reply.getData().copyTo(partial.bytes, reply.getOffset());
+			partial.come = Math.max(partial.come, end);
+			if (end < request.end()) {
+				return;
+			}
+			this.asked.remove(reply.getId());
+			if (request.end() < whole) {
+				tell(new TransferEvent.PartCame(piece, this.vm, request.end()));
+				return;
 			}
+			this.parts.remove(piece);
+			PeerLinks.this.receiver.bytes(piece, this.vm, partial.bytes);
 		}
 
 		private void tell(TransferEvent event) {
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Neighbourhood.java
@@ -47,7 +47,7 @@
 	int askedOf(int piece) {
 		int asked = 0;
 		for (PeerState peer : this.neighbours.values()) {
-			asked += peer.asks().containsKey(piece) ? 1 : 0;
+			asked += peer.brings(piece) ? 1 : 0;
 		}
 		return asked;
 	}
@@ -63,6 +63,28 @@
 		return asked;
 	}
 
+	/**
+	 * Returns how many pieces are on their way, with those that wait to be gone on with.
+	 */
+	int begun() {
+		int begun = 0;
+		for (PeerState peer : this.neighbours.values()) {
+			begun += peer.asks().size() + peer.begun().size();
+		}
+		return begun;
+	}
+
+	/**
+	 * Returns how many requests were given up whose answers may still come.
+	 */
+	int owed(long now) {
+		int owed = 0;
+		for (PeerState peer : this.neighbours.values()) {
+			owed += peer.owed(now);
+		}
+		return owed;
+	}
+
 	/**
 	 * Returns the neighbours that others must not count on.
 	 */
@@ -109,11 +131,12 @@
 	/**
 	 * Marks a link as gone and returns the pieces that were asked on it.
 	 */
-	List<Integer> lose(PeerState peer, long now) {
+	Set<Integer> lose(PeerState peer, long now) {
 		discount(peer);
 		peer.has().clear();
+		Set<Integer> released = peer.release();
 		peer.linkDown(now + RECONNECT_NANOS);
-		return peer.release();
+		return released;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * What is known of one neighbour.
@@ -28,7 +31,16 @@
 
 	private final BitSet has = new BitSet();
 
-	private final Map<Integer, Long> asks = new HashMap<>();
+	// How long a part that was given up counts as still on its way: by then its link is
+	// dead or the part as good as lost.
+	private static final long OWED_NANOS = Duration.ofSeconds(10).toNanos();
+
+	private final Map<Integer, Ask> asks = new HashMap<>();
+
+	// Pieces of which parts have come, with the bytes that have, while nothing is asked.
+	private final Map<Integer, Integer> begun = new LinkedHashMap<>();
+
+	private final Map<Integer, Ask> owed = new HashMap<>();
 
 	private boolean up;
 
@@ -70,12 +82,68 @@
 	}
 
 	/**
-	 * Returns the pieces asked of it and when.
+	 * Returns the pieces of which a part is asked of it now.
 	 */
-	Map<Integer, Long> asks() {
+	Map<Integer, Ask> asks() {
 		return this.asks;
 	}
 
+	/**
+	 * Returns the pieces to go on with, and how many bytes of each have come.
+	 */
+	Map<Integer, Integer> begun() {
+		return this.begun;
+	}
+
+	/**
+	 * Returns whether the part that ends there is asked of it now.
+	 */
+	boolean asked(int piece, int end) {
+		Ask ask = this.asks.get(piece);
+		return ask != null && ask.end() == end;
+	}
+
+	/**
+	 * Returns whether a piece is to come from it.
+	 */
+	boolean brings(int piece) {
+		return this.asks.containsKey(piece) || this.begun.containsKey(piece);
+	}
+
+	void ask(int piece, int end, long now) {
+		int offset = Optional.ofNullable(this.begun.remove(piece)).orElse(0);
+		this.asks.put(piece, new Ask(now, offset, end));
+	}
+
+	/**
+	 * Takes back the request that a part ends, also one that was given up.
+	 */
+	Optional<Ask> answered(int piece, int end) {
+		return Optional.ofNullable((asked(piece, end) ? this.asks : this.owed).remove(piece));
+	}
+
+	/**
+	 * Takes back the request for a piece, also one that was given up.
+	 */
+	Optional<Ask> answered(int piece) {
+		return Optional.ofNullable(this.asks.remove(piece)).or(() -> Optional.ofNullable(this.owed.remove(piece)));
+	}
+
+	/**
+	 * Returns how many parts were given up and may still come.
+	 */
+	int owed(long now) {
+		this.owed.values().removeIf((ask) -> now - ask.at() > OWED_NANOS);
+		return this.owed.size();
+	}
+
+	/**
+	 * Counts the time of each request from now on.
+	 */
+	void excuse(long now) {
+		this.asks.replaceAll((piece, ask) -> new Ask(now, ask.offset(), ask.end()));
+	}
+
 	/**
 	 * Returns whether what it holds counts among the holders.
 	 */
@@ -96,12 +164,15 @@
 	}
 
 	/**
-	 * Takes back all requests and returns their pieces.
+	 * Gives up all requests and returns their pieces. What was asked for may still come.
 	 */
-	List<Integer> release() {
-		List<Integer> asked = List.copyOf(this.asks.keySet());
+	Set<Integer> release() {
+		Set<Integer> pieces = new LinkedHashSet<>(this.asks.keySet());
+		pieces.addAll(this.begun.keySet());
+		this.owed.putAll(this.asks);
 		this.asks.clear();
-		return asked;
+		this.begun.clear();
+		return pieces;
 	}
 
 	/**
@@ -140,6 +211,7 @@
 	void linkDown(long retryAt) {
 		this.up = false;
 		this.down = true;
+		this.owed.clear();
 		this.pausedUntil = retryAt;
 	}
 
@@ -154,7 +226,14 @@
 	 * Returns whether it may be asked for one more piece.
 	 */
 	boolean askable(long now, int perPeer) {
-		return this.up && now >= this.pausedUntil && now >= this.distrustedUntil && this.asks.size() < perPeer;
+		return ready(now) && this.asks.size() + this.begun.size() < perPeer;
+	}
+
+	/**
+	 * Returns whether it may be asked at all.
+	 */
+	boolean ready(long now) {
+		return this.up && now >= this.pausedUntil && now >= this.distrustedUntil;
 	}
 
 	/**
@@ -195,4 +274,14 @@
 		this.corruptions++;
 	}
 
+	/**
+	 * One request without an answer.
+	 *
+	 * @param at when it was made
+	 * @param offset bytes that had come before
+	 * @param end bytes that will have come with its answer
+	 */
+	record Ask(long at, int offset, int end) {
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PieceChoice.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PieceChoice.java
@@ -108,7 +108,7 @@
 
 	private int cost(PeerState peer) {
 		int far = (this.limits.samePlaceFirst() && !peer.near()) ? 1 : 0;
-		return peer.asks().size() * 2 + far;
+		return (peer.asks().size() + peer.begun().size()) * 2 + far;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/RequestWindow.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/RequestWindow.java
@@ -3,32 +3,40 @@
 import java.time.Duration;
 
 /**
- * How many pieces may be on their way to this VM at once.
+ * How many parts of pieces may be on their way to this VM at once.
  *
- * Load: a VM's link carries a fifth of what it is declared to, while new weights come in.
- * Harm prevented: pieces that were asked for queue up on the link for seconds, and the
+ * Load: a VM's link carries a tenth of what it is declared to, while new weights come in.
+ * Harm prevented: parts that were asked for queue up on the link for seconds, and the
  * requests of the engine beside it behind them; callers give up before the engine hears
- * of them. So the window starts small, grows while pieces come quickly and is halved when
- * one takes long, as a sender's congestion window is.
+ * of them. So weights yield by the delay that they cause, as LEDBAT does (RFC 6817): the
+ * window grows while a part takes little longer than the quickest one has, and is halved
+ * when two in a row take much longer. One quick part shows that the link is free, whoever
+ * sent the slow ones.
  */
 final class RequestWindow {
 
-	private static final double FIRST = 3;
+	private static final int FIRST = 3;
 
-	private static final double LEAST = 1;
+	private static final int LEAST = 1;
 
-	// Eight pieces of 32 KB by turns on a link of 5 Mbit/s take 0.46 s each.
-	private static final long QUICK_NANOS = Duration.ofMillis(500).toNanos();
+	private static final int SLOW_IN_A_ROW = 2;
 
-	// What an engine's request may wait on the link at the very most.
-	private static final long SLOW_NANOS = Duration.ofMillis(750).toNanos();
+	// Six parts by turns on a link that is full of weights alone take 0.08 s each.
+	private static final long QUICK_NANOS = Duration.ofMillis(150).toNanos();
 
-	// Pieces that were asked for together come late together and count once.
-	private static final long ONCE_NANOS = Duration.ofMillis(400).toNanos();
+	// What weights may hold up an engine's request for.
+	private static final long SLOW_NANOS = Duration.ofMillis(250).toNanos();
+
+	// Parts that were asked for together come late together and count once.
+	private static final long ONCE_NANOS = Duration.ofMillis(200).toNanos();
 
 	private final int most;
 
-	private double size;
+	private int size;
+
+	private int slow;
+
+	private long leastNanos = Long.MAX_VALUE;
 
 	private long shrunkNanos = Long.MIN_VALUE / 2;
 
@@ -38,26 +46,38 @@
 	}
 
 	int size() {
-		return (int) this.size;
+		return this.size;
+	}
+
+	/**
+	 * Returns whether the link has turned out to be narrow.
+	 */
+	boolean narrow() {
+		return this.size < Math.min(this.most, FIRST);
 	}
 
 	/**
-	 * Notes how long a piece took from its request to its last byte.
+	 * Notes how long a part took from its request to its last byte.
 	 */
 	void answered(long tookNanos, long nowNanos) {
-		if (tookNanos < QUICK_NANOS) {
+		this.leastNanos = Math.min(this.leastNanos, tookNanos);
+		long delay = tookNanos - this.leastNanos;
+		if (delay < QUICK_NANOS) {
+			this.slow = 0;
 			this.size = Math.min(this.most, this.size + 1);
 		}
-		else if (tookNanos > SLOW_NANOS) {
+		else if (delay > SLOW_NANOS) {
 			late(nowNanos);
 		}
 	}
 
 	/**
-	 * Notes that a piece did not come in time.
+	 * Notes that a part did not come in time.
 	 */
 	void late(long nowNanos) {
-		if (nowNanos - this.shrunkNanos >= ONCE_NANOS) {
+		this.slow++;
+		if (this.slow >= SLOW_IN_A_ROW && nowNanos - this.shrunkNanos >= ONCE_NANOS) {
+			this.slow = 0;
 			this.shrunkNanos = nowNanos;
 			this.size = Math.max(LEAST, this.size / 2);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferEffect.java
@@ -26,12 +26,31 @@
 	}
 
 	/**
-	 * Ask a neighbour for a piece.
+	 * Ask a neighbour for a part of a piece.
 	 *
 	 * @param vm the neighbour
 	 * @param piece which
+	 * @param offset where the part begins
+	 * @param length of the part in bytes; 0 for all from the offset on
 	 */
-	record Request(String vm, int piece) implements TransferEffect {
+	record Request(String vm, int piece, int offset, int length) implements TransferEffect {
+
+		/**
+		 * Asks for the whole piece.
+		 */
+		public Request(String vm, int piece) {
+			this(vm, piece, 0, 0);
+		}
+
+	}
+
+	/**
+	 * Forget the parts of a piece that have come from a neighbour.
+	 *
+	 * @param vm the neighbour
+	 * @param piece which
+	 */
+	record Drop(String vm, int piece) implements TransferEffect {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferEvent.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferEvent.java
@@ -62,6 +62,16 @@
 	record Held(BitSet pieces) implements TransferEvent {
 	}
 
+	/**
+	 * A part of a piece that was asked for has come, and more of the piece is missing.
+	 *
+	 * @param piece which
+	 * @param vm the neighbour
+	 * @param end how many bytes of the piece have come from it
+	 */
+	record PartCame(int piece, String vm, int end) implements TransferEvent {
+	}
+
 	/**
 	 * A piece has come and its hash is right; it is not stored yet.
 	 *
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 
@@ -40,9 +39,6 @@
 
 	private static final int ORIGIN_ATTEMPTS = 3;
 
-	// What may be made up for after a pause: long enough for the gap between ticks.
-	private static final double BURST_SECONDS = 0.1;
-
 	private final Pieces pieces;
 
 	private final TransferLimits limits;
@@ -63,9 +59,7 @@
 
 	private final Deadline deadline;
 
-	private final RequestWindow window;
-
-	private final Pacer pacer = Pacer.create(BURST_SECONDS);
+	private final PeerRequests requests;
 
 	private List<Peer> peers = List.of();
 
@@ -95,7 +89,8 @@
 		this.neighbours = new Neighbourhood(self, limits, this.choice);
 		this.readers = new PlaceReaders(pieces, self);
 		this.deadline = new Deadline(limits.progressDeadline());
-		this.window = new RequestWindow(limits.outstanding());
+		this.requests = new PeerRequests(pieces, limits, invariants, this.holdings, this.neighbours, this.choice,
+				this.deadline, this::reopen);
 		int cursor = (pieces.count() > 0) ? random.nextInt(pieces.count()) : 0;
 		this.origin = new OriginDuty(pieces, limits, new OriginRank(pieces, self), this.choice, cursor);
 	}
@@ -143,13 +138,16 @@
 				peer.idle(now);
 			});
 			case TransferEvent.Held held -> start(held.pieces(), now, effects);
+			case TransferEvent.PartCame part ->
+				this.neighbours.peer(part.vm()).ifPresent((peer) -> this.requests.partCame(peer, part, now, effects));
 			case TransferEvent.Verified verified -> take(verified.piece(), verified.source(), now, effects);
 			case TransferEvent.Corrupt corrupt -> reject(corrupt.piece(), corrupt.source(), now, effects);
-			case TransferEvent.Refused refused -> refused(refused, now);
+			case TransferEvent.Refused refused -> this.neighbours.peer(refused.vm())
+				.ifPresent((peer) -> this.requests.refused(peer, refused, now, effects));
 			case TransferEvent.OriginFailed failed -> originFailed(failed, now, effects);
 			case TransferEvent.Stored stored -> stored(stored.piece(), effects);
 			case TransferEvent.Lost lost -> lost(lost.piece());
-			case TransferEvent.RateSet rate -> this.pacer.rate(rate.bytesPerSecond(), now);
+			case TransferEvent.RateSet rate -> this.requests.rate(rate.bytesPerSecond(), now);
 			case TransferEvent.Tick tick -> tick(now, effects);
 		}
 		rank(now);
@@ -221,6 +219,7 @@
 		}
 		this.holdings.storing(piece);
 		effects.add(new TransferEffect.Store(piece));
+		this.requests.drop(piece, effects);
 	}
 
 	private void answered(int piece, String source, long now) {
@@ -230,11 +229,7 @@
 		}
 		this.neighbours.peer(source).ifPresent((peer) -> {
 			peer.heard(now);
-			Long askedAt = peer.asks().remove(piece);
-			if (askedAt != null) {
-				this.deadline.answered(now - askedAt);
-				this.window.answered(now - askedAt, now);
-			}
+			peer.answered(piece).ifPresent((ask) -> this.requests.took(ask, now));
 		});
 	}
 
@@ -251,21 +246,9 @@
 		this.neighbours.peer(source).ifPresent((peer) -> {
 			this.neighbours.discount(peer);
 			peer.corrupt(now, DISTRUST_NANOS);
-			peer.release().forEach(this::reopen);
-		});
-	}
-
-	private void refused(TransferEvent.Refused refused, long now) {
-		this.neighbours.peer(refused.vm()).ifPresent((peer) -> {
-			peer.heard(now);
-			peer.asks().remove(refused.piece());
-			if (refused.busy()) {
-				peer.pause(now + this.deadline.busyNanos());
-			}
-			else if (peer.has().get(refused.piece())) {
-				this.neighbours.forget(peer, refused.piece());
-			}
-			reopen(refused.piece());
+			peer.answered(piece);
+			reopen(piece);
+			this.requests.release(peer, effects);
 		});
 	}
 
@@ -319,17 +302,7 @@
 			excuse(now);
 		}
 		this.tickedAt = now;
-		for (PeerState peer : this.neighbours.all()) {
-			boolean late = peer.asks().values().stream().anyMatch((askedAt) -> now - askedAt > limit);
-			if (late) {
-				this.window.late(now);
-				peer.release().forEach(this::reopen);
-				this.neighbours.discount(peer);
-				if (peer.silent(now, limit)) {
-					effects.add(new TransferEffect.Notice(PEER_STALLED, peer.vm(), 0));
-				}
-			}
-		}
+		this.requests.tick(now, effects);
 		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
 		// Before the start there is no news to miss: taken for a stall, it would make
 		// every
@@ -343,7 +316,7 @@
 	// A process that was paused finds all its requests late at once. Taken for silence of
 	// its peers, that would make it pass over all of them and turn to the origin.
 	private void excuse(long now) {
-		this.neighbours.all().forEach((peer) -> peer.asks().replaceAll((piece, askedAt) -> now));
+		this.neighbours.all().forEach((peer) -> peer.excuse(now));
 		this.origin.news(now);
 	}
 
@@ -364,21 +337,17 @@
 	}
 
 	private void fill(long now, List<TransferEffect> effects) {
-		if (!this.started || this.ended || this.holdings.open().isEmpty()) {
+		if (!this.started || this.ended || this.holdings.whole()) {
 			return;
 		}
 		OptionalInt read = nextRead(now);
 		while (read.isPresent()) {
 			this.holdings.asked(read.getAsInt());
-			this.pacer.take(this.pieces.length(read.getAsInt()));
+			this.requests.others(this.pieces.length(read.getAsInt()));
 			effects.add(new TransferEffect.ReadOrigin(read.getAsInt()));
 			read = nextRead(now);
 		}
-		Optional<PieceChoice.Choice> next = nextAsk(now);
-		while (next.isPresent()) {
-			ask(next.get().peer(), next.get().piece(), now, effects);
-			next = nextAsk(now);
-		}
+		this.requests.fill(this.readers.allowed(), now, effects);
 	}
 
 	// A VM that joins late, or again after a restart, would read its share of the origin
@@ -394,27 +363,15 @@
 	}
 
 	private OptionalInt nextRead(long now) {
-		if (!informed(now) || this.pacer.delayNanos(now) > 0
+		if (!informed(now) || this.requests.delayNanos(now) > 0
 				|| this.holdings.beingStored() >= this.limits.outstanding()) {
 			return OptionalInt.empty();
 		}
-		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
-	}
-
-	private Optional<PieceChoice.Choice> nextAsk(long now) {
-		if (this.neighbours.outstanding() + this.holdings.beingStored() >= this.window.size()
-				|| this.pacer.delayNanos(now) > 0) {
-			return Optional.empty();
+		// The origin sends whole pieces only.
+		if (this.requests.narrow() && !this.origin.reads().isEmpty()) {
+			return OptionalInt.empty();
 		}
-		return this.choice.next(this.holdings.open(), this.neighbours.all(), this.readers.allowed(), now);
-	}
-
-	private void ask(PeerState peer, int piece, long now, List<TransferEffect> effects) {
-		this.invariants.holds(this.holdings.missing(piece), "asked-only-what-is-missing", "piece " + piece);
-		this.holdings.asked(piece);
-		peer.asks().put(piece, now);
-		this.pacer.take(this.pieces.length(piece));
-		effects.add(new TransferEffect.Request(peer.vm(), piece));
+		return this.origin.next(this.holdings.open(), now, this.deadline.nanos());
 	}
 
 	// Bounded in rate: 810 VMs that told each of their neighbours of every piece at once
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/SqueezedLink.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/SqueezedLink.java
@@ -114,7 +114,7 @@
 
 	private void carryOut(TransferEffect effect) {
 		if (effect instanceof TransferEffect.Request request) {
-			schedule(LATENCY, () -> send(request, 0));
+			schedule(LATENCY, () -> send(request, request.offset()));
 		}
 		else if (effect instanceof TransferEffect.Store store) {
 			schedule(MILLI / 5, () -> apply(new TransferEvent.Stored(store.piece())));
@@ -122,21 +122,27 @@
 	}
 
 	private void send(TransferEffect.Request request, int offset) {
-		int length = Math.min((int) (this.uploadRate * PART_SECONDS), this.pieces.length(request.piece()) - offset);
+		int whole = this.pieces.length(request.piece());
+		int asked = (request.length() > 0) ? request.offset() + request.length() : whole;
+		int length = Math.min((int) (this.uploadRate * PART_SECONDS), asked - offset);
 		long sending = (long) (length / this.uploadRate * TURNS * SECOND);
 		int end = offset + length;
 		schedule(sending, () -> {
-			boolean last = end == this.pieces.length(request.piece());
+			boolean last = end == asked;
 			enter(length);
 			if (last) {
-				schedule(this.freeAt - this.now + LATENCY, () -> arrive(request));
+				schedule(this.freeAt - this.now + LATENCY, () -> arrive(request, asked));
 				return;
 			}
 			send(request, end);
 		});
 	}
 
-	private void arrive(TransferEffect.Request request) {
+	private void arrive(TransferEffect.Request request, int end) {
+		if (end < this.pieces.length(request.piece())) {
+			apply(new TransferEvent.PartCame(request.piece(), request.vm(), end));
+			return;
+		}
 		this.came.merge(request.piece(), 1, Integer::sum);
 		apply(new TransferEvent.Verified(request.piece(), request.vm()));
 	}
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -216,6 +216,29 @@
 		assertThat(late, hasItem(new TransferEffect.Notice(TransferMachine.PEER_STALLED, OTHER.vm(), 0)));
 	}
 
+	// A part takes longer than the deadline: the link of this VM has narrowed, and the
+	// part
+	// was on it all the time. When it comes after all, its piece is gone on with where it
+	// stopped, and nothing of it has to come twice.
+	@Test
+	void aPartThatComesLateIsGoneOnWith() {
+		int piece = askedOfOther();
+		assertThat(pass(DEADLINE * 2), not(hasItem(new TransferEffect.Drop(OTHER.vm(), piece))));
+		assertThat(apply(new TransferEvent.PartCame(piece, OTHER.vm(), 60)),
+				hasItem(new TransferEffect.Request(OTHER.vm(), piece, 60, 0)));
+	}
+
+	// The same, but meanwhile the piece has come from another holder.
+	@Test
+	void aPartThatComesAfterItsPieceIsForgotten() {
+		int piece = askedOfOther();
+		pass(DEADLINE * 2);
+		apply(new TransferEvent.Verified(piece, TransferMachine.ORIGIN));
+		apply(new TransferEvent.Stored(piece));
+		assertThat(apply(new TransferEvent.PartCame(piece, OTHER.vm(), 60)),
+				hasItem(new TransferEffect.Drop(OTHER.vm(), piece)));
+	}
+
 	@Test
 	void busyPeerIsAskedAgainAfterAPause() {
 		int piece = askedOfOther();
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkRequest.java
@@ -110,6 +110,36 @@
     return index_;
   }
 
+  public static final int OFFSET_FIELD_NUMBER = 4;
+  private int offset_ = 0;
+  /**
+   * <pre>
+   * where the part begins that is asked for
+   * </pre>
+   *
+   * <code>uint32 offset = 4;</code>
+   * @return The offset.
+   */
+  @java.lang.Override
+  public int getOffset() {
+    return offset_;
+  }
+
+  public static final int LENGTH_FIELD_NUMBER = 5;
+  private int length_ = 0;
+  /**
+   * <pre>
+   * of that part; 0 for all from the offset on
+   * </pre>
+   *
+   * <code>uint32 length = 5;</code>
+   * @return The length.
+   */
+  @java.lang.Override
+  public int getLength() {
+    return length_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -133,6 +163,12 @@
     if (index_ != 0) {
       output.writeUInt32(3, index_);
     }
+    if (offset_ != 0) {
+      output.writeUInt32(4, offset_);
+    }
+    if (length_ != 0) {
+      output.writeUInt32(5, length_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -148,6 +184,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, index_);
     }
+    if (offset_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, offset_);
+    }
+    if (length_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, length_);
+    }
     return size;
   }
   @java.lang.Override
@@ -178,6 +222,10 @@
         .equals(other.getFile())) return false;
     if (getIndex()
         != other.getIndex()) return false;
+    if (getOffset()
+        != other.getOffset()) return false;
+    if (getLength()
+        != other.getLength()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -196,6 +244,10 @@
     hash = (53 * hash) + getFile().hashCode();
     hash = (37 * hash) + INDEX_FIELD_NUMBER;
     hash = (53 * hash) + getIndex();
+    hash = (37 * hash) + OFFSET_FIELD_NUMBER;
+    hash = (53 * hash) + getOffset();
+    hash = (37 * hash) + LENGTH_FIELD_NUMBER;
+    hash = (53 * hash) + getLength();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -330,6 +382,8 @@
       id_ = 0L;
       file_ = "";
       index_ = 0;
+      offset_ = 0;
+      length_ = 0;
       return this;
     }
 
@@ -372,6 +426,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.index_ = index_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.offset_ = offset_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.length_ = length_;
+      }
     }
 
     @java.lang.Override
@@ -397,6 +457,12 @@
       if (other.getIndex() != 0) {
         setIndex(other.getIndex());
       }
+      if (other.getOffset() != 0) {
+        setOffset(other.getOffset());
+      }
+      if (other.getLength() != 0) {
+        setLength(other.getLength());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -436,6 +502,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              offset_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              length_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -589,6 +665,94 @@
       return this;
     }
 
+    private int offset_ ;
+    /**
+     * <pre>
+     * where the part begins that is asked for
+     * </pre>
+     *
+     * <code>uint32 offset = 4;</code>
+     * @return The offset.
+     */
+    @java.lang.Override
+    public int getOffset() {
+      return offset_;
+    }
+    /**
+     * <pre>
+     * where the part begins that is asked for
+     * </pre>
+     *
+     * <code>uint32 offset = 4;</code>
+     * @param value The offset to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOffset(int value) {
+
+      offset_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * where the part begins that is asked for
+     * </pre>
+     *
+     * <code>uint32 offset = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOffset() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      offset_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int length_ ;
+    /**
+     * <pre>
+     * of that part; 0 for all from the offset on
+     * </pre>
+     *
+     * <code>uint32 length = 5;</code>
+     * @return The length.
+     */
+    @java.lang.Override
+    public int getLength() {
+      return length_;
+    }
+    /**
+     * <pre>
+     * of that part; 0 for all from the offset on
+     * </pre>
+     *
+     * <code>uint32 length = 5;</code>
+     * @param value The length to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLength(int value) {
+
+      length_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of that part; 0 for all from the offset on
+     * </pre>
+     *
+     * <code>uint32 length = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLength() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      length_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.ChunkRequest)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkRequestOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ChunkRequestOrBuilder.java
@@ -33,4 +33,24 @@
    * @return The index.
    */
   int getIndex();
+
+  /**
+   * <pre>
+   * where the part begins that is asked for
+   * </pre>
+   *
+   * <code>uint32 offset = 4;</code>
+   * @return The offset.
+   */
+  int getOffset();
+
+  /**
+   * <pre>
+   * of that part; 0 for all from the offset on
+   * </pre>
+   *
+   * <code>uint32 length = 5;</code>
+   * @return The length.
+   */
+  int getLength();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -258,55 +258,56 @@
       "ving\022\n\n\002vm\030\001 \001(\t\"+\n\017ChunkMapRequest\022\n\n\002i" +
       "d\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030" +
       "\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004b" +
-      "its\030\004 \001(\014\022\r\n\005added\030\005 \003(\r\"7\n\014ChunkRequest" +
+      "its\030\004 \001(\014\022\r\n\005added\030\005 \003(\r\"W\n\014ChunkRequest" +
       "\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(" +
-      "\r\"\216\001\n\nChunkReply\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001" +
-      "(\t\022\r\n\005index\030\003 \001(\r\022)\n\006status\030\004 \001(\0162\031.wist" +
-      "eriapost.ChunkStatus\022\014\n\004data\030\005 \001(\014\022\016\n\006of" +
-      "fset\030\006 \001(\r\022\016\n\006length\030\007 \001(\r\"d\n\nLoadReport" +
-      "\022\'\n\005loads\030\001 \003(\0132\030.wisteriapost.RunnerLoa" +
-      "d\022-\n\007refused\030\002 \003(\0132\034.wisteriapost.Refuse" +
-      "dRequest\"L\n\016RefusedRequest\022\017\n\007request\030\001 " +
-      "\001(\006\022\024\n\014asked_millis\030\002 \001(\r\022\023\n\013left_millis" +
-      "\030\003 \001(\r\"m\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022\016\n\006" +
-      "active\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n\016waiting" +
-      "_prompt\030\004 \001(\r\022\026\n\016started_millis\030\005 \001(\003\"\213\001" +
-      "\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025\n\rholds_" +
-      "weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswitch" +
-      "ing\030\004 \001(\010\022\030\n\020closes_in_millis\030\005 \001(\r\022\026\n\016s" +
-      "tarted_millis\030\006 \001(\003\">\n\014WeightsNamed\022\r\n\005m" +
-      "odel\030\001 \001(\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin\030\003 " +
-      "\001(\t\"w\n\013NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005kn" +
-      "own\030\002 \003(\0132\027.wisteriapost.KnownKind\022\022\n\005st" +
-      "amp\030\003 \001(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010B\010\n\006_s" +
-      "tamp\"^\n\tKnownKind\022%\n\004kind\030\001 \001(\0162\027.wister" +
-      "iapost.StoreKind\022*\n\007objects\030\002 \003(\0132\031.wist" +
-      "eriapost.KnownObject\"-\n\013KnownObject\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\333\001\n\004News\022\017\n\007" +
-      "current\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapo" +
-      "st.StoreKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003" +
-      "(\0132\031.wisteriapost.StoreObject\022\n\n\002at\030\005 \001(" +
-      "\004\022\020\n\010sequence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H" +
-      "\000\210\001\001\022\022\n\005stamp\030\010 \001(\003H\001\210\001\001B\r\n\013_age_millisB" +
-      "\010\n\006_stamp\"^\n\013StoreObject\022\014\n\004name\030\001 \001(\t\022\020" +
-      "\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017\n\007con" +
-      "tent\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\"5\n\006Roster\022+\n\007m" +
-      "embers\030\001 \003(\0132\032.wisteriapost.RosterMember" +
-      "\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 " +
-      "\001(\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n\005load" +
-      "s\030\002 \003(\0132\030.wisteriapost.RunnerLoad\022*\n\007eng" +
-      "ines\030\003 \003(\0132\031.wisteriapost.EngineState*2\n" +
-      "\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t" +
-      "\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006URG" +
-      "ENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UN" +
-      "SPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNK" +
-      "NOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_UN" +
-      "SPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSI" +
-      "NG\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStoreKind\022\032\n\026STO" +
-      "RE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020\001\022" +
-      "\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021\n" +
-      "\rSTORE_ENTRIES\020\004B$\n\036org.wisteriapost.pro" +
-      "tocol.wireH\001P\001b\006proto3"
+      "\r\022\016\n\006offset\030\004 \001(\r\022\016\n\006length\030\005 \001(\r\"\216\001\n\nCh" +
+      "unkReply\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005in" +
+      "dex\030\003 \001(\r\022)\n\006status\030\004 \001(\0162\031.wisteriapost" +
+      ".ChunkStatus\022\014\n\004data\030\005 \001(\014\022\016\n\006offset\030\006 \001" +
+      "(\r\022\016\n\006length\030\007 \001(\r\"d\n\nLoadReport\022\'\n\005load" +
+      "s\030\001 \003(\0132\030.wisteriapost.RunnerLoad\022-\n\007ref" +
+      "used\030\002 \003(\0132\034.wisteriapost.RefusedRequest" +
+      "\"L\n\016RefusedRequest\022\017\n\007request\030\001 \001(\006\022\024\n\014a" +
+      "sked_millis\030\002 \001(\r\022\023\n\013left_millis\030\003 \001(\r\"m" +
+      "\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030\002" +
+      " \001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n\016waiting_prompt\030" +
+      "\004 \001(\r\022\026\n\016started_millis\030\005 \001(\003\"\213\001\n\013Engine" +
+      "State\022\017\n\007address\030\001 \001(\t\022\025\n\rholds_weights\030" +
+      "\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswitching\030\004 \001(" +
+      "\010\022\030\n\020closes_in_millis\030\005 \001(\r\022\026\n\016started_m" +
+      "illis\030\006 \001(\003\">\n\014WeightsNamed\022\r\n\005model\030\001 \001" +
+      "(\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"w\n\013N" +
+      "ewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003(" +
+      "\0132\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 \001(" +
+      "\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010B\010\n\006_stamp\"^\n\t" +
+      "KnownKind\022%\n\004kind\030\001 \001(\0162\027.wisteriapost.S" +
+      "toreKind\022*\n\007objects\030\002 \003(\0132\031.wisteriapost" +
+      ".KnownObject\"-\n\013KnownObject\022\014\n\004name\030\001 \001(" +
+      "\t\022\020\n\010revision\030\002 \001(\004\"\333\001\n\004News\022\017\n\007current\030" +
+      "\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.Store" +
+      "Kind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wis" +
+      "teriapost.StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010seq" +
+      "uence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005" +
+      "stamp\030\010 \001(\003H\001\210\001\001B\r\n\013_age_millisB\010\n\006_stam" +
+      "p\"^\n\013StoreObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revisi" +
+      "on\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017\n\007content\030\004 \001" +
+      "(\014\022\r\n\005known\030\005 \001(\010\"5\n\006Roster\022+\n\007members\030\001" +
+      " \003(\0132\032.wisteriapost.RosterMember\")\n\014Rost" +
+      "erMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p\n\nP" +
+      "laceState\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003(\0132" +
+      "\030.wisteriapost.RunnerLoad\022*\n\007engines\030\003 \003" +
+      "(\0132\031.wisteriapost.EngineState*2\n\004Role\022\024\n" +
+      "\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020" +
+      "\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n" +
+      "\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIE" +
+      "D\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\" +
+      "\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_UNSPECIFIE" +
+      "D\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSING\020\002\022\016\n\n" +
+      "CHUNK_BUSY\020\003*r\n\tStoreKind\022\032\n\026STORE_KIND_" +
+      "UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020\001\022\021\n\rSTORE" +
+      "_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021\n\rSTORE_E" +
+      "NTRIES\020\004B$\n\036org.wisteriapost.protocol.wi" +
+      "reH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -419,7 +420,7 @@
     internal_static_wisteriapost_ChunkRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkRequest_descriptor,
-        new java.lang.String[] { "Id", "File", "Index", });
+        new java.lang.String[] { "Id", "File", "Index", "Offset", "Length", });
     internal_static_wisteriapost_ChunkReply_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_wisteriapost_ChunkReply_fieldAccessorTable = new
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.wisteriapost.policy.transfer.Peer;
+import org.wisteriapost.policy.transfer.TransferEffect;
 import org.wisteriapost.policy.transfer.TransferMachine;
 import org.wisteriapost.policy.transfer.Uploads;
 
@@ -58,7 +59,7 @@
 		return this.dead || this.stalled || this.idle;
 	}
 
-	record Upload(SimVm to, int piece) {
+	record Upload(SimVm to, TransferEffect.Request request) {
 	}
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
@@ -23,8 +23,8 @@
  * One roll over N machines in virtual time, replayed from its seed.
  *
  * Each VM's link carries {@code linkBytesPerSecond} in each direction, the origin's a
- * multiple of that. Pieces take turns on a link; what they wait for is modelled, what
- * processors do is not.
+ * multiple of that. Parts of pieces take turns on a link; what they wait for is modelled,
+ * what processors do is not.
  */
 final class Simulation {
 
@@ -206,7 +206,9 @@
 			case TransferEffect.Disconnect disconnect -> vm.links.remove(disconnect.vm());
 			case TransferEffect.Request request -> {
 				vm.controlBytes += FRAME_BYTES;
-				schedule(LATENCY, () -> request(vm, this.vms.get(request.vm()), request.piece()));
+				schedule(LATENCY, () -> request(vm, this.vms.get(request.vm()), request));
+			}
+			case TransferEffect.Drop drop -> {
 			}
 			case TransferEffect.ReadOrigin read -> readOrigin(vm, read.piece());
 			case TransferEffect.Store store -> schedule(STORE, () -> stored(vm, store.piece()));
@@ -248,12 +250,13 @@
 		}
 	}
 
-	private void request(SimVm from, SimVm to, int piece) {
+	private void request(SimVm from, SimVm to, TransferEffect.Request request) {
+		int piece = request.piece();
 		if (to.gone()) {
 			return;
 		}
 		boolean held = to.stored.get(piece);
-		if (!held || !to.uploads.offer(from, new SimVm.Upload(from, piece))) {
+		if (!held || !to.uploads.offer(from, new SimVm.Upload(from, request))) {
 			to.controlBytes += FRAME_BYTES;
 			schedule(LATENCY, () -> apply(from, new TransferEvent.Refused(piece, to.peer.vm(), held)));
 			return;
@@ -267,7 +270,7 @@
 		}
 		vm.uploads.next().ifPresent((upload) -> {
 			vm.sending = true;
-			schedule(pieceNanos(), () -> {
+			schedule(partNanos(upload), () -> {
 				vm.sending = false;
 				deliver(vm, upload);
 				pump(vm);
@@ -277,13 +280,20 @@
 
 	private void deliver(SimVm from, SimVm.Upload upload) {
 		SimVm to = upload.to();
-		this.crossed += from.peer.place().equals(to.peer.place()) ? 0 : 1;
+		boolean last = upload.request().length() == 0;
+		this.crossed += (last && !from.peer.place().equals(to.peer.place())) ? 1 : 0;
 		if (from.gone() || to.gone() || !to.links.contains(from.peer.vm())) {
 			return;
 		}
-		to.receiveFreeAt = Math.max(this.now, to.receiveFreeAt + pieceNanos());
-		String source = from.peer.vm();
-		schedule(to.receiveFreeAt - this.now + LATENCY, () -> arrive(to, upload.piece(), source, from.corrupt));
+		to.receiveFreeAt = Math.max(this.now, to.receiveFreeAt + partNanos(upload));
+		schedule(to.receiveFreeAt - this.now + LATENCY, () -> {
+			if (last) {
+				arrive(to, upload.request().piece(), from.peer.vm(), from.corrupt);
+				return;
+			}
+			int end = upload.request().offset() + upload.request().length();
+			apply(to, new TransferEvent.PartCame(upload.request().piece(), from.peer.vm(), end));
+		});
 	}
 
 	private void arrive(SimVm to, int piece, String source, boolean bad) {
@@ -342,6 +352,12 @@
 		return (long) (this.plan.chunkBytes() * 1e9 / this.plan.linkBytesPerSecond());
 	}
 
+	private long partNanos(SimVm.Upload upload) {
+		TransferEffect.Request request = upload.request();
+		int bytes = (request.length() > 0) ? request.length() : this.plan.chunkBytes() - request.offset();
+		return (long) (bytes * 1e9 / this.plan.linkBytesPerSecond());
+	}
+
 	private long originNanos() {
 		return (long) (pieceNanos() / this.plan.originRatio());
 	}
