--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -0,0 +1,201 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.policy.fleet.NamedWeights;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+class RunnerWayTests {
+
+	private static final String HELD_UP = "held-up";
+
+	private static final long STEP_MILLIS = 20;
+
+	private static final long ARRIVAL_STEPS = 2;
+
+	// The first request has been without a word for longer than its objective.
+	private static final long KNOWN_MILLIS = 600;
+
+	private static final long FIRST_EVENT_MILLIS = 160;
+
+	private static final long ANSWER_MILLIS = 600;
+
+	private static final long OLD_END_MILLIS = 2200;
+
+	// Callers see 502 after one to two seconds. The link to one engine holds what is sent
+	// there for seconds; a reset does not take it back, so the engine begins it for
+	// nobody,
+	// or on weights that are over. Streams that it began before go on and end whole. The
+	// first request that stays without a word says it all, and from then on one at a time
+	// is
+	// enough to see whether the way is open again; but each end of an old stream was
+	// taken
+	// for a sign that the runner is well, and all went there again.
+	@Test
+	void aWayThatHoldsThingsUpGetsOneRequestAtATime() {
+		Entry entry = new Entry(HELD_UP);
+		entry.begin(4);
+		entry.desk.with(Desk.engine("a"), Desk.engine("c"));
+		entry.run(4000);
+		assertThat(entry.sentTo(HELD_UP, 0, 500), Matchers.greaterThan(0L));
+		assertThat(entry.mostAtOnce, Matchers.lessThanOrEqualTo(1L));
+		assertThat(entry.sentTo("a", 600, 4000), Matchers.greaterThan(20L));
+	}
+
+	// A runner is cut off: connections to it can't be made any more. A stream that it
+	// began
+	// before that ends whole a moment later, since its last events were on their way.
+	// That
+	// says nothing of the way there, but all went there again at once.
+	@Test
+	void theEndOfAnOldAnswerDoesNotBringBackARunnerThatIsCutOff() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		Job old = desk.arrive(Desk.STREAM);
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.firstEvent(old);
+		Job cut = desk.arrive(Desk.STREAM);
+		desk.after(400);
+		desk.with(Desk.engine("b"));
+		desk.ended(cut, Outcome.NOT_SENT);
+		desk.after(40);
+		desk.ended(old, Outcome.DONE);
+		desk.done();
+		for (int i = 0; i < 12; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+			desk.after(STEP_MILLIS);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+	}
+
+	// Newer weights are named, and the link to one engine holds things up for a second
+	// and
+	// more. Requests wait long there, and it is known to be cut off. The others begin
+	// what
+	// they get at once, and are not to be given up seconds before the newer weights bind.
+	@Test
+	void theWaitAtARunnerThatIsCutOffDoesNotBindTheOthers() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		desk.after(3500);
+		desk.arrive(Desk.STREAM);
+		for (int i = 0; i < 45; i++) {
+			desk.after(STEP_MILLIS);
+		}
+		desk.with(Desk.engine("b"));
+		Job probe = desk.arrive(Desk.STREAM);
+		while (!desk.done().contains("Send:a")) {
+			probe = desk.arrive(Desk.STREAM);
+		}
+		desk.after(400);
+		desk.ended(probe, Outcome.NOT_SENT);
+		desk.after(1000);
+		desk.done();
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:b"));
+	}
+
+	/** One of several entries, with requests that come all the time. */
+	private static final class Entry {
+
+		private final Desk desk = new Desk();
+
+		private final Map<Job, Integer> seen = new HashMap<>();
+
+		private final List<Job> open = new ArrayList<>();
+
+		private final List<Job> old = new ArrayList<>();
+
+		private final List<Sent> sent = new ArrayList<>();
+
+		private long mostAtOnce;
+
+		private Entry(String... engines) {
+			for (String engine : engines) {
+				this.desk.with(Desk.engine(engine));
+			}
+		}
+
+		private void begin(int streams) {
+			for (int i = 0; i < streams; i++) {
+				this.old.add(this.desk.arrive(Desk.STREAM));
+			}
+			this.desk.after(FIRST_EVENT_MILLIS);
+			this.old.forEach(this.desk::firstEvent);
+			this.desk.dispatcher.drain();
+		}
+
+		private void run(long millis) {
+			long started = this.desk.now;
+			for (long at = 0; at < millis; at += STEP_MILLIS) {
+				if (at / STEP_MILLIS % ARRIVAL_STEPS == 0) {
+					this.open.add(this.desk.arrive(Desk.STREAM, new Job.Size(300, 100, OptionalInt.empty()), 6000));
+				}
+				this.desk.after(STEP_MILLIS);
+				goOn(at);
+				note(this.desk.now - started);
+				List.copyOf(this.open).forEach(this::goOn);
+				note(this.desk.now - started);
+				long known = started + KNOWN_MILLIS * Desk.MILLI;
+				this.mostAtOnce = Math.max(this.mostAtOnce,
+						this.open.stream().filter((job) -> heldUp(job) && job.sentNanos() > known).count());
+			}
+		}
+
+		// The old streams write events, and end one after the other.
+		private void goOn(long atMillis) {
+			for (Job job : this.old) {
+				job.progressed(1, Optional.of("2"), this.desk.now);
+			}
+			if (atMillis >= OLD_END_MILLIS && !this.old.isEmpty()) {
+				this.desk.ended(this.old.removeFirst(), Outcome.DONE);
+			}
+		}
+
+		private static boolean heldUp(Job job) {
+			return !job.over && job.runner.map((runner) -> runner.info.id().equals(HELD_UP)).orElse(false);
+		}
+
+		private void note(long atNanos) {
+			for (DispatchEffect effect : this.desk.dispatcher.drain()) {
+				if (effect instanceof DispatchEffect.Send send) {
+					this.sent.add(new Sent(send.runner().id(), atNanos / Desk.MILLI));
+				}
+			}
+		}
+
+		private void goOn(Job job) {
+			if (job.over || job.runner.isEmpty() || heldUp(job)) {
+				return;
+			}
+			long waited = (this.desk.now - job.sentNanos()) / Desk.MILLI;
+			if (waited >= ANSWER_MILLIS) {
+				this.desk.ended(job, Outcome.DONE);
+			}
+			else if (waited >= FIRST_EVENT_MILLIS && !Integer.valueOf(job.dispatch()).equals(this.seen.get(job))) {
+				this.seen.put(job, job.dispatch());
+				this.desk.firstEvent(job);
+			}
+		}
+
+		private long sentTo(String runner, long fromMillis, long toMillis) {
+			return this.sent.stream()
+				.filter((one) -> one.runner.equals(runner) && one.millis >= fromMillis && one.millis < toMillis)
+				.count();
+		}
+
+	}
+
+	private record Sent(String runner, long millis) {
+	}
+
+}
