A runner that is cut off stays left out while its old streams end

Callers saw 502 after one to two seconds. Now what was sent before the latest failure says nothing; one request tries the runner at a time, beside the old streams (before: none while an old stream ran), and a runner that could not be connected to is back at the first event of that one instead of its end.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -244,6 +244,7 @@
 		job.headed = true;
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job.size().promptTokens());
+		runner.health.began(job.sentNanos);
 		if (job.baseMillis > 0) {
 			this.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
@@ -391,6 +392,7 @@
 		job.predictedMillis = choice.predictedMillis();
 		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
 		runner.sent(job.size().promptTokens());
+		runner.health.sent(nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version));
 	}
@@ -404,7 +406,7 @@
 	private void release(Job job, Outcome outcome, long nowNanos) {
 		job.runner.ifPresent((runner) -> {
 			runner.ended(job.firstSeen, job.size().promptTokens());
-			runner.health.ended(outcome, nowNanos);
+			runner.health.ended(outcome, job.sentNanos, nowNanos);
 			if (outcome == Outcome.FULL) {
 				runner.full(nowNanos);
 			}
@@ -421,6 +423,7 @@
 	private void stop(Job job) {
 		job.runner.ifPresent((runner) -> {
 			runner.ended(job.firstSeen, job.size().promptTokens());
+			runner.health.stopped(job.sentNanos);
 			this.effects.add(new DispatchEffect.Stop(job));
 		});
 		job.runner = Optional.empty();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -107,7 +107,8 @@
 		double bestCost = Double.MAX_VALUE;
 		int engines = 0;
 		for (RunnerState runner : runners) {
-			if (!fits(job, runner, engine, version, nowNanos) || (wish != Wish.ANY && !healthy(runner, nowNanos))) {
+			if (!fits(job, runner, engine, version, nowNanos)
+					|| (wish != Wish.ANY && !runner.health.usable(nowNanos))) {
 				continue;
 			}
 			engines++;
@@ -172,13 +173,6 @@
 		return Math.clamp(spare, OTHER_PLACE_MILLIS, OTHER_PLACE_MOST_MILLIS);
 	}
 
-	private static boolean healthy(RunnerState runner, long nowNanos) {
-		if (!runner.health.usable(nowNanos)) {
-			return false;
-		}
-		return !runner.health.onProbation() || runner.own.active() == 0;
-	}
-
 	private static boolean fits(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
 			long nowNanos) {
 		if (runner.info.draining() || runner.gone || runner.switching() || runner.leftOut(nowNanos)) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -75,6 +75,26 @@
 		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
 	}
 
+	// A runner could not be connected to, and can again: the first event of the one
+	// request
+	// that tried it says so. Its answer goes on for seconds; all that time the runner's
+	// other slots would stay empty.
+	@Test
+	void aRunnerThatIsReachedAgainTakesMoreFromTheFirstEventOn() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.ended(desk.arrive(Desk.STREAM), Outcome.NOT_SENT);
+		desk.after(500);
+		desk.done();
+		Job probe = desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:a"));
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.with(Desk.engine("b"));
+		desk.others("b", new PeerLoad(6, 3, 3000));
+		desk.firstEvent(probe);
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:a"));
+	}
+
 	// Newer weights are named, and the link to one engine holds things up for a second
 	// and
 	// more. Requests wait long there, and it is known to be cut off. The others begin
