Named weights bind by the waits at each runner that is in use, not at one that is cut off

Callers were refused seconds before newer weights had to be in force. Waits are now kept for each runner. The longest among those in use binds as before; one that is left out is bound by its own.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -50,8 +50,6 @@
 
 	private final WeightsFence fence;
 
-	private final SlowestStart waits = new SlowestStart();
-
 	private final ServicePaces paces = new ServicePaces();
 
 	private final Placement placement;
@@ -246,7 +244,7 @@
 		runner.firstEvent(job.size().promptTokens());
 		runner.health.began(job.sentNanos);
 		if (job.baseMillis > 0) {
-			this.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
+			runner.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
 			runner.measured(ratio / this.paces.of(job.service()));
 			this.paces.measured(job.service(), ratio);
@@ -295,15 +293,15 @@
 				timeOver(job, nowNanos);
 			}
 			else if (job.runner.isPresent()) {
-				watch(job, nowNanos);
+				watch(job, job.runner.get(), nowNanos);
 			}
 		}
 		this.waiting.retryAll((job) -> goesOnWaiting(job, 0, nowNanos));
 	}
 
-	private void watch(Job job, long nowNanos) {
+	private void watch(Job job, RunnerState runner, long nowNanos) {
 		if (job.baseMillis > 0 && !job.firstSeen) {
-			this.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
+			runner.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 		}
 		if (beginsTooLate(job, nowNanos)) {
 			takeBack(job, nowNanos);
@@ -362,8 +360,7 @@
 	}
 
 	private boolean goesOnWaiting(Job job, int ahead, long nowNanos) {
-		long wait = this.waits.nanos(this.patience.late(job, nowNanos), nowNanos);
-		Placement.Choice choice = this.placement.choose(job, spec(job), wait, nowNanos);
+		Placement.Choice choice = this.placement.choose(job, spec(job), this.patience.late(job, nowNanos), nowNanos);
 		switch (this.patience.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
 			case WAIT -> {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -76,13 +76,14 @@
 	/**
 	 * Returns the best runner for a request now.
 	 * @param engine present when its service runs model engines
-	 * @param waitNanos how long requests like it have waited at runners of late
+	 * @param late whether it goes last at runners
 	 */
-	Choice choose(Job job, Optional<EngineSpec> engine, long waitNanos, long nowNanos) {
-		OptionalInt version = engine.isPresent() ? this.fence.required(engine.get().model(), waitNanos, nowNanos)
-				: OptionalInt.empty();
+	Choice choose(Job job, Optional<EngineSpec> engine, boolean late, long nowNanos) {
 		List<RunnerState> all = this.book.of(job.service());
 		List<RunnerState> candidates = this.book.candidates(job.service());
+		long wait = longestWait(candidates, late, nowNanos);
+		OptionalInt version = engine.isPresent() ? this.fence.required(engine.get().model(), wait, nowNanos)
+				: OptionalInt.empty();
 		Choice best = best(job, engine, version, nowNanos, candidates);
 		if (best.none() && candidates.size() < all.size()) {
 			return best(job, engine, version, nowNanos, all);
@@ -90,6 +91,20 @@
 		return best;
 	}
 
+	// Load: named weights are to be in force soon, and the link to one runner holds
+	// things
+	// for seconds. Harm prevented: its waits bind what goes to all others, seconds before
+	// they would begin too late. A runner that is left out says nothing of others.
+	private static long longestWait(List<RunnerState> runners, boolean late, long nowNanos) {
+		long longest = 0;
+		for (RunnerState runner : runners) {
+			if (!runner.health.onProbation()) {
+				longest = Math.max(longest, runner.waits.nanos(late, nowNanos));
+			}
+		}
+		return longest;
+	}
+
 	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos,
 			List<RunnerState> runners) {
 		for (Wish wish : Wish.values()) {
@@ -107,7 +122,7 @@
 		double bestCost = Double.MAX_VALUE;
 		int engines = 0;
 		for (RunnerState runner : runners) {
-			if (!fits(job, runner, engine, version, nowNanos)
+			if (!fits(job, runner, engine, version, nowNanos) || bindsSooner(runner, engine, nowNanos)
 					|| (wish != Wish.ANY && !runner.health.usable(nowNanos))) {
 				continue;
 			}
@@ -195,6 +210,17 @@
 		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
 	}
 
+	// What was left out is bound by its own waits, whoever waited there.
+	private boolean bindsSooner(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
+		if (engine.isEmpty() || !runner.health.onProbation()) {
+			return false;
+		}
+		long wait = Math.max(runner.waits.nanos(false, nowNanos), runner.waits.nanos(true, nowNanos));
+		OptionalInt version = this.fence.required(engine.get().model(), wait, nowNanos);
+		OptionalInt held = runner.version(engine.get().model());
+		return version.isPresent() && held.isPresent() && held.getAsInt() < version.getAsInt();
+	}
+
 	private static double predict(RunnerState runner, Optional<EngineSpec> engine, PeerLoad load, Job job) {
 		if (engine.isEmpty()) {
 			return (double) load.active() / Math.max(1, runner.info.slots()) * ALIKE_MILLIS * 2;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -47,6 +47,8 @@
 
 	final FreshShare share = new FreshShare();
 
+	final SlowestStart waits = new SlowestStart();
+
 	RunnerInfo info;
 
 	PeerLoad own = PeerLoad.NONE;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
@@ -63,7 +63,8 @@
 	/**
 	 * Returns the version that requests must start on, or a newer one, when they wait at
 	 * runners for as long as was seen lately.
-	 * @param waitNanos the longest wait for a first event of late
+	 * @param waitNanos the longest wait for a first event of late at the runners that
+	 * count
 	 */
 	OptionalInt required(String model, long waitNanos, long nowNanos) {
 		long margin = WAYS.toNanos() + (long) (WAIT_FACTOR * waitNanos);
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -102,26 +102,45 @@
 	// they get at once, and are not to be given up seconds before the newer weights bind.
 	@Test
 	void theWaitAtARunnerThatIsCutOffDoesNotBindTheOthers() {
+		Desk desk = heldUpWhenWeightsAreNamed();
+		Job cut = desk.arrive(Desk.STREAM_ONCE);
+		desk.after(400);
+		desk.with(Desk.engine("b"));
+		desk.ended(cut, Outcome.NOT_SENT);
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.firstEvent(cut);
+		desk.after(740);
+		desk.done();
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:b"));
+	}
+
+	// The same runner, once it may be tried again: what waited there a moment ago waited
+	// for
+	// so long that one more would begin on weights that are over by then.
+	@Test
+	void aRunnerThatWasCutOffIsBoundByItsOwnWaits() {
+		Desk desk = heldUpWhenWeightsAreNamed();
+		Job cut = desk.arrive(Desk.STREAM_ONCE);
+		desk.after(400);
+		desk.ended(cut, Outcome.NOT_SENT);
+		desk.after(900);
+		desk.done();
+		desk.arrive(Desk.STREAM);
+		desk.after(200);
+		assertThat(desk.done(), Matchers.contains("Refuse:no-usable-runner"));
+	}
+
+	// Named 4.5 seconds ago, and one request waits at the only engine for a second.
+	private static Desk heldUpWhenWeightsAreNamed() {
 		Desk desk = new Desk().with(Desk.engine("a"));
 		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
 		desk.after(10_000);
 		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
 		desk.after(3500);
-		desk.arrive(Desk.STREAM);
-		for (int i = 0; i < 45; i++) {
-			desk.after(STEP_MILLIS);
-		}
-		desk.with(Desk.engine("b"));
-		Job probe = desk.arrive(Desk.STREAM);
-		while (!desk.done().contains("Send:a")) {
-			probe = desk.arrive(Desk.STREAM);
-		}
-		desk.after(400);
-		desk.ended(probe, Outcome.NOT_SENT);
-		desk.after(1000);
-		desk.done();
-		desk.arrive(Desk.STREAM);
-		assertThat(desk.done(), Matchers.contains("Send:b"));
+		desk.arrive(Desk.STREAM_ONCE);
+		desk.after(500).after(500);
+		return desk;
 	}
 
 	/** One of several entries, with requests that come all the time. */
