A request leaves for a runner whose way is in doubt only once a connection made for it is there

What the caller saw: 502 or nothing, while its request went on over a full link and began seconds later, for nobody (GONE) or on weights that were over (VERSION). Cause: an entry sends over connections that it has, into a link that holds them for two to four seconds; a reset does not take back what is there. RunnerWay: a way is in doubt when a request has been without a sign for 0.4 s, those given up among them; and what has to begin before newer weights bind goes only where the way was seen open within the last half second. In both cases the request goes over a new connection, one at a time; when none comes it has not run, and goes elsewhere or is refused at once. A doubt without cause costs a connection, which takes the place of an idle one. Desk makes such connections at once unless a runner is cut off.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -32,6 +32,15 @@
 	record CallerGone(long id) implements DirectEvent {
 	}
 
+	/**
+	 * A connection to the runner was made for a request.
+	 *
+	 * @param call the request
+	 * @param dispatch the dispatch that it was made for
+	 */
+	record Connected(DirectCall call, int dispatch) implements DirectEvent {
+	}
+
 	/**
 	 * The first event of a stream went out to the caller.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -38,6 +38,15 @@
 	// a millisecond.
 	private static final Duration ONCE_MOST_IDLE = Duration.ofMillis(800);
 
+	// How long the connection may take that tries a runner's way, as a part of the time
+	// that the caller expects: another runner can still answer then. Connections within a
+	// site take some milliseconds, to another region some tens.
+	private static final double TRY_SHARE = 0.4;
+
+	private static final long TRY_LEAST_MILLIS = 100;
+
+	private static final long TRY_MOST_MILLIS = 400;
+
 	private final HttpCaller caller;
 
 	private final CallDialect dialect;
@@ -126,9 +135,21 @@
 				send.rank(), send.weightsVersion(), job.lastEvent());
 		this.dialect.outbound(added).forEach((header) -> headers.put(header.getKey(), header.getValue()));
 		URI target = URI.create("http://" + send.runner().address() + arrival.target());
+		HttpTimes times = HttpTimes.whole(Duration.ofMillis(remaining).plus(SLACK));
 		return new HttpCall(arrival.method(), target, headers, arrival.body(),
-				HttpTimes.whole(Duration.ofMillis(remaining).plus(SLACK)),
-				job.route().repeatable() ? Optional.empty() : Optional.of(ONCE_MOST_IDLE), Optional.empty());
+				send.tries() ? times.connect(tryTime(job.route().target())) : times, mostIdle(send), Optional.empty());
+	}
+
+	private static Optional<Duration> mostIdle(DispatchEffect.Send send) {
+		if (send.tries()) {
+			return Optional.of(Duration.ZERO);
+		}
+		return send.job().route().repeatable() ? Optional.empty() : Optional.of(ONCE_MOST_IDLE);
+	}
+
+	private static Duration tryTime(Duration target) {
+		long millis = (long) (TRY_SHARE * target.toMillis());
+		return Duration.ofMillis(Math.clamp(millis, TRY_LEAST_MILLIS, TRY_MOST_MILLIS));
 	}
 
 	private void onIoThread(Runnable task) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -118,6 +118,7 @@
 		switch (event) {
 			case DirectEvent.Arrived arrived -> arrived(arrived.arrival(), now);
 			case DirectEvent.CallerGone gone -> callerGone(gone.id(), now);
+			case DirectEvent.Connected connected -> connected(connected, now);
 			case DirectEvent.FirstEvent first -> firstEvent(first, now);
 			case DirectEvent.Ended ended -> ended(ended, now);
 			case DirectEvent.AllObjects all -> all(all, now);
@@ -165,6 +166,12 @@
 		}
 	}
 
+	private void connected(DirectEvent.Connected connected, long now) {
+		if (connected.dispatch() == connected.call().job().dispatch()) {
+			this.dispatcher.connected(connected.call().job(), now);
+		}
+	}
+
 	private void firstEvent(DirectEvent.FirstEvent first, long now) {
 		if (first.dispatch() == first.call().job().dispatch()) {
 			this.metrics.firstEvent(first.call().job(), now);
@@ -337,7 +344,8 @@
 						"route", send.job().route().name(), "runner", send.runner().id(), "address",
 						send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
 						this.beliefs.version(), "prompt", send.job().size().promptTokens(), "answer",
-						send.job().size().answerTokens(), "predictedMs", Math.round(send.job().predictedMillis()));
+						send.job().size().answerTokens(), "predictedMs", Math.round(send.job().predictedMillis()),
+						"tries", send.tries());
 				this.metrics.dispatched();
 				this.output.send(call, send);
 			}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Relay.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Relay.java
@@ -72,6 +72,13 @@
 		}
 	}
 
+	@Override
+	public void onConnected() {
+		if (!this.over) {
+			this.events.accept(new DirectEvent.Connected(this.call, this.dispatch));
+		}
+	}
+
 	@Override
 	public void onHead(int code, Map<String, String> first) {
 		throw new IllegalStateException("all headers are asked for");
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
@@ -22,8 +22,11 @@
 	 * @param runner to whom
 	 * @param rank 0 to 9, 0 is admitted first by the runner
 	 * @param weightsVersion the only version it may run on, when that matters
+	 * @param tries whether it may leave only over a connection that is made for it, since
+	 * the way to the runner may be closed
 	 */
-	record Send(Job job, RunnerInfo runner, int rank, OptionalInt weightsVersion) implements DispatchEffect {
+	record Send(Job job, RunnerInfo runner, int rank, OptionalInt weightsVersion,
+			boolean tries) implements DispatchEffect {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -231,6 +231,16 @@
 		place(job, nowNanos);
 	}
 
+	/**
+	 * Hears that a connection was made for a request, which goes out over it now.
+	 */
+	public void connected(Job job, long nowNanos) {
+		job.runner.ifPresent((runner) -> {
+			runner.way.arrived(job.sentNanos);
+			pump(nowNanos);
+		});
+	}
+
 	/**
 	 * Hears that the first event of an answer went out to the caller.
 	 */
@@ -243,6 +253,7 @@
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job.size().promptTokens());
 		runner.health.began(job.sentNanos);
+		runner.way.arrived(job.sentNanos);
 		if (job.baseMillis > 0) {
 			runner.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
@@ -315,9 +326,13 @@
 		if (job.firstSeen || job.runner.isEmpty()) {
 			return false;
 		}
+		return nowNanos >= beginBy(job, job.runner.get());
+	}
+
+	private long beginBy(Job job, RunnerState runner) {
 		Optional<String> model = spec(job).map(EngineSpec::model);
-		OptionalInt held = model.map(job.runner.get()::version).orElse(OptionalInt.empty());
-		return held.isPresent() && nowNanos >= this.fence.beginBy(model.get(), held.getAsInt());
+		OptionalInt held = model.map(runner::version).orElse(OptionalInt.empty());
+		return held.isPresent() ? this.fence.beginBy(model.get(), held.getAsInt()) : Long.MAX_VALUE;
 	}
 
 	// The runner is not to blame. The request may have begun this moment, so it goes on
@@ -390,8 +405,17 @@
 		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
 		runner.sent(job.size().promptTokens());
 		runner.health.sent(nowNanos);
+		boolean tries = triesWay(job, runner, nowNanos);
+		runner.way.sent(tries, nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
-		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version));
+		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version, tries));
+	}
+
+	// What has to begin before newer weights bind goes only where the way was seen open
+	// just now.
+	private boolean triesWay(Job job, RunnerState runner, long nowNanos) {
+		boolean begunBy = beginBy(job, runner) != Long.MAX_VALUE;
+		return runner.way.doubtful(nowNanos) || (begunBy && !runner.way.seenOpen(nowNanos));
 	}
 
 	// Lets waiting requests go on in the order in which they came, as far as room has
@@ -404,6 +428,12 @@
 		job.runner.ifPresent((runner) -> {
 			runner.ended(job.firstSeen, job.size().promptTokens());
 			runner.health.ended(outcome, job.sentNanos, nowNanos);
+			if (outcome == Outcome.NOT_SENT || outcome == Outcome.BROKEN) {
+				runner.way.over(job.sentNanos);
+			}
+			else {
+				runner.way.arrived(job.sentNanos);
+			}
 			if (outcome == Outcome.FULL) {
 				runner.full(nowNanos);
 			}
@@ -421,6 +451,7 @@
 		job.runner.ifPresent((runner) -> {
 			runner.ended(job.firstSeen, job.size().promptTokens());
 			runner.health.stopped(job.sentNanos);
+			runner.way.over(job.sentNanos);
 			this.effects.add(new DispatchEffect.Stop(job));
 		});
 		job.runner = Optional.empty();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -190,7 +190,8 @@
 
 	private static boolean fits(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
 			long nowNanos) {
-		if (runner.info.draining() || runner.gone || runner.switching() || runner.leftOut(nowNanos)) {
+		if (runner.info.draining() || runner.gone || runner.switching() || runner.leftOut(nowNanos)
+				|| runner.way.beingTried()) {
 			return false;
 		}
 		if (job.tried.contains(runner.info.id()) && job.tried.size() < 3) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -45,6 +45,8 @@
 
 	final RunnerHealth health = new RunnerHealth();
 
+	final RunnerWay way = new RunnerWay();
+
 	final FreshShare share = new FreshShare();
 
 	final SlowestStart waits = new SlowestStart();
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.policy.fleet.RunnerInfo;
@@ -43,6 +45,10 @@
 
 	long now = 10_000 * MILLI;
 
+	private final Set<String> cutOff = new HashSet<>();
+
+	private final List<DispatchEffect> effects = new ArrayList<>();
+
 	private long ids;
 
 	Desk() {
@@ -78,6 +84,7 @@
 		for (RunnerInfo info : infos) {
 			this.dispatcher.runner(info, this.now);
 		}
+		connect();
 		return this;
 	}
 
@@ -103,6 +110,7 @@
 		Job job = Job.arrived(this.ids, attempt, route, route.service(0), Optional.empty(), size, this.now,
 				this.now + remainingMillis * MILLI);
 		this.dispatcher.arrived(job, this.now);
+		connect();
 		return job;
 	}
 
@@ -116,16 +124,52 @@
 	Desk after(long millis) {
 		this.now += millis * MILLI;
 		this.dispatcher.tick(this.now);
+		connect();
 		return this;
 	}
 
 	void ended(Job job, Outcome outcome) {
 		this.dispatcher.ended(job, outcome, this.now);
+		connect();
 	}
 
 	void firstEvent(Job job) {
 		job.progressed(1, Optional.of("1"), this.now);
 		this.dispatcher.firstEvent(job, this.now);
+		connect();
+	}
+
+	/**
+	 * From now on no connection to a runner can be made.
+	 */
+	Desk cutOff(String runner) {
+		this.cutOff.add(runner);
+		return this;
+	}
+
+	// Connections that try the way to a runner are there at once.
+	private void connect() {
+		List<DispatchEffect> fresh = this.dispatcher.drain();
+		while (!fresh.isEmpty()) {
+			this.effects.addAll(fresh);
+			for (DispatchEffect effect : fresh) {
+				if (effect instanceof DispatchEffect.Send send && send.tries()
+						&& !this.cutOff.contains(send.runner().id())) {
+					this.dispatcher.connected(send.job(), this.now);
+				}
+			}
+			fresh = this.dispatcher.drain();
+		}
+	}
+
+	/**
+	 * Returns what was done since the last call.
+	 */
+	List<DispatchEffect> drain() {
+		connect();
+		List<DispatchEffect> drained = List.copyOf(this.effects);
+		this.effects.clear();
+		return drained;
 	}
 
 	/**
@@ -134,7 +178,7 @@
 	 */
 	List<String> done() {
 		List<String> names = new ArrayList<>();
-		for (DispatchEffect effect : this.dispatcher.drain()) {
+		for (DispatchEffect effect : drain()) {
 			names.add(switch (effect) {
 				case DispatchEffect.Send send -> "Send:" + send.runner().id();
 				case DispatchEffect.Refuse refuse -> "Refuse:" + refuse.code().name();
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -75,7 +75,7 @@
 		Desk empty = new Desk();
 		empty.arrive((remaining > 1000) ? Desk.STREAM : Desk.LOOKUP, 100, remaining);
 		empty.after(70);
-		List<DispatchEffect> effects = empty.dispatcher.drain();
+		List<DispatchEffect> effects = empty.drain();
 		assertThat(effects, Matchers.hasSize(1));
 		long retryAfter = ((DispatchEffect.Refuse) effects.getFirst()).retryAfterMillis();
 		assertThat(retryAfter,
@@ -119,7 +119,7 @@
 	}
 
 	private List<Integer> ranks() {
-		return this.desk.dispatcher.drain()
+		return this.desk.drain()
 			.stream()
 			.filter(DispatchEffect.Send.class::isInstance)
 			.map((effect) -> ((DispatchEffect.Send) effect).rank())
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
@@ -28,6 +30,8 @@
 
 	private static final long ANSWER_MILLIS = 600;
 
+	private static final long CONNECT_MILLIS = 200;
+
 	private static final long OLD_END_MILLIS = 2200;
 
 	// Callers see 502 after one to two seconds. The link to one engine holds what is sent
@@ -46,7 +50,8 @@
 		entry.desk.with(Desk.engine("a"), Desk.engine("c"));
 		entry.run(4000);
 		assertThat(entry.sentTo(HELD_UP, 0, 500), Matchers.greaterThan(0L));
-		assertThat(entry.mostAtOnce, Matchers.lessThanOrEqualTo(1L));
+		assertThat("at once", entry.mostAtOnce, Matchers.lessThanOrEqualTo(1L));
+		assertThat("without a connection made for it", entry.arriving(), Matchers.equalTo(0L));
 		assertThat(entry.sentTo("a", 600, 4000), Matchers.greaterThan(20L));
 	}
 
@@ -143,6 +148,61 @@
 		return desk;
 	}
 
+	// Several entries, of which this one has sent nothing to the engine for a while, so
+	// it can't
+	// know that the link there holds things for seconds. What it sends has to begin
+	// before newer
+	// weights bind: it leaves only once a connection is there. When none comes the caller
+	// is
+	// told at once that it has not run.
+	@Test
+	void whatHasToBeginByATimeLeavesOnlyOnceTheWayIsOpen() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		assertThat(triesOfNext(desk), Matchers.contains(false));
+		desk.after(2000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		desk.after(3000);
+		assertThat(triesOfNext(desk), Matchers.contains(true));
+		assertThat("seen open just now", triesOfNext(desk), Matchers.contains(false));
+		desk.after(1000).cutOff("a");
+		Job job = desk.arrive(Desk.STREAM_ONCE);
+		desk.after(200);
+		desk.ended(job, Outcome.NOT_SENT);
+		desk.after(100);
+		assertThat(desk.done(), Matchers.contains("Send:a", "Refuse:no-usable-runner"));
+	}
+
+	// One request is without its first event for longer than usual. The next one does not
+	// go
+	// over the same connections, which may lead nowhere, and those that come while it
+	// tries go
+	// elsewhere.
+	@Test
+	void whileARequestTriesTheWayTheOthersGoElsewhere() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.arrive(Desk.STREAM);
+		desk.cutOff("a").after(450);
+		assertThat(triesOfNext(desk), Matchers.contains(true));
+		desk.with(Desk.engine("b"));
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+	}
+
+	private static List<Boolean> triesOfNext(Desk desk) {
+		desk.drain();
+		Job job = desk.arrive(Desk.STREAM);
+		List<Boolean> tries = desk.drain().stream().map((effect) -> ((DispatchEffect.Send) effect).tries()).toList();
+		if (job.runner.isPresent() && !job.runner.get().way.beingTried()) {
+			desk.firstEvent(job);
+			desk.ended(job, Outcome.DONE);
+		}
+		return tries;
+	}
+
 	/** One of several entries, with requests that come all the time. */
 	private static final class Entry {
 
@@ -156,6 +216,8 @@
 
 		private final List<Sent> sent = new ArrayList<>();
 
+		private final Set<Job> trying = new HashSet<>();
+
 		private long mostAtOnce;
 
 		private Entry(String... engines) {
@@ -170,11 +232,12 @@
 			}
 			this.desk.after(FIRST_EVENT_MILLIS);
 			this.old.forEach(this.desk::firstEvent);
-			this.desk.dispatcher.drain();
+			this.desk.drain();
 		}
 
 		private void run(long millis) {
 			long started = this.desk.now;
+			this.desk.cutOff(HELD_UP);
 			for (long at = 0; at < millis; at += STEP_MILLIS) {
 				if (at / STEP_MILLIS % ARRIVAL_STEPS == 0) {
 					this.open.add(this.desk.arrive(Desk.STREAM, new Job.Size(300, 100, OptionalInt.empty()), 6000));
@@ -205,18 +268,25 @@
 		}
 
 		private void note(long atNanos) {
-			for (DispatchEffect effect : this.desk.dispatcher.drain()) {
+			for (DispatchEffect effect : this.desk.drain()) {
 				if (effect instanceof DispatchEffect.Send send) {
-					this.sent.add(new Sent(send.runner().id(), atNanos / Desk.MILLI));
+					this.sent.add(new Sent(send.runner().id(), send.tries(), atNanos / Desk.MILLI));
+					if (send.tries()) {
+						this.trying.add(send.job());
+					}
 				}
 			}
 		}
 
 		private void goOn(Job job) {
+			long waited = (this.desk.now - job.sentNanos()) / Desk.MILLI;
+			if (heldUp(job) && this.trying.contains(job) && waited >= CONNECT_MILLIS) {
+				this.trying.remove(job);
+				this.desk.ended(job, Outcome.NOT_SENT);
+			}
 			if (job.over || job.runner.isEmpty() || heldUp(job)) {
 				return;
 			}
-			long waited = (this.desk.now - job.sentNanos()) / Desk.MILLI;
 			if (waited >= ANSWER_MILLIS) {
 				this.desk.ended(job, Outcome.DONE);
 			}
@@ -226,6 +296,12 @@
 			}
 		}
 
+		private long arriving() {
+			return this.sent.stream()
+				.filter((one) -> one.runner.equals(HELD_UP) && !one.tries && one.millis >= KNOWN_MILLIS)
+				.count();
+		}
+
 		private long sentTo(String runner, long fromMillis, long toMillis) {
 			return this.sent.stream()
 				.filter((one) -> one.runner.equals(runner) && one.millis >= fromMillis && one.millis < toMillis)
@@ -234,7 +310,7 @@
 
 	}
 
-	private record Sent(String runner, long millis) {
+	private record Sent(String runner, boolean tries, long millis) {
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -73,6 +73,8 @@
 		while (!list.isEmpty()) {
 			Idle candidate = list.peekFirst();
 			if (mostIdle.isPresent() && candidate.idleNanos() > mostIdle.get().toNanos()) {
+				// A new one comes in place of the one that has been idle for longest.
+				IoUtils.safeClose(list.pollLast().connection);
 				return Optional.empty();
 			}
 			list.pollFirst();
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/Exchange.java
@@ -152,6 +152,9 @@
 			IoUtils.safeClose(to);
 			return;
 		}
+		if (this.connectTimer != null) {
+			this.listener.onConnected();
+		}
 		URI target = this.call.target();
 		String query = (target.getRawQuery() != null) ? "?" + target.getRawQuery() : "";
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpListener.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpListener.java
@@ -9,6 +9,13 @@
  */
 public interface HttpListener {
 
+	/**
+	 * Called when a new connection for the call is there, before anything is sent over
+	 * it; not for one that is used again.
+	 */
+	default void onConnected() {
+	}
+
 	/**
 	 * Called once with the status and the headers by lower-case name.
 	 */
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.undertow.Undertow;
@@ -228,6 +229,66 @@
 		assertThat(port(Optional.empty()), equalTo(second));
 	}
 
+	// A call asks for a new connection each time, for as long as its server is in doubt.
+	// Those that are idle meanwhile are not left behind: a server takes so many only.
+	@Test
+	void aNewConnectionTakesThePlaceOfAnIdleOne() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+			CompletableFuture<HttpReply> before = this.caller.call(HttpCall.of("GET", address(server), LONG));
+			try (Socket idle = server.accept()) {
+				write(idle, "HTTP/1.1 204 No Content\r\n\r\n");
+				before.join();
+				HttpCall fresh = new HttpCall("GET", address(server), Map.of(), new byte[0], HttpTimes.whole(LONG),
+						Optional.of(Duration.ZERO), Optional.empty());
+				CompletableFuture<HttpReply> reply = this.caller.call(fresh);
+				try (Socket made = server.accept()) {
+					write(made, "HTTP/1.1 204 No Content\r\n\r\n");
+					assertThat(reply.join().status(), is(204));
+				}
+				idle.setSoTimeout((int) LONG.toMillis());
+				idle.getInputStream().readAllBytes();
+			}
+		}
+	}
+
+	@Test
+	void onlyANewConnectionIsToldOf() {
+		AtomicInteger told = new AtomicInteger();
+		for (int i = 0; i < 3; i++) {
+			CompletableFuture<Void> end = new CompletableFuture<>();
+			this.caller.stream(HttpCall.of("GET", at("/name"), LONG), new HttpListener() {
+
+				@Override
+				public void onConnected() {
+					told.incrementAndGet();
+				}
+
+				@Override
+				public void onHead(int status, Map<String, String> headers) {
+					// Not looked at.
+				}
+
+				@Override
+				public void onData(byte[] data) {
+					// Not looked at.
+				}
+
+				@Override
+				public void onEnd() {
+					end.complete(null);
+				}
+
+				@Override
+				public void onFailure(boolean sent, Throwable cause) {
+					end.completeExceptionally(cause);
+				}
+
+			});
+			end.join();
+		}
+		assertThat(told.get(), is(1));
+	}
+
 	// The port on which the server sees a call come in.
 	private String port(Optional<Duration> mostIdle) {
 		HttpCall call = new HttpCall("GET", at("/port"), Map.of(), new byte[0], HttpTimes.whole(LONG), mostIdle,
