--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -45,8 +45,12 @@
 
 	final RunnerHealth health = new RunnerHealth();
 
+	final RunnerWay way = new RunnerWay();
+
 	final FreshShare share = new FreshShare();
 
+	final SlowestStart waits = new SlowestStart();
+
 	RunnerInfo info;
 
 	PeerLoad own = PeerLoad.NONE;
--- /dev/null
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -0,0 +1,316 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.Test;
+import org.wisteriapost.policy.fleet.NamedWeights;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+class RunnerWayTests {
+
+	private static final String HELD_UP = "held-up";
+
+	private static final long STEP_MILLIS = 20;
+
+	private static final long ARRIVAL_STEPS = 2;
+
+	// The first request has been without a word for longer than its objective.
+	private static final long KNOWN_MILLIS = 600;
+
+	private static final long FIRST_EVENT_MILLIS = 160;
+
+	private static final long ANSWER_MILLIS = 600;
+
+	private static final long CONNECT_MILLIS = 200;
+
+	private static final long OLD_END_MILLIS = 2200;
+
+	// Callers see 502 after one to two seconds. The link to one engine holds what is sent
+	// there for seconds; a reset does not take it back, so the engine begins it for
+	// nobody,
+	// or on weights that are over. Streams that it began before go on and end whole. The
+	// first request that stays without a word says it all, and from then on one at a time
+	// is
+	// enough to see whether the way is open again; but each end of an old stream was
+	// taken
+	// for a sign that the runner is well, and all went there again.
+	@Test
+	void aWayThatHoldsThingsUpGetsOneRequestAtATime() {
+		Entry entry = new Entry(HELD_UP);
+		entry.begin(4);
+		entry.desk.with(Desk.engine("a"), Desk.engine("c"));
+		entry.run(4000);
+		assertThat(entry.sentTo(HELD_UP, 0, 500), Matchers.greaterThan(0L));
+		assertThat("at once", entry.mostAtOnce, Matchers.lessThanOrEqualTo(1L));
+		assertThat("without a connection made for it", entry.arriving(), Matchers.equalTo(0L));
+		assertThat(entry.sentTo("a", 600, 4000), Matchers.greaterThan(20L));
+	}
+
+	// A runner is cut off: connections to it can't be made any more. A stream that it
+	// began
+	// before that ends whole a moment later, since its last events were on their way.
+	// That
+	// says nothing of the way there, but all went there again at once.
+	@Test
+	void theEndOfAnOldAnswerDoesNotBringBackARunnerThatIsCutOff() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		Job old = desk.arrive(Desk.STREAM);
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.firstEvent(old);
+		Job cut = desk.arrive(Desk.STREAM);
+		desk.after(400);
+		desk.with(Desk.engine("b"));
+		desk.ended(cut, Outcome.NOT_SENT);
+		desk.after(40);
+		desk.ended(old, Outcome.DONE);
+		desk.done();
+		for (int i = 0; i < 12; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+			desk.after(STEP_MILLIS);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+	}
+
+	// A runner could not be connected to, and can again: the first event of the one
+	// request
+	// that tried it says so. Its answer goes on for seconds; all that time the runner's
+	// other slots would stay empty.
+	@Test
+	void aRunnerThatIsReachedAgainTakesMoreFromTheFirstEventOn() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.ended(desk.arrive(Desk.STREAM), Outcome.NOT_SENT);
+		desk.after(500);
+		desk.done();
+		Job probe = desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:a"));
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.with(Desk.engine("b"));
+		desk.others("b", new PeerLoad(6, 3, 3000));
+		desk.firstEvent(probe);
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:a"));
+	}
+
+	// Newer weights are named, and the link to one engine holds things up for a second
+	// and
+	// more. Requests wait long there, and it is known to be cut off. The others begin
+	// what
+	// they get at once, and are not to be given up seconds before the newer weights bind.
+	@Test
+	void theWaitAtARunnerThatIsCutOffDoesNotBindTheOthers() {
+		Desk desk = heldUpWhenWeightsAreNamed();
+		Job cut = desk.arrive(Desk.STREAM_ONCE);
+		desk.after(400);
+		desk.with(Desk.engine("b"));
+		desk.ended(cut, Outcome.NOT_SENT);
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.firstEvent(cut);
+		desk.after(740);
+		desk.done();
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:b"));
+	}
+
+	// The same runner, once it may be tried again: what waited there a moment ago waited
+	// for
+	// so long that one more would begin on weights that are over by then.
+	@Test
+	void aRunnerThatWasCutOffIsBoundByItsOwnWaits() {
+		Desk desk = heldUpWhenWeightsAreNamed();
+		Job cut = desk.arrive(Desk.STREAM_ONCE);
+		desk.after(400);
+		desk.ended(cut, Outcome.NOT_SENT);
+		desk.after(900);
+		desk.done();
+		desk.arrive(Desk.STREAM);
+		desk.after(200);
+		assertThat(desk.done(), Matchers.contains("Refuse:no-usable-runner"));
+	}
+
+	// Named 4.5 seconds ago, and one request waits at the only engine for a second.
+	private static Desk heldUpWhenWeightsAreNamed() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		desk.after(3500);
+		desk.arrive(Desk.STREAM_ONCE);
+		desk.after(500).after(500);
+		return desk;
+	}
+
+	// Several entries, of which this one has sent nothing to the engine for a while, so
+	// it can't
+	// know that the link there holds things for seconds. What it sends has to begin
+	// before newer
+	// weights bind: it leaves only once a connection is there. When none comes the caller
+	// is
+	// told at once that it has not run.
+	@Test
+	void whatHasToBeginByATimeLeavesOnlyOnceTheWayIsOpen() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		assertThat(triesOfNext(desk), Matchers.contains(false));
+		desk.after(2000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		desk.after(3000);
+		assertThat(triesOfNext(desk), Matchers.contains(true));
+		assertThat("seen open just now", triesOfNext(desk), Matchers.contains(false));
+		desk.after(1000).cutOff("a");
+		Job job = desk.arrive(Desk.STREAM_ONCE);
+		desk.after(200);
+		desk.ended(job, Outcome.NOT_SENT);
+		desk.after(100);
+		assertThat(desk.done(), Matchers.contains("Send:a", "Refuse:no-usable-runner"));
+	}
+
+	// One request is without its first event for longer than usual. The next one does not
+	// go
+	// over the same connections, which may lead nowhere, and those that come while it
+	// tries go
+	// elsewhere.
+	@Test
+	void whileARequestTriesTheWayTheOthersGoElsewhere() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.arrive(Desk.STREAM);
+		desk.cutOff("a").after(450);
+		assertThat(triesOfNext(desk), Matchers.contains(true));
+		desk.with(Desk.engine("b"));
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+	}
+
+	private static List<Boolean> triesOfNext(Desk desk) {
+		desk.drain();
+		Job job = desk.arrive(Desk.STREAM);
+		List<Boolean> tries = desk.drain().stream().map((effect) -> ((DispatchEffect.Send) effect).tries()).toList();
+		if (job.runner.isPresent() && !job.runner.get().way.beingTried()) {
+			desk.firstEvent(job);
+			desk.ended(job, Outcome.DONE);
+		}
+		return tries;
+	}
+
+	/** One of several entries, with requests that come all the time. */
+	private static final class Entry {
+
+		private final Desk desk = new Desk();
+
+		private final Map<Job, Integer> seen = new HashMap<>();
+
+		private final List<Job> open = new ArrayList<>();
+
+		private final List<Job> old = new ArrayList<>();
+
+		private final List<Sent> sent = new ArrayList<>();
+
+		private final Set<Job> trying = new HashSet<>();
+
+		private long mostAtOnce;
+
+		private Entry(String... engines) {
+			for (String engine : engines) {
+				this.desk.with(Desk.engine(engine));
+			}
+		}
+
+		private void begin(int streams) {
+			for (int i = 0; i < streams; i++) {
+				this.old.add(this.desk.arrive(Desk.STREAM));
+			}
+			this.desk.after(FIRST_EVENT_MILLIS);
+			this.old.forEach(this.desk::firstEvent);
+			this.desk.drain();
+		}
+
+		private void run(long millis) {
+			long started = this.desk.now;
+			this.desk.cutOff(HELD_UP);
+			for (long at = 0; at < millis; at += STEP_MILLIS) {
+				if (at / STEP_MILLIS % ARRIVAL_STEPS == 0) {
+					this.open.add(this.desk.arrive(Desk.STREAM, new Job.Size(300, 100, OptionalInt.empty()), 6000));
+				}
+				this.desk.after(STEP_MILLIS);
+				goOn(at);
+				note(this.desk.now - started);
+				List.copyOf(this.open).forEach(this::goOn);
+				note(this.desk.now - started);
+				long known = started + KNOWN_MILLIS * Desk.MILLI;
+				this.mostAtOnce = Math.max(this.mostAtOnce,
+						this.open.stream().filter((job) -> heldUp(job) && job.sentNanos() > known).count());
+			}
+		}
+
+		// The old streams write events, and end one after the other.
+		private void goOn(long atMillis) {
+			for (Job job : this.old) {
+				job.progressed(1, Optional.of("2"), this.desk.now);
+			}
+			if (atMillis >= OLD_END_MILLIS && !this.old.isEmpty()) {
+				this.desk.ended(this.old.removeFirst(), Outcome.DONE);
+			}
+		}
+
+		private static boolean heldUp(Job job) {
+			return !job.over && job.runner.map((runner) -> runner.info.id().equals(HELD_UP)).orElse(false);
+		}
+
+		private void note(long atNanos) {
+			for (DispatchEffect effect : this.desk.drain()) {
+				if (effect instanceof DispatchEffect.Send send) {
+					this.sent.add(new Sent(send.runner().id(), send.tries(), atNanos / Desk.MILLI));
+					if (send.tries()) {
+						this.trying.add(send.job());
+					}
+				}
+			}
+		}
+
+		private void goOn(Job job) {
+			long waited = (this.desk.now - job.sentNanos()) / Desk.MILLI;
+			if (heldUp(job) && this.trying.contains(job) && waited >= CONNECT_MILLIS) {
+				this.trying.remove(job);
+				this.desk.ended(job, Outcome.NOT_SENT);
+			}
+			if (job.over || job.runner.isEmpty() || heldUp(job)) {
+				return;
+			}
+			if (waited >= ANSWER_MILLIS) {
+				this.desk.ended(job, Outcome.DONE);
+			}
+			else if (waited >= FIRST_EVENT_MILLIS && !Integer.valueOf(job.dispatch()).equals(this.seen.get(job))) {
+				this.seen.put(job, job.dispatch());
+				this.desk.firstEvent(job);
+			}
+		}
+
+		private long arriving() {
+			return this.sent.stream()
+				.filter((one) -> one.runner.equals(HELD_UP) && !one.tries && one.millis >= KNOWN_MILLIS)
+				.count();
+		}
+
+		private long sentTo(String runner, long fromMillis, long toMillis) {
+			return this.sent.stream()
+				.filter((one) -> one.runner.equals(runner) && one.millis >= fromMillis && one.millis < toMillis)
+				.count();
+		}
+
+	}
+
+	private record Sent(String runner, boolean tries, long millis) {
+	}
+
+}
