--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -23,7 +23,7 @@
 /**
  * Carries out decisions on the one I/O thread, in the order in which they were made.
  */
-final class DirectOutput {
+final class DirectOutput implements CallOutput {
 
 	private static final int BAD_GATEWAY = 502;
 
@@ -50,10 +50,8 @@
 		this.events = events;
 	}
 
-	/**
-	 * Sends a request to a runner.
-	 */
-	void send(DirectCall call, DispatchEffect.Send send) {
+	@Override
+	public void send(DirectCall call, DispatchEffect.Send send) {
 		int dispatch = call.job().dispatch();
 		onIoThread(() -> {
 			if (call.complete()) {
@@ -67,38 +65,28 @@
 		});
 	}
 
-	/**
-	 * Stops listening to the runner that has a request.
-	 */
-	void stop(DirectCall call) {
+	@Override
+	public void stop(DirectCall call) {
 		onIoThread(() -> call.relay(Optional.empty()));
 	}
 
-	/**
-	 * Answers that a request has not run and will not.
-	 */
-	void refuse(DirectCall call, Code code, long retryAfterMillis) {
+	@Override
+	public void refuse(DirectCall call, Code code, long retryAfterMillis) {
 		onIoThread(() -> call.answer().refuse(Refusal.later(code.name(), code.summary(), retryAfterMillis)));
 	}
 
-	/**
-	 * Answers that a request is wrong in itself.
-	 */
-	void reject(Arrival arrival, int status, Code code) {
+	@Override
+	public void reject(Arrival arrival, int status, Code code) {
 		onIoThread(() -> arrival.answer().refuse(Refusal.bad(status, code.name(), code.summary())));
 	}
 
-	/**
-	 * Answers a request that was never taken up.
-	 */
-	void refuse(Arrival arrival, Code code, long retryAfterMillis) {
+	@Override
+	public void refuse(Arrival arrival, Code code, long retryAfterMillis) {
 		onIoThread(() -> arrival.answer().refuse(Refusal.later(code.name(), code.summary(), retryAfterMillis)));
 	}
 
-	/**
-	 * Ends a request that may have run.
-	 */
-	void fail(DirectCall call, Code code, boolean timeout) {
+	@Override
+	public void fail(DirectCall call, Code code, boolean timeout) {
 		onIoThread(() -> {
 			if (call.complete()) {
 				return;
@@ -109,10 +97,8 @@
 		});
 	}
 
-	/**
-	 * Hands on the failure that a runner gave.
-	 */
-	void passOn(DirectCall call) {
+	@Override
+	public void passOn(DirectCall call) {
 		onIoThread(() -> call.held()
 			.ifPresent((held) -> call.answer().whole(held.status(), held.headers(), "", held.body())));
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -87,8 +88,8 @@
 		EntryInfo self = self(settings, random);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		DirectState state = new DirectState(settings, self, Dispatcher.create(limits(settings), random),
-				new DirectOutput(caller, dialect, view::put), log, DirectMetrics.in(registry), random, System::nanoTime,
-				view);
+				new DirectOutput(caller, dialect, view::put), log, DirectMetrics.in(registry), random,
+				DirectClock.SYSTEM, view);
 		EventLoop<DirectEvent> loop = EventLoop.start("entry", RING, state::apply);
 		view.loop(loop);
 		Mesh mesh = Mesh.start(links, new InetSocketAddress(settings.host(), settings.linkPort()), settings.name(),
@@ -99,7 +100,7 @@
 		AdminServer admin = AdminServer.start(new InetSocketAddress(settings.host(), settings.adminPort()), registry,
 				view::ready, caller.worker());
 		for (Kind kind : Kind.values()) {
-			following.add(kind, Follower.start(store, kind, timer, listener(kind, view)));
+			following.add(kind, Follower.start(store, kind, timer, listener(kind, view::put)));
 		}
 		timer.scheduleWithFixedDelay(() -> view.offer(new DirectEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -120,32 +121,35 @@
 				bounds.weightsInForce());
 	}
 
-	private static FollowListener listener(Kind kind, DirectView view) {
+	/**
+	 * Returns what makes events of what a kind's follower says.
+	 */
+	static FollowListener listener(Kind kind, Consumer<DirectEvent> events) {
 		return new FollowListener() {
 
 			@Override
 			public void onAll(List<ObjectStore.Item> items, long at) {
-				view.put(new DirectEvent.AllObjects(kind, items, at));
+				events.accept(new DirectEvent.AllObjects(kind, items, at));
 			}
 
 			@Override
 			public void onChange(ObjectStore.Change change) {
-				view.put(new DirectEvent.ObjectChanged(kind, change));
+				events.accept(new DirectEvent.ObjectChanged(kind, change));
 			}
 
 			@Override
 			public void onConfirmed(long asOfNanos) {
-				view.put(new DirectEvent.StoreConfirmed(kind, asOfNanos));
+				events.accept(new DirectEvent.StoreConfirmed(kind, asOfNanos));
 			}
 
 			@Override
 			public void onDoubt() {
-				view.put(new DirectEvent.StoreDoubtful());
+				events.accept(new DirectEvent.StoreDoubtful());
 			}
 
 			@Override
 			public void onReachable(boolean reachable) {
-				view.put(new DirectEvent.StoreReachable(kind, reachable));
+				events.accept(new DirectEvent.StoreReachable(kind, reachable));
 			}
 
 		};
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.kernel.SuspensionWatch;
@@ -36,13 +35,13 @@
 
 	private final Dispatcher dispatcher;
 
-	private final DirectOutput output;
+	private final CallOutput output;
 
 	private final DecisionLog log;
 
 	private final DirectMetrics metrics;
 
-	private final LongSupplier clock;
+	private final DirectClock clock;
 
 	private final EntryRoster roster;
 
@@ -62,7 +61,7 @@
 
 	private Optional<ObjectStore> store = Optional.empty();
 
-	private Optional<Mesh> mesh = Optional.empty();
+	private Optional<PeerSender> mesh = Optional.empty();
 
 	private Optional<SiteNews> news = Optional.empty();
 
@@ -76,8 +75,8 @@
 
 	private long ticks;
 
-	DirectState(SiteSettings settings, EntryInfo self, Dispatcher dispatcher, DirectOutput output, DecisionLog log,
-			DirectMetrics metrics, UniformRandomProvider random, LongSupplier clock, DirectView view) {
+	DirectState(SiteSettings settings, EntryInfo self, Dispatcher dispatcher, CallOutput output, DecisionLog log,
+			DirectMetrics metrics, UniformRandomProvider random, DirectClock clock, DirectView view) {
 		this.self = self;
 		this.dispatcher = dispatcher;
 		this.output = output;
@@ -91,19 +90,19 @@
 		this.view = view;
 		this.departure = new Departure(settings.bounds().grace());
 		this.intake = new Intake(this.beliefs, this.departure, output, log, metrics, random, this::rests);
-		this.suspension = SuspensionWatch.start(clock.getAsLong(), System.currentTimeMillis());
+		this.suspension = SuspensionWatch.start(now(), clock.dayMillis().getAsLong());
 	}
 
 	/**
 	 * Sets what the entry tells others by.
 	 */
-	void connect(Mesh links, ObjectStore objects, Following following) {
+	void connect(PeerSender links, ObjectStore objects, Following following) {
 		this.announcer.connect(links);
 		this.store = Optional.of(objects);
 		this.mesh = Optional.of(links);
 		StoreDuty duty = StoreDuty.of(this.self.name());
 		UpstreamChoice upstream = UpstreamChoice.of(this.self.name());
-		SiteNews passed = new SiteNews(objects, duty, upstream, links::send, this.clock, this.log);
+		SiteNews passed = new SiteNews(objects, duty, upstream, links::send, this.clock.nanos(), this.log);
 		this.news = Optional.of(passed);
 		this.reading = Optional.of(new StoreReading(duty, passed, following, links::send, this.log));
 		this.reports = Optional.of(new LoadReports(this.self.place(), links::send));
@@ -111,8 +110,8 @@
 	}
 
 	void apply(DirectEvent event) {
-		long now = this.clock.getAsLong();
-		if (this.suspension.woke(now, System.currentTimeMillis())) {
+		long now = now();
+		if (this.suspension.woke(now, this.clock.dayMillis().getAsLong())) {
 			woke(now);
 		}
 		switch (event) {
@@ -142,6 +141,10 @@
 		publish();
 	}
 
+	private long now() {
+		return this.clock.nanos().getAsLong();
+	}
+
 	private void woke(long now) {
 		this.log.decision("woke");
 		this.beliefs.suspended(now);
@@ -345,7 +348,7 @@
 			case DispatchEffect.Refuse refuse -> {
 				this.log.failure("refused", "attempt", refuse.job().attempt(), "code", refuse.code().name(), "route",
 						refuse.job().route().name(), "retryAfterMs", refuse.retryAfterMillis(), "ageMs",
-						TimeUnit.NANOSECONDS.toMillis(this.clock.getAsLong() - refuse.job().arrivedNanos()));
+						TimeUnit.NANOSECONDS.toMillis(now() - refuse.job().arrivedNanos()));
 				this.metrics.answered("refused", refuse.code().name());
 				this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
 				tellRefused(refuse.job());
@@ -377,8 +380,8 @@
 
 	private void publish() {
 		this.view.publish(ready(), this.departure.leaving(), this.roster.ready(ready()), this.roster.byPlace(),
-				this.beliefs.table().map(RouteTable::limits), this.beliefs.mayReject(this.clock.getAsLong()),
-				this.departure.over(this.dispatcher.inProgress(), this.clock.getAsLong()));
+				this.beliefs.table().map(RouteTable::limits), this.beliefs.mayReject(now()),
+				this.departure.over(this.dispatcher.inProgress(), now()));
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Intake.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Intake.java
@@ -45,7 +45,7 @@
 
 	private final Departure departure;
 
-	private final DirectOutput output;
+	private final CallOutput output;
 
 	private final DecisionLog log;
 
@@ -59,7 +59,7 @@
 	 * Returns the intake of one entry.
 	 * @param rests whether the entry hears the store from a neighbour, for the log
 	 */
-	Intake(SiteBeliefs beliefs, Departure departure, DirectOutput output, DecisionLog log, DirectMetrics metrics,
+	Intake(SiteBeliefs beliefs, Departure departure, CallOutput output, DecisionLog log, DirectMetrics metrics,
 			UniformRandomProvider random, BooleanSupplier rests) {
 		this.beliefs = beliefs;
 		this.departure = departure;
