--- a/entry/src/test/java/org/wisteriapost/entry/direct/TableAgeTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/TableAgeTests.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wisteriapost.protocol.site.Kind;
+import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.NewsRequest;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -107,6 +109,25 @@
 		assertThat(wrong.answer(this.bench), Matchers.equalTo(wrong.rejected));
 	}
 
+	// The entry that reads for others was suspended. It says no age until its routes are
+	// confirmed by a call that was made afterwards: whoever hears it would take them for
+	// younger than they are by as long as it was away.
+	@ParameterizedTest
+	@CsvSource({ "-1,false", "0,true" })
+	void whoReadsForOthersSaysNoAgeFromBeforeASuspension(long askedAfterMillis, boolean said) {
+		this.bench.link(true);
+		confirmed(Kind.ROUTES, this.bench.now());
+		this.bench.suspend(TEN_SECONDS);
+		this.bench.tick();
+		confirmed(Kind.ROUTES, this.bench.now() + millis(askedAfterMillis));
+		this.bench.sent().clear();
+		NewsRequest request = NewsRequest.newBuilder().setWanted(true).setStamp(7).build();
+		this.bench.apply(new DirectEvent.PeerWantsNews(StateBench.READER, request));
+		Frame answer = this.bench.sent().getLast();
+		assertThat(answer.getNews().getCurrent(), Matchers.equalTo(true));
+		assertThat(answer.getNews().hasAgeMillis(), Matchers.equalTo(said));
+	}
+
 	/** What is wrong with a request. */
 	enum Wrong {
 
