An age from before a suspension is told to nobody

What callers see: proper requests rejected by an old route table at entries that were never suspended themselves. Cause: an entry that reads for others forgot its age on waking, and then took the answer of a call that it had made before. Only its own RejectionGuard knew the moment before which nothing counts; NewsTeller did not. Ruled out: its own rejections (RejectionGuardTests, TableAgeTests hold them). Mend: the newest moment was kept three times (RejectionGuard, SiteNews, NewsTeller), now by one class, KnownMoment, which knows the doubt.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -148,7 +148,7 @@
 	private void woke(long now) {
 		this.log.decision("woke");
 		this.beliefs.suspended(now);
-		this.news.ifPresent(SiteNews::suspended);
+		this.news.ifPresent((passed) -> passed.suspended(now));
 	}
 
 	private void arrived(Arrival arrival, long now) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsTeller.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsTeller.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
+import org.wisteriapost.policy.routing.KnownMoment;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
 import org.wisteriapost.protocol.wire.NewsRequest;
@@ -34,7 +35,7 @@
 	// the number of the next frame shows it.
 	private final Map<String, Told> told = new HashMap<>();
 
-	private OptionalLong confirmedNanos = OptionalLong.empty();
+	private final KnownMoment confirmed = new KnownMoment();
 
 	/**
 	 * Returns the teller of one entry.
@@ -49,15 +50,15 @@
 	 * Hears as of when this entry has read the store's routes.
 	 */
 	void confirmed(long asOfNanos) {
-		this.confirmedNanos = OptionalLong.of(asOfNanos);
+		this.confirmed.confirmed(asOfNanos);
 	}
 
 	/**
 	 * Hears that this VM was suspended: how old its routes are is not known until they
 	 * are confirmed again.
 	 */
-	void suspended() {
-		this.confirmedNanos = OptionalLong.empty();
+	void suspended(long nowNanos) {
+		this.confirmed.doubt(nowNanos);
 	}
 
 	/**
@@ -137,7 +138,7 @@
 		News.Builder news = said.toBuilder().setSequence(before.frames);
 		before.stamp.ifPresent(news::setStamp);
 		if (said.getCurrent()) {
-			this.confirmedNanos.ifPresent((asOf) -> news.setAgeMillis(ageMillis(asOf)));
+			this.confirmed.nanos().ifPresent((asOf) -> news.setAgeMillis(ageMillis(asOf)));
 		}
 		this.sender.accept(peer, Frame.newBuilder().setNews(news).build());
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -19,6 +19,7 @@
 import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
+import org.wisteriapost.policy.routing.KnownMoment;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
@@ -56,7 +57,7 @@
 
 	private final StoreDuty duty;
 
-	private OptionalLong asOfNanos = OptionalLong.empty();
+	private final KnownMoment asOf = new KnownMoment();
 
 	// Who passes on what is not wanted here, since the word that ended it was lost with a
 	// link. Left alone it would do so for ever and never rest. Told once a tick, it ends
@@ -126,7 +127,7 @@
 	 */
 	void confirmed(long asOfNanos) {
 		this.teller.confirmed(asOfNanos);
-		newer(asOfNanos);
+		this.asOf.confirmed(asOfNanos);
 	}
 
 	/**
@@ -141,14 +142,15 @@
 	 * heard.
 	 */
 	OptionalLong asOfNanos() {
-		return this.asOfNanos;
+		return this.asOf.nanos();
 	}
 
 	/**
 	 * Hears that this VM was suspended.
 	 */
-	void suspended() {
-		this.teller.suspended();
+	void suspended(long nowNanos) {
+		this.teller.suspended(nowNanos);
+		this.asOf.doubt(nowNanos);
 	}
 
 	/**
@@ -307,7 +309,7 @@
 		}
 		this.hearer.counted(peer, news);
 		List<DirectEvent> fresh = kind(news.getKind()).map((kind) -> taken(peer, kind, news)).orElse(List.of());
-		this.hearer.asOf(peer, news).ifPresent(this::newer);
+		this.hearer.asOf(peer, news).ifPresent(this.asOf::confirmed);
 		askAgain(peer);
 		return fresh;
 	}
@@ -374,12 +376,6 @@
 		}
 	}
 
-	private void newer(long asOf) {
-		if (this.asOfNanos.isEmpty() || asOf - this.asOfNanos.getAsLong() > 0) {
-			this.asOfNanos = OptionalLong.of(asOf);
-		}
-	}
-
 	private News all(Kind kind, Map<String, Long> held) {
 		return News.newBuilder()
 			.setCurrent(true)
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
@@ -23,9 +23,7 @@
 
 	private final long mostAgeNanos;
 
-	private OptionalLong asOfNanos = OptionalLong.empty();
-
-	private OptionalLong doubtNanos = OptionalLong.empty();
+	private final KnownMoment known = new KnownMoment();
 
 	private RejectionGuard(long mostAgeNanos) {
 		this.mostAgeNanos = mostAgeNanos;
@@ -43,10 +41,7 @@
 	 * Hears that all that was declared up to a moment is known.
 	 */
 	public void confirmed(long nanos) {
-		boolean doubtful = this.doubtNanos.isPresent() && nanos - this.doubtNanos.getAsLong() < 0;
-		if (!doubtful && (this.asOfNanos.isEmpty() || nanos - this.asOfNanos.getAsLong() > 0)) {
-			this.asOfNanos = OptionalLong.of(nanos);
-		}
+		this.known.confirmed(nanos);
 	}
 
 	/**
@@ -54,8 +49,7 @@
 	 * was suspended. It counts no more.
 	 */
 	public void doubt(long nowNanos) {
-		this.asOfNanos = OptionalLong.empty();
-		this.doubtNanos = OptionalLong.of(nowNanos);
+		this.known.doubt(nowNanos);
 	}
 
 	/**
@@ -70,7 +64,7 @@
 	 * Returns how long ago the newest moment is as of which all is known.
 	 */
 	public OptionalLong ageNanos(long nowNanos) {
-		return this.asOfNanos.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nowNanos - this.asOfNanos.getAsLong());
+		return this.known.ageNanos(nowNanos);
 	}
 
 }
