--- a/entry/src/test/java/org/wisteriapost/entry/direct/TableAgeTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/TableAgeTests.java
@@ -92,6 +92,17 @@
 		assertThat(wrong.answer(this.bench), Matchers.equalTo(wrong.rejected));
 	}
 
+	// The front judges sizes on a thread of its own, by what the thread that decides has
+	// said last. That one is held up, or the VM was suspended since.
+	@ParameterizedTest
+	@CsvSource({ "2700,0,true", "2701,0,false", "0,10000,false" })
+	void sizesAreJudgedByTheAgeOfNow(long passedMillis, long suspendedMillis, boolean rejects) {
+		confirmed(Kind.ROUTES, this.bench.now());
+		this.bench.pass(passedMillis);
+		this.bench.suspend(Duration.ofMillis(suspendedMillis));
+		assertThat(this.bench.view().mayReject(), Matchers.equalTo(rejects));
+	}
+
 	// The neighbour reads for this entry. What an own call found, made before it came to
 	// rest, was not taken and confirms nothing.
 	@ParameterizedTest
