A size is rejected only while what is known of the limits is young now

What callers see: 413 or 431 for good by a limit that was raised meanwhile. Order: the deciding thread says that sizes may be rejected, is held up or the VM suspended; the front's thread rejects by that word, whose age it doesn't know. Mend: the word says until when, by the monotonic clock, and when it was said by both clocks (RejectionPermit); the front looks at them. It is enough: only the two clocks tell how old a belief is, and both are read at the answer.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -83,7 +83,7 @@
 		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().daemon().factory());
 		ObjectStore store = site.store(caller, settings);
 		CallDialect dialect = site.dialect();
-		DirectView view = new DirectView();
+		DirectView view = new DirectView(DirectClock.SYSTEM);
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(System.nanoTime());
 		EntryInfo self = self(settings, random);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -380,7 +380,8 @@
 
 	private void publish() {
 		this.view.publish(ready(), this.departure.leaving(), this.roster.ready(ready()), this.roster.byPlace(),
-				this.beliefs.table().map(RouteTable::limits), this.beliefs.mayReject(now()),
+				this.beliefs.table().map(RouteTable::limits),
+				this.beliefs.rejectionPermit(now(), this.clock.dayMillis().getAsLong()),
 				this.departure.over(this.dispatcher.inProgress(), now()));
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -8,30 +8,35 @@
 import org.wisteriapost.policy.fleet.CallerEntries;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.routing.CallLimits;
+import org.wisteriapost.policy.routing.RejectionPermit;
 
 /**
  * What the state thread lets other threads see, and the way to it.
  */
 final class DirectView implements DirectPort {
 
-	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), false, Optional.empty(), false);
+	private static final Snapshot NOTHING = new Snapshot(false, false, List.of(), false, Optional.empty(),
+			RejectionPermit.NONE);
 
 	private final CompletableFuture<Void> over = new CompletableFuture<>();
 
 	private volatile Snapshot snapshot = NOTHING;
 
+	private final DirectClock clock;
+
 	private volatile EventLoop<DirectEvent> loop;
 
+	DirectView(DirectClock clock) {
+		this.clock = clock;
+	}
+
 	void loop(EventLoop<DirectEvent> to) {
 		this.loop = to;
 	}
 
 	void publish(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace, Optional<CallLimits> limits,
-			boolean mayReject, boolean ended) {
-		Snapshot next = new Snapshot(ready, leaving, entries, byPlace, limits, mayReject);
-		if (!next.equals(this.snapshot)) {
-			this.snapshot = next;
-		}
+			RejectionPermit rejections, boolean ended) {
+		this.snapshot = new Snapshot(ready, leaving, entries, byPlace, limits, rejections);
 		if (ended) {
 			this.over.complete(null);
 		}
@@ -77,11 +82,11 @@
 
 	@Override
 	public boolean mayReject() {
-		return this.snapshot.mayReject();
+		return this.snapshot.rejections().allows(this.clock.nanos().getAsLong(), this.clock.dayMillis().getAsLong());
 	}
 
 	private record Snapshot(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace,
-			Optional<CallLimits> limits, boolean mayReject) {
+			Optional<CallLimits> limits, RejectionPermit rejections) {
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteBeliefs.java
@@ -14,6 +14,7 @@
 import org.wisteriapost.policy.fleet.NamedWeights;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.routing.RejectionGuard;
+import org.wisteriapost.policy.routing.RejectionPermit;
 import org.wisteriapost.policy.routing.RouteTable;
 import org.wisteriapost.protocol.site.Declared;
 import org.wisteriapost.protocol.site.Kind;
@@ -73,6 +74,13 @@
 		return this.guard.allows(now);
 	}
 
+	/**
+	 * Returns until when that is so if nothing more is heard.
+	 */
+	RejectionPermit rejectionPermit(long nowNanos, long nowDayMillis) {
+		return this.guard.permit(nowNanos, nowDayMillis);
+	}
+
 	/**
 	 * Returns how long ago the table was last known to be the newest; empty when it never
 	 * was.
--- a/entry/src/test/java/org/wisteriapost/entry/direct/StateBench.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/StateBench.java
@@ -107,7 +107,7 @@
 		DirectClock clock = new DirectClock(() -> this.now, () -> this.dayMillis);
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(42);
 		DispatchLimits limits = new DispatchLimits("p1", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8));
-		this.view = new DirectView();
+		this.view = new DirectView(clock);
 		this.state = new DirectState(settings(), entry(SELF), Dispatcher.create(limits, random), new Answers(),
 				this.log, DirectMetrics.in(new SimpleMeterRegistry()), random, clock, this.view);
 		this.state.connect(new Sender(), this.store, this.following);
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
@@ -60,6 +60,17 @@
 		return age.isPresent() && age.getAsLong() <= this.mostAgeNanos;
 	}
 
+	/**
+	 * Returns what is allowed from now on if nothing more is heard.
+	 * @param nowNanos on the monotonic clock
+	 * @param nowDayMillis the time of day, in milliseconds since 1970
+	 */
+	public RejectionPermit permit(long nowNanos, long nowDayMillis) {
+		OptionalLong asOf = this.known.nanos();
+		return asOf.isEmpty() ? RejectionPermit.NONE
+				: new RejectionPermit(OptionalLong.of(asOf.getAsLong() + this.mostAgeNanos), nowNanos, nowDayMillis);
+	}
+
 	/**
 	 * Returns how long ago the newest moment is as of which all is known.
 	 */
