--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectFrontTests.java
@@ -0,0 +1,224 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.ByteArrayInputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublisher;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wisteriapost.policy.routing.CallLimits;
+import org.wisteriapost.protocol.http.HttpCaller;
+import org.wisteriapost.protocol.site.CallDialect;
+import org.wisteriapost.protocol.site.CallerFields;
+import org.wisteriapost.protocol.site.OutboundCall;
+import org.wisteriapost.protocol.site.RunnerReply;
+import org.wisteriapost.protocol.site.SiteSettings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * A caller whose request is larger than what is declared is told so for good. By a limit
+ * that may be old it is refused as not run instead: the limit may have been raised.
+ */
+class DirectFrontTests {
+
+	private static final CallLimits SMALL = limits(100);
+
+	private static final CallLimits LARGE = limits(10_000);
+
+	private final HttpCaller caller = HttpCaller.create(1);
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private final Port port = new Port();
+
+	private final DirectFront front = DirectFront.start(settings(), new Plain(), this.caller.worker(), this.port);
+
+	@AfterEach
+	void stop() {
+		this.client.close();
+		this.front.close();
+		this.caller.close();
+	}
+
+	private static CallLimits limits(long bodyBytes) {
+		return new CallLimits(1000, bodyBytes, Duration.ofSeconds(3), Duration.ofSeconds(15));
+	}
+
+	private static SiteSettings settings() {
+		return new SiteSettings("a", "127.0.0.1", "p1", "r1", Optional.of(new InetSocketAddress("127.0.0.1", 0)),
+				Optional.empty(), Optional.empty(), 1, 1, URI.create("http://store.example"), Optional.empty(), "",
+				1_000_000, new SiteSettings.Bounds(Duration.ofSeconds(8), Duration.ofSeconds(3), Duration.ofSeconds(8),
+						0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(3)));
+	}
+
+	private HttpResponse<String> post(int headBytes, BodyPublisher body) throws Exception {
+		URI uri = URI.create("http://127.0.0.1:" + this.front.ports().getFirst() + "/x/");
+		HttpRequest request = HttpRequest.newBuilder(uri)
+			.version(HttpClient.Version.HTTP_1_1)
+			.header("X-Large", "x".repeat(headBytes))
+			.POST(body)
+			.build();
+		return this.client.send(request, BodyHandlers.ofString());
+	}
+
+	// Without a length ahead, so that its size is known only when it has come.
+	private static BodyPublisher streamed(int bytes) {
+		return BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(new byte[bytes]));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "HEAD,true,431", "HEAD,false,503", "BODY,true,413", "BODY,false,503", "STREAMED,true,413",
+			"STREAMED,false,503" })
+	void whatIsTooLargeIsRejectedOnlyByAYoungLimit(Large large, boolean young, int status) throws Exception {
+		this.port.limits.add(SMALL);
+		this.port.mayReject = young;
+		HttpResponse<String> answer = switch (large) {
+			case HEAD -> post(2000, BodyPublishers.noBody());
+			case BODY -> post(1, BodyPublishers.ofByteArray(new byte[1000]));
+			case STREAMED -> post(1, streamed(1000));
+		};
+		assertThat(answer.statusCode(), Matchers.equalTo(status));
+		assertThat(answer.body(), Matchers.containsString(young ? "too-large" : Intake.TABLE_DOUBTFUL.name()));
+		assertThat(answer.headers().firstValue("Retry-After").isPresent(), Matchers.equalTo(!young));
+	}
+
+	// The limit is raised while a body comes. The routes are confirmed as of now, and
+	// the limit that the body is read by is the one before.
+	@Test
+	void aBodyIsNotRejectedByALimitThatWasRaisedWhileItCame() throws Exception {
+		this.port.limits.add(SMALL);
+		this.port.limits.add(LARGE);
+		this.port.mayReject = true;
+		HttpResponse<String> answer = post(1, streamed(1000));
+		assertThat(answer.body(), Matchers.containsString(Intake.TABLE_DOUBTFUL.name()));
+		assertThat(answer.statusCode(), Matchers.equalTo(503));
+	}
+
+	// What was declared is not known yet: what the front takes instead rejects nothing.
+	@Test
+	void nothingIsRejectedByALimitThatIsNotKnown() throws Exception {
+		this.port.mayReject = true;
+		HttpResponse<String> answer = post(1, BodyPublishers.ofByteArray(new byte[(4 << 20) + 1]));
+		assertThat(answer.statusCode(), Matchers.equalTo(503));
+	}
+
+	enum Large {
+
+		HEAD, BODY, STREAMED
+
+	}
+
+	/** Says each limit once, the last one over and over. */
+	private static final class Port implements DirectPort {
+
+		private final Queue<CallLimits> limits = new ConcurrentLinkedQueue<>();
+
+		private volatile boolean mayReject;
+
+		@Override
+		public boolean offer(DirectEvent event) {
+			return false;
+		}
+
+		@Override
+		public void put(DirectEvent event) {
+		}
+
+		@Override
+		public boolean ready() {
+			return true;
+		}
+
+		@Override
+		public boolean leaving() {
+			return false;
+		}
+
+		@Override
+		public List<String> addresses(Optional<String> place) {
+			return List.of();
+		}
+
+		@Override
+		public Optional<CallLimits> limits() {
+			return Optional.ofNullable((this.limits.size() > 1) ? this.limits.poll() : this.limits.peek());
+		}
+
+		@Override
+		public boolean mayReject() {
+			return this.mayReject;
+		}
+
+	}
+
+	/** Reads nothing but that there is an attempt. */
+	private static final class Plain implements CallDialect {
+
+		@Override
+		public CallerFields read(Function<String, String> header) {
+			return new CallerFields(Optional.of("attempt"), OptionalLong.empty(), 0, 0, OptionalInt.empty(),
+					Optional.empty(), Optional.empty());
+		}
+
+		@Override
+		public boolean reserved(String name) {
+			return false;
+		}
+
+		@Override
+		public List<Map.Entry<String, String>> outbound(OutboundCall call) {
+			return List.of();
+		}
+
+		@Override
+		public RunnerReply reply(int status, Map<String, String> headers) {
+			return new RunnerReply(Optional.empty(), false, false, OptionalInt.empty());
+		}
+
+		@Override
+		public String attemptHeader() {
+			return "Attempt";
+		}
+
+		@Override
+		public String directoryPath() {
+			return "/directory";
+		}
+
+		@Override
+		public String placeParameter() {
+			return "place";
+		}
+
+		@Override
+		public String readinessPath() {
+			return "/ready";
+		}
+
+		@Override
+		public byte[] directory(List<String> addresses, int keepSeconds) {
+			return new byte[0];
+		}
+
+	}
+
+}
