A size is rejected only by the limit that is known at the answer

What callers see: 413 for good by a limit that was raised while their body came, or by the front's own bound while none is declared. Cause: a body is read by the limit at its begin; the age that was looked at before the answer is that of the routes at its end. Mend: the limit it was judged by has to be the one known now.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -152,13 +152,13 @@
 		CallerAnswer answer = CallerAnswer.withFractions(exchange, fields.attempt().orElse("none"), UNSENT_BYTES);
 		Optional<CallLimits> limits = this.port.limits();
 		if (limits.isPresent() && headBytes(exchange) > limits.get().maxHeaderBytes()) {
-			overLimit(exchange, answer, HEAD_LARGE, HEAD_TOO_LARGE);
+			overLimit(exchange, answer, limits, HEAD_LARGE, HEAD_TOO_LARGE);
 			return;
 		}
 		long most = limits.map(CallLimits::maxBodyBytes).orElse(4L << 20);
 		if (exchange.getRequestContentLength() > most) {
 			exchange.setPersistent(false);
-			overLimit(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
+			overLimit(exchange, answer, limits, TOO_LARGE, CONTENT_TOO_LARGE);
 			return;
 		}
 		if (fields.attempt().isEmpty()) {
@@ -168,7 +168,7 @@
 		exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(Integer.MAX_VALUE, most));
 		exchange.getRequestReceiver()
 			.receiveFullBytes((same, body) -> submit(exchange, fields, body, answer, now),
-					(same, ex) -> unreadable(exchange, answer, ex));
+					(same, ex) -> unreadable(exchange, answer, limits, ex));
 	}
 
 	private void submit(HttpServerExchange exchange, CallerFields fields, byte[] body, CallerAnswer answer, long now) {
@@ -224,18 +224,23 @@
 		return bytes;
 	}
 
-	private void unreadable(HttpServerExchange exchange, CallerAnswer answer, IOException ex) {
+	private void unreadable(HttpServerExchange exchange, CallerAnswer answer, Optional<CallLimits> limits,
+			IOException ex) {
 		exchange.setPersistent(false);
 		if (ex instanceof Receiver.RequestToLargeException || ex instanceof RequestTooBigException) {
-			overLimit(exchange, answer, TOO_LARGE, CONTENT_TOO_LARGE);
+			overLimit(exchange, answer, limits, TOO_LARGE, CONTENT_TOO_LARGE);
 			return;
 		}
 		IoUtils.safeClose(exchange.getConnection());
 	}
 
-	// The limit may have been raised since: see RejectionGuard.
-	private void overLimit(HttpServerExchange exchange, CallerAnswer answer, int status, Code code) {
-		if (this.port.mayReject()) {
+	// The limit may have been raised since: see RejectionGuard. A body takes time to
+	// come,
+	// so the one that it was read by may have been replaced by now; what is known is
+	// looked at after its age, and so is at least as new.
+	private void overLimit(HttpServerExchange exchange, CallerAnswer answer, Optional<CallLimits> judgedBy, int status,
+			Code code) {
+		if (this.port.mayReject() && judgedBy.isPresent() && judgedBy.equals(this.port.limits())) {
 			refuse(exchange, answer, status, code);
 			return;
 		}
