The product's interface hears as of when the platform held a head

No change of behaviour yet: PrefixWatch tells a moment with what it read, which is still that of hearing, and HeadRead hands it on. The soak's entries say when they asked. ServiceView is asked with the clocks of now.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
@@ -175,7 +175,7 @@
 	// What a bundle lacks is wrong only if no newer one has it: see RejectionGuard.
 	private Refusal refusal(CodedException ex) {
 		boolean byBundle = ex.code().equals(CallCheck.SERVICE_UNKNOWN) || ex.code().equals(CallCheck.MODEL_UNKNOWN);
-		if (byBundle && !this.port.view().mayReject()) {
+		if (byBundle && !this.port.view().mayReject(System.nanoTime(), System.currentTimeMillis())) {
 			return Refusal.later(BUNDLE_DOUBTFUL.name(), BUNDLE_DOUBTFUL.summary(), ABSENT_MILLIS);
 		}
 		return bad(ex);
--- a/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
@@ -27,6 +27,15 @@
 		entries = List.copyOf(entries);
 	}
 
+	/**
+	 * Returns whether a request may be called wrong by the bundle now.
+	 * @param nowNanos on the monotonic clock
+	 * @param nowDayMillis the time of day, in milliseconds since 1970
+	 */
+	public boolean mayReject(long nowNanos, long nowDayMillis) {
+		return this.mayReject;
+	}
+
 	/**
 	 * Returns a service by name.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
+++ b/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.wisteriapost.protocol.outside.Platform;
 
@@ -36,26 +37,30 @@
 
 	private final String prefix;
 
-	private final Consumer<Map<String, byte[]>> listener;
+	private final Consumer<Values> listener;
+
+	private final LongSupplier clock;
 
 	private final Map<String, byte[]> values = new HashMap<>();
 
 	private volatile boolean closed;
 
-	private PrefixWatch(Platform platform, ScheduledExecutorService timer, String prefix,
-			Consumer<Map<String, byte[]>> listener) {
+	private PrefixWatch(Platform platform, ScheduledExecutorService timer, String prefix, LongSupplier clock,
+			Consumer<Values> listener) {
 		this.platform = platform;
 		this.timer = timer;
 		this.prefix = prefix;
+		this.clock = clock;
 		this.listener = listener;
 	}
 
 	/**
 	 * Returns a running watch.
+	 * @param clock the monotonic clock, in nanoseconds
 	 */
 	public static PrefixWatch start(Platform platform, ScheduledExecutorService timer, String prefix,
-			Consumer<Map<String, byte[]>> listener) {
-		PrefixWatch watch = new PrefixWatch(platform, timer, prefix, listener);
+			LongSupplier clock, Consumer<Values> listener) {
+		PrefixWatch watch = new PrefixWatch(platform, timer, prefix, clock, listener);
 		watch.list();
 		return watch;
 	}
@@ -94,7 +99,7 @@
 
 	private void take(Platform.Listing listing) {
 		listing.items().forEach((item) -> this.values.put(item.key(), item.value()));
-		this.listener.accept(Map.copyOf(this.values));
+		this.listener.accept(new Values(this.values, this.clock.getAsLong()));
 		// From the timer's thread, so that answers that come at once do not nest.
 		schedule(() -> watch(listing.revision()), 0);
 	}
@@ -111,4 +116,18 @@
 		}
 	}
 
+	/**
+	 * All that is under a prefix.
+	 *
+	 * @param values by key
+	 * @param asOfNanos when they were the newest, by the monotonic clock
+	 */
+	public record Values(Map<String, byte[]> values, long asOfNanos) {
+
+		public Values {
+			values = Map.copyOf(values);
+		}
+
+	}
+
 }
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryEvent.java
@@ -61,8 +61,9 @@
 	 * The platform has said which head it holds.
 	 *
 	 * @param head the head, {@link Head#NONE} before the first roll
+	 * @param asOfNanos when it held it, by the monotonic clock
 	 */
-	record HeadRead(Head head) implements EntryEvent {
+	record HeadRead(Head head, long asOfNanos) implements EntryEvent {
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryProcess.java
@@ -4,7 +4,6 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -274,8 +273,8 @@
 					new InetSocketAddress(CommonSettings.ADMIN_HOST.get(settings),
 							CommonSettings.ADMIN_PORT.get(settings).intValue()),
 					this.registry, () -> this.view.ready()));
-			kept(PrefixWatch.start(platform, this.timer, HEAD, this::headRead));
-			kept(PrefixWatch.start(platform, this.timer, LEAVING, this::marksRead));
+			kept(PrefixWatch.start(platform, this.timer, HEAD, System::nanoTime, this::headRead));
+			kept(PrefixWatch.start(platform, this.timer, LEAVING, System::nanoTime, this::marksRead));
 			kept(VmPoll.start(vmList, this.timer, (members) -> put(new EntryEvent.VmsRead(members))));
 			this.timer.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 			String vm = CommonSettings.VM.get(settings);
@@ -308,14 +307,15 @@
 		return part;
 	}
 
-	private void headRead(Map<String, byte[]> values) {
-		Head head = Optional.ofNullable(values.get(HEAD)).map(BundleCodec::head).orElse(Head.NONE);
-		put(new EntryEvent.HeadRead(head));
+	private void headRead(PrefixWatch.Values read) {
+		Head head = Optional.ofNullable(read.values().get(HEAD)).map(BundleCodec::head).orElse(Head.NONE);
+		put(new EntryEvent.HeadRead(head, read.asOfNanos()));
 	}
 
-	private void marksRead(Map<String, byte[]> values) {
+	private void marksRead(PrefixWatch.Values read) {
 		// There is no delete in the platform's calls; an empty value takes a mark back.
-		Set<String> vms = values.entrySet()
+		Set<String> vms = read.values()
+			.entrySet()
 			.stream()
 			.filter((mark) -> mark.getValue().length > 0)
 			.map((mark) -> mark.getKey().substring(LEAVING.length()))
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -108,7 +108,7 @@
 			case EntryEvent.LinkUp up -> linkUp(up.peer());
 			case EntryEvent.FrameArrived arrived -> frame(arrived.peer(), arrived.frame());
 			case EntryEvent.LinkDown down -> linkDown(down.peer());
-			case EntryEvent.HeadRead read -> headRead(read.head());
+			case EntryEvent.HeadRead read -> headRead(read.head(), read.asOfNanos());
 			case EntryEvent.BundleRead read -> bundle(read.content());
 			case EntryEvent.MarksRead read -> marks(read.vms());
 			case EntryEvent.VmsRead read -> vms(read.members());
@@ -197,8 +197,8 @@
 		}
 	}
 
-	private void headRead(Head head) {
-		if (this.heads.learn(head.generation(), head.digest(), true, this.clock.getAsLong())) {
+	private void headRead(Head head, long asOfNanos) {
+		if (this.heads.learn(head.generation(), head.digest(), true, asOfNanos)) {
 			askBundle();
 		}
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
@@ -59,23 +59,24 @@
 	/**
 	 * Takes a head that the platform or a neighbour named; returns whether its bundle is
 	 * now wanted.
-	 * @param fromPlatform whether the platform itself said so just now
+	 * @param fromPlatform whether the platform itself said so
+	 * @param asOfNanos when it was so
 	 */
-	boolean learn(long generation, String digest, boolean fromPlatform, long nowNanos) {
+	boolean learn(long generation, String digest, boolean fromPlatform, long asOfNanos) {
 		if (generation == this.current.generation && generation > 0) {
 			boolean same = this.invariants.holds(digest.equals(this.current.digest), "one-winner",
 					"generation " + generation + " is " + this.current.digest + ", heard " + digest);
 			if (same && fromPlatform) {
 				this.confirmed = true;
-				this.confirmedNanos = nowNanos;
-				this.guard.confirmed(nowNanos);
+				this.confirmedNanos = asOfNanos;
+				this.guard.confirmed(asOfNanos);
 			}
 			return false;
 		}
 		if (generation <= this.wanted.map(Known::generation).orElse(this.current.generation)) {
 			return false;
 		}
-		this.wanted = Optional.of(new Known(generation, digest, fromPlatform, nowNanos));
+		this.wanted = Optional.of(new Known(generation, digest, fromPlatform, asOfNanos));
 		return true;
 	}
 
@@ -243,7 +244,7 @@
 	 * A head.
 	 *
 	 * @param fromPlatform whether the platform itself named it
-	 * @param namedNanos when it was heard first
+	 * @param namedNanos as of when it was named first
 	 */
 	private record Known(long generation, String digest, boolean fromPlatform, long namedNanos) {
 
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakEntry.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakEntry.java
@@ -214,9 +214,10 @@
 		if (!alive()) {
 			return;
 		}
+		long asked = this.time.now();
 		this.world.platform().get("head").thenAccept((stored) -> {
 			Head head = stored.map((one) -> BundleCodec.head(one.value())).orElse(Head.NONE);
-			this.time.after(0, () -> hear(new EntryEvent.HeadRead(head)));
+			this.time.after(0, () -> hear(new EntryEvent.HeadRead(head, asked)));
 		});
 		List<Member> members = this.world.members();
 		this.time.after(VirtualTime.SECOND, () -> hear(new EntryEvent.VmsRead(members)));
