A head is confirmed as of when it was asked for

What callers see on the product's own interface: model-unknown for good for a model that was rolled more than eight seconds ago. Cause: an answer counted from its coming; a watch waits 3 s and its answer may be as long under way, so a bundle seemed up to 6 s younger. Mend: as Follower does, as of the call, or as of the end of a watch that was held for its whole wait without a change. Ages of up to 6 s and a call remain normal after a change, under the 7.2 s of RejectionGuard and the 10 s within which agents rely on a head. Ruled out: agents holding back rolls, since fresh-millis is 10 s.

--- a/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
+++ b/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
@@ -74,13 +74,14 @@
 		if (this.closed) {
 			return;
 		}
+		long askedNanos = this.clock.getAsLong();
 		this.platform.list(this.prefix).whenComplete((listing, failure) -> {
 			if (failure != null) {
 				retry(failure);
 				return;
 			}
 			this.values.clear();
-			take(listing);
+			take(listing, askedNanos);
 		});
 	}
 
@@ -88,18 +89,29 @@
 		if (this.closed) {
 			return;
 		}
+		long askedNanos = this.clock.getAsLong();
 		this.platform.watch(this.prefix, revision, WAIT).whenComplete((listing, failure) -> {
 			if (failure != null) {
 				retry(failure);
 				return;
 			}
-			take(listing);
+			take(listing, asOf(listing, askedNanos));
 		});
 	}
 
-	private void take(Platform.Listing listing) {
+	// A platform that held a watch for its whole wait had no change until the end of it.
+	// One that ended it sooner, or with a change, may have had the next change right
+	// after
+	// the call, and the answer have been under way since.
+	private long asOf(Platform.Listing listing, long askedNanos) {
+		long endNanos = askedNanos + WAIT.toNanos();
+		boolean held = listing.items().isEmpty() && this.clock.getAsLong() - endNanos >= 0;
+		return held ? endNanos : askedNanos;
+	}
+
+	private void take(Platform.Listing listing, long asOfNanos) {
 		listing.items().forEach((item) -> this.values.put(item.key(), item.value()));
-		this.listener.accept(new Values(this.values, this.clock.getAsLong()));
+		this.listener.accept(new Values(this.values, asOfNanos));
 		// From the timer's thread, so that answers that come at once do not nest.
 		schedule(() -> watch(listing.revision()), 0);
 	}
