The age of a bundle holds after a suspension and where nothing is decided

What callers see on the product's own interface: model-unknown or service-unknown for good by a bundle that is older than it seems. Cause 1: nothing noticed that the VM was suspended; ages on the monotonic clock are too low by its whole length, also the age told to agents and other entries. Cause 2: the HTTP side judged by a flag that the deciding thread renews when something happens. Mend: SuspensionWatch as on a site, and RejectionPermit, which says until when and is looked at with both clocks. EntryStateTests asked its call 0 ms before the suspension, which is not before it; it is 1 ms now, every assertion stays.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/ServiceView.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.wisteriapost.policy.bundle.ServiceSpec;
+import org.wisteriapost.policy.routing.RejectionPermit;
 
 /**
  * What the HTTP side may know of the entry's state; replaced whole by the event loop.
@@ -14,13 +15,13 @@
  * @param entries addresses for callers
  * @param leaving whether this entry refuses new requests because it leaves
  * @param ready whether it has a bundle and a link to an agent
- * @param mayReject whether the bundle is recent enough to call a request wrong by it
+ * @param rejections whether the bundle is recent enough to call a request wrong by it
  */
 public record ServiceView(long generation, Map<String, ServiceSpec> services, List<String> entries, boolean leaving,
-		boolean ready, boolean mayReject) {
+		boolean ready, RejectionPermit rejections) {
 
 	/** Nothing is known yet. */
-	public static final ServiceView EMPTY = new ServiceView(0, Map.of(), List.of(), false, false, false);
+	public static final ServiceView EMPTY = new ServiceView(0, Map.of(), List.of(), false, false, RejectionPermit.NONE);
 
 	public ServiceView {
 		services = Map.copyOf(services);
@@ -33,7 +34,7 @@
 	 * @param nowDayMillis the time of day, in milliseconds since 1970
 	 */
 	public boolean mayReject(long nowNanos, long nowDayMillis) {
-		return this.mayReject;
+		return this.rejections.allows(nowNanos, nowDayMillis);
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/EntryState.java
@@ -12,12 +12,14 @@
 import org.wisteriapost.entry.caller.ServiceView;
 import org.wisteriapost.entry.link.PeerLink;
 import org.wisteriapost.entry.platform.BundleContent;
+import org.wisteriapost.kernel.SuspensionWatch;
 import org.wisteriapost.policy.bundle.Head;
 import org.wisteriapost.policy.bundle.ServiceSpec;
 import org.wisteriapost.policy.membership.LinkChoice;
 import org.wisteriapost.policy.membership.Member;
 import org.wisteriapost.policy.membership.Membership;
 import org.wisteriapost.policy.request.RequestEvent;
+import org.wisteriapost.policy.routing.RejectionPermit;
 import org.wisteriapost.protocol.wire.Approval;
 import org.wisteriapost.protocol.wire.BundleReply;
 import org.wisteriapost.protocol.wire.Frame;
@@ -44,6 +46,10 @@
 
 	private final LongSupplier clock;
 
+	private final LongSupplier dayMillis;
+
+	private final SuspensionWatch suspension;
+
 	private final Calls calls;
 
 	private final ClaimKeeper claims;
@@ -64,7 +70,7 @@
 
 	private long bundleAskedNanos;
 
-	private boolean mayReject;
+	private RejectionPermit shown = RejectionPermit.NONE;
 
 	private long idleNanos;
 
@@ -74,6 +80,8 @@
 		this.identity = identity;
 		this.output = output;
 		this.clock = wiring.clock();
+		this.dayMillis = wiring.wallMillis();
+		this.suspension = SuspensionWatch.start(this.clock.getAsLong(), this.dayMillis.getAsLong());
 		this.heads = new HeadTracker(wiring.invariants());
 		this.membership = Membership.of(identity.vm(), identity.place());
 		this.linkChoice = LinkChoice.of(identity.vm());
@@ -102,6 +110,10 @@
 	 * Applies one event.
 	 */
 	public void apply(EntryEvent event) {
+		if (this.suspension.woke(this.clock.getAsLong(), this.dayMillis.getAsLong())) {
+			this.heads.suspended(this.clock.getAsLong());
+			publish();
+		}
 		switch (event) {
 			case EntryEvent.CallArrived arrived -> this.calls.arrive(arrived.call());
 			case EntryEvent.CallerLeft left -> this.calls.callerLeft(left.id());
@@ -269,8 +281,9 @@
 
 	private void tick() {
 		long now = this.clock.getAsLong();
-		// The view is made anew after changes only, and a bundle grows old without one.
-		if (this.heads.mayReject(now) != this.mayReject) {
+		// The view is made anew after changes only, and a bundle is confirmed without
+		// one.
+		if (!rejections().untilNanos().equals(this.shown.untilNanos())) {
 			publish();
 		}
 		this.calls.decide(new RequestEvent.Tick());
@@ -301,8 +314,12 @@
 		return this.claims.unwritten() == 0 || now - this.idleNanos > CLAIMS_WAIT_NANOS;
 	}
 
+	private RejectionPermit rejections() {
+		return this.heads.rejections(this.clock.getAsLong(), this.dayMillis.getAsLong());
+	}
+
 	private void publish() {
-		this.mayReject = this.heads.mayReject(this.clock.getAsLong());
+		this.shown = rejections();
 		Map<String, ServiceSpec> services = this.heads.bundle()
 			.map((bundle) -> bundle.services()
 				.stream()
@@ -314,7 +331,7 @@
 			.toList();
 		boolean ready = this.heads.generation() > 0 && this.peers.agents() > 0 && !this.draining.started();
 		this.output.publish(new ServiceView(this.heads.generation(), services, entries, this.draining.refusing(), ready,
-				this.mayReject));
+				this.shown));
 	}
 
 	private void sendHeads() {
--- a/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/HeadTracker.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -14,7 +15,9 @@
 import org.wisteriapost.policy.bundle.BundleCodec;
 import org.wisteriapost.policy.bundle.Digests;
 import org.wisteriapost.policy.bundle.ServiceSpec;
+import org.wisteriapost.policy.routing.KnownMoment;
 import org.wisteriapost.policy.routing.RejectionGuard;
+import org.wisteriapost.policy.routing.RejectionPermit;
 
 /**
  * The bundle in force as this entry knows it. Its generation never goes down, whoever
@@ -48,9 +51,8 @@
 
 	private long takenNanos;
 
-	private long confirmedNanos;
-
-	private boolean confirmed;
+	// As of when the platform is known to have held the current head.
+	private final KnownMoment confirmed = new KnownMoment();
 
 	HeadTracker(Invariants invariants) {
 		this.invariants = invariants;
@@ -67,9 +69,7 @@
 			boolean same = this.invariants.holds(digest.equals(this.current.digest), "one-winner",
 					"generation " + generation + " is " + this.current.digest + ", heard " + digest);
 			if (same && fromPlatform) {
-				this.confirmed = true;
-				this.confirmedNanos = asOfNanos;
-				this.guard.confirmed(asOfNanos);
+				confirmed(asOfNanos);
 			}
 			return false;
 		}
@@ -101,15 +101,27 @@
 		this.wanted = Optional.empty();
 		this.bundle = Optional.of(now);
 		this.content = Optional.of(read);
-		this.confirmed = next.fromPlatform;
-		// The bundle may have been long under way, and a newer one been rolled since.
-		this.confirmedNanos = next.namedNanos;
-		if (this.confirmed) {
-			this.guard.confirmed(next.namedNanos);
+		this.confirmed.forget();
+		if (next.fromPlatform) {
+			// The bundle may have been long under way, and a newer one been rolled since.
+			confirmed(next.namedNanos);
 		}
 		return true;
 	}
 
+	private void confirmed(long asOfNanos) {
+		this.confirmed.confirmed(asOfNanos);
+		this.guard.confirmed(asOfNanos);
+	}
+
+	/**
+	 * Hears that this VM was suspended: what is known is older than it seems.
+	 */
+	void suspended(long nowNanos) {
+		this.confirmed.doubt(nowNanos);
+		this.guard.doubt(nowNanos);
+	}
+
 	/**
 	 * Stops accepting older weights of a service that nobody serves any more.
 	 */
@@ -166,8 +178,8 @@
 	 * call a request wrong by it. One whose head is known and that is not here yet may
 	 * hold what the request asks for.
 	 */
-	boolean mayReject(long nowNanos) {
-		return this.wanted.isEmpty() && this.guard.allows(nowNanos);
+	RejectionPermit rejections(long nowNanos, long nowDayMillis) {
+		return this.wanted.isEmpty() ? this.guard.permit(nowNanos, nowDayMillis) : RejectionPermit.NONE;
 	}
 
 	/**
@@ -208,11 +220,12 @@
 	 * Returns the head as it is told to neighbours.
 	 */
 	org.wisteriapost.protocol.wire.Head wire(long nowNanos) {
+		OptionalLong age = this.confirmed.ageNanos(nowNanos);
 		return org.wisteriapost.protocol.wire.Head.newBuilder()
 			.setGeneration(this.current.generation)
 			.setDigest(this.current.digest)
-			.setConfirmed(this.confirmed)
-			.setConfirmedAgeMillis(TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - this.confirmedNanos)))
+			.setConfirmed(age.isPresent())
+			.setConfirmedAgeMillis(TimeUnit.NANOSECONDS.toMillis(Math.max(0, age.orElse(0))))
 			.build();
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/process/EntryStateTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/process/EntryStateTests.java
@@ -122,7 +122,7 @@
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
 	void whatWasKnownBeforeASuspensionRejectsNothing(boolean ticked) {
-		long askedBefore = this.now;
+		long askedBefore = this.now - MILLI;
 		this.dayMillis += 60_000;
 		if (ticked) {
 			tick();
--- a/entry/src/test/java/org/wisteriapost/entry/process/HeadTrackerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/process/HeadTrackerTests.java
@@ -110,10 +110,10 @@
 		this.heads.learn(1, digest, true, 0);
 		this.heads.take(new BundleContent(digest, content, Map.of()), 30 * SECOND);
 		assertThat(this.heads.generation(), is(1L));
-		assertThat(this.heads.mayReject(30 * SECOND), is(false));
+		assertThat(mayReject(30 * SECOND), is(false));
 		assertThat(this.heads.wire(30 * SECOND).getConfirmedAgeMillis(), is(30_000L));
 		this.heads.learn(1, digest, true, 31 * SECOND);
-		assertThat(this.heads.mayReject(31 * SECOND), is(true));
+		assertThat(mayReject(31 * SECOND), is(true));
 	}
 
 	@Test
@@ -122,8 +122,12 @@
 		String digest = Digests.sha256(content);
 		this.heads.learn(1, digest, true, 0);
 		this.heads.take(new BundleContent(digest, content, Map.of()), SECOND);
-		assertThat(this.heads.mayReject(SECOND), is(true));
-		assertThat(this.heads.mayReject(8 * SECOND), is(false));
+		assertThat(mayReject(SECOND), is(true));
+		assertThat(mayReject(8 * SECOND), is(false));
+	}
+
+	private boolean mayReject(long nowNanos) {
+		return this.heads.rejections(nowNanos, 0).allows(nowNanos, 0);
 	}
 
 	private static Bundle bundle(long generation, String model) {
--- a/policy/src/main/java/org/wisteriapost/policy/routing/KnownMoment.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/KnownMoment.java
@@ -29,10 +29,17 @@
 	 * is told its age. Nothing from before that moment counts any more, which is enough.
 	 */
 	public void doubt(long nowNanos) {
-		this.newestNanos = OptionalLong.empty();
+		forget();
 		this.doubtNanos = OptionalLong.of(nowNanos);
 	}
 
+	/**
+	 * Hears that something else is to be known from now on.
+	 */
+	public void forget() {
+		this.newestNanos = OptionalLong.empty();
+	}
+
 	/**
 	 * Returns the moment; empty when there is none.
 	 */
