--- a/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
+++ b/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.wisteriapost.protocol.outside.Platform;
 
@@ -36,26 +37,30 @@
 
 	private final String prefix;
 
-	private final Consumer<Map<String, byte[]>> listener;
+	private final Consumer<Values> listener;
+
+	private final LongSupplier clock;
 
 	private final Map<String, byte[]> values = new HashMap<>();
 
 	private volatile boolean closed;
 
-	private PrefixWatch(Platform platform, ScheduledExecutorService timer, String prefix,
-			Consumer<Map<String, byte[]>> listener) {
+	private PrefixWatch(Platform platform, ScheduledExecutorService timer, String prefix, LongSupplier clock,
+			Consumer<Values> listener) {
 		this.platform = platform;
 		this.timer = timer;
 		this.prefix = prefix;
+		this.clock = clock;
 		this.listener = listener;
 	}
 
 	/**
 	 * Returns a running watch.
+	 * @param clock the monotonic clock, in nanoseconds
 	 */
 	public static PrefixWatch start(Platform platform, ScheduledExecutorService timer, String prefix,
-			Consumer<Map<String, byte[]>> listener) {
-		PrefixWatch watch = new PrefixWatch(platform, timer, prefix, listener);
+			LongSupplier clock, Consumer<Values> listener) {
+		PrefixWatch watch = new PrefixWatch(platform, timer, prefix, clock, listener);
 		watch.list();
 		return watch;
 	}
@@ -69,13 +74,14 @@
 		if (this.closed) {
 			return;
 		}
+		long askedNanos = this.clock.getAsLong();
 		this.platform.list(this.prefix).whenComplete((listing, failure) -> {
 			if (failure != null) {
 				retry(failure);
 				return;
 			}
 			this.values.clear();
-			take(listing);
+			take(listing, askedNanos);
 		});
 	}
 
@@ -83,18 +89,29 @@
 		if (this.closed) {
 			return;
 		}
+		long askedNanos = this.clock.getAsLong();
 		this.platform.watch(this.prefix, revision, WAIT).whenComplete((listing, failure) -> {
 			if (failure != null) {
 				retry(failure);
 				return;
 			}
-			take(listing);
+			take(listing, asOf(listing, askedNanos));
 		});
 	}
 
-	private void take(Platform.Listing listing) {
+	// A platform that held a watch for its whole wait had no change until the end of it.
+	// One that ended it sooner, or with a change, may have had the next change right
+	// after
+	// the call, and the answer have been under way since.
+	private long asOf(Platform.Listing listing, long askedNanos) {
+		long endNanos = askedNanos + WAIT.toNanos();
+		boolean held = listing.items().isEmpty() && this.clock.getAsLong() - endNanos >= 0;
+		return held ? endNanos : askedNanos;
+	}
+
+	private void take(Platform.Listing listing, long asOfNanos) {
 		listing.items().forEach((item) -> this.values.put(item.key(), item.value()));
-		this.listener.accept(Map.copyOf(this.values));
+		this.listener.accept(new Values(this.values, asOfNanos));
 		// From the timer's thread, so that answers that come at once do not nest.
 		schedule(() -> watch(listing.revision()), 0);
 	}
@@ -111,4 +128,18 @@
 		}
 	}
 
+	/**
+	 * All that is under a prefix.
+	 *
+	 * @param values by key
+	 * @param asOfNanos when they were the newest, by the monotonic clock
+	 */
+	public record Values(Map<String, byte[]> values, long asOfNanos) {
+
+		public Values {
+			values = Map.copyOf(values);
+		}
+
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
@@ -23,9 +23,7 @@
 
 	private final long mostAgeNanos;
 
-	private OptionalLong asOfNanos = OptionalLong.empty();
-
-	private OptionalLong doubtNanos = OptionalLong.empty();
+	private final KnownMoment known = new KnownMoment();
 
 	private RejectionGuard(long mostAgeNanos) {
 		this.mostAgeNanos = mostAgeNanos;
@@ -43,10 +41,7 @@
 	 * Hears that all that was declared up to a moment is known.
 	 */
 	public void confirmed(long nanos) {
-		boolean doubtful = this.doubtNanos.isPresent() && nanos - this.doubtNanos.getAsLong() < 0;
-		if (!doubtful && (this.asOfNanos.isEmpty() || nanos - this.asOfNanos.getAsLong() > 0)) {
-			this.asOfNanos = OptionalLong.of(nanos);
-		}
+		this.known.confirmed(nanos);
 	}
 
 	/**
@@ -54,8 +49,7 @@
 	 * was suspended. It counts no more.
 	 */
 	public void doubt(long nowNanos) {
-		this.asOfNanos = OptionalLong.empty();
-		this.doubtNanos = OptionalLong.of(nowNanos);
+		this.known.doubt(nowNanos);
 	}
 
 	/**
@@ -66,11 +60,22 @@
 		return age.isPresent() && age.getAsLong() <= this.mostAgeNanos;
 	}
 
+	/**
+	 * Returns what is allowed from now on if nothing more is heard.
+	 * @param nowNanos on the monotonic clock
+	 * @param nowDayMillis the time of day, in milliseconds since 1970
+	 */
+	public RejectionPermit permit(long nowNanos, long nowDayMillis) {
+		OptionalLong asOf = this.known.nanos();
+		return asOf.isEmpty() ? RejectionPermit.NONE
+				: new RejectionPermit(OptionalLong.of(asOf.getAsLong() + this.mostAgeNanos), nowNanos, nowDayMillis);
+	}
+
 	/**
 	 * Returns how long ago the newest moment is as of which all is known.
 	 */
 	public OptionalLong ageNanos(long nowNanos) {
-		return this.asOfNanos.isEmpty() ? OptionalLong.empty() : OptionalLong.of(nowNanos - this.asOfNanos.getAsLong());
+		return this.known.ageNanos(nowNanos);
 	}
 
 }
