--- a/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
@@ -162,6 +162,42 @@
 		assertThat(this.unbelieved, Matchers.empty());
 	}
 
+	// The same when the loss was noticed late, so that little is left of the bound: all
+	// at
+	// once would fill a link that is narrow for one already.
+	@ParameterizedTest
+	@CsvSource({ "FREEZES,1000,7", "FREEZES,1500,10", "STORE_SILENT,1000,7", "STORE_SILENT,1500,10" })
+	void aSlowNextReaderIsNotFollowedByAllAtOnceWhenLittleTimeIsLeft(Loss loss, long readMillis, int most) {
+		Entry lost = settled();
+		this.readNanos = Duration.ofMillis(readMillis).toNanos();
+		lose(lost, loss, lost);
+		run(8000);
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(most));
+		assertThat(behind(), Matchers.empty());
+	}
+
+	// The next readers hear the reader well, so this entry alone has lost it, and waits
+	// for
+	// nobody. Three of them are cut off from the store themselves and know nothing.
+	@ParameterizedTest
+	@CsvSource({ "SILENT_TO_ONE,0,2000", "CLOSED_TO_ONE,0,2000", "SILENT_TO_ONE,1,2300", "SILENT_TO_ONE,3,2700" })
+	void whoAloneLosesItsReaderDoesNotWaitForASuccessor(Loss loss, int successorsTurnedAway, long mostMillis) {
+		Entry reader = settled();
+		List<Entry> order = order();
+		List<Entry> turnedAway = order.subList(1, successorsTurnedAway + 1);
+		turnedAway.forEach((entry) -> this.silent.add(reader.name + " to " + entry.name));
+		turnedAway.forEach((entry) -> lose(entry, Loss.TURNED_AWAY));
+		run(4000);
+		order.getLast().longestBehindNanos = 0;
+		lose(reader, loss, order.getLast());
+		run(5000);
+		assertThat(order.getLast().longestBehindNanos / 1_000_000, Matchers.lessThan(mostMillis));
+	}
+
+	private List<Entry> order() {
+		return Rendezvous.order(List.copyOf(this.entries.keySet()), "store").stream().map(this.entries::get).toList();
+	}
+
 	// One entry alone loses its reader, or with it those that are to read next. It
 	// reaches
 	// the store all the while, so what is declared binds it: handled by an old table a
@@ -173,10 +209,7 @@
 			"STORE_SILENT,4,13" })
 	void whoReachesTheStoreIsNeverWithoutNewsForTheBound(Loss loss, int successorsSilent, int rank) {
 		Entry reader = settled();
-		List<Entry> order = Rendezvous.order(List.copyOf(this.entries.keySet()), "store")
-			.stream()
-			.map(this.entries::get)
-			.toList();
+		List<Entry> order = order();
 		assertThat(order.getFirst(), Matchers.sameInstance(reader));
 		Entry alone = order.get(rank);
 		order.subList(1, successorsSilent + 1).forEach((entry) -> this.silent.add(entry.name + " to " + alone.name));
