Who alone loses its reader waits for no successor that does not read, and never up to the bound

What callers see: a request is handled by a table of routes or tokens that is older than the site's bound allows, by an entry that reaches the store.

Cause: an entry that loses its reader asks the next by rendezvous, which says that it is not current both when it has only begun to read and when it rests and hears the reader well. It waited for it, up to 2 s after 1.2 s of silence, or after the 1.8 s in which a reader notices that its own connections to the store are silent.

Mend: one that rests says, with its word that it is not current, how long ago it heard its reader (age_millis, which had no meaning there; no change of the wire). If that was over a sign later than this entry heard it, the loss is not shared: it is passed over at once, and after three such the entry reads. While nobody says that it has lost the reader as well, the wait ends at four fifths of the bound, counted from the last word or, when the reader says it is not current, from what it had confirmed.

Why it is enough: of a loss that is shared nobody has heard the reader later, so the waits that keep many from reading at once stay; a loss that is not shared is told by any neighbour that answers; and where none answers the bound itself ends the wait.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,8 @@
 
 	private final DirectOutput output;
 
+	private final Duration declaredInForce;
+
 	private final DecisionLog log;
 
 	private final DirectMetrics metrics;
@@ -84,6 +87,7 @@
 		this.log = log;
 		this.metrics = metrics;
 		this.clock = clock;
+		this.declaredInForce = settings.bounds().declaredInForce();
 		this.roster = new EntryRoster(self);
 		this.announcer = new Announcer(settings, self, this.roster, dispatcher);
 		this.beliefs = new SiteBeliefs(dispatcher, this.roster, this.announcer, log,
@@ -101,7 +105,7 @@
 		this.announcer.connect(links);
 		this.store = Optional.of(objects);
 		this.mesh = Optional.of(links);
-		StoreDuty duty = StoreDuty.of(this.self.name());
+		StoreDuty duty = StoreDuty.of(this.self.name(), this.declaredInForce);
 		UpstreamChoice upstream = UpstreamChoice.of(this.self.name());
 		SiteNews passed = new SiteNews(objects, duty, upstream, links::send, this.clock, this.log);
 		this.news = Optional.of(passed);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -38,6 +39,8 @@
 	// Half a second: who hears the store from here takes silence for a loss.
 	private static final int TICKS_PER_SIGN = 5;
 
+	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
 	// What is large comes last: on a narrow link what is small would wait behind it, and
 	// callers would find no runner for as long as the route table takes.
 	private static final List<Kind> ANSWER_ORDER = List.of(Kind.RUNNERS, Kind.ENTRIES, Kind.WEIGHTS, Kind.ROUTES);
@@ -50,6 +53,8 @@
 
 	private final BiConsumer<String, Frame> sender;
 
+	private final LongSupplier clock;
+
 	private final DecisionLog log;
 
 	private final UpstreamChoice upstream;
@@ -85,6 +90,7 @@
 		this.duty = duty;
 		this.upstream = upstream;
 		this.sender = sender;
+		this.clock = clock;
 		this.log = log;
 	}
 
@@ -283,7 +289,7 @@
 		}
 		this.teller.stamped(peer, request);
 		if (!this.answered) {
-			this.teller.send(peer, News.newBuilder().setCurrent(false).build());
+			this.teller.send(peer, notCurrent());
 			return;
 		}
 		if (request.getKeepAlive()) {
@@ -297,6 +303,15 @@
 		}
 	}
 
+	// Who alone has lost the entry that reads for both would wait for this one to read.
+	private News notCurrent() {
+		News.Builder news = News.newBuilder().setCurrent(false);
+		this.duty.heardNanos()
+			.ifPresent((heard) -> news
+				.setAgeMillis(Math.ceilDiv(Math.max(0, this.clock.getAsLong() - heard), NANOS_PER_MILLI)));
+		return news.build();
+	}
+
 	/**
 	 * Returns what another entry says that is new here, as if the store had said it.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
 import org.wisteriapost.kernel.log.DecisionLog;
@@ -73,8 +74,9 @@
 	 */
 	List<DirectEvent> heard(String peer, News said, long nowNanos) {
 		List<DirectEvent> fresh = this.news.heard(peer, said);
+		this.news.asOfNanos().ifPresent(this.duty::knownAsOf);
 		if (this.duty.believes(peer)) {
-			reader(peer, said.getCurrent(), nowNanos);
+			reader(peer, said, nowNanos);
 		}
 		return fresh;
 	}
@@ -82,9 +84,14 @@
 	// Signs that follow a lost frame tell nothing. An entry that rests takes a reader
 	// whose news stay incomplete for silent, and reads itself: it would go on with an old
 	// table otherwise.
-	private void reader(String peer, boolean current, long nowNanos) {
+	private void reader(String peer, News said, long nowNanos) {
+		boolean current = said.getCurrent();
 		boolean whole = this.news.whole(peer);
-		if (whole || !current || !this.duty.settled()) {
+		if (!current && said.hasAgeMillis()) {
+			long agoNanos = TimeUnit.MILLISECONDS.toNanos(said.getAgeMillis());
+			carryOut(this.duty.heardResting(peer, agoNanos, nowNanos));
+		}
+		else if (whole || !current || !this.duty.settled()) {
 			carryOut(this.duty.heard(peer, current, whole, nowNanos));
 		}
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Whether this entry reads the site's store itself or hears from a neighbour what it
@@ -31,6 +32,14 @@
  * to read one after the other, the last after {@value #LATEST_MILLIS} ms, and are asked
  * by those that come after them: whichever comes through first serves all, and an entry
  * with nobody left to ask reads at once.
+ *
+ * Who alone loses its reader, by a link that is silent, is bound by the site's promises
+ * and would wait for a successor that does not read. Symptom: a request is handled by a
+ * table that is older than the bound allows. Two safeguards are enough together. Of a
+ * loss that all share nobody hears the reader later than this entry did; so one that
+ * rests and did is passed over at once, and after {@value #MOST_PASSED_OVER} of them this
+ * entry reads. And while nobody says that it has lost the reader as well, an entry waits
+ * no longer than a share of the bound, counted from what it last knew.
  */
 public final class StoreDuty {
 
@@ -44,6 +53,20 @@
 
 	static final int LATEST_MILLIS = 2000;
 
+	static final int MOST_PASSED_OVER = 3;
+
+	private static final Duration USUAL_IN_FORCE = Duration.ofSeconds(3);
+
+	// The rest of the bound is for the reading.
+	private static final double UNINFORMED_SHARE = 0.8;
+
+	// A next reader in another region has answered by then.
+	private static final long SHORTEST_WAIT_NANOS = Duration.ofMillis(300).toNanos();
+
+	// A reader gives a sign each half second. One that was heard so much later has given
+	// one that did not come here.
+	private static final long LATER_NANOS = Duration.ofMillis(600).toNanos();
+
 	private static final long SUCCESSOR_NANOS = Duration.ofMillis(SUCCESSOR_MILLIS).toNanos();
 
 	private static final long LATEST_NANOS = Duration.ofMillis(LATEST_MILLIS).toNanos();
@@ -69,6 +92,8 @@
 
 	private final String self;
 
+	private final long mostUninformedNanos;
+
 	private final Map<String, Long> suspects = new HashMap<>();
 
 	private Stage stage = Stage.READS;
@@ -85,23 +110,45 @@
 	// Who is to read before this entry does, the next reader first.
 	private final List<String> successors = new ArrayList<>();
 
+	private OptionalLong knownNanos = OptionalLong.empty();
+
+	// When the reader that is lost was heard.
+	private long heardNanos;
+
 	private long lostNanos;
 
+	// When this entry reads that may have lost its reader alone.
+	private long latestNanos;
+
+	// Whether somebody that was to read next has answered that it does, or not yet.
+	private boolean shared;
+
+	private int passedOver;
+
 	// Since when the first of them has had its turn.
 	private long turnNanos;
 
 	private Answer answer = Answer.NONE;
 
-	private StoreDuty(String self) {
+	private StoreDuty(String self, Duration inForce) {
 		this.self = self;
 		this.reader = self;
+		this.mostUninformedNanos = (long) (inForce.toNanos() * UNINFORMED_SHARE);
 	}
 
 	/**
-	 * Returns the duty of one entry, which reads.
+	 * Returns the duty of one entry, which reads, with the usual bound for declarations.
 	 */
 	public static StoreDuty of(String self) {
-		return new StoreDuty(self);
+		return of(self, USUAL_IN_FORCE);
+	}
+
+	/**
+	 * Returns the duty of one entry, which reads.
+	 * @param inForce from a declaration until it binds
+	 */
+	public static StoreDuty of(String self, Duration inForce) {
+		return new StoreDuty(self, inForce);
 	}
 
 	/**
@@ -126,6 +173,21 @@
 		return this.stage != Stage.READS && peer.equals(this.reader);
 	}
 
+	/**
+	 * Returns when the neighbour from which this entry hears the store was heard; empty
+	 * when it has none.
+	 */
+	public OptionalLong heardNanos() {
+		return settled() ? OptionalLong.of(this.sinceNanos) : OptionalLong.empty();
+	}
+
+	/**
+	 * Hears as of when the store's routes are known here.
+	 */
+	public void knownAsOf(long nanos) {
+		this.knownNanos = OptionalLong.of(nanos);
+	}
+
 	/**
 	 * Looks what is to be done now.
 	 * @param group the other living entries that share a reader with this one; empty when
@@ -138,8 +200,8 @@
 		return switch (this.stage) {
 			case READS -> reads(group, mayRest, nowNanos);
 			case ASKED -> asked(group, mayRest, nowNanos);
-			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS) ? lost(nowNanos)
-					: List.of();
+			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS)
+					? lost(this.sinceNanos, nowNanos) : List.of();
 			case SEEKS -> seeks(nowNanos);
 		};
 	}
@@ -156,14 +218,32 @@
 		return switch (this.stage) {
 			case READS -> List.of();
 			case ASKED -> current ? answered(complete, nowNanos) : read(nowNanos);
-			case RESTS -> current ? confirmed(nowNanos) : lost(nowNanos);
+			case RESTS -> current ? confirmed(nowNanos) : lost(informedNanos(), nowNanos);
 			case SEEKS -> {
+				this.shared = this.passedOver == 0;
 				this.answer = current ? Answer.CURRENT : Answer.NOT_CURRENT;
 				yield (current && complete) ? confirmed(nowNanos) : successorSays(current, nowNanos);
 			}
 		};
 	}
 
+	/**
+	 * Hears a neighbour that was asked and hears the store from another one.
+	 * @param agoNanos how long before its answer it heard that one
+	 */
+	public List<Step> heardResting(String peer, long agoNanos, long nowNanos) {
+		boolean later = agoNanos >= 0 && agoNanos <= SILENT_NANOS
+				&& this.sinceNanos - agoNanos - this.heardNanos >= LATER_NANOS;
+		if (this.stage != Stage.SEEKS || !believes(peer) || !later) {
+			return heard(peer, false, false, nowNanos);
+		}
+		this.answer = Answer.NOT_CURRENT;
+		this.successors.remove(peer);
+		this.passedOver++;
+		this.shared = false;
+		return (this.passedOver == MOST_PASSED_OVER) ? readAgain(nowNanos) : seeks(nowNanos);
+	}
+
 	private List<Step> reads(Collection<String> group, boolean mayRest, long nowNanos) {
 		Optional<String> wanted = wanted(group, nowNanos);
 		if (!mayRest || wanted.isEmpty()) {
@@ -212,13 +292,25 @@
 		return List.of(dismiss);
 	}
 
-	private List<Step> lost(long nowNanos) {
+	// A reader that says it is not current may have known nothing new for longer than it
+	// was silent.
+	private long informedNanos() {
+		boolean known = this.knownNanos.isPresent() && this.knownNanos.getAsLong() - this.sinceNanos < 0;
+		return known ? this.knownNanos.getAsLong() : this.sinceNanos;
+	}
+
+	private List<Step> lost(long informedNanos, long nowNanos) {
 		List<Step> steps = new ArrayList<>();
 		steps.add(new Step.Dismiss(this.reader));
 		suspect(this.reader, nowNanos);
 		this.successors.clear();
 		order(this.group, nowNanos).stream().takeWhile((name) -> !name.equals(this.self)).forEach(this.successors::add);
+		this.heardNanos = this.sinceNanos;
 		this.lostNanos = nowNanos;
+		this.shared = false;
+		this.passedOver = 0;
+		long waitNanos = informedNanos + this.mostUninformedNanos - nowNanos;
+		this.latestNanos = nowNanos + Math.clamp(waitNanos, SHORTEST_WAIT_NANOS, LATEST_NANOS);
 		this.turnNanos = nowNanos;
 		enter(Stage.SEEKS, this.self, nowNanos);
 		steps.addAll(seeks(nowNanos));
@@ -230,15 +322,20 @@
 		boolean helps = this.successors.contains(this.reader) && this.answer != Answer.NOT_CURRENT;
 		boolean passesOn = helps && this.answer == Answer.CURRENT;
 		boolean due = !passesOn && nowNanos - this.turnNanos >= startNanos(this.successors.size());
-		if (due || nowNanos - this.lostNanos >= LATEST_NANOS) {
-			List<Step> steps = new ArrayList<>(leave());
-			steps.add(new Step.Read());
-			enter(Stage.READS, this.self, nowNanos);
-			return steps;
+		long latest = this.shared ? this.lostNanos + LATEST_NANOS : this.latestNanos;
+		if (due || nowNanos - latest >= 0) {
+			return readAgain(nowNanos);
 		}
 		return helps ? List.of() : ask(this.successors.getFirst(), nowNanos);
 	}
 
+	private List<Step> readAgain(long nowNanos) {
+		List<Step> steps = new ArrayList<>(leave());
+		steps.add(new Step.Read());
+		enter(Stage.READS, this.self, nowNanos);
+		return steps;
+	}
+
 	// Who is gone or says nothing reads no more; the one after it has its turn at once.
 	private void leaveOut(long nowNanos) {
 		Optional<String> first = this.successors.stream().findFirst();
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
@@ -178,7 +178,7 @@
   private long ageMillis_ = 0L;
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's
+   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -190,7 +190,7 @@
   }
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's
+   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -1226,7 +1226,7 @@
     private long ageMillis_ ;
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's
+     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1238,7 +1238,7 @@
     }
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's
+     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1250,7 +1250,7 @@
     }
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's
+     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1266,7 +1266,7 @@
     }
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's
+     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
@@ -87,7 +87,7 @@
 
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's
+   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -96,7 +96,7 @@
   boolean hasAgeMillis();
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's
+   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
