--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -354,6 +354,22 @@
 		assertAsked(1, confirmed().get(1).asOf - (held ? waited : 0));
 	}
 
+	// The store ends a watch at once, and its answer is long under way over a slow link.
+	// It
+	// says nothing of the time for which the store might have held it.
+	@Test
+	void anEmptyWatchThatComesLateIsConfirmedAsOfItsCall() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start(Kind.ROUTES);
+		awaitScriptOver();
+		long waited = this.store.waits.getLast().toNanos();
+		TimeUnit.NANOSECONDS.sleep(waited + TimeUnit.MILLISECONDS.toNanos(500));
+		this.store.waiting.complete(new Changes(List.of(), 5));
+		follower.pause();
+		heard();
+		assertAsked(1, confirmed().get(1).asOf);
+	}
+
 	// What confirms the table of routes must come well within the usual bound for a
 	// declaration to be in force; and who is relied on notices a silent store sooner.
 	@ParameterizedTest
