--- a/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
@@ -16,6 +16,7 @@
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -53,6 +54,8 @@
 	// A declaration binds after three seconds; what is left is for a request on its way.
 	private static final long MOST_BEHIND_MILLIS = 2700;
 
+	private static final long BOUND_MILLIS = 3000;
+
 	// A watch of 0.8 s, 0.6 s until it is given up and 0.4 s for the call after it.
 	private static final long DOUBT_NANOS = Duration.ofMillis(1800).toNanos();
 
@@ -194,6 +197,56 @@
 		assertThat(order.getLast().longestBehindNanos / 1_000_000, Matchers.lessThan(mostMillis));
 	}
 
+	// The store answers the reader for runners, and its reading of routes never ends: its
+	// signs go on. Who rests would keep a table for ever, with routes that were moved and
+	// tokens that were taken away.
+	@Test
+	void aReaderWhoseRoutesGrowOldIsLeft() {
+		Entry reader = settled();
+		this.entries.values().forEach((entry) -> entry.oldestNanos = 0);
+		lose(reader, Loss.ROUTES_SILENT, reader);
+		run(9000);
+		assertThat(others(reader).stream().map((entry) -> entry.oldestNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(BOUND_MILLIS)));
+		assertThat(others(reader).stream().map((entry) -> entry.longestBehindNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(1000L)));
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(3));
+	}
+
+	// The link to the store is so full that nobody's reading of routes ends. Were all to
+	// read, it would stay full for good.
+	@Test
+	void readersWhoseRoutesAllGrowOldAreNotFollowedByAll() {
+		settled();
+		this.entries.values().forEach((entry) -> entry.routesSilentNanos = now());
+		run(12_000);
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(5));
+		assertThat(behind(), Matchers.empty());
+	}
+
+	// The reader froze and another one reads for all. Both are paid for, so all hear one
+	// again some seconds after the first one is back, and nobody is without news
+	// meanwhile.
+	@Test
+	void afterAReaderHasFrozenThereIsOneAgain() {
+		Entry first = settled();
+		lose(first, Loss.FREEZES);
+		run(8000);
+		this.entries.values().forEach((entry) -> entry.longestBehindNanos = 0);
+		run(8000);
+		assertThat(this.entries.values().stream().filter((entry) -> !entry.reading.rests()).toList(),
+				Matchers.hasSize(1));
+		assertThat(this.entries.values().stream().map((entry) -> entry.longestBehindNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(500L)));
+		this.unbelieved.clear();
+		run(2000);
+		assertThat(this.unbelieved, Matchers.empty());
+	}
+
+	private List<Entry> others(Entry than) {
+		return this.entries.values().stream().filter((entry) -> entry != than).toList();
+	}
+
 	private List<Entry> order() {
 		return Rendezvous.order(List.copyOf(this.entries.keySet()), "store").stream().map(this.entries::get).toList();
 	}
@@ -237,13 +290,15 @@
 			case SILENT_TO_ONE -> this.silent.add(entry.name + " to " + alone.name);
 			case CLOSED_TO_ONE -> this.closed.add(entry.name + " to " + alone.name);
 			case STORE_SILENT -> entry.storeSilentNanos = now();
+			case ROUTES_SILENT -> entry.routesSilentNanos = now();
 			case DIES, TURNED_AWAY, FREEZES -> lose(entry, loss);
 		}
 	}
 
 	private void lose(Entry entry, Loss loss) {
 		switch (loss) {
-			case SILENT_TO_ONE, CLOSED_TO_ONE, STORE_SILENT -> throw new IllegalArgumentException(loss.toString());
+			case SILENT_TO_ONE, CLOSED_TO_ONE, STORE_SILENT, ROUTES_SILENT ->
+				throw new IllegalArgumentException(loss.toString());
 			case DIES -> entry.dead = true;
 			case TURNED_AWAY -> {
 				entry.turnedAway = true;
@@ -316,7 +371,9 @@
 		/** Its link to one other entry closes. */
 		CLOSED_TO_ONE,
 		/** Its connections to the store stay open and bring nothing. */
-		STORE_SILENT
+		STORE_SILENT,
+		/** Of the store's kinds it is answered all but the routes. */
+		ROUTES_SILENT
 
 	}
 
@@ -346,8 +403,13 @@
 
 		private long storeSilentNanos = Long.MAX_VALUE;
 
+		private long routesSilentNanos = Long.MAX_VALUE;
+
 		private long longestBehindNanos;
 
+		// The oldest that its routes have been.
+		private long oldestNanos;
+
 		private boolean rested;
 
 		private boolean readAll;
@@ -384,6 +446,7 @@
 				this.reading.tick(others, this.readAll || this.rested, now());
 			}
 			read();
+			this.news.asOfNanos().ifPresent((asOf) -> this.oldestNanos = Math.max(this.oldestNanos, now() - asOf));
 			if (this.known < revision()) {
 				this.longestBehindNanos = Math.max(this.longestBehindNanos,
 						now() - ReaderLossTests.this.revisionNanos.get((int) this.known + 1));
@@ -424,7 +487,9 @@
 				this.known++;
 				this.news.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("r", this.known), false));
 			}
-			this.news.confirmed(now());
+			if (now() < this.routesSilentNanos) {
+				this.news.confirmed(now());
+			}
 		}
 
 		private void readAll(long at) {
