Who rests moves to the reader that all are to hear, so that one reads again after a freeze

What is seen: after a reader froze for three seconds two entries of the place read the store, for good, and each is paid for.

Cause: the one that froze is the first by rendezvous and reads on; the one that took its place is heard, so it does not rest. Who rests looked for another reader only when its own was lost.

Mend: who rests and is not suspicious of the first by rendezvous any more (10 s after it failed) asks it beside its reader, believes both, and leaves its reader once it has everything. One that does not answer or is not current is suspected again, and nothing has changed.

Why it is enough: all of a group have the same order, so all move to the same one; nobody hears the former, which rests by the rule that was there. News go on from the former until all has come from the other: no change was known later than 0.5 s in the test.

Ruled out: a shorter suspicion. Readers would change with each freeze, and each change asks for everything. Seen to fail before, green now: ReaderLossTests.afterAReaderHasFrozenThereIsOneAgain (16 s after the freeze began).

--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -40,6 +40,12 @@
  * rests and did is passed over at once, and after {@value #MOST_PASSED_OVER} of them this
  * entry reads. And while nobody says that it has lost the reader as well, an entry waits
  * no longer than a share of the bound, counted from what it last knew.
+ *
+ * A reader that froze reads on when it is back, beside the one that took its place, and
+ * while somebody hears either neither rests. Symptom: the store is paid for both, for
+ * good. So who rests asks the first by rendezvous, once that is not suspected any more,
+ * and leaves its own reader only when it has everything from the other one. That is
+ * enough: all move to the same, nobody hears the former, and it rests.
  */
 public final class StoreDuty {
 
@@ -110,6 +116,11 @@
 	// Who is to read before this entry does, the next reader first.
 	private final List<String> successors = new ArrayList<>();
 
+	// Who is asked beside the reader, to be heard instead of it.
+	private Optional<String> candidate = Optional.empty();
+
+	private long candidateNanos;
+
 	private OptionalLong knownNanos = OptionalLong.empty();
 
 	// When the reader that is lost was heard.
@@ -170,7 +181,7 @@
 	 * Returns whether what an entry passes on is to be believed.
 	 */
 	public boolean believes(String peer) {
-		return this.stage != Stage.READS && peer.equals(this.reader);
+		return isCandidate(peer) || (this.stage != Stage.READS && peer.equals(this.reader));
 	}
 
 	/**
@@ -201,7 +212,7 @@
 			case READS -> reads(group, mayRest, nowNanos);
 			case ASKED -> asked(group, mayRest, nowNanos);
 			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS)
-					? lost(this.sinceNanos, nowNanos) : List.of();
+					? lost(this.sinceNanos, nowNanos) : move(nowNanos);
 			case SEEKS -> seeks(nowNanos);
 		};
 	}
@@ -215,6 +226,9 @@
 		if (!believes(peer)) {
 			return List.of();
 		}
+		if (isCandidate(peer)) {
+			return candidateSays(peer, current, complete, nowNanos);
+		}
 		return switch (this.stage) {
 			case READS -> List.of();
 			case ASKED -> current ? answered(complete, nowNanos) : read(nowNanos);
@@ -279,6 +293,45 @@
 		return List.of();
 	}
 
+	private List<Step> move(long nowNanos) {
+		if (this.candidate.isPresent()) {
+			boolean late = nowNanos - this.candidateNanos > ANSWER_NANOS;
+			return (late || !this.group.contains(this.candidate.get())) ? stay(nowNanos) : List.of();
+		}
+		this.candidate = wanted(this.group, nowNanos).filter((first) -> !first.equals(this.reader));
+		this.candidateNanos = nowNanos;
+		return this.candidate.<List<Step>>map((first) -> List.of(new Step.Ask(first))).orElse(List.of());
+	}
+
+	private List<Step> candidateSays(String peer, boolean current, boolean complete, long nowNanos) {
+		if (!current) {
+			stay(nowNanos);
+			return List.of();
+		}
+		if (!complete) {
+			return List.of();
+		}
+		Step dismiss = new Step.Dismiss(this.reader);
+		this.candidate = Optional.empty();
+		enter(Stage.RESTS, peer, nowNanos);
+		return List.of(dismiss);
+	}
+
+	private List<Step> stay(long nowNanos) {
+		this.candidate.ifPresent((peer) -> suspect(peer, nowNanos));
+		return leaveCandidate();
+	}
+
+	private List<Step> leaveCandidate() {
+		List<Step> steps = this.candidate.<List<Step>>map((peer) -> List.of(new Step.Dismiss(peer))).orElse(List.of());
+		this.candidate = Optional.empty();
+		return steps;
+	}
+
+	private boolean isCandidate(String peer) {
+		return this.candidate.equals(Optional.of(peer));
+	}
+
 	private List<Step> successorSays(boolean current, long nowNanos) {
 		this.sinceNanos = nowNanos;
 		return current ? List.of()
@@ -300,7 +353,7 @@
 	}
 
 	private List<Step> lost(long informedNanos, long nowNanos) {
-		List<Step> steps = new ArrayList<>();
+		List<Step> steps = new ArrayList<>(leaveCandidate());
 		steps.add(new Step.Dismiss(this.reader));
 		suspect(this.reader, nowNanos);
 		this.successors.clear();
