--- a/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,12 +16,14 @@
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.fleet.LinkedEntry;
 import org.wisteriapost.policy.fleet.LinkedEntry.Distance;
+import org.wisteriapost.policy.fleet.Rendezvous;
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.protocol.site.Kind;
@@ -48,6 +51,17 @@
 
 	private static final long SILENT_MILLIS = 1300;
 
+	// A declaration binds after three seconds; what is left is for a request on its way.
+	private static final long MOST_BEHIND_MILLIS = 2700;
+
+	private static final long BOUND_MILLIS = 3000;
+
+	// A watch of 0.8 s, 0.6 s until it is given up and 0.4 s for the call after it.
+	private static final long DOUBT_NANOS = Duration.ofMillis(1800).toNanos();
+
+	// That call is given up.
+	private static final long LOST_NANOS = Duration.ofMillis(2600).toNanos();
+
 	private final DecisionLog log = DecisionLog.start("test", new PrintStream(OutputStream.nullOutputStream()));
 
 	private final Map<String, Entry> entries = new LinkedHashMap<>();
@@ -56,6 +70,12 @@
 
 	private final List<Long> revisionNanos = new ArrayList<>(List.of(0L));
 
+	// Frames, "FROM to TO", that are lost on the way.
+	private final Set<String> silent = new HashSet<>();
+
+	// The same for links that are not there.
+	private final Set<String> closed = new HashSet<>();
+
 	private final List<String> unbelieved = new ArrayList<>();
 
 	private long steps;
@@ -81,7 +101,7 @@
 	// one reads, the others hear it. Were each to read, the narrow link between regions
 	// would carry thirteen copies, none of which comes through in time.
 	@ParameterizedTest
-	@EnumSource
+	@EnumSource(names = { "DIES", "TURNED_AWAY", "FREEZES" })
 	void oneOrTwoReadForAReaderThatIsLost(Loss loss) {
 		Entry lost = settled();
 		lose(lost, loss);
@@ -92,7 +112,7 @@
 	}
 
 	@ParameterizedTest
-	@EnumSource
+	@EnumSource(names = { "DIES", "TURNED_AWAY", "FREEZES" })
 	void allHearTheStoreAgainSoonAfterTheLossIsNoticed(Loss loss) {
 		Entry lost = settled();
 		lose(lost, loss);
@@ -116,7 +136,7 @@
 
 	// The next reader is lost with the reader: it dies, too, or the store turns it away.
 	@ParameterizedTest
-	@EnumSource
+	@EnumSource(names = { "DIES", "TURNED_AWAY", "FREEZES" })
 	void theOneAfterItReadsWhenTheNextIsLostToo(Loss loss) {
 		Entry first = settled();
 		lose(first, loss);
@@ -135,7 +155,7 @@
 	// At the end nobody sends to one that does not want it: it would go on for ever, and
 	// the sender, with somebody to tell, would never rest.
 	@ParameterizedTest
-	@EnumSource
+	@EnumSource(names = { "DIES", "TURNED_AWAY", "FREEZES" })
 	void nobodyPassesOnWhatIsNotWanted(Loss loss) {
 		Entry lost = settled();
 		lose(lost, loss);
@@ -145,6 +165,116 @@
 		assertThat(this.unbelieved, Matchers.empty());
 	}
 
+	// The same when the loss was noticed late, so that little is left of the bound: all
+	// at
+	// once would fill a link that is narrow for one already.
+	@ParameterizedTest
+	@CsvSource({ "FREEZES,1000,7", "FREEZES,1500,10", "STORE_SILENT,1000,7", "STORE_SILENT,1500,10" })
+	void aSlowNextReaderIsNotFollowedByAllAtOnceWhenLittleTimeIsLeft(Loss loss, long readMillis, int most) {
+		Entry lost = settled();
+		this.readNanos = Duration.ofMillis(readMillis).toNanos();
+		lose(lost, loss, lost);
+		run(8000);
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(most));
+		assertThat(behind(), Matchers.empty());
+	}
+
+	// The next readers hear the reader well, so this entry alone has lost it, and waits
+	// for
+	// nobody. Three of them are cut off from the store themselves and know nothing.
+	@ParameterizedTest
+	@CsvSource({ "SILENT_TO_ONE,0,2000", "CLOSED_TO_ONE,0,2000", "SILENT_TO_ONE,1,2300", "SILENT_TO_ONE,3,2700" })
+	void whoAloneLosesItsReaderDoesNotWaitForASuccessor(Loss loss, int successorsTurnedAway, long mostMillis) {
+		Entry reader = settled();
+		List<Entry> order = order();
+		List<Entry> turnedAway = order.subList(1, successorsTurnedAway + 1);
+		turnedAway.forEach((entry) -> this.silent.add(reader.name + " to " + entry.name));
+		turnedAway.forEach((entry) -> lose(entry, Loss.TURNED_AWAY));
+		run(4000);
+		order.getLast().longestBehindNanos = 0;
+		lose(reader, loss, order.getLast());
+		run(5000);
+		assertThat(order.getLast().longestBehindNanos / 1_000_000, Matchers.lessThan(mostMillis));
+	}
+
+	// The store answers the reader for runners, and its reading of routes never ends: its
+	// signs go on. Who rests would keep a table for ever, with routes that were moved and
+	// tokens that were taken away.
+	@Test
+	void aReaderWhoseRoutesGrowOldIsLeft() {
+		Entry reader = settled();
+		this.entries.values().forEach((entry) -> entry.oldestNanos = 0);
+		lose(reader, Loss.ROUTES_SILENT, reader);
+		run(9000);
+		assertThat(others(reader).stream().map((entry) -> entry.oldestNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(BOUND_MILLIS)));
+		assertThat(others(reader).stream().map((entry) -> entry.longestBehindNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(1000L)));
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(3));
+	}
+
+	// The link to the store is so full that nobody's reading of routes ends. Were all to
+	// read, it would stay full for good.
+	@Test
+	void readersWhoseRoutesAllGrowOldAreNotFollowedByAll() {
+		settled();
+		this.entries.values().forEach((entry) -> entry.routesSilentNanos = now());
+		run(12_000);
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(5));
+		assertThat(behind(), Matchers.empty());
+	}
+
+	// The reader froze and another one reads for all. Both are paid for, so all hear one
+	// again some seconds after the first one is back, and nobody is without news
+	// meanwhile.
+	@Test
+	void afterAReaderHasFrozenThereIsOneAgain() {
+		Entry first = settled();
+		lose(first, Loss.FREEZES);
+		run(8000);
+		this.entries.values().forEach((entry) -> entry.longestBehindNanos = 0);
+		run(8000);
+		assertThat(this.entries.values().stream().filter((entry) -> !entry.reading.rests()).toList(),
+				Matchers.hasSize(1));
+		assertThat(this.entries.values().stream().map((entry) -> entry.longestBehindNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(500L)));
+		this.unbelieved.clear();
+		run(2000);
+		assertThat(this.unbelieved, Matchers.empty());
+	}
+
+	private List<Entry> others(Entry than) {
+		return this.entries.values().stream().filter((entry) -> entry != than).toList();
+	}
+
+	private List<Entry> order() {
+		return Rendezvous.order(List.copyOf(this.entries.keySet()), "store").stream().map(this.entries::get).toList();
+	}
+
+	// One entry alone loses its reader, or with it those that are to read next. It
+	// reaches
+	// the store all the while, so what is declared binds it: handled by an old table a
+	// request goes to the old service, or runs with a token that was taken away.
+	@ParameterizedTest
+	@CsvSource({ "SILENT_TO_ONE,0,1", "SILENT_TO_ONE,0,5", "SILENT_TO_ONE,0,13", "SILENT_TO_ONE,1,13",
+			"SILENT_TO_ONE,4,13", "SILENT_TO_ONE,12,13", "CLOSED_TO_ONE,0,13", "CLOSED_TO_ONE,4,13", "FREEZES,0,13",
+			"FREEZES,1,13", "FREEZES,4,13", "STORE_SILENT,0,1", "STORE_SILENT,0,13", "STORE_SILENT,1,13",
+			"STORE_SILENT,4,13" })
+	void whoReachesTheStoreIsNeverWithoutNewsForTheBound(Loss loss, int successorsSilent, int rank) {
+		Entry reader = settled();
+		List<Entry> order = order();
+		assertThat(order.getFirst(), Matchers.sameInstance(reader));
+		Entry alone = order.get(rank);
+		order.subList(1, successorsSilent + 1).forEach((entry) -> this.silent.add(entry.name + " to " + alone.name));
+		this.entries.values().forEach((entry) -> entry.longestBehindNanos = 0);
+		lose(reader, loss, alone);
+		run(8000);
+		List<Entry> bound = this.entries.values().stream().filter((entry) -> entry != reader).toList();
+		assertThat(bound.stream().map((entry) -> entry.longestBehindNanos / 1_000_000).toList(),
+				Matchers.everyItem(Matchers.lessThan(MOST_BEHIND_MILLIS)));
+		assertThat(this.mostReading, Matchers.lessThanOrEqualTo(5));
+	}
+
 	private Entry settled() {
 		this.entries.values().forEach((entry) -> entry.readAll(0));
 		run(4000);
@@ -155,8 +285,20 @@
 		return reading.getFirst();
 	}
 
+	private void lose(Entry entry, Loss loss, Entry alone) {
+		switch (loss) {
+			case SILENT_TO_ONE -> this.silent.add(entry.name + " to " + alone.name);
+			case CLOSED_TO_ONE -> this.closed.add(entry.name + " to " + alone.name);
+			case STORE_SILENT -> entry.storeSilentNanos = now();
+			case ROUTES_SILENT -> entry.routesSilentNanos = now();
+			case DIES, TURNED_AWAY, FREEZES -> lose(entry, loss);
+		}
+	}
+
 	private void lose(Entry entry, Loss loss) {
 		switch (loss) {
+			case SILENT_TO_ONE, CLOSED_TO_ONE, STORE_SILENT, ROUTES_SILENT ->
+				throw new IllegalArgumentException(loss.toString());
 			case DIES -> entry.dead = true;
 			case TURNED_AWAY -> {
 				entry.turnedAway = true;
@@ -223,7 +365,15 @@
 		/** The store does not answer it, which it says. */
 		TURNED_AWAY,
 		/** It says nothing for three seconds and its links stay open. */
-		FREEZES
+		FREEZES,
+		/** Its link to one other entry stays open and brings nothing. */
+		SILENT_TO_ONE,
+		/** Its link to one other entry closes. */
+		CLOSED_TO_ONE,
+		/** Its connections to the store stay open and bring nothing. */
+		STORE_SILENT,
+		/** Of the store's kinds it is answered all but the routes. */
+		ROUTES_SILENT
 
 	}
 
@@ -251,6 +401,15 @@
 
 		private long frozenUntil;
 
+		private long storeSilentNanos = Long.MAX_VALUE;
+
+		private long routesSilentNanos = Long.MAX_VALUE;
+
+		private long longestBehindNanos;
+
+		// The oldest that its routes have been.
+		private long oldestNanos;
+
 		private boolean rested;
 
 		private boolean readAll;
@@ -279,6 +438,7 @@
 				Set<String> others = ReaderLossTests.this.entries.values()
 					.stream()
 					.filter((entry) -> entry != this && !entry.dead)
+					.filter((entry) -> !ReaderLossTests.this.closed.contains(entry.name + " to " + this.name))
 					.map((entry) -> entry.name)
 					.collect(Collectors.toSet());
 				this.news.tick(others.stream().map((other) -> new LinkedEntry(other, Distance.OWN_PLACE)).toList(),
@@ -286,9 +446,28 @@
 				this.reading.tick(others, this.readAll || this.rested, now());
 			}
 			read();
+			this.news.asOfNanos().ifPresent((asOf) -> this.oldestNanos = Math.max(this.oldestNanos, now() - asOf));
+			if (this.known < revision()) {
+				this.longestBehindNanos = Math.max(this.longestBehindNanos,
+						now() - ReaderLossTests.this.revisionNanos.get((int) this.known + 1));
+			}
+		}
+
+		private void storeSilent() {
+			long silentNanos = now() - this.storeSilentNanos;
+			if (silentNanos == DOUBT_NANOS) {
+				this.news.dismiss();
+			}
+			if (silentNanos == LOST_NANOS) {
+				this.news.reachable(false);
+			}
 		}
 
 		private void read() {
+			if (now() >= this.storeSilentNanos) {
+				storeSilent();
+				return;
+			}
 			if (this.reading.rests()) {
 				this.rested = true;
 				this.readAll = false;
@@ -308,6 +487,9 @@
 				this.known++;
 				this.news.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("r", this.known), false));
 			}
+			if (now() < this.routesSilentNanos) {
+				this.news.confirmed(now());
+			}
 		}
 
 		private void readAll(long at) {
@@ -320,6 +502,11 @@
 		}
 
 		private void send(String peer, Frame frame) {
+			if (ReaderLossTests.this.silent.contains(this.name + " to " + peer)
+					|| ReaderLossTests.this.closed.contains(this.name + " to " + peer)
+					|| ReaderLossTests.this.closed.contains(peer + " to " + this.name)) {
+				return;
+			}
 			if (this.dead || ReaderLossTests.this.entries.get(peer).dead) {
 				return;
 			}
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Whether this entry reads the site's store itself or hears from a neighbour what it
@@ -31,6 +32,20 @@
  * to read one after the other, the last after {@value #LATEST_MILLIS} ms, and are asked
  * by those that come after them: whichever comes through first serves all, and an entry
  * with nobody left to ask reads at once.
+ *
+ * Who alone loses its reader, by a link that is silent, is bound by the site's promises
+ * and would wait for a successor that does not read. Symptom: a request is handled by a
+ * table that is older than the bound allows. Two safeguards are enough together. Of a
+ * loss that all share nobody hears the reader later than this entry did; so one that
+ * rests and did is passed over at once, and after {@value #MOST_PASSED_OVER} of them this
+ * entry reads. And while nobody says that it has lost the reader as well, an entry waits
+ * no longer than a share of the bound, counted from what it last knew.
+ *
+ * A reader that froze reads on when it is back, beside the one that took its place, and
+ * while somebody hears either neither rests. Symptom: the store is paid for both, for
+ * good. So who rests asks the first by rendezvous, once that is not suspected any more,
+ * and leaves its own reader only when it has everything from the other one. That is
+ * enough: all move to the same, nobody hears the former, and it rests.
  */
 public final class StoreDuty {
 
@@ -44,6 +59,20 @@
 
 	static final int LATEST_MILLIS = 2000;
 
+	static final int MOST_PASSED_OVER = 3;
+
+	private static final Duration USUAL_IN_FORCE = Duration.ofSeconds(3);
+
+	// The rest of the bound is for the reading.
+	private static final double UNINFORMED_SHARE = 0.8;
+
+	// A next reader in another region has answered by then.
+	private static final long SHORTEST_WAIT_NANOS = Duration.ofMillis(300).toNanos();
+
+	// A reader gives a sign each half second. One that was heard so much later has given
+	// one that did not come here.
+	private static final long LATER_NANOS = Duration.ofMillis(600).toNanos();
+
 	private static final long SUCCESSOR_NANOS = Duration.ofMillis(SUCCESSOR_MILLIS).toNanos();
 
 	private static final long LATEST_NANOS = Duration.ofMillis(LATEST_MILLIS).toNanos();
@@ -69,6 +98,8 @@
 
 	private final String self;
 
+	private final long mostUninformedNanos;
+
 	private final Map<String, Long> suspects = new HashMap<>();
 
 	private Stage stage = Stage.READS;
@@ -85,23 +116,50 @@
 	// Who is to read before this entry does, the next reader first.
 	private final List<String> successors = new ArrayList<>();
 
+	// Who is asked beside the reader, to be heard instead of it.
+	private Optional<String> candidate = Optional.empty();
+
+	private long candidateNanos;
+
+	private OptionalLong knownNanos = OptionalLong.empty();
+
+	// When the reader that is lost was heard.
+	private long heardNanos;
+
 	private long lostNanos;
 
+	// When this entry reads that may have lost its reader alone.
+	private long latestNanos;
+
+	// Whether somebody that was to read next has answered that it does, or not yet.
+	private boolean shared;
+
+	private int passedOver;
+
 	// Since when the first of them has had its turn.
 	private long turnNanos;
 
 	private Answer answer = Answer.NONE;
 
-	private StoreDuty(String self) {
+	private StoreDuty(String self, Duration inForce) {
 		this.self = self;
 		this.reader = self;
+		this.mostUninformedNanos = (long) (inForce.toNanos() * UNINFORMED_SHARE);
 	}
 
 	/**
-	 * Returns the duty of one entry, which reads.
+	 * Returns the duty of one entry, which reads, with the usual bound for declarations.
 	 */
 	public static StoreDuty of(String self) {
-		return new StoreDuty(self);
+		return of(self, USUAL_IN_FORCE);
+	}
+
+	/**
+	 * Returns the duty of one entry, which reads.
+	 * @param inForce from a declaration until it binds
+	 */
+	public static StoreDuty of(String self, Duration inForce) {
+		return new StoreDuty(self, inForce);
 	}
 
 	/**
@@ -123,7 +181,22 @@
 	 * Returns whether what an entry passes on is to be believed.
 	 */
 	public boolean believes(String peer) {
-		return this.stage != Stage.READS && peer.equals(this.reader);
+		return isCandidate(peer) || (this.stage != Stage.READS && peer.equals(this.reader));
+	}
+
+	/**
+	 * Returns when the neighbour from which this entry hears the store was heard; empty
+	 * when it has none.
+	 */
+	public OptionalLong heardNanos() {
+		return settled() ? OptionalLong.of(this.sinceNanos) : OptionalLong.empty();
+	}
+
+	/**
+	 * Hears as of when the store's routes are known here.
+	 */
+	public void knownAsOf(long nanos) {
+		this.knownNanos = OptionalLong.of(nanos);
 	}
 
 	/**
@@ -138,8 +211,8 @@
 		return switch (this.stage) {
 			case READS -> reads(group, mayRest, nowNanos);
 			case ASKED -> asked(group, mayRest, nowNanos);
-			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS) ? lost(nowNanos)
-					: List.of();
+			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS)
+					? lost(this.sinceNanos, nowNanos) : move(nowNanos);
 			case SEEKS -> seeks(nowNanos);
 		};
 	}
@@ -153,17 +226,38 @@
 		if (!believes(peer)) {
 			return List.of();
 		}
+		if (isCandidate(peer)) {
+			return candidateSays(peer, current, complete, nowNanos);
+		}
 		return switch (this.stage) {
 			case READS -> List.of();
 			case ASKED -> current ? answered(complete, nowNanos) : read(nowNanos);
-			case RESTS -> current ? confirmed(nowNanos) : lost(nowNanos);
+			case RESTS -> current ? confirmed(nowNanos) : lost(informedNanos(), nowNanos);
 			case SEEKS -> {
+				this.shared = this.passedOver == 0;
 				this.answer = current ? Answer.CURRENT : Answer.NOT_CURRENT;
 				yield (current && complete) ? confirmed(nowNanos) : successorSays(current, nowNanos);
 			}
 		};
 	}
 
+	/**
+	 * Hears a neighbour that was asked and hears the store from another one.
+	 * @param agoNanos how long before its answer it heard that one
+	 */
+	public List<Step> heardResting(String peer, long agoNanos, long nowNanos) {
+		boolean later = agoNanos >= 0 && agoNanos <= SILENT_NANOS
+				&& this.sinceNanos - agoNanos - this.heardNanos >= LATER_NANOS;
+		if (this.stage != Stage.SEEKS || !believes(peer) || !later) {
+			return heard(peer, false, false, nowNanos);
+		}
+		this.answer = Answer.NOT_CURRENT;
+		this.successors.remove(peer);
+		this.passedOver++;
+		this.shared = false;
+		return (this.passedOver == MOST_PASSED_OVER) ? readAgain(nowNanos) : seeks(nowNanos);
+	}
+
 	private List<Step> reads(Collection<String> group, boolean mayRest, long nowNanos) {
 		Optional<String> wanted = wanted(group, nowNanos);
 		if (!mayRest || wanted.isEmpty()) {
@@ -199,6 +293,45 @@
 		return List.of();
 	}
 
+	private List<Step> move(long nowNanos) {
+		if (this.candidate.isPresent()) {
+			boolean late = nowNanos - this.candidateNanos > ANSWER_NANOS;
+			return (late || !this.group.contains(this.candidate.get())) ? stay(nowNanos) : List.of();
+		}
+		this.candidate = wanted(this.group, nowNanos).filter((first) -> !first.equals(this.reader));
+		this.candidateNanos = nowNanos;
+		return this.candidate.<List<Step>>map((first) -> List.of(new Step.Ask(first))).orElse(List.of());
+	}
+
+	private List<Step> candidateSays(String peer, boolean current, boolean complete, long nowNanos) {
+		if (!current) {
+			stay(nowNanos);
+			return List.of();
+		}
+		if (!complete) {
+			return List.of();
+		}
+		Step dismiss = new Step.Dismiss(this.reader);
+		this.candidate = Optional.empty();
+		enter(Stage.RESTS, peer, nowNanos);
+		return List.of(dismiss);
+	}
+
+	private List<Step> stay(long nowNanos) {
+		this.candidate.ifPresent((peer) -> suspect(peer, nowNanos));
+		return leaveCandidate();
+	}
+
+	private List<Step> leaveCandidate() {
+		List<Step> steps = this.candidate.<List<Step>>map((peer) -> List.of(new Step.Dismiss(peer))).orElse(List.of());
+		this.candidate = Optional.empty();
+		return steps;
+	}
+
+	private boolean isCandidate(String peer) {
+		return this.candidate.equals(Optional.of(peer));
+	}
+
 	private List<Step> successorSays(boolean current, long nowNanos) {
 		this.sinceNanos = nowNanos;
 		return current ? List.of()
@@ -212,13 +345,25 @@
 		return List.of(dismiss);
 	}
 
-	private List<Step> lost(long nowNanos) {
-		List<Step> steps = new ArrayList<>();
+	// A reader that says it is not current may have known nothing new for longer than it
+	// was silent.
+	private long informedNanos() {
+		boolean known = this.knownNanos.isPresent() && this.knownNanos.getAsLong() - this.sinceNanos < 0;
+		return known ? this.knownNanos.getAsLong() : this.sinceNanos;
+	}
+
+	private List<Step> lost(long informedNanos, long nowNanos) {
+		List<Step> steps = new ArrayList<>(leaveCandidate());
 		steps.add(new Step.Dismiss(this.reader));
 		suspect(this.reader, nowNanos);
 		this.successors.clear();
 		order(this.group, nowNanos).stream().takeWhile((name) -> !name.equals(this.self)).forEach(this.successors::add);
+		this.heardNanos = this.sinceNanos;
 		this.lostNanos = nowNanos;
+		this.shared = false;
+		this.passedOver = 0;
+		long waitNanos = informedNanos + this.mostUninformedNanos - nowNanos;
+		this.latestNanos = nowNanos + Math.clamp(waitNanos, SHORTEST_WAIT_NANOS, LATEST_NANOS);
 		this.turnNanos = nowNanos;
 		enter(Stage.SEEKS, this.self, nowNanos);
 		steps.addAll(seeks(nowNanos));
@@ -230,15 +375,20 @@
 		boolean helps = this.successors.contains(this.reader) && this.answer != Answer.NOT_CURRENT;
 		boolean passesOn = helps && this.answer == Answer.CURRENT;
 		boolean due = !passesOn && nowNanos - this.turnNanos >= startNanos(this.successors.size());
-		if (due || nowNanos - this.lostNanos >= LATEST_NANOS) {
-			List<Step> steps = new ArrayList<>(leave());
-			steps.add(new Step.Read());
-			enter(Stage.READS, this.self, nowNanos);
-			return steps;
+		long latest = this.shared ? this.lostNanos + LATEST_NANOS : this.latestNanos;
+		if (due || nowNanos - latest >= 0) {
+			return readAgain(nowNanos);
 		}
 		return helps ? List.of() : ask(this.successors.getFirst(), nowNanos);
 	}
 
+	private List<Step> readAgain(long nowNanos) {
+		List<Step> steps = new ArrayList<>(leave());
+		steps.add(new Step.Read());
+		enter(Stage.READS, this.self, nowNanos);
+		return steps;
+	}
+
 	// Who is gone or says nothing reads no more; the one after it has its turn at once.
 	private void leaveOut(long nowNanos) {
 		Optional<String> first = this.successors.stream().findFirst();
