401 only by files of tokens that were read lately, 404 by the age of the bundle it was judged by

What callers see on the product's own interface: token-unknown for good while their organisation's file was not there when the entry started, or is just being replaced; service-unknown by a bundle that was replaced while the answer was made. Cause: the files' age was not kept; the age of the newest bundle was looked at after judging by the one before. Mend: RejectionGuard over whole readings of the files (eight seconds, as for bundles; they are read each five), refused as token-doubtful with a time to come back meanwhile. A request without a bearer token is rejected as before, and so is all while tokens are settings. One view is used for both.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallCheck.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallCheck.java
@@ -86,6 +86,13 @@
 			.orElseThrow(() -> CodedException.of(TOKEN_UNKNOWN, "send Authorization: Bearer TOKEN"));
 	}
 
+	/**
+	 * Returns whether a token that is no one's here is so for good.
+	 */
+	boolean mayRejectToken(HttpServerExchange exchange) {
+		return this.organisations.mayReject(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+	}
+
 	/**
 	 * Returns when the caller stops waiting.
 	 * @param nowNanos when the request's head came
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallHandler.java
@@ -40,6 +40,9 @@
 	static final Code BUNDLE_DOUBTFUL = Code.refusal("bundle-doubtful",
 			"The entry's bundle does not have what was asked for and may be old.");
 
+	static final Code TOKEN_DOUBTFUL = Code.refusal("token-doubtful",
+			"The bearer token is not known here, and not all files of tokens were read lately.");
+
 	private static final Map<Code, Integer> STATUS = Map.of(CallCheck.TOKEN_UNKNOWN, 401, CallCheck.SERVICE_UNKNOWN,
 			404, CallCheck.MODEL_UNKNOWN, 404, CallCheck.PATH_UNKNOWN, 404, CallCheck.METHOD_UNKNOWN, 405,
 			BODY_TOO_LARGE, 413, BODY_TOO_SLOW, 408);
@@ -99,10 +102,17 @@
 			read(exchange, answer, (body) -> submit(exchange, requestId, organisation, deadline, body, answer));
 		}
 		catch (CodedException ex) {
-			answerNow(exchange, answer, bad(ex));
+			answerNow(exchange, answer, refusal(exchange, ex));
 		}
 	}
 
+	private Refusal refusal(HttpServerExchange exchange, CodedException ex) {
+		if (ex.code().equals(CallCheck.TOKEN_UNKNOWN) && !this.check.mayRejectToken(exchange)) {
+			return Refusal.later(TOKEN_DOUBTFUL.name(), TOKEN_DOUBTFUL.summary(), ABSENT_MILLIS);
+		}
+		return bad(ex);
+	}
+
 	private Optional<Refusal> refusal(int now, HttpServerExchange exchange) {
 		ServiceView view = this.port.view();
 		if (view.leaving()) {
@@ -155,9 +165,10 @@
 	private void submit(HttpServerExchange exchange, String requestId, String organisation, long deadlineNanos,
 			byte[] body, CallerAnswer answer) {
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+			ServiceView view = this.port.view();
 			try {
 				CallerCall call = this.check.call(this.ids.incrementAndGet(), requestId, organisation, deadlineNanos,
-						exchange, body, this.port.view(), answer);
+						exchange, body, view, answer);
 				HangUpWatch.start(exchange, () -> this.port.gone(call.id()));
 				if (!this.port.submit(call)) {
 					this.port.turnedAway(ENTRY_FULL.name());
@@ -165,17 +176,18 @@
 				}
 			}
 			catch (CodedException ex) {
-				Refusal refusal = refusal(ex);
+				Refusal refusal = refusal(ex, view);
 				this.port.turnedAway(refusal.code());
 				answer.refuse(refusal);
 			}
 		});
 	}
 
-	// What a bundle lacks is wrong only if no newer one has it: see RejectionGuard.
-	private Refusal refusal(CodedException ex) {
+	// What a bundle lacks is wrong only if no newer one has it: see RejectionGuard. The
+	// age is that of the bundle it was judged by.
+	private static Refusal refusal(CodedException ex, ServiceView view) {
 		boolean byBundle = ex.code().equals(CallCheck.SERVICE_UNKNOWN) || ex.code().equals(CallCheck.MODEL_UNKNOWN);
-		if (byBundle && !this.port.view().mayReject(System.nanoTime(), System.currentTimeMillis())) {
+		if (byBundle && !view.mayReject(System.nanoTime(), System.currentTimeMillis())) {
 			return Refusal.later(BUNDLE_DOUBTFUL.name(), BUNDLE_DOUBTFUL.summary(), ABSENT_MILLIS);
 		}
 		return bad(ex);
--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/caller/OrganisationsTests.java
@@ -0,0 +1,115 @@
+package org.wisteriapost.entry.caller;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.NullSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wisteriapost.kernel.settings.Settings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * A caller whose token was put into its organisation's file is told for good that it is
+ * no one's, by what was read of the file before.
+ */
+class OrganisationsTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final String OTHER = "Bearer other";
+
+	@TempDir
+	private Path folder;
+
+	private Organisations organisations;
+
+	private long now = 100_000 * MILLI;
+
+	private long dayMillis = 1_000_000;
+
+	@BeforeEach
+	void read() throws IOException {
+		Files.writeString(file(), "first\n");
+		this.organisations = organisations("token-file = " + file());
+	}
+
+	private Path file() {
+		return this.folder.resolve("baobab.token");
+	}
+
+	private Organisations organisations(String token) {
+		return Organisations.of(Settings.parse("test.ini", "[organisation baobab]\n" + token + "\n"), () -> this.now,
+				() -> this.dayMillis);
+	}
+
+	private void pass(long millis) {
+		this.now += millis * MILLI;
+		this.dayMillis += millis;
+	}
+
+	@Test
+	void aTokenIsReplacedByReadingItsFileAgain() throws IOException {
+		Files.writeString(file(), "second\n");
+		this.organisations.reload();
+		assertThat(this.organisations.find("Bearer second"), Matchers.equalTo(Optional.of("baobab")));
+		assertThat(this.organisations.find("Bearer first"), Matchers.equalTo(Optional.empty()));
+	}
+
+	// A file caught in the middle of being replaced must not shut an organisation out.
+	@Test
+	void aTokenStaysGoodWhileItsFileCannotBeRead() throws IOException {
+		Files.delete(file());
+		this.organisations.reload();
+		assertThat(this.organisations.find("Bearer first"), Matchers.equalTo(Optional.of("baobab")));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0,true", "7200,true", "7201,false" })
+	void anUnknownTokenIsRejectedOnlyByFilesThatWereReadLately(long millis, boolean rejects) throws IOException {
+		pass(5000);
+		this.organisations.reload();
+		Files.delete(file());
+		pass(millis);
+		this.organisations.reload();
+		assertThat(this.organisations.mayReject(OTHER), Matchers.equalTo(rejects));
+	}
+
+	@Test
+	void nothingIsRejectedAfterASuspensionUntilTheFilesAreReadAgain() throws IOException {
+		this.dayMillis += 60_000;
+		assertThat(this.organisations.mayReject(OTHER), Matchers.equalTo(false));
+		Files.delete(file());
+		this.organisations.reload();
+		assertThat(this.organisations.mayReject(OTHER), Matchers.equalTo(false));
+		Files.writeString(file(), "first\n");
+		this.organisations.reload();
+		assertThat(this.organisations.mayReject(OTHER), Matchers.equalTo(true));
+	}
+
+	// It is wrong whatever the files hold.
+	@ParameterizedTest
+	@NullSource
+	@ValueSource(strings = { "Basic x", "" })
+	void whatIsNoTokenIsAlwaysRejected(String authorization) {
+		pass(60_000);
+		assertThat(this.organisations.mayReject(authorization), Matchers.equalTo(true));
+	}
+
+	// Tokens in settings change by a restart only.
+	@Test
+	void withoutFilesNothingGrowsOld() {
+		Organisations fixed = organisations("token = first");
+		pass(60_000);
+		assertThat(fixed.mayReject(OTHER), Matchers.equalTo(true));
+	}
+
+}
