A reader whose routes are older than the bound allows is left for one whose routes are not

What callers see: tokens that were taken away are taken, requests go where a route led before it moved, by every entry of a place, for good.

Cause: that a reader is current was taken from its signs, and it gives them as long as the store answers it for runners. Its routes' age, which it says with each sign, stopped rejections only.

Mend: who rests leaves a reader whose routes are older than seven tenths of the bound (2.2 s at least: two watches over a slow link), if it has rested on it as long. Of those that hear it the first by rendezvous reads at once, the next two each a second later; the others go on hearing it and ask these beside it, until one has everything and routes that are not old.

Why it is enough: the age is reckoned from the moment at which the store was asked, and whoever has newer routes is found within a sign.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -188,7 +188,17 @@
 		if (!said || !heard.sent(news.getStamp()) || !heard.delivered.contains(Kind.ROUTES)) {
 			return OptionalLong.empty();
 		}
-		return OptionalLong.of(news.getStamp() - TimeUnit.MILLISECONDS.toNanos(news.getAgeMillis()));
+		heard.asOf(news.getStamp() - TimeUnit.MILLISECONDS.toNanos(news.getAgeMillis()));
+		return heard.asOfNanos;
+	}
+
+	/**
+	 * Returns the newest moment that was returned for an entry since it was asked.
+	 */
+	OptionalLong asOf(String peer) {
+		return Optional.ofNullable(this.subscriptions.get(peer))
+			.map((heard) -> heard.asOfNanos)
+			.orElse(OptionalLong.empty());
 	}
 
 	/**
@@ -289,11 +299,19 @@
 
 		private boolean askedForAll;
 
+		private OptionalLong asOfNanos = OptionalLong.empty();
+
 		private Subscription(long nowNanos) {
 			this.begunNanos = nowNanos;
 			this.quietNanos = nowNanos;
 		}
 
+		private void asOf(long nanos) {
+			if (this.asOfNanos.isEmpty() || nanos - this.asOfNanos.getAsLong() > 0) {
+				this.asOfNanos = OptionalLong.of(nanos);
+			}
+		}
+
 		private static Subscription due(long nowNanos) {
 			Subscription due = new Subscription(nowNanos);
 			due.quietNanos = nowNanos - PAUSE_NANOS;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -150,6 +150,13 @@
 		return this.asOfNanos;
 	}
 
+	/**
+	 * Returns the newest moment as of which another entry has said that its routes are.
+	 */
+	OptionalLong asOfNanos(String peer) {
+		return this.hearer.asOf(peer);
+	}
+
 	/**
 	 * Hears that this VM was suspended.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -74,7 +74,7 @@
 	 */
 	List<DirectEvent> heard(String peer, News said, long nowNanos) {
 		List<DirectEvent> fresh = this.news.heard(peer, said);
-		this.news.asOfNanos().ifPresent(this.duty::knownAsOf);
+		this.news.asOfNanos(peer).ifPresent((asOf) -> this.duty.knownAsOf(peer, asOf));
 		if (this.duty.believes(peer)) {
 			reader(peer, said, nowNanos);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -46,6 +46,14 @@
  * good. So who rests asks the first by rendezvous, once that is not suspected any more,
  * and leaves its own reader only when it has everything from the other one. That is
  * enough: all move to the same, nobody hears the former, and it rests.
+ *
+ * The store may answer a reader for runners while its reading of the routes never ends.
+ * Symptom: its signs go on, and with them a table whose tokens were taken away. So a
+ * reader whose routes are older than the bound allows is left in the same way, for one
+ * whose routes are not. Were all to read, a link that is full of the table would get a
+ * copy for each; so of those that hear it the first by rendezvous reads at once, the next
+ * two each {@value #BESIDE_MILLIS} ms later, and the others hear whichever has the
+ * routes.
  */
 public final class StoreDuty {
 
@@ -61,6 +69,12 @@
 
 	static final int MOST_PASSED_OVER = 3;
 
+	static final int BESIDE_MILLIS = 1000;
+
+	private static final int MOST_BESIDE = 3;
+
+	private static final long BESIDE_NANOS = Duration.ofMillis(BESIDE_MILLIS).toNanos();
+
 	private static final Duration USUAL_IN_FORCE = Duration.ofSeconds(3);
 
 	// The rest of the bound is for the reading.
@@ -121,7 +135,15 @@
 
 	private long candidateNanos;
 
-	private OptionalLong knownNanos = OptionalLong.empty();
+	// How many have been asked for want of routes that are not old.
+	private int asked;
+
+	private final ReaderAges ages;
+
+	private long restsNanos;
+
+	// Since when the reader's routes are older than the bound allows.
+	private OptionalLong oldNanos = OptionalLong.empty();
 
 	// When the reader that is lost was heard.
 	private long heardNanos;
@@ -144,6 +166,7 @@
 	private StoreDuty(String self, Duration inForce) {
 		this.self = self;
 		this.reader = self;
+		this.ages = ReaderAges.of(inForce);
 		this.mostUninformedNanos = (long) (inForce.toNanos() * UNINFORMED_SHARE);
 	}
 
@@ -193,10 +216,12 @@
 	}
 
 	/**
-	 * Hears as of when the store's routes are known here.
+	 * Hears as of when the routes are that a neighbour passes on.
 	 */
-	public void knownAsOf(long nanos) {
-		this.knownNanos = OptionalLong.of(nanos);
+	public void knownAsOf(String peer, long nanos) {
+		if (believes(peer)) {
+			this.ages.known(peer, nanos);
+		}
 	}
 
 	/**
@@ -290,6 +315,11 @@
 
 	private List<Step> confirmed(long nowNanos) {
 		enter(Stage.RESTS, this.reader, nowNanos);
+		// One that has just begun to read is given as long as the routes may be old.
+		boolean old = this.ages.old(this.reader, nowNanos) && this.ages.late(this.restsNanos, nowNanos);
+		if (!old || this.oldNanos.isEmpty()) {
+			this.oldNanos = old ? OptionalLong.of(nowNanos) : OptionalLong.empty();
+		}
 		return List.of();
 	}
 
@@ -298,9 +328,36 @@
 			boolean late = nowNanos - this.candidateNanos > ANSWER_NANOS;
 			return (late || !this.group.contains(this.candidate.get())) ? stay(nowNanos) : List.of();
 		}
-		this.candidate = wanted(this.group, nowNanos).filter((first) -> !first.equals(this.reader));
-		this.candidateNanos = nowNanos;
-		return this.candidate.<List<Step>>map((first) -> List.of(new Step.Ask(first))).orElse(List.of());
+		if (this.oldNanos.isPresent()) {
+			return leaveOld(nowNanos - this.oldNanos.getAsLong(), nowNanos);
+		}
+		return consider(wanted(this.group, nowNanos).filter((first) -> !first.equals(this.reader)), nowNanos);
+	}
+
+	private List<Step> leaveOld(long agoNanos, long nowNanos) {
+		List<String> order = order(this.group, nowNanos).stream()
+			.filter((name) -> !name.equals(this.reader))
+			.limit(MOST_BESIDE)
+			.toList();
+		int begun = (int) Math.min(order.size(), 1 + agoNanos / BESIDE_NANOS);
+		int rank = order.indexOf(this.self);
+		if (rank >= 0 && rank < begun) {
+			Step dismiss = new Step.Dismiss(this.reader);
+			suspect(this.reader, nowNanos);
+			enter(Stage.READS, this.self, nowNanos);
+			return List.of(dismiss, new Step.Read());
+		}
+		if (nowNanos - this.candidateNanos < ANSWER_NANOS) {
+			return List.of();
+		}
+		this.asked++;
+		return consider(Optional.of(order.get(this.asked % begun)), nowNanos);
+	}
+
+	private List<Step> consider(Optional<String> peer, long nowNanos) {
+		this.candidate = peer;
+		peer.ifPresent((name) -> this.candidateNanos = nowNanos);
+		return peer.<List<Step>>map((name) -> List.of(new Step.Ask(name))).orElse(List.of());
 	}
 
 	private List<Step> candidateSays(String peer, boolean current, boolean complete, long nowNanos) {
@@ -308,17 +365,23 @@
 			stay(nowNanos);
 			return List.of();
 		}
-		if (!complete) {
+		if (!complete || this.ages.old(peer, nowNanos)) {
 			return List.of();
 		}
 		Step dismiss = new Step.Dismiss(this.reader);
+		if (this.oldNanos.isPresent()) {
+			suspect(this.reader, nowNanos);
+		}
 		this.candidate = Optional.empty();
 		enter(Stage.RESTS, peer, nowNanos);
 		return List.of(dismiss);
 	}
 
 	private List<Step> stay(long nowNanos) {
-		this.candidate.ifPresent((peer) -> suspect(peer, nowNanos));
+		// Whoever is to read for want of newer routes may have only begun.
+		if (this.oldNanos.isEmpty()) {
+			this.candidate.ifPresent((peer) -> suspect(peer, nowNanos));
+		}
 		return leaveCandidate();
 	}
 
@@ -348,8 +411,8 @@
 	// A reader that says it is not current may have known nothing new for longer than it
 	// was silent.
 	private long informedNanos() {
-		boolean known = this.knownNanos.isPresent() && this.knownNanos.getAsLong() - this.sinceNanos < 0;
-		return known ? this.knownNanos.getAsLong() : this.sinceNanos;
+		long known = this.ages.of(this.reader).orElse(this.sinceNanos);
+		return (known - this.sinceNanos < 0) ? known : this.sinceNanos;
 	}
 
 	private List<Step> lost(long informedNanos, long nowNanos) {
@@ -447,6 +510,11 @@
 	}
 
 	private void enter(Stage next, String of, long nowNanos) {
+		if (next != this.stage || !of.equals(this.reader)) {
+			this.restsNanos = nowNanos;
+			this.oldNanos = OptionalLong.empty();
+			this.ages.keep(of);
+		}
 		this.stage = next;
 		this.reader = of;
 		this.sinceNanos = nowNanos;
