--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTests.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.hamcrest.Matchers;
@@ -29,7 +32,24 @@
 
 	private static final int MOST_SECONDS = 10;
 
-	private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
+	private Consumer<Runnable> scheduled = (command) -> {
+	};
+
+	private final List<Long> delaysMillis = new CopyOnWriteArrayList<>();
+
+	private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1) {
+
+		@Override
+		public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
+			// What is to run at once comes here, too.
+			if (delay > 0) {
+				FollowerTests.this.delaysMillis.add(unit.toMillis(delay));
+				FollowerTests.this.scheduled.accept(command);
+			}
+			return super.schedule(command, delay, unit);
+		}
+
+	};
 
 	private final List<String> heard = new ArrayList<>();
 
@@ -308,6 +328,52 @@
 		assertThat(heard(), Matchers.contains("back", "all[a]", "doubt"));
 	}
 
+	// The store cuts a watch over a full link, where an answer takes half a second. All
+	// that
+	// rely on this process would look for another one, and read themselves over the same
+	// link, though nothing is late yet: what they are bound by counts from what was known
+	// last. Entries bind nobody, and come late in any case.
+	@ParameterizedTest
+	@CsvSource({ "ROUTES,0,1800", "ROUTES,700,1100", "ROUTES,1400,400", "ROUTES,1600,400", "RUNNERS,0,1800",
+			"WEIGHTS,500,1300", "ENTRIES,0,16000", "ENTRIES,15600,400" })
+	void whoIsReliedOnSaysThatItMayBeBehindWhenItIsLate(Kind kind, long cutMillis, long doubtMillis) throws Exception {
+		AtomicLong now = new AtomicLong(this.startedNanos);
+		this.clock = now::get;
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		Follower follower = start(kind);
+		awaitScriptOver();
+		follower.reliedOn(true);
+		heard();
+		this.store.silent = true;
+		now.addAndGet(TimeUnit.MILLISECONDS.toNanos(cutMillis));
+		this.store.waiting.completeExceptionally(CodedException.of(ObjectStore.UNAVAILABLE, "scripted"));
+		heard();
+		assertThat(this.delaysMillis, Matchers.contains(doubtMillis));
+	}
+
+	// Two watches are cut one after the other. That the second has no answer yet was
+	// taken
+	// for the silence after the first.
+	@Test
+	void aDoubtThatWasAnsweredDoesNotCountForTheNextWatch() throws Exception {
+		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
+		List<Runnable> doubts = new CopyOnWriteArrayList<>();
+		this.scheduled = doubts::add;
+		Follower follower = start();
+		awaitScriptOver();
+		follower.reliedOn(true);
+		heard();
+		this.store.waiting.completeExceptionally(CodedException.of(ObjectStore.UNAVAILABLE, "scripted"));
+		heardAfter(4);
+		this.store.silent = true;
+		this.store.waiting.completeExceptionally(CodedException.of(ObjectStore.UNAVAILABLE, "scripted"));
+		heardAfter(5);
+		this.timer.execute(doubts.getFirst());
+		assertThat(heard(), Matchers.not(Matchers.hasItem("doubt")));
+		this.timer.execute(doubts.getLast());
+		assertThat(heard(), Matchers.hasItem("doubt"));
+	}
+
 	// An entry that does not know a route says so for good only when it knows that its
 	// table is new enough. What is confirmed is what the store had when it was asked, at
 	// the earliest of a listing's calls, and it is said after what it confirms.
