Who is relied on says that it may be behind when it is late, not at each watch that ended

What is seen: while links are full, all entries of a place change their reader, and several read over the link that is full.

Cause: 0.4 s after a watch of any kind had ended without an answer the reader said that it may be behind, whatever it knew until then: also when the store had cut the watch right after an answer, for entries, which nobody is bound by, and when the silence had been answered and the next watch was cut.

Mend: it says so when a watch that was silent from what it knew last on would have been given up, and the call after it: the wait of a relied watch and a second, 1.8 s (16 s for entries), never sooner than 0.4 s after the end; and only if nothing has been answered since that end.

Why it is enough: a connection that goes silent is told of as late as before, 1.8 s after what was known; every other end has more time.

--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -45,6 +45,9 @@
 	// The store answers in a few milliseconds when it need not wait for a change.
 	private static final long ANSWER_MILLIS = 400;
 
+	// Until a silent watch is given up after its wait, and the call after it.
+	private static final long SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
+
 	// Longer than a store that is gone is waited for, so an answer that failed later was
 	// cut while it came.
 	private static final long BEGUN_NANOS = Duration.ofSeconds(3).toNanos();
@@ -84,6 +87,11 @@
 
 	private boolean unanswered;
 
+	private int lapses;
+
+	// As of when all that was told was known last.
+	private long asOfNanos;
+
 	private Follower(ObjectStore store, Kind kind, ScheduledExecutorService timer, FollowListener listener,
 			LongSupplier clock) {
 		this.store = store;
@@ -91,6 +99,7 @@
 		this.timer = timer;
 		this.listener = listener;
 		this.clock = clock;
+		this.asOfNanos = clock.getAsLong();
 	}
 
 	/**
@@ -185,7 +194,7 @@
 				return;
 			}
 			latest(changes.list()).forEach(this::change);
-			this.listener.onConfirmed(askedNanos);
+			confirmed(askedNanos);
 			told(changes, changes.at());
 		}, this.timer);
 	}
@@ -218,7 +227,7 @@
 				return;
 			}
 			all(listing.items, from);
-			this.listener.onConfirmed(listing.askedNanos);
+			confirmed(listing.askedNanos);
 			this.told = from;
 			watch(from);
 		}, this.timer);
@@ -243,7 +252,7 @@
 			}
 			long asOfNanos = asOf(changes, askedNanos, wait);
 			changes.list().forEach(this::change);
-			this.listener.onConfirmed(asOfNanos);
+			confirmed(asOfNanos);
 			told(changes, changes.at());
 		}, this.timer);
 	}
@@ -270,6 +279,11 @@
 		return held ? askedNanos + wait.toNanos() : askedNanos;
 	}
 
+	private void confirmed(long nanos) {
+		this.asOfNanos = nanos;
+		this.listener.onConfirmed(nanos);
+	}
+
 	private CompletableFuture<ObjectStore.Changes> ask(long from, Duration wait) {
 		CompletableFuture<ObjectStore.Changes> answer = this.store.watch(this.kind, from, wait);
 		this.call = answer;
@@ -327,10 +341,23 @@
 		forgetIfGone(failure);
 		goOn();
 		if (this.reliedOn) {
-			this.timer.schedule(this::doubt, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+			this.lapses++;
+			int lapse = this.lapses;
+			this.timer.schedule(() -> doubt(lapse), untilLateMillis(), TimeUnit.MILLISECONDS);
 		}
 	}
 
+	// Failure: over a full link an answer takes longer than usual, and a watch that was
+	// cut says nothing of the store. Said then, the doubt would make all that rely on
+	// this
+	// process read themselves over the same link. What they are bound by counts from what
+	// was known last, so it is soon enough to say it when a watch that is silent from
+	// there on would have been given up, and the call after it.
+	private long untilLateMillis() {
+		long lateNanos = this.asOfNanos + this.kind.reliedWait().toNanos() + SILENCE_NANOS;
+		return Math.max(ANSWER_MILLIS, TimeUnit.NANOSECONDS.toMillis(lateNanos - this.clock.getAsLong()));
+	}
+
 	// Failure: of an object that changed often the store sends all forms. Cut for their
 	// size and asked for again they are as many or more, so none would ever come over a
 	// full link. A listing has each object once.
@@ -348,8 +375,8 @@
 		return gone;
 	}
 
-	private void doubt() {
-		if (this.unanswered && this.reliedOn && !this.paused) {
+	private void doubt(int lapse) {
+		if (lapse == this.lapses && this.unanswered && this.reliedOn && !this.paused) {
 			this.listener.onDoubt();
 		}
 	}
