--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -101,6 +101,34 @@
 		assertThat(delivered(), Matchers.contains("+c", "-a"));
 	}
 
+	// A listing that this entry had begun itself lands after another one has told of a
+	// runner that is newer. It does not hold that runner, and the other would not tell of
+	// it again: callers would be refused for want of it until it changes.
+	@Test
+	void whatIsMissingInAListingThatLandsLateIsAskedForAgain() {
+		delivered();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("c", 9), false));
+		assertThat(delivered(), Matchers.contains("+c"));
+		this.toSource.clear();
+		this.cut.read(Kind.RUNNERS, List.of(NamedObjects.item("a", 5), NamedObjects.item("b", 6)), 6);
+		this.cut.tick(linked("source"), SECOND);
+		this.toSource.forEach((frame) -> this.source.asked("cut", frame.getNewsRequest()));
+		assertThat(delivered(), Matchers.hasItem("all[a, b, c]"));
+	}
+
+	// What a listing holds as well, or was removed by then, is not missing.
+	@Test
+	void aListingThatIsNewerThanAllThatWasToldIsNotFollowedByARequest() {
+		delivered();
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("c", 9), false));
+		this.source.read(Kind.RUNNERS, new ObjectStore.Change(NamedObjects.item("d", 10), false));
+		delivered();
+		this.requests.clear();
+		this.cut.read(Kind.RUNNERS, List.of(NamedObjects.item("a", 5), NamedObjects.item("c", 9)), 12);
+		this.cut.tick(linked("source"), SECOND);
+		assertThat(this.requests, Matchers.empty());
+	}
+
 	// The entry that is asked is behind: it tells again of a runner that has gone.
 	// Were it believed, callers would be sent to a machine that has left.
 	@Test
