What a late listing drops is asked for again

What callers see: they are refused for want of a runner that is there, until it changes.

Cause: a listing that an entry had begun itself lands while it asks a neighbour, and takes the place of everything known; the neighbour does not tell again what is newer. The entry's own next watch would bring it, unless it rests by then.

Mend: when a listing drops an object, or the removal of one, whose revision is beyond the listing's, that kind counts as not delivered by whoever is heard, and is asked for again; after what is under way has passed, so that no second copy of a table is sent. Keeping the newer ones instead was ruled out: a store put back from an older copy has lost them.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/KnownObjects.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import org.wisteriapost.protocol.site.Kind;
@@ -68,16 +69,27 @@
 	}
 
 	/**
-	 * Takes all objects of a kind from the store.
+	 * Takes all objects of a kind from the store and returns whether a newer one, or a
+	 * newer removal, was known that is not in them. They may have been read before that
+	 * was heard, or the store was put back from an older copy.
 	 * @param at the store's revision when they were read
 	 */
-	void read(Kind kind, List<ObjectStore.Item> all, long at) {
+	boolean read(Kind kind, List<ObjectStore.Item> all, long at) {
 		this.readTo.put(kind, at);
 		Map<String, ObjectStore.Item> known = this.objects.get(kind);
+		Map<String, Long> listed = all.stream()
+			.collect(Collectors.toMap(ObjectStore.Item::name, ObjectStore.Item::revision, Math::max));
+		boolean drops = known.values()
+			.stream()
+			.anyMatch((item) -> item.revision() > Math.max(at, listed.getOrDefault(item.name(), -1L)))
+				|| listed.entrySet()
+					.stream()
+					.anyMatch((one) -> removedAt(kind, one.getKey()) > Math.max(at, one.getValue()));
 		known.clear();
 		this.removed.get(kind).clear();
 		all.forEach((item) -> known.put(item.name(), item));
 		this.written.get(kind).keySet().retainAll(known.keySet());
+		return drops;
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/NewsHearer.java
@@ -103,7 +103,7 @@
 	 * old numbers mean nothing any more.
 	 */
 	void linked(String peer) {
-		this.subscriptions.computeIfPresent(peer, (name, before) -> Subscription.due(this.clock.getAsLong()));
+		this.subscriptions.computeIfPresent(peer, (name, before) -> Subscription.anew(this.clock.getAsLong()));
 	}
 
 	/**
@@ -160,6 +160,19 @@
 		heard.underWay &= !heard.answers(news);
 	}
 
+	/**
+	 * Hears that objects of a kind are not known here any more that others may have told:
+	 * a listing that was begun before that has landed. None of them would be told again
+	 * until it changes, and callers be refused for want of a runner. All that are heard
+	 * are asked again, which is enough: their answer holds whatever is not known here.
+	 */
+	void dropped(Kind kind) {
+		this.subscriptions.values()
+			.stream()
+			.filter((heard) -> heard.delivered.remove(kind))
+			.forEach((heard) -> heard.due(this.clock.getAsLong()));
+	}
+
 	/**
 	 * Returns whether nothing of a kind that another entry has said is missing.
 	 */
@@ -312,10 +325,15 @@
 			}
 		}
 
-		private static Subscription due(long nowNanos) {
-			Subscription due = new Subscription(nowNanos);
-			due.quietNanos = nowNanos - PAUSE_NANOS;
-			return due;
+		private static Subscription anew(long nowNanos) {
+			Subscription anew = new Subscription(nowNanos);
+			anew.due(nowNanos);
+			return anew;
+		}
+
+		// To be asked for what is missing at once, or when what is under way has passed.
+		private void due(long nowNanos) {
+			this.quietNanos = nowNanos - this.pauseNanos;
 		}
 
 		// Whether a stamp is one of these: one of a former process of this name counts on
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -102,7 +102,9 @@
 	 */
 	void read(Kind kind, List<ObjectStore.Item> all, long at) {
 		Map<String, Long> told = this.known.revisions(kind);
-		this.known.read(kind, all, at);
+		if (this.known.read(kind, all, at)) {
+			this.hearer.dropped(kind);
+		}
 		this.teller.hearers().forEach((peer) -> this.teller.send(peer, all(kind, has(peer, told))));
 	}
 
