--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -103,7 +103,9 @@
 	 */
 	void read(Kind kind, List<ObjectStore.Item> all, long at) {
 		Map<String, Long> told = this.known.revisions(kind);
-		this.known.read(kind, all, at);
+		if (this.known.read(kind, all, at)) {
+			this.hearer.dropped(kind);
+		}
 		this.teller.hearers().forEach((peer) -> this.teller.send(peer, all(kind, has(peer, told))));
 	}
 
@@ -151,6 +153,13 @@
 		return this.asOf.nanos();
 	}
 
+	/**
+	 * Returns the newest moment as of which another entry has said that its routes are.
+	 */
+	OptionalLong asOfNanos(String peer) {
+		return this.hearer.asOf(peer);
+	}
+
 	/**
 	 * Hears that this VM was suspended.
 	 */
