--- a/app/src/test/java/org/wisteriapost/app/RestingAgent.java
+++ b/app/src/test/java/org/wisteriapost/app/RestingAgent.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.app;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,11 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import org.wisteriapost.platform.emulator.EmulatedSite;
 import org.wisteriapost.protocol.link.Link;
@@ -93,9 +90,9 @@
 			}
 			TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
 			System.out.println("processor time until then: " + agent.info().totalCpuDuration().orElseThrow());
-			Map<String, Long> before = counts(agent.pid());
+			Map<String, Long> before = ProcessCounts.of(agent.pid());
 			TimeUnit.SECONDS.sleep(seconds);
-			print(before, counts(agent.pid()), seconds);
+			ProcessCounts.print(before, ProcessCounts.of(agent.pid()), seconds);
 			System.out.println("links that the agent made: " + this.ofAgent.size() + ", took: " + this.toAgent.size());
 		}
 		finally {
@@ -143,43 +140,6 @@
 				Frame.newBuilder().setChunkMapRequest(ChunkMapRequest.newBuilder().setFile("some")).build());
 	}
 
-	private static Map<String, Long> counts(long pid) throws IOException {
-		Map<String, Long> counts = new TreeMap<>();
-		Path process = Path.of("/proc", Long.toString(pid));
-		try (Stream<Path> tasks = Files.list(process.resolve("task"))) {
-			for (Path task : tasks.toList()) {
-				String name = Files.readString(task.resolve("comm")).strip() + " " + task.getFileName();
-				counts.put("run-us " + name,
-						Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]) / 1000);
-				counts.put("waits " + name, field(task.resolve("status"), "voluntary_ctxt_switches:"));
-			}
-		}
-		counts.put("reads", field(process.resolve("io"), "syscr:"));
-		counts.put("writes", field(process.resolve("io"), "syscw:"));
-		return counts;
-	}
-
-	private static long field(Path file, String name) throws IOException {
-		return Files.readAllLines(file)
-			.stream()
-			.filter((line) -> line.startsWith(name))
-			.mapToLong((line) -> Long.parseLong(line.substring(name.length()).strip()))
-			.findFirst()
-			.orElse(0);
-	}
-
-	private static void print(Map<String, Long> before, Map<String, Long> after, long seconds) {
-		Map<String, Long> sums = new TreeMap<>();
-		after.forEach((name, count) -> {
-			long change = count - before.getOrDefault(name, 0L);
-			if (change > 0) {
-				sums.merge("all " + name.split(" ")[0], change, Long::sum);
-				System.out.printf("%10.1f a second  %s%n", (double) change / seconds, name);
-			}
-		});
-		sums.forEach((name, sum) -> System.out.printf("%10.1f a second  %s%n", (double) sum / seconds, name));
-	}
-
 	private record Handler(Set<Link> open, List<Frame> first) implements LinkHandler {
 
 		@Override
