--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRoster.java
@@ -10,7 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.wisteriapost.policy.dispatch.EntryCount;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -41,15 +43,45 @@
 
 	private final Set<String> leaving = new HashSet<>();
 
-	// Asked for after every event, so worked out after changes only.
-	private Optional<Ready> ready = Optional.empty();
+	// Load: all of these are asked for at each tick or after each event. Harm prevented:
+	// with dozens of entries an entry at rest spends most of its time on the same lists
+	// again and again. They are worked out after changes only.
+	private final List<Remembered<?>> remembered = new ArrayList<>();
+
+	private final Remembered<List<EntryInfo>> others = remember(this::findOthers);
+
+	private final Remembered<List<EntryInfo>> toLink = remember(this::chooseToLink);
+
+	private final Remembered<List<EntryInfo>> living = remember(this::findLiving);
+
+	private final Remembered<List<EntryInfo>> near = remember(this::findNear);
+
+	private final Remembered<EntryCount> count = remember(this::countAll);
+
+	private final Remembered<Set<String>> sharingReader = remember(this::findSharingReader);
+
+	private final Remembered<Boolean> speaks = remember(this::isSpeaker);
+
+	private final Remembered<List<EntryInfo>> named = remember(this::findNamed);
+
+	private final Remembered<List<EntryInfo>> namedWithSelf = remember(this::withSelf);
 
 	EntryRoster(EntryInfo self) {
 		this.self = self;
 	}
 
+	private <T> Remembered<T> remember(Supplier<T> source) {
+		Remembered<T> one = new Remembered<>(source);
+		this.remembered.add(one);
+		return one;
+	}
+
+	private void changed() {
+		this.remembered.forEach(Remembered::forget);
+	}
+
 	void put(EntryInfo info, long revision, long nowNanos) {
-		this.ready = Optional.empty();
+		changed();
 		Registered before = this.registered.get(info.name());
 		if (before == null || before.info.started() != info.started()) {
 			this.leaving.remove(info.name());
@@ -60,17 +92,17 @@
 	}
 
 	void remove(String name) {
-		this.ready = Optional.empty();
+		changed();
 		this.registered.remove(name);
 	}
 
 	void keep(Set<String> names) {
-		this.ready = Optional.empty();
+		changed();
 		this.registered.keySet().retainAll(names);
 	}
 
 	void linked(String name, boolean up, long nowNanos) {
-		this.ready = Optional.empty();
+		changed();
 		if (up) {
 			this.linked.add(name);
 			this.leaving.remove(name);
@@ -84,7 +116,7 @@
 	}
 
 	void leaving(String name) {
-		this.ready = Optional.empty();
+		changed();
 		this.leaving.add(name);
 	}
 
@@ -92,6 +124,10 @@
 	 * Returns the other registered entries.
 	 */
 	List<EntryInfo> others() {
+		return this.others.get();
+	}
+
+	private List<EntryInfo> findOthers() {
 		return this.registered.values()
 			.stream()
 			.map(Registered::info)
@@ -111,6 +147,10 @@
 	 * Returns the other entries to which this one is to be linked.
 	 */
 	List<EntryInfo> toLink() {
+		return this.toLink.get();
+	}
+
+	private List<EntryInfo> chooseToLink() {
 		return EntryLinks.choose(this.self, others());
 	}
 
@@ -118,6 +158,10 @@
 	 * Returns the other entries that live, as far as there are links to them.
 	 */
 	List<EntryInfo> living() {
+		return this.living.get();
+	}
+
+	private List<EntryInfo> findLiving() {
 		return others().stream().filter((info) -> this.linked.contains(info.name())).toList();
 	}
 
@@ -125,6 +169,10 @@
 	 * Returns the other living entries of this place.
 	 */
 	List<EntryInfo> near() {
+		return this.near.get();
+	}
+
+	private List<EntryInfo> findNear() {
 		return living().stream().filter((info) -> info.place().equals(this.self.place())).toList();
 	}
 
@@ -133,18 +181,18 @@
 	 * @param self whether this entry is one of them
 	 */
 	List<EntryInfo> ready(boolean self) {
-		if (this.ready.isEmpty() || this.ready.get().self != self) {
-			List<EntryInfo> list = new ArrayList<>();
-			if (self) {
-				list.add(this.self);
-			}
-			living().stream()
-				.filter((info) -> !this.leaving.contains(info.name()))
-				.sorted(Comparator.comparing(EntryInfo::front))
-				.forEach(list::add);
-			this.ready = Optional.of(new Ready(self, list));
-		}
-		return this.ready.get().entries;
+		return self ? this.namedWithSelf.get() : this.named.get();
+	}
+
+	private List<EntryInfo> withSelf() {
+		return Stream.concat(Stream.of(this.self), this.named.get().stream()).toList();
+	}
+
+	private List<EntryInfo> findNamed() {
+		return living().stream()
+			.filter((info) -> !this.leaving.contains(info.name()))
+			.sorted(Comparator.comparing(EntryInfo::front))
+			.toList();
 	}
 
 	/**
@@ -186,6 +234,10 @@
 	 * this one should be linked to and is not.
 	 */
 	EntryCount count() {
+		return this.count.get();
+	}
+
+	private EntryCount countAll() {
 		List<EntryInfo> others = others();
 		long dead = toLink().stream().filter((info) -> !this.linked.contains(info.name())).count();
 		return new EntryCount((int) (others.size() - dead) + 1, near().size() + 1, byPlace());
@@ -196,6 +248,10 @@
 	 * place, or all where places do not keep to themselves.
 	 */
 	Set<String> sharingReader() {
+		return this.sharingReader.get();
+	}
+
+	private Set<String> findSharingReader() {
 		if (others().size() < StoreDuty.MOST_READING_ALL) {
 			return Set.of();
 		}
@@ -210,6 +266,10 @@
 	 * rendezvous of those that live there.
 	 */
 	boolean speaks() {
+		return this.speaks.get();
+	}
+
+	private boolean isSpeaker() {
 		List<String> near = near().stream()
 			.map(EntryInfo::name)
 			.filter((name) -> !this.leaving.contains(name))
@@ -245,7 +305,28 @@
 	record Registered(EntryInfo info, long revision, long downSinceNanos) {
 	}
 
-	private record Ready(boolean self, List<EntryInfo> entries) {
+	/** Something worked out from what is known, until that changes. */
+	private static final class Remembered<T> {
+
+		private final Supplier<T> source;
+
+		private Optional<T> value = Optional.empty();
+
+		private Remembered(Supplier<T> source) {
+			this.source = source;
+		}
+
+		private T get() {
+			if (this.value.isEmpty()) {
+				this.value = Optional.of(this.source.get());
+			}
+			return this.value.get();
+		}
+
+		private void forget() {
+			this.value = Optional.empty();
+		}
+
 	}
 
 }
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryRosterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryRosterTests.java
@@ -3,11 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
 
+import org.hamcrest.Matcher;
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.wisteriapost.policy.dispatch.EntryCount;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.LinkedEntry;
@@ -64,6 +68,39 @@
 				Matchers.not(Matchers.hasItem("edge-0-3")));
 	}
 
+	// Asked some hundred times a second while nothing changes: the same answers, not
+	// worked out again, and new ones after each kind of change.
+	@ParameterizedTest
+	@MethodSource("changes")
+	void whatIsKnownIsWorkedOutAfterChangesOnly(Consumer<EntryRoster> change) {
+		List<EntryInfo> entries = entries(3, 7);
+		EntryRoster roster = linked(entries, entries.getFirst());
+		List<Object> before = known(roster);
+		for (int i = 0; i < 3; i++) {
+			assertThat(known(roster), sameInstances(before));
+		}
+		change.accept(roster);
+		List<Object> after = known(roster);
+		assertThat(after, Matchers.not(sameInstances(before)));
+		assertThat(known(roster), sameInstances(after));
+		assertThat(after, Matchers.not(Matchers.equalTo(before)));
+	}
+
+	private static List<Consumer<EntryRoster>> changes() {
+		return List.of((roster) -> roster.put(new EntryInfo("edge-0-1", 2, "other:80", "", "hall-0", ""), 2, 0),
+				(roster) -> roster.remove("edge-0-1"), (roster) -> roster.keep(Set.of("edge-0-0", "edge-0-2")),
+				(roster) -> roster.linked("edge-0-1", false, 0), (roster) -> roster.leaving("edge-0-1"));
+	}
+
+	private static List<Object> known(EntryRoster roster) {
+		return List.of(roster.others(), roster.toLink(), roster.living(), roster.near(), roster.told(),
+				roster.ready(true), roster.ready(false), roster.count(), roster.sharingReader());
+	}
+
+	private static Matcher<Iterable<? extends Object>> sameInstances(List<Object> those) {
+		return Matchers.contains(those.stream().map(Matchers::sameInstance).toList());
+	}
+
 	// A dead entry's registration is removed once: by the first of its place. An entry
 	// elsewhere that has no link to it on purpose must not take that for its death.
 	@Test
