An event that is read on the I/O thread is written to its caller at once

It was queued to the same thread and written a turn of the selector later. onItsOwnThreadAnAnswerIsWrittenAtOnce fails on the code before. Answers that other threads write are queued as before.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -161,7 +161,13 @@
 		}
 	}
 
+	// Load: some hundred events a second that come from runners on this very thread. Harm
+	// prevented: queued, each costs another turn of the selector.
 	private void onIoThread(Runnable task) {
+		if (Thread.currentThread() == this.exchange.getIoThread()) {
+			task.run();
+			return;
+		}
 		this.exchange.getIoThread().execute(task);
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/caller/CallerAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/caller/CallerAnswerTests.java
@@ -63,6 +63,36 @@
 		this.loops.shutdownNow();
 	}
 
+	// Events come from runners on the very thread that writes to the caller. Queued
+	// behind
+	// each other each would cost another turn of the selector.
+	@Test
+	void onItsOwnThreadAnAnswerIsWrittenAtOnce() throws Exception {
+		CompletableFuture<Boolean> written = new CompletableFuture<>();
+		Undertow other = Undertow.builder()
+			.addHttpListener(0, "127.0.0.1")
+			.setIoThreads(1)
+			.setHandler((exchange) -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+				CallerAnswer answer = new CallerAnswer(exchange, "request", 1 << 20);
+				answer.start(200, List.of(), "");
+				answer.data("piece".getBytes(StandardCharsets.UTF_8));
+				written.complete(exchange.isResponseStarted());
+				answer.end();
+			}))
+			.build();
+		other.start();
+		try {
+			int port = ((InetSocketAddress) other.getListenerInfo().getFirst().getAddress()).getPort();
+			HttpReply reply = this.caller.call(HttpCall.of("GET", URI.create("http://127.0.0.1:" + port + "/"), LIMIT))
+				.join();
+			assertThat(written.join(), is(true));
+			assertThat(new String(reply.body(), StandardCharsets.UTF_8), is("piece"));
+		}
+		finally {
+			other.stop();
+		}
+	}
+
 	// The last piece of a stream and its end come from the event loop while the I/O
 	// thread
 	// has just found nothing more to write. An answer that is ended right there lacks its
