--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -28,9 +28,8 @@
 
 	void publish(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace, Optional<CallLimits> limits,
 			boolean mayReject, boolean ended) {
-		Snapshot next = new Snapshot(ready, leaving, entries, byPlace, limits, mayReject);
-		if (!next.equals(this.snapshot)) {
-			this.snapshot = next;
+		if (!this.snapshot.is(ready, leaving, entries, byPlace, limits, mayReject)) {
+			this.snapshot = new Snapshot(ready, leaving, entries, byPlace, limits, mayReject);
 		}
 		if (ended) {
 			this.over.complete(null);
@@ -82,6 +81,15 @@
 
 	private record Snapshot(boolean ready, boolean leaving, List<EntryInfo> entries, boolean byPlace,
 			Optional<CallLimits> limits, boolean mayReject) {
+
+		// Asked after every event, so what is the same is found without looking into it.
+		private boolean is(boolean isReady, boolean isLeaving, List<EntryInfo> named, boolean isByPlace,
+				Optional<CallLimits> declared, boolean isSure) {
+			boolean flags = this.ready == isReady && this.leaving == isLeaving && this.byPlace == isByPlace
+					&& this.mayReject == isSure;
+			return flags && this.entries == named && this.limits.orElse(null) == declared.orElse(null);
+		}
+
 	}
 
 }
