The class archive is recorded among so many entries that places keep to themselves

It was recorded with one entry, so what an entry does towards others was in no archive: of some 5,300 classes that an entry among 42 others loaded, 182 were read and made up at its start, among them those of load reports, places' states, news and their lambdas.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds what the site runs, all under target/: the jar, a Java runtime with only the modules that it needs, and for
-# each role an archive of the classes that it loads, made by running it for some seconds on an emulated site.
+# each role an archive of the classes that it loads, made by running it for some seconds on an emulated site with
+# many entries.
 # An ahead-of-time cache would start faster still, but can't be used where a site sets -Xshare for all of Java.
 set -eu
 cd "$(dirname "$0")/.."
@@ -25,13 +26,13 @@
 
 # The flags that decide what an archive holds must be those of deploy/system.toml.
 flags="-Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData --sun-misc-unsafe-memory-access=allow -Dio.netty.machineId=02:00:00:00:00:01 -Dio.netty.processId=1 -Dwisteriapost.log.target=System.out"
-seconds=4
+seconds=6
 train() {
 	WISTERIAPOST_SETTINGS=target/training/$1.json target/rt/bin/java $flags -Xmx128m -XX:ArchiveClassesAtExit="target/$1.jsa" \
 		-cp target/wisteriapost.jar org.wisteriapost.app.Main site "$1" >"target/training/$1.log" 2>&1 &
 }
-"$jdk/bin/java" -cp "target/wisteriapost.jar:platform/target/test-classes" \
-	org.wisteriapost.platform.emulator.TrainingSite target/training $seconds >target/training.log 2>&1 &
+"$jdk/bin/java" -cp "target/wisteriapost.jar:app/target/test-classes:platform/target/test-classes" \
+	org.wisteriapost.app.TrainingFleet target/training $seconds >target/training.log 2>&1 &
 site=$!
 for _ in $(seq 100); do
 	[ -e target/training/ready ] && break
