A connection proves little on a way in doubt: an answer does, and what may be held until weights bind is not sent

Why small packets pass where requests are held is not known from outside. Now only an answer ends a doubt; until then one request at a time tries the way. The age of the oldest request without an answer, those given up and those that got no connection among them, counts as the wait at that runner for the weights fence.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -32,6 +32,9 @@
 
 	private static final int TICKS_PER_NEWS = 5;
 
+	// Within a site a connection takes some milliseconds.
+	private static final long SLOW_CONNECTION_MILLIS = 20;
+
 	private final EntryInfo self;
 
 	private final Dispatcher dispatcher;
@@ -168,7 +171,13 @@
 
 	private void connected(DirectEvent.Connected connected, long now) {
 		if (connected.dispatch() == connected.call().job().dispatch()) {
-			this.dispatcher.connected(connected.call().job(), now);
+			Job job = connected.call().job();
+			long millis = TimeUnit.NANOSECONDS.toMillis(now - job.sentNanos());
+			if (millis >= SLOW_CONNECTION_MILLIS) {
+				this.log.decision("slow-connection", "attempt", job.attempt(), "dispatch", connected.dispatch(), "ms",
+						millis);
+			}
+			this.dispatcher.connected(job, now);
 		}
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -42,6 +42,9 @@
 	public static final Code RUN_BROKEN = Code.warning("run-broken",
 			"The runner's answer broke off and the request may not run again.");
 
+	// What goes last at its runner is overtaken by others.
+	private static final double LATE_FACTOR = 2;
+
 	private final DispatchLimits limits;
 
 	private final RunnerBook book;
@@ -236,7 +239,7 @@
 	 */
 	public void connected(Job job, long nowNanos) {
 		job.runner.ifPresent((runner) -> {
-			runner.way.arrived(job.sentNanos);
+			runner.way.connected(job.sentNanos);
 			pump(nowNanos);
 		});
 	}
@@ -253,7 +256,7 @@
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job.size().promptTokens());
 		runner.health.began(job.sentNanos);
-		runner.way.arrived(job.sentNanos);
+		runner.way.answered(job.sentNanos);
 		if (job.baseMillis > 0) {
 			runner.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
@@ -406,7 +409,7 @@
 		runner.sent(job.size().promptTokens());
 		runner.health.sent(nowNanos);
 		boolean tries = triesWay(job, runner, nowNanos);
-		runner.way.sent(tries, nowNanos);
+		runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version, tries));
 	}
@@ -432,7 +435,7 @@
 				runner.way.over(job.sentNanos);
 			}
 			else {
-				runner.way.arrived(job.sentNanos);
+				runner.way.answered(job.sentNanos);
 			}
 			if (outcome == Outcome.FULL) {
 				runner.full(nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -211,12 +211,15 @@
 		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
 	}
 
-	// What was left out is bound by its own waits, whoever waited there.
+	// What was left out, or has not answered for long, is bound by its own waits, whoever
+	// waited there.
 	private boolean bindsSooner(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
-		if (engine.isEmpty() || !runner.health.onProbation()) {
+		boolean doubtful = runner.health.onProbation() || runner.way.doubtful(nowNanos);
+		if (engine.isEmpty() || !doubtful) {
 			return false;
 		}
-		long wait = Math.max(runner.waits.nanos(false, nowNanos), runner.waits.nanos(true, nowNanos));
+		long begun = Math.max(runner.waits.nanos(false, nowNanos), runner.waits.nanos(true, nowNanos));
+		long wait = Math.max(begun, runner.way.heldNanos(nowNanos));
 		OptionalInt version = this.fence.required(engine.get().model(), wait, nowNanos);
 		OptionalInt held = runner.version(engine.get().model());
 		return version.isPresent() && held.isPresent() && held.getAsInt() < version.getAsInt();
