Agents send stamps back, so an entry sees for how long the way to an engine holds things

A connection proves one way only there. While a way is in doubt, or newer weights are to bind, the agent beside the engine is asked for an echo each 160 ms (a NewsRequest with a stamp, answered by News with it: no new frame). The way counts as open for half a second from the asking of the last echo that came; while echoes stay away nothing is sent there. Where no agent answers at all the connection stays the proof. An echo ends a doubt, so an engine that is only slow gets as much as before.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -172,6 +172,15 @@
 	record AgentSays(EngineState state) implements DirectEvent {
 	}
 
+	/**
+	 * An agent sends a stamp back.
+	 *
+	 * @param address the address of the engine beside it
+	 * @param stampNanos when it was asked to
+	 */
+	record AgentEcho(String address, long stampNanos) implements DirectEvent {
+	}
+
 	/** Time has passed. */
 	record Tick() implements DirectEvent {
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -23,7 +23,9 @@
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.EngineState;
+import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.LoadReport;
+import org.wisteriapost.protocol.wire.NewsRequest;
 
 /**
  * The entry's state. One thread applies events to it.
@@ -32,6 +34,8 @@
 
 	private static final int TICKS_PER_NEWS = 5;
 
+	private static final int TICKS_PER_ECHO = 8;
+
 	// Within a site a connection takes some milliseconds.
 	private static final long SLOW_CONNECTION_MILLIS = 20;
 
@@ -139,6 +143,7 @@
 			case DirectEvent.PeerWantsNews wants ->
 				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.request()));
 			case DirectEvent.AgentSays says -> agentSays(says.state(), now);
+			case DirectEvent.AgentEcho echo -> this.dispatcher.echoed(echo.address(), echo.stampNanos(), now);
 			case DirectEvent.Tick tick -> tick(now);
 			case DirectEvent.Leave leave -> leave(now);
 		}
@@ -307,9 +312,19 @@
 			this.news.ifPresent((passed) -> passed.tick(this.roster.distances(this.mesh.orElseThrow().entries()), now));
 			this.reading.ifPresent((all) -> all.tick(this.roster.sharingReader(), this.beliefs.whole(), now));
 		}
+		if (this.ticks % TICKS_PER_ECHO == 0) {
+			askForEchoes(now);
+		}
 		register(now);
 	}
 
+	private void askForEchoes(long now) {
+		Frame ask = Frame.newBuilder()
+			.setNewsRequest(NewsRequest.newBuilder().setKeepAlive(true).setStamp(now))
+			.build();
+		this.dispatcher.waysToAsk(now).forEach((address) -> this.mesh.ifPresent((links) -> links.send(address, ask)));
+	}
+
 	private void register(long now) {
 		if (this.store.isEmpty() || this.departure.leaving()) {
 			return;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -191,6 +191,34 @@
 		this.patience.refused(request);
 	}
 
+	/**
+	 * Returns the runners whose agents are to be asked for an echo now, since it matters
+	 * whether the way there is open; to be called every tenth of a second or two.
+	 */
+	public List<String> waysToAsk(long nowNanos) {
+		List<String> addresses = new ArrayList<>();
+		for (RunnerState runner : this.book.states()) {
+			Optional<EngineSpec> engine = spec(runner.info.service());
+			if (engine.isPresent() && this.placement.wayMatters(runner, engine, nowNanos)) {
+				runner.way.asked(nowNanos);
+				addresses.add(runner.info.address());
+			}
+		}
+		return addresses;
+	}
+
+	/**
+	 * Hears an echo of the agent beside a runner.
+	 * @param address the runner's address
+	 * @param askedNanos when it was asked for
+	 */
+	public void echoed(String address, long askedNanos, long nowNanos) {
+		this.book.states()
+			.stream()
+			.filter((runner) -> runner.info.address().equals(address))
+			.forEach((runner) -> runner.way.echoed(askedNanos, nowNanos));
+	}
+
 	/**
 	 * Hears that another entry cannot be heard any more: its requests have ended with it,
 	 * or it is cut off.
@@ -329,13 +357,7 @@
 		if (job.firstSeen || job.runner.isEmpty()) {
 			return false;
 		}
-		return nowNanos >= beginBy(job, job.runner.get());
-	}
-
-	private long beginBy(Job job, RunnerState runner) {
-		Optional<String> model = spec(job).map(EngineSpec::model);
-		OptionalInt held = model.map(runner::version).orElse(OptionalInt.empty());
-		return held.isPresent() ? this.fence.beginBy(model.get(), held.getAsInt()) : Long.MAX_VALUE;
+		return nowNanos >= this.placement.beginBy(job.runner.get(), spec(job));
 	}
 
 	// The runner is not to blame. The request may have begun this moment, so it goes on
@@ -408,19 +430,12 @@
 		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
 		runner.sent(job.size().promptTokens());
 		runner.health.sent(nowNanos);
-		boolean tries = triesWay(job, runner, nowNanos);
+		boolean tries = this.placement.triesWay(runner, spec(job), nowNanos);
 		runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version, tries));
 	}
 
-	// What has to begin before newer weights bind goes only where the way was seen open
-	// just now.
-	private boolean triesWay(Job job, RunnerState runner, long nowNanos) {
-		boolean begunBy = beginBy(job, runner) != Long.MAX_VALUE;
-		return runner.way.doubtful(nowNanos) || (begunBy && !runner.way.seenOpen(nowNanos));
-	}
-
 	// Lets waiting requests go on in the order in which they came, as far as room has
 	// come up.
 	private void pump(long nowNanos) {
@@ -477,7 +492,11 @@
 	}
 
 	private Optional<EngineSpec> spec(Job job) {
-		return this.table.flatMap((known) -> known.service(job.service())).flatMap((service) -> service.engine());
+		return spec(job.service());
+	}
+
+	private Optional<EngineSpec> spec(String service) {
+		return this.table.flatMap((known) -> known.service(service)).flatMap((spec) -> spec.engine());
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -191,7 +191,7 @@
 	private static boolean fits(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
 			long nowNanos) {
 		if (runner.info.draining() || runner.gone || runner.switching() || runner.leftOut(nowNanos)
-				|| runner.way.beingTried()) {
+				|| runner.way.beingTried() || runner.way.closed(nowNanos)) {
 			return false;
 		}
 		if (job.tried.contains(runner.info.id()) && job.tried.size() < 3) {
@@ -211,6 +211,30 @@
 		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
 	}
 
+	/**
+	 * Returns until when a request must have begun at a runner, or be taken back.
+	 */
+	long beginBy(RunnerState runner, Optional<EngineSpec> engine) {
+		Optional<String> model = engine.map(EngineSpec::model);
+		OptionalInt held = model.map(runner::version).orElse(OptionalInt.empty());
+		return held.isPresent() ? this.fence.beginBy(model.get(), held.getAsInt()) : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Returns whether it matters now if the way to a runner is open: it may be closed, or
+	 * what is sent there has to begin before newer weights bind.
+	 */
+	boolean wayMatters(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
+		return runner.way.doubtful(nowNanos) || beginBy(runner, engine) != Long.MAX_VALUE;
+	}
+
+	/**
+	 * Returns whether a request may leave only over a connection that is made for it.
+	 */
+	boolean triesWay(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
+		return wayMatters(runner, engine, nowNanos) && !runner.way.seenOpen(nowNanos);
+	}
+
 	// What was left out, or has not answered for long, is bound by its own waits, whoever
 	// waited there.
 	private boolean bindsSooner(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
@@ -11,9 +11,11 @@
  * Load: the link of a runner's VM is full and holds what is sent there for seconds. Harm
  * prevented: requests that were given up meanwhile reach the runner all the same and run
  * for nobody, or on weights that are over; a reset does not take back what a link holds.
- * So on a way that is in doubt a request leaves only once a connection that was made for
- * it is there, and one at a time: a connection that is not made carries nothing. That it
- * is made proves little, since what is small passes where more is held; an answer does.
+ * So while a way is in doubt, or what is sent has to begin by a time, the agent beside
+ * the runner is asked for echoes, and nothing is sent while they stay away. Where no
+ * agent answers, a request leaves only once a connection that was made for it is there,
+ * and one at a time: a connection that is not made carries nothing. That it is made
+ * proves less, since it may pass where more is held.
  */
 final class RunnerWay {
 
@@ -31,6 +33,14 @@
 	// the way holds things.
 	private static final long LONGEST_HELD_NANOS = Duration.ofSeconds(4).toNanos();
 
+	// An agent whose echo was heard this recently is there, and its silence counts. One
+	// that has been silent for longer may be gone while its runner is well.
+	private static final long ECHOES_NANOS = Duration.ofSeconds(8).toNanos();
+
+	// Echoes are asked for again within this time, and are back within it over a way that
+	// is open.
+	private static final long ASKED_NANOS = Duration.ofMillis(400).toNanos();
+
 	// What is sent without an answer; the oldest of it is what counts.
 	private static final int MOST_UNANSWERED = 64;
 
@@ -42,6 +52,12 @@
 
 	private OptionalLong tryNanos = OptionalLong.empty();
 
+	private long askingSinceNanos = Long.MIN_VALUE / 2;
+
+	private long askedNanos = Long.MIN_VALUE / 2;
+
+	private long echoNanos = Long.MIN_VALUE / 2;
+
 	private boolean doubtfulTry;
 
 	/**
@@ -77,11 +93,43 @@
 	 * @param sentNanos when it was sent
 	 */
 	void answered(long sentNanos) {
+		passed(sentNanos);
+		over(sentNanos);
+	}
+
+	/**
+	 * Notes that the agent beside the runner is asked for an echo.
+	 */
+	void asked(long nowNanos) {
+		if (nowNanos - this.askedNanos > ASKED_NANOS) {
+			this.askingSinceNanos = nowNanos;
+		}
+		this.askedNanos = nowNanos;
+	}
+
+	/**
+	 * Notes an echo: the way was open when it was asked for, so what was sent before that
+	 * has left it.
+	 * @param askedNanos when it was asked for
+	 */
+	void echoed(long askedNanos, long nowNanos) {
+		this.echoNanos = nowNanos;
+		passed(askedNanos);
+	}
+
+	/**
+	 * Returns whether echoes were asked for in vain: the way holds things.
+	 */
+	boolean closed(long nowNanos) {
+		return !seenOpen(nowNanos) && nowNanos - this.askedNanos <= ASKED_NANOS
+				&& nowNanos - this.askingSinceNanos > ASKED_NANOS && nowNanos - this.echoNanos < ECHOES_NANOS;
+	}
+
+	private void passed(long sentNanos) {
 		this.openNanos = Math.max(this.openNanos, sentNanos);
 		while (!this.unanswered.isEmpty() && this.unanswered.peekFirst().nanos <= sentNanos) {
 			this.unanswered.pollFirst();
 		}
-		over(sentNanos);
 	}
 
 	/**
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -217,6 +217,71 @@
 		assertThat(desk.done(), Matchers.contains("Refuse:no-usable-runner"));
 	}
 
+	// Newer weights are named, and the link to one engine begins to hold things.
+	// Connections are
+	// still made there, since the way back is free; what follows them is held. The agent
+	// on the
+	// same VM no longer sends stamps back in time: nothing goes there, and all goes to
+	// the other.
+	@Test
+	void whileEchoesStayAwayNothingIsSent() {
+		Desk desk = new Desk().with(Desk.engine("a"), Desk.engine("b"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		echo(desk, 1000, "a", "b");
+		desk.drain();
+		desk.arrive(Desk.STREAM, 100, 6000);
+		desk.arrive(Desk.STREAM, 100, 6000);
+		assertThat(desk.done(), Matchers.containsInAnyOrder("Send:a", "Send:b"));
+		echo(desk, 700, "b");
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+		echo(desk, 200, "a", "b");
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat("open again", desk.done(), Matchers.hasItem("Send:a"));
+	}
+
+	// An engine is slow to begin, and its agent sends stamps back at once: the way is
+	// open, and
+	// requests go on as before.
+	@Test
+	void anEchoEndsADoubt() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.arrive(Desk.STREAM);
+		desk.after(450);
+		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.contains(Desk.engine("a").address()));
+		desk.dispatcher.echoed(Desk.engine("a").address(), desk.now, desk.now);
+		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.empty());
+		desk.drain();
+		desk.arrive(Desk.STREAM);
+		desk.after(130).arrive(Desk.STREAM);
+		assertThat(desk.drain().stream().map((effect) -> ((DispatchEffect.Send) effect).tries()).toList(),
+				Matchers.contains(false, false));
+	}
+
+	@Test
+	void nobodyIsAskedWhileTheWayDoesNotMatter() {
+		Desk desk = new Desk().with(Desk.engine("a"), Desk.plain("p"));
+		desk.arrive(Desk.STREAM);
+		desk.after(100);
+		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.empty());
+	}
+
+	private static void echo(Desk desk, long millis, String... engines) {
+		for (long at = 0; at < millis; at += 100) {
+			desk.after(100);
+			desk.dispatcher.waysToAsk(desk.now);
+			for (String engine : engines) {
+				desk.dispatcher.echoed(Desk.engine(engine).address(), desk.now, desk.now);
+			}
+		}
+	}
+
 	private static List<Boolean> triesOfNext(Desk desk) {
 		return triesOfNext(desk, true);
 	}
