--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -264,6 +264,37 @@
 				Matchers.contains(false, false));
 	}
 
+	// The registration of a runner lapses, since its VM can't be reached, and comes back
+	// a moment
+	// later: the same start of it. What was known of it, that it is cut off and what is
+	// in flight
+	// there, was forgotten, and all entries sent there at once.
+	@Test
+	void aRegistrationThatComesBackIsTheSameRunner() {
+		Desk desk = new Desk().with(Desk.engine("a"), Desk.engine("b"));
+		Job running = desk.arrive(Desk.STREAM);
+		String cut = running.runner.orElseThrow().info.id();
+		String other = cut.equals("a") ? "b" : "a";
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.firstEvent(running);
+		Job next = desk.arrive(Desk.STREAM);
+		while (!next.runner.orElseThrow().info.id().equals(cut)) {
+			desk.ended(next, Outcome.DONE);
+			next = desk.arrive(Desk.STREAM);
+		}
+		desk.ended(next, Outcome.NOT_SENT);
+		desk.dispatcher.runnerRemoved(cut, desk.now);
+		desk.after(100);
+		desk.with(Desk.engine(cut));
+		desk.drain();
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:" + other)));
+		assertThat(desk.dispatcher.fleet().ownLoad().stream().filter((load) -> load.runner().equals(cut)).toList(),
+				Matchers.contains(new RunnerLoad(cut, Desk.engine(cut).start(), new PeerLoad(1, 0, 0))));
+	}
+
 	@Test
 	void nobodyIsAskedWhileTheWayDoesNotMatter() {
 		Desk desk = new Desk().with(Desk.engine("a"), Desk.plain("p"));
