A registration that lapses and comes back is the same runner

An entry forgot what it knew of a runner, its health, its way and what it had in flight there, when the registration lapsed; the next one under the same id and start was taken for a new runner. RunnerBook keeps the last 200 that went and takes one up again when the start is the same.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerBook.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +29,10 @@
 	 */
 	static final long RETURN_NANOS = Duration.ofMillis(2300).toNanos();
 
+	// Registrations that lapse and come back do so within seconds; more than a hundred of
+	// them in a row are those of a whole large site.
+	private static final int MOST_DROPPED = 200;
+
 	private final Map<String, RunnerState> runners = new HashMap<>();
 
 	private final Map<String, List<RunnerState>> services = new HashMap<>();
@@ -38,6 +43,9 @@
 
 	private final Map<String, EngineWord> words = new HashMap<>();
 
+	// Runners whose registration is gone, the latest last.
+	private final Map<String, RunnerState> dropped = new LinkedHashMap<>();
+
 	private final Set<String> lapsed = new HashSet<>();
 
 	private boolean storeReachable = true;
@@ -78,7 +86,10 @@
 	boolean put(RunnerInfo info) {
 		this.lapsed.remove(info.id());
 		RunnerState known = this.runners.get(info.id());
-		if (known == null || known.info.start().before(info.start())) {
+		if (known == null) {
+			return appeared(info);
+		}
+		if (known.info.start().before(info.start())) {
 			start(info);
 			return true;
 		}
@@ -103,6 +114,22 @@
 		drop(id);
 	}
 
+	// Failure: the VM of a runner can't reach the store, so its registration lapses, and
+	// comes back. Symptom: all that was known of it is forgotten, and every entry sends
+	// there again at once. The same start is the same runner.
+	private boolean appeared(RunnerInfo info) {
+		RunnerState former = this.dropped.remove(info.id());
+		if (former == null || !former.info.start().equals(info.start())) {
+			start(info);
+			return true;
+		}
+		this.runners.put(info.id(), former);
+		former.registered(info);
+		applyWord(former);
+		index();
+		return true;
+	}
+
 	// Nothing that was believed of a former start holds for this one.
 	private void start(RunnerInfo info) {
 		RunnerState state = new RunnerState(info);
@@ -205,6 +232,10 @@
 		RunnerState state = this.runners.remove(id);
 		if (state != null) {
 			state.gone = true;
+			this.dropped.put(id, state);
+			if (this.dropped.size() > MOST_DROPPED) {
+				this.dropped.remove(this.dropped.keySet().iterator().next());
+			}
 			index();
 		}
 	}
