--- a/app/src/test/java/org/wisteriapost/app/SiteTests.java
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -35,6 +35,7 @@
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.Hello;
+import org.wisteriapost.protocol.wire.NewsRequest;
 import org.wisteriapost.protocol.wire.Role;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -323,7 +324,10 @@
 		CompletableFuture<Link> open = new CompletableFuture<>();
 		CompletableFuture<Frame> told = new CompletableFuture<>();
 		try (Links links = Links.plain(1)) {
-			links.connect(new InetSocketAddress(settings.host(), settings.linkPort()), new Greeter(open, told)).join();
+			links
+				.connect(new InetSocketAddress(settings.host(), settings.linkPort()),
+						new Greeter(open, Frame.BodyCase.LEAVING, told))
+				.join();
 			leaving.leave();
 			await("it leaves", () -> directory(1).isEmpty());
 			Hello hello = Hello.newBuilder().setVm("late-entry").setRole(Role.ENTRY).build();
@@ -333,6 +337,27 @@
 		}
 	}
 
+	// An entry sees by it for how long the link to an engine's VM holds things. One that
+	// gets no
+	// stamp back in time sends nothing there.
+	@Test
+	void anAgentSendsAStampBack() throws Exception {
+		this.site.engine(1);
+		agent(1);
+		SiteSettings settings = this.provider.settings(this.site.agentSettings(this.folder, 1));
+		CompletableFuture<Link> open = new CompletableFuture<>();
+		CompletableFuture<Frame> told = new CompletableFuture<>();
+		try (Links links = Links.plain(1)) {
+			links
+				.connect(new InetSocketAddress(settings.host(), settings.linkPort()),
+						new Greeter(open, Frame.BodyCase.NEWS, told))
+				.join();
+			NewsRequest ask = NewsRequest.newBuilder().setKeepAlive(true).setStamp(42).build();
+			open.join().send(Frame.newBuilder().setNewsRequest(ask).build());
+			assertThat(told.get(MOST_SECONDS, TimeUnit.SECONDS).getNews().getStamp(), Matchers.equalTo(42L));
+		}
+	}
+
 	private String directory(int entry) {
 		URI target = URI.create("http://127.7.1." + entry + ":" + (this.site.port() + 2)
 				+ "/v1/resolution?name=desk.example&region=here&zone=hall-a");
@@ -344,9 +369,11 @@
 	 * Says nothing by itself and waits for a notice.
 	 *
 	 * @param open when the link is up
+	 * @param notice what it waits for
 	 * @param told the notice
 	 */
-	private record Greeter(CompletableFuture<Link> open, CompletableFuture<Frame> told) implements LinkHandler {
+	private record Greeter(CompletableFuture<Link> open, Frame.BodyCase notice,
+			CompletableFuture<Frame> told) implements LinkHandler {
 
 		@Override
 		public void onOpen(Link link) {
@@ -355,7 +382,7 @@
 
 		@Override
 		public void onFrame(Link link, Frame frame) {
-			if (frame.getBodyCase() == Frame.BodyCase.LEAVING) {
+			if (frame.getBodyCase() == this.notice) {
 				this.told.complete(frame);
 			}
 		}
