--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -184,7 +184,10 @@
 		Desk desk = new Desk().with(Desk.engine("a"));
 		desk.arrive(Desk.STREAM);
 		desk.cutOff("a").after(450);
-		assertThat(triesOfNext(desk), Matchers.contains(true));
+		desk.drain();
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.drain().stream().map((effect) -> ((DispatchEffect.Send) effect).tries()).toList(),
+				Matchers.contains(true));
 		desk.with(Desk.engine("b"));
 		for (int i = 0; i < 6; i++) {
 			desk.arrive(Desk.STREAM, 100, 6000);
@@ -192,14 +195,140 @@
 		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
 	}
 
+	// Requests were given up at an engine seconds ago and none was answered since. A
+	// connection
+	// can be made there again, but what follows may be held for as long as those were:
+	// newer
+	// weights bind sooner than that.
+	@Test
+	void whatMayBeHeldUntilNewerWeightsBindIsNotSent() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		desk.after(2000);
+		desk.dispatcher.gone(desk.arrive(Desk.STREAM), desk.now);
+		desk.after(1500);
+		assertThat("time enough", triesOfNext(desk, false), Matchers.contains(true));
+		desk.after(1200);
+		desk.drain();
+		desk.arrive(Desk.STREAM);
+		desk.after(100);
+		assertThat(desk.done(), Matchers.contains("Refuse:no-usable-runner"));
+	}
+
+	// Newer weights are named, and the link to one engine begins to hold things.
+	// Connections are
+	// still made there, since the way back is free; what follows them is held. The agent
+	// on the
+	// same VM no longer sends stamps back in time: nothing goes there, and all goes to
+	// the other.
+	@Test
+	void whileEchoesStayAwayNothingIsSent() {
+		Desk desk = new Desk().with(Desk.engine("a"), Desk.engine("b"));
+		desk.dispatcher.named(new NamedWeights("lm", 1), true, desk.now);
+		desk.after(10_000);
+		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
+		echo(desk, 1000, "a", "b");
+		desk.drain();
+		desk.arrive(Desk.STREAM, 100, 6000);
+		desk.arrive(Desk.STREAM, 100, 6000);
+		assertThat(desk.done(), Matchers.containsInAnyOrder("Send:a", "Send:b"));
+		echo(desk, 700, "b");
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+		echo(desk, 200, "a", "b");
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat("open again", desk.done(), Matchers.hasItem("Send:a"));
+	}
+
+	// An engine is slow to begin, and its agent sends stamps back at once: the way is
+	// open, and
+	// requests go on as before.
+	@Test
+	void anEchoEndsADoubt() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.arrive(Desk.STREAM);
+		desk.after(450);
+		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.contains(Desk.engine("a").address()));
+		desk.dispatcher.echoed(Desk.engine("a").address(), desk.now, desk.now);
+		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.empty());
+		desk.drain();
+		desk.arrive(Desk.STREAM);
+		desk.after(130).arrive(Desk.STREAM);
+		assertThat(desk.drain().stream().map((effect) -> ((DispatchEffect.Send) effect).tries()).toList(),
+				Matchers.contains(false, false));
+	}
+
+	// The registration of a runner lapses, since its VM can't be reached, and comes back
+	// a moment
+	// later: the same start of it. What was known of it, that it is cut off and what is
+	// in flight
+	// there, was forgotten, and all entries sent there at once.
+	@Test
+	void aRegistrationThatComesBackIsTheSameRunner() {
+		Desk desk = new Desk().with(Desk.engine("a"), Desk.engine("b"));
+		Job running = desk.arrive(Desk.STREAM);
+		String cut = running.runner.orElseThrow().info.id();
+		String other = cut.equals("a") ? "b" : "a";
+		desk.after(FIRST_EVENT_MILLIS);
+		desk.firstEvent(running);
+		Job next = desk.arrive(Desk.STREAM);
+		while (!next.runner.orElseThrow().info.id().equals(cut)) {
+			desk.ended(next, Outcome.DONE);
+			next = desk.arrive(Desk.STREAM);
+		}
+		desk.ended(next, Outcome.NOT_SENT);
+		desk.dispatcher.runnerRemoved(cut, desk.now);
+		desk.after(150);
+		desk.with(Desk.engine(cut));
+		desk.drain();
+		for (int i = 0; i < 6; i++) {
+			desk.arrive(Desk.STREAM, 100, 6000);
+		}
+		assertThat(desk.done(),
+				Matchers.allOf(Matchers.hasItem("Send:" + other), Matchers.not(Matchers.hasItem("Send:" + cut))));
+		assertThat(desk.dispatcher.fleet().ownLoad().stream().filter((load) -> load.runner().equals(cut)).toList(),
+				Matchers.contains(new RunnerLoad(cut, Desk.engine(cut).start(), new PeerLoad(1, 0, 0))));
+	}
+
+	@Test
+	void nobodyIsAskedWhileTheWayDoesNotMatter() {
+		Desk desk = new Desk().with(Desk.engine("a"), Desk.plain("p"));
+		desk.arrive(Desk.STREAM);
+		desk.after(100);
+		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.empty());
+	}
+
+	private static void echo(Desk desk, long millis, String... engines) {
+		for (long at = 0; at < millis; at += 100) {
+			desk.after(100);
+			desk.dispatcher.waysToAsk(desk.now);
+			for (String engine : engines) {
+				desk.dispatcher.echoed(Desk.engine(engine).address(), desk.now, desk.now);
+			}
+		}
+	}
+
 	private static List<Boolean> triesOfNext(Desk desk) {
+		return triesOfNext(desk, true);
+	}
+
+	private static List<Boolean> triesOfNext(Desk desk, boolean answered) {
 		desk.drain();
 		Job job = desk.arrive(Desk.STREAM);
 		List<Boolean> tries = desk.drain().stream().map((effect) -> ((DispatchEffect.Send) effect).tries()).toList();
-		if (job.runner.isPresent() && !job.runner.get().way.beingTried()) {
+		if (answered) {
 			desk.firstEvent(job);
 			desk.ended(job, Outcome.DONE);
 		}
+		else {
+			desk.dispatcher.gone(job, desk.now);
+		}
 		return tries;
 	}
 
