StoreDuty in three parts; tests of followers and readers in two classes each

Succession has what is done about a loss, ReaderOrder who reads and who is suspected, ReaderAges ages.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -39,8 +38,6 @@
 	// Half a second: who hears the store from here takes silence for a loss.
 	private static final int TICKS_PER_SIGN = 5;
 
-	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
-
 	// What is large comes last: on a narrow link what is small would wait behind it, and
 	// callers would find no runner for as long as the route table takes.
 	private static final List<Kind> ANSWER_ORDER = List.of(Kind.RUNNERS, Kind.ENTRIES, Kind.WEIGHTS, Kind.ROUTES);
@@ -315,9 +312,7 @@
 	// Who alone has lost the entry that reads for both would wait for this one to read.
 	private News notCurrent() {
 		News.Builder news = News.newBuilder().setCurrent(false);
-		this.duty.heardNanos()
-			.ifPresent((heard) -> news
-				.setAgeMillis(Math.ceilDiv(Math.max(0, this.clock.getAsLong() - heard), NANOS_PER_MILLI)));
+		this.duty.heardAgoMillis(this.clock.getAsLong()).ifPresent(news::setAgeMillis);
 		return news.build();
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/ReaderAges.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/ReaderAges.java
@@ -14,9 +14,7 @@
 	// What is left of the bound is for the next sign, and for reading.
 	private static final double USED_SHARE = 0.7;
 
-	// Two watches in a row over a link on which each is under way for 0.3 s: the first
-	// one
-	// confirms nothing later than its call.
+	// Two watches over a link that takes 0.3 s: the first confirms as of its call.
 	private static final long SLOW_LINK_NANOS = Duration.ofMillis(2200).toNanos();
 
 	private final long mostNanos;
@@ -54,7 +52,7 @@
 	 */
 	OptionalLong of(String reader) {
 		Long known = this.asOf.get(reader);
-		return (known == null) ? OptionalLong.empty() : OptionalLong.of(known);
+		return (known != null) ? OptionalLong.of(known) : OptionalLong.empty();
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreDuty.java
@@ -3,11 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
 
 /**
  * Whether this entry reads the site's store itself or hears from a neighbour what it
@@ -25,21 +24,7 @@
  * the link to it is gone, and when nothing came for {@value #SILENT_MILLIS} ms, of which
  * the reader sends something every half second. Two that both read do no harm.
  *
- * All of a group lose their reader at the same time. Were all to read, a narrow link to
- * the store would be full of copies of which none comes through in time, and stay full.
- * So the next by rendezvous reads at once and the others ask it, over and over while it
- * has only begun. Those that nobody has helped within {@value #SUCCESSOR_MILLIS} ms begin
- * to read one after the other, the last after {@value #LATEST_MILLIS} ms, and are asked
- * by those that come after them: whichever comes through first serves all, and an entry
- * with nobody left to ask reads at once.
- *
- * Who alone loses its reader, by a link that is silent, is bound by the site's promises
- * and would wait for a successor that does not read. Symptom: a request is handled by a
- * table that is older than the bound allows. Two safeguards are enough together. Of a
- * loss that all share nobody hears the reader later than this entry did; so one that
- * rests and did is passed over at once, and after {@value #MOST_PASSED_OVER} of them this
- * entry reads. And while nobody says that it has lost the reader as well, an entry waits
- * no longer than a share of the bound, counted from what it last knew.
+ * What is done about a loss, without all reading at once: {@link Succession}.
  *
  * A reader that froze reads on when it is back, beside the one that took its place, and
  * while somebody hears either neither rests. Symptom: the store is paid for both, for
@@ -62,17 +47,14 @@
 
 	static final int SILENT_MILLIS = 1200;
 
-	// As long as the next reader is given before the one after it begins as well.
-	static final int SUCCESSOR_MILLIS = 500;
-
-	static final int LATEST_MILLIS = 2000;
-
-	static final int MOST_PASSED_OVER = 3;
+	static final int LATEST_MILLIS = Succession.LATEST_MILLIS;
 
 	static final int BESIDE_MILLIS = 1000;
 
 	private static final int MOST_BESIDE = 3;
 
+	private static final long NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
+
 	private static final long BESIDE_NANOS = Duration.ofMillis(BESIDE_MILLIS).toNanos();
 
 	private static final Duration USUAL_IN_FORCE = Duration.ofSeconds(3);
@@ -80,23 +62,6 @@
 	// The rest of the bound is for the reading.
 	private static final double UNINFORMED_SHARE = 0.8;
 
-	// A next reader in another region has answered by then.
-	private static final long SHORTEST_WAIT_NANOS = Duration.ofMillis(300).toNanos();
-
-	// A reader gives a sign each half second. One that was heard so much later has given
-	// one that did not come here.
-	private static final long LATER_NANOS = Duration.ofMillis(600).toNanos();
-
-	private static final long SUCCESSOR_NANOS = Duration.ofMillis(SUCCESSOR_MILLIS).toNanos();
-
-	private static final long LATEST_NANOS = Duration.ofMillis(LATEST_MILLIS).toNanos();
-
-	// Between two that begin one after the other: enough to ask the one before.
-	private static final long STAGGER_NANOS = Duration.ofMillis(150).toNanos();
-
-	// Who is to read next says at once whether it does.
-	private static final long SUCCESSOR_ANSWER_NANOS = Duration.ofMillis(400).toNanos();
-
 	private static final long SILENT_NANOS = Duration.ofMillis(SILENT_MILLIS).toNanos();
 
 	// A link carries everything within it, or is no good for news.
@@ -105,16 +70,13 @@
 	// After a start or a loss the neighbours are found one after the other.
 	private static final long SETTLE_NANOS = Duration.ofSeconds(1).toNanos();
 
-	// A reader that failed is not asked again for longer than a restart takes.
-	private static final long SUSPECT_NANOS = Duration.ofSeconds(10).toNanos();
-
-	private static final String PURPOSE = "store";
-
 	private final String self;
 
 	private final long mostUninformedNanos;
 
-	private final Map<String, Long> suspects = new HashMap<>();
+	private final ReaderOrder order;
+
+	private final ReaderAges ages;
 
 	private Stage stage = Stage.READS;
 
@@ -127,9 +89,6 @@
 	// As it was at the last look.
 	private Collection<String> group = List.of();
 
-	// Who is to read before this entry does, the next reader first.
-	private final List<String> successors = new ArrayList<>();
-
 	// Who is asked beside the reader, to be heard instead of it.
 	private Optional<String> candidate = Optional.empty();
 
@@ -138,34 +97,18 @@
 	// How many have been asked for want of routes that are not old.
 	private int asked;
 
-	private final ReaderAges ages;
-
 	private long restsNanos;
 
 	// Since when the reader's routes are older than the bound allows.
 	private OptionalLong oldNanos = OptionalLong.empty();
 
-	// When the reader that is lost was heard.
-	private long heardNanos;
-
-	private long lostNanos;
-
-	// When this entry reads that may have lost its reader alone.
-	private long latestNanos;
-
-	// Whether somebody that was to read next has answered that it does, or not yet.
-	private boolean shared;
-
-	private int passedOver;
-
-	// Since when the first of them has had its turn.
-	private long turnNanos;
-
-	private Answer answer = Answer.NONE;
+	// What is done about the last loss.
+	private Optional<Succession> succession = Optional.empty();
 
 	private StoreDuty(String self, Duration inForce) {
 		this.self = self;
 		this.reader = self;
+		this.order = new ReaderOrder(self);
 		this.ages = ReaderAges.of(inForce);
 		this.mostUninformedNanos = (long) (inForce.toNanos() * UNINFORMED_SHARE);
 	}
@@ -208,11 +151,12 @@
 	}
 
 	/**
-	 * Returns when the neighbour from which this entry hears the store was heard; empty
-	 * when it has none.
+	 * Returns how many milliseconds ago the neighbour from which this entry hears the
+	 * store was heard, rounded up; empty when it has none.
 	 */
-	public OptionalLong heardNanos() {
-		return settled() ? OptionalLong.of(this.sinceNanos) : OptionalLong.empty();
+	public OptionalLong heardAgoMillis(long nowNanos) {
+		long ago = Math.ceilDiv(Math.max(0, nowNanos - this.sinceNanos), NANOS_PER_MILLI);
+		return settled() ? OptionalLong.of(ago) : OptionalLong.empty();
 	}
 
 	/**
@@ -238,7 +182,7 @@
 			case ASKED -> asked(group, mayRest, nowNanos);
 			case RESTS -> (!group.contains(this.reader) || nowNanos - this.sinceNanos > SILENT_NANOS)
 					? lost(this.sinceNanos, nowNanos) : move(nowNanos);
-			case SEEKS -> seeks(nowNanos);
+			case SEEKS -> seeks((loss) -> loss.tick(this.group, nowNanos), nowNanos);
 		};
 	}
 
@@ -258,11 +202,8 @@
 			case READS -> List.of();
 			case ASKED -> current ? answered(complete, nowNanos) : read(nowNanos);
 			case RESTS -> current ? confirmed(nowNanos) : lost(informedNanos(), nowNanos);
-			case SEEKS -> {
-				this.shared = this.passedOver == 0;
-				this.answer = current ? Answer.CURRENT : Answer.NOT_CURRENT;
-				yield (current && complete) ? confirmed(nowNanos) : successorSays(current, nowNanos);
-			}
+			case SEEKS -> (current && complete) ? confirmed(nowNanos)
+					: seeks((loss) -> loss.heard(peer, current, nowNanos), nowNanos);
 		};
 	}
 
@@ -271,20 +212,13 @@
 	 * @param agoNanos how long before its answer it heard that one
 	 */
 	public List<Step> heardResting(String peer, long agoNanos, long nowNanos) {
-		boolean later = agoNanos >= 0 && agoNanos <= SILENT_NANOS
-				&& this.sinceNanos - agoNanos - this.heardNanos >= LATER_NANOS;
-		if (this.stage != Stage.SEEKS || !believes(peer) || !later) {
-			return heard(peer, false, false, nowNanos);
-		}
-		this.answer = Answer.NOT_CURRENT;
-		this.successors.remove(peer);
-		this.passedOver++;
-		this.shared = false;
-		return (this.passedOver == MOST_PASSED_OVER) ? readAgain(nowNanos) : seeks(nowNanos);
+		return (this.stage == Stage.SEEKS && believes(peer))
+				? seeks((loss) -> loss.heardResting(peer, agoNanos, this.group, nowNanos), nowNanos)
+				: heard(peer, false, false, nowNanos);
 	}
 
 	private List<Step> reads(Collection<String> group, boolean mayRest, long nowNanos) {
-		Optional<String> wanted = wanted(group, nowNanos);
+		Optional<String> wanted = this.order.wanted(group, nowNanos);
 		if (!mayRest || wanted.isEmpty()) {
 			enter(Stage.READS, this.self, nowNanos);
 			return List.of();
@@ -331,11 +265,13 @@
 		if (this.oldNanos.isPresent()) {
 			return leaveOld(nowNanos - this.oldNanos.getAsLong(), nowNanos);
 		}
-		return consider(wanted(this.group, nowNanos).filter((first) -> !first.equals(this.reader)), nowNanos);
+		return consider(this.order.wanted(this.group, nowNanos).filter((first) -> !first.equals(this.reader)),
+				nowNanos);
 	}
 
 	private List<Step> leaveOld(long agoNanos, long nowNanos) {
-		List<String> order = order(this.group, nowNanos).stream()
+		List<String> order = this.order.all(this.group, nowNanos)
+			.stream()
 			.filter((name) -> !name.equals(this.reader))
 			.limit(MOST_BESIDE)
 			.toList();
@@ -343,7 +279,7 @@
 		int rank = order.indexOf(this.self);
 		if (rank >= 0 && rank < begun) {
 			Step dismiss = new Step.Dismiss(this.reader);
-			suspect(this.reader, nowNanos);
+			this.order.suspect(this.reader, nowNanos);
 			enter(Stage.READS, this.self, nowNanos);
 			return List.of(dismiss, new Step.Read());
 		}
@@ -370,7 +306,7 @@
 		}
 		Step dismiss = new Step.Dismiss(this.reader);
 		if (this.oldNanos.isPresent()) {
-			suspect(this.reader, nowNanos);
+			this.order.suspect(this.reader, nowNanos);
 		}
 		this.candidate = Optional.empty();
 		enter(Stage.RESTS, peer, nowNanos);
@@ -380,7 +316,7 @@
 	private List<Step> stay(long nowNanos) {
 		// Whoever is to read for want of newer routes may have only begun.
 		if (this.oldNanos.isEmpty()) {
-			this.candidate.ifPresent((peer) -> suspect(peer, nowNanos));
+			this.candidate.ifPresent((peer) -> this.order.suspect(peer, nowNanos));
 		}
 		return leaveCandidate();
 	}
@@ -395,15 +331,9 @@
 		return this.candidate.equals(Optional.of(peer));
 	}
 
-	private List<Step> successorSays(boolean current, long nowNanos) {
-		this.sinceNanos = nowNanos;
-		return current ? List.of()
-				: successorAfter(this.reader, nowNanos).map((next) -> ask(next, nowNanos)).orElse(List.of());
-	}
-
 	private List<Step> read(long nowNanos) {
 		Step dismiss = new Step.Dismiss(this.reader);
-		suspect(this.reader, nowNanos);
+		this.order.suspect(this.reader, nowNanos);
 		enter(Stage.READS, this.self, nowNanos);
 		return List.of(dismiss);
 	}
@@ -418,97 +348,26 @@
 	private List<Step> lost(long informedNanos, long nowNanos) {
 		List<Step> steps = new ArrayList<>(leaveCandidate());
 		steps.add(new Step.Dismiss(this.reader));
-		suspect(this.reader, nowNanos);
-		this.successors.clear();
-		order(this.group, nowNanos).stream().takeWhile((name) -> !name.equals(this.self)).forEach(this.successors::add);
-		this.heardNanos = this.sinceNanos;
-		this.lostNanos = nowNanos;
-		this.shared = false;
-		this.passedOver = 0;
-		long waitNanos = informedNanos + this.mostUninformedNanos - nowNanos;
-		this.latestNanos = nowNanos + Math.clamp(waitNanos, SHORTEST_WAIT_NANOS, LATEST_NANOS);
-		this.turnNanos = nowNanos;
+		this.order.suspect(this.reader, nowNanos);
+		long dueNanos = informedNanos + this.mostUninformedNanos;
+		this.succession = Optional.of(Succession.begin(this.order, this.group, this.sinceNanos, dueNanos, nowNanos));
 		enter(Stage.SEEKS, this.self, nowNanos);
-		steps.addAll(seeks(nowNanos));
+		steps.addAll(seeks((loss) -> loss.tick(this.group, nowNanos), nowNanos));
 		return steps;
 	}
 
-	private List<Step> seeks(long nowNanos) {
-		leaveOut(nowNanos);
-		boolean helps = this.successors.contains(this.reader) && this.answer != Answer.NOT_CURRENT;
-		boolean passesOn = helps && this.answer == Answer.CURRENT;
-		boolean due = !passesOn && nowNanos - this.turnNanos >= startNanos(this.successors.size());
-		long latest = this.shared ? this.lostNanos + LATEST_NANOS : this.latestNanos;
-		if (due || nowNanos - latest >= 0) {
-			return readAgain(nowNanos);
-		}
-		return helps ? List.of() : ask(this.successors.getFirst(), nowNanos);
-	}
-
-	private List<Step> readAgain(long nowNanos) {
-		List<Step> steps = new ArrayList<>(leave());
-		steps.add(new Step.Read());
-		enter(Stage.READS, this.self, nowNanos);
-		return steps;
-	}
-
-	// Who is gone or says nothing reads no more; the one after it has its turn at once.
-	private void leaveOut(long nowNanos) {
-		Optional<String> first = this.successors.stream().findFirst();
-		if (this.successors.contains(this.reader) && nowNanos - this.sinceNanos > SUCCESSOR_ANSWER_NANOS) {
-			suspect(this.reader, nowNanos);
-			this.successors.remove(this.reader);
+	private List<Step> seeks(Function<Succession, List<Step>> next, long nowNanos) {
+		Succession loss = this.succession.orElseThrow();
+		List<Step> steps = next.apply(loss);
+		if (steps.contains(new Step.Read())) {
+			enter(Stage.READS, this.self, nowNanos);
 		}
-		this.successors.retainAll(this.group);
-		if (!first.equals(this.successors.stream().findFirst())) {
-			this.turnNanos = nowNanos;
+		else {
+			enter(Stage.SEEKS, loss.asked().orElse(this.self), nowNanos);
 		}
-	}
-
-	private List<Step> ask(String successor, long nowNanos) {
-		List<Step> steps = new ArrayList<>(successor.equals(this.reader) ? List.of() : leave());
-		steps.add(new Step.Ask(successor));
-		this.answer = Answer.NONE;
-		enter(Stage.SEEKS, successor, nowNanos);
 		return steps;
 	}
 
-	// Who has said that it is not current passes nothing on.
-	private List<Step> leave() {
-		boolean none = this.reader.equals(this.self) || this.answer == Answer.NOT_CURRENT;
-		return none ? List.of() : List.of(new Step.Dismiss(this.reader));
-	}
-
-	// The next that has begun to read by now.
-	private Optional<String> successorAfter(String successor, long nowNanos) {
-		int rank = this.successors.indexOf(successor) + 1;
-		boolean begun = rank < this.successors.size() && nowNanos - this.turnNanos >= startNanos(rank);
-		return begun ? Optional.of(this.successors.get(rank)) : Optional.empty();
-	}
-
-	// How long after the loss the entry of a rank begins to read.
-	private static long startNanos(int rank) {
-		return (rank == 0) ? 0 : Math.min(SUCCESSOR_NANOS + (rank - 1) * STAGGER_NANOS, LATEST_NANOS);
-	}
-
-	private void suspect(String peer, long nowNanos) {
-		this.suspects.put(peer, nowNanos + SUSPECT_NANOS);
-	}
-
-	// Whom to hear; empty when this entry is to read.
-	private Optional<String> wanted(Collection<String> group, long nowNanos) {
-		return Optional.of(order(group, nowNanos).getFirst()).filter((first) -> !first.equals(this.self));
-	}
-
-	// This entry and those of the group that have not failed, the one to read first.
-	private List<String> order(Collection<String> group, long nowNanos) {
-		this.suspects.values().removeIf((until) -> nowNanos >= until);
-		List<String> candidates = new ArrayList<>(group);
-		candidates.removeAll(this.suspects.keySet());
-		candidates.add(this.self);
-		return Rendezvous.order(candidates, PURPOSE);
-	}
-
 	private void enter(Stage next, String of, long nowNanos) {
 		if (next != this.stage || !of.equals(this.reader)) {
 			this.restsNanos = nowNanos;
@@ -557,10 +416,4 @@
 
 	}
 
-	private enum Answer {
-
-		NONE, CURRENT, NOT_CURRENT
-
-	}
-
 }
