--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/Desk.java
@@ -39,6 +39,9 @@
 
 	static final Route ALLOCATE = route("allocate", RouteKind.AT_MOST_ONCE, "registry-api", 120, 600, 1, false);
 
+	/** Its answers usually take most of a second. */
+	static final Route SLOW = route("slow", RouteKind.AT_MOST_ONCE, "registry-api", 1500, 6000, 1, false);
+
 	final Dispatcher dispatcher = Dispatcher.create(
 			new DispatchLimits("hall-a", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8)),
 			RandomSource.XO_RO_SHI_RO_128_PP.create(42));
@@ -55,8 +58,8 @@
 		CallLimits limits = new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
 		ServiceSpec engines = new ServiceSpec("lm-notice", 264, Optional.of(ENGINE), Optional.empty());
 		ServiceSpec plain = new ServiceSpec("registry-api", 96, Optional.empty(), Optional.empty());
-		this.dispatcher.table(RouteTable.of(1, List.of(STREAM, STREAM_ONCE, LOOKUP, ALLOCATE), List.of(engines, plain),
-				Map.of(), limits));
+		this.dispatcher.table(RouteTable.of(1, List.of(STREAM, STREAM_ONCE, LOOKUP, ALLOCATE, SLOW),
+				List.of(engines, plain), Map.of(), limits));
 	}
 
 	private static Route route(String name, RouteKind kind, String service, long target, long timeout, int attempts,
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -1,6 +1,8 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -304,6 +306,28 @@
 		assertThat(desk.dispatcher.waysToAsk(desk.now), Matchers.empty());
 	}
 
+	// Callers of a plain service whose answers usually take most of a second are refused
+	// while five of six slots are empty. A plain answer comes only when it is whole, and
+	// no agent is beside the runner; were the wait for it taken for a way that may be
+	// closed, the service would get one request at a time.
+	@Test
+	void theUsualWaitForAPlainAnswerCastsNoDoubt() {
+		Desk desk = new Desk().with(Desk.plain("p"));
+		Deque<Job> running = new ArrayDeque<>();
+		for (int i = 0; i < 40; i++) {
+			running.add(desk.arrive(Desk.SLOW));
+			desk.after(200);
+			if (running.size() > 4) {
+				desk.ended(running.remove(), Outcome.DONE);
+			}
+		}
+		List<DispatchEffect> effects = desk.drain();
+		assertThat(effects, Matchers.everyItem(Matchers.instanceOf(DispatchEffect.Send.class)));
+		assertThat(effects, Matchers.hasSize(40));
+		assertThat(effects.stream().filter((effect) -> ((DispatchEffect.Send) effect).tries()).toList(),
+				Matchers.empty());
+	}
+
 	private static void echo(Desk desk, long millis, String... engines) {
 		for (long at = 0; at < millis; at += 100) {
 			desk.after(100);
