The way to a plain service's runner is not doubted for the usual wait for its answer

Callers of a plain service whose answers take longer than 0.4 s would have been refused: each silence cast doubt on the way, and one request at a time went to each runner. Cause: a first event is predicted of engines only, and only beside engines is an agent whose echo ends a doubt. Change: only what goes to engines counts for the way. Ruled out: a longer doubt for plain answers, twice what callers expect: a service that turned slow would then get one at a time for good.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -430,12 +430,21 @@
 		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
 		runner.sent(job.size().promptTokens());
 		runner.health.sent(nowNanos);
-		boolean tries = this.placement.triesWay(runner, spec(job), nowNanos);
-		runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
+		boolean tries = choice.engine() && takesWay(job, choice, runner, nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version, tries));
 	}
 
+	// Only to engines, of which a first event is predicted: a plain answer comes when it
+	// is
+	// whole, so its silence says nothing of the way, and a slow service would get one
+	// request at a time.
+	private boolean takesWay(Job job, Placement.Choice choice, RunnerState runner, long nowNanos) {
+		boolean tries = this.placement.triesWay(runner, spec(job), nowNanos);
+		runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
+		return tries;
+	}
+
 	// Lets waiting requests go on in the order in which they came, as far as room has
 	// come up.
 	private void pump(long nowNanos) {
