The way matters for engines, and until newer weights bind

A plain service's runner that is slow for one request is no sign of a closed way: with one request at a time its callers would be refused. Agents are no longer asked once the newer weights bind, and an echo that was asked for after a try ends it.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -431,7 +431,10 @@
 		runner.sent(job.size().promptTokens());
 		runner.health.sent(nowNanos);
 		boolean tries = this.placement.triesWay(runner, spec(job), nowNanos);
-		runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
+		// A plain runner may take long for one request and be quick for the next.
+		if (choice.engine()) {
+			runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
+		}
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version, tries));
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -225,7 +225,8 @@
 	 * what is sent there has to begin before newer weights bind.
 	 */
 	boolean wayMatters(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
-		return runner.way.doubtful(nowNanos) || beginBy(runner, engine) != Long.MAX_VALUE;
+		long beginBy = beginBy(runner, engine);
+		return runner.way.doubtful(nowNanos) || (beginBy != Long.MAX_VALUE && nowNanos < beginBy);
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
@@ -115,6 +115,9 @@
 	void echoed(long askedNanos, long nowNanos) {
 		this.echoNanos = nowNanos;
 		passed(askedNanos);
+		if (this.tryNanos.isPresent() && this.tryNanos.getAsLong() <= askedNanos) {
+			this.tryNanos = OptionalLong.empty();
+		}
 	}
 
 	/**
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -296,6 +296,35 @@
 				Matchers.contains(new RunnerLoad(cut, Desk.engine(cut).start(), new PeerLoad(1, 0, 0))));
 	}
 
+	// A plain service's runner takes half a second for one request. It goes on taking
+	// others.
+	@Test
+	void aSlowPlainRunnerIsNotInDoubt() {
+		Desk desk = new Desk().with(Desk.plain("p")).cutOff("p");
+		desk.arrive(Desk.ALLOCATE);
+		desk.after(450).drain();
+		desk.arrive(Desk.ALLOCATE);
+		desk.arrive(Desk.ALLOCATE);
+		assertThat(desk.done(), Matchers.contains("Send:p", "Send:p"));
+	}
+
+	// While an agent does not answer yet, one request tries the way; its echo lets the
+	// others
+	// follow, without waiting for the first event.
+	@Test
+	void anEchoEndsATry() {
+		Desk desk = new Desk().with(Desk.engine("a"));
+		desk.arrive(Desk.STREAM);
+		desk.cutOff("a").after(450).drain();
+		desk.arrive(Desk.STREAM);
+		desk.arrive(Desk.STREAM);
+		assertThat(desk.done(), Matchers.contains("Send:a"));
+		desk.after(20);
+		desk.dispatcher.echoed(Desk.engine("a").address(), desk.now, desk.now);
+		desk.after(20);
+		assertThat(desk.done(), Matchers.contains("Send:a"));
+	}
+
 	@Test
 	void nobodyIsAskedWhileTheWayDoesNotMatter() {
 		Desk desk = new Desk().with(Desk.engine("a"), Desk.plain("p"));
