No process registers management beans at its start

The I/O library creates the JVM's management server to name its workers there; nobody reads it. The library goes on without: the entry that the archive is recorded with serves its callers under the flag.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -24,8 +24,9 @@
 "$jdk/bin/jlink" --output target/rt --strip-debug --no-header-files --no-man-pages --generate-cds-archive \
 	--add-modules java.base,java.logging,java.naming,java.management,java.xml,java.sql,java.security.jgss,java.security.sasl,jdk.unsupported,jdk.crypto.ec
 
-# The flags that decide what an archive holds must be those of deploy/system.toml.
-flags="-Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData --sun-misc-unsafe-memory-access=allow -Dio.netty.machineId=02:00:00:00:00:01 -Dio.netty.processId=1 -Dwisteriapost.log.target=System.out"
+# The flags that decide what an archive holds must be those of deploy/system.toml. Without a builder the I/O library
+# registers no management beans, which nobody reads and which cost a start some 50 ms.
+flags="-Djavax.management.builder.initial=none -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData --sun-misc-unsafe-memory-access=allow -Dio.netty.machineId=02:00:00:00:00:01 -Dio.netty.processId=1 -Dwisteriapost.log.target=System.out"
 seconds=6
 train() {
 	WISTERIAPOST_SETTINGS=target/training/$1.json target/rt/bin/java $flags -Xmx128m -XX:ArchiveClassesAtExit="target/$1.jsa" \
