SimulationTests: VMs with narrow links hold up all others (red)

weights-sim knows the fault `squeeze`: the links of one VM in three carry a fifteenth from three tenths of the bound on; what waits at a sender for a second is answered busy, as the agent does.

--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Faults.java
@@ -22,7 +22,9 @@
 	/** One VM in ten fetches another version. */
 	IDLE,
 	/** The origin takes no connection from then on for one and a half times the bound. */
-	AWAY;
+	AWAY,
+	/** The links of one VM in three carry a fifteenth from then on. */
+	SQUEEZE;
 
 	static Faults named(String name) {
 		return valueOf(name.toUpperCase(java.util.Locale.ROOT));
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/SimVm.java
@@ -30,6 +30,8 @@
 
 	final BitSet stored = new BitSet();
 
+	int slower = 1;
+
 	boolean sending;
 
 	long receiveFreeAt;
@@ -59,7 +61,7 @@
 		return this.dead || this.stalled || this.idle;
 	}
 
-	record Upload(SimVm to, TransferEffect.Request request) {
+	record Upload(SimVm to, TransferEffect.Request request, long at) {
 	}
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/weights/Simulation.java
@@ -42,6 +42,11 @@
 
 	private static final double FAULT_AT = 0.3;
 
+	private static final int SQUEEZED = 15;
+
+	// As the agent's ChunkServer.
+	private static final long LONGEST_WAIT = 1000 * MILLI;
+
 	private static final double GIVE_UP_AT = 30;
 
 	private static final double AWAY_FOR = 1.5;
@@ -162,6 +167,7 @@
 			case KILL -> this.order.subList(0, hit).forEach(this::kill);
 			case STALL -> this.order.subList(0, hit).forEach(this::stall);
 			case CHANGE -> this.originChanged = true;
+			case SQUEEZE -> this.order.subList(0, this.order.size() / 3).forEach(this::squeeze);
 		}
 	}
 
@@ -175,6 +181,11 @@
 		this.open -= (vm.finishedAt < 0) ? 1 : 0;
 	}
 
+	private void squeeze(SimVm vm) {
+		vm.slower = SQUEEZED;
+		this.open -= (vm.finishedAt < 0) ? 1 : 0;
+	}
+
 	private void leave(SimVm vm) {
 		this.open -= (vm.finishedAt < 0) ? 1 : 0;
 		for (SimVm other : this.order) {
@@ -256,7 +267,7 @@
 			return;
 		}
 		boolean held = to.stored.get(piece);
-		if (!held || !to.uploads.offer(from, new SimVm.Upload(from, request))) {
+		if (!held || !to.uploads.offer(from, new SimVm.Upload(from, request, this.now))) {
 			to.controlBytes += FRAME_BYTES;
 			schedule(LATENCY, () -> apply(from, new TransferEvent.Refused(piece, to.peer.vm(), held)));
 			return;
@@ -269,8 +280,14 @@
 			return;
 		}
 		vm.uploads.next().ifPresent((upload) -> {
+			if (this.now - upload.at() > LONGEST_WAIT) {
+				int piece = upload.request().piece();
+				schedule(LATENCY, () -> apply(upload.to(), new TransferEvent.Refused(piece, vm.peer.vm(), true)));
+				pump(vm);
+				return;
+			}
 			vm.sending = true;
-			schedule(partNanos(upload), () -> {
+			schedule(partNanos(upload) * vm.slower, () -> {
 				vm.sending = false;
 				deliver(vm, upload);
 				pump(vm);
@@ -285,7 +302,7 @@
 		if (from.gone() || to.gone() || !to.links.contains(from.peer.vm())) {
 			return;
 		}
-		to.receiveFreeAt = Math.max(this.now, to.receiveFreeAt + partNanos(upload));
+		to.receiveFreeAt = Math.max(this.now, to.receiveFreeAt + partNanos(upload) * to.slower);
 		schedule(to.receiveFreeAt - this.now + LATENCY, () -> {
 			if (last) {
 				arrive(to, upload.request().piece(), from.peer.vm(), from.corrupt);
@@ -321,7 +338,7 @@
 	}
 
 	private void deliverFromOrigin(SimVm vm, int piece) {
-		vm.receiveFreeAt = Math.max(this.now + originNanos(), vm.receiveFreeAt + pieceNanos());
+		vm.receiveFreeAt = Math.max(this.now + originNanos(), vm.receiveFreeAt + pieceNanos() * vm.slower);
 		schedule(vm.receiveFreeAt - this.now + LATENCY, () -> arrive(vm, piece, TransferMachine.ORIGIN, false));
 	}
 
@@ -336,7 +353,7 @@
 	private void finish(SimVm vm) {
 		this.invariants.holds(vm.stored.cardinality() == this.pieces.count(), "complete-means-whole", vm.peer.vm());
 		vm.finishedAt = this.now;
-		this.open--;
+		this.open -= (vm.slower == 1) ? 1 : 0;
 	}
 
 	private void fail(SimVm vm) {
@@ -367,7 +384,7 @@
 	}
 
 	private Result result() {
-		List<SimVm> healthy = this.order.stream().filter((vm) -> !vm.gone()).toList();
+		List<SimVm> healthy = this.order.stream().filter((vm) -> !vm.gone() && vm.slower == 1).toList();
 		double bound = bound(1);
 		long finished = healthy.stream().filter((vm) -> vm.finishedAt >= 0).count();
 		double last = healthy.stream().mapToLong((vm) -> vm.finishedAt).max().orElse(0) / bound;
--- a/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
@@ -84,6 +84,24 @@
 		}
 	}
 
+	// The links of one VM in three narrow while weights come. Pieces that only these have
+	// read from the origin would reach the others over their links alone, at a fifteenth
+	// of
+	// the speed; others read them instead.
+	@Test
+	void whoseLinkIsNarrowHoldsUpOthersLittle() {
+		double last = 0;
+		for (long seed = 1; seed <= 8; seed++) {
+			Simulation.Result result = Simulation
+				.run(new Simulation.Plan(Variants.named("swarm+readers+degree8+out6+each1+tell80+deadline600"), 16, 3,
+						64, 32 << 10, 64 * (32 << 10) / 3.7, 2, Faults.SQUEEZE, seed));
+			assertThat("seed " + seed, result.finished(), is(result.healthy()));
+			assertThat("seed " + seed, result.originCopies(), is(lessThanOrEqualTo(1.5)));
+			last += result.last() / 8;
+		}
+		assertThat(last, is(lessThanOrEqualTo(2.5)));
+	}
+
 	@Test
 	void sameSeedGivesTheSameRoll() {
 		assertThat(run("swarm", 24, Faults.KILL, 5), is(run("swarm", 24, Faults.KILL, 5)));
