Nobody counts on a peer whose parts came late until it brings one in time, or for 2 s

Change: such a peer counts as failing, and its pieces as not held, until it brings a part within the deadline or for 2 s; a late answer counts for the deadline only while this VM's own link is narrow.

--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerRequests.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerRequests.java
@@ -105,7 +105,7 @@
 		int piece = part.piece();
 		boolean wanted = peer.asked(piece, part.end()) || this.holdings.open().get(piece);
 		peer.heard(now);
-		peer.answered(piece, part.end()).ifPresent((ask) -> took(ask, now));
+		peer.answered(piece, part.end()).ifPresent((ask) -> took(peer, ask, now));
 		if (wanted && this.holdings.missing(piece)) {
 			this.holdings.asked(piece);
 			peer.begun().put(piece, part.end());
@@ -118,8 +118,15 @@
 	/**
 	 * Notes how long an answer took.
 	 */
-	void took(PeerState.Ask ask, long now) {
-		this.deadline.answered(now - ask.at());
+	void took(PeerState peer, PeerState.Ask ask, long now) {
+		boolean inTime = now - ask.at() <= this.deadline.nanos();
+		if (inTime) {
+			peer.inTime();
+		}
+		// What comes late over a link of this VM that is wide tells of the peer alone.
+		if (inTime || narrow()) {
+			this.deadline.answered(now - ask.at());
+		}
 		this.window.answered(now - ask.at(), now);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -21,6 +21,17 @@
 
 	private static final long NEVER = Long.MAX_VALUE;
 
+	private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
+	// Load: a peer's link carries a tenth of what it is declared to. Harm prevented: what
+	// it
+	// alone holds is waited for by all, for it is heard again and again and so seems
+	// well;
+	// no VM but it reads those pieces from the origin. Until it has brought a part in
+	// time,
+	// or for so long after the last that was late, others do not count on it.
+	private static final long SLOW_NANOS = Duration.ofSeconds(2).toNanos();
+
 	// A naming reaches all VMs within a second. Until then those that began first would
 	// read what the others are about to read.
 	private static final long IDLE_NANOS = Duration.ofSeconds(1).toNanos();
@@ -58,6 +69,8 @@
 
 	private int strikes;
 
+	private long lateAt = LONG_AGO;
+
 	private int corruptions;
 
 	PeerState(Peer peer, boolean near) {
@@ -160,7 +173,7 @@
 	 * distrust after a wrong chunk has ended.
 	 */
 	boolean trustedAgain(long now) {
-		return this.up && !this.counted && this.strikes < FAILING_STRIKES && now >= this.distrustedUntil;
+		return this.up && !this.counted && this.strikes < FAILING_STRIKES && !slow(now) && now >= this.distrustedUntil;
 	}
 
 	/**
@@ -205,6 +218,7 @@
 		this.up = true;
 		this.down = false;
 		this.strikes = 0;
+		this.lateAt = LONG_AGO;
 		this.pausedUntil = Long.MIN_VALUE;
 	}
 
@@ -241,7 +255,18 @@
 	 */
 	boolean failing(long now) {
 		boolean idle = this.idleSince != NEVER && now - this.idleSince > IDLE_NANOS;
-		return this.down || idle || this.strikes >= FAILING_STRIKES || now < this.distrustedUntil;
+		return this.down || idle || this.strikes >= FAILING_STRIKES || slow(now) || now < this.distrustedUntil;
+	}
+
+	private boolean slow(long now) {
+		return now - this.lateAt < SLOW_NANOS;
+	}
+
+	/**
+	 * Notes that it has brought a part in time.
+	 */
+	void inTime() {
+		this.lateAt = LONG_AGO;
 	}
 
 	/**
@@ -249,6 +274,7 @@
 	 */
 	boolean silent(long now, long deadlineNanos) {
 		this.strikes++;
+		this.lateAt = now;
 		this.pausedUntil = now + (deadlineNanos << Math.min(this.strikes, MOST_DOUBLINGS));
 		return this.strikes == FAILING_STRIKES;
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -229,7 +229,7 @@
 		}
 		this.neighbours.peer(source).ifPresent((peer) -> {
 			peer.heard(now);
-			peer.answered(piece).ifPresent((ask) -> this.requests.took(ask, now));
+			peer.answered(piece).ifPresent((ask) -> this.requests.took(peer, ask, now));
 		});
 	}
 
--- a/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
@@ -90,16 +90,25 @@
 	// the speed; others read them instead.
 	@Test
 	void whoseLinkIsNarrowHoldsUpOthersLittle() {
+		assertThat(squeezed(32 << 10), is(lessThanOrEqualTo(2.5)));
+	}
+
+	@Test
+	void whoseLinkIsNarrowHoldsUpOthersLittleWithLargerPieces() {
+		assertThat(squeezed(64 << 10), is(lessThanOrEqualTo(2.5)));
+	}
+
+	private static double squeezed(int chunkBytes) {
 		double last = 0;
 		for (long seed = 1; seed <= 8; seed++) {
 			Simulation.Result result = Simulation
 				.run(new Simulation.Plan(Variants.named("swarm+readers+degree8+out6+each1+tell80+deadline600"), 16, 3,
-						64, 32 << 10, 64 * (32 << 10) / 3.7, 2, Faults.SQUEEZE, seed));
+						64, chunkBytes, 64 * chunkBytes / 3.7, 2, Faults.SQUEEZE, seed));
 			assertThat("seed " + seed, result.finished(), is(result.healthy()));
 			assertThat("seed " + seed, result.originCopies(), is(lessThanOrEqualTo(1.5)));
 			last += result.last() / 8;
 		}
-		assertThat(last, is(lessThanOrEqualTo(2.5)));
+		return last;
 	}
 
 	@Test
