--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -143,7 +143,7 @@
 			case DirectEvent.PeerWantsNews wants ->
 				this.news.ifPresent((passed) -> passed.asked(wants.peer(), wants.request()));
 			case DirectEvent.AgentSays says -> agentSays(says.state(), now);
-			case DirectEvent.AgentEcho echo -> this.dispatcher.echoed(echo.address(), echo.stampNanos(), now);
+			case DirectEvent.AgentEcho echo -> this.dispatcher.ways().echoed(echo.address(), echo.stampNanos(), now);
 			case DirectEvent.Tick tick -> tick(now);
 			case DirectEvent.Leave leave -> leave(now);
 		}
@@ -322,7 +322,9 @@
 		Frame ask = Frame.newBuilder()
 			.setNewsRequest(NewsRequest.newBuilder().setKeepAlive(true).setStamp(now))
 			.build();
-		this.dispatcher.waysToAsk(now).forEach((address) -> this.mesh.ifPresent((links) -> links.send(address, ask)));
+		this.dispatcher.ways()
+			.toAsk(now)
+			.forEach((address) -> this.mesh.ifPresent((links) -> links.send(address, ask)));
 	}
 
 	private void register(long now) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,13 +41,10 @@
 	public static final Code RUN_BROKEN = Code.warning("run-broken",
 			"The runner's answer broke off and the request may not run again.");
 
-	// What goes last at its runner is overtaken by others.
-	private static final double LATE_FACTOR = 2;
-
-	private final DispatchLimits limits;
-
 	private final RunnerBook book;
 
+	private final RunnerWays ways;
+
 	private final FleetView fleet;
 
 	private final WeightsFence fence;
@@ -67,7 +63,7 @@
 
 	private final WaitingRequests waiting = new WaitingRequests();
 
-	private final Map<String, RetryAllowance> allowances = new HashMap<>();
+	private final RetryAllowances allowances;
 
 	private List<DispatchEffect> effects = new ArrayList<>();
 
@@ -76,11 +72,12 @@
 	private EntryCount entries = EntryCount.flat(1);
 
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
-		this.limits = limits;
 		this.book = new RunnerBook(new RunnerSubset(limits.place(), random.nextLong()));
 		this.fleet = new FleetView(this.book, limits.place());
 		this.fence = new WeightsFence(limits.weightsInForce());
 		this.placement = new Placement(this.book, this.paces, this.fence, limits.place(), random);
+		this.ways = new RunnerWays(this.book, this.placement, this::spec);
+		this.allowances = new RetryAllowances(limits);
 		this.patience = new Patience(random);
 		this.recovery = new Recovery();
 		this.answers = new FinalAnswers(this.patience, (effect) -> this.effects.add(effect));
@@ -192,31 +189,10 @@
 	}
 
 	/**
-	 * Returns the runners whose agents are to be asked for an echo now, since it matters
-	 * whether the way there is open; to be called every tenth of a second or two.
+	 * Returns the ways to runners.
 	 */
-	public List<String> waysToAsk(long nowNanos) {
-		List<String> addresses = new ArrayList<>();
-		for (RunnerState runner : this.book.states()) {
-			Optional<EngineSpec> engine = spec(runner.info.service());
-			if (engine.isPresent() && this.placement.wayMatters(runner, engine, nowNanos)) {
-				runner.way.asked(nowNanos);
-				addresses.add(runner.info.address());
-			}
-		}
-		return addresses;
-	}
-
-	/**
-	 * Hears an echo of the agent beside a runner.
-	 * @param address the runner's address
-	 * @param askedNanos when it was asked for
-	 */
-	public void echoed(String address, long askedNanos, long nowNanos) {
-		this.book.states()
-			.stream()
-			.filter((runner) -> runner.info.address().equals(address))
-			.forEach((runner) -> runner.way.echoed(askedNanos, nowNanos));
+	public RunnerWays ways() {
+		return this.ways;
 	}
 
 	/**
@@ -282,9 +258,7 @@
 		job.firstSeen = true;
 		job.headed = true;
 		RunnerState runner = job.runner.get();
-		runner.firstEvent(job.size().promptTokens());
-		runner.health.began(job.sentNanos);
-		runner.way.answered(job.sentNanos);
+		runner.firstEvent(job);
 		if (job.baseMillis > 0) {
 			runner.waits.waited(job.sentLate, nowNanos - job.sentNanos, nowNanos);
 			double ratio = (nowNanos - job.sentNanos) / (job.baseMillis * Placement.NANOS_PER_MILLI);
@@ -374,7 +348,7 @@
 
 	private void again(Job job, Outcome outcome, long nowNanos) {
 		boolean counts = outcome != Outcome.NOT_SENT;
-		if (counts && !allowance(job.service()).take(this.entries.all(), nowNanos)) {
+		if (counts && !this.allowances.of(job.service()).take(this.entries.all(), nowNanos)) {
 			giveUp(job, outcome, nowNanos);
 			return;
 		}
@@ -417,24 +391,11 @@
 	private void send(Job job, Placement.Choice choice, long nowNanos) {
 		RunnerState runner = choice.runner().orElseThrow();
 		if (job.dispatches == 0) {
-			allowance(job.service()).first();
+			this.allowances.of(job.service()).first();
 		}
-		job.dispatches++;
-		job.runs++;
-		job.tried.add(runner.info.id());
-		job.runner = Optional.of(runner);
-		job.sentNanos = nowNanos;
-		job.sentLate = this.patience.late(job, nowNanos);
-		job.firstSeen = false;
-		job.predictedMillis = choice.predictedMillis();
-		job.baseMillis = choice.engine() ? choice.baseMillis() : 0;
-		runner.sent(job.size().promptTokens());
-		runner.health.sent(nowNanos);
+		job.sentTo(runner, choice, this.patience.late(job, nowNanos), nowNanos);
 		boolean tries = this.placement.triesWay(runner, spec(job), nowNanos);
-		// A plain runner may take long for one request and be quick for the next.
-		if (choice.engine()) {
-			runner.way.sent(choice.predictedMillis() * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
-		}
+		runner.sent(job, tries, nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.effects.add(new DispatchEffect.Send(job, runner.info, this.patience.rank(job, nowNanos), version, tries));
 	}
@@ -446,33 +407,16 @@
 	}
 
 	private void release(Job job, Outcome outcome, long nowNanos) {
-		job.runner.ifPresent((runner) -> {
-			runner.ended(job.firstSeen, job.size().promptTokens());
-			runner.health.ended(outcome, job.sentNanos, nowNanos);
-			if (outcome == Outcome.NOT_SENT || outcome == Outcome.BROKEN) {
-				runner.way.over(job.sentNanos);
-			}
-			else {
-				runner.way.answered(job.sentNanos);
-			}
-			if (outcome == Outcome.FULL) {
-				runner.full(nowNanos);
-			}
-			if (outcome == Outcome.MISDIRECTED) {
-				runner.misdirected(nowNanos);
-			}
-			if (outcome == Outcome.NOT_SENT || outcome == Outcome.FULL || outcome == Outcome.MISDIRECTED) {
-				job.runs--;
-			}
-		});
+		job.runner.ifPresent((runner) -> runner.ended(job, outcome, nowNanos));
+		if (job.runner.isPresent() && outcome.notRun()) {
+			job.runs--;
+		}
 		job.runner = Optional.empty();
 	}
 
 	private void stop(Job job) {
 		job.runner.ifPresent((runner) -> {
-			runner.ended(job.firstSeen, job.size().promptTokens());
-			runner.health.stopped(job.sentNanos);
-			runner.way.over(job.sentNanos);
+			runner.stopped(job);
 			this.effects.add(new DispatchEffect.Stop(job));
 		});
 		job.runner = Optional.empty();
@@ -489,11 +433,6 @@
 		this.jobs.remove(job.id());
 	}
 
-	private RetryAllowance allowance(String service) {
-		return this.allowances.computeIfAbsent(service, (name) -> new RetryAllowance(this.limits.retryShare(),
-				this.limits.retryExtra(), this.limits.retryWindow()));
-	}
-
 	private Optional<EngineSpec> spec(Job job) {
 		return spec(job.service());
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -205,6 +205,22 @@
 		this.weightsVersion = version;
 	}
 
+	/**
+	 * Notes that it is sent to a runner.
+	 * @param late whether it goes last there
+	 */
+	void sentTo(RunnerState to, Placement.Choice choice, boolean late, long nowNanos) {
+		this.dispatches++;
+		this.runs++;
+		this.tried.add(to.info.id());
+		this.runner = Optional.of(to);
+		this.sentNanos = nowNanos;
+		this.sentLate = late;
+		this.firstSeen = false;
+		this.predictedMillis = choice.predictedMillis();
+		this.baseMillis = choice.engine() ? choice.baseMillis() : 0;
+	}
+
 	/**
 	 * Returns when the answer last moved: its last event, or when it was sent.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Outcome.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Outcome.java
@@ -16,6 +16,13 @@
 	/** Another runner has the address; the request has not run. */
 	MISDIRECTED,
 	/** No whole answer came; the request may have run. */
-	BROKEN
+	BROKEN;
+
+	/**
+	 * Returns whether the request has not run at the runner and never will.
+	 */
+	boolean notRun() {
+		return this == NOT_SENT || this == FULL || this == MISDIRECTED;
+	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -26,6 +26,9 @@
 	// 1.3 s: until then a registration or an agent's word has come.
 	private static final int MOST_DOUBLINGS = 5;
 
+	// What goes last at its runner is overtaken by others.
+	private static final double LATE_FACTOR = 2;
+
 	private static final double PACE_SMOOTHING = 0.15;
 
 	private static final double LEAST_PACE = 0.5;
@@ -107,17 +110,58 @@
 		return this.word.map(EngineWord::closesNanos).orElse(OptionalLong.empty());
 	}
 
-	void sent(int promptTokens) {
+	/**
+	 * Notes that a request is sent.
+	 * @param tries whether it leaves only once a new connection is there
+	 */
+	void sent(Job job, boolean tries, long nowNanos) {
 		this.share.took();
-		this.own = this.own.plus(new PeerLoad(1, 1, promptTokens));
+		this.own = this.own.plus(new PeerLoad(1, 1, job.size().promptTokens()));
+		this.health.sent(nowNanos);
+		// A plain runner may take long for one request and be quick for the next.
+		if (job.baseMillis > 0) {
+			this.way.sent(job.predictedMillis * (job.sentLate ? LATE_FACTOR : 1), tries, nowNanos);
+		}
 	}
 
-	void firstEvent(int promptTokens) {
-		this.own = this.own.plus(new PeerLoad(0, -1, -promptTokens));
+	void firstEvent(Job job) {
+		this.own = this.own.plus(new PeerLoad(0, -1, -job.size().promptTokens()));
+		this.health.began(job.sentNanos);
+		this.way.answered(job.sentNanos);
+	}
+
+	/**
+	 * Notes that a request was given up for no fault of the runner.
+	 */
+	void stopped(Job job) {
+		left(job);
+		this.health.stopped(job.sentNanos);
+		this.way.over(job.sentNanos);
+	}
+
+	/**
+	 * Notes how a request ended.
+	 */
+	void ended(Job job, Outcome outcome, long nowNanos) {
+		left(job);
+		this.health.ended(outcome, job.sentNanos, nowNanos);
+		switch (outcome) {
+			case NOT_SENT, BROKEN -> this.way.over(job.sentNanos);
+			case DONE, ERROR -> this.way.answered(job.sentNanos);
+			case FULL -> {
+				this.way.answered(job.sentNanos);
+				full(nowNanos);
+			}
+			case MISDIRECTED -> {
+				this.way.answered(job.sentNanos);
+				misdirected(nowNanos);
+			}
+		}
 	}
 
-	void ended(boolean hadFirstEvent, int promptTokens) {
-		this.own = this.own.plus(new PeerLoad(-1, hadFirstEvent ? 0 : -1, hadFirstEvent ? 0 : -promptTokens));
+	private void left(Job job) {
+		boolean begun = job.firstSeen;
+		this.own = this.own.plus(new PeerLoad(-1, begun ? 0 : -1, begun ? 0 : -job.size().promptTokens()));
 	}
 
 	void heard(String peer, PeerLoad load, long nowNanos) {
@@ -168,7 +212,7 @@
 		return sum;
 	}
 
-	void full(long nowNanos) {
+	private void full(long nowNanos) {
 		this.leftOutUntilNanos = nowNanos + LEFT_OUT_NANOS;
 	}
 
