--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * Sent by an entry that does not read the site's store to one that does.
+ * Sent by an entry that does not read the site's store to one that does. With keep_alive and a stamp alone
+ * also to agents, which send the stamp back in News: so the entry sees for how long the way holds things.
  * </pre>
  *
  * Protobuf type {@code wisteriapost.NewsRequest}
@@ -383,7 +384,8 @@
   }
   /**
    * <pre>
-   * Sent by an entry that does not read the site's store to one that does.
+   * Sent by an entry that does not read the site's store to one that does. With keep_alive and a stamp alone
+   * also to agents, which send the stamp back in News: so the entry sees for how long the way holds things.
    * </pre>
    *
    * Protobuf type {@code wisteriapost.NewsRequest}
