--- a/entry/src/test/java/org/wisteriapost/entry/BadInputTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/BadInputTests.java
@@ -8,8 +8,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -26,17 +25,9 @@
 
 	private static final String GOOD = "{\"model\":\"lm\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
 
-	private EntryBench bench;
-
-	@BeforeEach
-	void start() {
-		this.bench = EntryBench.start("max-body-bytes = 4096", "body-timeout-ms = 300", "max-header-bytes = 4096");
-	}
-
-	@AfterEach
-	void stop() {
-		this.bench.close();
-	}
+	@AutoClose
+	private final EntryBench bench = EntryBench.start("max-body-bytes = 4096", "body-timeout-ms = 300",
+			"max-header-bytes = 4096");
 
 	@ParameterizedTest
 	@MethodSource("wrong")
--- a/entry/src/test/java/org/wisteriapost/entry/DoubtfulBundleTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/DoubtfulBundleTests.java
@@ -1,8 +1,7 @@
 package org.wisteriapost.entry;
 
 import org.hamcrest.Matchers;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.bundle.Bundle;
@@ -25,17 +24,8 @@
 
 	private static final Bundle SECOND = EntryBench.bundle("2", "bb");
 
-	private EntryBench bench;
-
-	@BeforeEach
-	void start() {
-		this.bench = EntryBench.start();
-	}
-
-	@AfterEach
-	void stop() {
-		this.bench.close();
-	}
+	@AutoClose
+	private final EntryBench bench = EntryBench.start();
 
 	// The bundle itself is absent at first, so that the entry knows only its name.
 	@ParameterizedTest
--- a/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
@@ -6,8 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -25,17 +24,8 @@
 
 class EntryAnswerTests {
 
-	private EntryBench bench;
-
-	@BeforeEach
-	void start() {
-		this.bench = EntryBench.start();
-	}
-
-	@AfterEach
-	void stop() {
-		this.bench.close();
-	}
+	@AutoClose
+	private final EntryBench bench = EntryBench.start();
 
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
--- a/entry/src/test/java/org/wisteriapost/entry/HeadSpreadTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/HeadSpreadTests.java
@@ -1,7 +1,6 @@
 package org.wisteriapost.entry;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.wisteriapost.entry.process.EntryProcess;
 import org.wisteriapost.policy.bundle.Bundle;
@@ -20,17 +19,8 @@
 
 	private static final String SECOND_DIGEST = SECOND.weightsDigest(SECOND.services().getFirst());
 
-	private EntryBench bench;
-
-	@BeforeEach
-	void start() {
-		this.bench = EntryBench.start();
-	}
-
-	@AfterEach
-	void stop() {
-		this.bench.close();
-	}
+	@AutoClose
+	private final EntryBench bench = EntryBench.start();
 
 	@Test
 	void newHeadReachesAgentsConfirmedAndTheBundleOnRequest() {
--- a/entry/src/test/java/org/wisteriapost/entry/OnceOnlyCallTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/OnceOnlyCallTests.java
@@ -4,8 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -23,17 +22,8 @@
 
 class OnceOnlyCallTests {
 
-	private EntryBench bench;
-
-	@BeforeEach
-	void start() {
-		this.bench = EntryBench.start();
-	}
-
-	@AfterEach
-	void stop() {
-		this.bench.close();
-	}
+	@AutoClose
+	private final EntryBench bench = EntryBench.start();
 
 	@Test
 	void repeatAtTheSameEntryGetsTheFirstAnswerWithoutRunning() {
