The frame that ends news says so: SiteNews.enough

request(boolean) was called with true by tests only, which now write that themselves. LossyNewsTests, NewsAgeTests and KnownNewsTests pass (58 cases, one run).

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -270,7 +270,7 @@
 	void unwanted(String peer) {
 		if (!this.duty.believes(peer) && !this.upstream.believes(peer)) {
 			this.hearer.forget(peer);
-			this.sender.accept(peer, request(false));
+			this.sender.accept(peer, enough());
 		}
 	}
 
@@ -416,10 +416,10 @@
 	}
 
 	/**
-	 * Returns the frame that says whether news are wanted, without what is known.
+	 * Returns the frame that says that no more news are wanted.
 	 */
-	static Frame request(boolean wanted) {
-		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(wanted)).build();
+	static Frame enough() {
+		return Frame.newBuilder().setNewsRequest(NewsRequest.newBuilder().setWanted(false)).build();
 	}
 
 	static StoreKind wire(Kind kind) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
@@ -20,6 +20,7 @@
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.NewsRequest;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -216,7 +217,7 @@
 		this.answers.forEach((frame) -> this.asker.heard(this.readerName, frame.getNews()));
 		this.asker.reachable(true);
 		this.requests.clear();
-		this.asker.asked("third", SiteNews.request(true).getNewsRequest());
+		this.asker.asked("third", NewsRequest.newBuilder().setWanted(true).build());
 		assertThat(this.requests.stream()
 			.map(Frame::getNews)
 			.filter((news) -> news.getKind() == SiteNews.wire(Kind.RUNNERS))
@@ -260,7 +261,7 @@
 	// It could not make anything of an object without content.
 	@Test
 	void anEntryOfAnOlderVersionIsSentTheWholeListing() {
-		this.reader.asked("older", SiteNews.request(true).getNewsRequest());
+		this.reader.asked("older", NewsRequest.newBuilder().setWanted(true).build());
 		this.answers.clear();
 		this.reader.read(Kind.ROUTES, List.of(large("table", 5), NamedObjects.item("s", 8)), 9);
 		assertThat(answerBytes(), Matchers.greaterThan(LARGE));
@@ -269,7 +270,7 @@
 	// An entry of an older version says nothing of what it has.
 	@Test
 	void whoSaysNothingOfWhatItHasIsSentEverything() {
-		this.reader.asked("older", SiteNews.request(true).getNewsRequest());
+		this.reader.asked("older", NewsRequest.newBuilder().setWanted(true).build());
 		assertThat(answerBytes(), Matchers.greaterThan(LARGE));
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LossyNewsTests.java
@@ -25,6 +25,7 @@
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
+import org.wisteriapost.protocol.wire.NewsRequest;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -202,7 +203,7 @@
 	@Test
 	void whoHearsAnEntryThatStopsReadingIsToldSo() {
 		start(1);
-		this.rester.news.asked("third", SiteNews.request(true).getNewsRequest());
+		this.rester.news.asked("third", NewsRequest.newBuilder().setWanted(true).build());
 		this.rester.sent.clear();
 		this.rester.news.stopReading();
 		assertThat(this.rester.sent.stream().map((frame) -> frame.getNews().getCurrent()).toList(),
--- a/entry/src/test/java/org/wisteriapost/entry/direct/NewsAgeTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/NewsAgeTests.java
@@ -222,7 +222,7 @@
 	@Test
 	void whoWasTakenOffByALateWordAsksAgain() {
 		asked();
-		this.reader.asked("hearer", SiteNews.request(false).getNewsRequest());
+		this.reader.asked("hearer", SiteNews.enough().getNewsRequest());
 		run(4);
 		asked();
 		asked();
