What is said of an engine is one record and written in one place

EngineKeeper and EngineFrames wrote the same frame from alike records. RolloutEffect.Tell holds an EngineWord, EngineFrames is in protocol.site and used by both. RolloutTests reads the word and keeps its assertions; RolloutTests (34), PlaceNewsTests, LoadReportsTests, ArchitectureTests pass (one run).

--- a/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/EngineKeeper.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -35,9 +34,9 @@
 import org.wisteriapost.protocol.outside.Origin;
 import org.wisteriapost.protocol.outside.VmList;
 import org.wisteriapost.protocol.site.EngineControl;
+import org.wisteriapost.protocol.site.EngineFrames;
 import org.wisteriapost.protocol.site.SiteProvider;
 import org.wisteriapost.protocol.site.SiteSettings;
-import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.Hello;
 import org.wisteriapost.protocol.wire.Role;
@@ -311,17 +310,8 @@
 	}
 
 	private Frame state(RolloutEffect.Tell tell) {
-		EngineState.Builder state = EngineState.newBuilder()
-			.setAddress(this.settings.runner().orElseThrow())
-			.setHoldsWeights(tell.version().isPresent())
-			.setVersion(tell.version().orElse(0))
-			.setSwitching(tell.switching());
-		tell.start().startedMillis().ifPresent(state::setStartedMillis);
-		tell.closesNanos().ifPresent((closes) -> {
-			long left = TimeUnit.NANOSECONDS.toMillis(closes - System.nanoTime());
-			state.setClosesInMillis((int) Math.max(1, left));
-		});
-		return Frame.newBuilder().setEngineState(state).build();
+		String address = this.settings.runner().orElseThrow();
+		return Frame.newBuilder().setEngineState(EngineFrames.of(address, tell.word(), System.nanoTime())).build();
 	}
 
 	@Override
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -19,6 +19,7 @@
 import org.wisteriapost.policy.fleet.StoreDuty;
 import org.wisteriapost.policy.fleet.UpstreamChoice;
 import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.protocol.site.EngineFrames;
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadFrames.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadFrames.java
@@ -6,6 +6,7 @@
 import org.wisteriapost.policy.dispatch.RefusedRequest;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.RunnerStart;
+import org.wisteriapost.protocol.site.EngineFrames;
 
 /**
  * Writes and reads what entries tell each other of their load.
@@ -30,7 +31,7 @@
 
 	static RunnerLoad read(org.wisteriapost.protocol.wire.RunnerLoad said) {
 		PeerLoad load = new PeerLoad(said.getActive(), said.getWaiting(), said.getWaitingPrompt());
-		return new RunnerLoad(said.getRunner(), start(said.getStartedMillis()), load);
+		return new RunnerLoad(said.getRunner(), EngineFrames.start(said.getStartedMillis()), load);
 	}
 
 	static org.wisteriapost.protocol.wire.RefusedRequest of(RefusedRequest one, long nowNanos) {
@@ -46,10 +47,6 @@
 				nowNanos + TimeUnit.MILLISECONDS.toNanos(said.getLeftMillis()));
 	}
 
-	static RunnerStart start(long startedMillis) {
-		return (startedMillis == UNKNOWN) ? RunnerStart.UNKNOWN : RunnerStart.at(startedMillis);
-	}
-
 	private static int millis(long nanos) {
 		return (int) Math.clamp(TimeUnit.NANOSECONDS.toMillis(nanos), 0, Integer.MAX_VALUE);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/PlaceNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/PlaceNews.java
@@ -13,6 +13,7 @@
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerStart;
+import org.wisteriapost.protocol.site.EngineFrames;
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.PlaceState;
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.stream.LongStream;
 
+import org.wisteriapost.policy.dispatch.EngineWord;
 import org.wisteriapost.policy.fleet.RunnerStart;
 
 /**
@@ -38,9 +39,8 @@
 
 	private static final long AGAIN_NANOS = Duration.ofMillis(400).toNanos();
 
-	// A turn is announced while the fetch is under way, since what an engine runs when
-	// its turn comes began up to two seconds before. From this part of the fetch on
-	// its end is known to within some 200 ms.
+	// A turn is announced during the fetch, since what runs when it comes began up to two
+	// seconds before. From this part on the fetch's end is known to within some 200 ms.
 	private static final double FORESEEN = 0.4;
 
 	// From this part on a fetch is finished whatever is named.
@@ -425,7 +425,7 @@
 		boolean closed = planned && this.step != Step.FETCHING && nowNanos >= this.turnNanos;
 		boolean switching = closed || this.step == Step.ORDERING || this.taking.isPresent();
 		OptionalLong closes = (planned && !switching) ? OptionalLong.of(this.turnNanos) : OptionalLong.empty();
-		RolloutEffect.Tell now = new RolloutEffect.Tell(this.held, switching, closes, this.start);
+		RolloutEffect.Tell now = new RolloutEffect.Tell(new EngineWord(this.held, switching, closes, this.start));
 		if (this.engineSeen && !now.equals(this.told)) {
 			this.told = now;
 			this.effects.add(now);
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/RolloutEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/RolloutEffect.java
@@ -1,9 +1,6 @@
 package org.wisteriapost.policy.rollout;
 
-import java.util.OptionalInt;
-import java.util.OptionalLong;
-
-import org.wisteriapost.policy.fleet.RunnerStart;
+import org.wisteriapost.policy.dispatch.EngineWord;
 
 /**
  * What an agent is to do.
@@ -50,13 +47,9 @@
 	/**
 	 * Tell the entries how the engine is.
 	 *
-	 * @param version that it holds
-	 * @param switching whether it takes no requests now
-	 * @param closesNanos when it will take none, when that is planned
-	 * @param start the start of the engine that this is said of
+	 * @param word what is said of it
 	 */
-	record Tell(OptionalInt version, boolean switching, OptionalLong closesNanos,
-			RunnerStart start) implements RolloutEffect {
+	record Tell(EngineWord word) implements RolloutEffect {
 	}
 
 }
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -89,8 +89,9 @@
 		List<String> steps = this.all.stream()
 			.filter((effect) -> !(effect instanceof RolloutEffect.ReadReport))
 			.map((effect) -> switch (effect) {
-				case RolloutEffect.Tell tell -> "Tell " + tell.version().orElse(0)
-						+ (tell.switching() ? " switching" : "") + (tell.closesNanos().isPresent() ? " closes" : "");
+				case RolloutEffect.Tell tell ->
+					"Tell " + tell.word().version().orElse(0) + (tell.word().switching() ? " switching" : "")
+							+ (tell.word().closesNanos().isPresent() ? " closes" : "");
 				default -> effect.getClass().getSimpleName();
 			})
 			.toList();
@@ -143,7 +144,7 @@
 		after(fetchMillis);
 		this.rollout.fetched(2, true, this.now);
 		after(50);
-		long closes = this.rollout.latest().orElseThrow().closesNanos().orElseThrow() - this.now;
+		long closes = this.rollout.latest().orElseThrow().word().closesNanos().orElseThrow() - this.now;
 		assertThat((double) closes / MILLI, Matchers.closeTo(turnMillis - 50, 200));
 		after(Math.max(50, closes / MILLI - 300));
 		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
@@ -159,7 +160,7 @@
 		after(2000);
 		this.rollout.fetching(0.5, this.now);
 		after(50);
-		long closes = this.rollout.latest().orElseThrow().closesNanos().orElseThrow() - this.now;
+		long closes = this.rollout.latest().orElseThrow().word().closesNanos().orElseThrow() - this.now;
 		assertThat((double) closes / MILLI, Matchers.closeTo(2400, 120));
 		this.all.clear();
 		after(400);
@@ -184,7 +185,7 @@
 		after(50);
 		named(3);
 		after(50);
-		long closes = this.rollout.latest().orElseThrow().closesNanos().orElseThrow() - this.now;
+		long closes = this.rollout.latest().orElseThrow().word().closesNanos().orElseThrow() - this.now;
 		assertThat(closes / MILLI, Matchers.lessThan(1500L));
 	}
 
@@ -294,7 +295,7 @@
 		after(5500);
 		this.rollout.fetched(3, true, this.now);
 		after(50);
-		long closes = this.rollout.latest().orElseThrow().closesNanos().orElseThrow() - this.now;
+		long closes = this.rollout.latest().orElseThrow().word().closesNanos().orElseThrow() - this.now;
 		assertThat((double) closes / MILLI, Matchers.closeTo(720 - 50, 60));
 	}
 
@@ -339,7 +340,7 @@
 		assertThat((this.rollout.nextNanos(this.now) - this.now) / MILLI, Matchers.lessThanOrEqualTo(150L));
 		moments(1500, 1);
 		this.rollout.fetched(2, true, this.now);
-		long turn = this.rollout.latest().orElseThrow().closesNanos().orElseThrow();
+		long turn = this.rollout.latest().orElseThrow().word().closesNanos().orElseThrow();
 		this.all.clear();
 		moments((turn - this.now) / MILLI - 401, 1);
 		assertThat(this.all, Matchers.not(Matchers.hasItem(new RolloutEffect.Verify(2))));
@@ -347,9 +348,9 @@
 		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
 		this.rollout.verified(2, true, this.now);
 		moments((turn - this.now) / MILLI - 1, 1);
-		assertThat(this.rollout.latest().orElseThrow().switching(), Matchers.is(false));
+		assertThat(this.rollout.latest().orElseThrow().word().switching(), Matchers.is(false));
 		moments(4, 1);
-		assertThat(this.rollout.latest().orElseThrow().switching(), Matchers.is(true));
+		assertThat(this.rollout.latest().orElseThrow().word().switching(), Matchers.is(true));
 		moments(80, 1);
 		assertThat(this.all, Matchers.hasItem(Matchers.instanceOf(RolloutEffect.Take.class)));
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EngineFrames.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/EngineFrames.java
@@ -1,21 +1,27 @@
-package org.wisteriapost.entry.direct;
+package org.wisteriapost.protocol.site;
 
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.policy.dispatch.EngineWord;
+import org.wisteriapost.policy.fleet.RunnerStart;
 import org.wisteriapost.protocol.wire.EngineState;
 
 /**
  * Writes and reads what agents say of their engines.
  */
-final class EngineFrames {
+public final class EngineFrames {
+
+	private static final long START_UNKNOWN = 0;
 
 	private EngineFrames() {
 	}
 
-	static EngineState of(String address, EngineWord word, long nowNanos) {
+	/**
+	 * Returns what is said of the engine at an address.
+	 */
+	public static EngineState of(String address, EngineWord word, long nowNanos) {
 		EngineState.Builder state = EngineState.newBuilder()
 			.setAddress(address)
 			.setHoldsWeights(word.version().isPresent())
@@ -28,12 +34,23 @@
 		return state.build();
 	}
 
-	static EngineWord read(EngineState says, long nowNanos) {
+	/**
+	 * Returns what was said of an engine.
+	 */
+	public static EngineWord read(EngineState says, long nowNanos) {
 		OptionalInt version = says.getHoldsWeights() ? OptionalInt.of(says.getVersion()) : OptionalInt.empty();
 		OptionalLong closes = (says.getClosesInMillis() > 0)
 				? OptionalLong.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(says.getClosesInMillis()))
 				: OptionalLong.empty();
-		return new EngineWord(version, says.getSwitching(), closes, LoadFrames.start(says.getStartedMillis()));
+		return new EngineWord(version, says.getSwitching(), closes, start(says.getStartedMillis()));
+	}
+
+	/**
+	 * Returns the start of a runner as frames name it.
+	 * @param startedMillis 0 for unknown
+	 */
+	public static RunnerStart start(long startedMillis) {
+		return (startedMillis == START_UNKNOWN) ? RunnerStart.UNKNOWN : RunnerStart.at(startedMillis);
 	}
 
 }
