SiteTests and LargeTableTests set up their site in one place

Both had the same fields, start, end and request head; RunningSite has them now. No assertion is changed.

--- a/app/src/test/java/org/wisteriapost/app/LargeTableTests.java
+++ b/app/src/test/java/org/wisteriapost/app/LargeTableTests.java
@@ -1,13 +1,7 @@
 package org.wisteriapost.app;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.hamcrest.Matchers;
@@ -17,11 +11,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wisteriapost.entry.direct.DirectProcess;
 import org.wisteriapost.platform.emulator.EmulatedSite;
-import org.wisteriapost.protocol.http.HttpCall;
-import org.wisteriapost.protocol.http.HttpCaller;
-import org.wisteriapost.protocol.site.SiteProvider;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -45,43 +35,32 @@
 	// The site's usual bound for a declaration to be in force everywhere.
 	private static final long IN_FORCE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-	private final SiteProvider provider = SiteProvider.load();
-
-	private final PrintStream quiet = new PrintStream(OutputStream.nullOutputStream());
-
-	private final HttpCaller caller = HttpCaller.create(1);
-
-	private final List<AutoCloseable> parts = new ArrayList<>();
+	private RunningSite running;
 
 	private EmulatedSite site;
 
 	@TempDir
 	private Path folder;
 
-	private int attempts;
-
 	@BeforeEach
 	void start() throws Exception {
-		this.site = EmulatedSite.start();
+		this.running = RunningSite.start(this.folder);
+		this.site = this.running.emulated();
 		this.site.plain();
 	}
 
 	@AfterEach
 	void stop() throws Exception {
-		for (AutoCloseable part : this.parts.reversed()) {
-			part.close();
-		}
-		this.site.close();
-		this.caller.close();
+		this.running.close();
 	}
 
 	private void entries(int count, NarrowLink link) throws Exception {
 		for (int number = 1; number <= count; number++) {
-			Path settings = this.site.entrySettings(this.folder, number);
+			Path settings = this.running.entrySettings(number);
 			String text = Files.readString(settings)
 				.replace("\"address\":\"" + address() + "\"", "\"address\":\"" + link.address() + "\"");
 			Files.writeString(settings, text);
-			this.parts.add(DirectProcess.start(this.provider.settings(settings), this.provider, this.quiet));
+			this.running.entry(settings);
 		}
 	}
 
@@ -90,14 +69,7 @@
 	}
 
 	private int status(int entry, String path) {
-		this.attempts++;
-		URI target = URI.create("http://127.7.1." + entry + ":" + this.site.port() + path);
-		HttpCall call = HttpCall.of("GET", target, Duration.ofSeconds(5))
-			.header("Host", EmulatedSite.HOST)
-			.header("X-Wisteriapost-Attempt-Id", "attempt-" + this.attempts)
-			.header("X-Wisteriapost-Deadline-Ms", "3000")
-			.header("Authorization", "Bearer " + EmulatedSite.KEY);
-		return this.caller.call(call).join().status();
+		return this.running.caller().call(this.running.request(entry, "GET", path, EmulatedSite.KEY)).join().status();
 	}
 
 	private void awaitServed(int entries, String path) throws InterruptedException {
@@ -113,8 +85,7 @@
 	@ParameterizedTest
 	@CsvSource({ "1,150000", "10,250000" })
 	void aLargeTableComesIntoForceOverANarrowLink(int entries, long bytesPerSecond) throws Exception {
-		NarrowLink link = NarrowLink.start(this.site.storeAddress(), bytesPerSecond);
-		this.parts.add(link);
+		NarrowLink link = this.running.kept(NarrowLink.start(this.site.storeAddress(), bytesPerSecond));
 		entries(entries, link);
 		awaitServed(entries, "/lookup/x");
 		this.site.configure(true, MORE_ROUTES);
@@ -126,8 +97,7 @@
 	// within a minute, though the table alone takes three seconds.
 	@Test
 	void aTableThatIsDeclaredOftenComesIntoForce() throws Exception {
-		NarrowLink link = NarrowLink.start(this.site.storeAddress(), 100_000);
-		this.parts.add(link);
+		NarrowLink link = this.running.kept(NarrowLink.start(this.site.storeAddress(), 100_000));
 		entries(1, link);
 		awaitServed(1, "/lookup/x");
 		for (int more = 0; more <= 8; more++) {
@@ -142,8 +112,7 @@
 	@ParameterizedTest
 	@CsvSource({ "1,15000", "10,15000" })
 	void aRouteThatWasDeclaredLongAgoIsNotRejected(int entries, long bytesPerSecond) throws Exception {
-		NarrowLink link = NarrowLink.start(this.site.storeAddress(), bytesPerSecond);
-		this.parts.add(link);
+		NarrowLink link = this.running.kept(NarrowLink.start(this.site.storeAddress(), bytesPerSecond));
 		entries(entries, link);
 		awaitServed(entries, "/lookup/x");
 		this.site.configure(true, MORE_ROUTES);
--- a/app/src/test/java/org/wisteriapost/app/SiteTests.java
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -1,7 +1,5 @@
 package org.wisteriapost.app;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -21,17 +19,14 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wisteriapost.agent.site.SiteAgent;
 import org.wisteriapost.entry.direct.DirectProcess;
 import org.wisteriapost.platform.emulator.EmulatedRunner;
 import org.wisteriapost.platform.emulator.EmulatedSite;
 import org.wisteriapost.protocol.http.HttpCall;
-import org.wisteriapost.protocol.http.HttpCaller;
 import org.wisteriapost.protocol.http.HttpReply;
 import org.wisteriapost.protocol.link.Link;
 import org.wisteriapost.protocol.link.LinkHandler;
 import org.wisteriapost.protocol.link.Links;
-import org.wisteriapost.protocol.site.SiteProvider;
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.Hello;
@@ -47,55 +42,37 @@
 
 	private static final long MOST_SECONDS = 30;
 
-	private final SiteProvider provider = SiteProvider.load();
-
-	private final PrintStream quiet = new PrintStream(OutputStream.nullOutputStream());
-
-	private final HttpCaller caller = HttpCaller.create(1);
-
-	private final List<AutoCloseable> parts = new ArrayList<>();
+	private RunningSite running;
 
 	private EmulatedSite site;
 
 	@TempDir
 	private Path folder;
 
-	private int attempts;
-
 	@BeforeEach
 	void start() throws Exception {
-		this.site = EmulatedSite.start();
+		this.running = RunningSite.start(this.folder);
+		this.site = this.running.emulated();
 	}
 
 	@AfterEach
 	void stop() throws Exception {
-		for (AutoCloseable part : this.parts.reversed()) {
-			part.close();
-		}
-		this.site.close();
-		this.caller.close();
+		this.running.close();
 	}
 
 	private DirectProcess entry(int number) throws Exception {
-		return entry(this.site.entrySettings(this.folder, number));
-	}
-
-	private DirectProcess entry(Path settings) {
-		DirectProcess entry = DirectProcess.start(this.provider.settings(settings), this.provider, this.quiet);
-		this.parts.add(entry);
-		return entry;
+		return this.running.entry(this.running.entrySettings(number));
 	}
 
 	// As the settings of an entry whose way to the store is cut: nothing listens there.
 	private Path withoutStore(int number) throws Exception {
-		Path settings = this.site.entrySettings(this.folder, number);
+		Path settings = this.running.entrySettings(number);
 		String text = Files.readString(settings).replaceAll("\"address\":\"[^\"]*\"", "\"address\":\"127.7.9.9:1\"");
 		return Files.writeString(settings, text);
 	}
 
 	private void agent(int number) throws Exception {
-		this.parts.add(SiteAgent.start(this.provider.settings(this.site.agentSettings(this.folder, number)),
-				this.provider, this.quiet));
+		this.running.agent(number);
 	}
 
 	private static void await(String what, BooleanSupplier condition) throws InterruptedException {
@@ -111,17 +88,11 @@
 	}
 
 	private HttpReply call(int entry, String method, String path, String key, byte[] body) {
-		this.attempts++;
-		URI target = URI.create("http://127.7.1." + entry + ":" + this.site.port() + path);
-		HttpCall call = HttpCall.of(method, target, Duration.ofSeconds(5))
-			.header("Host", EmulatedSite.HOST)
-			.header("X-Wisteriapost-Attempt-Id", "attempt-" + this.attempts)
-			.header("X-Wisteriapost-Deadline-Ms", "3000")
+		HttpCall call = this.running.request(entry, method, path, key)
 			.header("X-Wisteriapost-Token-Counts", "100,60")
 			.header("X-Wisteriapost-Tenant-Id", "forged")
-			.header("Authorization", "Bearer " + key)
 			.body(body);
-		return this.caller.call(call).join();
+		return this.running.caller().call(call).join();
 	}
 
 	private HttpReply stream() {
@@ -261,7 +232,7 @@
 		entry(1);
 		awaitServing();
 		this.site.registerEntry(2);
-		entry(withoutStore(2));
+		this.running.entry(withoutStore(2));
 		await("served there", () -> call(2, "GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status() == 200);
 		this.site.store().remove("servers", leaving.id());
 		TimeUnit.MILLISECONDS.sleep(3000);
@@ -320,7 +291,7 @@
 		this.site.plain();
 		DirectProcess leaving = entry(1);
 		awaitServing();
-		SiteSettings settings = this.provider.settings(this.site.entrySettings(this.folder, 1));
+		SiteSettings settings = this.running.provider().settings(this.running.entrySettings(1));
 		CompletableFuture<Link> open = new CompletableFuture<>();
 		CompletableFuture<Frame> told = new CompletableFuture<>();
 		try (Links links = Links.plain(1)) {
@@ -344,7 +315,7 @@
 	void anAgentSendsAStampBack() throws Exception {
 		this.site.engine(1);
 		agent(1);
-		SiteSettings settings = this.provider.settings(this.site.agentSettings(this.folder, 1));
+		SiteSettings settings = this.running.provider().settings(this.running.agentSettings(1));
 		CompletableFuture<Link> open = new CompletableFuture<>();
 		CompletableFuture<Frame> told = new CompletableFuture<>();
 		try (Links links = Links.plain(1)) {
@@ -361,7 +332,7 @@
 	private String directory(int entry) {
 		URI target = URI.create("http://127.7.1." + entry + ":" + (this.site.port() + 2)
 				+ "/v1/resolution?name=desk.example&region=here&zone=hall-a");
-		return new String(this.caller.call(HttpCall.of("GET", target, Duration.ofSeconds(2))).join().body(),
+		return new String(this.running.caller().call(HttpCall.of("GET", target, Duration.ofSeconds(2))).join().body(),
 				StandardCharsets.UTF_8);
 	}
 
