Echoes of agents and what a resting entry has heard have frames and fields of their own

They were said by frames of another meaning (a NewsRequest without a wish answered by empty News; an age that meant two things), for want of the generator. Written by scripts/generate-wire. An agent of an older version answers no echo; then the connection is the proof, as before.

--- a/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/SiteAgent.java
@@ -18,9 +18,9 @@
 import org.wisteriapost.protocol.link.Links;
 import org.wisteriapost.protocol.site.SiteProvider;
 import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.Echo;
+import org.wisteriapost.protocol.wire.EchoRequest;
 import org.wisteriapost.protocol.wire.Frame;
-import org.wisteriapost.protocol.wire.News;
-import org.wisteriapost.protocol.wire.NewsRequest;
 
 /**
  * The parts of one running agent.
@@ -147,17 +147,15 @@
 
 		@Override
 		public void onFrame(Link link, Frame frame) {
-			if (frame.getBodyCase() == Frame.BodyCase.NEWS_REQUEST) {
-				link.send(echo(frame.getNewsRequest()));
+			if (frame.getBodyCase() == Frame.BodyCase.ECHO_REQUEST) {
+				link.send(echo(frame.getEchoRequest()));
 				return;
 			}
 			SiteAgent.this.run(() -> SiteAgent.this.keeper.heard(link, frame));
 		}
 
-		// An agent has no news. Its answer shows an entry for how long the way here and
-		// back holds things.
-		private static Frame echo(NewsRequest request) {
-			return Frame.newBuilder().setNews(News.newBuilder().setStamp(request.getStamp())).build();
+		private static Frame echo(EchoRequest request) {
+			return Frame.newBuilder().setEcho(Echo.newBuilder().setStamp(request.getStamp())).build();
 		}
 
 		@Override
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -23,10 +23,10 @@
 import org.wisteriapost.protocol.site.Kind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.EchoRequest;
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.LoadReport;
-import org.wisteriapost.protocol.wire.NewsRequest;
 
 /**
  * The entry's state. One thread applies events to it.
@@ -327,9 +327,7 @@
 	}
 
 	private void askForEchoes(long now) {
-		Frame ask = Frame.newBuilder()
-			.setNewsRequest(NewsRequest.newBuilder().setKeepAlive(true).setStamp(now))
-			.build();
+		Frame ask = Frame.newBuilder().setEchoRequest(EchoRequest.newBuilder().setStamp(now)).build();
 		this.dispatcher.ways()
 			.toAsk(now)
 			.forEach((address) -> this.mesh.ifPresent((links) -> links.send(address, ask)));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/Mesh.java
@@ -241,8 +241,8 @@
 				this.entry = true;
 				Mesh.this.events.accept(new DirectEvent.PeerMet(this.name));
 			}
-			if (!this.entry && frame.getBodyCase() == Frame.BodyCase.NEWS) {
-				Mesh.this.events.accept(new DirectEvent.AgentEcho(this.name, frame.getNews().getStamp()));
+			if (frame.getBodyCase() == Frame.BodyCase.ECHO) {
+				Mesh.this.events.accept(new DirectEvent.AgentEcho(this.name, frame.getEcho().getStamp()));
 				return;
 			}
 			heard(Optional.of(this.name), frame);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteNews.java
@@ -314,7 +314,7 @@
 	// Who alone has lost the entry that reads for both would wait for this one to read.
 	private News notCurrent() {
 		News.Builder news = News.newBuilder().setCurrent(false);
-		this.duty.heardAgoMillis(this.clock.getAsLong()).ifPresent(news::setAgeMillis);
+		this.duty.heardAgoMillis(this.clock.getAsLong()).ifPresent(news::setHeardAgoMillis);
 		return news.build();
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReading.java
@@ -87,8 +87,8 @@
 	private void reader(String peer, News said, long nowNanos) {
 		boolean current = said.getCurrent();
 		boolean whole = this.news.whole(peer);
-		if (!current && said.hasAgeMillis()) {
-			long agoNanos = TimeUnit.MILLISECONDS.toNanos(said.getAgeMillis());
+		if (!current && said.hasHeardAgoMillis()) {
+			long agoNanos = TimeUnit.MILLISECONDS.toNanos(said.getHeardAgoMillis());
 			carryOut(this.duty.heardResting(peer, agoNanos, nowNanos));
 		}
 		else if (whole || !current || !this.duty.settled()) {
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
@@ -82,6 +82,8 @@
     NEWS_REQUEST(22),
     NEWS(23),
     PLACE_STATE(24),
+    ECHO_REQUEST(25),
+    ECHO(26),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -122,6 +124,8 @@
         case 22: return NEWS_REQUEST;
         case 23: return NEWS;
         case 24: return PLACE_STATE;
+        case 25: return ECHO_REQUEST;
+        case 26: return ECHO;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -861,6 +865,68 @@
     return org.wisteriapost.protocol.wire.PlaceState.getDefaultInstance();
   }
 
+  public static final int ECHO_REQUEST_FIELD_NUMBER = 25;
+  /**
+   * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+   * @return Whether the echoRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasEchoRequest() {
+    return bodyCase_ == 25;
+  }
+  /**
+   * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+   * @return The echoRequest.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.EchoRequest getEchoRequest() {
+    if (bodyCase_ == 25) {
+       return (org.wisteriapost.protocol.wire.EchoRequest) body_;
+    }
+    return org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.EchoRequestOrBuilder getEchoRequestOrBuilder() {
+    if (bodyCase_ == 25) {
+       return (org.wisteriapost.protocol.wire.EchoRequest) body_;
+    }
+    return org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance();
+  }
+
+  public static final int ECHO_FIELD_NUMBER = 26;
+  /**
+   * <code>.wisteriapost.Echo echo = 26;</code>
+   * @return Whether the echo field is set.
+   */
+  @java.lang.Override
+  public boolean hasEcho() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.wisteriapost.Echo echo = 26;</code>
+   * @return The echo.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.Echo getEcho() {
+    if (bodyCase_ == 26) {
+       return (org.wisteriapost.protocol.wire.Echo) body_;
+    }
+    return org.wisteriapost.protocol.wire.Echo.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.Echo echo = 26;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.EchoOrBuilder getEchoOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (org.wisteriapost.protocol.wire.Echo) body_;
+    }
+    return org.wisteriapost.protocol.wire.Echo.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -947,6 +1013,12 @@
     if (bodyCase_ == 24) {
       output.writeMessage(24, (org.wisteriapost.protocol.wire.PlaceState) body_);
     }
+    if (bodyCase_ == 25) {
+      output.writeMessage(25, (org.wisteriapost.protocol.wire.EchoRequest) body_);
+    }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (org.wisteriapost.protocol.wire.Echo) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1047,6 +1119,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(24, (org.wisteriapost.protocol.wire.PlaceState) body_);
     }
+    if (bodyCase_ == 25) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(25, (org.wisteriapost.protocol.wire.EchoRequest) body_);
+    }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.wisteriapost.protocol.wire.Echo) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1167,6 +1247,14 @@
         if (!getPlaceState()
             .equals(other.getPlaceState())) return false;
         break;
+      case 25:
+        if (!getEchoRequest()
+            .equals(other.getEchoRequest())) return false;
+        break;
+      case 26:
+        if (!getEcho()
+            .equals(other.getEcho())) return false;
+        break;
       case 0:
       default:
     }
@@ -1277,6 +1365,14 @@
         hash = (37 * hash) + PLACE_STATE_FIELD_NUMBER;
         hash = (53 * hash) + getPlaceState().hashCode();
         break;
+      case 25:
+        hash = (37 * hash) + ECHO_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getEchoRequest().hashCode();
+        break;
+      case 26:
+        hash = (37 * hash) + ECHO_FIELD_NUMBER;
+        hash = (53 * hash) + getEcho().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1486,6 +1582,12 @@
       if (placeStateBuilder_ != null) {
         placeStateBuilder_.clear();
       }
+      if (echoRequestBuilder_ != null) {
+        echoRequestBuilder_.clear();
+      }
+      if (echoBuilder_ != null) {
+        echoBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1622,6 +1724,14 @@
           placeStateBuilder_ != null) {
         result.body_ = placeStateBuilder_.build();
       }
+      if (bodyCase_ == 25 &&
+          echoRequestBuilder_ != null) {
+        result.body_ = echoRequestBuilder_.build();
+      }
+      if (bodyCase_ == 26 &&
+          echoBuilder_ != null) {
+        result.body_ = echoBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1732,6 +1842,14 @@
           mergePlaceState(other.getPlaceState());
           break;
         }
+        case ECHO_REQUEST: {
+          mergeEchoRequest(other.getEchoRequest());
+          break;
+        }
+        case ECHO: {
+          mergeEcho(other.getEcho());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1926,6 +2044,20 @@
               bodyCase_ = 24;
               break;
             } // case 194
+            case 202: {
+              input.readMessage(
+                  internalGetEchoRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 25;
+              break;
+            } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetEchoFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5210,6 +5342,286 @@
       return placeStateBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.EchoRequest, org.wisteriapost.protocol.wire.EchoRequest.Builder, org.wisteriapost.protocol.wire.EchoRequestOrBuilder> echoRequestBuilder_;
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     * @return Whether the echoRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasEchoRequest() {
+      return bodyCase_ == 25;
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     * @return The echoRequest.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.EchoRequest getEchoRequest() {
+      if (echoRequestBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          return (org.wisteriapost.protocol.wire.EchoRequest) body_;
+        }
+        return org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 25) {
+          return echoRequestBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    public Builder setEchoRequest(org.wisteriapost.protocol.wire.EchoRequest value) {
+      if (echoRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        echoRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    public Builder setEchoRequest(
+        org.wisteriapost.protocol.wire.EchoRequest.Builder builderForValue) {
+      if (echoRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        echoRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    public Builder mergeEchoRequest(org.wisteriapost.protocol.wire.EchoRequest value) {
+      if (echoRequestBuilder_ == null) {
+        if (bodyCase_ == 25 &&
+            body_ != org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.EchoRequest.newBuilder((org.wisteriapost.protocol.wire.EchoRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 25) {
+          echoRequestBuilder_.mergeFrom(value);
+        } else {
+          echoRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    public Builder clearEchoRequest() {
+      if (echoRequestBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        echoRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    public org.wisteriapost.protocol.wire.EchoRequest.Builder getEchoRequestBuilder() {
+      return internalGetEchoRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.EchoRequestOrBuilder getEchoRequestOrBuilder() {
+      if ((bodyCase_ == 25) && (echoRequestBuilder_ != null)) {
+        return echoRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 25) {
+          return (org.wisteriapost.protocol.wire.EchoRequest) body_;
+        }
+        return org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.EchoRequest, org.wisteriapost.protocol.wire.EchoRequest.Builder, org.wisteriapost.protocol.wire.EchoRequestOrBuilder> 
+        internalGetEchoRequestFieldBuilder() {
+      if (echoRequestBuilder_ == null) {
+        if (!(bodyCase_ == 25)) {
+          body_ = org.wisteriapost.protocol.wire.EchoRequest.getDefaultInstance();
+        }
+        echoRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.EchoRequest, org.wisteriapost.protocol.wire.EchoRequest.Builder, org.wisteriapost.protocol.wire.EchoRequestOrBuilder>(
+                (org.wisteriapost.protocol.wire.EchoRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 25;
+      onChanged();
+      return echoRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.Echo, org.wisteriapost.protocol.wire.Echo.Builder, org.wisteriapost.protocol.wire.EchoOrBuilder> echoBuilder_;
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     * @return Whether the echo field is set.
+     */
+    @java.lang.Override
+    public boolean hasEcho() {
+      return bodyCase_ == 26;
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     * @return The echo.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.Echo getEcho() {
+      if (echoBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (org.wisteriapost.protocol.wire.Echo) body_;
+        }
+        return org.wisteriapost.protocol.wire.Echo.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 26) {
+          return echoBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.Echo.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    public Builder setEcho(org.wisteriapost.protocol.wire.Echo value) {
+      if (echoBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        echoBuilder_.setMessage(value);
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    public Builder setEcho(
+        org.wisteriapost.protocol.wire.Echo.Builder builderForValue) {
+      if (echoBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        echoBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    public Builder mergeEcho(org.wisteriapost.protocol.wire.Echo value) {
+      if (echoBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != org.wisteriapost.protocol.wire.Echo.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.Echo.newBuilder((org.wisteriapost.protocol.wire.Echo) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 26) {
+          echoBuilder_.mergeFrom(value);
+        } else {
+          echoBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    public Builder clearEcho() {
+      if (echoBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        echoBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    public org.wisteriapost.protocol.wire.Echo.Builder getEchoBuilder() {
+      return internalGetEchoFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.EchoOrBuilder getEchoOrBuilder() {
+      if ((bodyCase_ == 26) && (echoBuilder_ != null)) {
+        return echoBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 26) {
+          return (org.wisteriapost.protocol.wire.Echo) body_;
+        }
+        return org.wisteriapost.protocol.wire.Echo.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.Echo echo = 26;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.Echo, org.wisteriapost.protocol.wire.Echo.Builder, org.wisteriapost.protocol.wire.EchoOrBuilder> 
+        internalGetEchoFieldBuilder() {
+      if (echoBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = org.wisteriapost.protocol.wire.Echo.getDefaultInstance();
+        }
+        echoBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.Echo, org.wisteriapost.protocol.wire.Echo.Builder, org.wisteriapost.protocol.wire.EchoOrBuilder>(
+                (org.wisteriapost.protocol.wire.Echo) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 26;
+      onChanged();
+      return echoBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.Frame)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
@@ -361,5 +361,35 @@
    */
   org.wisteriapost.protocol.wire.PlaceStateOrBuilder getPlaceStateOrBuilder();
 
+  /**
+   * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+   * @return Whether the echoRequest field is set.
+   */
+  boolean hasEchoRequest();
+  /**
+   * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+   * @return The echoRequest.
+   */
+  org.wisteriapost.protocol.wire.EchoRequest getEchoRequest();
+  /**
+   * <code>.wisteriapost.EchoRequest echo_request = 25;</code>
+   */
+  org.wisteriapost.protocol.wire.EchoRequestOrBuilder getEchoRequestOrBuilder();
+
+  /**
+   * <code>.wisteriapost.Echo echo = 26;</code>
+   * @return Whether the echo field is set.
+   */
+  boolean hasEcho();
+  /**
+   * <code>.wisteriapost.Echo echo = 26;</code>
+   * @return The echo.
+   */
+  org.wisteriapost.protocol.wire.Echo getEcho();
+  /**
+   * <code>.wisteriapost.Echo echo = 26;</code>
+   */
+  org.wisteriapost.protocol.wire.EchoOrBuilder getEchoOrBuilder();
+
   org.wisteriapost.protocol.wire.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/News.java
@@ -178,7 +178,7 @@
   private long ageMillis_ = 0L;
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+   * since the sender's routes were last known to be the store's
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -190,7 +190,7 @@
   }
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+   * since the sender's routes were last known to be the store's
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -228,6 +228,33 @@
     return stamp_;
   }
 
+  public static final int HEARD_AGO_MILLIS_FIELD_NUMBER = 9;
+  private long heardAgoMillis_ = 0L;
+  /**
+   * <pre>
+   * not current, and the sender rests: since it heard the entry that reads for it
+   * </pre>
+   *
+   * <code>optional uint64 heard_ago_millis = 9;</code>
+   * @return Whether the heardAgoMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasHeardAgoMillis() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * not current, and the sender rests: since it heard the entry that reads for it
+   * </pre>
+   *
+   * <code>optional uint64 heard_ago_millis = 9;</code>
+   * @return The heardAgoMillis.
+   */
+  @java.lang.Override
+  public long getHeardAgoMillis() {
+    return heardAgoMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -266,6 +293,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeInt64(8, stamp_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeUInt64(9, heardAgoMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -307,6 +337,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(8, stamp_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, heardAgoMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -352,6 +386,11 @@
       if (getStamp()
           != other.getStamp()) return false;
     }
+    if (hasHeardAgoMillis() != other.hasHeardAgoMillis()) return false;
+    if (hasHeardAgoMillis()) {
+      if (getHeardAgoMillis()
+          != other.getHeardAgoMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -391,6 +430,11 @@
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getStamp());
     }
+    if (hasHeardAgoMillis()) {
+      hash = (37 * hash) + HEARD_AGO_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeardAgoMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -540,6 +584,7 @@
       sequence_ = 0L;
       ageMillis_ = 0L;
       stamp_ = 0L;
+      heardAgoMillis_ = 0L;
       return this;
     }
 
@@ -610,6 +655,10 @@
         result.stamp_ = stamp_;
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.heardAgoMillis_ = heardAgoMillis_;
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -672,6 +721,9 @@
       if (other.hasStamp()) {
         setStamp(other.getStamp());
       }
+      if (other.hasHeardAgoMillis()) {
+        setHeardAgoMillis(other.getHeardAgoMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -744,6 +796,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              heardAgoMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1226,7 +1283,7 @@
     private long ageMillis_ ;
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+     * since the sender's routes were last known to be the store's
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1238,7 +1295,7 @@
     }
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+     * since the sender's routes were last known to be the store's
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1250,7 +1307,7 @@
     }
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+     * since the sender's routes were last known to be the store's
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1266,7 +1323,7 @@
     }
     /**
      * <pre>
-     * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+     * since the sender's routes were last known to be the store's
      * </pre>
      *
      * <code>optional uint64 age_millis = 7;</code>
@@ -1335,6 +1392,62 @@
       return this;
     }
 
+    private long heardAgoMillis_ ;
+    /**
+     * <pre>
+     * not current, and the sender rests: since it heard the entry that reads for it
+     * </pre>
+     *
+     * <code>optional uint64 heard_ago_millis = 9;</code>
+     * @return Whether the heardAgoMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasHeardAgoMillis() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * not current, and the sender rests: since it heard the entry that reads for it
+     * </pre>
+     *
+     * <code>optional uint64 heard_ago_millis = 9;</code>
+     * @return The heardAgoMillis.
+     */
+    @java.lang.Override
+    public long getHeardAgoMillis() {
+      return heardAgoMillis_;
+    }
+    /**
+     * <pre>
+     * not current, and the sender rests: since it heard the entry that reads for it
+     * </pre>
+     *
+     * <code>optional uint64 heard_ago_millis = 9;</code>
+     * @param value The heardAgoMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeardAgoMillis(long value) {
+
+      heardAgoMillis_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * not current, and the sender rests: since it heard the entry that reads for it
+     * </pre>
+     *
+     * <code>optional uint64 heard_ago_millis = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeardAgoMillis() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      heardAgoMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.News)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsOrBuilder.java
@@ -87,7 +87,7 @@
 
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+   * since the sender's routes were last known to be the store's
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -96,7 +96,7 @@
   boolean hasAgeMillis();
   /**
    * <pre>
-   * since the sender's routes were last known to be the store's; not current: since it heard who reads for it
+   * since the sender's routes were last known to be the store's
    * </pre>
    *
    * <code>optional uint64 age_millis = 7;</code>
@@ -122,4 +122,23 @@
    * @return The stamp.
    */
   long getStamp();
+
+  /**
+   * <pre>
+   * not current, and the sender rests: since it heard the entry that reads for it
+   * </pre>
+   *
+   * <code>optional uint64 heard_ago_millis = 9;</code>
+   * @return Whether the heardAgoMillis field is set.
+   */
+  boolean hasHeardAgoMillis();
+  /**
+   * <pre>
+   * not current, and the sender rests: since it heard the entry that reads for it
+   * </pre>
+   *
+   * <code>optional uint64 heard_ago_millis = 9;</code>
+   * @return The heardAgoMillis.
+   */
+  long getHeardAgoMillis();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
@@ -7,8 +7,7 @@
 
 /**
  * <pre>
- * Sent by an entry that does not read the site's store to one that does. With keep_alive and a stamp alone
- * also to agents, which send the stamp back in News: so the entry sees for how long the way holds things.
+ * Sent by an entry that does not read the site's store to one that does.
  * </pre>
  *
  * Protobuf type {@code wisteriapost.NewsRequest}
@@ -384,8 +383,7 @@
   }
   /**
    * <pre>
-   * Sent by an entry that does not read the site's store to one that does. With keep_alive and a stamp alone
-   * also to agents, which send the stamp back in News: so the entry sees for how long the way holds things.
+   * Sent by an entry that does not read the site's store to one that does.
    * </pre>
    *
    * Protobuf type {@code wisteriapost.NewsRequest}
