Revert: uploads of weights don't yield to what the engine answers

What it was for: on a link that carries a tenth of what is declared, what the engine answers waits 2.7 s behind parts of weights (ChunkServerTests). Requests reached squeezed engines with it, but weights came to all later, also to those whose links are wide, and callers got less.

Likely cause, by reading: a peer that asks late for the next part, since its own window or pace holds it, is taken for a full link.

--- a/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/ChunkServer.java
@@ -2,18 +2,15 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.time.Duration;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.Code;
-import org.wisteriapost.policy.transfer.UploadWindow;
 import org.wisteriapost.policy.transfer.Uploads;
 import org.wisteriapost.protocol.link.Link;
 import org.wisteriapost.protocol.wire.ChunkMap;
@@ -44,12 +41,6 @@
 
 	private static final int UPLOADS_PER_PEER = 2;
 
-	private static final long LOOK_AGAIN_MILLIS = 20;
-
-	// By then the peer has gone to another, and the part would take up the link for
-	// nothing.
-	private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
-
 	// A peer that asked for more files than any bundle has would grow this map.
 	private static final int MOST_FILES_PER_LINK = 256;
 
@@ -70,10 +61,6 @@
 	// Chunks that were sent last, by their hashes.
 	private final Map<String, byte[]> kept = new LinkedHashMap<>(16, 0.75F, true);
 
-	private final UploadWindow window = UploadWindow.create();
-
-	private boolean waiting;
-
 	private int held;
 
 	ChunkServer(TransferContext context, TransferThread thread, TransferMeters meters, ChunkShelf shelf,
@@ -84,7 +71,7 @@
 		this.shelf = shelf;
 		this.uploads = Uploads.create(uploadsWaiting, UPLOADS_PER_PEER);
 		this.replies = new PacedReplies(context.frames(), context.timer(), thread::run,
-				(sending) -> thread.run(() -> out(sending)));
+				(sending) -> thread.run(this::released));
 	}
 
 	void rate(double bytesPerSecond) {
@@ -136,11 +123,8 @@
 			refuse(link, request, ChunkStatus.CHUNK_MISSING);
 			return;
 		}
-		if (request.getOffset() > 0) {
-			this.window.asked(link, System.nanoTime());
-		}
 		// A peer that asks but does not read would fill the send buffer with chunks.
-		if (!link.writable() || !this.uploads.offer(link, new Upload(link, request, System.nanoTime()))) {
+		if (!link.writable() || !this.uploads.offer(link, new Upload(link, request))) {
 			refuse(link, request, ChunkStatus.CHUNK_BUSY);
 			return;
 		}
@@ -157,35 +141,19 @@
 		this.watchers.remove(link);
 		this.uploads.drop(link);
 		this.replies.drop(link);
-		this.window.drop(link);
 	}
 
 	private void pump() {
-		while (this.held < HELD && !this.uploads.isEmpty()) {
-			if (!this.window.open(this.held, System.nanoTime())) {
-				pumpLater();
+		while (this.held < HELD) {
+			Optional<Upload> next = this.uploads.next();
+			if (next.isEmpty()) {
 				return;
 			}
-			this.uploads.next().ifPresent(this::upload);
-		}
-	}
-
-	private void pumpLater() {
-		if (this.waiting) {
-			return;
+			upload(next.get());
 		}
-		this.waiting = true;
-		this.context.timer().schedule(() -> this.thread.run(() -> {
-			this.waiting = false;
-			pump();
-		}), LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void upload(Upload upload) {
-		if (System.nanoTime() - upload.at > LONGEST_WAIT.toNanos()) {
-			refuse(upload.link, upload.request, ChunkStatus.CHUNK_BUSY);
-			return;
-		}
 		String file = upload.request.getFile();
 		int index = upload.request.getIndex();
 		if (!this.shelf.held(file).get(index)) {
@@ -234,11 +202,6 @@
 		}
 	}
 
-	private void out(PacedReplies.Sending sending) {
-		this.window.sent(sending.link(), sending.more(), System.nanoTime());
-		released();
-	}
-
 	private void released() {
 		this.held--;
 		pump();
@@ -271,7 +234,7 @@
 		link.send(this.meters.counted(frame));
 	}
 
-	private record Upload(Link link, ChunkRequest request, long at) {
+	private record Upload(Link link, ChunkRequest request) {
 	}
 
 }
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PacedReplies.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PacedReplies.java
@@ -147,17 +147,6 @@
 			this.end = (length > 0) ? Math.min(bytes.length, this.offset + length) : bytes.length;
 		}
 
-		Link link() {
-			return this.link;
-		}
-
-		/**
-		 * Returns whether its peer will ask for what comes after it.
-		 */
-		boolean more() {
-			return this.end < this.bytes.length;
-		}
-
 		int length() {
 			return this.end - this.offset;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/Uploads.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/Uploads.java
@@ -55,13 +55,6 @@
 		return true;
 	}
 
-	/**
-	 * Returns whether nobody waits.
-	 */
-	public boolean isEmpty() {
-		return this.size == 0;
-	}
-
 	/**
 	 * Returns the request to serve next.
 	 */
