A begun piece is given up by the second busy answer in a row

What agents saw: a fetch that stands still while idle peers hold everything. A peer that had given the first part of a piece and was busy from then on kept it without end, and six such pieces stopped all new ones. A squeezed VM with a full queue answers just so, at once, so no deadline passed. Why it holds: a piece that was turned away twice is open to all again; what had come of it is lost, less than a piece.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -290,6 +290,7 @@
 		}
 		else {
 			this.dispatcher.peerGone(peer);
+			this.dispatcher.ways().agentGone(peer);
 		}
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
@@ -58,6 +58,8 @@
 
 	private long echoNanos = Long.MIN_VALUE / 2;
 
+	private boolean agentLinked;
+
 	private boolean doubtfulTry;
 
 	/**
@@ -114,6 +116,7 @@
 	 */
 	void echoed(long askedNanos, long nowNanos) {
 		this.echoNanos = nowNanos;
+		this.agentLinked = true;
 		passed(askedNanos);
 		if (this.tryNanos.isPresent() && this.tryNanos.getAsLong() <= askedNanos) {
 			this.tryNanos = OptionalLong.empty();
@@ -121,10 +124,19 @@
 	}
 
 	/**
-	 * Returns whether echoes were asked for in vain: the way holds things.
+	 * Notes that the link to the agent beside the runner is gone.
+	 */
+	void agentGone() {
+		this.agentLinked = false;
+	}
+
+	/**
+	 * Returns whether echoes were asked for in vain: the way holds things. An agent whose
+	 * link is gone may have ended with the runner well, so then it takes a request without
+	 * an answer besides.
 	 */
 	boolean closed(long nowNanos) {
-		return !seenOpen(nowNanos) && nowNanos - this.askedNanos <= ASKED_NANOS
+		return (this.agentLinked || doubtful(nowNanos)) && !seenOpen(nowNanos) && nowNanos - this.askedNanos <= ASKED_NANOS
 				&& nowNanos - this.askingSinceNanos > ASKED_NANOS && nowNanos - this.echoNanos < ECHOES_NANOS;
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWays.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWays.java
@@ -47,10 +47,19 @@
 	 * @param askedNanos when it was asked for
 	 */
 	public void echoed(String address, long askedNanos, long nowNanos) {
-		this.book.states()
-			.stream()
-			.filter((runner) -> runner.info.address().equals(address))
-			.forEach((runner) -> runner.way.echoed(askedNanos, nowNanos));
+		at(address).forEach((runner) -> runner.way.echoed(askedNanos, nowNanos));
+	}
+
+	/**
+	 * Hears that the link to the agent beside a runner is gone.
+	 * @param address the runner's address
+	 */
+	public void agentGone(String address) {
+		at(address).forEach((runner) -> runner.way.agentGone());
+	}
+
+	private List<RunnerState> at(String address) {
+		return this.book.states().stream().filter((runner) -> runner.info.address().equals(address)).toList();
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerRequests.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerRequests.java
@@ -154,7 +154,8 @@
 		else if (peer.has().get(piece)) {
 			this.neighbours.forget(peer, piece);
 		}
-		if (refused.busy() && come > 0 && this.holdings.missing(piece) && !this.holdings.open().get(piece)) {
+		boolean begun = come > 0 && this.holdings.missing(piece) && !this.holdings.open().get(piece);
+		if (refused.busy() && begun && peer.mayAskAgain(piece)) {
 			peer.begun().put(piece, come);
 			return;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -53,6 +54,9 @@
 
 	private final Map<Integer, Ask> owed = new HashMap<>();
 
+	// Begun pieces for which it was busy when it was asked last.
+	private final Set<Integer> turnedAway = new HashSet<>();
+
 	private boolean up;
 
 	private boolean down;
@@ -132,6 +136,7 @@
 	 * Takes back the request that a part ends, also one that was given up.
 	 */
 	Optional<Ask> answered(int piece, int end) {
+		this.turnedAway.remove(piece);
 		return Optional.ofNullable((asked(piece, end) ? this.asks : this.owed).remove(piece));
 	}
 
@@ -142,6 +147,19 @@
 		return Optional.ofNullable(this.asks.remove(piece)).or(() -> Optional.ofNullable(this.owed.remove(piece)));
 	}
 
+	/**
+	 * Notes that it was busy for a begun piece, and returns whether it may be asked to go
+	 * on once more. One that stays busy would hold all that it has begun, and nothing
+	 * would be asked of others: what has come of the piece costs less than that.
+	 */
+	boolean mayAskAgain(int piece) {
+		boolean first = this.turnedAway.add(piece);
+		if (!first) {
+			this.turnedAway.remove(piece);
+		}
+		return first;
+	}
+
 	/**
 	 * Returns how many parts were given up and may still come.
 	 */
@@ -185,6 +203,7 @@
 		this.owed.putAll(this.asks);
 		this.asks.clear();
 		this.begun.clear();
+		this.turnedAway.clear();
 		return pieces;
 	}
 
