--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
@@ -132,12 +132,13 @@
 
 	/**
 	 * Returns whether echoes were asked for in vain: the way holds things. An agent whose
-	 * link is gone may have ended with the runner well, so then it takes a request without
-	 * an answer besides.
+	 * link is gone may have ended with the runner well, so then it takes a request
+	 * without an answer besides.
 	 */
 	boolean closed(long nowNanos) {
-		return (this.agentLinked || doubtful(nowNanos)) && !seenOpen(nowNanos) && nowNanos - this.askedNanos <= ASKED_NANOS
-				&& nowNanos - this.askingSinceNanos > ASKED_NANOS && nowNanos - this.echoNanos < ECHOES_NANOS;
+		return (this.agentLinked || doubtful(nowNanos)) && !seenOpen(nowNanos)
+				&& nowNanos - this.askedNanos <= ASKED_NANOS && nowNanos - this.askingSinceNanos > ASKED_NANOS
+				&& nowNanos - this.echoNanos < ECHOES_NANOS;
 	}
 
 	private void passed(long sentNanos) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -246,6 +246,7 @@
 		desk.dispatcher.named(new NamedWeights("lm", 2), false, desk.now);
 		echo(desk, 500, "a");
 		desk.drain();
+		desk.dispatcher.ways().agentGone(Desk.engine("a").address());
 		for (int i = 0; i < 5; i++) {
 			echo(desk, 1000);
 			Job job = desk.arrive(Desk.STREAM, 100, 6000);
