A peer of an older version is asked for whole pieces

Change: an answer that begins before the part that was asked for shows such a peer. The answer counts as the whole piece and the peer is asked for whole pieces from then on: one piece a peer is lost.

--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerLinks.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerLinks.java
@@ -150,9 +150,15 @@
 	 *
 	 * @param piece of which a part was asked for
 	 * @param whole the piece's length in bytes
+	 * @param offset where the part begins
 	 * @param end where the part ends
 	 */
-	private record Asked(int piece, int whole, int end) {
+	private record Asked(int piece, int whole, int offset, int end) {
+
+		private Asked all() {
+			return new Asked(this.piece, this.whole, 0, this.whole);
+		}
+
 	}
 
 	private final class PeerLink implements LinkHandler {
@@ -163,6 +169,11 @@
 		// answer is still a good piece. Bounded by one entry for each request.
 		private final Map<Long, Asked> asked = new ConcurrentHashMap<>();
 
+		// A peer of an older version sends a piece from its start, whatever part is asked
+		// for. Each part would cost the whole piece; so it is asked for whole pieces once
+		// that shows.
+		private volatile boolean knowsNoParts;
+
 		// Pieces of which parts have come.
 		private final Map<Integer, Partial> parts = new ConcurrentHashMap<>();
 
@@ -210,13 +221,15 @@
 			int piece = request.piece();
 			int whole = PeerLinks.this.pieces.length(piece);
 			int end = (request.length() == 0) ? whole : request.offset() + request.length();
-			this.asked.put(id, new Asked(piece, whole, end));
+			Asked part = new Asked(piece, whole, request.offset(), end);
+			Asked wanted = this.knowsNoParts ? part.all() : part;
+			this.asked.put(id, wanted);
 			ChunkRequest ask = ChunkRequest.newBuilder()
 				.setId(id)
 				.setFile(PeerLinks.this.pieces.digest(piece))
 				.setIndex(PeerLinks.this.pieces.index(piece))
-				.setOffset(request.offset())
-				.setLength(request.length())
+				.setOffset(wanted.offset())
+				.setLength((wanted.end() == whole) ? 0 : wanted.end() - wanted.offset())
 				.build();
 			send(PeerLinks.this.context.frames().get().setChunkRequest(ask).build());
 		}
@@ -271,6 +284,12 @@
 				PeerLinks.this.receiver.bytes(piece, this.vm, reply.getData().toByteArray());
 				return;
 			}
+			if (reply.getOffset() < request.offset()) {
+				this.knowsNoParts = true;
+				request = request.all();
+				this.asked.put(reply.getId(), request);
+				this.parts.remove(piece);
+			}
 			Partial partial = this.parts.computeIfAbsent(piece, (number) -> new Partial(new byte[whole]));
 			if (reply.getOffset() > partial.come) {
 				// What came before was forgotten meanwhile.
