--- a/agent/src/test/java/org/wisteriapost/agent/transfer/OlderPeerTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/OlderPeerTests.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -18,7 +17,6 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.wisteriapost.kernel.CodedException;
 import org.wisteriapost.kernel.settings.Settings;
 import org.wisteriapost.policy.bundle.Digests;
 import org.wisteriapost.policy.bundle.WeightFile;
@@ -27,16 +25,14 @@
 import org.wisteriapost.protocol.link.LinkHandler;
 import org.wisteriapost.protocol.link.LinkServer;
 import org.wisteriapost.protocol.link.Links;
-import org.wisteriapost.protocol.outside.Origin;
 import org.wisteriapost.protocol.outside.VmList;
 import org.wisteriapost.protocol.wire.ChunkRequest;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.Hello;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.is;
-import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.hamcrest.Matchers.lessThan;
 
 class OlderPeerTests {
 
