--- a/agent/src/test/java/org/wisteriapost/agent/transfer/OlderPeerTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/OlderPeerTests.java
@@ -55,8 +55,7 @@
 	private final byte[] content = content(1);
 
 	// However slow the machine, nobody looks for a chunk elsewhere before its first
-	// reader
-	// has it, so that the count of reads is exact.
+	// reader has it, so that the count of reads is exact.
 	private static final String PATIENT = "[transfer]\nprogress-deadline = 30000\n";
 
 	private final WeightFile model = file("model", this.content);
@@ -70,8 +69,7 @@
 
 	// A release: the agent of one VM is of the version before, which knows no parts and
 	// sends the whole piece whatever is asked for. What a newer one fetches of it goes
-	// over
-	// its link once.
+	// over its link once.
 	@Test
 	void aPeerOfAnOlderVersionSendsEachPieceOnce() throws Exception {
 		this.origin.serve("model", this.content);
--- a/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/transfer/PeerTransferTests.java
@@ -60,8 +60,7 @@
 	private final byte[] content = content(1);
 
 	// However slow the machine, nobody looks for a chunk elsewhere before its first
-	// reader
-	// has it, so that the count of reads is exact.
+	// reader has it, so that the count of reads is exact.
 	private static final String PATIENT = "[transfer]\nprogress-deadline = 30000\n";
 
 	private final WeightFile model = file("model", this.content);
--- a/app/src/test/java/org/wisteriapost/app/SiteTests.java
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -281,10 +281,8 @@
 	}
 
 	// An entry links to one that leaves at that very moment, and its greeting is read
-	// after
-	// the notice was given to all that are known. It must have the notice too, or it
-	// names
-	// the leaving one to callers until the link breaks.
+	// after the notice was given to all that are known. It must have the notice too, or
+	// it names the leaving one to callers until the link breaks.
 	@Test
 	void whoGreetsALeavingEntryIsToldThatItLeaves() throws Exception {
 		this.site.engine(1);
--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -44,8 +44,7 @@
 	private boolean ended;
 
 	// Apart from ended: an answer that is cut before its queued bytes are written must
-	// not
-	// look like one that has ended with none.
+	// not look like one that has ended with none.
 	private boolean cut;
 
 	private StreamSinkChannel channel;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectFront.java
@@ -235,9 +235,8 @@
 	}
 
 	// The limit may have been raised since: see RejectionGuard. A body takes time to
-	// come,
-	// so the one that it was read by may have been replaced by now; what is known is
-	// looked at after its age, and so is at least as new.
+	// come, so the one that it was read by may have been replaced by now; what is known
+	// is looked at after its age, and so is at least as new.
 	private void overLimit(HttpServerExchange exchange, CallerAnswer answer, Optional<CallLimits> judgedBy, int status,
 			Code code) {
 		if (this.port.mayReject() && judgedBy.isPresent() && judgedBy.equals(this.port.limits())) {
--- a/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
+++ b/entry/src/main/java/org/wisteriapost/entry/platform/PrefixWatch.java
@@ -101,8 +101,7 @@
 
 	// A platform that held a watch for its whole wait had no change until the end of it.
 	// One that ended it sooner, or with a change, may have had the next change right
-	// after
-	// the call, and the answer have been under way since.
+	// after the call, and the answer have been under way since.
 	private long asOf(Platform.Listing listing, long askedNanos) {
 		long endNanos = askedNanos + WAIT.toNanos();
 		boolean held = listing.items().isEmpty() && this.clock.getAsLong() - endNanos >= 0;
--- a/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
@@ -117,8 +117,7 @@
 
 	// A caller hangs up while its stream runs. The runner is told at once, so that it
 	// stops working for no one. The deadline is past the test's patience, so that it is
-	// not
-	// the deadline that cancels.
+	// not the deadline that cancels.
 	@Test
 	void hangingUpCancelsTheCall() throws InterruptedException {
 		this.bench.model().answers((link, call) -> {
--- a/entry/src/test/java/org/wisteriapost/entry/HeadSpreadTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/HeadSpreadTests.java
@@ -44,8 +44,7 @@
 	}
 
 	// The old weights answer until their runner has switched. Once all have, a runner
-	// that
-	// comes back with the old ones gets no call.
+	// that comes back with the old ones gets no call.
 	@Test
 	void oldWeightsAreUsedUntilTheSwitchAndNeverAfterIt() {
 		this.bench.roll(2, SECOND);
--- a/entry/src/test/java/org/wisteriapost/entry/OnceOnlyCallTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/OnceOnlyCallTests.java
@@ -36,8 +36,7 @@
 	}
 
 	// The caller's entry dies after the run, and the caller repeats to another entry.
-	// That
-	// one has only the platform to know from, and gives the first answer.
+	// That one has only the platform to know from, and gives the first answer.
 	@Test
 	void repeatAtAnotherEntryGetsTheFirstAnswerWithoutRunning() {
 		String key = key("b");
@@ -83,8 +82,7 @@
 	}
 
 	// The platform is down, so nobody can say whether the key is new. Nothing is sent,
-	// and
-	// the caller is told when to come back.
+	// and the caller is told when to come back.
 	@Test
 	void platformDownRefusesAsNotRun() {
 		this.bench.platform().down(true);
@@ -105,8 +103,7 @@
 	}
 
 	// The caller hangs up while its allocation runs. The call is not cancelled: its
-	// answer
-	// is kept, and the caller's repeat gets it.
+	// answer is kept, and the caller's repeat gets it.
 	@Test
 	void callerThatHangsUpGetsTheAnswerByRepeating() throws InterruptedException {
 		CompletableFuture<Runnable> answer = new CompletableFuture<>();
--- a/entry/src/test/java/org/wisteriapost/entry/caller/CallerAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/caller/CallerAnswerTests.java
@@ -64,8 +64,7 @@
 	}
 
 	// Events come from runners on the very thread that writes to the caller. Queued
-	// behind
-	// each other each would cost another turn of the selector.
+	// behind each other each would cost another turn of the selector.
 	@Test
 	void onItsOwnThreadAnAnswerIsWrittenAtOnce() throws Exception {
 		CompletableFuture<Boolean> written = new CompletableFuture<>();
@@ -94,11 +93,9 @@
 	}
 
 	// The last piece of a stream and its end come from the event loop while the I/O
-	// thread
-	// has just found nothing more to write. An answer that is ended right there lacks its
-	// tail, yet its framing is whole, so the caller believes it. Many short streams are
-	// sent
-	// so that the two threads meet at that step.
+	// thread has just found nothing more to write. An answer that is ended right there
+	// lacks its tail, yet its framing is whole, so the caller believes it. Many short
+	// streams are sent so that the two threads meet at that step.
 	@Test
 	void streamKeepsItsTailWhenItsEndComesAtOnce() throws Exception {
 		int port = ((InetSocketAddress) this.server.getListenerInfo().getFirst().getAddress()).getPort();
--- a/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/KnownNewsTests.java
@@ -150,9 +150,8 @@
 	}
 
 	// The asker loses an object between its request and the answer: its own listing,
-	// begun
-	// earlier, comes without it. The answer names the object without its content. Taken
-	// for whole, routes and runners would be missing until they change.
+	// begun earlier, comes without it. The answer names the object without its content.
+	// Taken for whole, routes and runners would be missing until they change.
 	@Test
 	void anAnswerThatNamesWhatTheAskerLacksIsNotTaken() {
 		this.asker.read(Kind.ROUTES, List.of(large("table", 5)), 5);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/NewsAgeTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/NewsAgeTests.java
@@ -202,8 +202,7 @@
 	}
 
 	// The reader has forgotten who hears it, by a word that was lost. What it tells
-	// others
-	// would not come here any more.
+	// others would not come here any more.
 	@Test
 	void whoIsNoLongerKnownToTheReaderAsksAgain() {
 		readerKnowsAsOf(this.now);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/ReaderLossTests.java
@@ -46,8 +46,7 @@
 	}
 
 	// The next reader has not come through after half a second. The others begin one
-	// after
-	// the other, and all hear the first that has come through.
+	// after the other, and all hear the first that has come through.
 	@ParameterizedTest
 	@CsvSource({ "600,4", "1000,7" })
 	void aSlowNextReaderIsNotFollowedByAllAtOnce(long readMillis, int most) {
@@ -91,8 +90,7 @@
 	}
 
 	// The same when the loss was noticed late, so that little is left of the bound: all
-	// at
-	// once would fill a link that is narrow for one already.
+	// at once would fill a link that is narrow for one already.
 	@ParameterizedTest
 	@CsvSource({ "FREEZES,1000,7", "FREEZES,1500,10", "STORE_SILENT,1000,7", "STORE_SILENT,1500,10" })
 	void aSlowNextReaderIsNotFollowedByAllAtOnceWhenLittleTimeIsLeft(Loss loss, long readMillis, int most) {
@@ -105,8 +103,7 @@
 	}
 
 	// The next readers hear the reader well, so this entry alone has lost it, and waits
-	// for
-	// nobody. Three of them are cut off from the store themselves and know nothing.
+	// for nobody. Three of them are cut off from the store themselves and know nothing.
 	@ParameterizedTest
 	@CsvSource({ "SILENT_TO_ONE,0,2000", "CLOSED_TO_ONE,0,2000", "SILENT_TO_ONE,1,2300", "SILENT_TO_ONE,3,2700" })
 	void whoAloneLosesItsReaderDoesNotWaitForASuccessor(Loss loss, int successorsTurnedAway, long mostMillis) {
@@ -123,9 +120,8 @@
 	}
 
 	// One entry alone loses its reader, or with it those that are to read next. It
-	// reaches
-	// the store all the while, so what is declared binds it: handled by an old table a
-	// request goes to the old service, or runs with a token that was taken away.
+	// reaches the store all the while, so what is declared binds it: handled by an old
+	// table a request goes to the old service, or runs with a token that was taken away.
 	@ParameterizedTest
 	@CsvSource({ "SILENT_TO_ONE,0,1", "SILENT_TO_ONE,0,5", "SILENT_TO_ONE,0,13", "SILENT_TO_ONE,1,13",
 			"SILENT_TO_ONE,4,13", "SILENT_TO_ONE,12,13", "CLOSED_TO_ONE,0,13", "CLOSED_TO_ONE,4,13", "FREEZES,0,13",
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SiteNewsTests.java
@@ -166,8 +166,7 @@
 	}
 
 	// Nothing changes for a minute, and the entry that passes on gives signs. Then it
-	// starts
-	// anew while the link is open, and knows nothing of the cut entry.
+	// starts anew while the link is open, and knows nothing of the cut entry.
 	@Test
 	void whoGivesSignsIsKeptAndWhoFallsSilentIsNot() {
 		delivered();
@@ -195,8 +194,7 @@
 	}
 
 	// Most entries rest, and each says at once that it does not read the store. The one
-	// that
-	// does is found without waiting for a tick at each of them.
+	// that does is found without waiting for a tick at each of them.
 	@Test
 	void whoIsNotCurrentIsPassedOverAtOnce() {
 		this.cut.reachable(true);
@@ -232,9 +230,8 @@
 	}
 
 	// An entry has come to rest, and what its own last call to the store found is still
-	// on
-	// its way. Taken for a loss it would make the entry ask others for everything, for as
-	// long as it rests.
+	// on its way. Taken for a loss it would make the entry ask others for everything, for
+	// as long as it rests.
 	@Test
 	void whatItsOwnLastCallFoundIsNothingToWhoRests() {
 		StoreDuty duty = StoreDuty.of("cut");
--- a/entry/src/test/java/org/wisteriapost/entry/platform/BundleReaderTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/platform/BundleReaderTests.java
@@ -20,8 +20,7 @@
 
 	// A bundle takes seconds over a full link, and the entry asks for it again each half
 	// second while it is not here. Were each a read of its own, all entries together
-	// would
-	// fill the link with copies, of which none comes in the time of a call.
+	// would fill the link with copies, of which none comes in the time of a call.
 	@Test
 	void whatIsUnderWayIsNotReadAgain() {
 		CompletableFuture<Optional<BundleContent>> first = this.reader.read("d");
--- a/entry/src/test/java/org/wisteriapost/entry/process/HeadTrackerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/process/HeadTrackerTests.java
@@ -45,8 +45,7 @@
 	}
 
 	// An entry is replaced in the middle of a roll. It has never heard of the bundle
-	// before,
-	// and every runner still serves that one.
+	// before, and every runner still serves that one.
 	@Test
 	void runnerOfAnUnknownPredecessorIsAccepted() {
 		String current = roll(7, "b");
@@ -56,8 +55,7 @@
 	}
 
 	// All runners have switched; one comes back with the weights of before, for example
-	// an
-	// engine that a paused agent has ordered. It gets no calls.
+	// an engine that a paused agent has ordered. It gets no calls.
 	@Test
 	void olderWeightsAreNotAcceptedOnceAllHaveSwitched() {
 		String first = roll(1, "a");
@@ -100,9 +98,8 @@
 
 	// The platform names a head and is cut off. Its bundle comes from a neighbour half a
 	// minute later; operators have rolled a newer one meanwhile. Were the bundle taken
-	// for
-	// the newest as of its coming, callers would be told for good that there is no such
-	// model.
+	// for the newest as of its coming, callers would be told for good that there is no
+	// such model.
 	@Test
 	void aBundleIsTheNewestAsOfWhenItsHeadWasNamed() {
 		byte[] content = BundleCodec.encode(bundle(1, "a"));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -92,9 +92,8 @@
 	}
 
 	// Load: named weights are to be in force soon, and the link to one runner holds
-	// things
-	// for seconds. Harm prevented: its waits bind what goes to all others, seconds before
-	// they would begin too late. A runner that is left out says nothing of others.
+	// things for seconds. Harm prevented: its waits bind what goes to all others, seconds
+	// before they would begin too late. A runner that is left out says nothing of others.
 	private static long longestWait(List<RunnerState> runners, boolean late, long nowNanos) {
 		long longest = 0;
 		for (RunnerState runner : runners) {
@@ -205,8 +204,7 @@
 			return false;
 		}
 		// A stream that has begun goes on only where the same weights are, and begins
-		// anew
-		// there: not on weights that are over by then.
+		// anew there: not on weights that are over by then.
 		boolean same = job.events() == 0 || job.weightsVersion().isEmpty() || held.equals(job.weightsVersion());
 		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/PeerState.java
@@ -25,12 +25,9 @@
 	private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
 	// Load: a peer's link carries a tenth of what it is declared to. Harm prevented: what
-	// it
-	// alone holds is waited for by all, for it is heard again and again and so seems
-	// well;
-	// no VM but it reads those pieces from the origin. Until it has brought a part in
-	// time,
-	// or for so long after the last that was late, others do not count on it.
+	// it alone holds is waited for by all, for it is heard again and again and so seems
+	// well; no VM but it reads those pieces from the origin. Until it has brought a part
+	// in time, or for so long after the last that was late, others do not count on it.
 	private static final long SLOW_NANOS = Duration.ofSeconds(2).toNanos();
 
 	// A naming reaches all VMs within a second. Until then those that began first would
@@ -310,10 +307,8 @@
 	}
 
 	// A VM with bad memory gives wrong bytes again and again; each costs a chunk's time
-	// on
-	// the link. The doubled time keeps it out of this roll, and lets a VM whose one
-	// answer
-	// was hit on the way come back.
+	// on the link. The doubled time keeps it out of this roll, and lets a VM whose one
+	// answer was hit on the way come back.
 	void corrupt(long now, long distrustNanos) {
 		this.distrustedUntil = now + (distrustNanos << Math.min(this.corruptions, MOST_DOUBLINGS));
 		this.corruptions++;
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferMachine.java
@@ -167,10 +167,8 @@
 	// Load: some of the VMs that are believed to be there are gone, or fetch something
 	// else. Harm prevented: the pieces that they were to read appear only after nothing
 	// else does, and everybody waits for these: 2.0 to 2.3 times S/L with one in ten
-	// gone,
-	// in virtual time. The second in rank has a link to the first, so it sees at once
-	// that
-	// it can't be had: 1.4 to 1.6 times S/L.
+	// gone, in virtual time. The second in rank has a link to the first, so it sees at
+	// once that it can't be had: 1.4 to 1.6 times S/L.
 	private Set<String> watched() {
 		if (this.limits.design() != TransferLimits.Design.SWARM) {
 			return Set.of();
@@ -305,8 +303,7 @@
 		this.requests.tick(now, effects);
 		this.origin.reads().forEach((piece, since) -> reopenIfHeld(piece, now - since > limit));
 		// Before the start there is no news to miss: taken for a stall, it would make
-		// every
-		// VM read what others are to read.
+		// every VM read what others are to read.
 		if (this.started) {
 			this.origin.tick(this.holdings.open(), now, limit);
 			this.readers.tick(this.holdings.open(), this.choice, now, limit);
@@ -352,8 +349,7 @@
 
 	// A VM that joins late, or again after a restart, would read its share of the origin
 	// though its neighbours hold it all. So it first hears what they hold; a neighbour
-	// that
-	// is silent holds it up for no longer than the deadline.
+	// that is silent holds it up for no longer than the deadline.
 	private boolean informed(long now) {
 		if (!this.informed) {
 			this.informed = this.neighbours.greeted()
@@ -378,8 +374,7 @@
 	// would spend more on the telling than control may cost.
 	private void announce(long now, List<TransferEffect> effects) {
 		// The last pieces are told at once: this fetch ends here, and a neighbour that
-		// never
-		// heard of them would wait for their reader.
+		// never heard of them would wait for their reader.
 		boolean due = this.complete || now - this.announcedAt >= this.limits.announceInterval().toNanos();
 		if (due && this.holdings.news()) {
 			this.announcedAt = now;
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/CutOffRunnerTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/CutOffRunnerTests.java
@@ -13,10 +13,8 @@
 	private static final long FIRST_EVENT_MILLIS = 160;
 
 	// A runner is cut off: connections to it can't be made any more. A stream that it
-	// began
-	// before that ends whole a moment later, since its last events were on their way.
-	// That
-	// says nothing of the way there, but all went there again at once.
+	// began before that ends whole a moment later, since its last events were on their
+	// way. That says nothing of the way there, but all went there again at once.
 	@Test
 	void theEndOfAnOldAnswerDoesNotBringBackARunnerThatIsCutOff() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -38,9 +36,8 @@
 	}
 
 	// A runner could not be connected to, and can again: the first event of the one
-	// request
-	// that tried it says so. Its answer goes on for seconds; all that time the runner's
-	// other slots would stay empty.
+	// request that tried it says so. Its answer goes on for seconds; all that time the
+	// runner's other slots would stay empty.
 	@Test
 	void aRunnerThatIsReachedAgainTakesMoreFromTheFirstEventOn() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -58,10 +55,9 @@
 	}
 
 	// Newer weights are named, and the link to one engine holds things up for a second
-	// and
-	// more. Requests wait long there, and it is known to be cut off. The others begin
-	// what
-	// they get at once, and are not to be given up seconds before the newer weights bind.
+	// and more. Requests wait long there, and it is known to be cut off. The others begin
+	// what they get at once, and are not to be given up seconds before the newer weights
+	// bind.
 	@Test
 	void theWaitAtARunnerThatIsCutOffDoesNotBindTheOthers() {
 		Desk desk = heldUpWhenWeightsAreNamed();
@@ -78,8 +74,7 @@
 	}
 
 	// The same runner, once it may be tried again: what waited there a moment ago waited
-	// for
-	// so long that one more would begin on weights that are over by then.
+	// for so long that one more would begin on weights that are over by then.
 	@Test
 	void aRunnerThatWasCutOffIsBoundByItsOwnWaits() {
 		Desk desk = heldUpWhenWeightsAreNamed();
@@ -94,10 +89,8 @@
 	}
 
 	// The registration of a runner lapses, since its VM can't be reached, and comes back
-	// a moment
-	// later: the same start of it. What was known of it, that it is cut off and what is
-	// in flight
-	// there, was forgotten, and all entries sent there at once.
+	// a moment later: the same start of it. What was known of it, that it is cut off and
+	// what is in flight there, was forgotten, and all entries sent there at once.
 	@Test
 	void aRegistrationThatComesBackIsTheSameRunner() {
 		Desk desk = new Desk().with(Desk.engine("a"), Desk.engine("b"));
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -40,13 +40,10 @@
 
 	// Callers see 502 after one to two seconds. The link to one engine holds what is sent
 	// there for seconds; a reset does not take it back, so the engine begins it for
-	// nobody,
-	// or on weights that are over. Streams that it began before go on and end whole. The
-	// first request that stays without a word says it all, and from then on one at a time
-	// is
-	// enough to see whether the way is open again; but each end of an old stream was
-	// taken
-	// for a sign that the runner is well, and all went there again.
+	// nobody, or on weights that are over. Streams that it began before go on and end
+	// whole. The first request that stays without a word says it all, and from then on
+	// one at a time is enough to see whether the way is open again; but each end of an
+	// old stream was taken for a sign that the runner is well, and all went there again.
 	@Test
 	void aWayThatHoldsThingsUpGetsOneRequestAtATime() {
 		Entry entry = new Entry(HELD_UP);
@@ -60,12 +57,9 @@
 	}
 
 	// Several entries, of which this one has sent nothing to the engine for a while, so
-	// it can't
-	// know that the link there holds things for seconds. What it sends has to begin
-	// before newer
-	// weights bind: it leaves only once a connection is there. When none comes the caller
-	// is
-	// told at once that it has not run.
+	// it can't know that the link there holds things for seconds. What it sends has to
+	// begin before newer weights bind: it leaves only once a connection is there. When
+	// none comes the caller is told at once that it has not run.
 	@Test
 	void whatHasToBeginByATimeLeavesOnlyOnceTheWayIsOpen() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -86,10 +80,8 @@
 	}
 
 	// One request is without its first event for longer than usual. The next one does not
-	// go
-	// over the same connections, which may lead nowhere, and those that come while it
-	// tries go
-	// elsewhere.
+	// go over the same connections, which may lead nowhere, and those that come while it
+	// tries go elsewhere.
 	@Test
 	void whileARequestTriesTheWayTheOthersGoElsewhere() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -107,10 +99,8 @@
 	}
 
 	// Requests were given up at an engine seconds ago and none was answered since. A
-	// connection
-	// can be made there again, but what follows may be held for as long as those were:
-	// newer
-	// weights bind sooner than that.
+	// connection can be made there again, but what follows may be held for as long as
+	// those were: newer weights bind sooner than that.
 	@Test
 	void whatMayBeHeldUntilNewerWeightsBindIsNotSent() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -129,11 +119,9 @@
 	}
 
 	// Newer weights are named, and the link to one engine begins to hold things.
-	// Connections are
-	// still made there, since the way back is free; what follows them is held. The agent
-	// on the
-	// same VM no longer sends stamps back in time: nothing goes there, and all goes to
-	// the other.
+	// Connections are still made there, since the way back is free; what follows them is
+	// held. The agent on the same VM no longer sends stamps back in time: nothing goes
+	// there, and all goes to the other.
 	@Test
 	void whileEchoesStayAwayNothingIsSent() {
 		Desk desk = new Desk().with(Desk.engine("a"), Desk.engine("b"));
@@ -158,8 +146,7 @@
 	}
 
 	// An engine is slow to begin, and its agent sends stamps back at once: the way is
-	// open, and
-	// requests go on as before.
+	// open, and requests go on as before.
 	@Test
 	void anEchoEndsADoubt() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -188,8 +175,7 @@
 	}
 
 	// While an agent does not answer yet, one request tries the way; its echo lets the
-	// others
-	// follow, without waiting for the first event.
+	// others follow, without waiting for the first event.
 	@Test
 	void anEchoEndsATry() {
 		Desk desk = new Desk().with(Desk.engine("a"));
@@ -235,8 +221,7 @@
 	}
 
 	// Newer weights are named and the agent beside the only engine ends, by a release or
-	// a
-	// crash; the engine answers every request at once. Callers that come some seconds
+	// a crash; the engine answers every request at once. Callers that come some seconds
 	// apart are refused all the same until the agent has been silent for eight seconds.
 	@Test
 	void anAgentThatHasEndedDoesNotTakeItsEngineWithIt() {
--- a/policy/src/test/java/org/wisteriapost/policy/fleet/UpstreamChoiceTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/fleet/UpstreamChoiceTests.java
@@ -68,10 +68,9 @@
 	}
 
 	// The one that passed on has started anew, or its word that it is not current was
-	// lost:
-	// it does not know of this entry any more, and says nothing over an open link.
-	// Callers
-	// would be sent by what it said last for as long as the store turns this entry away.
+	// lost: it does not know of this entry any more, and says nothing over an open link.
+	// Callers would be sent by what it said last for as long as the store turns this
+	// entry away.
 	@Test
 	void whoFallsSilentIsNotWaitedForWithoutEnd() {
 		this.choice.store(false);
@@ -93,8 +92,7 @@
 
 	// The first one asked is cut off as well and says nothing, the second says that the
 	// store does not answer it, the third one's link ends after a while. Each is told
-	// that
-	// nothing more is wanted of it, or it would send every change from then on.
+	// that nothing more is wanted of it, or it would send every change from then on.
 	@Test
 	void theNextOneIsAskedWhenOneDoesNotHelp() {
 		this.choice.store(false);
@@ -121,8 +119,8 @@
 	}
 
 	// A place loses the store. Whatever the names, the entries near by are asked first,
-	// over
-	// links that nothing fills; of several equally near not all entries ask the same one.
+	// over links that nothing fills; of several equally near not all entries ask the same
+	// one.
 	@ParameterizedTest
 	@CsvSource({ "OWN_PLACE,OWN_REGION", "OWN_REGION,ELSEWHERE", "OWN_PLACE,ELSEWHERE" })
 	void theNearestIsAskedFirst(Distance near, Distance far) {
@@ -161,8 +159,7 @@
 	}
 
 	// The only other entry is slow. It is asked again, and not told meanwhile that
-	// nothing
-	// is wanted: its answer may be on its way.
+	// nothing is wanted: its answer may be on its way.
 	@Test
 	void theOnlyOneIsAskedAgain() {
 		this.choice.store(false);
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -302,8 +302,7 @@
 	// Hundreds of engines fetch, which takes most of the time until the weights have to
 	// be in force, and a newer version is named when each has a fifth to a half of the
 	// first. Were it abandoned then, no engine would have either in time, and nobody
-	// would
-	// answer: it is finished.
+	// would answer: it is finished.
 	@ParameterizedTest
 	@CsvSource({ "3000,0.3,false", "3000,0.5,false", "300,0.05,true", "1000,0.45,true" })
 	void aFetchIsAbandonedOnlyWhileThereIsTimeForAnother(long elapsedMillis, double share, boolean abandoned) {
--- a/policy/src/test/java/org/wisteriapost/policy/routing/RejectionGuardTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/routing/RejectionGuardTests.java
@@ -36,9 +36,8 @@
 	}
 
 	// The VM is suspended for ten seconds, which its own clock does not count: right
-	// after
-	// waking the table seems a few milliseconds old. Nothing is rejected until something
-	// asked for since has confirmed it.
+	// after waking the table seems a few milliseconds old. Nothing is rejected until
+	// something asked for since has confirmed it.
 	@Test
 	void afterASuspensionNothingThatWasKnownBeforeCounts() {
 		this.guard.confirmed(1000 * MILLI);
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/BusyPeerTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/BusyPeerTests.java
@@ -72,10 +72,8 @@
 
 	// Weights are fetched, as on a site, of eight peers that hold all. Six are beside
 	// engines whose links are squeezed: they give the first part of each piece and are
-	// busy
-	// whenever more is asked for. Two are idle and give every part at once; all pieces
-	// can
-	// be had from them.
+	// busy whenever more is asked for. Two are idle and give every part at once; all
+	// pieces can be had from them.
 	@ParameterizedTest
 	@ValueSource(ints = { 50, 80, 95, 100 })
 	void busyPeersDoNotStopWhatComesFromIdleOnes(int busyOfHundred) {
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/RequestWindowTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/RequestWindowTests.java
@@ -42,8 +42,7 @@
 	}
 
 	// One of several peers has a link of its own that is full. What comes quickly from
-	// the
-	// others shows that this VM's link is not.
+	// the others shows that this VM's link is not.
 	@Test
 	void onePeerThatIsSlowNarrowsNothing() {
 		for (int answer = 0; answer < 40; answer++) {
--- a/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/transfer/TransferMachineTests.java
@@ -58,11 +58,9 @@
 	}
 
 	// A version is named, and this VM is the first to begin: its peers know nothing of
-	// the
-	// file yet. It reads its own pieces and not theirs, or each would read a copy. One
-	// that
-	// still knows nothing after a second fetches something else, and its pieces are read
-	// here.
+	// the file yet. It reads its own pieces and not theirs, or each would read a copy.
+	// One that still knows nothing after a second fetches something else, and its pieces
+	// are read here.
 	@Test
 	void onlyWhoKnowsNothingForLongIsNotWaitedFor() {
 		apply(new TransferEvent.PeersSeen(List.of(OTHER, THIRD)));
@@ -217,9 +215,8 @@
 	}
 
 	// A part takes longer than the deadline: the link of this VM has narrowed, and the
-	// part
-	// was on it all the time. When it comes after all, its piece is gone on with where it
-	// stopped, and nothing of it has to come twice.
+	// part was on it all the time. When it comes after all, its piece is gone on with
+	// where it stopped, and nothing of it has to come twice.
 	@Test
 	void aPartThatComesLateIsGoneOnWith() {
 		int piece = askedOfOther();
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/Follower.java
@@ -349,10 +349,9 @@
 
 	// Failure: over a full link an answer takes longer than usual, and a watch that was
 	// cut says nothing of the store. Said then, the doubt would make all that rely on
-	// this
-	// process read themselves over the same link. What they are bound by counts from what
-	// was known last, so it is soon enough to say it when a watch that is silent from
-	// there on would have been given up, and the call after it.
+	// this process read themselves over the same link. What they are bound by counts from
+	// what was known last, so it is soon enough to say it when a watch that is silent
+	// from there on would have been given up, and the call after it.
 	private long untilLateMillis() {
 		long lateNanos = this.asOfNanos + this.kind.reliedWait().toNanos() + SILENCE_NANOS;
 		return Math.max(ANSWER_MILLIS, TimeUnit.NANOSECONDS.toMillis(lateNanos - this.clock.getAsLong()));
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/HttpCallerTests.java
@@ -119,8 +119,7 @@
 	// A link is full, and a request waits in it for seconds. Its caller leaves and it is
 	// given up. Closed in order it would still be sent, and a runner would work on it for
 	// nobody, or start it on weights that are no longer accepted. Its connection is
-	// reset,
-	// which drops what has not left.
+	// reset, which drops what has not left.
 	@Test
 	void whatWasGivenUpIsNotSentAnyMore() throws Exception {
 		try (ServerSocket deaf = new ServerSocket()) {
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTimesTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/FollowerTimesTests.java
@@ -42,10 +42,9 @@
 	}
 
 	// The store cuts a watch over a full link, where an answer takes half a second. All
-	// that
-	// rely on this process would look for another one, and read themselves over the same
-	// link, though nothing is late yet: what they are bound by counts from what was known
-	// last. Entries bind nobody, and come late in any case.
+	// that rely on this process would look for another one, and read themselves over the
+	// same link, though nothing is late yet: what they are bound by counts from what was
+	// known last. Entries bind nobody, and come late in any case.
 	@ParameterizedTest
 	@CsvSource({ "ROUTES,0,1800", "ROUTES,700,1100", "ROUTES,1400,400", "ROUTES,1600,400", "RUNNERS,0,1800",
 			"WEIGHTS,500,1300", "ENTRIES,0,16000", "ENTRIES,15600,400" })
@@ -65,8 +64,7 @@
 	}
 
 	// Two watches are cut one after the other. That the second has no answer yet was
-	// taken
-	// for the silence after the first.
+	// taken for the silence after the first.
 	@Test
 	void aDoubtThatWasAnsweredDoesNotCountForTheNextWatch() throws Exception {
 		this.store.pages.add(new Page(List.of(item("a", 1)), false, 5));
--- a/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/bench/weights/SimulationTests.java
@@ -18,8 +18,8 @@
 	private static final int CHUNKS = 200;
 
 	// Whatever happens to one VM in ten, every other gets all weights as long as the
-	// origin
-	// or one peer has them, no invariant breaks, and the origin is not read for each.
+	// origin or one peer has them, no invariant breaks, and the origin is not read for
+	// each.
 	@ParameterizedTest
 	@CsvSource({ "NONE, 1, 1.1", "NONE, 3, 1.1", "NONE, 12, 1.1", "NONE, 48, 1.1", "KILL, 12, 1.5", "KILL, 48, 1.5",
 			"STALL, 12, 1.5", "STALL, 48, 1.5", "CORRUPT, 12, 1.5", "CORRUPT, 48, 1.5", "ABSENT, 12, 1.5",
@@ -86,8 +86,7 @@
 
 	// The links of one VM in three narrow while weights come. Pieces that only these have
 	// read from the origin would reach the others over their links alone, at a fifteenth
-	// of
-	// the speed; others read them instead.
+	// of the speed; others read them instead.
 	@Test
 	void whoseLinkIsNarrowHoldsUpOthersLittle() {
 		assertThat(squeezed(32 << 10), is(lessThanOrEqualTo(2.5)));
