An entry says when nothing is sent to a runner since the way there is closed

A belief that decides where requests go and was in no log: a caller's refusal no-usable-runner could not be told from runners that are gone. One line when it changes, not one a request.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -329,6 +329,9 @@
 
 	private void askForEchoes(long now) {
 		Frame ask = Frame.newBuilder().setEchoRequest(EchoRequest.newBuilder().setStamp(now)).build();
+		this.dispatcher.ways()
+			.changes(now)
+			.forEach((way) -> this.log.decision("way", "address", way.address(), "closed", way.closed()));
 		this.dispatcher.ways()
 			.toAsk(now)
 			.forEach((address) -> this.mesh.ifPresent((links) -> links.send(address, ask)));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWay.java
@@ -60,6 +60,8 @@
 
 	private boolean agentLinked;
 
+	private boolean toldClosed;
+
 	private boolean doubtfulTry;
 
 	/**
@@ -141,6 +143,16 @@
 				&& nowNanos - this.echoNanos < ECHOES_NANOS;
 	}
 
+	/**
+	 * Returns whether the way is closed now where it was not at the last call, or the
+	 * other way round.
+	 */
+	boolean changed(long nowNanos) {
+		boolean before = this.toldClosed;
+		this.toldClosed = closed(nowNanos);
+		return this.toldClosed != before;
+	}
+
 	private void passed(long sentNanos) {
 		this.openNanos = Math.max(this.openNanos, sentNanos);
 		while (!this.unanswered.isEmpty() && this.unanswered.peekFirst().nanos <= sentNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWays.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerWays.java
@@ -58,8 +58,28 @@
 		at(address).forEach((runner) -> runner.way.agentGone());
 	}
 
+	/**
+	 * Returns the ways that were found closed, or open again, since the last call.
+	 */
+	public List<Change> changes(long nowNanos) {
+		return this.book.states()
+			.stream()
+			.filter((runner) -> runner.way.changed(nowNanos))
+			.map((runner) -> new Change(runner.info.address(), runner.way.closed(nowNanos)))
+			.toList();
+	}
+
 	private List<RunnerState> at(String address) {
 		return this.book.states().stream().filter((runner) -> runner.info.address().equals(address)).toList();
 	}
 
+	/**
+	 * What is newly believed of the way to a runner.
+	 *
+	 * @param address the runner's address
+	 * @param closed whether nothing is sent there now
+	 */
+	public record Change(String address, boolean closed) {
+	}
+
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerWayTests.java
@@ -134,11 +134,14 @@
 		desk.arrive(Desk.STREAM, 100, 6000);
 		assertThat(desk.done(), Matchers.containsInAnyOrder("Send:a", "Send:b"));
 		echo(desk, 700, "b");
+		assertThat(changes(desk), Matchers.contains("closed " + Desk.engine("a").address()));
 		for (int i = 0; i < 6; i++) {
 			desk.arrive(Desk.STREAM, 100, 6000);
 		}
 		assertThat(desk.done(), Matchers.everyItem(Matchers.equalTo("Send:b")));
+		assertThat(changes(desk), Matchers.empty());
 		echo(desk, 200, "a", "b");
+		assertThat(changes(desk), Matchers.contains("open " + Desk.engine("a").address()));
 		for (int i = 0; i < 6; i++) {
 			desk.arrive(Desk.STREAM, 100, 6000);
 		}
@@ -285,6 +288,14 @@
 		return desk.done().stream().filter((name) -> name.startsWith("Send")).count();
 	}
 
+	private static List<String> changes(Desk desk) {
+		return desk.dispatcher.ways()
+			.changes(desk.now)
+			.stream()
+			.map((way) -> (way.closed() ? "closed " : "open ") + way.address())
+			.toList();
+	}
+
 	private static void echo(Desk desk, long millis, String... engines) {
 		for (long at = 0; at < millis; at += 100) {
 			desk.after(100);
