--- a/entry/src/main/java/org/wisteriapost/entry/direct/FailureDomainRelay.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/FailureDomainRelay.java
@@ -10,6 +10,7 @@
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.dispatch.EngineStatus;
 import org.wisteriapost.policy.dispatch.InFlightLoad;
+import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
@@ -30,12 +31,14 @@
  */
 final class FailureDomainRelay {
 
-	static final int REPORT_INTERVAL_TICKS = 10;
-
 	// How often unchanged state is repeated. Receivers discard state that was not
 	// repeated for two and a half seconds.
 	static final int FULL_REPORT_INTERVAL_TICKS = 50;
 
+	private long nextReportTicks;
+
+	private long nextFullReportTicks;
+
 	private final EntryRegistry registry;
 
 	private final String failureDomain;
@@ -67,15 +70,17 @@
 	 * @param ticks counts the ticks of the entry, 20 ms each
 	 */
 	void tick(long ticks, long nowNanos) {
-		if (ticks % REPORT_INTERVAL_TICKS != 0) {
+		if (ticks < this.nextReportTicks) {
 			return;
 		}
+		this.nextReportTicks = ticks + LoadReportInterval.relayTicks();
 		if (!this.registry.scopedByFailureDomain() || !this.registry.isRelay()) {
 			this.reportedLoads.clear();
 			this.reportedStatuses.clear();
 			return;
 		}
-		boolean full = ticks % FULL_REPORT_INTERVAL_TICKS == 0;
+		boolean full = ticks >= this.nextFullReportTicks;
+		this.nextFullReportTicks = full ? ticks + FULL_REPORT_INTERVAL_TICKS : this.nextFullReportTicks;
 		PlaceState state = changes(full, nowNanos);
 		if (state.getLoadsCount() > 0 || state.getEnginesCount() > 0) {
 			Frame frame = Frame.newBuilder().setPlaceState(state).build();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 
 import org.wisteriapost.policy.dispatch.InFlightLoad;
+import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RefusedRequest;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -24,21 +25,12 @@
  * the state thread.
  *
  * With dozens of entries, each of which reports to all others, the messages would grow
- * with the square of the entries and fill the links between failure domains. So an entry
- * sends at most about {@value #PEERS_PER_INTERVAL} messages in
- * {@value #LOCAL_INTERVAL_TICKS} ticks: the more peers there are, the less often each
- * gets a report. Peers of the same failure domain use the same runners and get reports
- * twice as often as remote ones. The share of each entry in a runner's load falls with
- * their number, so a late report matters less.
+ * with the square of the entries and fill the links between failure domains, so the
+ * interval grows with the number of peers ({@link LoadReportInterval}). The share of each
+ * entry in a runner's load falls with their number, so a late report matters less.
  */
 final class LoadReporter {
 
-	static final int LOCAL_INTERVAL_TICKS = 5;
-
-	static final int REMOTE_INTERVAL_TICKS = 10;
-
-	static final int PEERS_PER_INTERVAL = 6;
-
 	// How often unchanged load is repeated. Receivers discard load that was not
 	// repeated for two and a half seconds.
 	private static final long FULL_REPORT_INTERVAL_TICKS = 50;
@@ -54,9 +46,9 @@
 
 	private final BiConsumer<String, Frame> sender;
 
-	private final PeerGroup localPeers = new PeerGroup(LOCAL_INTERVAL_TICKS);
+	private final PeerGroup localPeers = new PeerGroup();
 
-	private final PeerGroup remotePeers = new PeerGroup(REMOTE_INTERVAL_TICKS);
+	private final PeerGroup remotePeers = new PeerGroup();
 
 	/**
 	 * Creates the reporter of one entry.
@@ -69,7 +61,7 @@
 
 	/**
 	 * Sends the reports that are due.
-	 * @param ticks counts the ticks of the entry, 20 ms each; most of them send no report
+	 * @param ticks counts the ticks of the entry; most of them send no report
 	 * @param nowNanos the time that ages in the report refer to
 	 * @param receivers the other entries that this one reports to
 	 * @param ownLoads the in-flight load of this entry at each runner
@@ -84,8 +76,9 @@
 		List<RunnerLoad> loads = ownLoads.get();
 		List<String> local = others.stream().filter(this::isLocal).map(EntryInfo::name).toList();
 		List<String> remote = others.stream().filter((info) -> !isLocal(info)).map(EntryInfo::name).toList();
-		this.localPeers.tick(ticks, nowNanos, local, loads, rates);
-		this.remotePeers.tick(ticks, nowNanos, remote, loads, rates);
+		LoadReportInterval interval = LoadReportInterval.toPeers(local.size(), remote.size());
+		this.localPeers.tick(ticks, interval.localTicks(), nowNanos, local, loads, rates);
+		this.remotePeers.tick(ticks, interval.remoteTicks(), nowNanos, remote, loads, rates);
 	}
 
 	/**
@@ -126,8 +119,6 @@
 	/** Peers that get reports equally often. */
 	private final class PeerGroup {
 
-		private final int minIntervalTicks;
-
 		private final Map<RunnerKey, InFlightLoad> lastReported = new HashMap<>();
 
 		private final List<RefusedRequest> refusedRequests = new ArrayList<>();
@@ -138,10 +129,6 @@
 
 		private long nextRateReportTicks;
 
-		private PeerGroup(int minIntervalTicks) {
-			this.minIntervalTicks = minIntervalTicks;
-		}
-
 		private boolean due(long ticks) {
 			return ticks >= this.nextReportTicks;
 		}
@@ -152,13 +139,12 @@
 			}
 		}
 
-		private void tick(long ticks, long nowNanos, List<String> peers, List<RunnerLoad> loads,
+		private void tick(long ticks, int intervalTicks, long nowNanos, List<String> peers, List<RunnerLoad> loads,
 				Supplier<Optional<RateLimitReport>> rates) {
 			if (!due(ticks)) {
 				return;
 			}
-			int rounds = Math.max(1, (peers.size() + PEERS_PER_INTERVAL - 1) / PEERS_PER_INTERVAL);
-			this.nextReportTicks = ticks + (long) rounds * this.minIntervalTicks;
+			this.nextReportTicks = ticks + intervalTicks;
 			if (peers.isEmpty()) {
 				this.refusedRequests.clear();
 				return;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FailureDomainRelayTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FailureDomainRelayTests.java
@@ -15,6 +15,7 @@
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.dispatch.EngineStatus;
 import org.wisteriapost.policy.dispatch.InFlightLoad;
+import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
@@ -92,7 +93,7 @@
 	@Test
 	void loadCrossesOneLinkPerFailureDomain() {
 		setLoadInAll("hall-a", 5);
-		run(FailureDomainRelay.REPORT_INTERVAL_TICKS);
+		run(LoadReportInterval.relayTicks());
 		assertThat(this.crossDomainFrames, Matchers.hasSize(FAILURE_DOMAINS.size() - 1));
 		long informed = this.entries.values()
 			.stream()
@@ -107,12 +108,12 @@
 	@Test
 	void anotherEntryBecomesRelayWhenRelayDies() {
 		setLoadInAll("hall-a", 5);
-		run(FailureDomainRelay.REPORT_INTERVAL_TICKS);
+		run(LoadReportInterval.relayTicks());
 		String relay = this.crossDomainFrames.getFirst().substring(0, this.crossDomainFrames.getFirst().indexOf('>'));
 		kill(relay);
 		this.crossDomainFrames.clear();
 		setLoadInAll("hall-a", 6);
-		run(FailureDomainRelay.REPORT_INTERVAL_TICKS);
+		run(LoadReportInterval.relayTicks());
 		assertThat(this.crossDomainFrames, Matchers.hasSize(FAILURE_DOMAINS.size() - 1));
 		assertThat(this.crossDomainFrames.getFirst(), Matchers.not(Matchers.startsWith(relay + ">")));
 	}
@@ -121,7 +122,7 @@
 	@Test
 	void unchangedLoadIsRepeatedEachSecond() {
 		setLoadInAll("hall-a", 5);
-		run(FailureDomainRelay.REPORT_INTERVAL_TICKS);
+		run(LoadReportInterval.relayTicks());
 		this.crossDomainFrames.clear();
 		for (int second = 0; second < 5; second++) {
 			setLoadInAll("hall-a", 5);
@@ -138,7 +139,7 @@
 			.stream()
 			.filter((entry) -> entry.info.failureDomain().equals("hall-b"))
 			.forEach((entry) -> entry.dispatcher.updateEngineStatus(engine("hall-b"), status, 0));
-		run(FailureDomainRelay.REPORT_INTERVAL_TICKS);
+		run(LoadReportInterval.relayTicks());
 		assertThat(anyEntryOf("hall-c").receivedEngines.stream().map(EngineState::getAddress).toList(),
 				Matchers.contains(engine("hall-b")));
 		assertThat(anyEntryOf("hall-c").receivedEngines.getFirst().getSwitching(), Matchers.equalTo(true));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.dispatch.InFlightLoad;
+import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RefusedRequest;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
@@ -95,8 +96,8 @@
 		assertThat(this.frames.getFirst().getLoadReport().getRefused(0),
 				Matchers.equalTo(org.wisteriapost.protocol.wire.RefusedRequest.newBuilder()
 					.setRequest(7)
-					.setAskedMillis(LoadReporter.LOCAL_INTERVAL_TICKS * 20)
-					.setLeftMillis(6000 - LoadReporter.LOCAL_INTERVAL_TICKS * 20)
+					.setAskedMillis(LoadReportInterval.MIN_LOCAL_TICKS * 20)
+					.setLeftMillis(6000 - LoadReportInterval.MIN_LOCAL_TICKS * 20)
 					.build()));
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/LoadSim.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -47,8 +46,7 @@
 
 	private final UniformRandomProvider random;
 
-	private final PriorityQueue<ScheduledTask> tasks = new PriorityQueue<>(
-			Comparator.comparingLong(ScheduledTask::atNanos).thenComparingLong(ScheduledTask::sequence));
+	private final EventQueue events = new EventQueue();
 
 	private final List<EntryPolicy> entries = new ArrayList<>();
 
@@ -62,8 +60,6 @@
 
 	private final long endNanos;
 
-	private long nowNanos;
-
 	private long lastSequence;
 
 	private long lastRequestId;
@@ -92,11 +88,7 @@
 	private LoadResult run() {
 		start();
 		long limitNanos = this.endNanos + Duration.ofSeconds(30).toNanos();
-		while (!this.tasks.isEmpty() && this.tasks.peek().atNanos() <= limitNanos) {
-			ScheduledTask task = this.tasks.poll();
-			this.nowNanos = task.atNanos();
-			task.action().run();
-		}
+		this.events.runUntil(limitNanos);
 		this.callers.values().forEach((caller) -> caller.group.recordFailure());
 		this.result.setIdealCost(Math.min(this.result.all().requestedCost(),
 				this.profile.capacityPerSecond() * this.profile.duration().toMillis() / 1000.0));
@@ -124,7 +116,7 @@
 
 	private void tick(int entry) {
 		apply(entry, new RequestEvent.Tick());
-		if (this.nowNanos < this.endNanos || !this.callers.isEmpty()) {
+		if (this.events.nowNanos() < this.endNanos || !this.callers.isEmpty()) {
 			schedule(TICK_NANOS, () -> tick(entry));
 		}
 	}
@@ -133,14 +125,14 @@
 		if (runner.state != LoadProfile.Fault.Kind.UNREACHABLE) {
 			publishReport(runner);
 		}
-		if (this.nowNanos < this.endNanos || !this.callers.isEmpty()) {
+		if (this.events.nowNanos() < this.endNanos || !this.callers.isEmpty()) {
 			schedule(REPORT_NANOS, () -> publishReportPeriodically(runner));
 		}
 	}
 
 	private void publishReport(SimulatedRunner runner) {
 		RequestEvent seen = new RequestEvent.RunnerReported(runner.view());
-		long lag = (this.nowNanos == 0) ? 0 : (long) (REPORT_LAG_NANOS * this.random.nextDouble());
+		long lag = (this.events.nowNanos() == 0) ? 0 : (long) (REPORT_LAG_NANOS * this.random.nextDouble());
 		for (int entry = 0; entry < this.entries.size(); entry++) {
 			int entryIndex = entry;
 			schedule(lag, () -> {
@@ -171,12 +163,12 @@
 	}
 
 	private long nextInterarrivalNanos(RequestStream stream) {
-		double seconds = -Math.log(1 - this.random.nextDouble()) / stream.rateAt(this.nowNanos);
+		double seconds = -Math.log(1 - this.random.nextDouble()) / stream.rateAt(this.events.nowNanos());
 		return (long) (seconds * Duration.ofSeconds(1).toNanos());
 	}
 
 	private void arrive(RequestStream stream) {
-		if (this.nowNanos >= this.endNanos) {
+		if (this.events.nowNanos() >= this.endNanos) {
 			return;
 		}
 		schedule(nextInterarrivalNanos(stream), () -> arrive(stream));
@@ -184,8 +176,8 @@
 		int entry = anyEntry ? this.random.nextInt(this.entries.size()) : stream.entry() % this.entries.size();
 		long id = ++this.lastRequestId;
 		Request request = new Request(id, stream.organisation(), SERVICE, stream.priority(),
-				this.nowNanos + stream.deadline().toNanos(), stream.idempotent(), 0, stream.cost());
-		Caller caller = new Caller(request, entry, this.nowNanos,
+				this.events.nowNanos() + stream.deadline().toNanos(), stream.idempotent(), 0, stream.cost());
+		Caller caller = new Caller(request, entry, this.events.nowNanos(),
 				this.result.group(stream.organisation(), stream.priority()));
 		this.callers.put(id, caller);
 		caller.group.recordRequest(stream.cost());
@@ -194,7 +186,7 @@
 	}
 
 	private void apply(int entry, RequestEvent event) {
-		for (RequestEffect effect : this.entries.get(entry).apply(event, this.nowNanos)) {
+		for (RequestEffect effect : this.entries.get(entry).apply(event, this.events.nowNanos())) {
 			Caller caller = this.callers.get(effect.id());
 			switch (effect) {
 				case RequestEffect.Claim claim ->
@@ -278,9 +270,9 @@
 		}
 		Caller caller = this.callers.remove(id);
 		if (caller != null) {
-			boolean inTime = this.nowNanos <= caller.request.deadlineNanos();
-			boolean countsForGoodput = inTime && this.nowNanos <= this.endNanos;
-			long micros = Duration.ofNanos(this.nowNanos - caller.arrivedNanos).toNanos() / 1000;
+			boolean inTime = this.events.nowNanos() <= caller.request.deadlineNanos();
+			boolean countsForGoodput = inTime && this.events.nowNanos() <= this.endNanos;
+			long micros = Duration.ofNanos(this.events.nowNanos() - caller.arrivedNanos).toNanos() / 1000;
 			int cost = countsForGoodput ? caller.request.cost() : 0;
 			caller.group.recordAnswer(cost, micros, inTime);
 			this.result.all().recordAnswer(cost, micros, inTime);
@@ -320,7 +312,7 @@
 		caller.group.recordRefusal();
 		this.result.all().recordRefusal();
 		this.result.countCode(code);
-		this.result.refusalLatencies().recordValue((this.nowNanos - caller.arrivedNanos) / 1000);
+		this.result.refusalLatencies().recordValue((this.events.nowNanos() - caller.arrivedNanos) / 1000);
 	}
 
 	private void abandon(Caller caller, String code) {
@@ -335,10 +327,7 @@
 	}
 
 	private void schedule(long nanos, Runnable action) {
-		this.tasks.add(new ScheduledTask(this.nowNanos + nanos, ++this.lastSequence, action));
-	}
-
-	private record ScheduledTask(long atNanos, long sequence, Runnable action) {
+		this.events.schedule(nanos, action);
 	}
 
 	/**
--- /dev/null
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
@@ -0,0 +1,258 @@
+package org.wisteriapost.standin.sim.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.policy.dispatch.DispatchEffect;
+import org.wisteriapost.policy.dispatch.DispatchLimits;
+import org.wisteriapost.policy.dispatch.DispatchOutcome;
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.dispatch.EntryCount;
+import org.wisteriapost.policy.dispatch.Job;
+import org.wisteriapost.policy.dispatch.LoadReportInterval;
+import org.wisteriapost.policy.dispatch.RefusedRequest;
+import org.wisteriapost.policy.dispatch.RunnerLoad;
+import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.standin.sim.EventQueue;
+
+/**
+ * One entry of the simulation: the production dispatcher, its connections to the engines
+ * and its load reports to the other entries.
+ */
+final class SimulatedEntry {
+
+	private static final long LOCAL_LINK_NANOS = 300_000;
+
+	private static final long REMOTE_LINK_NANOS = Duration.ofMillis(2).toNanos();
+
+	private static final long TICK_NANOS = Duration.ofMillis(LoadReportInterval.TICK_MILLIS).toNanos();
+
+	private static final int FULL_REPORT_TICKS = 50;
+
+	private static final double RETRY_RATIO = 0.2;
+
+	private static final int FIXED_RETRIES = 100;
+
+	private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+
+	private static final Duration ACTIVATION_DELAY = Duration.ofSeconds(9);
+
+	private final String name;
+
+	private final String failureDomain;
+
+	private final Dispatcher dispatcher;
+
+	private final EventQueue events;
+
+	private final Map<String, SimulatedEngine> engines;
+
+	private final SimulatedCallers callers;
+
+	private final Map<Long, SimulatedEngine.Run> runs = new HashMap<>();
+
+	private final ReportGroup localPeers = new ReportGroup();
+
+	private final ReportGroup remotePeers = new ReportGroup();
+
+	private LoadReportInterval interval = LoadReportInterval.toPeers(0, 0);
+
+	private int ticks;
+
+	SimulatedEntry(String name, String failureDomain, RouteTable routes, int entries, EventQueue events,
+			Map<String, SimulatedEngine> engines, SimulatedCallers callers, UniformRandomProvider random) {
+		this.name = name;
+		this.failureDomain = failureDomain;
+		this.events = events;
+		this.engines = engines;
+		this.callers = callers;
+		this.dispatcher = Dispatcher.create(
+				new DispatchLimits(failureDomain, RETRY_RATIO, FIXED_RETRIES, RETRY_WINDOW, ACTIVATION_DELAY), random);
+		this.dispatcher.updateRouteTable(routes);
+		this.dispatcher.updateEntryCount(EntryCount.unpartitioned(entries));
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	Dispatcher dispatcher() {
+		return this.dispatcher;
+	}
+
+	/**
+	 * Starts the periodic work of the entry.
+	 * @param others the entries that it reports to
+	 */
+	void start(List<SimulatedEntry> others) {
+		others.forEach((other) -> (isLocal(other) ? this.localPeers : this.remotePeers).members.add(other));
+		this.interval = LoadReportInterval.toPeers(this.localPeers.members.size(), this.remotePeers.members.size());
+		tick();
+	}
+
+	private void tick() {
+		this.events.schedule(TICK_NANOS, () -> {
+			this.ticks++;
+			this.dispatcher.tick(now());
+			applyEffects();
+			if (this.ticks % this.interval.localTicks() == 0) {
+				this.localPeers.report();
+			}
+			if (this.ticks % this.interval.remoteTicks() == 0) {
+				this.remotePeers.report();
+			}
+			tick();
+		});
+	}
+
+	private boolean isLocal(SimulatedEntry other) {
+		return other.failureDomain.equals(this.failureDomain);
+	}
+
+	private void reportReceived(String from, List<RunnerLoad> loads, List<RefusedRequest> refusals) {
+		refusals.forEach((refusal) -> this.dispatcher.recordPeerRefusal(refusal));
+		loads.forEach((load) -> this.dispatcher.peerLoads().update(from, load, now()));
+	}
+
+	void arrive(Job job) {
+		this.dispatcher.requestArrived(job, now());
+		applyEffects();
+	}
+
+	/**
+	 * Applies a change to the dispatcher and carries out what it decides.
+	 */
+	void update(Runnable change) {
+		change.run();
+		applyEffects();
+	}
+
+	private void applyEffects() {
+		List<DispatchEffect> effects = this.dispatcher.drainEffects();
+		while (!effects.isEmpty()) {
+			effects.forEach(this::apply);
+			effects = this.dispatcher.drainEffects();
+		}
+	}
+
+	private void apply(DispatchEffect effect) {
+		Job job = effect.job();
+		switch (effect) {
+			case DispatchEffect.Send send -> send(send);
+			case DispatchEffect.Cancel cancel -> cancel(job);
+			case DispatchEffect.Refuse refuse -> {
+				job.refusedRequest().ifPresent(this.localPeers.refused::add);
+				job.refusedRequest().ifPresent(this.remotePeers.refused::add);
+				this.callers.refused(job, refuse.retryAfterMillis());
+			}
+			case DispatchEffect.Fail fail -> this.callers.failed(job);
+			case DispatchEffect.ForwardError error -> this.callers.failed(job);
+		}
+	}
+
+	private void send(DispatchEffect.Send send) {
+		Job job = send.job();
+		SimulatedEngine engine = this.engines.get(send.runner().id());
+		int dispatch = job.dispatchNumber();
+		SimulatedCaller caller = this.callers.of(job);
+		long link = linkNanos(engine.failureDomain());
+		SimulatedEngine.Run run = new SimulatedEngine.Run(send.rank(), caller.promptTokens(), caller.answerTokens(),
+				new SimulatedEngine.Listener() {
+
+					@Override
+					public void event(boolean last) {
+						SimulatedEntry.this.events.schedule(link, () -> eventReceived(job, dispatch, last));
+					}
+
+					@Override
+					public void lost() {
+						SimulatedEntry.this.events.schedule(link,
+								() -> ended(job, dispatch, DispatchOutcome.DISCONNECTED));
+					}
+
+				});
+		this.runs.put(job.id(), run);
+		this.events.schedule(link, () -> {
+			if (!engine.reachable()) {
+				this.events.schedule(link, () -> ended(job, dispatch, DispatchOutcome.NOT_SENT));
+			}
+			else if (this.runs.get(job.id()) == run && !engine.submit(run)) {
+				this.events.schedule(link, () -> ended(job, dispatch, DispatchOutcome.FULL));
+			}
+		});
+		if (send.requiresNewConnection()) {
+			this.events.schedule(2 * link, () -> update(() -> this.dispatcher.connectionEstablished(job, now())));
+		}
+	}
+
+	private void cancel(Job job) {
+		SimulatedEngine.Run run = this.runs.remove(job.id());
+		this.engines.values().forEach((engine) -> engine.cancel(run));
+	}
+
+	private void eventReceived(Job job, int dispatch, boolean last) {
+		if (job.dispatchNumber() != dispatch || !this.runs.containsKey(job.id())) {
+			return;
+		}
+		boolean first = job.events() == 0;
+		job.recordEvents(1, Optional.of(String.valueOf(job.events() + 1)), now());
+		this.callers.eventSent(job, last);
+		if (first) {
+			update(() -> this.dispatcher.firstEventSent(job, now()));
+		}
+		if (last) {
+			ended(job, dispatch, DispatchOutcome.DONE);
+		}
+	}
+
+	private void ended(Job job, int dispatch, DispatchOutcome outcome) {
+		if (job.dispatchNumber() == dispatch && this.runs.remove(job.id()) != null) {
+			update(() -> this.dispatcher.dispatchEnded(job, outcome, now()));
+		}
+	}
+
+	private long linkNanos(String otherFailureDomain) {
+		return otherFailureDomain.equals(this.failureDomain) ? LOCAL_LINK_NANOS : REMOTE_LINK_NANOS;
+	}
+
+	private long now() {
+		return this.events.nowNanos();
+	}
+
+	/** Entries that get reports equally often. */
+	private final class ReportGroup {
+
+		private final List<SimulatedEntry> members = new ArrayList<>();
+
+		private final Map<String, RunnerLoad> lastReported = new HashMap<>();
+
+		private final List<RefusedRequest> refused = new ArrayList<>();
+
+		private int nextFullTicks;
+
+		private void report() {
+			SimulatedEntry entry = SimulatedEntry.this;
+			boolean full = entry.ticks >= this.nextFullTicks;
+			this.nextFullTicks = full ? entry.ticks + FULL_REPORT_TICKS : this.nextFullTicks;
+			List<RunnerLoad> loads = entry.dispatcher.fleetView()
+				.ownLoad()
+				.stream()
+				.filter((load) -> full || !load.equals(this.lastReported.get(load.runnerId())))
+				.toList();
+			loads.forEach((load) -> this.lastReported.put(load.runnerId(), load));
+			List<RefusedRequest> refusals = List.copyOf(this.refused);
+			this.refused.clear();
+			for (SimulatedEntry other : this.members) {
+				entry.events.schedule(entry.linkNanos(other.failureDomain),
+						() -> other.reportReceived(entry.name, loads, refusals));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
@@ -0,0 +1,54 @@
+package org.wisteriapost.standin.sim;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wisteriapost.standin.sim.dispatch.DispatchProfile;
+import org.wisteriapost.standin.sim.dispatch.DispatchResult;
+import org.wisteriapost.standin.sim.dispatch.DispatchSim;
+import org.wisteriapost.standin.sim.dispatch.EngineProfile;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+/**
+ * What callers of twelve entries get from fifteen engines, simulated from fixed seeds.
+ */
+class DispatchSimTests {
+
+	private static final List<Long> SEEDS = List.of(1L, 2L, 3L);
+
+	@ParameterizedTest
+	@ValueSource(strings = { "long-passes", "short-passes" })
+	void calmLoadIsServed(String engines) {
+		for (long seed : SEEDS) {
+			DispatchResult result = DispatchSim.run(profile(engines, "calm"), seed);
+			assertThat(result.earnedShare(), greaterThan(0.9));
+			assertThat(result.refusedShare(), lessThan(0.01));
+			assertThat(result.failedShare(), lessThan(0.01));
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "long-passes,crash", "short-passes,switch" })
+	void sameSeedGivesIdenticalRuns(String engines, String name) {
+		DispatchResult first = DispatchSim.run(profile(engines, name), 7);
+		DispatchResult second = DispatchSim.run(profile(engines, name), 7);
+		assertThat(second.requests(), is(first.requests()));
+		assertThat(second.earnedShare(), is(first.earnedShare()));
+		assertThat(second.refusedShare(), is(first.refusedShare()));
+	}
+
+	private static DispatchProfile profile(String engines, String name) {
+		return DispatchProfile.all(EngineProfile.named(engines).orElseThrow())
+			.stream()
+			.filter((profile) -> profile.name().equals(name))
+			.findFirst()
+			.orElseThrow();
+	}
+
+}
