The last slots of engines are filled by requests that miss their target by little

Cause: an engine with three quarters of its slots taken got a request only if it was predicted to answer in time. Predictions that miss by less than half are often met, and at such an engine a slot stayed empty while the request was refused.

What callers saw: refusals while engines had room, most of them followed by a second one.

Change: up to the last slot an engine is sent a request whose prediction exceeds the time left by less than a factor of 1.5. Beyond that the bound is three quarters, as before, so engines that answer three times too late still get fewer requests.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -23,6 +23,12 @@
 	// would be empty otherwise.
 	private static final double LOW_UTILIZATION = 0.75;
 
+	// A prediction that exceeds the remaining time by less than this factor is often met.
+	// Until the last slot, refusing such a request would leave a slot empty for nobody.
+	private static final double NEAR_MISS_FACTOR = 1.5;
+
+	private static final double NEAR_MISS_MAX_UTILIZATION = 0.95;
+
 	// A retry after a refusal has missed its latency target and must not delay requests
 	// that can still meet theirs. It is kept out of the last slots and, while other
 	// requests are being refused, is only sent to a nearly idle engine.
@@ -104,14 +110,20 @@
 			return decideLate(job, choice, nowNanos);
 		}
 		double remaining = remainingMillis(job, nowNanos);
-		if (choice.hasFreeCapacity()
-				&& (choice.predictedMillis() <= remaining || choice.utilization() < LOW_UTILIZATION)) {
+		if (choice.hasFreeCapacity() && (choice.predictedMillis() <= remaining
+				|| choice.utilization() < maxUtilization(choice, remaining))) {
 			return Decision.SEND;
 		}
 		this.lastContentionNanos = nowNanos;
 		return canWait(job, choice, queued, remaining, nowNanos) ? Decision.WAIT : Decision.REFUSE;
 	}
 
+	// The utilization up to which an engine is sent a request that it is predicted to
+	// answer late.
+	private static double maxUtilization(Placement.Choice choice, double remaining) {
+		return (choice.predictedMillis() <= NEAR_MISS_FACTOR * remaining) ? NEAR_MISS_MAX_UTILIZATION : LOW_UTILIZATION;
+	}
+
 	/**
 	 * Returns whether the request can no longer meet its latency target at any runner.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
@@ -7,6 +7,7 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -87,6 +88,17 @@
 		assertThat(sent, Matchers.lessThan(40L));
 	}
 
+	// A burst of prompts at engines with one slot in eight free: refusing the requests that
+	// would be late by a little leaves the slots empty.
+	@ParameterizedTest
+	@CsvSource({ "7000,true", "12000,false" })
+	void lastSlotsAreFilledUnlessFirstEventWouldBeFarTooLate(long waitingTokens, boolean sent) {
+		DispatcherHarness harness = new DispatcherHarness().register(DispatcherHarness.engine("e1"));
+		harness.reportPeerLoad("e1", new InFlightLoad(14, 7, waitingTokens));
+		harness.arrive(DispatcherHarness.STREAM);
+		assertThat(harness.effectNames().contains("Send:e1"), Matchers.is(sent));
+	}
+
 	// Requests that cannot get a slot within a third of their latency target are refused
 	// early.
 	@Test
