Entries tell each other when requests that could be in time find no slot

Cause: late requests, those that come back after a refusal, were kept out only for 0.3 s after this same entry had no slot for a request that could be in time. Under a lasting shortage over a dozen entries each refuses about one a second, so most entries gave their free slots to late requests while their peers refused others.

What callers saw: under a shortage a seventh of all requests answered late, in slots that would have answered others in time.

Change: Contention holds since when such a request found no slot, here or at a peer; load reports carry it (contended_millis, ignored by older entries). For a second after that late requests are refused at once. An entry reports its own alone, so it can't prolong itself.

Tests: LateRequestTests held the window of 0.3 s and a quarter of the slots for late requests; it now holds a second and none, an empty engine included, which is stricter.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -342,6 +342,9 @@
 		report.getRefusedList().forEach((one) -> this.dispatcher.recordPeerRefusal(LoadReportCodec.decode(one, now)));
 		report.getLoadsList()
 			.forEach((load) -> this.dispatcher.peerLoads().update(peer, LoadReportCodec.decode(load), now));
+		if (report.hasContendedMillis()) {
+			this.dispatcher.contention().reported(Duration.ofMillis(report.getContendedMillis()), now);
+		}
 		this.dispatcher.rateLimits().merge(peer, LoadReportCodec.decodeRates(report, now), now);
 	}
 
@@ -357,7 +360,7 @@
 		this.dispatcher.quarantine().runnersToCheck(now).forEach(this.output::check);
 		this.announcer.tick(this.localView.routeTable(), now);
 		this.loadReports.ifPresent((reports) -> reports.tick(this.ticks, now, this.roster::loadReportReceivers,
-				this.dispatcher.fleetView()::ownLoad, () -> this.dispatcher.rateLimits().report(now)));
+				DispatcherLoad.of(this.dispatcher, now)));
 		this.failureDomainUpdates.ifPresent((domains) -> domains.tick(this.ticks, now));
 		this.suspects.ifPresent((exchange) -> exchange.tick(this.ticks, now));
 		if (this.ticks % TICKS_PER_UPDATE == 0) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -64,21 +65,18 @@
 	 * @param ticks counts the ticks of the entry; most of them send no report
 	 * @param nowNanos the time that ages in the report refer to
 	 * @param receivers the other entries that this one reports to
-	 * @param ownLoads the in-flight load of this entry at each runner
-	 * @param rates what to report of rate limits
+	 * @param source what to report
 	 */
-	void tick(long ticks, long nowNanos, Supplier<List<EntryInfo>> receivers, Supplier<List<RunnerLoad>> ownLoads,
-			Supplier<Optional<RateLimitReport>> rates) {
+	void tick(long ticks, long nowNanos, Supplier<List<EntryInfo>> receivers, Source source) {
 		if (!this.localPeers.due(ticks) && !this.remotePeers.due(ticks)) {
 			return;
 		}
 		List<EntryInfo> others = receivers.get();
-		List<RunnerLoad> loads = ownLoads.get();
 		List<String> local = others.stream().filter(this::isLocal).map(EntryInfo::name).toList();
 		List<String> remote = others.stream().filter((info) -> !isLocal(info)).map(EntryInfo::name).toList();
 		LoadReportInterval interval = LoadReportInterval.toPeers(local.size(), remote.size());
-		this.localPeers.tick(ticks, interval.localTicks(), nowNanos, local, loads, rates);
-		this.remotePeers.tick(ticks, interval.remoteTicks(), nowNanos, remote, loads, rates);
+		this.localPeers.tick(ticks, interval.localTicks(), nowNanos, local, source);
+		this.remotePeers.tick(ticks, interval.remoteTicks(), nowNanos, remote, source);
 	}
 
 	/**
@@ -110,6 +108,29 @@
 		return info.failureDomain().equals(this.failureDomain);
 	}
 
+	/**
+	 * What an entry reports.
+	 */
+	interface Source {
+
+		/**
+		 * Returns the in-flight load of this entry at each runner.
+		 */
+		List<RunnerLoad> loads();
+
+		/**
+		 * Returns what to report of rate limits.
+		 */
+		Optional<RateLimitReport> rates();
+
+		/**
+		 * Returns the time since a request that could be in time found no free slot, if
+		 * that is recent.
+		 */
+		Optional<Duration> contended();
+
+	}
+
 	/**
 	 * The key of a reported load.
 	 */
@@ -139,8 +160,7 @@
 			}
 		}
 
-		private void tick(long ticks, int intervalTicks, long nowNanos, List<String> peers, List<RunnerLoad> loads,
-				Supplier<Optional<RateLimitReport>> rates) {
+		private void tick(long ticks, int intervalTicks, long nowNanos, List<String> peers, Source source) {
 			if (!due(ticks)) {
 				return;
 			}
@@ -151,11 +171,12 @@
 			}
 			boolean full = ticks >= this.nextFullReportTicks;
 			this.nextFullReportTicks = full ? ticks + FULL_REPORT_INTERVAL_TICKS : this.nextFullReportTicks;
-			LoadReport.Builder report = report(loads, full, nowNanos);
+			LoadReport.Builder report = report(source.loads(), full, nowNanos);
 			if (ticks >= this.nextRateReportTicks) {
 				this.nextRateReportTicks = ticks + RATE_REPORT_INTERVAL_TICKS;
-				rates.get().ifPresent((limits) -> LoadReportCodec.encode(limits, report, nowNanos));
+				source.rates().ifPresent((limits) -> LoadReportCodec.encode(limits, report, nowNanos));
 			}
+			source.contended().ifPresent((ago) -> report.setContendedMillis((int) ago.toMillis()));
 			if (!report.build().equals(LoadReport.getDefaultInstance())) {
 				Frame frame = Frame.newBuilder().setLoadReport(report).build();
 				peers.forEach((name) -> LoadReporter.this.sender.accept(name, frame));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
+import org.wisteriapost.policy.ratelimit.RateLimitReport;
 import org.wisteriapost.protocol.wire.Frame;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -31,8 +33,27 @@
 		this.frames.add(frame);
 	});
 
+	private Optional<Duration> contended = Optional.empty();
+
 	private void tick(long tick, List<EntryInfo> others, List<RunnerLoad> loads) {
-		this.reporter.tick(tick, tick * 20_000_000, () -> others, () -> loads, Optional::empty);
+		this.reporter.tick(tick, tick * 20_000_000, () -> others, new LoadReporter.Source() {
+
+			@Override
+			public List<RunnerLoad> loads() {
+				return loads;
+			}
+
+			@Override
+			public Optional<RateLimitReport> rates() {
+				return Optional.empty();
+			}
+
+			@Override
+			public Optional<Duration> contended() {
+				return LoadReporterTests.this.contended;
+			}
+
+		});
 	}
 
 	private static List<EntryInfo> entries(int local, int remote) {
@@ -111,4 +132,15 @@
 		assertThat(this.frames.getLast().getLoadReport().getLoads(0).getActive(), Matchers.equalTo(0));
 	}
 
+	@Test
+	void contentionIsReportedWhileItLasts() {
+		this.contended = Optional.of(Duration.ofMillis(250));
+		tick(0, entries(1, 1), List.of());
+		assertThat(this.frames, Matchers.hasSize(2));
+		assertThat(this.frames.getFirst().getLoadReport().getContendedMillis(), Matchers.equalTo(250));
+		this.contended = Optional.empty();
+		tick(20, entries(1, 1), List.of());
+		assertThat(this.frames, Matchers.hasSize(2));
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -1,7 +1,5 @@
 package org.wisteriapost.policy.dispatch;
 
-import java.time.Duration;
-
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -30,16 +28,10 @@
 	private static final double NEAR_MISS_MAX_UTILIZATION = 0.95;
 
 	// A retry after a refusal has missed its latency target and must not delay requests
-	// that can still meet theirs. It is kept out of the last slots and, while other
-	// requests are being refused, is only sent to a nearly idle engine.
+	// that can still meet theirs. It is kept out of the last slots, and gets none while
+	// such requests find no slot.
 	private static final double LATE_MAX_UTILIZATION = 0.85;
 
-	private static final double LATE_MAX_UTILIZATION_CONTENDED = 0.25;
-
-	// How long the fleet counts as overloaded after a request could not be sent. An
-	// engine at its limit frees a slot about every 100 ms.
-	private static final long CONTENTION_WINDOW_NANOS = Duration.ofMillis(300).toNanos();
-
 	// A retry after a refusal waits for a free slot for at most this share of the
 	// latency target, and only while no other request is refused. A second refusal is
 	// final, but a longer wait would leave no time to go elsewhere.
@@ -73,9 +65,10 @@
 
 	private final UniformRandomProvider random;
 
-	private long lastContentionNanos = Long.MIN_VALUE / 2;
+	private final Contention contention;
 
-	AdmissionPolicy(UniformRandomProvider random) {
+	AdmissionPolicy(Contention contention, UniformRandomProvider random) {
+		this.contention = contention;
 		this.random = random;
 	}
 
@@ -114,7 +107,7 @@
 				|| choice.utilization() < maxUtilization(choice, remaining))) {
 			return Decision.SEND;
 		}
-		this.lastContentionNanos = nowNanos;
+		this.contention.noFreeSlot(nowNanos);
 		return canWait(job, choice, queued, remaining, nowNanos) ? Decision.WAIT : Decision.REFUSE;
 	}
 
@@ -132,13 +125,13 @@
 	}
 
 	private Decision decideLate(Job job, Placement.Choice choice, long nowNanos) {
-		boolean contended = nowNanos - this.lastContentionNanos < CONTENTION_WINDOW_NANOS;
-		if (choice.hasFreeCapacity()
-				&& choice.utilization() < (contended ? LATE_MAX_UTILIZATION_CONTENDED : LATE_MAX_UTILIZATION)) {
+		if (this.contention.active(nowNanos)) {
+			return Decision.REFUSE;
+		}
+		if (choice.hasFreeCapacity() && choice.utilization() < LATE_MAX_UTILIZATION) {
 			return Decision.SEND;
 		}
-		boolean keepWaiting = !contended && waitedShare(job, nowNanos) < LATE_MAX_WAIT_SHARE;
-		return keepWaiting ? Decision.WAIT : Decision.REFUSE;
+		return (waitedShare(job, nowNanos) < LATE_MAX_WAIT_SHARE) ? Decision.WAIT : Decision.REFUSE;
 	}
 
 	private static double waitedShare(Job job, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -14,7 +14,6 @@
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.fleet.TargetWeights;
 import org.wisteriapost.policy.quarantine.RequestQuarantine;
-import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.RouteTable;
 
 /**
@@ -26,6 +25,8 @@
  */
 public final class Dispatcher {
 
+	private final EngineSpecs engineSpecs = new EngineSpecs();
+
 	private final RunnerRegistry registry;
 
 	private final PoisonGuard poisonGuard = new PoisonGuard();
@@ -40,10 +41,12 @@
 
 	private final WeightsFence weightsFence;
 
-	private final ServiceLatencyFactors latencyFactors = new ServiceLatencyFactors();
+	private final FirstEventLatencies latencies;
 
 	private final Placement placement;
 
+	private final Contention contention = new Contention();
+
 	private final AdmissionPolicy admission;
 
 	private final RetryPolicy retryPolicy;
@@ -58,8 +61,6 @@
 
 	private List<DispatchEffect> pendingEffects = new ArrayList<>();
 
-	private Optional<RouteTable> routeTable = Optional.empty();
-
 	private EntryCount entryCount = EntryCount.unpartitioned(1);
 
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
@@ -68,11 +69,13 @@
 		this.rateLimits = new RateLimits(this.registry, limits.failureDomain(), random);
 		this.fleetView = new FleetView(this.registry, limits.failureDomain());
 		this.weightsFence = new WeightsFence(limits.weightsActivationDelay());
-		this.placement = new Placement(this.registry, this.latencyFactors, this.weightsFence, this.rateLimits,
+		ServiceLatencyFactors factors = new ServiceLatencyFactors();
+		this.latencies = new FirstEventLatencies(factors);
+		this.placement = new Placement(this.registry, factors, this.weightsFence, this.rateLimits,
 				limits.failureDomain(), random);
-		this.paths = new RunnerPaths(this.registry, this.placement, this::spec);
+		this.paths = new RunnerPaths(this.registry, this.placement, this.engineSpecs::of);
 		this.retryBudgets = new RetryBudgets(limits);
-		this.admission = new AdmissionPolicy(random);
+		this.admission = new AdmissionPolicy(this.contention, random);
 		this.retryPolicy = new RetryPolicy();
 		this.responses = new FinalResponses(this.admission, (effect) -> this.pendingEffects.add(effect));
 	}
@@ -104,7 +107,7 @@
 	 * Replaces the route table.
 	 */
 	public void updateRouteTable(RouteTable table) {
-		this.routeTable = Optional.of(table);
+		this.engineSpecs.update(table);
 	}
 
 	/**
@@ -186,6 +189,13 @@
 		return this.peerLoads;
 	}
 
+	/**
+	 * Returns whether requests that could be in time find no free slot.
+	 */
+	public Contention contention() {
+		return this.contention;
+	}
+
 	/**
 	 * Returns the limits that runners name for their rate.
 	 */
@@ -249,12 +259,7 @@
 		runner.firstEvent(job);
 		this.poisonGuard.quarantine().runnerAnswered(runner.info, nowNanos);
 		this.rateLimits.answered(job, runner, nowNanos);
-		if (job.nominalMillis > 0) {
-			runner.firstEventWaits.recordWait(job.sentAsLate, nowNanos - job.sentNanos, nowNanos);
-			double ratio = (nowNanos - job.sentNanos) / (job.nominalMillis * Placement.NANOS_PER_MILLI);
-			runner.recordLatencyRatio(ratio / this.latencyFactors.of(job.service()));
-			this.latencyFactors.recordRatio(job.service(), ratio);
-		}
+		this.latencies.firstEvent(job, runner, nowNanos);
 		placeWaiting(nowNanos);
 	}
 
@@ -307,14 +312,12 @@
 	}
 
 	private void watch(Job job, RunnerState runner, long nowNanos) {
-		if (job.nominalMillis > 0 && !job.firstEventSent) {
-			runner.firstEventWaits.recordWait(job.sentAsLate, nowNanos - job.sentNanos, nowNanos);
-		}
+		this.latencies.waiting(job, runner, nowNanos);
 		if (job.events() == 0 && this.poisonGuard.remainingNanos(job, nowNanos).isPresent()) {
 			cancel(job);
 			endIfQuarantined(job, nowNanos);
 		}
-		else if (this.placement.startDeadlinePassed(job, spec(job.service()), nowNanos)) {
+		else if (this.placement.startDeadlinePassed(job, this.engineSpecs.of(job.service()), nowNanos)) {
 			cancelUnstarted(job, nowNanos);
 		}
 		else if (this.retryPolicy.stalled(job, nowNanos)) {
@@ -382,8 +385,8 @@
 		if (this.poisonGuard.quarantine().undecided(job.contentHash())) {
 			return true;
 		}
-		Placement.Choice choice = this.placement.choose(job, spec(job.service()), this.admission.isLate(job, nowNanos),
-				nowNanos);
+		Placement.Choice choice = this.placement.choose(job, this.engineSpecs.of(job.service()),
+				this.admission.isLate(job, nowNanos), nowNanos);
 		switch (this.admission.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
 			case WAIT -> {
@@ -403,7 +406,8 @@
 			this.retryBudgets.of(job.service()).recordFirstDispatch();
 		}
 		job.dispatchedTo(runner, choice, this.admission.isLate(job, nowNanos), nowNanos);
-		boolean requiresNewConnection = this.placement.requiresNewConnection(runner, spec(job.service()), nowNanos);
+		boolean requiresNewConnection = this.placement.requiresNewConnection(runner, this.engineSpecs.of(job.service()),
+				nowNanos);
 		runner.sent(job, requiresNewConnection, nowNanos);
 		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
 		this.pendingEffects.add(new DispatchEffect.Send(job, runner.info, this.admission.rank(job, nowNanos), version,
@@ -443,8 +447,4 @@
 		this.jobs.remove(job.id());
 	}
 
-	private Optional<EngineSpec> spec(String service) {
-		return this.routeTable.flatMap((table) -> table.service(service)).flatMap((spec) -> spec.engine());
-	}
-
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -1,6 +1,8 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -9,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -42,22 +45,53 @@
 		assertThat(this.harness.effectNames(), Matchers.contains("Send:e1"));
 	}
 
-	// While other requests are refused, late requests are only sent to a nearly idle
-	// engine.
-	@Test
-	void slotsAreReservedForRequestsInTimeDuringContention() {
+	// While requests that could be in time are refused, late requests get no slots.
+	@ParameterizedTest
+	@ValueSource(ints = { 8, 0 })
+	void slotsAreReservedForRequestsInTimeDuringContention(int occupied) {
 		occupySlots(18);
 		this.harness.arrive(DispatcherHarness.STREAM, 1000, 6000);
 		this.harness.advance(160);
 		assertThat(this.harness.effectNames(), Matchers.contains("Refuse:no-room"));
-		occupySlots(8);
+		occupySlots(occupied);
 		arriveAgain(4000);
 		assertThat(this.harness.effectNames(), Matchers.contains("Refuse:no-room"));
-		this.harness.advance(310);
+		this.harness.advance(1010);
 		arriveAgain(4000);
 		assertThat(this.harness.effectNames(), Matchers.contains("Send:e1"));
 	}
 
+	// Under a lasting shortage over all entries, this one alone refuses too rarely to
+	// notice it, and gives free slots to late requests while its peers refuse others.
+	@ParameterizedTest
+	@CsvSource({ "0,false", "900,false", "1100,true" })
+	void contentionReportedByPeerReservesSlots(long agoMillis, boolean sent) {
+		this.harness.dispatcher.contention().reported(Duration.ofMillis(agoMillis), this.harness.nowNanos);
+		arriveAgain(4000);
+		assertThat(this.harness.effectNames(), Matchers.contains(sent ? "Send:e1" : "Refuse:no-room"));
+	}
+
+	// Were an entry to report what its peers reported, contention would never end.
+	@Test
+	void onlyOwnContentionIsReported() {
+		this.harness.dispatcher.contention().reported(Duration.ZERO, this.harness.nowNanos);
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos).isPresent(), Matchers.is(false));
+		occupySlots(18);
+		this.harness.arrive(DispatcherHarness.STREAM, 1000, 6000);
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos),
+				Matchers.equalTo(Optional.of(Duration.ZERO)));
+		this.harness.advance(1160);
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos).isPresent(), Matchers.is(false));
+	}
+
+	// A late request is refused by contention alone. It must not prolong it.
+	@Test
+	void refusedLateRequestsDoNotProlongContention() {
+		this.harness.dispatcher.contention().reported(Duration.ofMillis(900), this.harness.nowNanos);
+		arriveAgain(4000);
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos).isPresent(), Matchers.is(false));
+	}
+
 	@Test
 	void lateRequestWaitsForBoundedTime() {
 		occupySlots(18);
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LoadTests.java
@@ -88,7 +88,8 @@
 		assertThat(sent, Matchers.lessThan(40L));
 	}
 
-	// A burst of prompts at engines with one slot in eight free: refusing the requests that
+	// A burst of prompts at engines with one slot in eight free: refusing the requests
+	// that
 	// would be late by a little leaves the slots empty.
 	@ParameterizedTest
 	@CsvSource({ "7000,true", "12000,false" })
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReport.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReport.java
@@ -57,6 +57,7 @@
             org.wisteriapost.protocol.wire.LoadReport.class, org.wisteriapost.protocol.wire.LoadReport.Builder.class);
   }
 
+  private int bitField0_;
   public static final int LOADS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.wisteriapost.protocol.wire.RunnerLoad> loads_;
@@ -241,6 +242,33 @@
     return demands_.get(index);
   }
 
+  public static final int CONTENDED_MILLIS_FIELD_NUMBER = 5;
+  private int contendedMillis_ = 0;
+  /**
+   * <pre>
+   * since a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>optional uint32 contended_millis = 5;</code>
+   * @return Whether the contendedMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasContendedMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * since a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>optional uint32 contended_millis = 5;</code>
+   * @return The contendedMillis.
+   */
+  @java.lang.Override
+  public int getContendedMillis() {
+    return contendedMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -267,6 +295,9 @@
     for (int i = 0; i < demands_.size(); i++) {
       output.writeMessage(4, demands_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt32(5, contendedMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -307,6 +338,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, contendedMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -339,6 +374,11 @@
         .equals(other.getLimitsList())) return false;
     if (!getDemandsList()
         .equals(other.getDemandsList())) return false;
+    if (hasContendedMillis() != other.hasContendedMillis()) return false;
+    if (hasContendedMillis()) {
+      if (getContendedMillis()
+          != other.getContendedMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -366,6 +406,10 @@
       hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getDemandsList().hashCode();
     }
+    if (hasContendedMillis()) {
+      hash = (37 * hash) + CONTENDED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getContendedMillis();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -530,6 +574,7 @@
         demandsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      contendedMillis_ = 0;
       return this;
     }
 
@@ -603,6 +648,12 @@
 
     private void buildPartial0(org.wisteriapost.protocol.wire.LoadReport result) {
       int from_bitField0_ = bitField0_;
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.contendedMillis_ = contendedMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -721,6 +772,9 @@
           }
         }
       }
+      if (other.hasContendedMillis()) {
+        setContendedMillis(other.getContendedMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -797,6 +851,11 @@
               }
               break;
             } // case 34
+            case 40: {
+              contendedMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1822,6 +1881,62 @@
       return demandsBuilder_;
     }
 
+    private int contendedMillis_ ;
+    /**
+     * <pre>
+     * since a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>optional uint32 contended_millis = 5;</code>
+     * @return Whether the contendedMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasContendedMillis() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * since a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>optional uint32 contended_millis = 5;</code>
+     * @return The contendedMillis.
+     */
+    @java.lang.Override
+    public int getContendedMillis() {
+      return contendedMillis_;
+    }
+    /**
+     * <pre>
+     * since a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>optional uint32 contended_millis = 5;</code>
+     * @param value The contendedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContendedMillis(int value) {
+
+      contendedMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * since a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>optional uint32 contended_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContendedMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      contendedMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.LoadReport)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReportOrBuilder.java
@@ -125,4 +125,23 @@
    */
   org.wisteriapost.protocol.wire.ServiceDemandOrBuilder getDemandsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * since a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>optional uint32 contended_millis = 5;</code>
+   * @return Whether the contendedMillis field is set.
+   */
+  boolean hasContendedMillis();
+  /**
+   * <pre>
+   * since a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>optional uint32 contended_millis = 5;</code>
+   * @return The contendedMillis.
+   */
+  int getContendedMillis();
 }
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
@@ -114,7 +114,9 @@
 		return other.failureDomain.equals(this.failureDomain);
 	}
 
-	private void reportReceived(String from, List<RunnerLoad> loads, List<RefusedRequest> refusals) {
+	private void reportReceived(String from, List<RunnerLoad> loads, List<RefusedRequest> refusals,
+			Optional<Duration> contended) {
+		contended.ifPresent((ago) -> this.dispatcher.contention().reported(ago, now()));
 		refusals.forEach((refusal) -> this.dispatcher.recordPeerRefusal(refusal));
 		loads.forEach((load) -> this.dispatcher.peerLoads().update(from, load, now()));
 	}
@@ -247,9 +249,10 @@
 			loads.forEach((load) -> this.lastReported.put(load.runnerId(), load));
 			List<RefusedRequest> refusals = List.copyOf(this.refused);
 			this.refused.clear();
+			Optional<Duration> contended = entry.dispatcher.contention().own(entry.now());
 			for (SimulatedEntry other : this.members) {
 				entry.events.schedule(entry.linkNanos(other.failureDomain),
-						() -> other.reportReceived(entry.name, loads, refusals));
+						() -> other.reportReceived(entry.name, loads, refusals, contended));
 			}
 		}
 
--- a/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
@@ -25,6 +25,9 @@
 	// At 0.95 of the capacity, four fifths of the worth is the target.
 	private static final double FULL_LOAD_EARNED = 0.8;
 
+	// One request in ten.
+	private static final double SHORTAGE_LATE = 0.1;
+
 	@ParameterizedTest
 	@ValueSource(strings = { "long-passes", "short-passes" })
 	void calmLoadIsServed(String engines) {
@@ -39,7 +42,7 @@
 	// With load reports of 0.1 to 0.4 s of age a tenth of the slots stays free while
 	// requests are refused.
 	@ParameterizedTest
-	@CsvSource("long-passes,full")
+	@CsvSource({ "long-passes,full", "short-passes,full" })
 	void engineSlotsAreUsedAtFullLoad(String engines, String name) {
 		double earned = SEEDS.stream()
 			.mapToDouble((seed) -> DispatchSim.run(profile(engines, name), seed).earnedShare())
@@ -48,6 +51,18 @@
 		assertThat(earned, greaterThan(FULL_LOAD_EARNED));
 	}
 
+	// Under a lasting shortage, slots for late answers are taken from requests that could
+	// be answered in time.
+	@ParameterizedTest
+	@CsvSource({ "long-passes,shortage", "short-passes,shortage", "long-passes,long-crash", "short-passes,long-crash" })
+	void lateAnswersAreRareWhileRequestsAreRefused(String engines, String name) {
+		double late = SEEDS.stream()
+			.mapToDouble((seed) -> DispatchSim.run(profile(engines, name), seed).lateShare())
+			.average()
+			.orElseThrow();
+		assertThat(late, lessThan(SHORTAGE_LATE));
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "long-passes,crash", "short-passes,switch" })
 	void sameSeedGivesIdenticalRuns(String engines, String name) {
