--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/CapacityShare.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/CapacityShare.java
@@ -10,10 +10,10 @@
  *
  * When an engine returns with all slots free and every entry has requests waiting, each
  * entry would otherwise fill the engine on its own. Together they would send several
- * times what the engine can start, and first events would be seconds late. Entries report
- * their in-flight counts every 100 ms. Within that time each entry uses only its fraction
- * of the free slots. Fractional slots are rounded at random, so that all entries together
- * use the full capacity.
+ * times what the engine can start, and first events would be seconds late. Until the
+ * peers have reported their in-flight counts ({@link LoadReportInterval}) each entry uses
+ * only its fraction of the free slots. Fractional slots are rounded at random, so that
+ * all entries together use the full capacity.
  */
 final class CapacityShare {
 
