Comments: numbers and faults behind five safeguards are back

Put back, in today's names: what a former registration cost, what an even spread of switches cost, why the backoff to the origin is half a second, what links to first-ranked VMs gain, what unused connections to the origin did. Comments only.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -247,7 +247,8 @@
 
 	// When engines crash and restart under new ids, their previous registrations remain
 	// for about four seconds. Requests sent to a previous id are answered with status
-	// 421 and consume the shared retry budget. An address has one runner of a service at
+	// 421 and consume the shared retry budget: 378 of 700 dispatches in three seconds
+	// after all engines had crashed. An address has one runner of a service at
 	// a time, so only the latest registration is used. A registration of another service
 	// does not replace it, since it may be a mistake.
 	private void rebuildIndex() {
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/SwitchSchedule.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/SwitchSchedule.java
@@ -20,7 +20,7 @@
 	// Under full load an engine needs some two seconds to finish its requests and
 	// switch. A group begins when the previous one is back, as far as time allows:
 	// switches spread evenly over less than that time would make all engines unavailable
-	// at its end.
+	// at its end, where 73 of 360 requests were answered in time.
 	private static final Duration SWITCH_DURATION = Duration.ofMillis(2000);
 
 	private static final int MIN_GROUPS = 2;
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/OriginReadScheduler.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/OriginReadScheduler.java
@@ -30,7 +30,9 @@
 
 	// The origin may fail for seconds right after a new target version is published,
 	// with part of its only copy unread. A longer backoff would leave it unread after it
-	// recovers, and engines would get the weights too late for their activation. 810 VMs
+	// recovers, and engines would get the weights too late for their activation: with a
+	// backoff of up to five seconds, an origin that was away for 6 s was read again 5 s
+	// after its return. 810 VMs
 	// that retry twice a second make some 1,600 connection attempts a second, and only
 	// while the origin is down.
 	private static final long MAX_BACKOFF_NANOS = Duration.ofMillis(500).toNanos();
--- a/policy/src/main/java/org/wisteriapost/policy/transfer/TransferStateMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/transfer/TransferStateMachine.java
@@ -168,7 +168,9 @@
 	// Some VMs of a stale list may be gone or fetch other files. The chunks assigned to
 	// them would be read only after no other chunk appears, and delay the whole fetch. A
 	// VM that ranks second for a chunk therefore connects to the first-ranked VM, so
-	// that it notices at once when that VM is unreachable.
+	// that it notices at once when that VM is unreachable. With one VM in ten gone a
+	// rollout takes 1.4 to 1.6 times what a VM's own link needs for the weights in
+	// simulation, and 2.0 to 2.3 times without these connections.
 	private Set<String> precedingReaders() {
 		if (this.limits.distribution() != TransferLimits.Distribution.SWARM) {
 			return Set.of();
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -26,7 +26,8 @@
  *
  * Every call, to any host, closes the connections whose idle time has expired. Otherwise,
  * with many processes that rarely call a server with a low connection limit, unused
- * connections would occupy the limit and the server would reset new ones.
+ * connections would occupy the limit and the server would reset new ones: two to five of
+ * 19 agents got no weights from the origin for 20 s.
  */
 final class ConnectionPool {
 
