--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -73,6 +73,8 @@
 
 	private final RateLimitLog rateLimitLog;
 
+	private final ContentionLog contentionLog;
+
 	private final SuspensionDetector suspension;
 
 	private final Map<Long, DirectCall> calls = new HashMap<>();
@@ -115,6 +117,7 @@
 		this.effects = new EffectExecutor(output, log, metrics, this.localView);
 		this.quarantineLog = new QuarantineLog(log, metrics);
 		this.rateLimitLog = new RateLimitLog(log, metrics);
+		this.contentionLog = new ContentionLog(log);
 		this.suspension = SuspensionDetector.start(now(), clocks.wallMillis().getAsLong());
 	}
 
@@ -176,6 +179,7 @@
 		}
 		applyEffects();
 		this.quarantineLog.report(this.dispatcher.quarantine());
+		this.contentionLog.report(this.dispatcher.contention(), now);
 		if (this.rateLimitLog.report(this.dispatcher.rateLimits())) {
 			this.loadReports.ifPresent(LoadReporter::rateLimitsChanged);
 		}
@@ -342,9 +346,9 @@
 		report.getRefusedList().forEach((one) -> this.dispatcher.recordPeerRefusal(LoadReportCodec.decode(one, now)));
 		report.getLoadsList()
 			.forEach((load) -> this.dispatcher.peerLoads().update(peer, LoadReportCodec.decode(load), now));
-		if (report.hasContendedMillis()) {
-			this.dispatcher.contention().reported(Duration.ofMillis(report.getContendedMillis()), now);
-		}
+		report.getContendedList()
+			.forEach((one) -> this.dispatcher.contention()
+				.reported(one.getService(), Duration.ofMillis(one.getAgeMillis()), now));
 		this.dispatcher.rateLimits().merge(peer, LoadReportCodec.decodeRates(report, now), now);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DispatcherLoad.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DispatcherLoad.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.wisteriapost.policy.dispatch.Dispatcher;
@@ -31,7 +32,7 @@
 	}
 
 	@Override
-	public Optional<Duration> contended() {
+	public Map<String, Duration> contended() {
 		return this.dispatcher.contention().own(this.nowNanos);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReportCodec.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReportCodec.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 import org.wisteriapost.protocol.site.EngineStatusCodec;
 import org.wisteriapost.protocol.wire.LoadReport;
 import org.wisteriapost.protocol.wire.RunnerLimit;
+import org.wisteriapost.protocol.wire.ServiceContention;
 import org.wisteriapost.protocol.wire.ServiceDemand;
 
 /**
@@ -54,6 +56,10 @@
 				nowNanos + TimeUnit.MILLISECONDS.toNanos(message.getLeftMillis()));
 	}
 
+	static ServiceContention encodeContention(String service, Duration ago) {
+		return ServiceContention.newBuilder().setService(service).setAgeMillis(millis(ago.toNanos())).build();
+	}
+
 	static void encode(RateLimitReport rates, LoadReport.Builder report, long nowNanos) {
 		rates.limits()
 			.forEach((limit) -> report.addLimits(RunnerLimit.newBuilder()
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
@@ -124,10 +124,10 @@
 		Optional<RateLimitReport> rates();
 
 		/**
-		 * Returns the time since a request that could be in time found no free slot, if
-		 * that is recent.
+		 * Returns the services at which a request that could be in time recently found no
+		 * free slot, and the time since then.
 		 */
-		Optional<Duration> contended();
+		Map<String, Duration> contended();
 
 	}
 
@@ -176,7 +176,8 @@
 				this.nextRateReportTicks = ticks + RATE_REPORT_INTERVAL_TICKS;
 				source.rates().ifPresent((limits) -> LoadReportCodec.encode(limits, report, nowNanos));
 			}
-			source.contended().ifPresent((ago) -> report.setContendedMillis((int) ago.toMillis()));
+			source.contended()
+				.forEach((service, ago) -> report.addContended(LoadReportCodec.encodeContention(service, ago)));
 			if (!report.build().equals(LoadReport.getDefaultInstance())) {
 				Frame frame = Frame.newBuilder().setLoadReport(report).build();
 				peers.forEach((name) -> LoadReporter.this.sender.accept(name, frame));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryStateFixture.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryStateFixture.java
@@ -47,6 +47,7 @@
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.site.StoreWatcher;
 import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.LoadReport;
 
 /**
  * Runs one entry's state machine and a peer that may lead it, without sockets or threads
@@ -87,6 +88,8 @@
 
 	private final DirectView view;
 
+	private final Dispatcher dispatcher;
+
 	private final DirectState state;
 
 	private final StoreReplication leader;
@@ -108,8 +111,9 @@
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(42);
 		DispatchLimits limits = new DispatchLimits("p1", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8));
 		this.view = new DirectView(clocks);
-		this.state = new DirectState(settings(), entry(SELF), Dispatcher.create(limits, random), new Answers(),
-				this.log, DirectMetrics.create(new SimpleMeterRegistry()), random, clocks, this.view);
+		this.dispatcher = Dispatcher.create(limits, random);
+		this.state = new DirectState(settings(), entry(SELF), this.dispatcher, new Answers(), this.log,
+				DirectMetrics.create(new SimpleMeterRegistry()), random, clocks, this.view);
 		this.state.connect(new Sender(), this.store, this.following);
 		this.leader = new StoreReplication(this.store, StoreRole.of(LEADER), UpstreamSelector.of(LEADER),
 				(peer, frame) -> this.fromLeader.add(frame), () -> this.now, this.log);
@@ -146,6 +150,17 @@
 				false, 0, Map.of(), revision, RunnerIncarnation.UNKNOWN)));
 	}
 
+	/**
+	 * Delivers a load report of the leader.
+	 */
+	void receiveLoadReport(LoadReport report) {
+		this.state.apply(new DirectEvent.PeerLoadReported(LEADER, report));
+	}
+
+	Set<String> contended() {
+		return this.dispatcher.contention().services(this.now);
+	}
+
 	/**
 	 * Returns enough entries for one of them to lead the others.
 	 */
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.hamcrest.Matchers;
@@ -17,6 +18,7 @@
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.ratelimit.RateLimitReport;
 import org.wisteriapost.protocol.wire.Frame;
+import org.wisteriapost.protocol.wire.ServiceContention;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -33,7 +35,7 @@
 		this.frames.add(frame);
 	});
 
-	private Optional<Duration> contended = Optional.empty();
+	private Map<String, Duration> contended = Map.of();
 
 	private void tick(long tick, List<EntryInfo> others, List<RunnerLoad> loads) {
 		this.reporter.tick(tick, tick * 20_000_000, () -> others, new LoadReporter.Source() {
@@ -49,7 +51,7 @@
 			}
 
 			@Override
-			public Optional<Duration> contended() {
+			public Map<String, Duration> contended() {
 				return LoadReporterTests.this.contended;
 			}
 
@@ -134,11 +136,12 @@
 
 	@Test
 	void contentionIsReportedWhileItLasts() {
-		this.contended = Optional.of(Duration.ofMillis(250));
+		this.contended = Map.of("lm-notice", Duration.ofMillis(250));
 		tick(0, entries(1, 1), List.of());
 		assertThat(this.frames, Matchers.hasSize(2));
-		assertThat(this.frames.getFirst().getLoadReport().getContendedMillis(), Matchers.equalTo(250));
-		this.contended = Optional.empty();
+		assertThat(this.frames.getFirst().getLoadReport().getContendedList(),
+				Matchers.contains(ServiceContention.newBuilder().setService("lm-notice").setAgeMillis(250).build()));
+		this.contended = Map.of();
 		tick(20, entries(1, 1), List.of());
 		assertThat(this.frames, Matchers.hasSize(2));
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -21,8 +21,8 @@
 	// would be empty otherwise.
 	private static final double LOW_UTILIZATION = 0.75;
 
-	// A prediction that exceeds the remaining time by less than this factor is often met.
-	// Until the last slot, refusing such a request would leave a slot empty for nobody.
+	// A prediction that exceeds the remaining time by less than this factor is often met,
+	// and a refused request would leave its slot empty.
 	private static final double NEAR_MISS_FACTOR = 1.5;
 
 	private static final double NEAR_MISS_MAX_UTILIZATION = 0.95;
@@ -107,7 +107,7 @@
 				|| choice.utilization() < maxUtilization(choice, remaining))) {
 			return Decision.SEND;
 		}
-		this.contention.noFreeSlot(nowNanos);
+		this.contention.noFreeSlot(job.service(), nowNanos);
 		return canWait(job, choice, queued, remaining, nowNanos) ? Decision.WAIT : Decision.REFUSE;
 	}
 
@@ -125,7 +125,7 @@
 	}
 
 	private Decision decideLate(Job job, Placement.Choice choice, long nowNanos) {
-		if (this.contention.active(nowNanos)) {
+		if (this.contention.active(job.service(), nowNanos)) {
 			return Decision.REFUSE;
 		}
 		if (choice.hasFreeCapacity() && choice.utilization() < LATE_MAX_UTILIZATION) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Contention.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Contention.java
@@ -1,11 +1,15 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.time.Duration;
-import java.util.Optional;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
- * Whether requests that could still be answered in time find no free slot, at this entry
- * or at its peers.
+ * The services at which requests that could still be answered in time find no free slot,
+ * at this entry or at its peers.
  *
  * Under a lasting shortage each entry has free slots in view now and then. Were it to
  * judge by its own requests alone, it would give these slots to requests that are late
@@ -14,16 +18,14 @@
 public final class Contention {
 
 	/**
-	 * How long the fleet counts as contended after a request found no slot. An entry
+	 * How long a service counts as contended after a request found no slot. An entry
 	 * refuses about one request per second under a moderate shortage.
 	 */
 	static final Duration WINDOW = Duration.ofSeconds(1);
 
-	private static final long NEVER = Long.MIN_VALUE / 2;
+	private final Map<String, Long> ownNanos = new HashMap<>();
 
-	private long ownNanos = NEVER;
-
-	private long peersNanos = NEVER;
+	private final Map<String, Long> peersNanos = new HashMap<>();
 
 	Contention() {
 	}
@@ -31,32 +33,52 @@
 	/**
 	 * Records that a request of this entry that could be in time found no slot.
 	 */
-	void noFreeSlot(long nowNanos) {
-		this.ownNanos = nowNanos;
+	void noFreeSlot(String service, long nowNanos) {
+		this.ownNanos.put(service, nowNanos);
 	}
 
 	/**
 	 * Records what a peer has reported.
 	 * @param ago the time since a request of the peer found no slot
 	 */
-	public void reported(Duration ago, long nowNanos) {
-		this.peersNanos = Math.max(this.peersNanos, nowNanos - ago.toNanos());
+	public void reported(String service, Duration ago, long nowNanos) {
+		if (ago.compareTo(WINDOW) < 0) {
+			this.peersNanos.merge(service, nowNanos - ago.toNanos(), Math::max);
+		}
 	}
 
 	/**
-	 * Returns the time since a request of this entry found no slot, for a report to the
-	 * peers; empty if the entry is not contended.
+	 * Returns the time since a request of this entry found no slot, by service, for a
+	 * report to the peers. Services without contention are left out.
 	 */
-	public Optional<Duration> own(long nowNanos) {
-		long ago = nowNanos - this.ownNanos;
-		return (ago < WINDOW.toNanos()) ? Optional.of(Duration.ofNanos(ago)) : Optional.empty();
+	public Map<String, Duration> own(long nowNanos) {
+		removeExpired(this.ownNanos, nowNanos);
+		Map<String, Duration> own = new TreeMap<>();
+		this.ownNanos.forEach((service, nanos) -> own.put(service, Duration.ofNanos(nowNanos - nanos)));
+		return own;
 	}
 
 	/**
-	 * Returns whether slots are needed for requests that could be in time.
+	 * Returns the services whose slots are needed for requests that could be in time.
 	 */
-	boolean active(long nowNanos) {
-		return nowNanos - Math.max(this.ownNanos, this.peersNanos) < WINDOW.toNanos();
+	public Set<String> services(long nowNanos) {
+		removeExpired(this.ownNanos, nowNanos);
+		removeExpired(this.peersNanos, nowNanos);
+		Set<String> services = new TreeSet<>(this.ownNanos.keySet());
+		services.addAll(this.peersNanos.keySet());
+		return services;
+	}
+
+	boolean active(String service, long nowNanos) {
+		return recent(this.ownNanos.get(service), nowNanos) || recent(this.peersNanos.get(service), nowNanos);
+	}
+
+	private static void removeExpired(Map<String, Long> times, long nowNanos) {
+		times.values().removeIf((nanos) -> !recent(nanos, nowNanos));
+	}
+
+	private static boolean recent(Long nanos, long nowNanos) {
+		return nanos != null && nowNanos - nanos < WINDOW.toNanos();
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -190,7 +190,7 @@
 	}
 
 	/**
-	 * Returns whether requests that could be in time find no free slot.
+	 * Returns where requests that could be in time find no free slot.
 	 */
 	public Contention contention() {
 		return this.contention;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/LoadReportInterval.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/LoadReportInterval.java
@@ -18,8 +18,8 @@
 	public static final int TICK_MILLIS = 20;
 
 	/**
-	 * The shortest interval. Fewer than one request starts or ends in it at an entry with
-	 * twelve requests per second.
+	 * The shortest interval. In it two requests start or end at an entry with twelve
+	 * requests per second.
 	 */
 	public static final int MIN_LOCAL_TICKS = 4;
 
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -64,9 +64,9 @@
 	// Under a lasting shortage over all entries, this one alone refuses too rarely to
 	// notice it, and gives free slots to late requests while its peers refuse others.
 	@ParameterizedTest
-	@CsvSource({ "0,false", "900,false", "1100,true" })
-	void contentionReportedByPeerReservesSlots(long agoMillis, boolean sent) {
-		this.harness.dispatcher.contention().reported(Duration.ofMillis(agoMillis), this.harness.nowNanos);
+	@CsvSource({ "lm-notice,0,false", "lm-notice,900,false", "lm-notice,1100,true", "lm-other,0,true" })
+	void contentionReportedByPeerReservesSlots(String service, long agoMillis, boolean sent) {
+		this.harness.dispatcher.contention().reported(service, Duration.ofMillis(agoMillis), this.harness.nowNanos);
 		arriveAgain(4000);
 		assertThat(this.harness.effectNames(), Matchers.contains(sent ? "Send:e1" : "Refuse:no-room"));
 	}
@@ -74,22 +74,22 @@
 	// Were an entry to report what its peers reported, contention would never end.
 	@Test
 	void onlyOwnContentionIsReported() {
-		this.harness.dispatcher.contention().reported(Duration.ZERO, this.harness.nowNanos);
-		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos).isPresent(), Matchers.is(false));
+		this.harness.dispatcher.contention().reported("lm-notice", Duration.ZERO, this.harness.nowNanos);
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos), Matchers.anEmptyMap());
 		occupySlots(18);
 		this.harness.arrive(DispatcherHarness.STREAM, 1000, 6000);
 		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos),
-				Matchers.equalTo(Optional.of(Duration.ZERO)));
+				Matchers.equalTo(Map.of("lm-notice", Duration.ZERO)));
 		this.harness.advance(1160);
-		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos).isPresent(), Matchers.is(false));
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos), Matchers.anEmptyMap());
 	}
 
 	// A late request is refused by contention alone. It must not prolong it.
 	@Test
 	void refusedLateRequestsDoNotProlongContention() {
-		this.harness.dispatcher.contention().reported(Duration.ofMillis(900), this.harness.nowNanos);
+		this.harness.dispatcher.contention().reported("lm-notice", Duration.ofMillis(900), this.harness.nowNanos);
 		arriveAgain(4000);
-		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos).isPresent(), Matchers.is(false));
+		assertThat(this.harness.dispatcher.contention().own(this.harness.nowNanos), Matchers.anEmptyMap());
 	}
 
 	@Test
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReport.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReport.java
@@ -37,6 +37,7 @@
     refused_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
     demands_ = java.util.Collections.emptyList();
+    contended_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -57,7 +58,6 @@
             org.wisteriapost.protocol.wire.LoadReport.class, org.wisteriapost.protocol.wire.LoadReport.Builder.class);
   }
 
-  private int bitField0_;
   public static final int LOADS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.wisteriapost.protocol.wire.RunnerLoad> loads_;
@@ -242,31 +242,65 @@
     return demands_.get(index);
   }
 
-  public static final int CONTENDED_MILLIS_FIELD_NUMBER = 5;
-  private int contendedMillis_ = 0;
+  public static final int CONTENDED_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wisteriapost.protocol.wire.ServiceContention> contended_;
+  /**
+   * <pre>
+   * services at which a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wisteriapost.protocol.wire.ServiceContention> getContendedList() {
+    return contended_;
+  }
+  /**
+   * <pre>
+   * services at which a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wisteriapost.protocol.wire.ServiceContentionOrBuilder> 
+      getContendedOrBuilderList() {
+    return contended_;
+  }
   /**
    * <pre>
-   * since a request that could be in time found no slot
+   * services at which a request that could be in time found no slot
    * </pre>
    *
-   * <code>optional uint32 contended_millis = 5;</code>
-   * @return Whether the contendedMillis field is set.
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
    */
   @java.lang.Override
-  public boolean hasContendedMillis() {
-    return ((bitField0_ & 0x00000001) != 0);
+  public int getContendedCount() {
+    return contended_.size();
   }
   /**
    * <pre>
-   * since a request that could be in time found no slot
+   * services at which a request that could be in time found no slot
    * </pre>
    *
-   * <code>optional uint32 contended_millis = 5;</code>
-   * @return The contendedMillis.
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
    */
   @java.lang.Override
-  public int getContendedMillis() {
-    return contendedMillis_;
+  public org.wisteriapost.protocol.wire.ServiceContention getContended(int index) {
+    return contended_.get(index);
+  }
+  /**
+   * <pre>
+   * services at which a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.ServiceContentionOrBuilder getContendedOrBuilder(
+      int index) {
+    return contended_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -295,8 +329,8 @@
     for (int i = 0; i < demands_.size(); i++) {
       output.writeMessage(4, demands_.get(i));
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeUInt32(5, contendedMillis_);
+    for (int i = 0; i < contended_.size(); i++) {
+      output.writeMessage(5, contended_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -338,10 +372,15 @@
           }
           size += 1 * count;
         }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(5, contendedMillis_);
-    }
+
+        {
+          final int count = contended_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(contended_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -374,11 +413,8 @@
         .equals(other.getLimitsList())) return false;
     if (!getDemandsList()
         .equals(other.getDemandsList())) return false;
-    if (hasContendedMillis() != other.hasContendedMillis()) return false;
-    if (hasContendedMillis()) {
-      if (getContendedMillis()
-          != other.getContendedMillis()) return false;
-    }
+    if (!getContendedList()
+        .equals(other.getContendedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -406,9 +442,9 @@
       hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getDemandsList().hashCode();
     }
-    if (hasContendedMillis()) {
-      hash = (37 * hash) + CONTENDED_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + getContendedMillis();
+    if (getContendedCount() > 0) {
+      hash = (37 * hash) + CONTENDED_FIELD_NUMBER;
+      hash = (53 * hash) + getContendedList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -574,7 +610,13 @@
         demandsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
-      contendedMillis_ = 0;
+      if (contendedBuilder_ == null) {
+        contended_ = java.util.Collections.emptyList();
+      } else {
+        contended_ = null;
+        contendedBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -644,16 +686,19 @@
       } else {
         result.demands_ = demandsBuilder_.build();
       }
+      if (contendedBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          contended_ = java.util.Collections.unmodifiableList(contended_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.contended_ = contended_;
+      } else {
+        result.contended_ = contendedBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wisteriapost.protocol.wire.LoadReport result) {
       int from_bitField0_ = bitField0_;
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.contendedMillis_ = contendedMillis_;
-        to_bitField0_ |= 0x00000001;
-      }
-      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -772,8 +817,31 @@
           }
         }
       }
-      if (other.hasContendedMillis()) {
-        setContendedMillis(other.getContendedMillis());
+      if (contendedBuilder_ == null) {
+        if (!other.contended_.isEmpty()) {
+          if (contended_.isEmpty()) {
+            contended_ = other.contended_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureContendedIsMutable();
+            contended_.addAll(other.contended_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.contended_.isEmpty()) {
+          if (contendedBuilder_.isEmpty()) {
+            contendedBuilder_.dispose();
+            contendedBuilder_ = null;
+            contended_ = other.contended_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            contendedBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetContendedFieldBuilder() : null;
+          } else {
+            contendedBuilder_.addAllMessages(other.contended_);
+          }
+        }
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -851,11 +919,19 @@
               }
               break;
             } // case 34
-            case 40: {
-              contendedMillis_ = input.readUInt32();
-              bitField0_ |= 0x00000010;
+            case 42: {
+              org.wisteriapost.protocol.wire.ServiceContention m =
+                  input.readMessage(
+                      org.wisteriapost.protocol.wire.ServiceContention.parser(),
+                      extensionRegistry);
+              if (contendedBuilder_ == null) {
+                ensureContendedIsMutable();
+                contended_.add(m);
+              } else {
+                contendedBuilder_.addMessage(m);
+              }
               break;
-            } // case 40
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1881,61 +1957,311 @@
       return demandsBuilder_;
     }
 
-    private int contendedMillis_ ;
+    private java.util.List<org.wisteriapost.protocol.wire.ServiceContention> contended_ =
+      java.util.Collections.emptyList();
+    private void ensureContendedIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        contended_ = new java.util.ArrayList<org.wisteriapost.protocol.wire.ServiceContention>(contended_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.ServiceContention, org.wisteriapost.protocol.wire.ServiceContention.Builder, org.wisteriapost.protocol.wire.ServiceContentionOrBuilder> contendedBuilder_;
+
     /**
      * <pre>
-     * since a request that could be in time found no slot
+     * services at which a request that could be in time found no slot
      * </pre>
      *
-     * <code>optional uint32 contended_millis = 5;</code>
-     * @return Whether the contendedMillis field is set.
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
      */
-    @java.lang.Override
-    public boolean hasContendedMillis() {
-      return ((bitField0_ & 0x00000010) != 0);
+    public java.util.List<org.wisteriapost.protocol.wire.ServiceContention> getContendedList() {
+      if (contendedBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(contended_);
+      } else {
+        return contendedBuilder_.getMessageList();
+      }
     }
     /**
      * <pre>
-     * since a request that could be in time found no slot
+     * services at which a request that could be in time found no slot
      * </pre>
      *
-     * <code>optional uint32 contended_millis = 5;</code>
-     * @return The contendedMillis.
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
      */
-    @java.lang.Override
-    public int getContendedMillis() {
-      return contendedMillis_;
+    public int getContendedCount() {
+      if (contendedBuilder_ == null) {
+        return contended_.size();
+      } else {
+        return contendedBuilder_.getCount();
+      }
     }
     /**
      * <pre>
-     * since a request that could be in time found no slot
+     * services at which a request that could be in time found no slot
      * </pre>
      *
-     * <code>optional uint32 contended_millis = 5;</code>
-     * @param value The contendedMillis to set.
-     * @return This builder for chaining.
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
      */
-    public Builder setContendedMillis(int value) {
-
-      contendedMillis_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
+    public org.wisteriapost.protocol.wire.ServiceContention getContended(int index) {
+      if (contendedBuilder_ == null) {
+        return contended_.get(index);
+      } else {
+        return contendedBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder setContended(
+        int index, org.wisteriapost.protocol.wire.ServiceContention value) {
+      if (contendedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureContendedIsMutable();
+        contended_.set(index, value);
+        onChanged();
+      } else {
+        contendedBuilder_.setMessage(index, value);
+      }
       return this;
     }
     /**
      * <pre>
-     * since a request that could be in time found no slot
+     * services at which a request that could be in time found no slot
      * </pre>
      *
-     * <code>optional uint32 contended_millis = 5;</code>
-     * @return This builder for chaining.
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
      */
-    public Builder clearContendedMillis() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      contendedMillis_ = 0;
-      onChanged();
+    public Builder setContended(
+        int index, org.wisteriapost.protocol.wire.ServiceContention.Builder builderForValue) {
+      if (contendedBuilder_ == null) {
+        ensureContendedIsMutable();
+        contended_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        contendedBuilder_.setMessage(index, builderForValue.build());
+      }
       return this;
     }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder addContended(org.wisteriapost.protocol.wire.ServiceContention value) {
+      if (contendedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureContendedIsMutable();
+        contended_.add(value);
+        onChanged();
+      } else {
+        contendedBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder addContended(
+        int index, org.wisteriapost.protocol.wire.ServiceContention value) {
+      if (contendedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureContendedIsMutable();
+        contended_.add(index, value);
+        onChanged();
+      } else {
+        contendedBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder addContended(
+        org.wisteriapost.protocol.wire.ServiceContention.Builder builderForValue) {
+      if (contendedBuilder_ == null) {
+        ensureContendedIsMutable();
+        contended_.add(builderForValue.build());
+        onChanged();
+      } else {
+        contendedBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder addContended(
+        int index, org.wisteriapost.protocol.wire.ServiceContention.Builder builderForValue) {
+      if (contendedBuilder_ == null) {
+        ensureContendedIsMutable();
+        contended_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        contendedBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder addAllContended(
+        java.lang.Iterable<? extends org.wisteriapost.protocol.wire.ServiceContention> values) {
+      if (contendedBuilder_ == null) {
+        ensureContendedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, contended_);
+        onChanged();
+      } else {
+        contendedBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder clearContended() {
+      if (contendedBuilder_ == null) {
+        contended_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        contendedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public Builder removeContended(int index) {
+      if (contendedBuilder_ == null) {
+        ensureContendedIsMutable();
+        contended_.remove(index);
+        onChanged();
+      } else {
+        contendedBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public org.wisteriapost.protocol.wire.ServiceContention.Builder getContendedBuilder(
+        int index) {
+      return internalGetContendedFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public org.wisteriapost.protocol.wire.ServiceContentionOrBuilder getContendedOrBuilder(
+        int index) {
+      if (contendedBuilder_ == null) {
+        return contended_.get(index);  } else {
+        return contendedBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public java.util.List<? extends org.wisteriapost.protocol.wire.ServiceContentionOrBuilder> 
+         getContendedOrBuilderList() {
+      if (contendedBuilder_ != null) {
+        return contendedBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(contended_);
+      }
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public org.wisteriapost.protocol.wire.ServiceContention.Builder addContendedBuilder() {
+      return internalGetContendedFieldBuilder().addBuilder(
+          org.wisteriapost.protocol.wire.ServiceContention.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public org.wisteriapost.protocol.wire.ServiceContention.Builder addContendedBuilder(
+        int index) {
+      return internalGetContendedFieldBuilder().addBuilder(
+          index, org.wisteriapost.protocol.wire.ServiceContention.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * services at which a request that could be in time found no slot
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.ServiceContention.Builder> 
+         getContendedBuilderList() {
+      return internalGetContendedFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.ServiceContention, org.wisteriapost.protocol.wire.ServiceContention.Builder, org.wisteriapost.protocol.wire.ServiceContentionOrBuilder> 
+        internalGetContendedFieldBuilder() {
+      if (contendedBuilder_ == null) {
+        contendedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wisteriapost.protocol.wire.ServiceContention, org.wisteriapost.protocol.wire.ServiceContention.Builder, org.wisteriapost.protocol.wire.ServiceContentionOrBuilder>(
+                contended_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        contended_ = null;
+      }
+      return contendedBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:wisteriapost.LoadReport)
   }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/LoadReportOrBuilder.java
@@ -128,20 +128,45 @@
 
   /**
    * <pre>
-   * since a request that could be in time found no slot
+   * services at which a request that could be in time found no slot
    * </pre>
    *
-   * <code>optional uint32 contended_millis = 5;</code>
-   * @return Whether the contendedMillis field is set.
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
    */
-  boolean hasContendedMillis();
+  java.util.List<org.wisteriapost.protocol.wire.ServiceContention> 
+      getContendedList();
   /**
    * <pre>
-   * since a request that could be in time found no slot
+   * services at which a request that could be in time found no slot
    * </pre>
    *
-   * <code>optional uint32 contended_millis = 5;</code>
-   * @return The contendedMillis.
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
    */
-  int getContendedMillis();
+  org.wisteriapost.protocol.wire.ServiceContention getContended(int index);
+  /**
+   * <pre>
+   * services at which a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+   */
+  int getContendedCount();
+  /**
+   * <pre>
+   * services at which a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+   */
+  java.util.List<? extends org.wisteriapost.protocol.wire.ServiceContentionOrBuilder> 
+      getContendedOrBuilderList();
+  /**
+   * <pre>
+   * services at which a request that could be in time found no slot
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.ServiceContention contended = 5;</code>
+   */
+  org.wisteriapost.protocol.wire.ServiceContentionOrBuilder getContendedOrBuilder(
+      int index);
 }
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
@@ -58,7 +58,7 @@
 
 	private final SimulatedCallers callers;
 
-	private int lastIncarnation = 1;
+	private int lastIncarnation;
 
 	private DispatchSim(DispatchProfile profile, long seed) {
 		this.profile = profile;
@@ -139,7 +139,6 @@
 
 	private void crash(SimulatedEngine engine, long lengthNanos) {
 		engine.crash();
-		int incarnation = this.lastIncarnation;
 		this.events.schedule(REGISTRATION_TTL.toNanos(), () -> {
 			if (!engine.reachable()) {
 				forEachEntry((entry) -> entry.dispatcher().removeUnusableRunner(engine.name()));
@@ -147,8 +146,7 @@
 		});
 		this.events.schedule(lengthNanos, () -> {
 			engine.restart();
-			this.lastIncarnation = incarnation + 1;
-			register(engine, this.lastIncarnation);
+			register(engine, ++this.lastIncarnation);
 		});
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
@@ -115,8 +115,8 @@
 	}
 
 	private void reportReceived(String from, List<RunnerLoad> loads, List<RefusedRequest> refusals,
-			Optional<Duration> contended) {
-		contended.ifPresent((ago) -> this.dispatcher.contention().reported(ago, now()));
+			Map<String, Duration> contended) {
+		contended.forEach((service, ago) -> this.dispatcher.contention().reported(service, ago, now()));
 		refusals.forEach((refusal) -> this.dispatcher.recordPeerRefusal(refusal));
 		loads.forEach((load) -> this.dispatcher.peerLoads().update(from, load, now()));
 	}
@@ -249,7 +249,7 @@
 			loads.forEach((load) -> this.lastReported.put(load.runnerId(), load));
 			List<RefusedRequest> refusals = List.copyOf(this.refused);
 			this.refused.clear();
-			Optional<Duration> contended = entry.dispatcher.contention().own(entry.now());
+			Map<String, Duration> contended = entry.dispatcher.contention().own(entry.now());
 			for (SimulatedEntry other : this.members) {
 				entry.events.schedule(entry.linkNanos(other.failureDomain),
 						() -> other.reportReceived(entry.name, loads, refusals, contended));
--- a/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
@@ -39,8 +39,8 @@
 		}
 	}
 
-	// With load reports of 0.1 to 0.4 s of age a tenth of the slots stays free while
-	// requests are refused.
+	// With load reports that are 0.1 to 0.4 s old, requests are refused while slots are
+	// free.
 	@ParameterizedTest
 	@CsvSource({ "long-passes,full", "short-passes,full" })
 	void engineSlotsAreUsedAtFullLoad(String engines, String name) {
