One hash of a request's content for both interfaces

CallQuarantine and RequestFingerprint wrote the same hash twice; both call ContentHash now. The values are the same.

Checked: formatter, linter and RequestFingerprintTests, SuspectExchangeTests, EntryStateTests, ArchitectureTests up to app.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/RequestFingerprint.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RequestFingerprint.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import org.wisteriapost.entry.quarantine.ContentHash;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.protocol.site.CallerRequestFields;
@@ -34,12 +35,7 @@
 	 * the organisation and the body.
 	 */
 	static long ofContent(String path, Optional<Organisation> organisation, byte[] body) {
-		return Hashing.komihash5_0()
-			.hashStream()
-			.putString(path)
-			.putString(organisation.map(Organisation::name).orElse(""))
-			.putByteArray(body)
-			.getAsLong();
+		return ContentHash.of(path, organisation.map(Organisation::name).orElse(""), body);
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/process/CallQuarantine.java
+++ b/entry/src/main/java/org/wisteriapost/entry/process/CallQuarantine.java
@@ -7,6 +7,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.wisteriapost.entry.caller.CallerCall;
+import org.wisteriapost.entry.quarantine.ContentHash;
 import org.wisteriapost.policy.quarantine.QuarantineChange;
 import org.wisteriapost.policy.quarantine.RequestQuarantine;
 
@@ -74,12 +75,7 @@
 	}
 
 	private static long contentHash(CallerCall call) {
-		return Hashing.komihash5_0()
-			.hashStream()
-			.putString(call.path())
-			.putString(call.request().organisation())
-			.putByteArray(call.body())
-			.getAsLong();
+		return ContentHash.of(call.path(), call.request().organisation(), call.body());
 	}
 
 	private static long runnerHash(String vm) {
