--- /dev/null
+++ b/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
@@ -0,0 +1,259 @@
+package org.wisteriapost.agent.site;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.wisteriapost.kernel.Code;
+import org.wisteriapost.kernel.CodedException;
+import org.wisteriapost.policy.bundle.Digests;
+import org.wisteriapost.policy.fleet.RunnerIncarnation;
+import org.wisteriapost.protocol.http.PooledHttpClient;
+import org.wisteriapost.protocol.outside.Origin;
+import org.wisteriapost.protocol.outside.WeightStore;
+import org.wisteriapost.protocol.site.CallProtocol;
+import org.wisteriapost.protocol.site.EngineControl;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.site.SiteProvider;
+import org.wisteriapost.protocol.site.SiteSettings;
+
+/**
+ * An engine with its staging memory, and the origin of its weights, in memory. The
+ * staging memory has one copy of each chunk, whatever its version; an order takes what is
+ * there when the engine accepts it.
+ */
+final class FakeEngineVm implements SiteProvider, EngineControl, WeightStore, Origin {
+
+	static final int CHUNKS = 24;
+
+	private static final int CHUNK_BYTES = 100;
+
+	private static final Code TIMED_OUT = Code.warning("test-timeout", "No answer in a test.");
+
+	private static final long ORDER_TIMEOUT_MILLIS = 60;
+
+	private final ScheduledExecutorService timer;
+
+	private final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
+
+	private final Map<String, CompletableFuture<Manifest>> heldManifests = new ConcurrentHashMap<>();
+
+	private final Map<String, Integer> versionsByModel = new HashMap<>();
+
+	private final List<TakenCopy> takenCopies = new ArrayList<>();
+
+	private OrderFate nextOrderFate = OrderFate.ANSWERED;
+
+	private long lateMillis;
+
+	private volatile Runnable onOrder = () -> {
+	};
+
+	private long sequence;
+
+	FakeEngineVm(ScheduledExecutorService timer) {
+		this.timer = timer;
+	}
+
+	/**
+	 * Sets what happens to the next order.
+	 * @param delayMillis after which a late order is accepted
+	 */
+	synchronized void nextOrder(OrderFate fate, long delayMillis, Runnable whenSent) {
+		this.nextOrderFate = fate;
+		this.lateMillis = delayMillis;
+		this.onOrder = whenSent;
+	}
+
+	/**
+	 * Holds back the manifest of a version until the returned action is run.
+	 */
+	Runnable holdManifest(String model, int version) {
+		CompletableFuture<Manifest> held = new CompletableFuture<>();
+		this.heldManifests.put(model + "/" + version, held);
+		return () -> held.complete(manifestOf(version));
+	}
+
+	synchronized List<TakenCopy> takenCopies() {
+		return List.copyOf(this.takenCopies);
+	}
+
+	static byte[] chunk(int version, int index) {
+		byte[] bytes = new byte[CHUNK_BYTES];
+		new Random(version * 1000L + index).nextBytes(bytes);
+		return bytes;
+	}
+
+	private static Manifest manifestOf(int version) {
+		return new Manifest("etag-" + version, (long) CHUNKS * CHUNK_BYTES, CHUNK_BYTES,
+				IntStream.range(0, CHUNKS).mapToObj((index) -> Digests.sha256(chunk(version, index))).toList());
+	}
+
+	// The engine.
+
+	@Override
+	public synchronized CompletableFuture<Report> report() {
+		return CompletableFuture.completedFuture(
+				new Report(Map.copyOf(this.versionsByModel), false, this.sequence, 0, 0, RunnerIncarnation.UNKNOWN));
+	}
+
+	@Override
+	public synchronized CompletableFuture<Reply> switchTo(String model, int version, long expected) {
+		OrderFate fate = this.nextOrderFate;
+		this.nextOrderFate = OrderFate.ANSWERED;
+		this.onOrder.run();
+		this.onOrder = () -> {
+		};
+		return switch (fate) {
+			case ANSWERED -> CompletableFuture.completedFuture(accept(model, version, expected));
+			case ANSWER_LOST -> {
+				accept(model, version, expected);
+				yield timeout();
+			}
+			case LATE -> {
+				this.timer.schedule(() -> accept(model, version, expected), this.lateMillis, TimeUnit.MILLISECONDS);
+				yield timeout();
+			}
+			case LOST -> timeout();
+		};
+	}
+
+	private CompletableFuture<Reply> timeout() {
+		CompletableFuture<Reply> reply = new CompletableFuture<>();
+		this.timer.schedule(() -> reply.completeExceptionally(CodedException.of(TIMED_OUT, "no answer")),
+				ORDER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		return reply;
+	}
+
+	private synchronized Reply accept(String model, int version, long expected) {
+		if (expected != this.sequence) {
+			return Reply.CONFLICT;
+		}
+		this.sequence++;
+		this.versionsByModel.put(model, version);
+		this.takenCopies.add(new TakenCopy(version, Map.copyOf(this.staged)));
+		return Reply.BEGUN;
+	}
+
+	// The staging memory.
+
+	@Override
+	public CompletableFuture<Void> put(String file, int index, byte[] chunk) {
+		this.staged.put(index, chunk);
+		return CompletableFuture.completedFuture(null);
+	}
+
+	@Override
+	public CompletableFuture<Optional<byte[]>> get(String file, int index) {
+		return CompletableFuture.completedFuture(Optional.ofNullable(this.staged.get(index)));
+	}
+
+	@Override
+	public CompletableFuture<BitSet> storedChunks(String file) {
+		BitSet held = new BitSet();
+		this.staged.keySet().forEach(held::set);
+		return CompletableFuture.completedFuture(held);
+	}
+
+	@Override
+	public CompletableFuture<Void> delete(String file) {
+		return CompletableFuture.completedFuture(null);
+	}
+
+	// The origin.
+
+	@Override
+	public CompletableFuture<byte[]> read(String path, String etag, long offset, int length) {
+		int version = Integer.parseInt(path.substring(path.indexOf('/') + 1));
+		return CompletableFuture.completedFuture(chunk(version, (int) (offset / CHUNK_BYTES)));
+	}
+
+	@Override
+	public CompletableFuture<Manifest> manifest(String path) {
+		return Optional.ofNullable(this.heldManifests.get(path))
+			.orElseGet(() -> CompletableFuture
+				.completedFuture(manifestOf(Integer.parseInt(path.substring(path.indexOf('/') + 1)))));
+	}
+
+	@Override
+	public void close() {
+	}
+
+	// The site.
+
+	@Override
+	public EngineControl engine(PooledHttpClient caller, String address) {
+		return this;
+	}
+
+	@Override
+	public WeightStore staging(PooledHttpClient caller, String address, String model) {
+		return this;
+	}
+
+	@Override
+	public Origin origin(PooledHttpClient caller, String address) {
+		return this;
+	}
+
+	@Override
+	public String settingsVariable() {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public SiteSettings settings(Path file) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public ObjectStore store(PooledHttpClient caller, SiteSettings settings) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CallProtocol callProtocol() {
+		throw new UnsupportedOperationException();
+	}
+
+	/** What happens to an order. */
+	enum OrderFate {
+
+		/** It is carried out and answered. */
+		ANSWERED,
+		/** It is carried out, but not answered. */
+		ANSWER_LOST,
+		/** It is not answered, and carried out later if its precondition still holds. */
+		LATE,
+		/** It is neither answered nor carried out. */
+		LOST
+
+	}
+
+	/**
+	 * What an engine took.
+	 *
+	 * @param version the version that it was ordered to take
+	 * @param chunks the staged chunks at that time
+	 */
+	record TakenCopy(int version, Map<Integer, byte[]> chunks) {
+
+		boolean isWhole() {
+			return IntStream.range(0, CHUNKS)
+				.allMatch((index) -> Arrays.equals(this.chunks.get(index), chunk(this.version, index)));
+		}
+
+	}
+
+}
