The verification of staged weights counts from its start

What callers would see: an engine serves weights with a chunk that was corrupted long before it took them. Cause: the time of a verification was that of its end, so that a pause of the agent or slow reads in its middle did not age it, and the order followed at once.

--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -210,7 +210,9 @@
 			advance(nowNanos);
 			return;
 		}
-		this.verifiedNanos = nowNanos;
+		// Chunks may have been corrupted since they were read, the first ones since the
+		// verification began.
+		this.verifiedNanos = this.stepNanos;
 		enter(Step.VERIFIED, nowNanos);
 		advance(nowNanos);
 	}
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/RolloutTests.java
@@ -201,6 +201,25 @@
 		assertThat(this.all, Matchers.not(Matchers.hasItem(Matchers.instanceOf(RolloutEffect.Take.class))));
 	}
 
+	// Guards against ordering what was corrupted while the verification was held up, by a
+	// pause of the agent or an engine that answers slowly.
+	@ParameterizedTest
+	@CsvSource({ "200,true", "900,true", "1600,false", "4000,false" })
+	void verificationCountsFromItsStart(long verificationMillis, boolean ordered) {
+		report(0, false);
+		setTarget(2);
+		advance(2000);
+		this.rollout.fetchEnded(2, true, this.now);
+		this.all.addAll(this.rollout.drain());
+		assertThat(this.all, Matchers.hasItem(new RolloutEffect.Verify(2)));
+		this.all.clear();
+		this.now += verificationMillis * MILLI;
+		this.rollout.verificationEnded(2, true, this.now);
+		this.all.addAll(this.rollout.drain());
+		assertThat(this.all.contains(new RolloutEffect.Take(2, 0)), Matchers.equalTo(ordered));
+		assertThat(this.all.contains(new RolloutEffect.Verify(2)), Matchers.equalTo(!ordered));
+	}
+
 	@Test
 	void nextFetchBeginsAsSoonAsTheOrderIsAccepted() {
 		settleOn(1);
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/UnansweredOrderTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/UnansweredOrderTests.java
@@ -6,6 +6,7 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -28,4 +29,16 @@
 		});
 	}
 
+	// Guards against an engine that takes chunks that were corrupted long before: a pause
+	// of the agent falls between the verification and the order.
+	@ParameterizedTest
+	@ValueSource(doubles = { 0, 0.3 })
+	void corruptionDuringAPauseIsFound(double lostOrder) {
+		LongStream.rangeClosed(1, SEEDS).forEach((seed) -> {
+			SimulatedEngineVm vm = SimulatedEngineVm.run(seed,
+					new SimulatedEngineVm.Faults(lostOrder, 0.05, 1, 0.3, false), Duration.ofSeconds(60));
+			assertThat("seed " + seed, vm.badCopies(), Matchers.empty());
+		});
+	}
+
 }
