--- a/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import java.util.stream.IntStream;
 
 import org.wisteriapost.kernel.Code;
@@ -37,8 +38,13 @@
 
 	static final int CHUNKS = 24;
 
+	/** The chunk whose put can be held back. */
+	static final int HELD_PUT_INDEX = 7;
+
 	private static final int CHUNK_BYTES = 100;
 
+	private static final long HELD_PUT_MILLIS = 500;
+
 	private static final Code TIMED_OUT = Code.warning("test-timeout", "No answer in a test.");
 
 	private static final long ORDER_TIMEOUT_MILLIS = 60;
@@ -62,6 +68,20 @@
 
 	private long sequence;
 
+	private int spoiltOriginReads;
+
+	private Runnable onSpoiltRead = () -> {
+	};
+
+	private IntConsumer onPut = (index) -> {
+	};
+
+	// The chunk whose put is held back, and until when.
+	private byte[] heldChunk = new byte[0];
+
+	private Runnable heldPut = () -> {
+	};
+
 	FakeEngineVm(ScheduledExecutorService timer) {
 		this.timer = timer;
 	}
@@ -85,6 +105,37 @@
 		return () -> held.complete(manifestOf(version));
 	}
 
+	/**
+	 * Makes the next reads from the origin return wrong bytes.
+	 * @param whenRead called at each of them
+	 */
+	synchronized void spoilOriginReads(int count, Runnable whenRead) {
+		this.spoiltOriginReads = count;
+		this.onSpoiltRead = whenRead;
+	}
+
+	/**
+	 * Sets what is called with the index of each chunk that is to be put.
+	 */
+	synchronized void onPut(IntConsumer listener) {
+		this.onPut = listener;
+	}
+
+	/**
+	 * Corrupts a staged chunk if it is staged.
+	 */
+	void corruptStaged(int index) {
+		this.staged.computeIfPresent(index, (key, bytes) -> new byte[CHUNK_BYTES]);
+	}
+
+	/**
+	 * Holds back the put of {@link #HELD_PUT_INDEX} until another chunk is put in its
+	 * place, or for half a second.
+	 */
+	synchronized void holdPut(int version) {
+		this.heldChunk = chunk(version, HELD_PUT_INDEX);
+	}
+
 	synchronized List<TakenCopy> takenCopies() {
 		return List.copyOf(this.takenCopies);
 	}
@@ -149,11 +200,30 @@
 	// The staging memory.
 
 	@Override
-	public CompletableFuture<Void> put(String file, int index, byte[] chunk) {
+	public synchronized CompletableFuture<Void> put(String file, int index, byte[] chunk) {
+		this.onPut.accept(index);
+		if (Arrays.equals(chunk, this.heldChunk)) {
+			CompletableFuture<Void> done = new CompletableFuture<>();
+			this.heldPut = () -> {
+				this.staged.put(index, chunk);
+				done.complete(null);
+			};
+			this.timer.schedule(this::releasePut, HELD_PUT_MILLIS, TimeUnit.MILLISECONDS);
+			return done;
+		}
 		this.staged.put(index, chunk);
+		if (index == HELD_PUT_INDEX) {
+			releasePut();
+		}
 		return CompletableFuture.completedFuture(null);
 	}
 
+	private synchronized void releasePut() {
+		this.heldPut.run();
+		this.heldPut = () -> {
+		};
+	}
+
 	@Override
 	public CompletableFuture<Optional<byte[]>> get(String file, int index) {
 		return CompletableFuture.completedFuture(Optional.ofNullable(this.staged.get(index)));
@@ -174,7 +244,12 @@
 	// The origin.
 
 	@Override
-	public CompletableFuture<byte[]> read(String path, String etag, long offset, int length) {
+	public synchronized CompletableFuture<byte[]> read(String path, String etag, long offset, int length) {
+		if (this.spoiltOriginReads > 0) {
+			this.spoiltOriginReads--;
+			this.onSpoiltRead.run();
+			return CompletableFuture.completedFuture(new byte[length]);
+		}
 		int version = Integer.parseInt(path.substring(path.indexOf('/') + 1));
 		return CompletableFuture.completedFuture(chunk(version, (int) (offset / CHUNK_BYTES)));
 	}
--- a/agent/src/test/java/org/wisteriapost/agent/site/StagedCopyTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/StagedCopyTests.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.kernel.log.DecisionLog;
@@ -81,6 +83,50 @@
 		assertThat(mixedVersions(), Matchers.empty());
 	}
 
+	// Guards against staging and verifying an older version whose manifest arrives after
+	// that of a newer one.
+	@Test
+	void lateManifestOfAnOlderVersionIsIgnored() {
+		Runnable release = this.engine.holdManifest(MODEL, 2);
+		this.engine.nextOrder(FakeEngineVm.OrderFate.LOST, 0, release);
+		name(2);
+		name(3);
+		await(() -> taken(3));
+		assertThat(mixedVersions(), Matchers.empty());
+	}
+
+	// Guards against ordering a chunk that was corrupted after an earlier fetch of the
+	// same
+	// version had verified it.
+	@Test
+	void repeatedFetchReadsStagedChunksBack() {
+		AtomicInteger reads = new AtomicInteger();
+		this.engine.onPut((index) -> {
+			if (reads.incrementAndGet() == FakeEngineVm.CHUNKS / 2) {
+				this.engine.spoilOriginReads(FakeEngineVm.CHUNKS, () -> this.engine.corruptStaged(index));
+			}
+		});
+		name(2);
+		await(() -> taken(2));
+		assertThat(mixedVersions(), Matchers.empty());
+	}
+
+	// Guards against a chunk of an abandoned fetch that is stored after the one of the
+	// next
+	// version.
+	@Test
+	void putsOfAnAbandonedFetchEndBeforeTheNextFetch() {
+		this.engine.holdPut(2);
+		this.engine.onPut((index) -> {
+			if (index == FakeEngineVm.HELD_PUT_INDEX) {
+				name(3);
+			}
+		});
+		name(2);
+		await(() -> taken(3));
+		assertThat(mixedVersions(), Matchers.empty());
+	}
+
 	private void name(int version) {
 		receive(Frame.newBuilder()
 			.setWeightsNamed(WeightsNamed.newBuilder().setModel(MODEL).setVersion(version).setOrigin("127.0.0.1:1")));
