A late manifest of an older version no longer replaces a newer fetch

What callers would see: an engine serves version 3 with the chunks of version 2. Cause: whichever manifest arrived last became the file that is fetched and verified, also when its fetch had been abandoned. Fetches are numbered; what belongs to an earlier one is ignored.

--- a/agent/src/main/java/org/wisteriapost/agent/site/RolloutExecutor.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/RolloutExecutor.java
@@ -113,6 +113,8 @@
 
 	private boolean idle;
 
+	private long fetches;
+
 	private long verifications;
 
 	private Optional<CompletableFuture<Void>> currentFetch = Optional.empty();
@@ -235,7 +237,7 @@
 			switch (effect) {
 				case RolloutEffect.ReadReport read -> readReport();
 				case RolloutEffect.Fetch fetching -> startFetch(fetching.version());
-				case RolloutEffect.Abandon abandon -> this.currentFetch.ifPresent((running) -> running.cancel(false));
+				case RolloutEffect.Abandon abandon -> abandonFetch();
 				case RolloutEffect.Verify verify -> verify(verify.version());
 				case RolloutEffect.Take take -> sendOrder(take.version(), take.sequence());
 				case RolloutEffect.PublishStatus tell ->
@@ -265,13 +267,25 @@
 		});
 	}
 
+	private void abandonFetch() {
+		this.fetches++;
+		this.currentFetch.ifPresent((running) -> running.cancel(false));
+	}
+
 	private void startFetch(int version) {
+		this.fetches++;
+		long number = this.fetches;
 		ModelTransfer active = this.modelTransfer.orElseThrow();
 		String path = active.model + "/" + version;
 		// Until the new fetch starts, the transfer's progress is that of the previous
 		// one.
 		this.currentFetch = Optional.empty();
 		active.origin.manifest(path).whenComplete((manifest, failure) -> runOnLoop(() -> {
+			// A late manifest must not replace the file of a newer fetch: that one's
+			// chunks would be overwritten and verified against the wrong hashes.
+			if (number != this.fetches) {
+				return;
+			}
 			if (failure != null) {
 				this.log.failure("manifest-failed", "version", version, "cause", failure.getMessage());
 				this.rollout.fetchEnded(version, false, System.nanoTime());
