A repeated fetch reads chunks back where files overwrite each other in the store

What callers would see: an engine serves a chunk that was corrupted seconds before it took the weights. Cause: a fetch did not read again what this process had verified at any earlier time, and a quick fetch counts as verification. Where a store keeps files apart that saves work and is kept; the site's staging memory has one copy of each chunk, so there everything is read back (WeightStore #isolatesFiles).

--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
@@ -119,6 +119,9 @@
 
 	private BitSet alreadyVerified(ChunkIndex chunks) {
 		BitSet verified = new BitSet();
+		if (!this.context.store().isolatesFiles()) {
+			return verified;
+		}
 		for (int chunk = 0; chunk < chunks.count(); chunk++) {
 			verified.set(chunk, this.verifiedChunks.chunks(chunks.digest(chunk)).get(chunks.indexInFile(chunk)));
 		}
--- a/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
@@ -241,6 +241,11 @@
 		return CompletableFuture.completedFuture(null);
 	}
 
+	@Override
+	public boolean isolatesFiles() {
+		return false;
+	}
+
 	// The origin.
 
 	@Override
--- a/protocol/src/main/java/org/wisteriapost/protocol/outside/WeightStore.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/outside/WeightStore.java
@@ -30,6 +30,15 @@
 	 */
 	CompletableFuture<Void> delete(String file);
 
+	/**
+	 * Returns whether a stored chunk stays until its file is deleted. Otherwise files
+	 * overwrite each other's chunks, and what was verified once must be read again before
+	 * it is used.
+	 */
+	default boolean isolatesFiles() {
+		return true;
+	}
+
 	@Override
 	void close();
 
