A fetch begins once the puts of the one before have ended

What callers would see: an engine serves version 3 with a chunk of version 2. Cause: stopping a fetch left its puts under way; one that was carried out late overwrote a chunk of the next version after that had been verified. A put that ended without an answer may still be carried out later: open.

--- a/agent/src/main/java/org/wisteriapost/agent/transfer/Fetch.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/Fetch.java
@@ -4,8 +4,10 @@
 import java.lang.System.Logger.Level;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledFuture;
@@ -55,6 +57,8 @@
 
 	private final ScheduledFuture<?> tickTimer;
 
+	private final Set<CompletableFuture<?>> openPuts = new HashSet<>();
+
 	private boolean stopped;
 
 	private volatile int verifiedCount;
@@ -109,6 +113,24 @@
 		this.unstoredChunks.clear();
 	}
 
+	/**
+	 * Records puts to the store that belong to this fetch.
+	 * @param ended completes when they have succeeded or failed
+	 */
+	void putsStarted(CompletableFuture<?> ended) {
+		this.openPuts.add(ended);
+		ended.whenComplete((result, failure) -> this.thread.execute(() -> this.openPuts.remove(ended)));
+	}
+
+	/**
+	 * Completes when every put that was sent has succeeded or failed.
+	 */
+	CompletableFuture<Void> putsEnded() {
+		return CompletableFuture.allOf(this.openPuts.stream()
+			.map((put) -> put.exceptionally((failure) -> null))
+			.toArray(CompletableFuture[]::new));
+	}
+
 	@Override
 	public void event(TransferEvent event) {
 		if (this.stopped) {
@@ -188,6 +210,7 @@
 	}
 
 	private void completeStore(CompletableFuture<Void> put, int chunk) {
+		putsStarted(put);
 		put.whenComplete((none, failure) -> this.thread.execute(() -> {
 			if (failure != null) {
 				LOG.log(Level.WARNING, "chunk-not-stored: " + describe(chunk) + ": " + cause(failure).getMessage());
--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
@@ -79,8 +79,10 @@
 	}
 
 	private void startFetch(ChunkIndex chunks, CompletableFuture<Void> result) {
+		CompletableFuture<Void> previousPuts = CompletableFuture.completedFuture(null);
 		if (this.current != null) {
 			this.current.stop();
+			previousPuts = this.current.putsEnded();
 		}
 		BitSet verified = alreadyVerified(chunks);
 		for (int fileNumber = 0; fileNumber < chunks.files().size(); fileNumber++) {
@@ -96,7 +98,17 @@
 				this.thread.execute(fetch::stop);
 			}
 		});
-		StoreScanner scanner = new StoreScanner(this.context.store(), this.thread, chunks);
+		// A put of the previous fetch that is carried out later would overwrite a chunk
+		// of
+		// this one after it was verified.
+		previousPuts.thenRun(() -> this.thread.execute(() -> scanStore(fetch, verified)));
+	}
+
+	private void scanStore(Fetch fetch, BitSet verified) {
+		if (fetch.stopped()) {
+			return;
+		}
+		StoreScanner scanner = new StoreScanner(this.context.store(), this.thread, fetch.chunks());
 		scanner.findValidChunks(verified).thenAccept((found) -> this.thread.execute(() -> {
 			found.or(verified);
 			copyFromOtherFiles(fetch, scanner, found);
@@ -129,8 +141,13 @@
 	}
 
 	private void copyFromOtherFiles(Fetch fetch, StoreScanner scanner, BitSet held) {
+		if (fetch.stopped()) {
+			return;
+		}
 		List<LocalCopyPlanner.Copy> copies = LocalCopyPlanner.plan(fetch.chunks(), this.verifiedChunks.files(), held);
-		scanner.copy(copies).thenAccept((copied) -> this.thread.execute(() -> {
+		CompletableFuture<BitSet> copying = scanner.copy(copies);
+		fetch.putsStarted(copying);
+		copying.thenAccept((copied) -> this.thread.execute(() -> {
 			held.or(copied);
 			startWhenPeersKnown(fetch, () -> fetch.start(held));
 		}));
