--- a/app/src/test/java/org/wisteriapost/app/RunnerNeedTests.java
+++ b/app/src/test/java/org/wisteriapost/app/RunnerNeedTests.java
@@ -113,4 +113,16 @@
 		assertThat((double) limited.executedRequests().size() - before, Matchers.lessThanOrEqualTo(1.5 * seconds + 5));
 	}
 
+	// Guards against requests to a runner that is leaving while the store does not say
+	// so.
+	@Test
+	void runnerThatStatesItIsLeavingGetsNoMoreRequests() {
+		EmulatedRunner leaving = this.runners.getFirst();
+		leaving.announceLeaving();
+		IntStream.range(0, 120).forEach((i) -> call(1 + i % ENTRIES, "body-" + i));
+		long before = leaving.executedRequests().size();
+		IntStream.range(0, 120).forEach((i) -> call(1 + i % ENTRIES, "body-" + i));
+		assertThat((long) leaving.executedRequests().size(), Matchers.equalTo(before));
+	}
+
 }
