A runner that states in its answers that it is leaving gets no more requests

What callers and operators saw: requests went on to a runner for seconds after it had said that it was leaving; they are cut when it ends. Cause: whether a runner leaves was known from the store alone, which did not answer for 12 s.

It holds until the runner's next incarnation, whatever its registration says.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -141,6 +141,14 @@
 	record PeerLoadReported(String peer, LoadReport report) implements DirectEvent {
 	}
 
+	/**
+	 * A runner stated in an answer that it is leaving.
+	 *
+	 * @param runner the incarnation of the runner that answered
+	 */
+	record RunnerLeaving(RunnerInfo runner) implements DirectEvent {
+	}
+
 	/**
 	 * A runner was checked after its connections had ended.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -73,7 +73,8 @@
 						new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.DONE, "answer already complete"));
 				return;
 			}
-			ResponseForwarder forwarder = new ResponseForwarder(call, dispatch, this.dialect, this.events);
+			ResponseForwarder forwarder = new ResponseForwarder(call, dispatch, send.runner(), this.dialect,
+					this.events);
 			call.forwarder(Optional.of(forwarder));
 			forwarder.exchangeStarted(this.caller.stream(outbound(call, send), forwarder));
 		});
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -20,12 +20,10 @@
 import org.wisteriapost.policy.fleet.StoreRole;
 import org.wisteriapost.policy.fleet.UpstreamSelector;
 import org.wisteriapost.policy.routing.RouteTable;
-import org.wisteriapost.protocol.site.EngineStatusCodec;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.EchoRequest;
-import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.LoadReport;
 
@@ -75,6 +73,8 @@
 
 	private final ContentionLog contentionLog;
 
+	private final RunnerReports runnerReports;
+
 	private final SuspensionDetector suspension;
 
 	private final Map<Long, DirectCall> calls = new HashMap<>();
@@ -118,6 +118,7 @@
 		this.quarantineLog = new QuarantineLog(log, metrics);
 		this.rateLimitLog = new RateLimitLog(log, metrics);
 		this.contentionLog = new ContentionLog(log);
+		this.runnerReports = new RunnerReports(dispatcher, log);
 		this.suspension = SuspensionDetector.start(now(), clocks.wallMillis().getAsLong());
 	}
 
@@ -162,16 +163,17 @@
 			case DirectEvent.PeerLeaving leaving -> this.roster.markLeaving(leaving.peer());
 			case DirectEvent.PeerIdentified identified -> peerIdentified(identified.peer());
 			case DirectEvent.PeerLoadReported loads -> peerLoads(loads.peer(), loads.report(), now);
-			case DirectEvent.RunnerChecked checked -> runnerChecked(checked, now);
+			case DirectEvent.RunnerLeaving leaving -> this.runnerReports.leavingStated(leaving.runner());
+			case DirectEvent.RunnerChecked checked -> this.runnerReports.checked(checked, now);
 			case DirectEvent.SuspectsReported reported ->
 				this.suspects.ifPresent((exchange) -> exchange.reportReceived(reported.peer(), reported.report(), now));
 			case DirectEvent.FailureDomainReported report -> this.failureDomainUpdates
 				.ifPresent((domains) -> domains.stateReceived(report.peer(), report.report(), now)
-					.forEach((one) -> engineStatus(one, now)));
+					.forEach((one) -> this.runnerReports.engineStatus(one, now)));
 			case DirectEvent.PeerStateUpdated update -> peerUpdate(update, now);
 			case DirectEvent.PeerSubscriptionChanged subscription -> this.updates
 				.ifPresent((updates) -> updates.requestReceived(subscription.peer(), subscription.request()));
-			case DirectEvent.EngineStatusReported reported -> engineStatus(reported.status(), now);
+			case DirectEvent.EngineStatusReported reported -> this.runnerReports.engineStatus(reported.status(), now);
 			case DirectEvent.EchoReceived echo ->
 				this.dispatcher.runnerPaths().echoReceived(echo.address(), echo.stampNanos(), now);
 			case DirectEvent.Tick tick -> tick(now);
@@ -246,12 +248,6 @@
 		}
 	}
 
-	private void runnerChecked(DirectEvent.RunnerChecked checked, long now) {
-		this.log.decision("runner-checked", "runner", checked.runner().id(), "address", checked.runner().address(),
-				"accepts", checked.accepts());
-		this.dispatcher.quarantine().runnerChecked(checked.runner(), checked.accepts(), now);
-	}
-
 	// Events from the store.
 
 	// Discards what was read while this entry became a follower: it is older than what
@@ -285,7 +281,7 @@
 	private void storeReachable(DirectEvent.StoreReachability reachable, long now) {
 		this.log.decision("store", "kind", reachable.kind(), "reachable", reachable.reachable());
 		if (reachable.kind() == ObjectKind.RUNNERS) {
-			this.dispatcher.updateStoreReachable(reachable.reachable(), now);
+			this.dispatcher.departures().storeReachable(reachable.reachable(), now);
 			this.updates.ifPresent((updates) -> updates.storeReachable(reachable.reachable()));
 		}
 	}
@@ -305,7 +301,7 @@
 			.map((reading) -> reading.updateReceived(received.peer(), received.update(), now))
 			.orElse(List.of());
 		if (!applied.isEmpty()) {
-			this.dispatcher.updateStoreReachable(true, now);
+			this.dispatcher.departures().storeReachable(true, now);
 		}
 		for (DirectEvent one : applied) {
 			switch (one) {
@@ -351,12 +347,6 @@
 		this.dispatcher.rateLimits().merge(peer, LoadReportCodec.decodeRates(report, now), now);
 	}
 
-	private void engineStatus(EngineState status, long now) {
-		this.log.decision("agent-says", "address", status.getAddress(), "version", status.getVersion(), "switching",
-				status.getSwitching(), "closesInMs", status.getClosesInMillis());
-		this.dispatcher.updateEngineStatus(status.getAddress(), EngineStatusCodec.decode(status, now), now);
-	}
-
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
+import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.protocol.http.HttpExchange;
 import org.wisteriapost.protocol.http.HttpResponseListener;
 import org.wisteriapost.protocol.site.CallProtocol;
@@ -33,6 +34,8 @@
 
 	private final int dispatch;
 
+	private final RunnerInfo runner;
+
 	private final CallProtocol dialect;
 
 	private final Consumer<DirectEvent> events;
@@ -53,9 +56,15 @@
 
 	private boolean firstEventReported;
 
-	ResponseForwarder(DirectCall call, int dispatch, CallProtocol dialect, Consumer<DirectEvent> events) {
+	/**
+	 * Creates the forwarder of one dispatch.
+	 * @param runner the runner that it is sent to
+	 */
+	ResponseForwarder(DirectCall call, int dispatch, RunnerInfo runner, CallProtocol dialect,
+			Consumer<DirectEvent> events) {
 		this.call = call;
 		this.dispatch = dispatch;
+		this.runner = runner;
 		this.dialect = dialect;
 		this.events = events;
 	}
@@ -101,6 +110,9 @@
 			return;
 		}
 		this.status = code;
+		if (reply.leaving() && !reply.otherIncarnation()) {
+			this.events.accept(new DirectEvent.RunnerLeaving(this.runner));
+		}
 		// A rejection without a limit does not say that the limit has ended.
 		if (!reply.otherIncarnation() && (reply.requestsPerSecond().isPresent() || !reply.notRun())) {
 			this.call.job().recordNamedLimit(this.dispatch, reply.requestsPerSecond());
--- /dev/null
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
@@ -0,0 +1,51 @@
+package org.wisteriapost.entry.direct;
+
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.protocol.site.EngineStatusCodec;
+import org.wisteriapost.protocol.wire.EngineState;
+
+/**
+ * Applies and logs what runners, their agents and checks of them report. Confined to the
+ * state thread.
+ */
+final class RunnerReports {
+
+	private final Dispatcher dispatcher;
+
+	private final DecisionLog log;
+
+	RunnerReports(Dispatcher dispatcher, DecisionLog log) {
+		this.dispatcher = dispatcher;
+		this.log = log;
+	}
+
+	/**
+	 * Handles a check of a runner after its connections had ended.
+	 */
+	void checked(DirectEvent.RunnerChecked checked, long now) {
+		this.log.decision("runner-checked", "runner", checked.runner().id(), "address", checked.runner().address(),
+				"accepts", checked.accepts());
+		this.dispatcher.quarantine().runnerChecked(checked.runner(), checked.accepts(), now);
+	}
+
+	/**
+	 * Handles a runner's statement that it is leaving.
+	 */
+	void leavingStated(RunnerInfo runner) {
+		if (this.dispatcher.departures().leavingStated(runner)) {
+			this.log.decision("runner-leaving", "runner", runner.id(), "address", runner.address());
+		}
+	}
+
+	/**
+	 * Handles the status of an engine, as reported by its agent.
+	 */
+	void engineStatus(EngineState status, long now) {
+		this.log.decision("agent-says", "address", status.getAddress(), "version", status.getVersion(), "switching",
+				status.getSwitching(), "closesInMs", status.getClosesInMillis());
+		this.dispatcher.updateEngineStatus(status.getAddress(), EngineStatusCodec.decode(status, now), now);
+	}
+
+}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
@@ -171,7 +171,7 @@
 			// Overwritten by another writer: no runner until the runner registers
 			// again.
 			this.log.decision("runner-unreadable", "runner", change.item().name());
-			this.dispatcher.removeUnusableRunner(change.item().name());
+			this.dispatcher.departures().registrationUnusable(change.item().name());
 			this.notifier.peersChanged();
 		}
 	}
@@ -180,7 +180,7 @@
 		switch (kind) {
 			case RUNNERS -> {
 				this.log.decision("runner-removed", "runner", name);
-				this.dispatcher.registrationRemoved(name, now);
+				this.dispatcher.departures().registrationRemoved(name, now);
 				this.notifier.peersChanged();
 			}
 			case ENTRIES -> {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -191,11 +191,14 @@
 
 	// What a runner reports of a dispatch.
 
-	void done(DirectCall call, int dispatch, OptionalDouble rateLimit) {
+	void done(DirectCall call, int dispatch, RunnerInfo runner, boolean leaving, OptionalDouble rateLimit) {
 		Map<String, String> headers = new HashMap<>();
 		headers.put("attempt", call.job().attemptId());
+		if (leaving) {
+			headers.put("leaving", "1");
+		}
 		rateLimit.ifPresent((limit) -> headers.put("limit", Double.toString(limit)));
-		new ResponseForwarder(call, dispatch, new FleetProtocol(), this::apply).onHead(200, headers, List.of());
+		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply).onHead(200, headers, List.of());
 		answer(call.request().id(), new FleetHarness.Answer("done", 0));
 		apply(new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.DONE, "status 200"));
 	}
@@ -209,7 +212,7 @@
 	 * @param sent whether the request had been sent
 	 */
 	void connectionFailed(DirectCall call, int dispatch, boolean sent) {
-		new ResponseForwarder(call, dispatch, null, this::apply).onFailure(sent,
+		new ResponseForwarder(call, dispatch, null, null, this::apply).onFailure(sent,
 				new IOException("Connection reset by peer"));
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -265,9 +265,12 @@
 	}
 
 	void writeRunner(FleetRunner runner) {
-		write(ObjectKind.RUNNERS, runner.id(),
-				new DecodedObject.Runner(new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(),
-						RUNNER_SLOTS, false, 0, Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN)));
+		write(ObjectKind.RUNNERS, runner.id(), new DecodedObject.Runner(runnerInfo(runner)));
+	}
+
+	RunnerInfo runnerInfo(FleetRunner runner) {
+		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), RUNNER_SLOTS, false, 0,
+				Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
 	}
 
 	void removeRunner(String id) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
@@ -13,15 +13,16 @@
 import org.wisteriapost.protocol.site.RunnerResponseFields;
 
 /**
- * The headers of responses of {@link FleetRunner}s: {@code attempt} and {@code limit}.
+ * The headers of responses of {@link FleetRunner}s: {@code attempt}, {@code limit} and
+ * {@code leaving}.
  */
 final class FleetProtocol implements CallProtocol {
 
 	@Override
 	public RunnerResponseFields parseResponse(int status, Map<String, String> headers) {
-		return new RunnerResponseFields(Optional.ofNullable(headers.get("attempt")), false, false, OptionalInt.empty(),
-				headers.containsKey("limit") ? OptionalDouble.of(Double.parseDouble(headers.get("limit")))
-						: OptionalDouble.empty());
+		return new RunnerResponseFields(Optional.ofNullable(headers.get("attempt")), false, false,
+				headers.containsKey("leaving"), OptionalInt.empty(), headers.containsKey("limit")
+						? OptionalDouble.of(Double.parseDouble(headers.get("limit"))) : OptionalDouble.empty());
 	}
 
 	@Override
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
@@ -7,10 +7,13 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 
+import org.wisteriapost.policy.fleet.EntryInfo;
+
 /**
  * A runner of a {@link FleetHarness}. A request whose body starts with {@link #POISON}
  * crashes it shortly after it has begun to run; the runner is back with a new id some
- * seconds later. It can name a limit on its rate in its answers.
+ * seconds later. It can name a limit on its rate in its answers, and state that it is
+ * leaving.
  */
 final class FleetRunner {
 
@@ -33,6 +36,11 @@
 
 	private final Map<String, Long> toldNanos = new HashMap<>();
 
+	private boolean leaving;
+
+	// When each incarnation of an entry first passed on an answer that states it.
+	private final Map<EntryInfo, Long> leavingToldNanos = new HashMap<>();
+
 	private int starts;
 
 	private boolean up;
@@ -63,6 +71,8 @@
 	void start() {
 		this.starts++;
 		this.toldNanos.clear();
+		this.leaving = false;
+		this.leavingToldNanos.clear();
 		this.up = true;
 		this.fleet.writeRunner(this);
 	}
@@ -80,6 +90,18 @@
 		this.toldNanos.clear();
 	}
 
+	/**
+	 * States in all answers from now on that it is leaving. The store is not told.
+	 */
+	void leave() {
+		this.leaving = true;
+	}
+
+	private long sinceToldLeaving(FleetEntry entry) {
+		Long told = this.leavingToldNanos.get(entry.info());
+		return (told != null) ? this.fleet.now() - told : 0;
+	}
+
 	OptionalDouble rateLimit() {
 		return this.rateLimit;
 	}
@@ -128,7 +150,8 @@
 			return;
 		}
 		String body = new String(call.request().body(), StandardCharsets.UTF_8);
-		this.arrivals.add(new Arrival(body, id(), this.fleet.now(), entry.inTouch(), heldToLimit(entry)));
+		this.arrivals.add(new Arrival(body, id(), this.fleet.now(), entry.inTouch(), heldToLimit(entry),
+				sinceToldLeaving(entry)));
 		Run run = new Run(entry, call, dispatch);
 		this.runs.add(run);
 		if (body.startsWith(POISON)) {
@@ -143,7 +166,10 @@
 		this.fleet.after(this.fleet.between(50, 1200), () -> {
 			if (this.runs.remove(run)) {
 				this.rateLimit.ifPresent((limit) -> this.toldNanos.putIfAbsent(entry.name(), this.fleet.now()));
-				entry.done(call, dispatch, this.rateLimit);
+				if (this.leaving) {
+					this.leavingToldNanos.putIfAbsent(entry.info(), this.fleet.now());
+				}
+				entry.done(call, dispatch, this.fleet.runnerInfo(this), this.leaving, this.rateLimit);
 			}
 		});
 	}
@@ -164,8 +190,11 @@
 	 * @param atNanos the time
 	 * @param entryInTouch whether its entry had run undisturbed
 	 * @param heldToLimit whether the rate limit of the runner holds for it
+	 * @param sinceToldLeavingNanos the time since its entry passed on that the runner is
+	 * leaving; 0 if it has not
 	 */
-	record Arrival(String body, String runnerId, long atNanos, boolean entryInTouch, boolean heldToLimit) {
+	record Arrival(String body, String runnerId, long atNanos, boolean entryInTouch, boolean heldToLimit,
+			long sinceToldLeavingNanos) {
 	}
 
 	private record Run(FleetEntry entry, DirectCall call, int dispatch) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -35,6 +35,8 @@
 
 	private final RateLimits rateLimits;
 
+	private final RunnerDepartures departures;
+
 	private final RunnerPaths paths;
 
 	private final FleetView fleetView;
@@ -67,6 +69,7 @@
 		this.registry = new RunnerRegistry(new RunnerSubset(limits.failureDomain(), random.nextLong()));
 		this.peerLoads = new PeerLoads(this.registry);
 		this.rateLimits = new RateLimits(this.registry, limits.failureDomain(), random);
+		this.departures = new RunnerDepartures(this.registry);
 		this.fleetView = new FleetView(this.registry, limits.failureDomain());
 		this.weightsFence = new WeightsFence(limits.weightsActivationDelay());
 		ServiceLatencyFactors factors = new ServiceLatencyFactors();
@@ -138,27 +141,6 @@
 		return changed;
 	}
 
-	/**
-	 * Records that the registration of a runner was removed.
-	 */
-	public void registrationRemoved(String id, long nowNanos) {
-		this.registry.registrationRemoved(id, nowNanos);
-	}
-
-	/**
-	 * Removes a runner whose registration no longer describes a usable runner.
-	 */
-	public void removeUnusableRunner(String id) {
-		this.registry.removeUnusable(id);
-	}
-
-	/**
-	 * Records whether the site's store is reachable.
-	 */
-	public void updateStoreReachable(boolean reachable, long nowNanos) {
-		this.registry.updateStoreReachable(reachable, nowNanos);
-	}
-
 	/**
 	 * Updates the status of an engine, as reported by the agent on its VM.
 	 * @param address the runner's address
@@ -175,6 +157,13 @@
 		this.admission.recordRefusal(request);
 	}
 
+	/**
+	 * Returns which runners are leaving or gone.
+	 */
+	public RunnerDepartures departures() {
+		return this.departures;
+	}
+
 	/**
 	 * Returns the network paths to the runners.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -202,7 +202,7 @@
 
 	private static boolean eligible(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
 			long nowNanos) {
-		if (runner.info.draining() || runner.removed || runner.switching() || runner.backedOff(nowNanos)
+		if (runner.draining() || runner.removed || runner.switching() || runner.backedOff(nowNanos)
 				|| runner.path.probing() || runner.path.blocked(nowNanos)) {
 			return false;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
@@ -36,7 +36,7 @@
 			case ERROR, FULL -> this.quarantine.runnerAnswered(runner.info, nowNanos);
 			case DISCONNECTED -> {
 				// A runner that leaves may close connections at its end.
-				if (!runner.info.draining() && !runner.removed) {
+				if (!runner.draining() && !runner.removed) {
 					this.quarantine.runnerLost(job.contentHash(), runner.info, nowNanos);
 				}
 			}
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerDepartures.java
@@ -0,0 +1,49 @@
+package org.wisteriapost.policy.dispatch;
+
+import org.wisteriapost.policy.fleet.RunnerInfo;
+
+/**
+ * Records which runners are leaving or gone, from the store and from the runners'
+ * answers.
+ */
+public final class RunnerDepartures {
+
+	private final RunnerRegistry registry;
+
+	RunnerDepartures(RunnerRegistry registry) {
+		this.registry = registry;
+	}
+
+	/**
+	 * Records that the registration of a runner was removed.
+	 */
+	public void registrationRemoved(String id, long nowNanos) {
+		this.registry.registrationRemoved(id, nowNanos);
+	}
+
+	/**
+	 * Removes a runner whose registration no longer describes a usable runner.
+	 */
+	public void registrationUnusable(String id) {
+		this.registry.removeUnusable(id);
+	}
+
+	/**
+	 * Records whether the site's store is reachable. Registrations that are removed while
+	 * it is not may be restored.
+	 */
+	public void storeReachable(boolean reachable, long nowNanos) {
+		this.registry.updateStoreReachable(reachable, nowNanos);
+	}
+
+	/**
+	 * Records that a runner stated in an answer that it is leaving, and returns whether
+	 * that was unknown. It holds until the runner's next incarnation, whatever its
+	 * registration says: the store may be unable to accept the runner's report.
+	 * @param runner the incarnation that answered
+	 */
+	public boolean leavingStated(RunnerInfo runner) {
+		return this.registry.find(runner).map(RunnerState::markLeaving).orElse(false);
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -196,6 +196,13 @@
 		return Optional.ofNullable(this.runners.get(id));
 	}
 
+	/**
+	 * Returns the state of an incarnation of a runner.
+	 */
+	Optional<RunnerState> find(RunnerInfo runner) {
+		return find(runner.id()).filter((state) -> state.info.incarnation().equals(runner.incarnation()));
+	}
+
 	List<RunnerState> forService(String service) {
 		return this.services.getOrDefault(service, List.of());
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -66,6 +66,8 @@
 
 	boolean removed;
 
+	private boolean leaving;
+
 	private long backoffUntilNanos = Long.MIN_VALUE;
 
 	private int consecutiveMisdirected;
@@ -99,6 +101,24 @@
 		resetBackoff();
 	}
 
+	/**
+	 * Records that the runner stated that it is leaving, and returns whether that was
+	 * unknown.
+	 */
+	boolean markLeaving() {
+		boolean unknown = !draining();
+		this.leaving = true;
+		return unknown;
+	}
+
+	/**
+	 * Returns whether the runner is leaving, according to its registration or its own
+	 * statement.
+	 */
+	boolean draining() {
+		return this.leaving || this.info.draining();
+	}
+
 	/**
 	 * Updates the engine status reported by the agent.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherTests.java
@@ -124,7 +124,7 @@
 	void deregisteredRunnerGetsNoNewRequests() {
 		DispatcherHarness harness = new DispatcherHarness().register(DispatcherHarness.plain("r1"),
 				DispatcherHarness.plain("r2"));
-		harness.dispatcher.registrationRemoved("r1", harness.nowNanos);
+		harness.dispatcher.departures().registrationRemoved("r1", harness.nowNanos);
 		for (int i = 0; i < 20; i++) {
 			harness.ended(harness.arrive(DispatcherHarness.LOOKUP), DispatchOutcome.DONE);
 		}
@@ -137,12 +137,12 @@
 	@Test
 	void registrationsThatExpireDuringStoreOutageAreKeptForGracePeriod() {
 		DispatcherHarness harness = new DispatcherHarness().register(DispatcherHarness.plain("r1"));
-		harness.dispatcher.updateStoreReachable(false, harness.nowNanos);
-		harness.dispatcher.registrationRemoved("r1", harness.nowNanos);
+		harness.dispatcher.departures().storeReachable(false, harness.nowNanos);
+		harness.dispatcher.departures().registrationRemoved("r1", harness.nowNanos);
 		harness.ended(harness.arrive(DispatcherHarness.LOOKUP), DispatchOutcome.DONE);
 		assertThat(harness.effectNames(), Matchers.contains("Send:r1"));
 		harness.advance(5000);
-		harness.dispatcher.updateStoreReachable(true, harness.nowNanos);
+		harness.dispatcher.departures().storeReachable(true, harness.nowNanos);
 		harness.advance(1000);
 		harness.ended(harness.arrive(DispatcherHarness.LOOKUP), DispatchOutcome.DONE);
 		assertThat(harness.effectNames(), Matchers.contains("Send:r1"));
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerIncarnationTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerIncarnationTests.java
@@ -88,7 +88,7 @@
 			this.harness.effectNames();
 		}
 		this.harness.register(engine(SECOND, Map.of("lm", 1)));
-		this.harness.dispatcher.registrationRemoved("e2", this.harness.nowNanos);
+		this.harness.dispatcher.departures().registrationRemoved("e2", this.harness.nowNanos);
 		assertThat(sendAndGetEffects(), Matchers.equalTo("Send:e1"));
 	}
 
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerSubsetTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerSubsetTests.java
@@ -83,7 +83,7 @@
 			.stream()
 			.filter((one) -> one.startsWith("Send"))
 			.forEach((one) -> selected.add(one.substring(5)));
-		selected.forEach((id) -> harness.dispatcher.removeUnusableRunner(id));
+		selected.forEach((id) -> harness.dispatcher.departures().registrationUnusable(id));
 		harness.arrive(DispatcherHarness.STREAM);
 		assertThat(harness.effectNames().getFirst(), Matchers.startsWith("Send:"));
 	}
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/UnreachableRunnerTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/UnreachableRunnerTests.java
@@ -101,7 +101,7 @@
 			next = harness.arrive(DispatcherHarness.STREAM);
 		}
 		harness.ended(next, DispatchOutcome.NOT_SENT);
-		harness.dispatcher.registrationRemoved(failing, harness.nowNanos);
+		harness.dispatcher.departures().registrationRemoved(failing, harness.nowNanos);
 		harness.advance(150);
 		harness.register(DispatcherHarness.engine(failing));
 		harness.drain();
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
@@ -10,10 +10,11 @@
  * @param attemptId id of the attempt that it answers
  * @param notRun whether the runner guarantees that the request has not run
  * @param otherIncarnation whether another incarnation of a runner has the address
+ * @param leaving whether the runner states that it is about to end
  * @param weightsVersion the version that served the request
  * @param requestsPerSecond the rate that the runner takes from all entries together, when
  * it limits that
  */
 public record RunnerResponseFields(Optional<String> attemptId, boolean notRun, boolean otherIncarnation,
-		OptionalInt weightsVersion, OptionalDouble requestsPerSecond) {
+		boolean leaving, OptionalInt weightsVersion, OptionalDouble requestsPerSecond) {
 }
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
@@ -141,7 +141,7 @@
 		engine.crash();
 		this.events.schedule(REGISTRATION_TTL.toNanos(), () -> {
 			if (!engine.reachable()) {
-				forEachEntry((entry) -> entry.dispatcher().removeUnusableRunner(engine.name()));
+				forEachEntry((entry) -> entry.dispatcher().departures().registrationUnusable(engine.name()));
 			}
 		});
 		this.events.schedule(lengthNanos, () -> {
