--- a/app/src/test/java/org/wisteriapost/app/RunnerNeedTests.java
+++ b/app/src/test/java/org/wisteriapost/app/RunnerNeedTests.java
@@ -125,4 +125,14 @@
 		assertThat((long) leaving.executedRequests().size(), Matchers.equalTo(before));
 	}
 
+	// Guards against requests to a runner that has turned this entry away and asked it to
+	// send nothing for a time.
+	@Test
+	void runnerThatAsksForRestGetsNoRequestsUntilItsEnd() {
+		EmulatedRunner resting = this.runners.getFirst();
+		resting.turnAway(60);
+		IntStream.range(0, 120).forEach((i) -> call(1 + i % ENTRIES, "body-" + i));
+		assertThat(resting.turnedAway(), Matchers.allOf(Matchers.greaterThan(0), Matchers.lessThanOrEqualTo(ENTRIES)));
+	}
+
 }
