A runner that asks for rest is sent nothing until its end

What callers saw: under a shortage, requests went 29 times in 0.7 s to a runner that had turned this entry away and asked for 3 s of rest; each such attempt was one that a caller lost, and 641 requests were turned away in 6 s. Cause: nothing read Retry-After of a runner's 503; a rejection kept the runner out for 40 ms.

The time was asked of this entry, so other entries are not told. Where all runners rest, callers are refused at once (runner-resting), with the time until the first one takes requests again; only a rest that ends within the usual wait for a runner is waited for.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.List;
 
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
@@ -149,6 +150,15 @@
 	record RunnerLeaving(RunnerInfo runner) implements DirectEvent {
 	}
 
+	/**
+	 * A runner turned a request away and wants no others for a time.
+	 *
+	 * @param runner the incarnation of the runner that answered
+	 * @param rest for how long it wants none from this entry
+	 */
+	record RunnerResting(RunnerInfo runner, Duration rest) implements DirectEvent {
+	}
+
 	/**
 	 * A runner was checked after its connections had ended.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -164,6 +164,7 @@
 			case DirectEvent.PeerIdentified identified -> peerIdentified(identified.peer());
 			case DirectEvent.PeerLoadReported loads -> peerLoads(loads.peer(), loads.report(), now);
 			case DirectEvent.RunnerLeaving leaving -> this.runnerReports.leavingStated(leaving.runner());
+			case DirectEvent.RunnerResting resting -> this.runnerReports.restStated(resting, now);
 			case DirectEvent.RunnerChecked checked -> this.runnerReports.checked(checked, now);
 			case DirectEvent.SuspectsReported reported ->
 				this.suspects.ifPresent((exchange) -> exchange.reportReceived(reported.peer(), reported.report(), now));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -110,8 +110,8 @@
 			return;
 		}
 		this.status = code;
-		if (reply.leaving() && !reply.otherIncarnation()) {
-			this.events.accept(new DirectEvent.RunnerLeaving(this.runner));
+		if (!reply.otherIncarnation()) {
+			reportStatements(reply);
 		}
 		// A rejection without a limit does not say that the limit has ended.
 		if (!reply.otherIncarnation() && (reply.requestsPerSecond().isPresent() || !reply.notRun())) {
@@ -134,6 +134,14 @@
 		}
 	}
 
+	// Before the outcome, so that the request is not retried there.
+	private void reportStatements(RunnerResponseFields reply) {
+		if (reply.leaving()) {
+			this.events.accept(new DirectEvent.RunnerLeaving(this.runner));
+		}
+		reply.rest().ifPresent((rest) -> this.events.accept(new DirectEvent.RunnerResting(this.runner, rest)));
+	}
+
 	@Override
 	public void onData(byte[] data) {
 		if (this.finished) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
@@ -39,6 +39,16 @@
 		}
 	}
 
+	/**
+	 * Handles a runner's statement that it wants no requests for a time.
+	 */
+	void restStated(DirectEvent.RunnerResting resting, long now) {
+		RunnerInfo runner = resting.runner();
+		this.dispatcher.restStated(runner, resting.rest(), now);
+		this.log.decision("runner-resting", "runner", runner.id(), "address", runner.address(), "millis",
+				resting.rest().toMillis());
+	}
+
 	/**
 	 * Handles the status of an engine, as reported by its agent.
 	 */
--- a/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
@@ -210,8 +210,8 @@
 
 		@Override
 		public RunnerResponseFields parseResponse(int status, Map<String, String> headers) {
-			return new RunnerResponseFields(Optional.empty(), false, false, false, OptionalInt.empty(),
-					OptionalDouble.empty());
+			return new RunnerResponseFields(Optional.empty(), false, false, false, Optional.empty(),
+					OptionalInt.empty(), OptionalDouble.empty());
 		}
 
 		@Override
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -203,6 +203,14 @@
 		apply(new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.DONE, "status 200"));
 	}
 
+	/**
+	 * Reports a rejection by a runner that wants no requests for a time.
+	 */
+	void turnedAway(DirectCall call, int dispatch, RunnerInfo runner, long restMillis) {
+		Map<String, String> headers = Map.of("attempt", call.job().attemptId(), "rest", Long.toString(restMillis));
+		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply).onHead(503, headers, List.of());
+	}
+
 	void misdirected(DirectCall call, int dispatch) {
 		apply(new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.MISDIRECTED, "status 421"));
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,15 +14,19 @@
 import org.wisteriapost.protocol.site.RunnerResponseFields;
 
 /**
- * The headers of responses of {@link FleetRunner}s: {@code attempt}, {@code limit} and
- * {@code leaving}.
+ * The headers of responses of {@link FleetRunner}s: {@code attempt}, {@code limit},
+ * {@code leaving} and {@code rest}, in milliseconds.
  */
 final class FleetProtocol implements CallProtocol {
 
+	private static final int REJECTED = 503;
+
 	@Override
 	public RunnerResponseFields parseResponse(int status, Map<String, String> headers) {
-		return new RunnerResponseFields(Optional.ofNullable(headers.get("attempt")), false, false,
-				headers.containsKey("leaving"), OptionalInt.empty(), headers.containsKey("limit")
+		return new RunnerResponseFields(Optional.ofNullable(headers.get("attempt")), status == REJECTED, false,
+				headers.containsKey("leaving"),
+				Optional.ofNullable(headers.get("rest")).map((millis) -> Duration.ofMillis(Long.parseLong(millis))),
+				OptionalInt.empty(), headers.containsKey("limit")
 						? OptionalDouble.of(Double.parseDouble(headers.get("limit"))) : OptionalDouble.empty());
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
@@ -41,6 +41,13 @@
 	// When each incarnation of an entry first passed on an answer that states it.
 	private final Map<EntryInfo, Long> leavingToldNanos = new HashMap<>();
 
+	private long restUntilNanos = Long.MIN_VALUE;
+
+	private int arrivalsDuringRest;
+
+	// When each incarnation of an entry was first asked to send nothing.
+	private final Map<EntryInfo, Long> askedToRestNanos = new HashMap<>();
+
 	private int starts;
 
 	private boolean up;
@@ -72,6 +79,8 @@
 		this.starts++;
 		this.toldNanos.clear();
 		this.leaving = false;
+		this.restUntilNanos = Long.MIN_VALUE;
+		this.askedToRestNanos.clear();
 		this.leavingToldNanos.clear();
 		this.up = true;
 		this.fleet.writeRunner(this);
@@ -97,6 +106,32 @@
 		this.leaving = true;
 	}
 
+	/**
+	 * Turns all requests away for a time, and asks each entry to send nothing meanwhile.
+	 */
+	void turnAway(long millis) {
+		this.restUntilNanos = this.fleet.now() + millis * FleetHarness.MILLI;
+	}
+
+	/**
+	 * Returns how many requests have arrived from entries that had been asked half a
+	 * second before to send none.
+	 */
+	int arrivalsDuringRest() {
+		return this.arrivalsDuringRest;
+	}
+
+	private void turnAway(FleetEntry entry, DirectCall call, int dispatch) {
+		Long asked = this.askedToRestNanos.get(entry.info());
+		if (asked != null && this.fleet.now() - asked > FleetHarness.SECOND / 2 && entry.inTouch()) {
+			this.arrivalsDuringRest++;
+		}
+		this.askedToRestNanos.putIfAbsent(entry.info(), this.fleet.now());
+		long millis = Math.ceilDiv(this.restUntilNanos - this.fleet.now(), FleetHarness.MILLI);
+		this.fleet.after(FleetHarness.MILLI,
+				() -> entry.turnedAway(call, dispatch, this.fleet.runnerInfo(this), millis));
+	}
+
 	private long sinceToldLeaving(FleetEntry entry) {
 		Long told = this.leavingToldNanos.get(entry.info());
 		return (told != null) ? this.fleet.now() - told : 0;
@@ -149,6 +184,10 @@
 			this.fleet.after(FleetHarness.MILLI, () -> entry.misdirected(call, dispatch));
 			return;
 		}
+		if (this.fleet.now() < this.restUntilNanos) {
+			turnAway(entry, call, dispatch);
+			return;
+		}
 		String body = new String(call.request().body(), StandardCharsets.UTF_8);
 		this.arrivals.add(new Arrival(body, id(), this.fleet.now(), entry.inTouch(), heldToLimit(entry),
 				sinceToldLeaving(entry)));
--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestingRunnerFleetTests.java
@@ -0,0 +1,55 @@
+package org.wisteriapost.entry.direct;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * Fleets with runners that turn requests away and ask each entry to send nothing for
+ * three seconds.
+ */
+class RestingRunnerFleetTests {
+
+	private static final long REST_MILLIS = 3000;
+
+	static Stream<Arguments> fleets() {
+		return Stream.of(Arguments.of(6, 16, 0L), Arguments.of(6, 16, 700L), Arguments.of(14, 30, 700L))
+			.flatMap((fleet) -> IntStream.rangeClosed(1, FleetHarness.SEEDS)
+				.mapToObj((seed) -> Arguments.of(fleet.get()[0], fleet.get()[1], fleet.get()[2], seed)));
+	}
+
+	// Guards against an entry that keeps trying a runner that has asked it for rest, and
+	// callers that are refused because of it while other runners have room.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void entrySendsNothingWhileARunnerRests(int entries, int runners, long faultIntervalMillis, long seed) {
+		try (FleetHarness fleet = new FleetHarness(entries, runners, seed)) {
+			FleetTraffic traffic = new FleetTraffic(fleet, runners * 6);
+			fleet.run(Duration.ofSeconds(6));
+			if (faultIntervalMillis > 0) {
+				traffic.startFaults(faultIntervalMillis);
+			}
+			List<FleetRunner> resting = fleet.runners.values().stream().limit(runners / 3).toList();
+			resting.forEach((runner) -> runner.turnAway(REST_MILLIS));
+			fleet.run(Duration.ofSeconds(5));
+			resting.forEach((runner) -> assertThat(runner.arrivalsDuringRest(), Matchers.equalTo(0)));
+			long before = resting.stream().mapToLong((runner) -> runner.arrivals().size()).sum();
+			fleet.run(Duration.ofSeconds(8));
+			assertThat(resting.stream().mapToLong((runner) -> runner.arrivals().size()).sum(),
+					Matchers.greaterThan(before));
+			if (faultIntervalMillis == 0) {
+				assertThat(traffic.innocent().toString(), traffic.innocent().count("done"),
+						Matchers.greaterThan(traffic.innocent().total() * 9 / 10));
+			}
+		}
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -89,7 +89,10 @@
 
 	Decision decide(Job job, Placement.Choice choice, int queued, long nowNanos) {
 		if (choice.isEmpty()) {
-			return (waitedShare(job, nowNanos) < NO_RUNNER_MAX_WAIT_SHARE) ? Decision.WAIT : Decision.REFUSE;
+			// A wait that is known to be in vain would cost the caller the time to go
+			// elsewhere.
+			long untilNanos = choice.restEndNanos().orElse(nowNanos);
+			return (waitedShare(job, untilNanos) < NO_RUNNER_MAX_WAIT_SHARE) ? Decision.WAIT : Decision.REFUSE;
 		}
 		if (!choice.engine()) {
 			return decidePlain(job, choice, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
@@ -164,6 +165,14 @@
 		return this.departures;
 	}
 
+	/**
+	 * Records that a runner turned a request away and wants no others for a time.
+	 * @param runner the incarnation that answered
+	 */
+	public void restStated(RunnerInfo runner, Duration rest, long nowNanos) {
+		this.registry.find(runner).ifPresent((state) -> state.rest.stated(rest, nowNanos));
+	}
+
 	/**
 	 * Returns the network paths to the runners.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
@@ -21,6 +21,10 @@
 	static final Code RUNNER_LIMIT = Code.refusal("runner-limit",
 			"Every usable runner limits the rate of its requests, and the limit is used up.");
 
+	/** All runners want no requests for a time. */
+	static final Code RUNNER_RESTING = Code.refusal("runner-resting",
+			"Every runner of the service has asked to be sent nothing for a time.");
+
 	/** No runner of the service can be used. */
 	static final Code NO_RUNNER = Code.refusal("no-usable-runner",
 			"No runner of the service can be sent requests now.");
@@ -61,7 +65,7 @@
 			this.effects.accept(new DispatchEffect.Fail(job, TIME_OVER, true));
 			return;
 		}
-		refuse(job, TIME_OVER, nowNanos);
+		refuse(job, TIME_OVER, this.admission.retryAfterMillis(job, nowNanos));
 	}
 
 	/**
@@ -72,6 +76,11 @@
 			endWithoutRunner(job, NO_ROOM, nowNanos);
 			return;
 		}
+		if (choice.restEndNanos().isPresent() && job.possibleRuns == 0) {
+			long restMillis = Math.ceilDiv(choice.restEndNanos().getAsLong() - nowNanos, Placement.NANOS_PER_MILLI);
+			refuse(job, RUNNER_RESTING, Math.max(restMillis, this.admission.retryAfterMillis(job, nowNanos)));
+			return;
+		}
 		endWithoutRunner(job, choice.rateLimited() ? RUNNER_LIMIT : NO_RUNNER, nowNanos);
 	}
 
@@ -80,7 +89,7 @@
 			this.effects.accept(new DispatchEffect.Fail(job, RUN_BROKEN, false));
 			return;
 		}
-		refuse(job, code, nowNanos);
+		refuse(job, code, this.admission.retryAfterMillis(job, nowNanos));
 	}
 
 	/**
@@ -95,10 +104,9 @@
 				Math.max(1, remainingNanos / Placement.NANOS_PER_MILLI)));
 	}
 
-	private void refuse(Job job, Code code, long nowNanos) {
+	private void refuse(Job job, Code code, long retryAfterMillis) {
 		job.refusedRequest().ifPresent(this.admission::recordRefusal);
-		long retryAfter = this.admission.retryAfterMillis(job, nowNanos);
-		this.effects.accept(new DispatchEffect.Refuse(job, code, retryAfter));
+		this.effects.accept(new DispatchEffect.Refuse(job, code, retryAfterMillis));
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.policy.routing.EngineSpec;
@@ -120,12 +121,21 @@
 		boolean limited = runners.stream()
 			.anyMatch((runner) -> !this.rateLimits.permits(runner, nowNanos)
 					&& eligible(job, runner, engine, version, nowNanos));
-		return Choice.noRunner(version, limited);
+		return Choice.noRunner(version, limited, restEndNanos(runners, nowNanos));
+	}
+
+	// Empty unless every runner that is not leaving wants no requests: any other may be
+	// usable in a moment.
+	private static OptionalLong restEndNanos(List<RunnerState> runners, long nowNanos) {
+		List<RunnerState> staying = runners.stream().filter((runner) -> !runner.draining() && !runner.removed).toList();
+		return staying.stream().allMatch((runner) -> runner.rest.active(nowNanos))
+				? staying.stream().mapToLong((runner) -> runner.rest.endNanos(nowNanos).orElseThrow()).min()
+				: OptionalLong.empty();
 	}
 
 	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos,
 			List<RunnerState> runners, Requirement requirement) {
-		Choice best = Choice.noRunner(version, false);
+		Choice best = Choice.noRunner(version, false, OptionalLong.empty());
 		double bestCost = Double.MAX_VALUE;
 		int usable = 0;
 		for (RunnerState runner : runners) {
@@ -162,7 +172,7 @@
 		if (engine.isEmpty()) {
 			int capacity = runner.info.slots() + PLAIN_QUEUE;
 			return new Choice(Optional.of(runner), nominal, predicted, 0, load.requests() < capacity,
-					(double) load.requests() / capacity, false, 0, version, false);
+					(double) load.requests() / capacity, false, 0, version, false, OptionalLong.empty());
 		}
 		EngineSpec spec = engine.get();
 		int free = spec.slots() + ENGINE_QUEUE - load.requests();
@@ -171,7 +181,7 @@
 		double wait = EngineLatencyModel.slotWaitMillis(spec, load) * predicted / nominal;
 		OptionalInt requiredVersion = version.isPresent() ? runner.weightsVersion(spec.model()) : version;
 		return new Choice(Optional.of(runner), nominal, predicted, wait, hasFreeCapacity,
-				(double) load.requests() / spec.slots(), true, 0, requiredVersion, false);
+				(double) load.requests() / spec.slots(), true, 0, requiredVersion, false, OptionalLong.empty());
 	}
 
 	// Engines switch weights one after the other under full load. A long response
@@ -203,7 +213,7 @@
 	private static boolean eligible(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
 			long nowNanos) {
 		if (runner.draining() || runner.removed || runner.switching() || runner.backedOff(nowNanos)
-				|| runner.path.probing() || runner.path.blocked(nowNanos)) {
+				|| runner.rest.active(nowNanos) || runner.path.probing() || runner.path.blocked(nowNanos)) {
 			return false;
 		}
 		if (job.triedRunners.contains(runner.info.id()) && job.triedRunners.size() < 3) {
@@ -319,13 +329,16 @@
 	 * entry
 	 * @param requiredVersion the weights version that the request must start on
 	 * @param rateLimited whether there is no runner only because runners limit their rate
+	 * @param restEndNanos when the first runner takes requests again, if there is none
+	 * because all want none for a time
 	 */
 	record Choice(Optional<RunnerState> runner, double nominalMillis, double predictedMillis, double slotWaitMillis,
 			boolean hasFreeCapacity, double utilization, boolean engine, double slotIntervalMillis,
-			OptionalInt requiredVersion, boolean rateLimited) {
+			OptionalInt requiredVersion, boolean rateLimited, OptionalLong restEndNanos) {
 
-		static Choice noRunner(OptionalInt version, boolean rateLimited) {
-			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, version, rateLimited);
+		static Choice noRunner(OptionalInt version, boolean rateLimited, OptionalLong restEndNanos) {
+			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, version, rateLimited,
+					restEndNanos);
 		}
 
 		boolean isEmpty() {
@@ -339,7 +352,7 @@
 			double slots = engines * spec.get().slots() / entries;
 			return new Choice(this.runner, this.nominalMillis, this.predictedMillis, this.slotWaitMillis,
 					this.hasFreeCapacity, this.utilization, true, EngineLatencyModel.slotHoldMillis(spec.get()) / slots,
-					this.requiredVersion, false);
+					this.requiredVersion, false, this.restEndNanos);
 		}
 
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -56,6 +56,8 @@
 
 	final RunnerRateLimit rateLimit = new RunnerRateLimit();
 
+	final RunnerRest rest = new RunnerRest();
+
 	final FirstEventWaits firstEventWaits = new FirstEventWaits();
 
 	RunnerInfo info;
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.protocol.site;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
@@ -11,10 +12,12 @@
  * @param notRun whether the runner guarantees that the request has not run
  * @param otherIncarnation whether another incarnation of a runner has the address
  * @param leaving whether the runner states that it is about to end
+ * @param rest for how long the runner, which turns the request away, wants no requests
+ * from this entry
  * @param weightsVersion the version that served the request
  * @param requestsPerSecond the rate that the runner takes from all entries together, when
  * it limits that
  */
 public record RunnerResponseFields(Optional<String> attemptId, boolean notRun, boolean otherIncarnation,
-		boolean leaving, OptionalInt weightsVersion, OptionalDouble requestsPerSecond) {
+		boolean leaving, Optional<Duration> rest, OptionalInt weightsVersion, OptionalDouble requestsPerSecond) {
 }
