The product's own entries keep to the rest that a runner asks for as well

The same class on the product's own interface: a runner behind an agent that turns a call away names a time, and entries cut it to one second and halved it at random, so that a runner that wanted 3 s got the next call after 0.5 to 1.5 s. The time of a runner's own refusal (runner-refused) is kept whole by the same RunnerRest; the times that gates estimate are as before. Not done: calls still wait in the queue while all runners of a service rest.

--- a/agent/src/main/java/org/wisteriapost/agent/RunnerCall.java
+++ b/agent/src/main/java/org/wisteriapost/agent/RunnerCall.java
@@ -9,6 +9,7 @@
 import com.google.protobuf.ByteString;
 import org.wisteriapost.kernel.Code;
 import org.wisteriapost.policy.agent.AgentEvent;
+import org.wisteriapost.policy.request.GateCodes;
 import org.wisteriapost.protocol.CallerHeaders;
 import org.wisteriapost.protocol.http.HttpExchange;
 import org.wisteriapost.protocol.http.HttpResponseListener;
@@ -28,9 +29,6 @@
 	private static final Code NOT_REACHED = Code.warning("runner-not-reached",
 			"No connection to the runner could be made; not a byte of the call was sent.");
 
-	private static final Code RUNNER_REFUSED = Code.refusal("runner-refused",
-			"The runner itself said that it did not run the call.");
-
 	private static final Code CUT = Code.warning("runner-cut", "The runner's answer ended before it was whole.");
 
 	private static final Code TIMEOUT = Code.warning("runner-timeout",
@@ -125,7 +123,8 @@
 	public void onHead(int status, Map<String, String> headers) {
 		this.runnerCalls.loop().post(new AgentEvent.ResponseStarted(this.key));
 		if (status == SERVICE_UNAVAILABLE && NOT_RUN.equals(headers.get(lowerCase(CallerHeaders.OUTCOME)))) {
-			this.decidedEnd = Optional.of(callEnd(Outcome.NOT_RUN, RUNNER_REFUSED.name(), retryAfter(headers)));
+			this.decidedEnd = Optional
+				.of(callEnd(Outcome.NOT_RUN, GateCodes.RUNNER_REFUSED.name(), retryAfter(headers)));
 			return;
 		}
 		String weights = headers.getOrDefault(lowerCase(CallerHeaders.WEIGHTS), "");
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.fleet.RunnerRest;
 import org.wisteriapost.policy.ratelimit.RunnerRateLimit;
 
 /**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRest.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerRest.java
@@ -1,4 +1,4 @@
-package org.wisteriapost.policy.dispatch;
+package org.wisteriapost.policy.fleet;
 
 import java.time.Duration;
 import java.util.OptionalLong;
@@ -10,7 +10,7 @@
  * came all the same would cost it the work of turning them away, and their callers an
  * attempt. The time is kept whatever else is learned of the incarnation.
  */
-final class RunnerRest {
+public final class RunnerRest {
 
 	// A longer one is taken for an error. One request is sent then, and may be turned
 	// away
@@ -22,21 +22,24 @@
 	/**
 	 * Records the time that the runner has named.
 	 */
-	void stated(Duration rest, long nowNanos) {
+	public void stated(Duration rest, long nowNanos) {
 		long until = nowNanos + Math.min(MAX_NANOS, rest.toNanos());
 		if (this.untilNanos.isEmpty() || until - this.untilNanos.getAsLong() > 0) {
 			this.untilNanos = OptionalLong.of(until);
 		}
 	}
 
-	boolean active(long nowNanos) {
+	/**
+	 * Returns whether the runner wants no requests now.
+	 */
+	public boolean active(long nowNanos) {
 		return endNanos(nowNanos).isPresent();
 	}
 
 	/**
 	 * Returns when the runner takes requests again; empty if it does.
 	 */
-	OptionalLong endNanos(long nowNanos) {
+	public OptionalLong endNanos(long nowNanos) {
 		boolean over = this.untilNanos.isPresent() && nowNanos - this.untilNanos.getAsLong() >= 0;
 		return over ? OptionalLong.empty() : this.untilNanos;
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/request/GateCodes.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/GateCodes.java
@@ -24,6 +24,10 @@
 	/** The runner and its queue are full. */
 	public static final Code FULL = Code.refusal("gate-full", "The runner and its short queue are full.");
 
+	/** The runner behind the gate turned the call away. */
+	public static final Code RUNNER_REFUSED = Code.refusal("runner-refused",
+			"The runner itself said that it did not run the call.");
+
 	/** The call's deadline has passed or would pass in the queue. */
 	public static final Code TOO_LATE = Code.refusal("gate-deadline",
 			"The call's deadline has passed or would pass in the queue.");
@@ -34,6 +38,15 @@
 	private GateCodes() {
 	}
 
+	/**
+	 * Returns whether the runner behind the gate turned the call away. The time that
+	 * comes with it is the runner's own statement; that of other codes is the gate's
+	 * estimate.
+	 */
+	static boolean isRefusedByRunner(String code) {
+		return code.equals(RUNNER_REFUSED.name());
+	}
+
 	/**
 	 * Returns whether the runner refused the call because it is full.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/request/RequestStateMachine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RequestStateMachine.java
@@ -244,6 +244,9 @@
 			requeueAfterFullGate(pending, runner, failed, nowNanos);
 			return;
 		}
+		if (notRun && GateCodes.isRefusedByRunner(failed.code())) {
+			this.runners.restStated(runner, failed.retryAfterMillis(), nowNanos);
+		}
 		boolean beforeDeadline = pending.request.deadlineNanos() > nowNanos;
 		boolean countsAgainstRunner = beforeDeadline && !(notRun && GateCodes.isHealthNeutral(failed.code()));
 		this.runners.onFailure(runner, failed.retryAfterMillis(), countsAgainstRunner, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/request/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RunnerRegistry.java
@@ -177,6 +177,14 @@
 		refresh(runner, nowNanos);
 	}
 
+	/**
+	 * Records that the runner turned a call away and wants no others for a time.
+	 */
+	void restStated(RunnerState runner, long restMillis, long nowNanos) {
+		runner.rest.stated(Duration.ofMillis(restMillis), nowNanos);
+		refresh(runner, nowNanos);
+	}
+
 	/**
 	 * Records a failed call.
 	 * @param countsAgainstRunner whether the runner or the network path to it is at fault
@@ -222,7 +230,8 @@
 		}
 		int allowed = eligible ? allowed(runner, nowNanos) : 0;
 		pool.setSlots(runner, allowed);
-		pool.setFree(runner, runner.inFlight < allowed && nowNanos >= runner.backoffUntilNanos);
+		pool.setFree(runner,
+				runner.inFlight < allowed && nowNanos >= runner.backoffUntilNanos && !runner.rest.active(nowNanos));
 		this.changed.add(serviceOf(runner.status.service()));
 		scheduleRefresh(runner, eligible, nowNanos);
 	}
@@ -250,6 +259,7 @@
 		if (runner.backoffUntilNanos > nowNanos) {
 			nextNanos = runner.backoffUntilNanos;
 		}
+		nextNanos = Math.min(nextNanos, runner.rest.endNanos(nowNanos).orElse(Long.MAX_VALUE));
 		if (runner.ejected && runner.ejectedUntilNanos > nowNanos) {
 			nextNanos = Math.min(nextNanos, runner.ejectedUntilNanos);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/request/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/request/RunnerState.java
@@ -1,5 +1,7 @@
 package org.wisteriapost.policy.request;
 
+import org.wisteriapost.policy.fleet.RunnerRest;
+
 /**
  * State of one runner in this entry: its last report, which lags, and this entry's own
  * calls and measurements.
@@ -34,6 +36,8 @@
 
 	long backoffUntilNanos = Long.MIN_VALUE;
 
+	final RunnerRest rest = new RunnerRest();
+
 	long slowStartNanos = Long.MIN_VALUE;
 
 	/** Smoothed seconds per unit of cost, 0 before the first sample. */
