A confirmation that belongs to a discarded read confirms nothing

What callers would see: proper requests rejected with 404 or 401 by a table that lacks a change. Cause: an entry that follows a leader discards what its own watch still delivers; the confirmation of that watch comes right behind the change, and was taken when the entry had lost its leader in between.

A kind of which a read was discarded is confirmed again only once it has been listed. LateStoreReadTests#confirmationOfADiscardedReadRejectsNothing failed before (rejected 404).

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -258,6 +258,7 @@
 			discarded(listed.kind());
 			return;
 		}
+		this.storeReading.ifPresent((reading) -> reading.listingApplied(listed.kind()));
 		this.updates.ifPresent((updates) -> updates.applyFromStore(listed.kind(), listed.items(), listed.revision()));
 		this.localView.replaceAll(listed.kind(), listed.items(), now);
 	}
@@ -287,10 +288,9 @@
 		}
 	}
 
-	// A follower discards what its own store connection delivers, so that confirms
-	// nothing.
 	private void storeConfirmed(DirectEvent.StoreConfirmed confirmed) {
-		if (confirmed.kind() == ObjectKind.ROUTES && !isFollower()) {
+		boolean confirms = this.storeReading.map((reading) -> reading.confirms(confirmed.kind())).orElse(true);
+		if (confirmed.kind() == ObjectKind.ROUTES && confirms) {
 			this.localView.routesConfirmed(confirmed.asOfNanos());
 			this.updates.ifPresent((updates) -> updates.routesConfirmed(confirmed.asOfNanos()));
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreRoleController.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreRoleController.java
@@ -1,7 +1,9 @@
 package org.wisteriapost.entry.direct;
 
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
@@ -26,6 +28,9 @@
 
 	private final DecisionLog log;
 
+	// Kinds of which a read was discarded that has not been repeated.
+	private final Set<ObjectKind> discardedKinds = EnumSet.noneOf(ObjectKind.class);
+
 	private boolean hasSubscribers;
 
 	/**
@@ -53,9 +58,26 @@
 	 * behind it later and would not read it again.
 	 */
 	void readDiscarded(ObjectKind kind) {
+		this.discardedKinds.add(kind);
 		this.watches.requireListing(kind);
 	}
 
+	/**
+	 * Handles a listing that was applied.
+	 */
+	void listingApplied(ObjectKind kind) {
+		this.discardedKinds.remove(kind);
+	}
+
+	/**
+	 * Returns whether a read of the store confirms the objects of a kind that are known
+	 * here. A follower discards what it reads, and the confirmation of a discarded read
+	 * may arrive only after the leader was lost.
+	 */
+	boolean confirms(ObjectKind kind) {
+		return !isFollower() && !this.discardedKinds.contains(kind);
+	}
+
 	/**
 	 * Executes the steps that are due.
 	 * @param group the entries that share a leader with this one
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LateStoreReadTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LateStoreReadTests.java
@@ -66,6 +66,25 @@
 		assertThat(this.bench.store().drainCalls(), Matchers.containsInAnyOrder(expectedCalls(EnumSet.of(kind))));
 	}
 
+	// Guards against a rejection by a table that lacks a change: the change was discarded
+	// while the entry followed a leader, and the confirmation that belongs to it arrives
+	// after the leader was lost.
+	@Test
+	void confirmationOfADiscardedReadRejectsNothing() {
+		List<ObjectStore.Item> routes = List.of(this.bench.routes(5, EntryStateFixture.table(1, KNOWN)));
+		List<ObjectStore.Item> runners = List.of(this.bench.runner(5, OLD_ADDRESS));
+		this.bench.listOnBoth(routes, runners);
+		this.bench.runUntilSubscribed();
+		this.bench.deliverUpdates();
+		ObjectStore.Change added = new ObjectStore.Change(
+				this.bench.routes(9, EntryStateFixture.table(2, KNOWN, "/added/")), false);
+		this.bench.apply(new DirectEvent.ObjectChanged(ObjectKind.ROUTES, added));
+		this.bench.link(false);
+		this.bench.run(Duration.ofSeconds(4));
+		this.bench.apply(new DirectEvent.StoreConfirmed(ObjectKind.ROUTES, this.bench.now()));
+		assertThat(this.bench.request("/added/", TOKEN), Matchers.equalTo("refused table-doubtful"));
+	}
+
 	// If nothing was discarded, only later changes are requested.
 	@Test
 	void appliedReadIsNotRepeated() {
