--- a/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/PeerTransfer.java
@@ -98,9 +98,8 @@
 				this.thread.execute(fetch::stop);
 			}
 		});
-		// A put of the previous fetch that is carried out later would overwrite a chunk
-		// of
-		// this one after it was verified.
+		// A late put of the previous fetch would overwrite a chunk of this one after its
+		// verification.
 		previousPuts.thenRun(() -> this.thread.execute(() -> scanStore(fetch, verified)));
 	}
 
--- a/agent/src/test/java/org/wisteriapost/agent/site/StagedCopyTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/StagedCopyTests.java
@@ -95,8 +95,7 @@
 		assertThat(mixedVersions(), Matchers.empty());
 	}
 
-	// Guards against ordering a chunk that was corrupted after an earlier fetch of the
-	// same
+	// Guards against ordering a chunk that was corrupted after a failed fetch of its
 	// version had verified it.
 	@Test
 	void repeatedFetchReadsStagedChunksBack() {
@@ -111,9 +110,8 @@
 		assertThat(mixedVersions(), Matchers.empty());
 	}
 
-	// Guards against a chunk of an abandoned fetch that is stored after the one of the
-	// next
-	// version.
+	// Guards against a chunk of an abandoned fetch that is stored after the chunk of the
+	// next version.
 	@Test
 	void putsOfAnAbandonedFetchEndBeforeTheNextFetch() {
 		this.engine.holdPut(2);
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerRest.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerRest.java
@@ -12,9 +12,7 @@
  */
 public final class RunnerRest {
 
-	// A longer one is taken for an error. One request is sent then, and may be turned
-	// away
-	// again.
+	// A longer one is taken for an error; one request is sent then.
 	private static final long MAX_NANOS = Duration.ofMinutes(5).toNanos();
 
 	private OptionalLong untilNanos = OptionalLong.empty();
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -52,8 +52,7 @@
 	// within this time.
 	private static final Duration MAX_VERIFICATION_AGE = Duration.ofMillis(1500);
 
-	// The precondition of an order holds for one incarnation of the engine, and
-	// restarting
+	// The precondition of an order holds for one incarnation of the engine. A restart
 	// takes longer than this.
 	private static final long MAX_REPORT_AGE_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -194,11 +193,7 @@
 
 	public void verificationEnded(int version, boolean valid, long nowNanos) {
 		if (this.step == Step.CONFIRMING && this.stepVersion == version) {
-			this.orders.confirmed(valid);
-			this.staged = valid ? this.staged : OptionalInt.empty();
-			this.held = this.orders.distrusts(this.held) ? OptionalInt.empty() : this.held;
-			enterIdle(nowNanos);
-			readReport(nowNanos);
+			confirmationEnded(valid, nowNanos);
 			return;
 		}
 		if (this.step != Step.VERIFYING || this.stepVersion != version) {
@@ -217,6 +212,14 @@
 		advance(nowNanos);
 	}
 
+	private void confirmationEnded(boolean valid, long nowNanos) {
+		this.orders.confirmed(valid);
+		this.staged = valid ? this.staged : OptionalInt.empty();
+		this.held = this.orders.distrusts(this.held) ? OptionalInt.empty() : this.held;
+		enterIdle(nowNanos);
+		readReport(nowNanos);
+	}
+
 	public void orderAnswered(OrderOutcome outcome, long nowNanos) {
 		if (this.step != Step.ORDERING) {
 			return;
@@ -265,8 +268,7 @@
 	}
 
 	public void tick(long nowNanos) {
-		long elapsed = nowNanos - this.stepNanos;
-		if (this.step == Step.RETRY_DELAY && elapsed > RETRY_DELAY_NANOS) {
+		if (this.step == Step.RETRY_DELAY && nowNanos - this.stepNanos > RETRY_DELAY_NANOS) {
 			enterIdle(nowNanos);
 		}
 		this.orders.tick(nowNanos);
