A runner's statement is not lost while its registration is removed or names no incarnation

What callers would see: requests to a leaving runner once its registration, which had expired while the store was away, is restored. Cause: the statement was looked up among the registered runners only, and by an equal incarnation, which the registration may name only later. It is dropped now only if a later incarnation is known.

--- a/app/src/test/java/org/wisteriapost/app/RunnerNeedTests.java
+++ b/app/src/test/java/org/wisteriapost/app/RunnerNeedTests.java
@@ -113,8 +113,7 @@
 		assertThat((double) limited.executedRequests().size() - before, Matchers.lessThanOrEqualTo(1.5 * seconds + 5));
 	}
 
-	// Guards against requests to a runner that is leaving while the store does not say
-	// so.
+	// Guards against requests to a runner that is leaving while the store calls it ready.
 	@Test
 	void runnerThatStatesItIsLeavingGetsNoMoreRequests() {
 		EmulatedRunner leaving = this.runners.getFirst();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -197,10 +197,12 @@
 	}
 
 	/**
-	 * Returns the state of an incarnation of a runner.
+	 * Returns the state of the incarnation of a runner that answered a request, also
+	 * while its registration is removed; empty if a later one is known.
 	 */
 	Optional<RunnerState> find(RunnerInfo runner) {
-		return find(runner.id()).filter((state) -> state.info.incarnation().equals(runner.incarnation()));
+		return Optional.ofNullable(this.runners.getOrDefault(runner.id(), this.removedRunners.get(runner.id())))
+			.filter((state) -> !runner.incarnation().precedes(state.info.incarnation()));
 	}
 
 	List<RunnerState> forService(String service) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStatementTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStatementTests.java
@@ -67,9 +67,9 @@
 		assertThat(send(DispatcherHarness.LOOKUP), Matchers.contains("Refuse:runner-resting"));
 	}
 
-	// Guards against callers that wait in vain, or come back too early: they are refused
+	// Guards against callers that wait in vain or come back too early: they are refused
 	// at
-	// once until the first runner takes requests again.
+	// once, with the time until the first runner takes requests again.
 	@Test
 	void callersAreRefusedAtOnceWhileAllRunnersRest() {
 		RunnerInfo first = DispatcherHarness.engine("e1");
@@ -124,6 +124,31 @@
 		assertThat(send(DispatcherHarness.LOOKUP), Matchers.empty());
 	}
 
+	// Guards against a statement that is lost because the registration had expired when
+	// it
+	// arrived: the runner is ready again once it is restored.
+	@Test
+	void statementsHoldForARunnerWhoseRegistrationIsRestored() {
+		RunnerInfo leaving = lookup("r1", FIRST, false, 1);
+		this.harness.register(leaving);
+		this.harness.dispatcher.departures().registrationRemoved("r1", this.harness.nowNanos);
+		assertThat(this.harness.dispatcher.departures().leavingStated(leaving), Matchers.is(true));
+		rest(leaving, 5000);
+		this.harness.register(lookup("r1", FIRST, false, 2));
+		assertThat(send(DispatcherHarness.LOOKUP), Matchers.empty());
+	}
+
+	// Guards against a statement that is lost because the registration did not name the
+	// incarnation yet when the request was sent.
+	@Test
+	void statementOfARunnerWithoutAKnownIncarnationHolds() {
+		RunnerInfo before = lookup("r1", RunnerIncarnation.UNKNOWN, false, 1);
+		this.harness.register(before);
+		this.harness.register(lookup("r1", FIRST, false, 2));
+		assertThat(this.harness.dispatcher.departures().leavingStated(before), Matchers.is(true));
+		assertThat(send(DispatcherHarness.LOOKUP), Matchers.empty());
+	}
+
 	// A rest that is out of all proportion is an error of the runner.
 	@Test
 	void longRestIsLimited() {
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/UnansweredOrderTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/UnansweredOrderTests.java
@@ -39,9 +39,8 @@
 		assertThat(vm.badCopies(), Matchers.empty());
 	}
 
-	// Guards against an engine that is used with chunks that were corrupted long before
-	// it
-	// took them: a pause of the agent falls between the verification and the order.
+	// Guards against the use of chunks that were corrupted long before the engine took
+	// them: a pause of the agent falls between the verification and the order.
 	@ParameterizedTest
 	@ValueSource(doubles = { 0, 0.3 })
 	void corruptionDuringAPauseIsFound(double lostOrder) {
