--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStatementTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStatementTests.java
@@ -67,9 +67,8 @@
 		assertThat(send(DispatcherHarness.LOOKUP), Matchers.contains("Refuse:runner-resting"));
 	}
 
-	// Guards against callers that wait in vain or come back too early: they are refused
-	// at
-	// once, with the time until the first runner takes requests again.
+	// Guards against callers that wait in vain or come back too early: they are
+	// refused at once, with the time until the first runner takes requests again.
 	@Test
 	void callersAreRefusedAtOnceWhileAllRunnersRest() {
 		RunnerInfo first = DispatcherHarness.engine("e1");
@@ -124,9 +123,8 @@
 		assertThat(send(DispatcherHarness.LOOKUP), Matchers.empty());
 	}
 
-	// Guards against a statement that is lost because the registration had expired when
-	// it
-	// arrived: the runner is ready again once it is restored.
+	// Guards against a statement that is lost because the registration had expired
+	// when it arrived: the runner is ready again once it is restored.
 	@Test
 	void statementsHoldForARunnerWhoseRegistrationIsRestored() {
 		RunnerInfo leaving = lookup("r1", FIRST, false, 1);
--- a/policy/src/test/java/org/wisteriapost/policy/request/RunnerRestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/request/RunnerRestTests.java
@@ -18,9 +18,8 @@
 					(effect) -> effect instanceof RequestEffect.Dispatch dispatch && dispatch.runner().equals(runner));
 	}
 
-	// Guards against calls to a runner that has turned this entry away and wants none for
-	// a
-	// time.
+	// Guards against calls to a runner that has turned this entry away and wants none
+	// for a time.
 	@ParameterizedTest
 	@CsvSource({ "800", "3000", "20000" })
 	void runnerThatAsksForRestGetsNoCallsUntilItsEnd(long restMillis) {
