--- a/entry/src/test/java/org/wisteriapost/entry/direct/PartialLeaderFailureTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PartialLeaderFailureTests.java
@@ -31,7 +31,10 @@
 			for (Sent sent : all) {
 				boolean strip = sent.frame().hasNews() && !sent.frame().getNews().getCurrent();
 				this.inTransit.add(strip ? new Sent(sent.from(), sent.to(),
-						sent.frame().toBuilder().setNews(sent.frame().getNews().toBuilder().clearHeardAgoMillis()).build())
+						sent.frame()
+							.toBuilder()
+							.setNews(sent.frame().getNews().toBuilder().clearHeardAgoMillis())
+							.build())
 						: sent);
 			}
 		}
