--- a/policy/src/test/java/org/wisteriapost/policy/rollout/UnansweredOrderTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/UnansweredOrderTests.java
@@ -51,4 +51,13 @@
 		});
 	}
 
+	// The same, with seeds that once led to the use of such chunks.
+	@ParameterizedTest
+	@ValueSource(longs = { 21, 50, 101, 257, 445, 531, 667 })
+	void corruptionDuringAPauseIsFoundWithEarlierSeeds(long seed) {
+		SimulatedEngineVm vm = SimulatedEngineVm.run(seed, new SimulatedEngineVm.Faults(0.3, 0.05, 1, 0.3, false),
+				Duration.ofSeconds(60));
+		assertThat(vm.usedBadCopies(), Matchers.empty());
+	}
+
 }
