explain prints what runners stated of themselves

Cause: the list of state events that explain shows beside an attempt did not hold runner-leaving and runner-resting, added with the departures and rests. Seen: a request refused with code=runner-resting was printed with no line that names the runners which stated it.

--- a/operator/src/test/java/org/wisteriapost/operator/explain/AttemptTraceTests.java
+++ b/operator/src/test/java/org/wisteriapost/operator/explain/AttemptTraceTests.java
@@ -36,6 +36,22 @@
 				Matchers.containsString("runner-removed runner=r1"), Matchers.containsString("code=run-broken")));
 	}
 
+	// Guards against a refusal that on-call can't explain: no line of the attempt names
+	// the
+	// runners whose statements caused it.
+	@Test
+	void containsWhatRunnersStated() throws Exception {
+		Path file = Files.writeString(this.folder.resolve("edge.log"),
+				"""
+						{"time":"2026-01-01T00:00:01.000Z","process":"edge-1","event":"runner-leaving","runner":"r1"}
+						{"time":"2026-01-01T00:00:02.000Z","process":"edge-1","event":"runner-resting","runner":"r2","millis":3000}
+						{"time":"2026-01-01T00:00:02.100Z","process":"edge-1","event":"refused","attempt":"a1","code":"runner-resting"}""");
+		assertThat(AttemptTrace.of("a1", List.of(file)).format(),
+				Matchers.contains(Matchers.containsString("runner-leaving runner=r1"),
+						Matchers.containsString("runner-resting runner=r2 millis=3000"),
+						Matchers.containsString("code=runner-resting")));
+	}
+
 	@Test
 	void traceOfUnknownAttemptIsEmpty() throws Exception {
 		Path file = Files.writeString(this.folder.resolve("edge.log"), LOG);
