A put that ended leaves the open puts at once

Cause: each stored chunk gave the transfer thread a task only to drop its put from the set that a stopped transfer waits for. Callers saw nothing. Change: the set is concurrent and the put removes itself when it ends.

--- a/agent/src/main/java/org/wisteriapost/agent/transfer/Fetch.java
+++ b/agent/src/main/java/org/wisteriapost/agent/transfer/Fetch.java
@@ -4,12 +4,12 @@
 import java.lang.System.Logger.Level;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -57,7 +57,7 @@
 
 	private final ScheduledFuture<?> tickTimer;
 
-	private final Set<CompletableFuture<?>> openPuts = new HashSet<>();
+	private final Set<CompletableFuture<?>> openPuts = ConcurrentHashMap.newKeySet();
 
 	private boolean stopped;
 
@@ -119,7 +119,7 @@
 	 */
 	void putsStarted(CompletableFuture<?> ended) {
 		this.openPuts.add(ended);
-		ended.whenComplete((result, failure) -> this.thread.execute(() -> this.openPuts.remove(ended)));
+		ended.whenComplete((result, failure) -> this.openPuts.remove(ended));
 	}
 
 	/**
