One set of fleets for runners that leave and that rest

Cause: the same sizes, faults and seeds stood in two tests. Callers saw nothing. Change: the second test takes them from the first; assertions are unchanged.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/RestingRunnerFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestingRunnerFleetTests.java
@@ -2,12 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -20,16 +17,10 @@
 
 	private static final long REST_MILLIS = 3000;
 
-	static Stream<Arguments> fleets() {
-		return Stream.of(Arguments.of(6, 16, 0L), Arguments.of(6, 16, 700L), Arguments.of(14, 30, 700L))
-			.flatMap((fleet) -> IntStream.rangeClosed(1, FleetHarness.SEEDS)
-				.mapToObj((seed) -> Arguments.of(fleet.get()[0], fleet.get()[1], fleet.get()[2], seed)));
-	}
-
 	// Guards against an entry that keeps trying a runner that has asked it for rest, and
 	// callers that are refused because of it while other runners have room.
 	@ParameterizedTest
-	@MethodSource("fleets")
+	@MethodSource("org.wisteriapost.entry.direct.LeavingRunnerFleetTests#fleets")
 	void entrySendsNothingWhileARunnerRests(int entries, int runners, long faultIntervalMillis, long seed) {
 		try (FleetHarness fleet = new FleetHarness(entries, runners, seed)) {
 			FleetTraffic traffic = new FleetTraffic(fleet, runners * 6);
