--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -120,7 +120,7 @@
 	private static DispatchLimits limits(SiteSettings settings) {
 		SiteSettings.Guarantees bounds = settings.guarantees();
 		return new DispatchLimits(settings.failureDomain(), bounds.maxRetryShare(), bounds.retryBurst(),
-				bounds.retryWindow(), bounds.weightsActivationDelay());
+				bounds.retryWindow(), bounds.weightsActivationDelay(), settings.regions(), bounds.coldStartBound());
 	}
 
 	/**
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/coldstart/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits on requests to runners that have just started.
+ */
+package org.wisteriapost.policy.coldstart;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchLimits.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 
+import org.wisteriapost.policy.coldstart.ColdStartBound;
+import org.wisteriapost.policy.region.RegionMap;
+
 /**
  * Limits that apply to the dispatch decisions of an entry.
  *
@@ -12,7 +15,19 @@
  * @param retryWindow the window in which the additional retries are counted
  * @param weightsActivationDelay the time from the publication of a target weights version
  * until no request may start on an older version
+ * @param regions the region of each failure domain
+ * @param coldStartBound limit on the requests to cold runners
  */
 public record DispatchLimits(String failureDomain, double retryRatio, int fixedRetriesPerWindow, Duration retryWindow,
-		Duration weightsActivationDelay) {
+		Duration weightsActivationDelay, RegionMap regions, ColdStartBound coldStartBound) {
+
+	/**
+	 * Creates limits of a site without known regions.
+	 */
+	public DispatchLimits(String failureDomain, double retryRatio, int fixedRetriesPerWindow, Duration retryWindow,
+			Duration weightsActivationDelay) {
+		this(failureDomain, retryRatio, fixedRetriesPerWindow, retryWindow, weightsActivationDelay, RegionMap.NONE,
+				ColdStartBound.STRICT);
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -54,6 +54,8 @@
 
 	private final WeightsFence fence;
 
+	private final RunnerEligibility eligibility;
+
 	private final RateLimits rateLimits;
 
 	private final String failureDomain;
@@ -67,6 +69,7 @@
 		this.registry = registry;
 		this.latencyFactors = latencyFactors;
 		this.fence = fence;
+		this.eligibility = new RunnerEligibility(fence);
 		this.rateLimits = rateLimits;
 		this.failureDomain = failureDomain;
 		this.random = random;
@@ -120,7 +123,7 @@
 		}
 		boolean limited = runners.stream()
 			.anyMatch((runner) -> !this.rateLimits.permits(runner, nowNanos)
-					&& eligible(job, runner, engine, version, nowNanos));
+					&& this.eligibility.eligible(job, runner, engine, version, nowNanos));
 		return Choice.noRunner(version, limited, restEndNanos(runners, nowNanos));
 	}
 
@@ -139,7 +142,8 @@
 		double bestCost = Double.MAX_VALUE;
 		int usable = 0;
 		for (RunnerState runner : runners) {
-			if (!eligible(job, runner, engine, version, nowNanos) || mayStartTooLate(runner, engine, nowNanos)
+			if (!this.eligibility.eligible(job, runner, engine, version, nowNanos)
+					|| this.eligibility.mayStartTooLate(runner, engine, nowNanos)
 					|| (requirement != Requirement.ANY && !runner.health.usable(nowNanos))) {
 				continue;
 			}
@@ -210,28 +214,6 @@
 		return Math.clamp(cost, REMOTE_MIN_COST_MILLIS, REMOTE_MAX_COST_MILLIS);
 	}
 
-	private static boolean eligible(Job job, RunnerState runner, Optional<EngineSpec> engine, OptionalInt version,
-			long nowNanos) {
-		if (runner.draining() || runner.removed || runner.switching() || runner.backedOff(nowNanos)
-				|| runner.rest.active(nowNanos) || runner.path.probing() || runner.path.blocked(nowNanos)) {
-			return false;
-		}
-		if (job.triedRunners.contains(runner.info.id()) && job.triedRunners.size() < 3) {
-			return false;
-		}
-		if (engine.isEmpty()) {
-			return true;
-		}
-		OptionalInt held = runner.weightsVersion(engine.get().model());
-		if (held.isEmpty()) {
-			return false;
-		}
-		// A started stream is resumed only on the same weights version. The resumed run
-		// starts anew, so that version must still be acceptable.
-		boolean same = job.events() == 0 || job.weightsVersion().isEmpty() || held.equals(job.weightsVersion());
-		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
-	}
-
 	/**
 	 * Returns the time by which a request must have started at a runner. Otherwise it
 	 * must be cancelled.
@@ -267,21 +249,6 @@
 		return needsPathCheck(runner, engine, nowNanos) && !runner.path.recentlyConfirmed(nowNanos);
 	}
 
-	// A runner on probation or behind a suspect network path is judged by its own
-	// longest wait, including that of late requests.
-	private boolean mayStartTooLate(RunnerState runner, Optional<EngineSpec> engine, long nowNanos) {
-		boolean suspect = runner.health.onProbation() || runner.path.suspect(nowNanos);
-		if (engine.isEmpty() || !suspect) {
-			return false;
-		}
-		long observed = Math.max(runner.firstEventWaits.maxNanos(false, nowNanos),
-				runner.firstEventWaits.maxNanos(true, nowNanos));
-		long wait = Math.max(observed, runner.path.delayNanos(nowNanos));
-		OptionalInt version = this.fence.requiredVersion(engine.get().model(), wait, nowNanos);
-		OptionalInt held = runner.weightsVersion(engine.get().model());
-		return version.isPresent() && held.isPresent() && held.getAsInt() < version.getAsInt();
-	}
-
 	private static double nominalMillis(RunnerState runner, Optional<EngineSpec> engine, InFlightLoad load, Job job) {
 		if (engine.isEmpty()) {
 			return (double) load.requests() / Math.max(1, runner.info.slots()) * TIE_BREAK_MILLIS * 2;
--- a/policy/src/main/java/org/wisteriapost/policy/routing/Route.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/Route.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.wisteriapost.policy.region.AllowedRegions;
+
 /**
  * The declaration of how requests of a host with a path prefix are handled.
  *
@@ -18,15 +20,26 @@
  * @param anonymous whether requests need no token
  * @param resumable whether a stream may resume at another runner after its last event
  * @param targetGap the target for the longest pause between events
+ * @param allowedRegions the regions in which its requests may be handled
  */
 public record Route(String name, String host, String prefix, RouteKind kind, Duration timeout, Duration targetLatency,
 		int priority, List<WeightedService> services, int maxAttempts, boolean anonymous, boolean resumable,
-		Duration targetGap) {
+		Duration targetGap, AllowedRegions allowedRegions) {
 
 	public Route {
 		services = List.copyOf(services);
 	}
 
+	/**
+	 * Creates a route whose requests may be handled in every region.
+	 */
+	public Route(String name, String host, String prefix, RouteKind kind, Duration timeout, Duration targetLatency,
+			int priority, List<WeightedService> services, int maxAttempts, boolean anonymous, boolean resumable,
+			Duration targetGap) {
+		this(name, host, prefix, kind, timeout, targetLatency, priority, services, maxAttempts, anonymous, resumable,
+				targetGap, AllowedRegions.ANY);
+	}
+
 	/**
 	 * Returns whether a request that may have run may be retried: it is idempotent, or a
 	 * stream that resumes after its last event.
--- a/policy/src/main/java/org/wisteriapost/policy/routing/ServiceSpec.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/ServiceSpec.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.wisteriapost.policy.coldstart.ColdStart;
+
 /**
  * The declaration of a service.
  *
@@ -10,8 +12,17 @@
  * from all callers together
  * @param engine present if its runners are model engines
  * @param origin present if the service is the origin of weights
+ * @param coldStart present if its runners tolerate fewer requests after a start
  */
-public record ServiceSpec(String name, int maxConnections, Optional<EngineSpec> engine, Optional<OriginSpec> origin) {
+public record ServiceSpec(String name, int maxConnections, Optional<EngineSpec> engine, Optional<OriginSpec> origin,
+		Optional<ColdStart> coldStart) {
+
+	/**
+	 * Creates a service whose runners are never cold.
+	 */
+	public ServiceSpec(String name, int maxConnections, Optional<EngineSpec> engine, Optional<OriginSpec> origin) {
+		this(name, maxConnections, engine, origin, Optional.empty());
+	}
 
 	/**
 	 * The origin from which weights are downloaded.
