A superseded fetch is given up after a stall where that leaves engines with usable weights sooner

Two versions are published two seconds apart and the origin is unreachable from half a second after the second.

When chunks arrive again after a stall, agents compare for how long engines are without a usable version if the fetch is finished and if it is abandoned. The rate is estimated without the stall. At most one fetch in a row is abandoned in this way, so that agents do not restart forever. At the time of the naming all is as before.

Tests: SupersededFetchTests, RolloutTests, UnansweredOrderTests, SwitchScheduleTests, WeightsFenceTests pass.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/WeightsFence.java
@@ -14,14 +14,10 @@
  *
  * Runners switch weights at different times and serve the older version until then. Some
  * time before the target version takes effect, requests are restricted to it, so that a
- * runner that lags rejects them instead of responding from a superseded version. The
- * margin covers the wait in the runner's queue and the delay until this entry learns of
- * the target version.
+ * runner that lags rejects them instead of responding from a superseded version.
  */
 final class WeightsFence {
 
-	private static final Duration DEFAULT_MARGIN = Duration.ofMillis(1200);
-
 	// The part of the margin for propagation: of the target version to this entry and of
 	// the request to the runner.
 	private static final Duration PROPAGATION_MARGIN = Duration.ofMillis(400);
@@ -45,7 +41,7 @@
 
 	WeightsFence(Duration activationDelay) {
 		this.activationDelayNanos = activationDelay.toNanos();
-		this.requiredDelayNanos = activationDelay.minus(DEFAULT_MARGIN).toNanos();
+		this.requiredDelayNanos = activationDelay.minus(TargetWeights.REQUIRED_MARGIN).toNanos();
 	}
 
 	/**
@@ -69,7 +65,7 @@
 	 */
 	OptionalInt requiredVersion(String model, long waitNanos, long nowNanos) {
 		long margin = PROPAGATION_MARGIN.toNanos() + (long) (WAIT_FACTOR * waitNanos);
-		return requiredVersion(model, nowNanos + Math.max(0, margin - DEFAULT_MARGIN.toNanos()));
+		return requiredVersion(model, nowNanos + Math.max(0, margin - TargetWeights.REQUIRED_MARGIN.toNanos()));
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/PendingVersions.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/PendingVersions.java
@@ -26,6 +26,14 @@
 		heldVersion.ifPresent((known) -> this.targetSince.headMap(known, true).clear());
 	}
 
+	/**
+	 * Returns when a version became the target.
+	 * @param otherwise returned when the version is not pending
+	 */
+	long sinceNanos(int version, long otherwise) {
+		return this.targetSince.getOrDefault(version, otherwise);
+	}
+
 	/**
 	 * Returns when the oldest pending version became the target.
 	 * @param otherwise returned when no version is pending
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -26,10 +26,8 @@
  * An order that the engine does not answer is repeated until it is settled, see
  * {@link PendingOrder}; until then no other version is staged.
  *
- * When a newer version becomes the target during a fetch, the fetch is finished if it is
- * more than half done, or if another full fetch would end after the older version becomes
- * active. Otherwise, with versions published faster than links can carry them, agents
- * would restart forever and no engine could serve an active version.
+ * When a newer version becomes the target during a fetch, {@link SupersededFetchPolicy}
+ * decides whether the fetch goes on.
  */
 public final class Rollout {
 
@@ -40,14 +38,6 @@
 	// within some 200 ms.
 	private static final double ANNOUNCE_SHARE = 0.4;
 
-	// From this share on, a fetch is finished even if a newer version is published.
-	private static final double FINISH_SHARE = 0.5;
-
-	// Before this, progress does not allow an estimate of the total duration.
-	private static final Duration MIN_OBSERVATION = Duration.ofSeconds(1);
-
-	private static final double MIN_SHARE = 0.02;
-
 	// Corruption after the verification would go unnoticed, so the order must follow
 	// within this time.
 	private static final Duration MAX_VERIFICATION_AGE = Duration.ofMillis(1500);
@@ -78,7 +68,9 @@
 
 	private final EngineOrders orders = new EngineOrders();
 
-	private double fetchedShare;
+	private final FetchProgress progress = new FetchProgress();
+
+	private final SupersededFetchPolicy supersededFetch;
 
 	private boolean engineBusy;
 
@@ -94,6 +86,7 @@
 
 	private Rollout(Duration activation) {
 		this.plan = new SwitchPlan(activation);
+		this.supersededFetch = new SupersededFetchPolicy(this.plan, activation);
 	}
 
 	/**
@@ -126,23 +119,16 @@
 		if (this.step == Step.AWAITING_SWITCH) {
 			planSwitch(nowNanos);
 		}
-		if (this.step == Step.FETCHING && this.stepVersion != version && !worthFinishing(nowNanos)) {
-			this.effects.add(new RolloutEffect.Abandon(this.stepVersion));
-			enterIdle(nowNanos);
+		if (this.step == Step.FETCHING && this.stepVersion != version && this.orders.pendingVersion().isEmpty()
+				&& !this.supersededFetch.finishes(this.progress, this.stepNanos, nowNanos)) {
+			abandonFetch(nowNanos);
 		}
 		advance(nowNanos);
 	}
 
-	private boolean worthFinishing(long nowNanos) {
-		long elapsed = nowNanos - this.stepNanos;
-		if (this.orders.pendingVersion().isPresent() || this.fetchedShare > FINISH_SHARE) {
-			return true;
-		}
-		if (elapsed < MIN_OBSERVATION.toNanos()) {
-			return false;
-		}
-		double fullFetch = elapsed / Math.max(MIN_SHARE, this.fetchedShare);
-		return nowNanos + fullFetch > this.plan.latestNanos(this.stepNanos);
+	private void abandonFetch(long nowNanos) {
+		this.effects.add(new RolloutEffect.Abandon(this.stepVersion));
+		enterIdle(nowNanos);
 	}
 
 	/**
@@ -156,8 +142,17 @@
 	 * Records the progress of the fetch, from 0 to 1.
 	 */
 	public void fetchProgressed(double share, long nowNanos) {
-		this.fetchedShare = share;
-		if (this.step != Step.FETCHING || share < ANNOUNCE_SHARE) {
+		if (this.step != Step.FETCHING) {
+			return;
+		}
+		boolean resumed = this.progress.update(share, nowNanos);
+		if (resumed && !isNewest() && this.orders.pendingVersion().isEmpty() && this.supersededFetch
+			.abandonsResumed(this.progress, this.stepVersion, this.targetVersion.getAsInt(), nowNanos)) {
+			abandonFetch(nowNanos);
+			advance(nowNanos);
+			return;
+		}
+		if (share < ANNOUNCE_SHARE) {
 			return;
 		}
 		long remaining = (long) ((nowNanos - this.stepNanos) * (1 - share) / share);
@@ -173,6 +168,7 @@
 			return;
 		}
 		this.staged = complete ? OptionalInt.of(version) : OptionalInt.empty();
+		this.supersededFetch.fetched();
 		if (complete && (isHeldOrTaking(version) || this.orders.distrusts(this.staged))) {
 			enterIdle(nowNanos);
 		}
@@ -343,7 +339,7 @@
 		}
 		enter(Step.FETCHING, nowNanos);
 		this.stagedSinceReport = true;
-		this.fetchedShare = 0;
+		this.progress.started(nowNanos);
 		this.staged = OptionalInt.empty();
 		this.effects.add(new RolloutEffect.Fetch(this.stepVersion));
 	}
@@ -412,7 +408,7 @@
 	private void publishStatus(long nowNanos) {
 		boolean announced = switch (this.step) {
 			case FETCHING ->
-				this.held.isPresent() && !isHeldOrTaking(this.stepVersion) && this.fetchedShare >= ANNOUNCE_SHARE;
+				this.held.isPresent() && !isHeldOrTaking(this.stepVersion) && this.progress.share() >= ANNOUNCE_SHARE;
 			case AWAITING_SWITCH, VERIFYING, VERIFIED -> this.held.isPresent();
 			case IDLE, CONFIRMING, ORDERING, RETRY_DELAY -> false;
 		};
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/SwitchPlan.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/SwitchPlan.java
@@ -60,6 +60,14 @@
 		return this.switchNanos;
 	}
 
+	/**
+	 * Returns when a version became the target.
+	 * @param otherwise returned for a version that the engine holds already
+	 */
+	long targetNanos(int version, long otherwise) {
+		return this.pendingVersions.sinceNanos(version, otherwise);
+	}
+
 	/**
 	 * Returns the latest time of the switch.
 	 * @param fetchStartNanos when the fetch of the version began
