Large store objects are compressed between entries

The route table had just grown by 920 routes, and the leader sends it whole to each of some ten followers after each change of routes and tokens. Entries in other regions then heard nothing from the leader for more than a second, took it for failed (store-duty: Dismiss) and asked one peer after the other before they read the store themselves. Each dates the version's bound from when it learned of it, so requests began on older weights after the bound (VERSION), and tables were in force late (CONFIG).

A follower states in its request that it reads them; an entry of an older version gets the plain content.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReplica.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReplica.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-import com.google.protobuf.ByteString;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.KnownKind;
@@ -112,7 +111,8 @@
 		if (object.getKnown() || !isNewer(kind, object)) {
 			return Optional.empty();
 		}
-		Optional<ObjectStore.Change> change = this.store.decode(kind, object.getContent().toByteArray())
+		Optional<ObjectStore.Change> change = StoreObjectContent.read(object)
+			.flatMap((content) -> this.store.decode(kind, content))
 			.map((item) -> new ObjectStore.Change(item, object.getDeleted()));
 		change.ifPresent((one) -> apply(kind, one));
 		return change;
@@ -187,10 +187,9 @@
 	}
 
 	private static StoreObject.Builder toWire(ObjectStore.Item item) {
-		return StoreObject.newBuilder()
-			.setName(item.name())
-			.setRevision(item.revision())
-			.setContent(ByteString.copyFrom(item.content()));
+		StoreObject.Builder object = StoreObject.newBuilder().setName(item.name()).setRevision(item.revision());
+		StoreObjectContent.write(object, item.content());
+		return object;
 	}
 
 	private static StoreObject reference(ObjectStore.Item item) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/UpdatePublisher.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/UpdatePublisher.java
@@ -97,10 +97,12 @@
 	}
 
 	/**
-	 * Records the stamp of a peer's request, taken from the peer's clock.
+	 * Records what a peer's request states of the peer: its stamp, taken from its clock,
+	 * and whether it reads compressed objects.
 	 */
 	void recordStamp(String peer, NewsRequest request) {
 		stateOf(peer).lastStamp = request.hasStamp() ? OptionalLong.of(request.getStamp()) : OptionalLong.empty();
+		stateOf(peer).readsDeflated = request.getReadsDeflated();
 	}
 
 	/**
@@ -127,7 +129,8 @@
 	void send(String peer, News update) {
 		PeerState state = stateOf(peer);
 		state.lastSequence++;
-		News.Builder numbered = update.toBuilder().setSequence(state.lastSequence);
+		News readable = state.readsDeflated ? update : StoreObjectContent.inflated(update);
+		News.Builder numbered = readable.toBuilder().setSequence(state.lastSequence);
 		state.lastStamp.ifPresent(numbered::setStamp);
 		if (update.getCurrent()) {
 			this.routesConfirmed.nanos().ifPresent((asOf) -> numbered.setAgeMillis(stalenessMillis(asOf)));
@@ -153,6 +156,8 @@
 		// The last stamp received, from the peer's clock.
 		private OptionalLong lastStamp = OptionalLong.empty();
 
+		private boolean readsDeflated;
+
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/UpdateSubscriptions.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/UpdateSubscriptions.java
@@ -278,7 +278,7 @@
 
 	private Frame requestFrame(Subscription subscription, NewsRequest.Builder request) {
 		subscription.lastStampNanos = OptionalLong.of(this.clock.getAsLong());
-		request.setWanted(true).setStamp(subscription.lastStampNanos.getAsLong());
+		request.setWanted(true).setReadsDeflated(true).setStamp(subscription.lastStampNanos.getAsLong());
 		return Frame.newBuilder().setNewsRequest(request).build();
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/IncrementalReplicationTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/IncrementalReplicationTests.java
@@ -2,10 +2,8 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
@@ -78,8 +76,7 @@
 	}
 
 	private static ObjectStore.Item large(String name, long revision) {
-		return new ObjectStore.Item(name, revision, Optional.empty(),
-				() -> (name + "@" + revision + "@" + "x".repeat(LARGE)).getBytes(StandardCharsets.UTF_8));
+		return DecodeOnlyStore.largeItem(name, revision, LARGE);
 	}
 
 	private void tick() {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SlowLinkReplicationTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SlowLinkReplicationTests.java
@@ -2,13 +2,11 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -87,8 +85,7 @@
 	}
 
 	private static ObjectStore.Item table(long revision) {
-		return new ObjectStore.Item("table", revision, Optional.empty(),
-				() -> ("table@" + revision + "@" + "x".repeat(TABLE_BYTES)).getBytes(StandardCharsets.UTF_8));
+		return DecodeOnlyStore.largeItem("table", revision, TABLE_BYTES);
 	}
 
 	private static boolean containsTable(Frame frame) {
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequest.java
@@ -172,6 +172,21 @@
     return keepAlive_;
   }
 
+  public static final int READS_DEFLATED_FIELD_NUMBER = 5;
+  private boolean readsDeflated_ = false;
+  /**
+   * <pre>
+   * the asker reads StoreObject.deflated
+   * </pre>
+   *
+   * <code>bool reads_deflated = 5;</code>
+   * @return The readsDeflated.
+   */
+  @java.lang.Override
+  public boolean getReadsDeflated() {
+    return readsDeflated_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -198,6 +213,9 @@
     if (keepAlive_ != false) {
       output.writeBool(4, keepAlive_);
     }
+    if (readsDeflated_ != false) {
+      output.writeBool(5, readsDeflated_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -223,6 +241,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, keepAlive_);
     }
+    if (readsDeflated_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, readsDeflated_);
+    }
     return size;
   }
   @java.lang.Override
@@ -258,6 +280,8 @@
     }
     if (getKeepAlive()
         != other.getKeepAlive()) return false;
+    if (getReadsDeflated()
+        != other.getReadsDeflated()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -284,6 +308,9 @@
     hash = (37 * hash) + KEEP_ALIVE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getKeepAlive());
+    hash = (37 * hash) + READS_DEFLATED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReadsDeflated());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -429,6 +456,7 @@
       bitField0_ = (bitField0_ & ~0x00000002);
       stamp_ = 0L;
       keepAlive_ = false;
+      readsDeflated_ = false;
       return this;
     }
 
@@ -486,6 +514,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.keepAlive_ = keepAlive_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.readsDeflated_ = readsDeflated_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -536,6 +567,9 @@
       if (other.getKeepAlive() != false) {
         setKeepAlive(other.getKeepAlive());
       }
+      if (other.getReadsDeflated() != false) {
+        setReadsDeflated(other.getReadsDeflated());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -588,6 +622,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              readsDeflated_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1055,6 +1094,50 @@
       return this;
     }
 
+    private boolean readsDeflated_ ;
+    /**
+     * <pre>
+     * the asker reads StoreObject.deflated
+     * </pre>
+     *
+     * <code>bool reads_deflated = 5;</code>
+     * @return The readsDeflated.
+     */
+    @java.lang.Override
+    public boolean getReadsDeflated() {
+      return readsDeflated_;
+    }
+    /**
+     * <pre>
+     * the asker reads StoreObject.deflated
+     * </pre>
+     *
+     * <code>bool reads_deflated = 5;</code>
+     * @param value The readsDeflated to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadsDeflated(boolean value) {
+
+      readsDeflated_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the asker reads StoreObject.deflated
+     * </pre>
+     *
+     * <code>bool reads_deflated = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadsDeflated() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      readsDeflated_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.NewsRequest)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequestOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/NewsRequestOrBuilder.java
@@ -92,4 +92,14 @@
    * @return The keepAlive.
    */
   boolean getKeepAlive();
+
+  /**
+   * <pre>
+   * the asker reads StoreObject.deflated
+   * </pre>
+   *
+   * <code>bool reads_deflated = 5;</code>
+   * @return The readsDeflated.
+   */
+  boolean getReadsDeflated();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObject.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObject.java
@@ -30,6 +30,7 @@
   private StoreObject() {
     name_ = "";
     content_ = com.google.protobuf.ByteString.EMPTY;
+    deflated_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -145,6 +146,21 @@
     return known_;
   }
 
+  public static final int DEFLATED_FIELD_NUMBER = 6;
+  private com.google.protobuf.ByteString deflated_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * instead of content: the same, compressed with zlib (RFC 1950)
+   * </pre>
+   *
+   * <code>bytes deflated = 6;</code>
+   * @return The deflated.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDeflated() {
+    return deflated_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -174,6 +190,9 @@
     if (known_ != false) {
       output.writeBool(5, known_);
     }
+    if (!deflated_.isEmpty()) {
+      output.writeBytes(6, deflated_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -197,6 +216,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, known_);
     }
+    if (!deflated_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(6, deflated_);
+    }
     return size;
   }
   @java.lang.Override
@@ -231,6 +254,8 @@
         .equals(other.getContent())) return false;
     if (getKnown()
         != other.getKnown()) return false;
+    if (!getDeflated()
+        .equals(other.getDeflated())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -255,6 +280,8 @@
     hash = (37 * hash) + KNOWN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getKnown());
+    hash = (37 * hash) + DEFLATED_FIELD_NUMBER;
+    hash = (53 * hash) + getDeflated().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -391,6 +418,7 @@
       deleted_ = false;
       content_ = com.google.protobuf.ByteString.EMPTY;
       known_ = false;
+      deflated_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -439,6 +467,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.known_ = known_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.deflated_ = deflated_;
+      }
     }
 
     @java.lang.Override
@@ -470,6 +501,9 @@
       if (other.getKnown() != false) {
         setKnown(other.getKnown());
       }
+      if (!other.getDeflated().isEmpty()) {
+        setDeflated(other.getDeflated());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -519,6 +553,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              deflated_ = input.readBytes();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -772,6 +811,50 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString deflated_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * instead of content: the same, compressed with zlib (RFC 1950)
+     * </pre>
+     *
+     * <code>bytes deflated = 6;</code>
+     * @return The deflated.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDeflated() {
+      return deflated_;
+    }
+    /**
+     * <pre>
+     * instead of content: the same, compressed with zlib (RFC 1950)
+     * </pre>
+     *
+     * <code>bytes deflated = 6;</code>
+     * @param value The deflated to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeflated(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      deflated_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * instead of content: the same, compressed with zlib (RFC 1950)
+     * </pre>
+     *
+     * <code>bytes deflated = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeflated() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      deflated_ = getDefaultInstance().getDeflated();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.StoreObject)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObjectOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/StoreObjectOrBuilder.java
@@ -57,4 +57,14 @@
    * @return The known.
    */
   boolean getKnown();
+
+  /**
+   * <pre>
+   * instead of content: the same, compressed with zlib (RFC 1950)
+   * </pre>
+   *
+   * <code>bytes deflated = 6;</code>
+   * @return The deflated.
+   */
+  com.google.protobuf.ByteString getDeflated();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -330,45 +330,46 @@
       "in_millis\030\005 \001(\r\022\026\n\016started_millis\030\006 \001(\003\"" +
       ">\n\014WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007versio" +
       "n\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r" +
-      "\n\005stamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"w\n\013" +
-      "NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003" +
-      "(\0132\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 \001" +
-      "(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010B\010\n\006_stamp\"^\n" +
-      "\tKnownKind\022%\n\004kind\030\001 \001(\0162\027.wisteriapost." +
-      "StoreKind\022*\n\007objects\030\002 \003(\0132\031.wisteriapos" +
-      "t.KnownObject\"-\n\013KnownObject\022\014\n\004name\030\001 \001" +
-      "(\t\022\020\n\010revision\030\002 \001(\004\"\217\002\n\004News\022\017\n\007current" +
-      "\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.Stor" +
-      "eKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wi" +
-      "steriapost.StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010se" +
-      "quence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n" +
-      "\005stamp\030\010 \001(\003H\001\210\001\001\022\035\n\020heard_ago_millis\030\t " +
-      "\001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_stampB\023\n\021_he" +
-      "ard_ago_millis\"^\n\013StoreObject\022\014\n\004name\030\001 " +
-      "\001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017" +
-      "\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\"5\n\006Roster" +
-      "\022+\n\007members\030\001 \003(\0132\032.wisteriapost.RosterM" +
-      "ember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005pla" +
-      "ce\030\002 \001(\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n" +
-      "\005loads\030\002 \003(\0132\030.wisteriapost.RunnerLoad\022*" +
-      "\n\007engines\030\003 \003(\0132\031.wisteriapost.EngineSta" +
-      "te\"?\n\rSuspectReport\022.\n\010suspects\030\001 \003(\0132\034." +
-      "wisteriapost.SuspectRequest\"\201\001\n\016SuspectR" +
-      "equest\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002" +
-      " \003(\0132\030.wisteriapost.RunnerLoss\022\021\n\tcomple" +
-      "ted\030\003 \001(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"" +
-      "0\n\nRunnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_mil" +
-      "lis\030\002 \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022" +
-      "\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NOR" +
-      "MAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027" +
-      "\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_" +
-      "RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHU" +
-      "NK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n" +
-      "\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStor" +
-      "eKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STO" +
-      "RE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_" +
-      "WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004B$\n\036org.wist" +
-      "eriapost.protocol.wireH\001P\001b\006proto3"
+      "\n\005stamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n" +
+      "\013NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 " +
+      "\003(\0132\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 " +
+      "\001(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010\022\026\n\016reads_de" +
+      "flated\030\005 \001(\010B\010\n\006_stamp\"^\n\tKnownKind\022%\n\004k" +
+      "ind\030\001 \001(\0162\027.wisteriapost.StoreKind\022*\n\007ob" +
+      "jects\030\002 \003(\0132\031.wisteriapost.KnownObject\"-" +
+      "\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030" +
+      "\002 \001(\004\"\217\002\n\004News\022\017\n\007current\030\001 \001(\010\022%\n\004kind\030" +
+      "\002 \001(\0162\027.wisteriapost.StoreKind\022\013\n\003all\030\003 " +
+      "\001(\010\022*\n\007objects\030\004 \003(\0132\031.wisteriapost.Stor" +
+      "eObject\022\n\n\002at\030\005 \001(\004\022\020\n\010sequence\030\006 \001(\004\022\027\n" +
+      "\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005stamp\030\010 \001(\003H\001\210" +
+      "\001\001\022\035\n\020heard_ago_millis\030\t \001(\004H\002\210\001\001B\r\n\013_ag" +
+      "e_millisB\010\n\006_stampB\023\n\021_heard_ago_millis\"" +
+      "p\n\013StoreObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision" +
+      "\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017\n\007content\030\004 \001(\014" +
+      "\022\r\n\005known\030\005 \001(\010\022\020\n\010deflated\030\006 \001(\014\"5\n\006Ros" +
+      "ter\022+\n\007members\030\001 \003(\0132\032.wisteriapost.Rost" +
+      "erMember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005" +
+      "place\030\002 \001(\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t" +
+      "\022\'\n\005loads\030\002 \003(\0132\030.wisteriapost.RunnerLoa" +
+      "d\022*\n\007engines\030\003 \003(\0132\031.wisteriapost.Engine" +
+      "State\"?\n\rSuspectReport\022.\n\010suspects\030\001 \003(\013" +
+      "2\034.wisteriapost.SuspectRequest\"\201\001\n\016Suspe" +
+      "ctRequest\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losse" +
+      "s\030\002 \003(\0132\030.wisteriapost.RunnerLoss\022\021\n\tcom" +
+      "pleted\030\003 \001(\010\022\034\n\024completed_age_millis\030\004 \001" +
+      "(\r\"0\n\nRunnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_" +
+      "millis\030\002 \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED" +
+      "\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006" +
+      "NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcom" +
+      "e\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007N" +
+      "OT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030" +
+      "CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001" +
+      "\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tS" +
+      "toreKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014" +
+      "STORE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTO" +
+      "RE_WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004B$\n\036org.w" +
+      "isteriapost.protocol.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -553,7 +554,7 @@
     internal_static_wisteriapost_NewsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_NewsRequest_descriptor,
-        new java.lang.String[] { "Wanted", "Known", "Stamp", "KeepAlive", });
+        new java.lang.String[] { "Wanted", "Known", "Stamp", "KeepAlive", "ReadsDeflated", });
     internal_static_wisteriapost_KnownKind_descriptor =
       getDescriptor().getMessageType(30);
     internal_static_wisteriapost_KnownKind_fieldAccessorTable = new
@@ -577,7 +578,7 @@
     internal_static_wisteriapost_StoreObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_StoreObject_descriptor,
-        new java.lang.String[] { "Name", "Revision", "Deleted", "Content", "Known", });
+        new java.lang.String[] { "Name", "Revision", "Deleted", "Content", "Known", "Deflated", });
     internal_static_wisteriapost_Roster_descriptor =
       getDescriptor().getMessageType(34);
     internal_static_wisteriapost_Roster_fieldAccessorTable = new
