A stalled fetch announces no later switch

The estimate stayed seconds too late after the origin's return, so that entries expected long responses to end before a switch that came earlier.

The end is estimated from the time in which chunks arrived, and only when some have arrived.

Tests: SupersededFetchTests#stalledFetchAnnouncesNoLaterSwitch fails with the guard taken out and passes with it; RolloutTests, UnansweredOrderTests and SwitchScheduleTests pass.

--- a/policy/src/main/java/org/wisteriapost/policy/rollout/FetchProgress.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/FetchProgress.java
@@ -26,6 +26,8 @@
 
 	private boolean stalled;
 
+	private boolean resumed;
+
 	void started(long nowNanos) {
 		this.startedNanos = nowNanos;
 		this.share = 0;
@@ -35,8 +37,8 @@
 	}
 
 	/**
-	 * Records the share that has been fetched, from 0 to 1, and returns whether chunks
-	 * arrive again after a stall.
+	 * Records the share that has been fetched, from 0 to 1, and returns whether it has
+	 * increased.
 	 */
 	boolean update(double newShare, long nowNanos) {
 		if (newShare <= this.share) {
@@ -44,12 +46,19 @@
 			this.stalled |= nowNanos - this.lastIncreaseNanos > STALL_NANOS;
 			return false;
 		}
-		boolean resumed = this.stalled;
+		this.resumed = this.stalled;
 		this.share = newShare;
 		this.activeNanos += this.stalled ? STALL_NANOS : nowNanos - this.lastIncreaseNanos;
 		this.lastIncreaseNanos = nowNanos;
 		this.stalled = false;
-		return resumed;
+		return true;
+	}
+
+	/**
+	 * Returns whether the last chunks that arrived ended a stall.
+	 */
+	boolean resumed() {
+		return this.resumed;
 	}
 
 	double share() {
@@ -63,6 +72,13 @@
 		return (long) ((nowNanos - this.startedNanos) / Math.max(MIN_SHARE, this.share));
 	}
 
+	/**
+	 * Returns how long the rest of the fetch takes without stalls.
+	 */
+	long restNanos() {
+		return (long) ((1 - this.share) * wholeFetchWithoutStallsNanos());
+	}
+
 	/**
 	 * Returns how long a whole fetch takes without stalls.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -145,18 +145,20 @@
 		if (this.step != Step.FETCHING) {
 			return;
 		}
-		boolean resumed = this.progress.update(share, nowNanos);
-		if (resumed && !isNewest() && this.orders.pendingVersion().isEmpty() && this.supersededFetch
+		// While the origin is unreachable the end of the fetch is unknown. Announcing a
+		// later one all the time would cost a message to every entry each time.
+		if (!this.progress.update(share, nowNanos)) {
+			return;
+		}
+		if (this.progress.resumed() && !isNewest() && this.orders.pendingVersion().isEmpty() && this.supersededFetch
 			.abandonsResumed(this.progress, this.stepVersion, this.targetVersion.getAsInt(), nowNanos)) {
 			abandonFetch(nowNanos);
 			advance(nowNanos);
 			return;
 		}
-		if (share < ANNOUNCE_SHARE) {
-			return;
+		if (share >= ANNOUNCE_SHARE) {
+			this.plan.fetchEndsAt(nowNanos + this.progress.restNanos(), this.stepNanos, isNewest());
 		}
-		long remaining = (long) ((nowNanos - this.stepNanos) * (1 - share) / share);
-		this.plan.fetchEndsAt(nowNanos + remaining, this.stepNanos, isNewest());
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/SupersededFetch.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/SupersededFetch.java
@@ -40,8 +40,8 @@
 			long nowNanos) {
 		long whole = progress.wholeFetchWithoutStallsNanos();
 		long required = activation.minus(TargetWeights.REQUIRED_MARGIN).toNanos();
-		return new SupersededFetch((long) ((1 - progress.share()) * whole), whole,
-				olderTargetNanos + required - nowNanos, newerTargetNanos + required - nowNanos);
+		return new SupersededFetch(progress.restNanos(), whole, olderTargetNanos + required - nowNanos,
+				newerTargetNanos + required - nowNanos);
 	}
 
 	/**
--- a/policy/src/test/java/org/wisteriapost/policy/rollout/SupersededFetchTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/rollout/SupersededFetchTests.java
@@ -68,6 +68,19 @@
 		}
 	}
 
+	// The origin is unreachable while most chunks have been fetched. Each change of the
+	// announced switch is a message to every entry.
+	@Test
+	void stalledFetchAnnouncesNoLaterSwitch() {
+		start();
+		setTarget(2);
+		fetch(0.6);
+		this.effects.clear();
+		stall(3000, 0.6);
+		assertThat(this.effects,
+				Matchers.not(Matchers.hasItem(Matchers.instanceOf(RolloutEffect.PublishStatus.class))));
+	}
+
 	private void start() {
 		this.rollout.reportReceived(OptionalInt.of(1), false, 0, RunnerIncarnation.UNKNOWN, this.now);
 		setTarget(1);
@@ -96,6 +109,7 @@
 
 	private void progress(double share) {
 		this.rollout.fetchProgressed(share, this.now);
+		this.rollout.tick(this.now);
 		this.effects.addAll(this.rollout.drain());
 	}
 
