Requests restricted to regions reach only runners there

Routes and organisations declare allowed regions, and nothing decided by them: a restricted request went to any runner. A request now keeps the regions that both allow, by the declarations it arrived with, and RunnerEligibility refuses runners elsewhere or in a failure domain without a known region, on every send. The runners that an entry considers are selected among those in the allowed regions (RegionalRunners), so that an entry elsewhere is not limited to four of them. Where no runner is there, all are leaving, or the intersection is empty, the request is refused at once with region-unavailable; while an entry knows no runner at all it waits as before. Requests without a restriction take the same path as before.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -88,6 +88,9 @@
 	}
 
 	Decision decide(Job job, Placement.Choice choice, int queued, long nowNanos) {
+		if (choice.regionUnavailable()) {
+			return Decision.REFUSE;
+		}
 		if (choice.isEmpty()) {
 			// A wait that is known to be in vain would cost the caller the time to go
 			// elsewhere.
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -75,8 +75,7 @@
 		this.weightsFence = new WeightsFence(limits.weightsActivationDelay());
 		ServiceLatencyFactors factors = new ServiceLatencyFactors();
 		this.latencies = new FirstEventLatencies(factors);
-		this.placement = new Placement(this.registry, factors, this.weightsFence, this.rateLimits,
-				limits.failureDomain(), random);
+		this.placement = new Placement(this.registry, factors, this.weightsFence, this.rateLimits, limits, random);
 		this.paths = new RunnerPaths(this.registry, this.placement, this.engineSpecs::of);
 		this.retryBudgets = new RetryBudgets(limits);
 		this.admission = new AdmissionPolicy(this.contention, random);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
@@ -29,6 +29,10 @@
 	static final Code NO_RUNNER = Code.refusal("no-usable-runner",
 			"No runner of the service can be sent requests now.");
 
+	/** No runner of the service is in an allowed region. */
+	static final Code REGION_UNAVAILABLE = Code.refusal("region-unavailable",
+			"No runner of the service is in a region that the request may be handled in.");
+
 	/** The deadline of the request passed. */
 	static final Code TIME_OVER = Code.warning("time-over", "No whole answer came in the request's time.");
 
@@ -76,6 +80,10 @@
 			endWithoutRunner(job, NO_ROOM, nowNanos);
 			return;
 		}
+		if (choice.regionUnavailable()) {
+			endWithoutRunner(job, REGION_UNAVAILABLE, nowNanos);
+			return;
+		}
 		if (choice.restEndNanos().isPresent() && job.possibleRuns == 0) {
 			long restMillis = Math.ceilDiv(choice.restEndNanos().getAsLong() - nowNanos, Placement.NANOS_PER_MILLI);
 			refuse(job, RUNNER_RESTING, Math.max(restMillis, this.admission.retryAfterMillis(job, nowNanos)));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.wisteriapost.policy.region.AllowedRegions;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteKind;
@@ -28,6 +29,9 @@
 
 	private final Optional<Organisation> organisation;
 
+	// By the declarations that the request arrived with, which newer ones don't change.
+	private final AllowedRegions allowedRegions;
+
 	private final Size size;
 
 	private final long arrivedNanos;
@@ -81,6 +85,8 @@
 		this.route = route;
 		this.service = service;
 		this.organisation = organisation;
+		this.allowedRegions = route.allowedRegions()
+			.and(organisation.map(Organisation::allowedRegions).orElse(AllowedRegions.ANY));
 		this.size = size;
 		this.lastEvent = attempt.lastEvent();
 		this.arrivedNanos = arrivedNanos;
@@ -133,6 +139,13 @@
 		return this.organisation;
 	}
 
+	/**
+	 * Returns the regions that both the route and the organisation allow.
+	 */
+	public AllowedRegions allowedRegions() {
+		return this.allowedRegions;
+	}
+
 	public Size size() {
 		return this.size;
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -48,7 +48,7 @@
 	// latency target, so that a runner with free capacity is preferred.
 	private static final double FULL_RUNNER_COST_MILLIS = 10_000;
 
-	private final RunnerRegistry registry;
+	private final RegionalRunners runners;
 
 	private final ServiceLatencyFactors latencyFactors;
 
@@ -65,13 +65,13 @@
 	private EntryCount entryCount = EntryCount.unpartitioned(1);
 
 	Placement(RunnerRegistry registry, ServiceLatencyFactors latencyFactors, WeightsFence fence, RateLimits rateLimits,
-			String failureDomain, UniformRandomProvider random) {
-		this.registry = registry;
+			DispatchLimits limits, UniformRandomProvider random) {
 		this.latencyFactors = latencyFactors;
 		this.fence = fence;
-		this.eligibility = new RunnerEligibility(fence);
+		this.eligibility = new RunnerEligibility(fence, limits.regions());
+		this.runners = new RegionalRunners(registry, limits.regions(), this.eligibility);
 		this.rateLimits = rateLimits;
-		this.failureDomain = failureDomain;
+		this.failureDomain = limits.failureDomain();
 		this.random = random;
 	}
 
@@ -88,8 +88,11 @@
 	 * @param late whether the request has the rank of late requests
 	 */
 	Choice choose(Job job, Optional<EngineSpec> engine, boolean late, long nowNanos) {
-		List<RunnerState> all = this.registry.forService(job.service());
-		List<RunnerState> candidates = this.registry.candidates(job.service());
+		if (this.runners.unavailable(job)) {
+			return Choice.outsideAllowedRegions();
+		}
+		List<RunnerState> all = this.runners.all(job);
+		List<RunnerState> candidates = this.runners.candidates(job);
 		long wait = maxFirstEventWait(candidates, late, nowNanos);
 		OptionalInt version = engine.isPresent() ? this.fence.requiredVersion(engine.get().model(), wait, nowNanos)
 				: OptionalInt.empty();
@@ -167,7 +170,7 @@
 				best = choice;
 			}
 		}
-		double candidateRatio = (double) this.registry.forService(job.service()).size() / Math.max(1, runners.size());
+		double candidateRatio = (double) this.runners.all(job).size() / Math.max(1, runners.size());
 		return best.withSlotInterval(usable * candidateRatio, engine, this.entryCount.total());
 	}
 
@@ -176,7 +179,7 @@
 		if (engine.isEmpty()) {
 			int capacity = runner.info.slots() + PLAIN_QUEUE;
 			return new Choice(Optional.of(runner), nominal, predicted, 0, load.requests() < capacity,
-					(double) load.requests() / capacity, false, 0, version, false, OptionalLong.empty());
+					(double) load.requests() / capacity, false, 0, version, false, OptionalLong.empty(), false);
 		}
 		EngineSpec spec = engine.get();
 		int free = spec.slots() + ENGINE_QUEUE - load.requests();
@@ -185,7 +188,7 @@
 		double wait = EngineLatencyModel.slotWaitMillis(spec, load) * predicted / nominal;
 		OptionalInt requiredVersion = version.isPresent() ? runner.weightsVersion(spec.model()) : version;
 		return new Choice(Optional.of(runner), nominal, predicted, wait, hasFreeCapacity,
-				(double) load.requests() / spec.slots(), true, 0, requiredVersion, false, OptionalLong.empty());
+				(double) load.requests() / spec.slots(), true, 0, requiredVersion, false, OptionalLong.empty(), false);
 	}
 
 	// Engines switch weights one after the other under full load. A long response
@@ -298,14 +301,21 @@
 	 * @param rateLimited whether there is no runner only because runners limit their rate
 	 * @param restEndNanos when the first runner takes requests again, if there is none
 	 * because all want none for a time
+	 * @param regionUnavailable whether there is no runner because none is in a region
+	 * that is allowed
 	 */
 	record Choice(Optional<RunnerState> runner, double nominalMillis, double predictedMillis, double slotWaitMillis,
 			boolean hasFreeCapacity, double utilization, boolean engine, double slotIntervalMillis,
-			OptionalInt requiredVersion, boolean rateLimited, OptionalLong restEndNanos) {
+			OptionalInt requiredVersion, boolean rateLimited, OptionalLong restEndNanos, boolean regionUnavailable) {
 
 		static Choice noRunner(OptionalInt version, boolean rateLimited, OptionalLong restEndNanos) {
 			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, version, rateLimited,
-					restEndNanos);
+					restEndNanos, false);
+		}
+
+		static Choice outsideAllowedRegions() {
+			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, OptionalInt.empty(), false,
+					OptionalLong.empty(), true);
 		}
 
 		boolean isEmpty() {
@@ -319,7 +329,7 @@
 			double slots = engines * spec.get().slots() / entries;
 			return new Choice(this.runner, this.nominalMillis, this.predictedMillis, this.slotWaitMillis,
 					this.hasFreeCapacity, this.utilization, true, EngineLatencyModel.slotHoldMillis(spec.get()) / slots,
-					this.requiredVersion, false, this.restEndNanos);
+					this.requiredVersion, false, this.restEndNanos, false);
 		}
 
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.wisteriapost.policy.region.RegionMap;
 import org.wisteriapost.policy.routing.EngineSpec;
 
 /**
@@ -15,8 +16,11 @@
 
 	private final WeightsFence fence;
 
-	RunnerEligibility(WeightsFence fence) {
+	private final RegionMap regions;
+
+	RunnerEligibility(WeightsFence fence, RegionMap regions) {
 		this.fence = fence;
+		this.regions = regions;
 	}
 
 	/**
@@ -28,6 +32,9 @@
 				|| runner.rest.active(nowNanos) || runner.path.probing() || runner.path.blocked(nowNanos)) {
 			return false;
 		}
+		if (!this.regions.permits(job.allowedRegions(), runner.info.failureDomain())) {
+			return false;
+		}
 		if (job.triedRunners.contains(runner.info.id()) && job.triedRunners.size() < 3) {
 			return false;
 		}
@@ -44,6 +51,13 @@
 		return same && (version.isEmpty() || held.getAsInt() >= version.getAsInt());
 	}
 
+	/**
+	 * Returns whether a runner will take no more requests. Another incarnation of it may.
+	 */
+	boolean gone(RunnerState runner) {
+		return runner.draining() || runner.removed;
+	}
+
 	/**
 	 * Returns whether a request may start at a runner only after the weights that the
 	 * runner holds have been replaced. A runner on probation or behind a suspect network
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -48,6 +48,8 @@
 
 	private final Set<String> missingDuringOutage = new HashSet<>();
 
+	private long indexVersion;
+
 	private boolean storeReachable = true;
 
 	private long storeRecoveredNanos = Long.MIN_VALUE / 2;
@@ -216,6 +218,20 @@
 		return this.candidates.getOrDefault(service, List.of());
 	}
 
+	/**
+	 * Returns those of the given runners that this entry considers for a request.
+	 */
+	List<RunnerState> candidates(List<RunnerState> runners) {
+		return this.subset.select(runners);
+	}
+
+	/**
+	 * Returns a number that changes whenever the runners of a service may have changed.
+	 */
+	long indexVersion() {
+		return this.indexVersion;
+	}
+
 	/**
 	 * Returns the latest status of each engine in a failure domain, by runner address.
 	 */
@@ -261,6 +277,7 @@
 	// a time, so only the latest registration is used. A registration of another service
 	// does not replace it, since it may be a mistake.
 	private void rebuildIndex() {
+		this.indexVersion++;
 		Map<String, RunnerState> latest = new HashMap<>();
 		this.runners.values()
 			.forEach((state) -> latest.merge(state.info.service() + " " + state.info.address(), state,
--- a/policy/src/main/java/org/wisteriapost/policy/region/RegionMap.java
+++ b/policy/src/main/java/org/wisteriapost/policy/region/RegionMap.java
@@ -24,4 +24,12 @@
 		return Optional.ofNullable(this.byFailureDomain.get(failureDomain));
 	}
 
+	/**
+	 * Returns whether a restriction allows a failure domain. One without a known region
+	 * is outside every allowed region.
+	 */
+	public boolean permits(AllowedRegions allowed, String failureDomain) {
+		return !allowed.restricted() || allowed.allows(regionOf(failureDomain));
+	}
+
 }
