--- a/policy/src/main/java/org/wisteriapost/policy/routing/RouteTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RouteTable.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.wisteriapost.policy.region.AllowedRegions;
+
 /**
  * An immutable snapshot of all declarations for routing: routes, services, tokens and
  * limits. Within a process the version only increases: a source that lags must not
@@ -23,16 +25,20 @@
 
 	private final Map<String, List<Route>> routes;
 
+	// By host, for hosts with restricted routes only.
+	private final Map<String, AllowedRegions> allowedRegions;
+
 	private final Map<String, ServiceSpec> services;
 
 	private final Map<String, Organisation> tokens;
 
 	private final CallLimits limits;
 
-	private RouteTable(long version, Map<String, List<Route>> routes, Map<String, ServiceSpec> services,
-			Map<String, Organisation> tokens, CallLimits limits) {
+	private RouteTable(long version, Map<String, List<Route>> routes, Map<String, AllowedRegions> allowedRegions,
+			Map<String, ServiceSpec> services, Map<String, Organisation> tokens, CallLimits limits) {
 		this.version = version;
 		this.routes = routes;
+		this.allowedRegions = allowedRegions;
 		this.services = services;
 		this.tokens = tokens;
 		this.limits = limits;
@@ -48,9 +54,13 @@
 		routes.stream()
 			.sorted(LONGEST_PREFIX_FIRST)
 			.forEach((route) -> byHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route));
+		Map<String, AllowedRegions> allowedRegions = new HashMap<>();
+		routes.stream()
+			.filter((route) -> route.allowedRegions().restricted())
+			.forEach((route) -> allowedRegions.merge(route.host(), route.allowedRegions(), AllowedRegions::and));
 		Map<String, ServiceSpec> byName = new HashMap<>();
 		services.forEach((service) -> byName.put(service.name(), service));
-		return new RouteTable(version, byHost, byName, Map.copyOf(tokens), limits);
+		return new RouteTable(version, byHost, allowedRegions, byName, Map.copyOf(tokens), limits);
 	}
 
 	public long version() {
@@ -75,6 +85,14 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns the regions that all routes of a host allow.
+	 * @param host lower-case, without a port
+	 */
+	public AllowedRegions allowedRegions(String host) {
+		return this.allowedRegions.getOrDefault(host, AllowedRegions.ANY);
+	}
+
 	/**
 	 * Returns whether any tokens are declared; without any, requests need none.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherHarness.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherHarness.java
@@ -11,10 +11,13 @@
 import java.util.Set;
 
 import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.policy.coldstart.ColdStartBound;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.region.RegionMap;
 import org.wisteriapost.policy.routing.CallLimits;
 import org.wisteriapost.policy.routing.EngineSpec;
+import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.Route.WeightedService;
 import org.wisteriapost.policy.routing.RouteKind;
@@ -42,9 +45,7 @@
 	/** Its responses usually take most of a second. */
 	static final Route SLOW = route("slow", RouteKind.AT_MOST_ONCE, "registry-api", 1500, 6000, 1, false);
 
-	final Dispatcher dispatcher = Dispatcher.create(
-			new DispatchLimits("hall-a", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8)),
-			RandomSource.XO_RO_SHI_RO_128_PP.create(42));
+	final Dispatcher dispatcher;
 
 	long nowNanos = 10_000 * NANOS_PER_MILLI;
 
@@ -55,6 +56,12 @@
 	private long lastId;
 
 	DispatcherHarness() {
+		this(RegionMap.NONE);
+	}
+
+	DispatcherHarness(RegionMap regions) {
+		this.dispatcher = Dispatcher.create(new DispatchLimits("hall-a", 0.2, 100, Duration.ofSeconds(10),
+				Duration.ofSeconds(8), regions, ColdStartBound.STRICT), RandomSource.XO_RO_SHI_RO_128_PP.create(42));
 		CallLimits limits = new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
 		ServiceSpec engines = new ServiceSpec("lm-notice", 264, Optional.of(ENGINE), Optional.empty());
 		ServiceSpec plain = new ServiceSpec("registry-api", 96, Optional.empty(), Optional.empty());
@@ -108,9 +115,19 @@
 	 * @param request equal for all attempts of one request
 	 */
 	Job arrive(Route route, Job.Size size, long remainingMillis, OptionalLong request) {
+		return arrive(route, Optional.empty(), size, remainingMillis, request);
+	}
+
+	Job arrive(Route route, Optional<Organisation> organisation) {
+		return arrive(route, organisation, new Job.Size(1000, 100, OptionalInt.empty()), route.timeout().toMillis(),
+				OptionalLong.empty());
+	}
+
+	private Job arrive(Route route, Optional<Organisation> organisation, Job.Size size, long remainingMillis,
+			OptionalLong request) {
 		this.lastId++;
 		Job.Attempt attempt = new Job.Attempt("attempt-" + this.lastId, this.lastId, request, Optional.empty());
-		Job job = Job.create(this.lastId, attempt, route, route.selectService(0), Optional.empty(), size, this.nowNanos,
+		Job job = Job.create(this.lastId, attempt, route, route.selectService(0), organisation, size, this.nowNanos,
 				this.nowNanos + remainingMillis * NANOS_PER_MILLI);
 		this.dispatcher.requestArrived(job, this.nowNanos);
 		confirmConnections();
--- a/policy/src/test/java/org/wisteriapost/policy/routing/RouteTableTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/routing/RouteTableTests.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wisteriapost.policy.region.AllowedRegions;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -37,6 +39,24 @@
 		assertThat(route("split", "/a/", 1).selectService(draw), Matchers.equalTo(expected));
 	}
 
+	// Guards against a host whose routes differ: a caller uses the same entries for all.
+	@ParameterizedTest
+	@CsvSource({ "lima oslo|oslo dakar|,oslo", "lima||,lima", "lima|oslo,''", "||,", "lima|/other,lima" })
+	void aHostIsRestrictedToWhatAllItsRoutesAllow(String routes, String expected) {
+		RouteTable restricted = RouteTable.of(1,
+				Stream.of(routes.split("\\|")).map(RouteTableTests::restricted).toList(), List.of(), Map.of(),
+				this.table.limits());
+		assertThat(restricted.allowedRegions("one.example").names().map((names) -> String.join(" ", names)),
+				Matchers.equalTo(Optional.ofNullable(expected)));
+	}
+
+	private static Route restricted(String regions) {
+		return new Route("restricted", regions.startsWith("/") ? "two.example" : "one.example", "/a/",
+				RouteKind.IDEMPOTENT, Duration.ofSeconds(1), Duration.ofSeconds(1), 1,
+				List.of(new Route.WeightedService("first", 1)), 1, false, false, Duration.ZERO,
+				AllowedRegions.declared(regions.isEmpty() ? List.of() : List.of(regions.split(" "))));
+	}
+
 	@Test
 	void aTableWithoutTokensRequiresNone() {
 		assertThat(this.table.requiresTokens(), Matchers.equalTo(false));
