Directory answers keep callers of restricted hosts near allowed regions

The directory named any ready entry, so a request restricted to a region could reach it through an entry of a third region. Lines of refused and dispatched restricted requests name their regions, refused ones also the service, the table and its age; wisteriapost.entry.regional.requests counts those that arrive inside and outside their regions; explain prints registration changes beside region-unavailable.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectHttpServer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectHttpServer.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,6 +26,7 @@
 import org.wisteriapost.entry.caller.DisconnectWatch;
 import org.wisteriapost.entry.caller.Refusal;
 import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.region.DirectoryQuery;
 import org.wisteriapost.policy.routing.CallLimits;
 import org.wisteriapost.protocol.site.CallProtocol;
 import org.wisteriapost.protocol.site.CallerRequestFields;
@@ -133,10 +136,7 @@
 	}
 
 	private void handleDirectory(HttpServerExchange exchange) {
-		Optional<String> failureDomain = Optional
-			.ofNullable(exchange.getQueryParameters().get(this.dialect.failureDomainParameter()))
-			.map(Deque::peekFirst);
-		List<String> addresses = this.entry.addresses(failureDomain);
+		List<String> addresses = this.entry.addresses(directoryQuery(exchange));
 		if (!exchange.getRequestURI().equals(this.dialect.directoryPath()) || addresses.isEmpty()) {
 			exchange.setStatusCode(UNAVAILABLE);
 			exchange.endExchange();
@@ -147,6 +147,29 @@
 			.send(ByteBuffer.wrap(this.dialect.encodeDirectory(addresses, DIRECTORY_TTL_SECONDS)));
 	}
 
+	private DirectoryQuery directoryQuery(HttpServerExchange exchange) {
+		Optional<String> host = parameter(exchange, this.dialect.hostParameter()).flatMap(DirectHttpServer::decoded);
+		Optional<String> region = parameter(exchange, this.dialect.regionParameter())
+			.flatMap(DirectHttpServer::decoded);
+		return new DirectoryQuery(host.map(DirectHttpServer::hostName), region,
+				parameter(exchange, this.dialect.failureDomainParameter()));
+	}
+
+	private static Optional<String> parameter(HttpServerExchange exchange, String name) {
+		return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::peekFirst);
+	}
+
+	// The server does not decode queries, which are forwarded to runners as sent.
+	private static Optional<String> decoded(String value) {
+		try {
+			return Optional.of(URLDecoder.decode(value, StandardCharsets.UTF_8));
+		}
+		catch (IllegalArgumentException ex) {
+			// A malformed parameter is treated as absent.
+			return Optional.empty();
+		}
+	}
+
 	private void handleCall(HttpServerExchange exchange) {
 		long now = System.nanoTime();
 		if (this.entry.leaving()) {
@@ -209,7 +232,10 @@
 	}
 
 	private static String host(HttpServerExchange exchange) {
-		String host = Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST)).orElse("");
+		return hostName(Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST)).orElse(""));
+	}
+
+	private static String hostName(String host) {
 		int colon = host.lastIndexOf(':');
 		return ((colon > 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.entry.direct;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -57,6 +58,17 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Counts a request that is restricted to regions.
+	 * @param region this entry's region
+	 */
+	void requestArrived(Job job, String region) {
+		if (job.allowedRegions().restricted()) {
+			boolean inside = job.allowedRegions().allows(Optional.of(region));
+			this.registry.counter(PREFIX + "regional.requests", "entry", inside ? "inside" : "outside").increment();
+		}
+	}
+
 	void dispatched() {
 		this.registry.counter(PREFIX + "dispatches").increment();
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -19,7 +19,6 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.StoreRole;
 import org.wisteriapost.policy.fleet.UpstreamSelector;
-import org.wisteriapost.policy.routing.RouteTable;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
@@ -201,6 +200,7 @@
 	private void requestArrived(IncomingRequest request, long now) {
 		this.admission.admit(request, now).ifPresent((job) -> {
 			this.calls.put(request.id(), new DirectCall(request, job));
+			this.metrics.requestArrived(job, this.self.region());
 			this.dispatcher.requestArrived(job, now);
 		});
 	}
@@ -432,7 +432,7 @@
 
 	private void publish() {
 		this.view.publish(ready(), this.shutdown.leaving(), this.roster.advertisedEntries(ready()),
-				this.roster.scopedByFailureDomain(), this.localView.routeTable().map(RouteTable::limits),
+				this.roster.scopedByFailureDomain(), this.localView.routeTable(),
 				this.localView.rejectionPermit(now(), this.clocks.wallMillis().getAsLong()),
 				this.shutdown.mayExit(this.dispatcher.inProgress(), now()));
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -7,8 +7,12 @@
 import org.wisteriapost.kernel.EventLoop;
 import org.wisteriapost.policy.fleet.AdvertisedEntries;
 import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.region.AllowedRegions;
+import org.wisteriapost.policy.region.DirectoryQuery;
+import org.wisteriapost.policy.region.RegionalEntries;
 import org.wisteriapost.policy.routing.CallLimits;
 import org.wisteriapost.policy.routing.RejectionPermit;
+import org.wisteriapost.policy.routing.RouteTable;
 
 /**
  * The state that the state thread publishes to other threads, and access to its event
@@ -36,8 +40,8 @@
 	}
 
 	void publish(boolean ready, boolean leaving, List<EntryInfo> entries, boolean scopedByFailureDomain,
-			Optional<CallLimits> limits, RejectionPermit rejectionPermit, boolean mayExit) {
-		this.snapshot = new Snapshot(ready, leaving, entries, scopedByFailureDomain, limits, rejectionPermit);
+			Optional<RouteTable> routeTable, RejectionPermit rejectionPermit, boolean mayExit) {
+		this.snapshot = new Snapshot(ready, leaving, entries, scopedByFailureDomain, routeTable, rejectionPermit);
 		if (mayExit) {
 			this.termination.complete(null);
 		}
@@ -71,9 +75,13 @@
 	}
 
 	@Override
-	public List<String> addresses(Optional<String> failureDomain) {
+	public List<String> addresses(DirectoryQuery query) {
 		Snapshot current = this.snapshot;
-		return AdvertisedEntries.select(current.entries(), failureDomain, current.scopedByFailureDomain())
+		AllowedRegions allowed = query.host()
+			.flatMap((host) -> current.routeTable().map((table) -> table.allowedRegions(host)))
+			.orElse(AllowedRegions.ANY);
+		List<EntryInfo> regional = RegionalEntries.select(current.entries(), allowed, query);
+		return AdvertisedEntries.select(regional, query.failureDomain(), current.scopedByFailureDomain())
 			.stream()
 			.map(EntryInfo::callerAddress)
 			.toList();
@@ -81,7 +89,7 @@
 
 	@Override
 	public Optional<CallLimits> limits() {
-		return this.snapshot.limits();
+		return this.snapshot.routeTable().map(RouteTable::limits);
 	}
 
 	@Override
@@ -91,7 +99,7 @@
 	}
 
 	private record Snapshot(boolean ready, boolean leaving, List<EntryInfo> entries, boolean scopedByFailureDomain,
-			Optional<CallLimits> limits, RejectionPermit rejectionPermit) {
+			Optional<RouteTable> routeTable, RejectionPermit rejectionPermit) {
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -52,21 +52,24 @@
 
 	private void send(DispatchEffect.Send send, DirectCall call) {
 		Job job = send.job();
-		this.log.decision("dispatched", "attempt", job.attemptId(), "dispatch", job.dispatchNumber(), "request",
-				Long.toHexString(job.contentHash()), "route", job.route().name(), "runner", send.runner().id(),
-				"address", send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
-				this.localView.routeTableVersion(), "prompt", job.size().promptTokens(), "answer",
-				job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "tries",
+		Object[] inputs = RegionLog.withRegions(job, "attempt", job.attemptId(), "dispatch", job.dispatchNumber(),
+				"request", Long.toHexString(job.contentHash()), "route", job.route().name(), "runner",
+				send.runner().id(), "address", send.runner().address(), "rank", send.rank(), "version",
+				send.weightsVersion(), "table", this.localView.routeTableVersion(), "prompt", job.size().promptTokens(),
+				"answer", job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "tries",
 				send.requiresNewConnection());
+		this.log.decision("dispatched", inputs);
 		this.metrics.dispatched();
 		this.output.send(call, send);
 	}
 
 	private void refuse(DispatchEffect.Refuse refuse, DirectCall call, long nowNanos) {
 		Job job = refuse.job();
-		this.log.failure("refused", "attempt", job.attemptId(), "request", Long.toHexString(job.contentHash()), "code",
-				refuse.code().name(), "route", job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "ageMs",
+		Object[] inputs = RegionLog.withRefusalInputs(job, this.localView, nowNanos, "attempt", job.attemptId(),
+				"request", Long.toHexString(job.contentHash()), "code", refuse.code().name(), "route",
+				job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "ageMs",
 				TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
+		this.log.failure("refused", inputs);
 		this.metrics.answered("refused", refuse.code().name());
 		this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryHandle.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryHandle.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.wisteriapost.policy.region.DirectoryQuery;
 import org.wisteriapost.policy.routing.CallLimits;
 
 /**
@@ -31,10 +32,10 @@
 	boolean leaving();
 
 	/**
-	 * Returns the addresses of ready entries, {@code IP:PORT}.
-	 * @param failureDomain the caller's failure domain, if given
+	 * Returns the addresses of the ready entries that a caller is to use,
+	 * {@code IP:PORT}.
 	 */
-	List<String> addresses(Optional<String> failureDomain);
+	List<String> addresses(DirectoryQuery query);
 
 	/**
 	 * Returns the declared limits of requests, once known.
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
@@ -60,6 +60,16 @@
 		return "";
 	}
 
+	@Override
+	public String hostParameter() {
+		return "";
+	}
+
+	@Override
+	public String regionParameter() {
+		return "";
+	}
+
 	@Override
 	public String readinessPath() {
 		return "";
--- a/operator/src/main/java/org/wisteriapost/operator/explain/AttemptTrace.java
+++ b/operator/src/main/java/org/wisteriapost/operator/explain/AttemptTrace.java
@@ -31,6 +31,12 @@
 	private static final Set<String> STATE_EVENTS = Set.of("store", "table-in-force", "weights-named", "runners-read",
 			"leaving", "started", "runner-limit", "runner-leaving", "runner-resting");
 
+	// Refusals that are explained by the registrations of runners that the request was
+	// never sent to.
+	private static final String REGION_UNAVAILABLE = "region-unavailable";
+
+	private static final Set<String> REGISTRATION_EVENTS = Set.of("runner-removed", "runner-changed");
+
 	private final List<Line> lines;
 
 	private AttemptTrace(List<Line> lines) {
@@ -63,13 +69,16 @@
 		});
 		runners.remove("");
 		requests.remove("");
+		boolean registrations = own.stream().anyMatch((line) -> line.field("code").equals(REGION_UNAVAILABLE));
 		String from = java.time.Instant.parse(own.getFirst().time()).minusMillis(LOOKBACK_MILLIS).toString();
 		String until = own.getLast().time();
 		return new AttemptTrace(all.stream()
 			.filter((line) -> own.contains(line) || (line.time().compareTo(from) >= 0
 					&& line.time().compareTo(until) <= 0 && processes.contains(line.field("process"))
-					&& (STATE_EVENTS.contains(line.field("event")) || runners.contains(line.field("runner"))
-							|| runners.contains(line.field("address")) || requests.contains(line.field("request")))
+					&& (STATE_EVENTS.contains(line.field("event"))
+							|| (registrations && REGISTRATION_EVENTS.contains(line.field("event")))
+							|| runners.contains(line.field("runner")) || runners.contains(line.field("address"))
+							|| requests.contains(line.field("request")))
 					&& line.field("attempt").isEmpty()))
 			.toList());
 	}
--- a/operator/src/test/java/org/wisteriapost/operator/explain/AttemptTraceTests.java
+++ b/operator/src/test/java/org/wisteriapost/operator/explain/AttemptTraceTests.java
@@ -7,6 +7,8 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -52,6 +54,18 @@
 						Matchers.containsString("code=runner-resting")));
 	}
 
+	// Guards against a refusal that on-call can't explain: the request was sent to no
+	// runner, and the one that it could have used was removed.
+	@ParameterizedTest
+	@CsvSource({ "region-unavailable,2", "no-room,1" })
+	void containsRegistrationsWhereARegionHasNoRunner(String code, int lines) throws Exception {
+		Path file = Files.writeString(this.folder.resolve("edge.log"), """
+				{"time":"2026-01-01T00:00:01.000Z","process":"edge-1","event":"runner-removed","runner":"r1"}
+				{"time":"2026-01-01T00:00:02.100Z","process":"edge-1","event":"refused","attempt":"a1","code":"%s"}"""
+			.formatted(code));
+		assertThat(AttemptTrace.of("a1", List.of(file)).format(), Matchers.hasSize(lines));
+	}
+
 	@Test
 	void traceOfUnknownAttemptIsEmpty() throws Exception {
 		Path file = Files.writeString(this.folder.resolve("edge.log"), LOG);
--- a/policy/src/main/java/org/wisteriapost/policy/region/AllowedRegions.java
+++ b/policy/src/main/java/org/wisteriapost/policy/region/AllowedRegions.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The regions in which requests may be handled, as a route or an organisation declares
@@ -55,4 +56,12 @@
 		return this.names.isPresent();
 	}
 
+	/**
+	 * Returns the names in alphabetical order, separated by spaces; empty if no region is
+	 * allowed.
+	 */
+	public String describe() {
+		return this.names.map((regions) -> String.join(" ", new TreeSet<>(regions))).orElse("any");
+	}
+
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/CallProtocol.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/CallProtocol.java
@@ -50,6 +50,18 @@
 	 */
 	String failureDomainParameter();
 
+	/**
+	 * Returns the query parameter that carries the host of the caller's requests in a
+	 * directory request.
+	 */
+	String hostParameter();
+
+	/**
+	 * Returns the query parameter that carries the caller's region in a directory
+	 * request.
+	 */
+	String regionParameter();
+
 	/**
 	 * Returns the path of an entry's readiness check.
 	 */
