--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -170,7 +170,7 @@
 				best = choice;
 			}
 		}
-		double candidateRatio = (double) this.runners.all(job).size() / Math.max(1, runners.size());
+		double candidateRatio = (double) this.runners.serviceSize(job) / Math.max(1, runners.size());
 		return best.withSlotInterval(usable * candidateRatio, engine, this.entryCount.total());
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RegionalRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RegionalRunners.java
@@ -11,8 +11,7 @@
  * The runners of a service in the regions that a request may be handled in.
  *
  * The runners that an entry considers are selected among those in the allowed regions: an
- * entry elsewhere would otherwise use only a few of them, and would expect free slots at
- * runners that the request can't be sent to.
+ * entry elsewhere would otherwise use only a few of them.
  */
 final class RegionalRunners {
 
@@ -49,6 +48,15 @@
 				: this.registry.candidates(job.service());
 	}
 
+	/**
+	 * Returns the number of runners of the request's service in all regions. The share of
+	 * one entry in the slots of some regions is estimated by that of all regions, since
+	 * the entries elsewhere send few requests there.
+	 */
+	int serviceSize(Job job) {
+		return this.registry.forService(job.service()).size();
+	}
+
 	/**
 	 * Returns whether no runner can be used because of the request's allowed regions.
 	 * While no runner of any service is known, the entry may not have read them yet and
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RegionalDispatchTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RegionalDispatchTests.java
@@ -138,6 +138,16 @@
 		assertThat(this.harness.advance(1).effectNames(), Matchers.contains("Refuse:region-unavailable"));
 	}
 
+	@Test
+	void runnersThatRegisterLaterAreUsed() {
+		registerLookups("hall-a");
+		Route route = restricted(DispatcherHarness.LOOKUP, "lima");
+		this.harness.arrive(route, Optional.empty());
+		registerLookups("hall-b");
+		this.harness.arrive(route, Optional.empty());
+		assertThat(this.harness.effectNames(), Matchers.contains("Refuse:region-unavailable", "Send:b"));
+	}
+
 	@Test
 	void waitingRequestKeepsDeclarationsItArrivedWith() {
 		registerLookups("hall-a hall-b");
@@ -183,6 +193,20 @@
 		assertThat(used, Matchers.hasSize(13));
 	}
 
+	// Guards against a refusal where a request without restriction would wait for a slot:
+	// the region's slots are not shared by all entries.
+	@ParameterizedTest
+	@CsvSource({ "'',false", "lima,false", "dakar lima,false", "lima,true" })
+	void restrictedRequestWaitsForASlotAsOthersDo(String names, boolean free) {
+		this.harness.dispatcher.updateEntryCount(EntryCount.unpartitioned(40));
+		for (int i = 0; i < 36; i++) {
+			this.harness.register(DispatcherHarness.engineIn("hall-" + "abc".charAt(i % 3), "e" + i));
+			this.harness.reportPeerLoad("e" + i, new InFlightLoad(free ? 4 : 18, 0, 0));
+		}
+		this.harness.arrive(restricted(DispatcherHarness.STREAM, names.isEmpty() ? null : names), Optional.empty());
+		assertThat(this.harness.effectNames(), free ? Matchers.hasSize(1) : Matchers.empty());
+	}
+
 	// Runners elsewhere say nothing about when a restricted request can be served.
 	@Test
 	void requestIsRefusedAtOnceWhileAllAllowedRunnersRest() {
