Runners in an evacuated failure domain are sent no requests

Cause: nothing keeps requests away from a failure domain that operators evacuate. RunnerEligibility refuses runners there for first sends, retries and resumptions, waiting requests are placed again when the set changes, and a request is refused at once if all runners of its service are there. Nothing fills the set yet.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
@@ -44,7 +44,7 @@
 	 */
 	void restStated(DirectEvent.RunnerResting resting, long now) {
 		RunnerInfo runner = resting.runner();
-		this.dispatcher.restStated(runner, resting.rest(), now);
+		this.dispatcher.departures().restStated(runner, resting.rest(), now);
 		this.log.decision("runner-resting", "runner", runner.id(), "address", runner.address(), "millis",
 				resting.rest().toMillis());
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -67,8 +67,11 @@
 
 	private final Contention contention;
 
-	AdmissionPolicy(Contention contention, UniformRandomProvider random) {
+	private final EvacuatedRunners evacuated;
+
+	AdmissionPolicy(Contention contention, EvacuatedRunners evacuated, UniformRandomProvider random) {
 		this.contention = contention;
+		this.evacuated = evacuated;
 		this.random = random;
 	}
 
@@ -90,7 +93,10 @@
 	Decision decide(Job job, Placement.Choice choice, int queued, long nowNanos) {
 		if (choice.isEmpty()) {
 			// A wait that is known to be in vain would cost the caller the time to go
-			// elsewhere.
+			// elsewhere. An evacuation usually lasts longer than a request.
+			if (this.evacuated.includesAll(job.service())) {
+				return Decision.REFUSE;
+			}
 			long untilNanos = choice.restEndNanos().orElse(nowNanos);
 			return (waitedShare(job, untilNanos) < NO_RUNNER_MAX_WAIT_SHARE) ? Decision.WAIT : Decision.REFUSE;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.policy.dispatch;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
@@ -32,6 +31,8 @@
 
 	private final PoisonGuard poisonGuard = new PoisonGuard();
 
+	private final EvacuatedRunners evacuated;
+
 	private final PeerLoads peerLoads;
 
 	private final RateLimits rateLimits;
@@ -68,6 +69,7 @@
 
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
 		this.registry = new RunnerRegistry(new RunnerSubset(limits.failureDomain(), random.nextLong()));
+		this.evacuated = new EvacuatedRunners(this.registry, this::placeWaiting);
 		this.peerLoads = new PeerLoads(this.registry);
 		this.rateLimits = new RateLimits(this.registry, limits.failureDomain(), random);
 		this.departures = new RunnerDepartures(this.registry);
@@ -75,11 +77,11 @@
 		this.weightsFence = new WeightsFence(limits.weightsActivationDelay());
 		ServiceLatencyFactors factors = new ServiceLatencyFactors();
 		this.latencies = new FirstEventLatencies(factors);
-		this.placement = new Placement(this.registry, factors, this.weightsFence, this.rateLimits,
+		this.placement = new Placement(this.registry, factors, this.weightsFence, this.rateLimits, this.evacuated,
 				limits.failureDomain(), random);
 		this.paths = new RunnerPaths(this.registry, this.placement, this.engineSpecs::of);
 		this.retryBudgets = new RetryBudgets(limits);
-		this.admission = new AdmissionPolicy(this.contention, random);
+		this.admission = new AdmissionPolicy(this.contention, this.evacuated, random);
 		this.retryPolicy = new RetryPolicy();
 		this.responses = new FinalResponses(this.admission, (effect) -> this.pendingEffects.add(effect));
 	}
@@ -166,11 +168,10 @@
 	}
 
 	/**
-	 * Records that a runner turned a request away and wants no others for a time.
-	 * @param runner the incarnation that answered
+	 * Returns the runners in evacuated failure domains.
 	 */
-	public void restStated(RunnerInfo runner, Duration rest, long nowNanos) {
-		this.registry.find(runner).ifPresent((state) -> state.rest.stated(rest, nowNanos));
+	public EvacuatedRunners evacuated() {
+		return this.evacuated;
 	}
 
 	/**
--- /dev/null
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
@@ -0,0 +1,91 @@
+package org.wisteriapost.policy.dispatch;
+
+import java.util.Map;
+import java.util.function.LongConsumer;
+
+import org.wisteriapost.policy.evacuation.Evacuations;
+
+/**
+ * The runners in evacuated failure domains, which are sent no requests. Requests that
+ * wait are placed again when the set of these failure domains has changed.
+ */
+public final class EvacuatedRunners {
+
+	private final Evacuations evacuations = new Evacuations();
+
+	private final RunnerRegistry registry;
+
+	private final LongConsumer placeWaiting;
+
+	/**
+	 * Creates the view without evacuations.
+	 * @param placeWaiting places waiting requests at a time
+	 */
+	EvacuatedRunners(RunnerRegistry registry, LongConsumer placeWaiting) {
+		this.registry = registry;
+		this.placeWaiting = placeWaiting;
+	}
+
+	/**
+	 * Returns the evacuations in force.
+	 */
+	public Evacuations evacuations() {
+		return this.evacuations;
+	}
+
+	/**
+	 * Replaces all evacuations.
+	 * @param revisions the revisions of the objects by failure domain
+	 */
+	public void replaceAll(Map<String, Long> revisions, long nowNanos) {
+		placeWaitingIf(this.evacuations.replaceAll(revisions, nowNanos), nowNanos);
+	}
+
+	/**
+	 * Applies the object of an evacuation that was written.
+	 */
+	public void begin(String failureDomain, long revision, long nowNanos) {
+		placeWaitingIf(this.evacuations.begin(failureDomain, revision, nowNanos), nowNanos);
+	}
+
+	/**
+	 * Applies the removal of the object of an evacuation.
+	 */
+	public void end(String failureDomain, long revision, long nowNanos) {
+		placeWaitingIf(this.evacuations.end(failureDomain, revision, nowNanos), nowNanos);
+	}
+
+	private void placeWaitingIf(boolean changed, long nowNanos) {
+		if (changed) {
+			this.placeWaiting.accept(nowNanos);
+		}
+	}
+
+	/**
+	 * Returns whether a service has runners that are not leaving, and all of these are in
+	 * evacuated failure domains.
+	 */
+	public boolean includesAll(String service) {
+		if (this.evacuations.isEmpty()) {
+			return false;
+		}
+		boolean staying = false;
+		for (RunnerState runner : this.registry.forService(service)) {
+			if (!runner.draining() && !runner.removed) {
+				staying = true;
+				if (!includes(runner)) {
+					return false;
+				}
+			}
+		}
+		return staying;
+	}
+
+	/**
+	 * Returns whether a runner is in an evacuated failure domain.
+	 */
+	boolean includes(RunnerState runner) {
+		return this.evacuations.active(runner.info.failureDomain());
+	}
+
+}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -58,6 +58,8 @@
 
 	private final RateLimits rateLimits;
 
+	private final EvacuatedRunners evacuated;
+
 	private final String failureDomain;
 
 	private final UniformRandomProvider random;
@@ -65,12 +67,13 @@
 	private EntryCount entryCount = EntryCount.unpartitioned(1);
 
 	Placement(RunnerRegistry registry, ServiceLatencyFactors latencyFactors, WeightsFence fence, RateLimits rateLimits,
-			String failureDomain, UniformRandomProvider random) {
+			EvacuatedRunners evacuated, String failureDomain, UniformRandomProvider random) {
 		this.registry = registry;
 		this.latencyFactors = latencyFactors;
 		this.fence = fence;
-		this.eligibility = new RunnerEligibility(fence);
+		this.eligibility = new RunnerEligibility(fence, evacuated);
 		this.rateLimits = rateLimits;
+		this.evacuated = evacuated;
 		this.failureDomain = failureDomain;
 		this.random = random;
 	}
@@ -127,10 +130,12 @@
 		return Choice.noRunner(version, limited, restEndNanos(runners, nowNanos));
 	}
 
-	// Empty unless every runner that is not leaving wants no requests: any other may be
-	// usable in a moment.
-	private static OptionalLong restEndNanos(List<RunnerState> runners, long nowNanos) {
-		List<RunnerState> staying = runners.stream().filter((runner) -> !runner.draining() && !runner.removed).toList();
+	// Empty unless every runner that is not leaving or evacuated wants no requests: any
+	// other may be usable in a moment.
+	private OptionalLong restEndNanos(List<RunnerState> runners, long nowNanos) {
+		List<RunnerState> staying = runners.stream()
+			.filter((runner) -> !runner.draining() && !runner.removed && !this.evacuated.includes(runner))
+			.toList();
 		return staying.stream().allMatch((runner) -> runner.rest.active(nowNanos))
 				? staying.stream().mapToLong((runner) -> runner.rest.endNanos(nowNanos).orElseThrow()).min()
 				: OptionalLong.empty();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerDepartures.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerDepartures.java
@@ -1,10 +1,12 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.time.Duration;
+
 import org.wisteriapost.policy.fleet.RunnerInfo;
 
 /**
- * Records which runners are leaving or gone, from the store and from the runners'
- * answers.
+ * Records which runners are leaving, gone or want no requests for a time, from the store
+ * and from the runners' answers.
  */
 public final class RunnerDepartures {
 
@@ -46,4 +48,12 @@
 		return this.registry.find(runner).map(RunnerState::markLeaving).orElse(false);
 	}
 
+	/**
+	 * Records that a runner turned a request away and wants no others for a time.
+	 * @param runner the incarnation that answered
+	 */
+	public void restStated(RunnerInfo runner, Duration rest, long nowNanos) {
+		this.registry.find(runner).ifPresent((state) -> state.rest.stated(rest, nowNanos));
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
@@ -9,14 +9,18 @@
  * Decides which runners a request may be sent to at all.
  *
  * A runner that is leaving, switches weights, wants no requests or has no known network
- * path would fail the request or delay it by seconds.
+ * path would fail the request or delay it by seconds. No request may be sent to a runner
+ * in an evacuated failure domain.
  */
 final class RunnerEligibility {
 
 	private final WeightsFence fence;
 
-	RunnerEligibility(WeightsFence fence) {
+	private final EvacuatedRunners evacuated;
+
+	RunnerEligibility(WeightsFence fence, EvacuatedRunners evacuated) {
 		this.fence = fence;
+		this.evacuated = evacuated;
 	}
 
 	/**
@@ -28,6 +32,9 @@
 				|| runner.rest.active(nowNanos) || runner.path.probing() || runner.path.blocked(nowNanos)) {
 			return false;
 		}
+		if (this.evacuated.includes(runner)) {
+			return false;
+		}
 		if (job.triedRunners.contains(runner.info.id()) && job.triedRunners.size() < 3) {
 			return false;
 		}
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStatementTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RunnerStatementTests.java
@@ -37,7 +37,7 @@
 	}
 
 	private void rest(RunnerInfo runner, long millis) {
-		this.harness.dispatcher.restStated(runner, Duration.ofMillis(millis), this.harness.nowNanos);
+		this.harness.dispatcher.departures().restStated(runner, Duration.ofMillis(millis), this.harness.nowNanos);
 	}
 
 	// Guards against requests to a runner that wants none; the others are used.
