Fleets in virtual time, a site and operators' traces with evacuations

Cause: no test showed that 40 entries keep the activation delay of an evacuation, and explain did not name evacuations. Callers see nothing. Change: fleets with evacuations read the store by the production watches in virtual time (FleetStore). The emulated site learns the kind, explain prints evacuations.

--- a/app/src/test/java/org/wisteriapost/app/SiteTests.java
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -267,6 +267,25 @@
 		assertThat(staying.executedRequests().size(), Matchers.greaterThanOrEqualTo(10));
 	}
 
+	// Guards against an evacuation that has no effect on an entry, or outlasts its
+	// object.
+	@Test
+	void anEvacuatedDomainReceivesNoRequestsUntilItsEnd() throws Exception {
+		this.site.addEngine(1);
+		EmulatedRunner plain = this.site.addPlainRunner();
+		this.site.enableEvacuations();
+		startEntry(1);
+		awaitServing();
+		this.site.evacuate(EmulatedSite.FAILURE_DOMAIN);
+		await("requests are refused", () -> call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status() == 503);
+		int before = plain.executedRequests().size();
+		HttpResponse refused = call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]);
+		assertThat(refused.status(), Matchers.equalTo(503));
+		assertThat(plain.executedRequests().size(), Matchers.equalTo(before));
+		this.site.endEvacuation(EmulatedSite.FAILURE_DOMAIN);
+		awaitServing();
+	}
+
 	// A leaving entry must no longer be advertised by its peer, must still serve callers
 	// that have its address, and must end before the timeout.
 	@Test
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -57,6 +57,9 @@
 
 	private Optional<DirectState> state = Optional.empty();
 
+	// Present in fleets whose entries read the store by their production watches.
+	private Optional<FleetStore> store = Optional.empty();
+
 	private long incarnation;
 
 	private long disturbedNanos;
@@ -111,15 +114,23 @@
 				this.fleet.log, DirectMetrics.create(new SimpleMeterRegistry()), random, clocks,
 				new DirectView(clocks));
 		this.state = Optional.of(started);
-		started.connect(this, this.fleet.store, new StoreWatches());
 		long current = this.incarnation;
-		this.fleet.after(this.fleet.between(50, 200), () -> readStore(current));
+		if (this.fleet.readsByWatches()) {
+			this.store = Optional.of(new FleetStore(this.fleet));
+			started.connect(this, this.store.get(),
+					this.store.get().startWatches(ObjectKind.inUse(settings().guarantees()), this::apply));
+		}
+		else {
+			started.connect(this, this.fleet.store, new StoreWatches());
+			this.fleet.after(this.fleet.between(50, 200), () -> readStore(current));
+		}
 		this.fleet.after(this.fleet.random.nextLong(TICK_NANOS), () -> tick(current));
 	}
 
 	void kill() {
 		this.disturbedNanos = this.fleet.now();
 		this.state = Optional.empty();
+		this.store.ifPresent(FleetStore::close);
 		this.desiredPeers.clear();
 		this.whileFrozen.clear();
 		this.fleet.runners.values().forEach((runner) -> runner.abandon(this));
@@ -128,6 +139,10 @@
 		callers.values().forEach((caller) -> caller.accept(new FleetHarness.Answer("cut", 0)));
 	}
 
+	Optional<FleetStore> store() {
+		return this.store;
+	}
+
 	void freeze(long millis) {
 		this.frozenUntil = this.fleet.now() + millis * FleetHarness.MILLI;
 		this.fleet.after(millis * FleetHarness.MILLI, () -> {
@@ -144,7 +159,7 @@
 				Optional.empty(), "", 1_000_000,
 				new SiteSettings.Guarantees(Duration.ofSeconds(8), Duration.ofSeconds(3), Duration.ofSeconds(8), 0.2,
 						100, Duration.ofSeconds(10), Duration.ofSeconds(3), ColdStartBound.STRICT,
-						this.fleet.evacuationDelay));
+						this.fleet.evacuationDelay.apply(this.number)));
 	}
 
 	private void readStore(long startedAs) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -5,12 +5,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.function.IntFunction;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -63,8 +65,8 @@
 
 	final DecisionLog log = DecisionLog.start("test", new PrintStream(OutputStream.nullOutputStream()));
 
-	/** The activation delay of evacuations; empty if the site has none. */
-	final Optional<Duration> evacuationDelay;
+	/** The activation delay of evacuations by the number of the entry. */
+	final IntFunction<Optional<Duration>> evacuationDelay;
 
 	final FakeObjectStore store = new FakeObjectStore(1);
 
@@ -77,8 +79,13 @@
 
 	private final Map<String, List<Long>> crashes = new HashMap<>();
 
+	/** Calls of all entries to the store, where these read by their watches. */
+	final Map<ObjectKind, Integer> storeCalls = new EnumMap<>(ObjectKind.class);
+
 	private final Map<ObjectKind, Map<String, ObjectStore.Item>> objects = new HashMap<>();
 
+	private final Map<ObjectKind, List<Recorded>> history = new HashMap<>();
+
 	private final PriorityQueue<Task> tasks = new PriorityQueue<>(
 			Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::number));
 
@@ -94,10 +101,14 @@
 	private long revision = 1;
 
 	FleetHarness(int entryCount, int runnerCount, long seed) {
-		this(entryCount, runnerCount, seed, Optional.empty());
+		this(entryCount, runnerCount, seed, (entry) -> Optional.empty());
 	}
 
-	FleetHarness(int entryCount, int runnerCount, long seed, Optional<Duration> evacuationDelay) {
+	/**
+	 * Creates a fleet. If its first entry has evacuations, all entries read the store by
+	 * their production watches.
+	 */
+	FleetHarness(int entryCount, int runnerCount, long seed, IntFunction<Optional<Duration>> evacuationDelay) {
 		this.evacuationDelay = evacuationDelay;
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 		for (ObjectKind kind : ObjectKind.values()) {
@@ -117,6 +128,10 @@
 		this.entries.values().forEach(FleetEntry::start);
 	}
 
+	boolean readsByWatches() {
+		return this.evacuationDelay.apply(0).isPresent();
+	}
+
 	private static String failureDomain(int number) {
 		return FAILURE_DOMAINS.get(number % FAILURE_DOMAINS.size());
 	}
@@ -292,6 +307,7 @@
 	}
 
 	void endEvacuation(String failureDomain) {
+		this.revision++;
 		ObjectStore.Item removed = this.objects.get(ObjectKind.EVACUATIONS).remove(failureDomain);
 		announce(ObjectKind.EVACUATIONS, new ObjectStore.Change(removed, true));
 	}
@@ -303,7 +319,21 @@
 		announce(kind, new ObjectStore.Change(item, false));
 	}
 
+	/** Returns the changes of a kind after a revision. */
+	List<ObjectStore.Change> changes(ObjectKind kind, long after) {
+		return this.history.getOrDefault(kind, List.of())
+			.stream()
+			.filter((recorded) -> recorded.revision > after)
+			.map(Recorded::change)
+			.toList();
+	}
+
 	private void announce(ObjectKind kind, ObjectStore.Change change) {
+		if (readsByWatches()) {
+			this.history.computeIfAbsent(kind, (key) -> new ArrayList<>()).add(new Recorded(this.revision, change));
+			this.entries.values().forEach((entry) -> entry.store().ifPresent((store) -> store.changed(kind)));
+			return;
+		}
 		this.entries.values()
 			.forEach(
 					(entry) -> after(between(20, 150), () -> entry.apply(new DirectEvent.ObjectChanged(kind, change))));
@@ -328,6 +358,9 @@
 
 	}
 
+	private record Recorded(long revision, ObjectStore.Change change) {
+	}
+
 	private record Task(long atNanos, long number, Runnable action) {
 	}
 
--- a/operator/src/test/java/org/wisteriapost/operator/explain/AttemptTraceTests.java
+++ b/operator/src/test/java/org/wisteriapost/operator/explain/AttemptTraceTests.java
@@ -52,6 +52,23 @@
 						Matchers.containsString("code=runner-resting")));
 	}
 
+	// Guards against a refusal for an evacuation that on-call can't explain, also when
+	// the
+	// evacuation began long before.
+	@Test
+	void containsEvacuations() throws Exception {
+		Path file = Files.writeString(this.folder.resolve("edge.log"),
+				"""
+						{"time":"2026-01-01T00:00:01.000Z","process":"edge-1","event":"evacuation-in-force","failureDomain":"hall-a"}
+						{"time":"2026-01-01T00:09:00.000Z","process":"edge-1","event":"evacuation-in-force","failureDomain":"hall-b"}
+						{"time":"2026-01-01T00:09:01.000Z","process":"edge-1","event":"refused","attempt":"a1","code":"no-usable-runner"}
+						{"time":"2026-01-01T00:09:01.000Z","process":"edge-1","event":"refused-by-evacuation","attempt":"a1","failureDomain":"hall-a","ageMs":540000}""");
+		assertThat(AttemptTrace.of("a1", List.of(file)).format(),
+				Matchers.contains(Matchers.containsString("evacuation-in-force failureDomain=hall-b"),
+						Matchers.containsString("code=no-usable-runner"),
+						Matchers.containsString("refused-by-evacuation attempt=a1 failureDomain=hall-a ageMs=540000")));
+	}
+
 	@Test
 	void traceOfUnknownAttemptIsEmpty() throws Exception {
 		Path file = Files.writeString(this.folder.resolve("edge.log"), LOG);
--- a/protocol/src/test/java/org/wisteriapost/protocol/site/StoreWatcherTimingTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/site/StoreWatcherTimingTests.java
@@ -46,7 +46,7 @@
 	// staleness bound, which counts from the last confirmed time, is not yet exceeded.
 	@ParameterizedTest
 	@CsvSource({ "ROUTES,0,1800", "ROUTES,700,1100", "ROUTES,1400,400", "ROUTES,1600,400", "RUNNERS,0,1800",
-			"WEIGHTS,500,1300", "ENTRIES,0,16000", "ENTRIES,15600,400" })
+			"WEIGHTS,500,1300", "EVACUATIONS,0,1800", "ENTRIES,0,16000", "ENTRIES,15600,400" })
 	void leaderReportsPossibleStalenessOnlyWhenConfirmationIsOverdue(ObjectKind kind, long failedMillis,
 			long warningDelayMillis) throws Exception {
 		AtomicLong now = new AtomicLong(this.startedNanos);
