--- a/entry/src/main/java/org/wisteriapost/entry/direct/ReplicatedKinds.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ReplicatedKinds.java
@@ -30,7 +30,10 @@
 	private static final List<ObjectKind> ANSWER_ORDER = List.of(ObjectKind.EVACUATIONS, ObjectKind.RUNNERS,
 			ObjectKind.ENTRIES, ObjectKind.WEIGHTS, ObjectKind.ROUTES);
 
-	private final Set<ObjectKind> inUse;
+	private final Set<ObjectKind> inUse = EnumSet.noneOf(ObjectKind.class);
+
+	// The kinds in use that entries of all versions send.
+	private final Set<ObjectKind> sentByAll;
 
 	private final List<ObjectKind> answerOrder;
 
@@ -41,7 +44,9 @@
 	 * @param inUse the kinds that it reads
 	 */
 	ReplicatedKinds(Set<ObjectKind> inUse) {
-		this.inUse = Set.copyOf(inUse);
+		this.inUse.addAll(inUse);
+		this.sentByAll = EnumSet.copyOf(this.inUse);
+		this.sentByAll.remove(ObjectKind.EVACUATIONS);
 		this.answerOrder = ANSWER_ORDER.stream().filter(inUse::contains).toList();
 		News.Builder alive = News.newBuilder().setCurrent(true);
 		this.heartbeat = (inUse.contains(ObjectKind.EVACUATIONS) ? alive.setKind(StoreKind.STORE_EVACUATIONS) : alive)
@@ -75,11 +80,7 @@
 	 * @param named the kinds that it has named since the first request
 	 */
 	Set<ObjectKind> expectedFrom(Collection<ObjectKind> named) {
-		Set<ObjectKind> expected = EnumSet.copyOf(this.inUse);
-		if (!named.contains(ObjectKind.EVACUATIONS)) {
-			expected.remove(ObjectKind.EVACUATIONS);
-		}
-		return expected;
+		return named.contains(ObjectKind.EVACUATIONS) ? this.inUse : this.sentByAll;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/StoreRole.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/StoreRole.java
@@ -12,7 +12,7 @@
  * The role of an entry in its group: the leader reads the site's store for all entries of
  * the group, and the others follow it.
  *
- * Dozens of entries each watch four kinds of objects. Were all to read the store, each
+ * Dozens of entries each watch several kinds of objects. Were all to read the store, each
  * change of a runner would cost a call for each entry, some hundred calls a second while
  * a service is replaced, against rate limits that all share. So only the leader reads,
  * the first live entry by rendezvous hashing, and the others follow it.
