--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -5,12 +5,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.function.IntFunction;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -63,6 +65,9 @@
 
 	final DecisionLog log = DecisionLog.start("test", new PrintStream(OutputStream.nullOutputStream()));
 
+	/** The activation delay of evacuations by the number of the entry. */
+	final IntFunction<Optional<Duration>> evacuationDelay;
+
 	final FakeObjectStore store = new FakeObjectStore(1);
 
 	final Map<String, FleetEntry> entries = new LinkedHashMap<>();
@@ -74,8 +79,13 @@
 
 	private final Map<String, List<Long>> crashes = new HashMap<>();
 
+	/** Calls of all entries to the store, where these read by their watches. */
+	final Map<ObjectKind, Integer> storeCalls = new EnumMap<>(ObjectKind.class);
+
 	private final Map<ObjectKind, Map<String, ObjectStore.Item>> objects = new HashMap<>();
 
+	private final Map<ObjectKind, List<Recorded>> history = new HashMap<>();
+
 	private final PriorityQueue<Task> tasks = new PriorityQueue<>(
 			Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::number));
 
@@ -91,6 +101,15 @@
 	private long revision = 1;
 
 	FleetHarness(int entryCount, int runnerCount, long seed) {
+		this(entryCount, runnerCount, seed, (entry) -> Optional.empty());
+	}
+
+	/**
+	 * Creates a fleet. If its first entry has evacuations, all entries read the store by
+	 * their production watches.
+	 */
+	FleetHarness(int entryCount, int runnerCount, long seed, IntFunction<Optional<Duration>> evacuationDelay) {
+		this.evacuationDelay = evacuationDelay;
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 		for (ObjectKind kind : ObjectKind.values()) {
 			this.objects.put(kind, new LinkedHashMap<>());
@@ -109,6 +128,10 @@
 		this.entries.values().forEach(FleetEntry::start);
 	}
 
+	boolean readsByWatches() {
+		return this.evacuationDelay.apply(0).isPresent();
+	}
+
 	private static String failureDomain(int number) {
 		return FAILURE_DOMAINS.get(number % FAILURE_DOMAINS.size());
 	}
@@ -278,6 +301,17 @@
 		announce(ObjectKind.RUNNERS, new ObjectStore.Change(removed, true));
 	}
 
+	/** Evacuates a failure domain. */
+	void evacuate(String failureDomain) {
+		write(ObjectKind.EVACUATIONS, failureDomain, new DecodedObject.Evacuation(failureDomain));
+	}
+
+	void endEvacuation(String failureDomain) {
+		this.revision++;
+		ObjectStore.Item removed = this.objects.get(ObjectKind.EVACUATIONS).remove(failureDomain);
+		announce(ObjectKind.EVACUATIONS, new ObjectStore.Change(removed, true));
+	}
+
 	private void write(ObjectKind kind, String name, DecodedObject value) {
 		this.revision++;
 		ObjectStore.Item item = this.store.item(name, this.revision, value);
@@ -285,7 +319,21 @@
 		announce(kind, new ObjectStore.Change(item, false));
 	}
 
+	/** Returns the changes of a kind after a revision. */
+	List<ObjectStore.Change> changes(ObjectKind kind, long after) {
+		return this.history.getOrDefault(kind, List.of())
+			.stream()
+			.filter((recorded) -> recorded.revision > after)
+			.map(Recorded::change)
+			.toList();
+	}
+
 	private void announce(ObjectKind kind, ObjectStore.Change change) {
+		if (readsByWatches()) {
+			this.history.computeIfAbsent(kind, (key) -> new ArrayList<>()).add(new Recorded(this.revision, change));
+			this.entries.values().forEach((entry) -> entry.store().ifPresent((store) -> store.changed(kind)));
+			return;
+		}
 		this.entries.values()
 			.forEach(
 					(entry) -> after(between(20, 150), () -> entry.apply(new DirectEvent.ObjectChanged(kind, change))));
@@ -310,6 +358,9 @@
 
 	}
 
+	private record Recorded(long revision, ObjectStore.Change change) {
+	}
+
 	private record Task(long atNanos, long number, Runnable action) {
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/StoreObjectContentTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/StoreObjectContentTests.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -38,7 +39,8 @@
 	private final List<Frame> sent = new ArrayList<>();
 
 	private final StoreReplication leader = new StoreReplication(new DecodeOnlyStore(), StoreRole.of("leader"),
-			UpstreamSelector.of("leader"), (peer, frame) -> this.sent.add(frame), () -> 0, this.log);
+			UpstreamSelector.of("leader"), EnumSet.allOf(ObjectKind.class), (peer, frame) -> this.sent.add(frame),
+			() -> 0, this.log);
 
 	@AfterEach
 	void stop() {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RegionalRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RegionalRunners.java
@@ -68,7 +68,7 @@
 			return false;
 		}
 		return allowed.names().get().isEmpty() || (!this.registry.states().isEmpty()
-				&& selection(job).all().stream().allMatch(this.eligibility::gone));
+				&& selection(job).all().stream().allMatch(this.eligibility::withdrawn));
 	}
 
 	private Selection selection(Job job) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
@@ -10,7 +10,8 @@
  * Decides which runners a request may be sent to at all.
  *
  * A runner that is leaving, switches weights, wants no requests or has no known network
- * path would fail the request or delay it by seconds.
+ * path would fail the request or delay it by seconds. No request may be sent to a runner
+ * in an evacuated failure domain.
  */
 final class RunnerEligibility {
 
@@ -18,9 +19,12 @@
 
 	private final RegionMap regions;
 
-	RunnerEligibility(WeightsFence fence, RegionMap regions) {
+	private final EvacuatedRunners evacuated;
+
+	RunnerEligibility(WeightsFence fence, RegionMap regions, EvacuatedRunners evacuated) {
 		this.fence = fence;
 		this.regions = regions;
+		this.evacuated = evacuated;
 	}
 
 	/**
@@ -32,7 +36,8 @@
 				|| runner.rest.active(nowNanos) || runner.path.probing() || runner.path.blocked(nowNanos)) {
 			return false;
 		}
-		if (!this.regions.permits(job.allowedRegions(), runner.info.failureDomain())) {
+		if (this.evacuated.includes(runner)
+				|| !this.regions.permits(job.allowedRegions(), runner.info.failureDomain())) {
 			return false;
 		}
 		if (job.triedRunners.contains(runner.info.id()) && job.triedRunners.size() < 3) {
@@ -52,10 +57,11 @@
 	}
 
 	/**
-	 * Returns whether a runner will take no more requests. Another incarnation of it may.
+	 * Returns whether a runner is withdrawn from service: it is leaving, gone or in an
+	 * evacuated failure domain. Another incarnation of it may take requests.
 	 */
-	boolean gone(RunnerState runner) {
-		return runner.draining() || runner.removed;
+	boolean withdrawn(RunnerState runner) {
+		return runner.draining() || runner.removed || this.evacuated.includes(runner);
 	}
 
 	/**
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/RegionalDispatchTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/RegionalDispatchTests.java
@@ -211,18 +211,30 @@
 	@Test
 	void requestIsRefusedAtOnceWhileAllAllowedRunnersRest() {
 		registerLookups("hall-a hall-b");
-		this.harness.dispatcher.restStated(lookup("hall-b", "b", false), Duration.ofSeconds(3), this.harness.nowNanos);
+		this.harness.dispatcher.departures()
+			.restStated(lookup("hall-b", "b", false), Duration.ofSeconds(3), this.harness.nowNanos);
 		this.harness.arrive(restricted(DispatcherHarness.LOOKUP, "lima"), Optional.empty());
 		assertThat(this.harness.effectNames(), Matchers.contains("Refuse:runner-resting"));
 	}
 
+	// Runners in the only allowed region are evacuated: a request that waited for them
+	// would be refused later anyway.
+	@Test
+	void requestIsRefusedAtOnceWhileAllAllowedRunnersAreEvacuated() {
+		registerLookups("hall-a hall-b");
+		this.harness.dispatcher.evacuated().begin("hall-b", 1, this.harness.nowNanos);
+		this.harness.arrive(restricted(DispatcherHarness.LOOKUP, "lima"), Optional.empty());
+		assertThat(this.harness.effectNames(), Matchers.contains("Refuse:region-unavailable"));
+	}
+
 	// Guards RunnerEligibility itself, which also holds if the selection of runners were
 	// outdated.
 	@ParameterizedTest
 	@CsvSource({ "hall-a,false", "hall-b,true", "hall-x,false" })
 	void runnersOutsideAllowedRegionsAreNotEligible(String domain, boolean eligible) {
 		Job job = this.harness.arrive(restricted(DispatcherHarness.LOOKUP, "lima"), Optional.empty());
-		RunnerEligibility eligibility = new RunnerEligibility(new WeightsFence(Duration.ofSeconds(8)), REGIONS);
+		RunnerEligibility eligibility = new RunnerEligibility(new WeightsFence(Duration.ofSeconds(8)), REGIONS,
+				this.harness.dispatcher.evacuated());
 		assertThat(eligibility.eligible(job, new RunnerState(lookup(domain, "r", false)), Optional.empty(),
 				OptionalInt.empty(), this.harness.nowNanos), Matchers.equalTo(eligible));
 	}
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -365,11 +365,12 @@
       "e\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007N" +
       "OT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030" +
       "CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001" +
-      "\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tS" +
-      "toreKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014" +
-      "STORE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTO" +
-      "RE_WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004B$\n\036org.w" +
-      "isteriapost.protocol.wireH\001P\001b\006proto3"
+      "\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\t" +
+      "StoreKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n" +
+      "\014STORE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rST" +
+      "ORE_WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STOR" +
+      "E_EVACUATIONS\020\005B$\n\036org.wisteriapost.prot" +
+      "ocol.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
