A limit for runners that are cold after a start

Cause: a runner that starts during traffic tolerates only some requests a second from all entries together and crashes above that; entries sent it as many as to any other. Change: policy.coldstart keeps until when an incarnation counts as cold (started during traffic, stated by its registration or by the header X-Wisteriapost-Cold-Start-Ms, or presumed), and gives each entry a part of the bound for every window of 1.2 s, without messages. RateLimits applies it beside the rates that runners name; a request that no entry permit allows in time is refused with runner-limit at once. Services without a declared cold start are not limited.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -159,6 +159,15 @@
 	record RunnerResting(RunnerInfo runner, Duration rest) implements DirectEvent {
 	}
 
+	/**
+	 * A runner stated in a response that it is cold.
+	 *
+	 * @param runner the incarnation of the runner that answered
+	 * @param remaining for how much longer it is cold
+	 */
+	record RunnerCold(RunnerInfo runner, Duration remaining) implements DirectEvent {
+	}
+
 	/**
 	 * A runner was checked after its connections had ended.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -34,9 +34,15 @@
 
 	private final AtomicInteger limitedRunners;
 
+	private final AtomicInteger coldRunners;
+
+	private final AtomicInteger coldPermitsUsed;
+
 	private DirectMetrics(MeterRegistry registry) {
 		this.registry = registry;
 		this.limitedRunners = registry.gauge(PREFIX + "limited.runners", new AtomicInteger());
+		this.coldRunners = registry.gauge(PREFIX + "cold.runners", new AtomicInteger());
+		this.coldPermitsUsed = registry.gauge(PREFIX + "cold.permits.used", new AtomicInteger());
 		this.quarantined = registry.gauge(PREFIX + "quarantined", new AtomicInteger());
 		this.firstEvent = timer("first.event", "Time from a request's arrival to its first event.");
 		this.wholeAnswer = timer("answer", "Time from a request's arrival to its whole answer.");
@@ -100,6 +106,14 @@
 		this.limitedRunners.set(limited);
 	}
 
+	/**
+	 * Sets how many runners count as cold, and the requests sent to them lately.
+	 */
+	void coldRunners(int runners, int permitsUsed) {
+		this.coldRunners.set(runners);
+		this.coldPermitsUsed.set(permitsUsed);
+	}
+
 	/**
 	 * Counts a final answer that the entry itself produced.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -116,7 +116,7 @@
 				this::isFollower);
 		this.effects = new EffectExecutor(output, log, metrics, this.localView);
 		this.quarantineLog = new QuarantineLog(log, metrics);
-		this.rateLimitLog = new RateLimitLog(log, metrics);
+		this.rateLimitLog = new RateLimitLog(dispatcher.rateLimits(), log, metrics);
 		this.contentionLog = new ContentionLog(log);
 		this.runnerReports = new RunnerReports(dispatcher, log);
 		this.suspension = SuspensionDetector.start(now(), clocks.wallMillis().getAsLong());
@@ -165,6 +165,7 @@
 			case DirectEvent.PeerLoadReported loads -> peerLoads(loads.peer(), loads.report(), now);
 			case DirectEvent.RunnerLeaving leaving -> this.runnerReports.leavingStated(leaving.runner());
 			case DirectEvent.RunnerResting resting -> this.runnerReports.restStated(resting, now);
+			case DirectEvent.RunnerCold cold -> this.runnerReports.coldStated(cold, now);
 			case DirectEvent.RunnerChecked checked -> this.runnerReports.checked(checked, now);
 			case DirectEvent.SuspectsReported reported ->
 				this.suspects.ifPresent((exchange) -> exchange.reportReceived(reported.peer(), reported.report(), now));
@@ -182,7 +183,7 @@
 		}
 		applyEffects();
 		this.quarantineLog.report(this.dispatcher.quarantine());
-		if (this.rateLimitLog.report(this.dispatcher.rateLimits())) {
+		if (this.rateLimitLog.report()) {
 			this.loadReports.ifPresent(LoadReporter::rateLimitsChanged);
 		}
 		publish();
@@ -359,7 +360,7 @@
 		this.suspects.ifPresent((exchange) -> exchange.tick(this.ticks, now));
 		if (this.ticks % TICKS_PER_UPDATE == 0) {
 			this.dispatcher.updateEntryCount(this.roster.entryCount());
-			this.dispatcher.rateLimits().updateGroup(this.roster.entryGroup());
+			this.rateLimitLog.updateEntries(this.roster, this.localView, now);
 			this.updates.ifPresent((updates) -> updates
 				.tick(this.roster.linkDistances(this.peers.orElseThrow().linkedEntries()), now));
 			this.storeReading
@@ -413,6 +414,7 @@
 		for (DispatchEffect effect : this.dispatcher.drainEffects()) {
 			DirectCall call = this.calls.get(effect.job().id());
 			if (call != null && this.effects.apply(effect, call, now())) {
+				this.rateLimitLog.ended(effect, now());
 				reportRefused(effect);
 				this.calls.remove(effect.job().id());
 			}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRegistry.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRegistry.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.wisteriapost.policy.coldstart.RegisteredEntries;
 import org.wisteriapost.policy.dispatch.EntryCount;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.EntryLinks;
@@ -61,6 +62,8 @@
 
 	private final Memoized<EntryGroup> entryGroup = memoize(this::computeGroup);
 
+	private final Memoized<RegisteredEntries> registeredEntries = memoize(this::computeRegisteredEntries);
+
 	private final Memoized<Set<String>> leaderGroup = memoize(this::computeLeaderGroup);
 
 	private final Memoized<Boolean> isRelay = memoize(this::computeIsRelay);
@@ -258,6 +261,21 @@
 		return new EntryGroup(peers.size() + 1, (int) local + 1, scopedByFailureDomain());
 	}
 
+	/**
+	 * Returns all registered entries with their failure domains.
+	 */
+	RegisteredEntries registeredEntries() {
+		return this.registeredEntries.get();
+	}
+
+	private RegisteredEntries computeRegisteredEntries() {
+		return new RegisteredEntries(this.self.name(),
+				this.registered.values()
+					.stream()
+					.map(Registration::info)
+					.collect(Collectors.toMap(EntryInfo::name, EntryInfo::failureDomain)));
+	}
+
 	/**
 	 * Returns the other live entries among which one may be the leader that reads the
 	 * store for all: those of this failure domain, or all entries if links are not scoped
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -139,6 +139,8 @@
 		if (reply.leaving()) {
 			this.events.accept(new DirectEvent.RunnerLeaving(this.runner));
 		}
+		reply.coldStart()
+			.ifPresent((remaining) -> this.events.accept(new DirectEvent.RunnerCold(this.runner, remaining)));
 		reply.rest().ifPresent((rest) -> this.events.accept(new DirectEvent.RunnerResting(this.runner, rest)));
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
@@ -28,6 +28,9 @@
 		this.log.decision("runner-checked", "runner", checked.runner().id(), "address", checked.runner().address(),
 				"accepts", checked.accepts());
 		this.dispatcher.quarantine().runnerChecked(checked.runner(), checked.accepts(), now);
+		if (!checked.accepts()) {
+			this.dispatcher.rateLimits().coldRunners().unreachable(checked.runner(), now);
+		}
 	}
 
 	/**
@@ -39,6 +42,13 @@
 		}
 	}
 
+	/**
+	 * Handles a runner's statement that it is cold.
+	 */
+	void coldStated(DirectEvent.RunnerCold cold, long now) {
+		this.dispatcher.rateLimits().coldRunners().stated(cold.runner(), cold.remaining(), now);
+	}
+
 	/**
 	 * Handles a runner's statement that it wants no requests for a time.
 	 */
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
@@ -15,7 +15,7 @@
 
 /**
  * The headers of responses of {@link FleetRunner}s: {@code attempt}, {@code limit},
- * {@code leaving} and {@code rest}, in milliseconds.
+ * {@code leaving}, and {@code rest} and {@code cold}, in milliseconds.
  */
 final class FleetProtocol implements CallProtocol {
 
@@ -26,6 +26,7 @@
 		return new RunnerResponseFields(Optional.ofNullable(headers.get("attempt")), status == REJECTED, false,
 				headers.containsKey("leaving"),
 				Optional.ofNullable(headers.get("rest")).map((millis) -> Duration.ofMillis(Long.parseLong(millis))),
+				Optional.ofNullable(headers.get("cold")).map((millis) -> Duration.ofMillis(Long.parseLong(millis))),
 				OptionalInt.empty(), headers.containsKey("limit")
 						? OptionalDouble.of(Double.parseDouble(headers.get("limit"))) : OptionalDouble.empty());
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -91,7 +91,7 @@
 		if (choice.isEmpty()) {
 			// A wait that is known to be in vain would cost the caller the time to go
 			// elsewhere.
-			long untilNanos = choice.restEndNanos().orElse(nowNanos);
+			long untilNanos = choice.restEndNanos().orElse(choice.permitNanos().orElse(nowNanos));
 			return (waitedShare(job, untilNanos) < NO_RUNNER_MAX_WAIT_SHARE) ? Decision.WAIT : Decision.REFUSE;
 		}
 		if (!choice.engine()) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -69,7 +69,7 @@
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
 		this.registry = new RunnerRegistry(new RunnerSubset(limits.failureDomain(), random.nextLong()));
 		this.peerLoads = new PeerLoads(this.registry);
-		this.rateLimits = new RateLimits(this.registry, limits.failureDomain(), random);
+		this.rateLimits = new RateLimits(this.registry, limits, this.engineSpecs, random);
 		this.departures = new RunnerDepartures(this.registry);
 		this.fleetView = new FleetView(this.registry, limits.failureDomain());
 		this.weightsFence = new WeightsFence(limits.weightsActivationDelay());
@@ -135,7 +135,7 @@
 	 * new.
 	 */
 	public boolean updateRunner(RunnerInfo info, long nowNanos) {
-		boolean changed = this.registry.update(info);
+		boolean changed = this.registry.update(info, nowNanos);
 		if (changed) {
 			placeWaiting(nowNanos);
 		}
@@ -147,7 +147,7 @@
 	 * @param address the runner's address
 	 */
 	public void updateEngineStatus(String address, EngineStatus status, long nowNanos) {
-		this.registry.updateEngineStatus(address, status);
+		this.registry.updateEngineStatus(address, status, nowNanos);
 		placeWaiting(nowNanos);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -121,10 +121,9 @@
 				return best;
 			}
 		}
-		boolean limited = runners.stream()
-			.anyMatch((runner) -> !this.rateLimits.permits(runner, nowNanos)
-					&& this.eligibility.eligible(job, runner, engine, version, nowNanos));
-		return Choice.noRunner(version, limited, restEndNanos(runners, nowNanos));
+		OptionalLong permitNanos = this.rateLimits.nextPermitNanos(runners,
+				(runner) -> this.eligibility.eligible(job, runner, engine, version, nowNanos), nowNanos);
+		return Choice.noRunner(version, permitNanos, restEndNanos(runners, nowNanos));
 	}
 
 	// Empty unless every runner that is not leaving wants no requests: any other may be
@@ -138,7 +137,7 @@
 
 	private Choice best(Job job, Optional<EngineSpec> engine, OptionalInt version, long nowNanos,
 			List<RunnerState> runners, Requirement requirement) {
-		Choice best = Choice.noRunner(version, false, OptionalLong.empty());
+		Choice best = Choice.noRunner(version, OptionalLong.empty(), OptionalLong.empty());
 		double bestCost = Double.MAX_VALUE;
 		int usable = 0;
 		for (RunnerState runner : runners) {
@@ -176,7 +175,7 @@
 		if (engine.isEmpty()) {
 			int capacity = runner.info.slots() + PLAIN_QUEUE;
 			return new Choice(Optional.of(runner), nominal, predicted, 0, load.requests() < capacity,
-					(double) load.requests() / capacity, false, 0, version, false, OptionalLong.empty());
+					(double) load.requests() / capacity, false, 0, version, OptionalLong.empty(), OptionalLong.empty());
 		}
 		EngineSpec spec = engine.get();
 		int free = spec.slots() + ENGINE_QUEUE - load.requests();
@@ -185,7 +184,8 @@
 		double wait = EngineLatencyModel.slotWaitMillis(spec, load) * predicted / nominal;
 		OptionalInt requiredVersion = version.isPresent() ? runner.weightsVersion(spec.model()) : version;
 		return new Choice(Optional.of(runner), nominal, predicted, wait, hasFreeCapacity,
-				(double) load.requests() / spec.slots(), true, 0, requiredVersion, false, OptionalLong.empty());
+				(double) load.requests() / spec.slots(), true, 0, requiredVersion, OptionalLong.empty(),
+				OptionalLong.empty());
 	}
 
 	// Engines switch weights one after the other under full load. A long response
@@ -295,16 +295,17 @@
 	 * @param slotIntervalMillis the expected interval at which slots become free for this
 	 * entry
 	 * @param requiredVersion the weights version that the request must start on
-	 * @param rateLimited whether there is no runner only because runners limit their rate
+	 * @param permitNanos when a runner may be sent a request, if there is none only
+	 * because runners limit their rate
 	 * @param restEndNanos when the first runner takes requests again, if there is none
 	 * because all want none for a time
 	 */
 	record Choice(Optional<RunnerState> runner, double nominalMillis, double predictedMillis, double slotWaitMillis,
 			boolean hasFreeCapacity, double utilization, boolean engine, double slotIntervalMillis,
-			OptionalInt requiredVersion, boolean rateLimited, OptionalLong restEndNanos) {
+			OptionalInt requiredVersion, OptionalLong permitNanos, OptionalLong restEndNanos) {
 
-		static Choice noRunner(OptionalInt version, boolean rateLimited, OptionalLong restEndNanos) {
-			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, version, rateLimited,
+		static Choice noRunner(OptionalInt version, OptionalLong permitNanos, OptionalLong restEndNanos) {
+			return new Choice(Optional.empty(), 0, Double.MAX_VALUE, 0, false, 1, false, 0, version, permitNanos,
 					restEndNanos);
 		}
 
@@ -312,6 +313,10 @@
 			return this.runner.isEmpty();
 		}
 
+		boolean rateLimited() {
+			return this.permitNanos.isPresent();
+		}
+
 		private Choice withSlotInterval(double engines, Optional<EngineSpec> spec, int entries) {
 			if (isEmpty() || spec.isEmpty()) {
 				return this;
@@ -319,7 +324,7 @@
 			double slots = engines * spec.get().slots() / entries;
 			return new Choice(this.runner, this.nominalMillis, this.predictedMillis, this.slotWaitMillis,
 					this.hasFreeCapacity, this.utilization, true, EngineLatencyModel.slotHoldMillis(spec.get()) / slots,
-					this.requiredVersion, false, this.restEndNanos);
+					this.requiredVersion, this.permitNanos, this.restEndNanos);
 		}
 
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.policy.ratelimit.DemandShares;
@@ -14,8 +16,9 @@
 import org.wisteriapost.policy.ratelimit.RateLimitReport;
 
 /**
- * Keeps the rates that runners in need ask for. Such a runner takes a number of requests
- * a second from all entries together; more would make it fail those that it has.
+ * Keeps the rates that runners in need ask for, and the limit of runners that have just
+ * started. Such a runner takes a number of requests a second from all entries together;
+ * more would make it fail those that it has.
  *
  * Each request counts that is sent to the runner, retries and resumed streams included.
  */
@@ -29,14 +32,17 @@
 
 	private final DemandShares shares = new DemandShares();
 
+	private final ColdRunners coldRunners;
+
 	// Runners that name a limit, or have named one lately.
 	private final Map<String, RunnerState> limited = new LinkedHashMap<>();
 
 	private List<RateLimitChange> changes = new ArrayList<>();
 
-	RateLimits(RunnerRegistry registry, String failureDomain, UniformRandomProvider random) {
+	RateLimits(RunnerRegistry registry, DispatchLimits limits, EngineSpecs specs, UniformRandomProvider random) {
 		this.registry = registry;
-		this.failureDomain = failureDomain;
+		this.failureDomain = limits.failureDomain();
+		this.coldRunners = new ColdRunners(registry, specs, limits.coldStartBound());
 		this.random = random;
 	}
 
@@ -47,6 +53,13 @@
 		this.shares.updateGroup(entries);
 	}
 
+	/**
+	 * Returns the limit of runners that have just started.
+	 */
+	public ColdRunners coldRunners() {
+		return this.coldRunners;
+	}
+
 	/**
 	 * Adds what another entry reports.
 	 */
@@ -119,11 +132,27 @@
 	}
 
 	/**
-	 * Returns whether a request may be sent to a runner now.
+	 * Returns whether a request may be sent to a runner now. If the runner names a rate
+	 * while it is cold, both limits apply.
 	 */
 	boolean permits(RunnerState runner, long nowNanos) {
-		return runner.rateLimit.perSecond().isEmpty()
-				|| runner.rateLimit.permits(share(runner, nowNanos), this.random, nowNanos);
+		return this.coldRunners.permits(runner, nowNanos) && (runner.rateLimit.perSecond().isEmpty()
+				|| runner.rateLimit.permits(share(runner, nowNanos), this.random, nowNanos));
+	}
+
+	/**
+	 * Returns when a request may be sent to one of these runners, if there is none for it
+	 * only because they limit their rate. That is now if it can't be known.
+	 * @param eligible whether the request may be sent to a runner, apart from its rate
+	 */
+	OptionalLong nextPermitNanos(List<RunnerState> runners, Predicate<RunnerState> eligible, long nowNanos) {
+		if (runners.stream().noneMatch((runner) -> !permits(runner, nowNanos) && eligible.test(runner))) {
+			return OptionalLong.empty();
+		}
+		return runners.stream()
+			.filter((runner) -> !runner.draining() && !runner.removed)
+			.mapToLong((runner) -> this.coldRunners.nextSendNanos(runner, nowNanos))
+			.min();
 	}
 
 	private double share(RunnerState runner, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -50,6 +50,8 @@
 
 	private boolean storeReachable = true;
 
+	private boolean listed;
+
 	private long storeRecoveredNanos = Long.MIN_VALUE / 2;
 
 	RunnerRegistry(RunnerSubset subset) {
@@ -73,8 +75,9 @@
 		Set<String> ids = new HashSet<>();
 		infos.forEach((info) -> {
 			ids.add(info.id());
-			update(info);
+			update(info, nowNanos);
 		});
+		this.listed = true;
 		List<String> missing = this.runners.keySet().stream().filter((id) -> !ids.contains(id)).toList();
 		missing.forEach((id) -> registrationRemoved(id, nowNanos));
 	}
@@ -83,20 +86,21 @@
 	 * Adds or updates a registration and returns whether it contains anything new other
 	 * than a renewal.
 	 */
-	boolean update(RunnerInfo info) {
+	boolean update(RunnerInfo info, long nowNanos) {
 		this.missingDuringOutage.remove(info.id());
 		RunnerState known = this.runners.get(info.id());
 		if (known == null) {
-			return addOrRestore(info);
+			return addOrRestore(info, nowNanos);
 		}
 		if (known.info.incarnation().precedes(info.incarnation())) {
-			addIncarnation(info);
+			addIncarnation(info, nowNanos);
 			return true;
 		}
 		boolean outdated = info.incarnation().precedes(known.info.incarnation());
 		if (outdated) {
 			return false;
 		}
+		known.coldness.registered(info, nowNanos);
 		if (info.equalsIgnoringRevision(known.info) && !known.removed) {
 			known.info = info;
 			return false;
@@ -118,26 +122,35 @@
 	// restored later. A registration of the same incarnation keeps its previous state;
 	// otherwise every entry would immediately send requests to a runner that has just
 	// been ejected.
-	private boolean addOrRestore(RunnerInfo info) {
+	private boolean addOrRestore(RunnerInfo info, long nowNanos) {
 		RunnerState previous = this.removedRunners.remove(info.id());
 		if (previous == null || !previous.info.incarnation().equals(info.incarnation())) {
-			addIncarnation(info);
+			addIncarnation(info, nowNanos);
+			Optional.ofNullable(previous)
+				.ifPresent((former) -> this.runners.get(info.id()).coldness.continueFrom(former.coldness));
 			return true;
 		}
 		this.runners.put(info.id(), previous);
+		previous.coldness.registered(info, nowNanos);
 		previous.registered(info);
 		applyEngineStatus(previous);
 		rebuildIndex();
 		return true;
 	}
 
-	// State of an earlier incarnation does not apply to a new one.
-	private void addIncarnation(RunnerInfo info) {
+	// State of an earlier incarnation does not apply to a new one. A runner that is there
+	// when the store is first read has not started during traffic.
+	private void addIncarnation(RunnerInfo info, long nowNanos) {
 		RunnerState state = new RunnerState(info);
 		RunnerState previous = this.runners.put(info.id(), state);
 		if (previous != null) {
 			previous.removed = true;
+			state.coldness.continueFrom(previous.coldness);
+		}
+		if (this.listed) {
+			state.coldness.started(nowNanos);
 		}
+		state.coldness.registered(info, nowNanos);
 		applyEngineStatus(state);
 		rebuildIndex();
 	}
@@ -172,7 +185,7 @@
 	 * Updates the status of an engine, as reported by the agent on its VM.
 	 * @param address the runner's address
 	 */
-	void updateEngineStatus(String address, EngineStatus status) {
+	void updateEngineStatus(String address, EngineStatus status, long nowNanos) {
 		EngineStatus previous = this.engineStatuses.get(address);
 		if (previous != null && status.incarnation().precedes(previous.incarnation())) {
 			return;
@@ -184,7 +197,7 @@
 			.toList();
 		for (RunnerState state : atAddress) {
 			if (state.info.incarnation().precedes(status.incarnation())) {
-				addIncarnation(state.info.withIncarnation(status.incarnation()));
+				addIncarnation(state.info.withIncarnation(status.incarnation()), nowNanos);
 			}
 			else {
 				applyEngineStatus(state);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import org.wisteriapost.policy.coldstart.RunnerColdness;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.fleet.RunnerRest;
 import org.wisteriapost.policy.ratelimit.RunnerRateLimit;
@@ -57,6 +58,8 @@
 
 	final RunnerRateLimit rateLimit = new RunnerRateLimit();
 
+	final RunnerColdness coldness = new RunnerColdness();
+
 	final RunnerRest rest = new RunnerRest();
 
 	final FirstEventWaits firstEventWaits = new FirstEventWaits();
@@ -146,6 +149,7 @@
 	void sent(Job job, boolean requiresNewConnection, long nowNanos) {
 		this.capacityShare.recordSend();
 		this.rateLimit.sent(nowNanos);
+		this.coldness.sent(nowNanos);
 		this.ownLoad = this.ownLoad.plus(new InFlightLoad(1, 1, job.size().promptTokens()));
 		this.health.sent(nowNanos);
 		// The response times of plain services vary too much to judge the network path
--- a/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerInfo.java
+++ b/policy/src/main/java/org/wisteriapost/policy/fleet/RunnerInfo.java
@@ -28,20 +28,20 @@
 
 	/**
 	 * Returns the assumed state of a later incarnation that has not registered yet: it
-	 * serves no weights.
+	 * serves no weights, and what the former one states does not apply.
 	 */
 	public RunnerInfo withIncarnation(RunnerIncarnation laterIncarnation) {
-		return new RunnerInfo(this.id, this.service, this.address, this.failureDomain, this.slots, this.draining,
-				this.coldMillis, Map.of(), this.revision, laterIncarnation);
+		return new RunnerInfo(this.id, this.service, this.address, this.failureDomain, this.slots, this.draining, 0,
+				Map.of(), this.revision, laterIncarnation);
 	}
 
 	/**
-	 * Returns whether another registration is equal but for its revision, which each
-	 * renewal changes.
+	 * Returns whether another registration is equal but for its revision and the time for
+	 * which the runner is still cold, which each renewal changes.
 	 */
 	public boolean equalsIgnoringRevision(RunnerInfo other) {
 		return equals(new RunnerInfo(other.id, other.service, other.address, other.failureDomain, other.slots,
-				other.draining, other.coldMillis, other.weightsVersions, this.revision, other.incarnation));
+				other.draining, this.coldMillis, other.weightsVersions, this.revision, other.incarnation));
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
@@ -14,10 +14,12 @@
  * @param leaving whether the runner states that it is about to end
  * @param rest for how long the runner, which turns the request away, wants no requests
  * from this entry
+ * @param coldStart for how much longer the runner is cold after its start, if it is
  * @param weightsVersion the version that served the request
  * @param requestsPerSecond the rate that the runner takes from all entries together, when
  * it limits that
  */
 public record RunnerResponseFields(Optional<String> attemptId, boolean notRun, boolean otherIncarnation,
-		boolean leaving, Optional<Duration> rest, OptionalInt weightsVersion, OptionalDouble requestsPerSecond) {
+		boolean leaving, Optional<Duration> rest, Optional<Duration> coldStart, OptionalInt weightsVersion,
+		OptionalDouble requestsPerSecond) {
 }
