Fleets of entries with cold runners, cut off from each other

Cause: the limit was tested on dispatchers only, not with the entries' view of the store and the header. Change: FleetHarness starts crashed runners cold; the emulated runner can state that it is cold.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -22,12 +22,14 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.kernel.Code;
+import org.wisteriapost.policy.coldstart.ColdStartBound;
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.DispatchLimits;
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.region.RegionMap;
 import org.wisteriapost.protocol.site.CallerRequestFields;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.SiteSettings;
@@ -38,6 +40,9 @@
  */
 final class FleetEntry implements CallOutput, PeerTransport {
 
+	/** Applies to runners of services that declare a cold start. */
+	static final ColdStartBound COLD_START_BOUND = new ColdStartBound(1.5, 5);
+
 	private static final long TICK_NANOS = 20 * FleetHarness.MILLI;
 
 	private final FleetHarness fleet;
@@ -105,7 +110,7 @@
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(this.fleet.random.nextLong());
 		EntryClocks clocks = new EntryClocks(this.fleet::now, () -> this.fleet.now() / FleetHarness.MILLI);
 		DispatchLimits limits = new DispatchLimits(this.failureDomain, 0.2, 100, Duration.ofSeconds(10),
-				Duration.ofSeconds(8));
+				Duration.ofSeconds(8), RegionMap.NONE, COLD_START_BOUND);
 		DirectState started = new DirectState(settings(), info(), Dispatcher.create(limits, random), this,
 				this.fleet.log, DirectMetrics.create(new SimpleMeterRegistry()), random, clocks,
 				new DirectView(clocks));
@@ -197,6 +202,9 @@
 		if (leaving) {
 			headers.put("leaving", "1");
 		}
+		if (runner.coldMillis() > 0) {
+			headers.put("cold", Long.toString(runner.coldMillis()));
+		}
 		rateLimit.ifPresent((limit) -> headers.put("limit", Double.toString(limit)));
 		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply).onHead(200, headers, List.of());
 		answer(call.request().id(), new FleetHarness.Answer("done", 0));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -15,6 +15,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.coldstart.ColdStart;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.routing.CallLimits;
@@ -90,7 +91,18 @@
 
 	private long revision = 1;
 
+	/** Slots of runners that register from now on. */
+	int runnerSlots = RUNNER_SLOTS;
+
+	/** How runners behave that crash and start again. */
+	final Optional<ColdStart> coldStart;
+
 	FleetHarness(int entryCount, int runnerCount, long seed) {
+		this(entryCount, runnerCount, seed, Optional.empty());
+	}
+
+	FleetHarness(int entryCount, int runnerCount, long seed, Optional<ColdStart> coldStart) {
+		this.coldStart = coldStart;
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 		for (ObjectKind kind : ObjectKind.values()) {
 			this.objects.put(kind, new LinkedHashMap<>());
@@ -255,7 +267,7 @@
 				Duration.ofMillis(1500), 1, List.of(new WeightedService("api", 1)), 2, true, false,
 				Duration.ofMillis(400));
 		RouteTable table = RouteTable.of(1, List.of(route),
-				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty())), Map.of(),
+				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty(), this.coldStart)), Map.of(),
 				new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 		write(ObjectKind.ROUTES, "current", new DecodedObject.Routes(table));
 	}
@@ -269,8 +281,8 @@
 	}
 
 	RunnerInfo runnerInfo(FleetRunner runner) {
-		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), RUNNER_SLOTS, false, 0,
-				Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
+		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), this.runnerSlots, false,
+				runner.coldMillis(), Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
 	}
 
 	void removeRunner(String id) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
@@ -48,6 +48,8 @@
 	// When each incarnation of an entry was first asked to send nothing.
 	private final Map<EntryInfo, Long> askedToRestNanos = new HashMap<>();
 
+	private long coldUntilNanos;
+
 	private int starts;
 
 	private boolean up;
@@ -86,6 +88,11 @@
 		this.fleet.writeRunner(this);
 	}
 
+	/** Returns for how much longer the runner is cold. */
+	long coldMillis() {
+		return Math.max(0, Math.ceilDiv(this.coldUntilNanos - this.fleet.now(), FleetHarness.MILLI));
+	}
+
 	boolean up() {
 		return this.up;
 	}
@@ -165,7 +172,11 @@
 		lost.forEach((run) -> this.fleet.after(this.fleet.between(1, 3),
 				() -> run.entry.connectionFailed(run.call, run.dispatch, true)));
 		this.fleet.after(REGISTRATION_EXPIRY_MILLIS * FleetHarness.MILLI, () -> this.fleet.removeRunner(id));
-		this.fleet.after(downMillis * FleetHarness.MILLI, this::start);
+		this.fleet.after(downMillis * FleetHarness.MILLI, () -> {
+			this.fleet.coldStart
+				.ifPresent((cold) -> this.coldUntilNanos = this.fleet.now() + cold.duration().toNanos());
+			start();
+		});
 	}
 
 	/** Resets the connections of all requests; the process lives on. */
