--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -17,6 +17,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.coldstart.ColdStart;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.routing.CallLimits;
@@ -100,8 +101,18 @@
 
 	private long revision = 1;
 
+	/** Slots of runners that register from now on. */
+	int runnerSlots = RUNNER_SLOTS;
+
+	/** How runners behave that crash and start again. */
+	final Optional<ColdStart> coldStart;
+
 	FleetHarness(int entryCount, int runnerCount, long seed) {
-		this(entryCount, runnerCount, seed, (entry) -> Optional.empty());
+		this(entryCount, runnerCount, seed, (entry) -> Optional.empty(), Optional.empty());
+	}
+
+	FleetHarness(int entryCount, int runnerCount, long seed, Optional<ColdStart> coldStart) {
+		this(entryCount, runnerCount, seed, (entry) -> Optional.empty(), coldStart);
 	}
 
 	/**
@@ -109,7 +120,13 @@
 	 * their production watches.
 	 */
 	FleetHarness(int entryCount, int runnerCount, long seed, IntFunction<Optional<Duration>> evacuationDelay) {
+		this(entryCount, runnerCount, seed, evacuationDelay, Optional.empty());
+	}
+
+	private FleetHarness(int entryCount, int runnerCount, long seed, IntFunction<Optional<Duration>> evacuationDelay,
+			Optional<ColdStart> coldStart) {
 		this.evacuationDelay = evacuationDelay;
+		this.coldStart = coldStart;
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 		for (ObjectKind kind : ObjectKind.values()) {
 			this.objects.put(kind, new LinkedHashMap<>());
@@ -278,7 +295,7 @@
 				Duration.ofMillis(1500), 1, List.of(new WeightedService("api", 1)), 2, true, false,
 				Duration.ofMillis(400));
 		RouteTable table = RouteTable.of(1, List.of(route),
-				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty())), Map.of(),
+				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty(), this.coldStart)), Map.of(),
 				new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 		write(ObjectKind.ROUTES, "current", new DecodedObject.Routes(table));
 	}
@@ -292,8 +309,8 @@
 	}
 
 	RunnerInfo runnerInfo(FleetRunner runner) {
-		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), RUNNER_SLOTS, false, 0,
-				Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
+		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), this.runnerSlots, false,
+				runner.coldMillis(), Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
 	}
 
 	void removeRunner(String id) {
--- a/operator/src/main/java/org/wisteriapost/operator/explain/AttemptTrace.java
+++ b/operator/src/main/java/org/wisteriapost/operator/explain/AttemptTrace.java
@@ -30,7 +30,7 @@
 
 	private static final Set<String> STATE_EVENTS = Set.of("store", "table-in-force", "weights-named", "runners-read",
 			"leaving", "started", "runner-limit", "runner-leaving", "runner-resting", "evacuation-in-force",
-			"evacuation-over", "evacuation-unreadable");
+			"evacuation-over", "evacuation-unreadable", "runner-cold", "runner-warm");
 
 	// Refusals that are explained by the registrations of runners that the request was
 	// never sent to.
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -100,7 +100,7 @@
 			if (this.evacuated.includesAll(job.service())) {
 				return Decision.REFUSE;
 			}
-			long untilNanos = choice.restEndNanos().orElse(nowNanos);
+			long untilNanos = choice.restEndNanos().orElse(choice.permitNanos().orElse(nowNanos));
 			return (waitedShare(job, untilNanos) < NO_RUNNER_MAX_WAIT_SHARE) ? Decision.WAIT : Decision.REFUSE;
 		}
 		if (!choice.engine()) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
@@ -1,6 +1,8 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongConsumer;
 
 import org.wisteriapost.policy.evacuation.Evacuations;
@@ -15,14 +17,17 @@
 
 	private final RunnerRegistry registry;
 
+	private final ColdRunners coldRunners;
+
 	private final LongConsumer placeWaiting;
 
 	/**
 	 * Creates the view without evacuations.
 	 * @param placeWaiting places waiting requests at a time
 	 */
-	EvacuatedRunners(RunnerRegistry registry, LongConsumer placeWaiting) {
+	EvacuatedRunners(RunnerRegistry registry, ColdRunners coldRunners, LongConsumer placeWaiting) {
 		this.registry = registry;
+		this.coldRunners = coldRunners;
 		this.placeWaiting = placeWaiting;
 	}
 
@@ -38,7 +43,12 @@
 	 * @param revisions the revisions of the objects by failure domain
 	 */
 	public void replaceAll(Map<String, Long> revisions, long nowNanos) {
-		placeWaitingIf(this.evacuations.replaceAll(revisions, nowNanos), nowNanos);
+		Set<String> ended = new HashSet<>(this.evacuations.failureDomains());
+		ended.removeAll(revisions.keySet());
+		boolean changed = this.evacuations.replaceAll(revisions, nowNanos);
+		// The revision of the end is unknown.
+		ended.forEach((failureDomain) -> this.coldRunners.evacuationEnded(failureDomain, Long.MAX_VALUE, nowNanos));
+		placeWaitingIf(changed, nowNanos);
 	}
 
 	/**
@@ -52,7 +62,11 @@
 	 * Applies the removal of the object of an evacuation.
 	 */
 	public void end(String failureDomain, long revision, long nowNanos) {
-		placeWaitingIf(this.evacuations.end(failureDomain, revision, nowNanos), nowNanos);
+		boolean ended = this.evacuations.end(failureDomain, revision, nowNanos);
+		if (ended) {
+			this.coldRunners.evacuationEnded(failureDomain, revision, nowNanos);
+		}
+		placeWaitingIf(ended, nowNanos);
 	}
 
 	private void placeWaitingIf(boolean changed, long nowNanos) {
