The dispatch bench plays kinds of different rank and uneven organisations

The bench knew one kind of request without organisations, so who is refused under a shortage could not be compared by rank.

--- a/standin/src/main/java/org/wisteriapost/standin/bench/DispatchBench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/DispatchBench.java
@@ -3,8 +3,13 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 
 import org.apache.commons.cli.CommandLine;
@@ -26,8 +31,6 @@
 
 	private static final int DEFAULT_SEEDS = 5;
 
-	private static final String DEFAULT_FLEET = "12x15";
-
 	@Override
 	public String name() {
 		return "dispatch";
@@ -47,22 +50,30 @@
 		options.addOption(Option.builder().longOpt("profile").hasArg().get());
 		CommandLine line = new DefaultParser().parse(options, args.toArray(String[]::new));
 		int seeds = number("--seeds", line.getOptionValue("seeds", String.valueOf(DEFAULT_SEEDS)));
-		String[] fleet = line.getOptionValue("fleet", DEFAULT_FLEET).split("x", 2);
-		int entryCount = number("--fleet", fleet[0]);
-		int engineCount = number("--fleet", (fleet.length > 1) ? fleet[1] : "");
+		UnaryOperator<DispatchProfile> fleet = fleet(line.getOptionValue("fleet", ""));
 		Optional<String> only = Optional.ofNullable(line.getOptionValue("profile"));
 		for (String name : line.getOptionValue("engines", "long-passes,short-passes").split(",")) {
 			EngineProfile engines = EngineProfile.named(name)
 				.orElseThrow(() -> new ParseException("unknown engines: " + name));
 			for (DispatchProfile profile : DispatchProfile.all(engines)) {
 				if (only.isEmpty() || List.of(only.get().split(",")).contains(profile.name())) {
-					print(name, profile.withFleet(entryCount, engineCount), seeds, out);
+					print(name, fleet.apply(profile), seeds, out);
 				}
 			}
 		}
 		return ExitCodes.OK;
 	}
 
+	private static UnaryOperator<DispatchProfile> fleet(String text) throws ParseException {
+		if (text.isEmpty()) {
+			return UnaryOperator.identity();
+		}
+		String[] sizes = text.split("x", 2);
+		int entries = number("--fleet", sizes[0]);
+		int engines = number("--fleet", (sizes.length > 1) ? sizes[1] : "");
+		return (profile) -> profile.withFleet(entries, engines);
+	}
+
 	private static int number(String option, String text) throws ParseException {
 		try {
 			int number = Integer.parseInt(text);
@@ -91,6 +102,27 @@
 				mean(results, DispatchResult::refusedShare), mean(results, DispatchResult::failedShare),
 				mean(results, DispatchResult::returnedServedShare), mean(results, DispatchResult::refusedAgainShare),
 				mean(results, DispatchResult::heldShare));
+		if (profile.kinds().size() > 1) {
+			out.printf(Locale.ROOT,
+					"{\"profile\":\"%s\",\"earnedByKind\":%s,\"servedByKind\":%s,\"largestServed\":%.4f,"
+							+ "\"servedByOrganisation\":%s,\"servedDuringOrganisationBurst\":%s}%n",
+					profile.name(), means(results, DispatchResult::earnedByKind),
+					means(results, DispatchResult::servedByKind), mean(results, DispatchResult::largestServedShare),
+					means(results, DispatchResult::servedByOrganisation),
+					means(results, DispatchResult::servedDuringOrganisationBurst));
+		}
+	}
+
+	private static <K extends Comparable<K>> String means(List<DispatchResult> results,
+			Function<DispatchResult, Map<K, Double>> shares) {
+		Map<K, Double> means = results.stream()
+			.flatMap((result) -> shares.apply(result).entrySet().stream())
+			.collect(Collectors.groupingBy(Map.Entry::getKey, TreeMap::new,
+					Collectors.averagingDouble(Map.Entry::getValue)));
+		return means.entrySet()
+			.stream()
+			.map((mean) -> String.format(Locale.ROOT, "\"%s\":%.3f", mean.getKey(), mean.getValue()))
+			.collect(Collectors.joining(",", "{", "}"));
 	}
 
 	private static double mean(List<DispatchResult> results, ToDoubleFunction<DispatchResult> figure) {
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchProfile.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchProfile.java
@@ -12,10 +12,13 @@
  * @param engines the number of engines
  * @param load the load outside of bursts, as a share of what all engines complete
  * @param duration the time during which requests arrive
+ * @param kinds the kinds of the requests
+ * @param organisations the number of organisations that send requests; 0 if requests name
+ * none
  * @param changes what changes meanwhile
  */
 public record DispatchProfile(String name, EngineProfile engineProfile, int entries, int engines, double load,
-		Duration duration, List<Change> changes) {
+		Duration duration, List<RequestKind> kinds, int organisations, List<Change> changes) {
 
 	/** Failure domains over which entries and engines are spread. */
 	static final int FAILURE_DOMAINS = 3;
@@ -26,7 +29,15 @@
 
 	private static final Duration DURATION = Duration.ofSeconds(24);
 
+	// One customer's fleet and its kinds of requests.
+	private static final int LARGE_FLEET = 40;
+
+	private static final int ORGANISATIONS = 24;
+
+	private static final int BURSTING_ORGANISATION = 7;
+
 	public DispatchProfile {
+		kinds = List.copyOf(kinds);
 		changes = List.copyOf(changes);
 	}
 
@@ -40,11 +51,26 @@
 				of("crash", engines, 0.8, new Change.Crash(seconds(6), seconds(4.5), 0.4)),
 				of("long-crash", engines, 0.85, new Change.Crash(seconds(6), seconds(9), 0.35)),
 				of("switch", engines, 0.8, new Change.Switch(seconds(6), seconds(8), 4)),
-				of("sudden-switch", engines, 0.8, new Change.Switch(seconds(6), seconds(2), 2)));
+				of("sudden-switch", engines, 0.8, new Change.Switch(seconds(6), seconds(2), 2)), ranks(engines));
+	}
+
+	// Requests of three ranks from organisations of uneven size. The least urgent kind,
+	// the most urgent kind and a small organisation each have a burst.
+	private static DispatchProfile ranks(EngineProfile engines) {
+		RequestKind urgent = new RequestKind("urgent", 0, Duration.ofMillis(400), 3.2, 125);
+		RequestKind normal = new RequestKind("normal", 1, Duration.ofMillis(400), 1.3, 70);
+		RequestKind patient = new RequestKind("patient", 2, Duration.ofMillis(1000), 1, 98);
+		return new DispatchProfile("ranks", engines, LARGE_FLEET, LARGE_FLEET, 0.85, Duration.ofSeconds(42),
+				List.of(urgent, normal, patient), ORGANISATIONS,
+				List.of(new Change.KindBurst(seconds(4), seconds(6), "patient", 2.25),
+						new Change.KindBurst(seconds(14), seconds(4), "urgent", 1.75),
+						new Change.KindBurst(seconds(22), seconds(6), "patient", 2.5),
+						new Change.OrganisationBurst(seconds(32), seconds(5), BURSTING_ORGANISATION, 15)));
 	}
 
 	private static DispatchProfile of(String name, EngineProfile engines, double load, Change... changes) {
-		return new DispatchProfile(name, engines, ENTRIES, ENGINES, load, DURATION, List.of(changes));
+		RequestKind kind = new RequestKind("stream", 1, engines.target(), 1, 1);
+		return new DispatchProfile(name, engines, ENTRIES, ENGINES, load, DURATION, List.of(kind), 0, List.of(changes));
 	}
 
 	private static Duration seconds(double seconds) {
@@ -56,7 +82,7 @@
 	 */
 	public DispatchProfile withFleet(int otherEntries, int otherEngines) {
 		return new DispatchProfile(this.name, this.engineProfile, otherEntries, otherEngines, this.load, this.duration,
-				this.changes);
+				this.kinds, this.organisations, this.changes);
 	}
 
 	/**
@@ -86,6 +112,28 @@
 		record Burst(Duration at, Duration length, double factor) implements Change {
 		}
 
+		/**
+		 * More requests of one kind arrive for some time.
+		 *
+		 * @param at when it starts
+		 * @param length how long it lasts
+		 * @param kind the name of the kind
+		 * @param factor the factor of the load of the kind
+		 */
+		record KindBurst(Duration at, Duration length, String kind, double factor) implements Change {
+		}
+
+		/**
+		 * More requests of one organisation arrive for some time.
+		 *
+		 * @param at when it starts
+		 * @param length how long it lasts
+		 * @param organisation its number, in order of size
+		 * @param factor the factor of the load of the organisation
+		 */
+		record OrganisationBurst(Duration at, Duration length, int organisation, double factor) implements Change {
+		}
+
 		/**
 		 * Engines crash and come back.
 		 *
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchResult.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchResult.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 /**
  * What callers got in one simulation run.
@@ -19,8 +22,24 @@
 
 	private static final int WORST_WINDOWS = 2;
 
+	// Twice the mean.
+	private static final double LARGE_SIZE = 2;
+
+	private static final String LARGE = "large";
+
 	private final List<Window> windows = new ArrayList<>();
 
+	private final ServedShares<String> kinds = new ServedShares<>();
+
+	private final ServedShares<Integer> organisations = new ServedShares<>();
+
+	private final ServedShares<String> sizes = new ServedShares<>();
+
+	// Of requests from other organisations while one has a burst.
+	private final ServedShares<Boolean> duringOrganisationBurst = new ServedShares<>();
+
+	private final Map<Integer, Duration[]> organisationBursts = new HashMap<>();
+
 	private int requests;
 
 	private int inTime;
@@ -45,13 +64,40 @@
 	void recordRequest(SimulatedCaller caller) {
 		this.requests++;
 		window(caller).owed += caller.worth();
+		this.kinds.recordRequest(caller.kind().name(), caller.worth());
+		caller.organisation().ifPresent((number) -> this.organisations.recordRequest(number, caller.worth()));
+		this.sizes.recordRequest(size(caller), caller.worth());
+		burstRole(caller).ifPresent((own) -> this.duringOrganisationBurst.recordRequest(own, caller.worth()));
 	}
 
 	void recordAnswer(SimulatedCaller caller, boolean withinTarget) {
 		this.inTime += withinTarget ? 1 : 0;
 		this.late += withinTarget ? 0 : 1;
 		this.returnedServed += caller.returned() ? 1 : 0;
-		window(caller).earned += caller.worth() * (withinTarget ? 1 : LATE_SHARE);
+		double earned = caller.worth() * (withinTarget ? 1 : LATE_SHARE);
+		window(caller).earned += earned;
+		this.kinds.recordAnswer(caller.kind().name(), earned);
+		caller.organisation().ifPresent((number) -> this.organisations.recordAnswer(number, earned));
+		this.sizes.recordAnswer(size(caller), earned);
+		burstRole(caller).ifPresent((own) -> this.duringOrganisationBurst.recordAnswer(own, earned));
+	}
+
+	void watchOrganisation(int number, Duration from, Duration until) {
+		this.organisationBursts.put(number, new Duration[] { from, until });
+	}
+
+	private static String size(SimulatedCaller caller) {
+		return (caller.worth() / caller.kind().worth() >= LARGE_SIZE) ? LARGE : "other";
+	}
+
+	// Whether the request belongs to the organisation that has a burst when it arrives.
+	private Optional<Boolean> burstRole(SimulatedCaller caller) {
+		Duration at = Duration.ofNanos(caller.firstNanos());
+		return this.organisationBursts.entrySet()
+			.stream()
+			.filter((burst) -> at.compareTo(burst.getValue()[0]) >= 0 && at.compareTo(burst.getValue()[1]) < 0)
+			.map((burst) -> caller.organisation().equals(Optional.of(burst.getKey())))
+			.findFirst();
 	}
 
 	void recordReturn() {
@@ -151,6 +197,42 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Returns the earned share of the worth by kind.
+	 */
+	public Map<String, Double> earnedByKind() {
+		return this.kinds.earned();
+	}
+
+	/**
+	 * Returns the answered share of the requests by kind.
+	 */
+	public Map<String, Double> servedByKind() {
+		return this.kinds.answered();
+	}
+
+	/**
+	 * Returns the answered share of the requests by organisation.
+	 */
+	public Map<Integer, Double> servedByOrganisation() {
+		return this.organisations.answered();
+	}
+
+	/**
+	 * Returns the answered share of the requests during the burst of one organisation, of
+	 * this one (true) and of the others (false).
+	 */
+	public Map<Boolean, Double> servedDuringOrganisationBurst() {
+		return this.duringOrganisationBurst.answered();
+	}
+
+	/**
+	 * Returns the answered share of the largest requests.
+	 */
+	public double largestServedShare() {
+		return this.sizes.answered().getOrDefault(LARGE, 1.0);
+	}
+
 	private double owed() {
 		return this.windows.stream().mapToDouble((window) -> window.owed).sum();
 	}
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
@@ -58,24 +58,26 @@
 
 	private final SimulatedCallers callers;
 
+	private final Arrivals arrivals;
+
 	private int lastIncarnation;
 
 	private DispatchSim(DispatchProfile profile, long seed) {
 		this.profile = profile;
 		this.spec = profile.engineProfile().spec();
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-		Route route = new Route("stream", "desk.example", "/stream/", RouteKind.STREAM, SimulatedCaller.TIMEOUT,
-				profile.engineProfile().target(), 1, List.of(new WeightedService(SERVICE, 1)), 2, true, true,
-				SimulatedCaller.TARGET_GAP);
-		this.callers = new SimulatedCallers(route, profile.engineProfile(), this.events, this.random, this.result);
+		this.arrivals = new Arrivals(profile, this.random);
+		Map<RequestKind, Route> routes = new LinkedHashMap<>();
+		profile.kinds().forEach((kind) -> routes.put(kind, route(kind)));
+		this.callers = new SimulatedCallers(routes, profile.engineProfile(), this.events, this.random, this.result);
 		for (int i = 0; i < profile.engines(); i++) {
 			SimulatedEngine engine = new SimulatedEngine("engine-" + i, failureDomain(i), profile.engineProfile(),
 					this.events);
 			this.engines.put(engine.name(), engine);
 		}
-		RouteTable routes = routes(route);
+		RouteTable table = routeTable(List.copyOf(routes.values()));
 		for (int i = 0; i < profile.entries(); i++) {
-			this.entries.add(new SimulatedEntry("entry-" + i, failureDomain(i), routes, profile.entries(), this.events,
+			this.entries.add(new SimulatedEntry("entry-" + i, failureDomain(i), table, profile.entries(), this.events,
 					this.engines, this.callers, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * profile.entries() + i)));
 		}
 		this.callers.connect(this.entries);
@@ -100,31 +102,25 @@
 	}
 
 	private void scheduleArrival() {
-		double seconds = -Math.log(1 - this.random.nextDouble()) / (this.profile.requestsPerSecond() * loadFactor());
-		this.events.schedule((long) (seconds * Duration.ofSeconds(1).toNanos()), () -> {
-			if (this.events.nowNanos() < this.profile.duration().toNanos()) {
-				this.callers.add();
+		this.events.schedule(this.arrivals.nextNanos(this.events.nowNanos()), () -> {
+			long now = this.events.nowNanos();
+			if (now < this.profile.duration().toNanos()) {
+				this.callers.add(this.arrivals.kind(now), this.arrivals.organisation(now));
 				scheduleArrival();
 			}
 		});
 	}
 
-	private double loadFactor() {
-		long now = this.events.nowNanos();
-		return this.profile.changes()
-			.stream()
-			.filter((change) -> change instanceof Change.Burst burst && now >= burst.at().toNanos()
-					&& now < burst.at().plus(burst.length()).toNanos())
-			.mapToDouble((change) -> ((Change.Burst) change).factor())
-			.findFirst()
-			.orElse(1);
-	}
-
 	private void schedule(Change change) {
 		switch (change) {
 			case Change.Burst burst -> {
 				// The arrivals follow it.
 			}
+			case Change.KindBurst burst -> {
+				// The arrivals follow it.
+			}
+			case Change.OrganisationBurst burst ->
+				this.result.watchOrganisation(burst.organisation(), burst.at(), burst.at().plus(burst.length()));
 			case Change.Crash crash -> {
 				int count = (int) Math.round(crash.share() * this.engines.size());
 				this.engines.values()
@@ -195,10 +191,16 @@
 		return "hall-" + index % DispatchProfile.FAILURE_DOMAINS;
 	}
 
-	private RouteTable routes(Route route) {
+	private static Route route(RequestKind kind) {
+		return new Route(kind.name(), "desk.example", "/" + kind.name() + "/", RouteKind.STREAM,
+				SimulatedCaller.TIMEOUT, kind.target(), kind.rank(), List.of(new WeightedService(SERVICE, 1)), 2, true,
+				true, SimulatedCaller.TARGET_GAP);
+	}
+
+	private RouteTable routeTable(List<Route> routes) {
 		CallLimits limits = new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
 		ServiceSpec service = new ServiceSpec(SERVICE, 1000, Optional.of(this.spec), Optional.empty());
-		return RouteTable.of(1, List.of(route), List.of(service), Map.of(), limits);
+		return RouteTable.of(1, routes, List.of(service), Map.of(), limits);
 	}
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedCaller.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedCaller.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.standin.sim.dispatch;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.policy.routing.EngineSpec;
@@ -47,7 +48,9 @@
 
 	private final double worth;
 
-	private final Duration target;
+	private final RequestKind kind;
+
+	private final Optional<Integer> organisation;
 
 	private int attempts;
 
@@ -58,24 +61,26 @@
 	private boolean inTime = true;
 
 	private SimulatedCaller(long id, long firstNanos, int promptTokens, int answerTokens, int lengthHint, double worth,
-			Duration target) {
+			RequestKind kind, Optional<Integer> organisation) {
 		this.id = id;
 		this.firstNanos = firstNanos;
 		this.promptTokens = promptTokens;
 		this.answerTokens = answerTokens;
 		this.lengthHint = lengthHint;
 		this.worth = worth;
-		this.target = target;
+		this.kind = kind;
+		this.organisation = organisation;
 	}
 
-	static SimulatedCaller create(long id, EngineProfile engines, UniformRandomProvider random, long nowNanos) {
-		EngineSpec spec = engines.spec();
+	static SimulatedCaller create(long id, RequestKind kind, Optional<Integer> organisation, EngineSpec spec,
+			UniformRandomProvider random, long nowNanos) {
 		int prompt = size(spec.meanPromptTokens(), random);
 		int answer = size(spec.meanAnswerTokens(), random);
 		double mean = spec.meanPromptTokens() + ANSWER_TOKEN_WORTH * spec.meanAnswerTokens();
 		double worth = MIN_WORTH + (1 - MIN_WORTH) * (prompt + ANSWER_TOKEN_WORTH * answer) / mean;
 		int hint = (int) (answer * Math.exp(HINT_SPREAD * (2 * random.nextDouble() - 1)));
-		return new SimulatedCaller(id, nowNanos, prompt, answer, hint, Math.min(MAX_WORTH, worth), engines.target());
+		return new SimulatedCaller(id, nowNanos, prompt, answer, hint, kind.worth() * Math.min(MAX_WORTH, worth), kind,
+				organisation);
 	}
 
 	// Exponential, with a bound as callers declare one.
@@ -96,6 +101,14 @@
 		return this.firstNanos + TIMEOUT.toNanos();
 	}
 
+	RequestKind kind() {
+		return this.kind;
+	}
+
+	Optional<Integer> organisation() {
+		return this.organisation;
+	}
+
 	int promptTokens() {
 		return this.promptTokens;
 	}
@@ -129,7 +142,7 @@
 	 * @param remainingNanos the time that the caller had left when it sent the attempt
 	 */
 	void held(long nanos, long remainingNanos) {
-		long beyond = Math.max(0, nanos - this.target.toNanos() / FREE_HOLD_DIVISOR);
+		long beyond = Math.max(0, nanos - this.kind.target().toNanos() / FREE_HOLD_DIVISOR);
 		this.heldShare = Math.min(1, this.heldShare + beyond / (MAX_HOLD_SHARE * remainingNanos));
 	}
 
@@ -150,7 +163,7 @@
 	void receiveEvent(long nowNanos) {
 		boolean first = this.lastEventNanos == 0;
 		long sinceNanos = nowNanos - (first ? this.firstNanos : this.lastEventNanos);
-		this.inTime &= sinceNanos <= (first ? this.target : TARGET_GAP).toNanos();
+		this.inTime &= sinceNanos <= (first ? this.kind.target() : TARGET_GAP).toNanos();
 		this.lastEventNanos = nowNanos;
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedCallers.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedCallers.java
@@ -10,6 +10,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.policy.dispatch.Job;
+import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.standin.sim.EventQueue;
 
@@ -22,7 +23,7 @@
 
 	private static final int MAX_ANSWER_FACTOR = 4;
 
-	private final Route route;
+	private final Map<RequestKind, Route> routes;
 
 	private final EngineProfile engines;
 
@@ -40,9 +41,9 @@
 
 	private long lastCaller;
 
-	SimulatedCallers(Route route, EngineProfile engines, EventQueue events, UniformRandomProvider random,
-			DispatchResult result) {
-		this.route = route;
+	SimulatedCallers(Map<RequestKind, Route> routes, EngineProfile engines, EventQueue events,
+			UniformRandomProvider random, DispatchResult result) {
+		this.routes = routes;
 		this.engines = engines;
 		this.events = events;
 		this.random = random;
@@ -56,9 +57,9 @@
 	/**
 	 * Adds a caller that sends its request now.
 	 */
-	void add() {
-		SimulatedCaller caller = SimulatedCaller.create(++this.lastCaller, this.engines, this.random,
-				this.events.nowNanos());
+	void add(RequestKind kind, Optional<Integer> organisation) {
+		SimulatedCaller caller = SimulatedCaller.create(++this.lastCaller, kind, organisation, this.engines.spec(),
+				this.random, this.events.nowNanos());
 		this.result.recordRequest(caller);
 		attempt(caller);
 	}
@@ -77,7 +78,10 @@
 			Job.Size size = new Job.Size(caller.promptTokens(),
 					MAX_ANSWER_FACTOR * this.engines.spec().meanAnswerTokens(), OptionalInt.of(caller.lengthHint()));
 			this.byAttempt.put(id, caller);
-			entry.arrive(Job.create(id, attempt, this.route, this.route.selectService(0), Optional.empty(), size,
+			Route route = this.routes.get(caller.kind());
+			Optional<Organisation> organisation = caller.organisation()
+				.map((number) -> new Organisation("organisation-" + number, OptionalInt.empty()));
+			entry.arrive(Job.create(id, attempt, route, route.selectService(0), organisation, size,
 					this.events.nowNanos(), caller.deadlineNanos()));
 		});
 	}
