Load reports have a field for the rank that found no slot

Entries that share contention did not tell which rank is short of slots, so a peer could not keep slots free for it. ServiceContention gets rank_plus_one; 0, the default, is what a peer of an older version sends.

--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ServiceContention.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ServiceContention.java
@@ -103,6 +103,21 @@
     return ageMillis_;
   }
 
+  public static final int RANK_PLUS_ONE_FIELD_NUMBER = 3;
+  private int rankPlusOne_ = 0;
+  /**
+   * <pre>
+   * rank of the request, plus 1; 0 from an older version
+   * </pre>
+   *
+   * <code>uint32 rank_plus_one = 3;</code>
+   * @return The rankPlusOne.
+   */
+  @java.lang.Override
+  public int getRankPlusOne() {
+    return rankPlusOne_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +138,9 @@
     if (ageMillis_ != 0) {
       output.writeUInt32(2, ageMillis_);
     }
+    if (rankPlusOne_ != 0) {
+      output.writeUInt32(3, rankPlusOne_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -134,6 +152,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(2, ageMillis_);
     }
+    if (rankPlusOne_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(3, rankPlusOne_);
+    }
     return size;
   }
   @java.lang.Override
@@ -162,6 +184,8 @@
         .equals(other.getService())) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (getRankPlusOne()
+        != other.getRankPlusOne()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -177,6 +201,8 @@
     hash = (53 * hash) + getService().hashCode();
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMillis();
+    hash = (37 * hash) + RANK_PLUS_ONE_FIELD_NUMBER;
+    hash = (53 * hash) + getRankPlusOne();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -310,6 +336,7 @@
       bitField0_ = 0;
       service_ = "";
       ageMillis_ = 0;
+      rankPlusOne_ = 0;
       return this;
     }
 
@@ -349,6 +376,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.rankPlusOne_ = rankPlusOne_;
+      }
     }
 
     @java.lang.Override
@@ -371,6 +401,9 @@
       if (other.getAgeMillis() != 0) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (other.getRankPlusOne() != 0) {
+        setRankPlusOne(other.getRankPlusOne());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -405,6 +438,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              rankPlusOne_ = input.readUInt32();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -538,6 +576,50 @@
       return this;
     }
 
+    private int rankPlusOne_ ;
+    /**
+     * <pre>
+     * rank of the request, plus 1; 0 from an older version
+     * </pre>
+     *
+     * <code>uint32 rank_plus_one = 3;</code>
+     * @return The rankPlusOne.
+     */
+    @java.lang.Override
+    public int getRankPlusOne() {
+      return rankPlusOne_;
+    }
+    /**
+     * <pre>
+     * rank of the request, plus 1; 0 from an older version
+     * </pre>
+     *
+     * <code>uint32 rank_plus_one = 3;</code>
+     * @param value The rankPlusOne to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRankPlusOne(int value) {
+
+      rankPlusOne_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * rank of the request, plus 1; 0 from an older version
+     * </pre>
+     *
+     * <code>uint32 rank_plus_one = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRankPlusOne() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      rankPlusOne_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.ServiceContention)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/ServiceContentionOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/ServiceContentionOrBuilder.java
@@ -31,4 +31,14 @@
    * @return The ageMillis.
    */
   int getAgeMillis();
+
+  /**
+   * <pre>
+   * rank of the request, plus 1; 0 from an older version
+   * </pre>
+   *
+   * <code>uint32 rank_plus_one = 3;</code>
+   * @return The rankPlusOne.
+   */
+  int getRankPlusOne();
 }
