Less urgent requests leave slots free for ranks that find none

Entries now report the ranks that find no slot; the share of entries that do drives the number of slots that less urgent requests leave free at each runner. Waiting requests are ordered by rank, then by the admitted share of the organisation, then by arrival; an organisation above its max-min fair share leaves slots free as the next rank does.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -120,7 +120,8 @@
 	private static DispatchLimits limits(SiteSettings settings) {
 		SiteSettings.Guarantees bounds = settings.guarantees();
 		return new DispatchLimits(settings.failureDomain(), bounds.maxRetryShare(), bounds.retryBurst(),
-				bounds.retryWindow(), bounds.weightsActivationDelay(), settings.regions(), bounds.coldStartBound());
+				bounds.retryWindow(), bounds.weightsActivationDelay(), settings.regions(), bounds.coldStartBound(),
+				false);
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -343,8 +343,7 @@
 		report.getLoadsList()
 			.forEach((load) -> this.dispatcher.peerLoads().update(peer, LoadReportCodec.decode(load), now));
 		report.getContendedList()
-			.forEach((one) -> this.dispatcher.contention()
-				.reported(one.getService(), Duration.ofMillis(one.getAgeMillis()), now));
+			.forEach((one) -> this.dispatcher.contention().reported(peer, LoadReportCodec.decode(one), now));
 		this.dispatcher.rateLimits().merge(peer, LoadReportCodec.decodeRates(report, now), now);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DispatcherLoad.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DispatcherLoad.java
@@ -1,10 +1,9 @@
 package org.wisteriapost.entry.direct;
 
-import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
+import org.wisteriapost.policy.admission.ContentionReport;
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.ratelimit.RateLimitReport;
@@ -32,8 +31,8 @@
 	}
 
 	@Override
-	public Map<String, Duration> contended() {
-		return this.dispatcher.contention().own(this.nowNanos);
+	public List<ContentionReport> contended() {
+		return this.dispatcher.contention().ownReports(this.nowNanos);
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReportCodec.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReportCodec.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
+import org.wisteriapost.policy.admission.ContentionReport;
 import org.wisteriapost.policy.dispatch.InFlightLoad;
 import org.wisteriapost.policy.dispatch.RefusedRequest;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
@@ -56,8 +58,18 @@
 				nowNanos + TimeUnit.MILLISECONDS.toNanos(message.getLeftMillis()));
 	}
 
-	static ServiceContention encodeContention(String service, Duration ago) {
-		return ServiceContention.newBuilder().setService(service).setAgeMillis(millis(ago.toNanos())).build();
+	static ServiceContention encode(ContentionReport report) {
+		ServiceContention.Builder message = ServiceContention.newBuilder()
+			.setService(report.service())
+			.setAgeMillis(millis(report.ago().toNanos()));
+		report.rank().ifPresent((rank) -> message.setRankPlusOne(rank + 1));
+		return message.build();
+	}
+
+	static ContentionReport decode(ServiceContention message) {
+		OptionalInt rank = (message.getRankPlusOne() > 0) ? OptionalInt.of(message.getRankPlusOne() - 1)
+				: OptionalInt.empty();
+		return new ContentionReport(message.getService(), rank, Duration.ofMillis(message.getAgeMillis()));
 	}
 
 	static void encode(RateLimitReport rates, LoadReport.Builder report, long nowNanos) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReporter.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.entry.direct;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +10,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
+import org.wisteriapost.policy.admission.ContentionReport;
 import org.wisteriapost.policy.dispatch.InFlightLoad;
 import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RefusedRequest;
@@ -125,10 +125,10 @@
 		Optional<RateLimitReport> rates();
 
 		/**
-		 * Returns the services at which a request that could be in time recently found no
-		 * free slot, and the time since then.
+		 * Returns the services and ranks at which a request that could be in time
+		 * recently found no free slot.
 		 */
-		Map<String, Duration> contended();
+		List<ContentionReport> contended();
 
 	}
 
@@ -178,8 +178,7 @@
 				this.nextRateReportTicks = ticks + RATE_REPORT_INTERVAL_TICKS;
 				source.rates().ifPresent((limits) -> LoadReportCodec.encode(limits, report, nowNanos));
 			}
-			source.contended()
-				.forEach((service, ago) -> report.addContended(LoadReportCodec.encodeContention(service, ago)));
+			source.contended().forEach((one) -> report.addContended(LoadReportCodec.encode(one)));
 			if (!report.build().equals(LoadReport.getDefaultInstance())) {
 				Frame frame = Frame.newBuilder().setLoadReport(report).build();
 				peers.forEach((name) -> LoadReporter.this.sender.accept(name, frame));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/LoadReporterTests.java
@@ -3,13 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wisteriapost.policy.admission.ContentionReport;
 import org.wisteriapost.policy.dispatch.InFlightLoad;
 import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RefusedRequest;
@@ -35,7 +36,7 @@
 		this.frames.add(frame);
 	});
 
-	private Map<String, Duration> contended = Map.of();
+	private List<ContentionReport> contended = List.of();
 
 	private void tick(long tick, List<EntryInfo> others, List<RunnerLoad> loads) {
 		this.reporter.tick(tick, tick * 20_000_000, () -> others, new LoadReporter.Source() {
@@ -51,7 +52,7 @@
 			}
 
 			@Override
-			public Map<String, Duration> contended() {
+			public List<ContentionReport> contended() {
 				return LoadReporterTests.this.contended;
 			}
 
@@ -136,12 +137,12 @@
 
 	@Test
 	void contentionIsReportedWhileItLasts() {
-		this.contended = Map.of("lm-notice", Duration.ofMillis(250));
+		this.contended = List.of(new ContentionReport("lm-notice", OptionalInt.of(2), Duration.ofMillis(250)));
 		tick(0, entries(1, 1), List.of());
 		assertThat(this.frames, Matchers.hasSize(2));
-		assertThat(this.frames.getFirst().getLoadReport().getContendedList(),
-				Matchers.contains(ServiceContention.newBuilder().setService("lm-notice").setAgeMillis(250).build()));
-		this.contended = Map.of();
+		assertThat(this.frames.getFirst().getLoadReport().getContendedList(), Matchers.contains(
+				ServiceContention.newBuilder().setService("lm-notice").setAgeMillis(250).setRankPlusOne(3).build()));
+		this.contended = List.of();
 		tick(20, entries(1, 1), List.of());
 		assertThat(this.frames, Matchers.hasSize(2));
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -1,6 +1,14 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.util.Optional;
+
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.policy.admission.AdmissionPriority;
+import org.wisteriapost.policy.admission.AdmissionStanding;
+import org.wisteriapost.policy.admission.ContentionByRank;
+import org.wisteriapost.policy.admission.ContentionTrend;
+import org.wisteriapost.policy.admission.RetryHints;
+import org.wisteriapost.policy.routing.Organisation;
 
 /**
  * Decides whether a request is sent now, waits for free capacity, or is refused.
@@ -57,7 +65,8 @@
 	// leave the caller too little time to retry.
 	private static final double MAX_WAIT_SHARE = 0.3;
 
-	private static final int MAX_RANK = 9;
+	// Bounds the wait that is expected for a rank of which nothing was admitted recently.
+	private static final double MIN_SLOT_SHARE = 0.05;
 
 	private static final int LATE_RANK = 8;
 
@@ -67,17 +76,67 @@
 
 	private final Contention contention;
 
-	AdmissionPolicy(Contention contention, UniformRandomProvider random) {
+	private final AdmissionPriority priority;
+
+	private final ContentionTrend trend;
+
+	private final RetryHints retryHints;
+
+	AdmissionPolicy(Contention contention, boolean finalRefusals, UniformRandomProvider random) {
 		this.contention = contention;
+		this.priority = new AdmissionPriority(contention.byRank(), contention.reservedSlots());
+		this.trend = new ContentionTrend(contention.byRank());
+		this.retryHints = finalRefusals ? this.trend : RetryHints.ALWAYS;
 		this.random = random;
 	}
 
 	/**
-	 * Recognizes a request as the retry of a refused request.
+	 * Updates the number of entries.
+	 */
+	void updateEntryCount(int count) {
+		this.contention.reservedSlots().updateEntryCount(count);
+		this.trend.updateEntryCount(count);
+	}
+
+	/**
+	 * Recognizes a request as the retry of a refused request. Such retries do not compete
+	 * for shares.
 	 */
-	void arrived(Job job) {
+	void arrived(Job job, long nowNanos) {
 		this.refusedRequests.earlierAttempt(job)
 			.ifPresent((refusal) -> job.firstAttemptNanos = refusal.firstAttemptNanos());
+		if (!isLate(job, nowNanos)) {
+			this.priority.arrived(job.service(), declaredRank(job), organisation(job), nowNanos);
+		}
+	}
+
+	/**
+	 * Records that a request is sent to its first runner.
+	 */
+	void admitted(Job job, long nowNanos) {
+		if (!isLate(job, nowNanos)) {
+			this.priority.admitted(job.service(), declaredRank(job), organisation(job), nowNanos);
+		}
+	}
+
+	/**
+	 * Determines the standing of a request before a runner is chosen for it, and returns
+	 * whether it is late.
+	 */
+	boolean assess(Job job, long nowNanos) {
+		if (isLate(job, nowNanos)) {
+			job.standing = AdmissionStanding.NONE;
+			job.reservedSlots = 0;
+			return true;
+		}
+		job.standing = this.priority.standing(job.service(), declaredRank(job), organisation(job), nowNanos);
+		double reserved = job.standing.reservedSlots();
+		job.reservedSlots = (reserved > 0) ? (int) Math.floor(reserved + this.random.nextDouble()) : 0;
+		return false;
+	}
+
+	private static Optional<String> organisation(Job job) {
+		return job.organisation().map(Organisation::name);
 	}
 
 	/**
@@ -110,10 +169,16 @@
 				|| choice.utilization() < maxUtilization(choice, remaining))) {
 			return Decision.SEND;
 		}
-		this.contention.noFreeSlot(job.service(), nowNanos);
+		this.contention.noFreeSlot(job.service(), contendedRank(job, choice), nowNanos);
 		return canWait(job, choice, queued, remaining, nowNanos) ? Decision.WAIT : Decision.REFUSE;
 	}
 
+	// A request that only reserved slots keep from being sent must not be the reason to
+	// reserve more.
+	private static int contendedRank(Job job, Placement.Choice choice) {
+		return (job.reservedSlots > 0 && choice.utilization() < 1) ? ContentionByRank.LAST_RANK : declaredRank(job);
+	}
+
 	// The utilization up to which an engine is sent a request that it is predicted to
 	// answer late.
 	private static double maxUtilization(Placement.Choice choice, double remaining) {
@@ -144,16 +209,25 @@
 	// The request waits in the entry and not at an engine, so that it can use the first
 	// free slot of any engine. It waits only for a bounded time and only if the requests
 	// ahead of it leave a slot within that time.
-	private static boolean canWait(Job job, Placement.Choice choice, int queued, double remaining, long nowNanos) {
+	private boolean canWait(Job job, Placement.Choice choice, int queued, double remaining, long nowNanos) {
 		double waited = (double) (nowNanos - job.arrivedNanos()) / Placement.NANOS_PER_MILLI;
 		double maxWait = MAX_WAIT_SHARE * job.route().targetLatency().toMillis();
 		if (choice.hasFreeCapacity() || waited >= maxWait) {
 			return false;
 		}
-		double wait = (queued + 1) * choice.slotIntervalMillis();
+		double share = Math.max(MIN_SLOT_SHARE, this.priority.slotShare(job.standing, job.service(), nowNanos));
+		double wait = (queued + 1) * choice.slotIntervalMillis() / share;
 		return wait <= maxWait - waited && wait + choice.predictedMillis() - choice.slotWaitMillis() <= remaining;
 	}
 
+	/**
+	 * Returns the delay after which the caller of a request that found no slot should
+	 * retry; 0 if it should not.
+	 */
+	long retryAfterNoSlotMillis(Job job, long nowNanos) {
+		return this.retryHints.forecast(job.service(), nowNanos) ? retryAfterMillis(job, nowNanos) : 0;
+	}
+
 	/**
 	 * Returns the delay after which a refused caller should retry.
 	 */
@@ -170,10 +244,14 @@
 		if (isLate(job, nowNanos)) {
 			return LATE_RANK;
 		}
+		return declaredRank(job);
+	}
+
+	private static int declaredRank(Job job) {
 		int declared = job.organisation()
 			.map((organisation) -> organisation.priority().orElse(job.route().priority()))
 			.orElse(job.route().priority());
-		return Math.clamp(declared, 0, MAX_RANK);
+		return Math.clamp(declared, 0, ContentionByRank.LAST_RANK);
 	}
 
 	private static Decision decidePlain(Job job, Placement.Choice choice, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Contention.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Contention.java
@@ -2,11 +2,16 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
+import org.wisteriapost.policy.admission.ContentionByRank;
+import org.wisteriapost.policy.admission.ContentionReport;
+import org.wisteriapost.policy.admission.ReservedSlots;
+
 /**
  * The services at which requests that could still be answered in time find no free slot,
  * at this entry or at its peers.
@@ -27,14 +32,48 @@
 
 	private final Map<String, Long> peersNanos = new HashMap<>();
 
+	private final ContentionByRank byRank = new ContentionByRank();
+
+	private final ReservedSlots reservedSlots = new ReservedSlots(this.byRank);
+
 	Contention() {
 	}
 
 	/**
 	 * Records that a request of this entry that could be in time found no slot.
 	 */
-	void noFreeSlot(String service, long nowNanos) {
+	void noFreeSlot(String service, int rank, long nowNanos) {
 		this.ownNanos.put(service, nowNanos);
+		this.byRank.noFreeSlot(service, rank, nowNanos);
+	}
+
+	/**
+	 * Records what a peer has reported.
+	 */
+	public void reported(String peer, ContentionReport report, long nowNanos) {
+		reported(report.service(), report.ago(), nowNanos);
+		this.byRank.reported(peer, report, nowNanos);
+	}
+
+	/**
+	 * Returns what to report to the peers. Services without contention are left out.
+	 */
+	public List<ContentionReport> ownReports(long nowNanos) {
+		return this.byRank.own(nowNanos);
+	}
+
+	/**
+	 * Returns which ranks find no slot.
+	 */
+	public ContentionByRank byRank() {
+		return this.byRank;
+	}
+
+	/**
+	 * Returns the slots that stay free for more urgent requests.
+	 */
+	public ReservedSlots reservedSlots() {
+		return this.reservedSlots;
 	}
 
 	/**
@@ -48,8 +87,8 @@
 	}
 
 	/**
-	 * Returns the time since a request of this entry found no slot, by service, for a
-	 * report to the peers. Services without contention are left out.
+	 * Returns the time since a request of this entry found no slot, by service. Services
+	 * without contention are left out.
 	 */
 	public Map<String, Duration> own(long nowNanos) {
 		removeExpired(this.ownNanos, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
@@ -41,7 +41,8 @@
 	 *
 	 * @param job the request
 	 * @param code the reason
-	 * @param retryAfterMillis the delay after which the caller should retry
+	 * @param retryAfterMillis the delay after which the caller should retry; 0 if it
+	 * should not
 	 */
 	record Refuse(Job job, Code code, long retryAfterMillis) implements DispatchEffect {
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchLimits.java
@@ -17,9 +17,11 @@
  * until no request may start on an older version
  * @param regions the region of each failure domain
  * @param coldStartBound limit on the requests to cold runners
+ * @param finalRefusals whether a caller is told when to retry only if free capacity is
+ * forecast
  */
 public record DispatchLimits(String failureDomain, double retryRatio, int fixedRetriesPerWindow, Duration retryWindow,
-		Duration weightsActivationDelay, RegionMap regions, ColdStartBound coldStartBound) {
+		Duration weightsActivationDelay, RegionMap regions, ColdStartBound coldStartBound, boolean finalRefusals) {
 
 	/**
 	 * Creates limits of a site without known regions.
@@ -27,7 +29,15 @@
 	public DispatchLimits(String failureDomain, double retryRatio, int fixedRetriesPerWindow, Duration retryWindow,
 			Duration weightsActivationDelay) {
 		this(failureDomain, retryRatio, fixedRetriesPerWindow, retryWindow, weightsActivationDelay, RegionMap.NONE,
-				ColdStartBound.STRICT);
+				ColdStartBound.STRICT, false);
+	}
+
+	/**
+	 * Returns these limits with or without final refusals.
+	 */
+	public DispatchLimits withFinalRefusals(boolean finalRefusals) {
+		return new DispatchLimits(this.failureDomain, this.retryRatio, this.fixedRetriesPerWindow, this.retryWindow,
+				this.weightsActivationDelay, this.regions, this.coldStartBound, finalRefusals);
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -79,7 +78,7 @@
 				limits.failureDomain(), random);
 		this.paths = new RunnerPaths(this.registry, this.placement, this.engineSpecs::of);
 		this.retryBudgets = new RetryBudgets(limits);
-		this.admission = new AdmissionPolicy(this.contention, random);
+		this.admission = new AdmissionPolicy(this.contention, limits.finalRefusals(), random);
 		this.retryPolicy = new RetryPolicy();
 		this.responses = new FinalResponses(this.admission, (effect) -> this.pendingEffects.add(effect));
 	}
@@ -214,6 +213,7 @@
 	public void updateEntryCount(EntryCount count) {
 		this.entryCount = count;
 		this.placement.updateEntryCount(count);
+		this.admission.updateEntryCount(count.total());
 	}
 
 	/**
@@ -228,7 +228,7 @@
 	 */
 	public void requestArrived(Job job, long nowNanos) {
 		this.jobs.put(job.id(), job);
-		this.admission.arrived(job);
+		this.admission.arrived(job, nowNanos);
 		this.rateLimits.requestArrived(job, nowNanos);
 		place(job, nowNanos);
 	}
@@ -370,9 +370,9 @@
 	}
 
 	private void place(Job job, long nowNanos) {
-		Deque<Job> queue = this.waiting.queue(job, this.admission.isLate(job, nowNanos));
-		if (placeOrKeepWaiting(job, queue.size(), nowNanos)) {
-			queue.addLast(job);
+		boolean late = this.admission.assess(job, nowNanos);
+		if (placeOrKeepWaiting(job, this.waiting.ahead(job, late), nowNanos)) {
+			this.waiting.add(job, late);
 		}
 	}
 
@@ -384,7 +384,7 @@
 			return true;
 		}
 		Placement.Choice choice = this.placement.choose(job, this.engineSpecs.of(job.service()),
-				this.admission.isLate(job, nowNanos), nowNanos);
+				this.admission.assess(job, nowNanos), nowNanos);
 		switch (this.admission.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
 			case WAIT -> {
@@ -402,6 +402,7 @@
 		RunnerState runner = choice.runner().orElseThrow();
 		if (job.dispatchCount == 0) {
 			this.retryBudgets.of(job.service()).recordFirstDispatch();
+			this.admission.admitted(job, nowNanos);
 		}
 		job.dispatchedTo(runner, choice, this.admission.isLate(job, nowNanos), nowNanos);
 		boolean requiresNewConnection = this.placement.requiresNewConnection(runner, this.engineSpecs.of(job.service()),
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
@@ -89,7 +89,8 @@
 			this.effects.accept(new DispatchEffect.Fail(job, RUN_BROKEN, false));
 			return;
 		}
-		refuse(job, code, this.admission.retryAfterMillis(job, nowNanos));
+		refuse(job, code, (code == NO_ROOM) ? this.admission.retryAfterNoSlotMillis(job, nowNanos)
+				: this.admission.retryAfterMillis(job, nowNanos));
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.wisteriapost.policy.admission.AdmissionStanding;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
 import org.wisteriapost.policy.routing.RouteKind;
@@ -74,6 +75,12 @@
 
 	boolean finished;
 
+	// As of the latest attempt to place the request.
+	AdmissionStanding standing = AdmissionStanding.NONE;
+
+	// Slots of a runner that the request leaves free, rounded at random.
+	int reservedSlots;
+
 	private Job(long id, Attempt attempt, Route route, String service, Optional<Organisation> organisation, Size size,
 			long arrivedNanos, long deadlineNanos) {
 		this.id = id;
@@ -159,6 +166,13 @@
 		return this.sentNanos;
 	}
 
+	/**
+	 * Returns its standing at the latest attempt to place it.
+	 */
+	public AdmissionStanding standing() {
+		return this.standing;
+	}
+
 	/**
 	 * Returns the number of the latest dispatch, starting at 1. Events of earlier
 	 * dispatches are ignored.
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -158,7 +158,7 @@
 					&& endsAfterSwitch(job, runner, engine, load, predicted, nowNanos)) {
 				continue;
 			}
-			Choice choice = choice(runner, engine, load, nominal, predicted, version, nowNanos);
+			Choice choice = choice(job, runner, engine, load, nominal, predicted, version, nowNanos);
 			double cost = predicted + remoteCostMillis(job, runner, engine, predicted)
 					+ (choice.hasFreeCapacity() ? 0 : FULL_RUNNER_COST_MILLIS)
 					+ this.random.nextDouble() * TIE_BREAK_MILLIS;
@@ -171,7 +171,7 @@
 		return best.withSlotInterval(usable * candidateRatio, engine, this.entryCount.total());
 	}
 
-	private Choice choice(RunnerState runner, Optional<EngineSpec> engine, InFlightLoad load, double nominal,
+	private Choice choice(Job job, RunnerState runner, Optional<EngineSpec> engine, InFlightLoad load, double nominal,
 			double predicted, OptionalInt version, long nowNanos) {
 		if (engine.isEmpty()) {
 			int capacity = runner.info.slots() + PLAIN_QUEUE;
@@ -180,7 +180,7 @@
 		}
 		EngineSpec spec = engine.get();
 		int free = spec.slots() + ENGINE_QUEUE - load.requests();
-		boolean hasFreeCapacity = free > 0 && runner.capacityShare.available(free,
+		boolean hasFreeCapacity = free > job.reservedSlots && runner.capacityShare.available(free,
 				this.entryCount.sendersTo(runner.info.failureDomain(), this.failureDomain), this.random, nowNanos);
 		double wait = EngineLatencyModel.slotWaitMillis(spec, load) * predicted / nominal;
 		OptionalInt requiredVersion = version.isPresent() ? runner.weightsVersion(spec.model()) : version;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/WaitingRequests.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/WaitingRequests.java
@@ -1,27 +1,47 @@
 package org.wisteriapost.policy.dispatch;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
+import org.wisteriapost.policy.admission.AdmissionStanding;
+
 /**
- * Requests that wait for free capacity, by service and in order of arrival. Late requests
- * are kept in separate queues, which are served last.
+ * Requests that wait for free capacity, by service, in the order of their standing and
+ * then of arrival. Late requests are kept in separate queues, which are served last.
  */
 final class WaitingRequests {
 
-	private final Map<String, Deque<Job>> inTime = new HashMap<>();
+	private static final Comparator<Job> FIRST_SERVED = Comparator.comparing((job) -> job.standing,
+			AdmissionStanding.FIRST_SERVED);
+
+	// In order of arrival.
+	private final Map<String, List<Job>> inTime = new HashMap<>();
+
+	private final Map<String, List<Job>> late = new HashMap<>();
 
-	private final Map<String, Deque<Job>> late = new HashMap<>();
+	private List<Job> queue(Job job, boolean isLate) {
+		return (isLate ? this.late : this.inTime).computeIfAbsent(job.service(), (name) -> new ArrayList<>());
+	}
 
 	/**
-	 * Returns the queue for a request.
+	 * Returns the number of waiting requests that are served before a new one.
 	 */
-	Deque<Job> queue(Job job, boolean isLate) {
-		return (isLate ? this.late : this.inTime).computeIfAbsent(job.service(), (name) -> new ArrayDeque<>());
+	int ahead(Job job, boolean isLate) {
+		return (int) queue(job, isLate).stream()
+			.filter((other) -> other.standing.order() <= job.standing.order())
+			.count();
+	}
+
+	/**
+	 * Adds a request.
+	 */
+	void add(Job job, boolean isLate) {
+		queue(job, isLate).add(job);
 	}
 
 	/**
@@ -36,8 +56,12 @@
 	 */
 	void retry(Predicate<Job> waits) {
 		queues().forEach((queue) -> {
-			while (!queue.isEmpty() && (queue.peekFirst().finished || !waits.test(queue.peekFirst()))) {
-				queue.pollFirst();
+			while (!queue.isEmpty()) {
+				Job first = first(queue);
+				if (!first.finished && waits.test(first)) {
+					return;
+				}
+				queue.remove(first);
 			}
 		});
 	}
@@ -47,10 +71,23 @@
 	 * @param waits places a request and returns whether it still has to wait
 	 */
 	void retryAll(Predicate<Job> waits) {
-		queues().forEach((queue) -> queue.removeIf((job) -> job.finished || !waits.test(job)));
+		queues().forEach((queue) -> queue.stream().sorted(FIRST_SERVED).toList().forEach((job) -> {
+			if (job.finished || !waits.test(job)) {
+				queue.remove(job);
+			}
+		}));
+	}
+
+	// The first of equal ones in order of arrival.
+	private static Job first(List<Job> queue) {
+		Job first = queue.getFirst();
+		for (Job job : queue) {
+			first = (FIRST_SERVED.compare(job, first) < 0) ? job : first;
+		}
+		return first;
 	}
 
-	private Stream<Deque<Job>> queues() {
+	private Stream<List<Job>> queues() {
 		return Stream.concat(this.inTime.values().stream(), this.late.values().stream());
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/bench/DispatchBench.java
+++ b/standin/src/main/java/org/wisteriapost/standin/bench/DispatchBench.java
@@ -38,7 +38,7 @@
 
 	@Override
 	public String summary() {
-		return "[--seeds 5] [--engines long-passes,short-passes] [--fleet ENTRIESxENGINES] [--profile NAME,...]";
+		return "[--seeds 5] [--engines long-passes,short-passes] [--fleet ENTRIESxENGINES] [--profile NAME,...] [--final-refusals]";
 	}
 
 	@Override
@@ -48,16 +48,19 @@
 		options.addOption(Option.builder().longOpt("engines").hasArg().get());
 		options.addOption(Option.builder().longOpt("fleet").hasArg().get());
 		options.addOption(Option.builder().longOpt("profile").hasArg().get());
+		options.addOption(Option.builder().longOpt("final-refusals").get());
 		CommandLine line = new DefaultParser().parse(options, args.toArray(String[]::new));
 		int seeds = number("--seeds", line.getOptionValue("seeds", String.valueOf(DEFAULT_SEEDS)));
 		UnaryOperator<DispatchProfile> fleet = fleet(line.getOptionValue("fleet", ""));
+		UnaryOperator<DispatchProfile> variant = line.hasOption("final-refusals")
+				? (profile) -> fleet.apply(profile).withFinalRefusals() : fleet;
 		Optional<String> only = Optional.ofNullable(line.getOptionValue("profile"));
 		for (String name : line.getOptionValue("engines", "long-passes,short-passes").split(",")) {
 			EngineProfile engines = EngineProfile.named(name)
 				.orElseThrow(() -> new ParseException("unknown engines: " + name));
 			for (DispatchProfile profile : DispatchProfile.all(engines)) {
 				if (only.isEmpty() || List.of(only.get().split(",")).contains(profile.name())) {
-					print(name, fleet.apply(profile), seeds, out);
+					print(name, variant.apply(profile), seeds, out);
 				}
 			}
 		}
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchProfile.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchProfile.java
@@ -15,10 +15,12 @@
  * @param kinds the kinds of the requests
  * @param organisations the number of organisations that send requests; 0 if requests name
  * none
+ * @param finalRefusals whether callers are told when to retry only if free capacity is
+ * forecast
  * @param changes what changes meanwhile
  */
 public record DispatchProfile(String name, EngineProfile engineProfile, int entries, int engines, double load,
-		Duration duration, List<RequestKind> kinds, int organisations, List<Change> changes) {
+		Duration duration, List<RequestKind> kinds, int organisations, boolean finalRefusals, List<Change> changes) {
 
 	/** Failure domains over which entries and engines are spread. */
 	static final int FAILURE_DOMAINS = 3;
@@ -61,7 +63,7 @@
 		RequestKind normal = new RequestKind("normal", 1, Duration.ofMillis(400), 1.3, 70);
 		RequestKind patient = new RequestKind("patient", 2, Duration.ofMillis(1000), 1, 98);
 		return new DispatchProfile("ranks", engines, LARGE_FLEET, LARGE_FLEET, 0.85, Duration.ofSeconds(42),
-				List.of(urgent, normal, patient), ORGANISATIONS,
+				List.of(urgent, normal, patient), ORGANISATIONS, false,
 				List.of(new Change.KindBurst(seconds(4), seconds(6), "patient", 2.25),
 						new Change.KindBurst(seconds(14), seconds(4), "urgent", 1.75),
 						new Change.KindBurst(seconds(22), seconds(6), "patient", 2.5),
@@ -70,7 +72,8 @@
 
 	private static DispatchProfile of(String name, EngineProfile engines, double load, Change... changes) {
 		RequestKind kind = new RequestKind("stream", 1, engines.target(), 1, 1);
-		return new DispatchProfile(name, engines, ENTRIES, ENGINES, load, DURATION, List.of(kind), 0, List.of(changes));
+		return new DispatchProfile(name, engines, ENTRIES, ENGINES, load, DURATION, List.of(kind), 0, false,
+				List.of(changes));
 	}
 
 	private static Duration seconds(double seconds) {
@@ -82,7 +85,15 @@
 	 */
 	public DispatchProfile withFleet(int otherEntries, int otherEngines) {
 		return new DispatchProfile(this.name, this.engineProfile, otherEntries, otherEngines, this.load, this.duration,
-				this.kinds, this.organisations, this.changes);
+				this.kinds, this.organisations, this.finalRefusals, this.changes);
+	}
+
+	/**
+	 * Returns this profile with final refusals.
+	 */
+	public DispatchProfile withFinalRefusals() {
+		return new DispatchProfile(this.name, this.engineProfile, this.entries, this.engines, this.load, this.duration,
+				this.kinds, this.organisations, true, this.changes);
 	}
 
 	/**
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
@@ -77,7 +77,7 @@
 		}
 		RouteTable table = routeTable(List.copyOf(routes.values()));
 		for (int i = 0; i < profile.entries(); i++) {
-			this.entries.add(new SimulatedEntry("entry-" + i, failureDomain(i), table, profile.entries(), this.events,
+			this.entries.add(new SimulatedEntry("entry-" + i, failureDomain(i), table, profile, this.events,
 					this.engines, this.callers, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * profile.entries() + i)));
 		}
 		this.callers.connect(this.entries);
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedCallers.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedCallers.java
@@ -100,7 +100,7 @@
 		SimulatedCaller caller = of(job);
 		caller.held(this.events.nowNanos() - job.arrivedNanos(), job.deadlineNanos() - job.arrivedNanos());
 		this.events.schedule(LINK_NANOS, () -> {
-			if (!caller.mayReturn()) {
+			if (!caller.mayReturn() || retryAfterMillis == 0) {
 				this.result.recordRefusal(caller);
 				return;
 			}
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.policy.admission.ContentionReport;
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.DispatchLimits;
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
@@ -64,17 +65,18 @@
 
 	private int ticks;
 
-	SimulatedEntry(String name, String failureDomain, RouteTable routes, int entries, EventQueue events,
+	SimulatedEntry(String name, String failureDomain, RouteTable routes, DispatchProfile profile, EventQueue events,
 			Map<String, SimulatedEngine> engines, SimulatedCallers callers, UniformRandomProvider random) {
 		this.name = name;
 		this.failureDomain = failureDomain;
 		this.events = events;
 		this.engines = engines;
 		this.callers = callers;
-		this.dispatcher = Dispatcher.create(
-				new DispatchLimits(failureDomain, RETRY_RATIO, FIXED_RETRIES, RETRY_WINDOW, ACTIVATION_DELAY), random);
+		DispatchLimits limits = new DispatchLimits(failureDomain, RETRY_RATIO, FIXED_RETRIES, RETRY_WINDOW,
+				ACTIVATION_DELAY);
+		this.dispatcher = Dispatcher.create(limits.withFinalRefusals(profile.finalRefusals()), random);
 		this.dispatcher.updateRouteTable(routes);
-		this.dispatcher.updateEntryCount(EntryCount.unpartitioned(entries));
+		this.dispatcher.updateEntryCount(EntryCount.unpartitioned(profile.entries()));
 	}
 
 	String name() {
@@ -115,8 +117,8 @@
 	}
 
 	private void reportReceived(String from, List<RunnerLoad> loads, List<RefusedRequest> refusals,
-			Map<String, Duration> contended) {
-		contended.forEach((service, ago) -> this.dispatcher.contention().reported(service, ago, now()));
+			List<ContentionReport> contended) {
+		contended.forEach((report) -> this.dispatcher.contention().reported(from, report, now()));
 		refusals.forEach((refusal) -> this.dispatcher.recordPeerRefusal(refusal));
 		loads.forEach((load) -> this.dispatcher.peerLoads().update(from, load, now()));
 	}
@@ -249,7 +251,7 @@
 			loads.forEach((load) -> this.lastReported.put(load.runnerId(), load));
 			List<RefusedRequest> refusals = List.copyOf(this.refused);
 			this.refused.clear();
-			Map<String, Duration> contended = entry.dispatcher.contention().own(entry.now());
+			List<ContentionReport> contended = entry.dispatcher.contention().ownReports(entry.now());
 			for (SimulatedEntry other : this.members) {
 				entry.events.schedule(entry.linkNanos(other.failureDomain),
 						() -> other.reportReceived(entry.name, loads, refusals, contended));
