--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -1,11 +1,14 @@
 package org.wisteriapost.entry.direct;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.dispatch.Job;
@@ -34,8 +37,13 @@
 
 	private final AtomicInteger limitedRunners;
 
+	private final MultiGauge reservedSlots;
+
 	private DirectMetrics(MeterRegistry registry) {
 		this.registry = registry;
+		this.reservedSlots = MultiGauge.builder(PREFIX + "reserved.slots")
+			.description("Slots of a runner that less urgent requests leave free.")
+			.register(registry);
 		this.limitedRunners = registry.gauge(PREFIX + "limited.runners", new AtomicInteger());
 		this.quarantined = registry.gauge(PREFIX + "quarantined", new AtomicInteger());
 		this.firstEvent = timer("first.event", "Time from a request's arrival to its first event.");
@@ -100,6 +108,21 @@
 		this.limitedRunners.set(limited);
 	}
 
+	/**
+	 * Updates the reserved slots.
+	 * @param reserved the slots of a runner that stay free, by service and rank
+	 */
+	void slotsReserved(Map<String, Map<Integer, Double>> reserved) {
+		this.reservedSlots.register(reserved.entrySet()
+			.stream()
+			.flatMap((service) -> service.getValue()
+				.entrySet()
+				.stream()
+				.map((rank) -> MultiGauge.Row
+					.of(Tags.of("service", service.getKey(), "rank", String.valueOf(rank.getKey())), rank.getValue())))
+			.toList(), true);
+	}
+
 	/**
 	 * Counts a final answer that the entry itself produced.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -358,6 +358,7 @@
 		this.suspects.ifPresent((exchange) -> exchange.tick(this.ticks, now));
 		if (this.ticks % TICKS_PER_UPDATE == 0) {
 			this.dispatcher.updateEntryCount(this.roster.entryCount());
+			this.metrics.slotsReserved(this.dispatcher.contention().reservedSlots().current(now));
 			this.dispatcher.rateLimits().updateGroup(this.roster.entryGroup());
 			this.updates.ifPresent((updates) -> updates
 				.tick(this.roster.linkDistances(this.peers.orElseThrow().linkedEntries()), now));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -65,8 +65,9 @@
 	private void refuse(DispatchEffect.Refuse refuse, DirectCall call, long nowNanos) {
 		Job job = refuse.job();
 		this.log.failure("refused", "attempt", job.attemptId(), "request", Long.toHexString(job.contentHash()), "code",
-				refuse.code().name(), "route", job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "ageMs",
-				TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
+				refuse.code().name(), "route", job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "rank",
+				job.standing().rank(), "reservedSlots", job.standing().reservedSlots(), "contendedRank",
+				job.standing().contendedRank(), "ageMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
 		this.metrics.answered("refused", refuse.code().name());
 		this.output.refuse(call, refuse.code(), refuse.retryAfterMillis());
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/ContentionReportTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/ContentionReportTests.java
@@ -1,9 +1,15 @@
 package org.wisteriapost.entry.direct;
 
+import java.time.Duration;
+import java.util.OptionalInt;
+
+import com.google.protobuf.InvalidProtocolBufferException;
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wisteriapost.policy.admission.ContentionReport;
 import org.wisteriapost.protocol.wire.LoadReport;
 import org.wisteriapost.protocol.wire.ServiceContention;
 
@@ -30,4 +36,14 @@
 		assertThat(this.entry.contended(), Matchers.empty());
 	}
 
+	// The rank passes the wire; without one, as from an older version, none is known.
+	@ParameterizedTest
+	@ValueSource(ints = { -1, 0, 2, 9 })
+	void rankPassesTheWire(int rank) throws InvalidProtocolBufferException {
+		ContentionReport report = new ContentionReport("lm-notice",
+				(rank < 0) ? OptionalInt.empty() : OptionalInt.of(rank), Duration.ofMillis(250));
+		byte[] bytes = LoadReportCodec.encode(report).toByteArray();
+		assertThat(LoadReportCodec.decode(ServiceContention.parseFrom(bytes)), Matchers.equalTo(report));
+	}
+
 }
--- a/operator/src/main/java/org/wisteriapost/operator/explain/AttemptTrace.java
+++ b/operator/src/main/java/org/wisteriapost/operator/explain/AttemptTrace.java
@@ -29,7 +29,7 @@
 	private static final long LOOKBACK_MILLIS = 5000;
 
 	private static final Set<String> STATE_EVENTS = Set.of("store", "table-in-force", "weights-named", "runners-read",
-			"leaving", "started", "runner-limit", "runner-leaving", "runner-resting");
+			"leaving", "started", "runner-limit", "runner-leaving", "runner-resting", "contention");
 
 	private final List<Line> lines;
 
--- a/policy/src/main/java/org/wisteriapost/policy/admission/ReservedSlots.java
+++ b/policy/src/main/java/org/wisteriapost/policy/admission/ReservedSlots.java
@@ -17,7 +17,7 @@
 public final class ReservedSlots {
 
 	/** Slots of a runner that can be reserved at most. */
-	static final double MAX_RESERVED = 5;
+	static final double MAX_RESERVED = 9;
 
 	private static final Duration STEP = Duration.ofMillis(100);
 
@@ -26,11 +26,11 @@
 
 	// Requests that wait for some milliseconds are seen at some entries also at loads
 	// at which none is refused.
-	private static final double TOLERATED_SHARE = 0.1;
+	private static final double TOLERATED_SHARE = 0.05;
 
-	private static final double GROWTH = 0.6;
+	private static final double GROWTH = 1;
 
-	private static final double DECAY = 0.06;
+	private static final double DECAY = 0.02;
 
 	// Below this a reservation has no effect and ends.
 	private static final double NEGLIGIBLE = 0.05;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -91,11 +91,13 @@
 	}
 
 	/**
-	 * Updates the number of entries.
+	 * Updates the number of entries. Entries that are partitioned by failure domain
+	 * report contention only to those in their own.
 	 */
-	void updateEntryCount(int count) {
-		this.contention.reservedSlots().updateEntryCount(count);
-		this.trend.updateEntryCount(count);
+	void updateEntryCount(EntryCount count) {
+		int reporting = count.partitioned() ? count.inFailureDomain() : count.total();
+		this.contention.reservedSlots().updateEntryCount(reporting);
+		this.trend.updateEntryCount(reporting);
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -213,7 +213,7 @@
 	public void updateEntryCount(EntryCount count) {
 		this.entryCount = count;
 		this.placement.updateEntryCount(count);
-		this.admission.updateEntryCount(count.total());
+		this.admission.updateEntryCount(count);
 	}
 
 	/**
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEntry.java
@@ -18,6 +18,7 @@
 import org.wisteriapost.policy.dispatch.LoadReportInterval;
 import org.wisteriapost.policy.dispatch.RefusedRequest;
 import org.wisteriapost.policy.dispatch.RunnerLoad;
+import org.wisteriapost.policy.fleet.EntryLinks;
 import org.wisteriapost.policy.routing.RouteTable;
 import org.wisteriapost.standin.sim.EventQueue;
 
@@ -63,6 +64,10 @@
 
 	private LoadReportInterval interval = LoadReportInterval.toPeers(0, 0);
 
+	private final int entryCount;
+
+	private final List<SimulatedEntry> relayTargets = new ArrayList<>();
+
 	private int ticks;
 
 	SimulatedEntry(String name, String failureDomain, RouteTable routes, DispatchProfile profile, EventQueue events,
@@ -76,7 +81,7 @@
 				ACTIVATION_DELAY);
 		this.dispatcher = Dispatcher.create(limits.withFinalRefusals(profile.finalRefusals()), random);
 		this.dispatcher.updateRouteTable(routes);
-		this.dispatcher.updateEntryCount(EntryCount.unpartitioned(profile.entries()));
+		this.entryCount = profile.entries();
 	}
 
 	String name() {
@@ -92,11 +97,29 @@
 	 * @param others the entries that it reports to
 	 */
 	void start(List<SimulatedEntry> others) {
-		others.forEach((other) -> (isLocal(other) ? this.localPeers : this.remotePeers).members.add(other));
-		this.interval = LoadReportInterval.toPeers(this.localPeers.members.size(), this.remotePeers.members.size());
+		List<SimulatedEntry> local = others.stream().filter(this::isLocal).toList();
+		List<SimulatedEntry> remote = others.stream().filter((other) -> !isLocal(other)).toList();
+		this.localPeers.members.addAll(local);
+		boolean scoped = EntryLinks.scopedByFailureDomain(this.entryCount);
+		if (!scoped) {
+			this.remotePeers.members.addAll(remote);
+		}
+		else if (local.stream().allMatch((other) -> this.name.compareTo(other.name) < 0)) {
+			this.relayTargets.addAll(remote);
+		}
+		this.dispatcher.updateEntryCount(new EntryCount(this.entryCount, local.size() + 1, scoped));
+		this.interval = LoadReportInterval.toPeers(local.size(), this.remotePeers.members.size());
 		tick();
 	}
 
+	// Large fleets report the sum of a failure domain to the others.
+	private void relay() {
+		List<RunnerLoad> sums = this.dispatcher.fleetView().failureDomainLoad(now());
+		this.relayTargets.forEach((other) -> this.events
+			.schedule(linkNanos(other.failureDomain) + LOCAL_LINK_NANOS, () -> sums.forEach(
+					(sum) -> other.dispatcher.peerLoads().updateFailureDomain(this.failureDomain, sum, other.now()))));
+	}
+
 	private void tick() {
 		this.events.schedule(TICK_NANOS, () -> {
 			this.ticks++;
@@ -108,6 +131,9 @@
 			if (this.ticks % this.interval.remoteTicks() == 0) {
 				this.remotePeers.report();
 			}
+			if (this.ticks % LoadReportInterval.relayTicks(this.localPeers.members.size()) == 0) {
+				relay();
+			}
 			tick();
 		});
 	}
--- a/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
@@ -1,7 +1,9 @@
 package org.wisteriapost.standin.sim;
 
+import java.util.Collections;
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -73,6 +75,26 @@
 		assertThat(second.refusedShare(), is(first.refusedShare()));
 	}
 
+	// Forty entries under bursts of the least and the most urgent kind and of one
+	// organisation. First come first served, the urgent kind earns less than the others;
+	// a reservation without bound would serve the least urgent kind hardly at all.
+	@Test
+	void urgentRequestsAreServedFirstAtFortyEntries() {
+		DispatchResult result = DispatchSim.run(profile("long-passes", "ranks"), 1);
+		assertThat(result.earnedByKind().get("urgent"), greaterThan(result.earnedByKind().get("patient")));
+		double all = 1 - result.refusedShare();
+		assertThat(Collections.min(result.servedByKind().values()), greaterThan(all / 4));
+		assertThat(Collections.min(result.servedByOrganisation().values()), greaterThan(all / 4));
+		assertThat(result.largestServedShare(), greaterThan(all / 4));
+	}
+
+	// Told to retry in a shortage, callers are refused again.
+	@Test
+	void finalRefusalsSpareCallersASecondRefusal() {
+		DispatchResult result = DispatchSim.run(profile("long-passes", "ranks").withFinalRefusals(), 1);
+		assertThat(result.refusedAgainShare(), lessThan(0.02));
+	}
+
 	private static DispatchProfile profile(String engines, String name) {
 		return DispatchProfile.all(EngineProfile.named(engines).orElseThrow())
 			.stream()
