The test of a hardly served organisation fails without the minimum

With the minimum share switched off the test still passed, since the organisation was not above its fair share. It now has more than its share and is served a fifth as often as the mean; without the minimum it yields and the test fails.

--- a/policy/src/test/java/org/wisteriapost/policy/admission/AdmissionPriorityTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/admission/AdmissionPriorityTests.java
@@ -60,9 +60,10 @@
 	@Test
 	void organisationThatIsHardlyServedDoesNotYield() {
 		contend(0);
-		arrive(0, "large", 60, 5);
-		arrive(0, "small", 6, 6);
-		arrive(0, "other", 6, 6);
+		arrive(0, "large", 200, 6);
+		for (int i = 0; i < 20; i++) {
+			arrive(0, "small-" + i, 4, 2);
+		}
 		assertThat(standing(0, "large").order(), Matchers.is(0));
 	}
 
