--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -1,12 +1,15 @@
 package org.wisteriapost.entry.direct;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.dispatch.Job;
@@ -41,8 +44,13 @@
 
 	private final AtomicInteger coldPermitsUsed;
 
+	private final MultiGauge reservedSlots;
+
 	private DirectMetrics(MeterRegistry registry) {
 		this.registry = registry;
+		this.reservedSlots = MultiGauge.builder(PREFIX + "reserved.slots")
+			.description("Slots of a runner that less urgent requests leave free.")
+			.register(registry);
 		this.limitedRunners = registry.gauge(PREFIX + "limited.runners", new AtomicInteger());
 		this.evacuatedFailureDomains = registry.gauge(PREFIX + "evacuated.failure.domains", new AtomicInteger());
 		this.coldRunners = registry.gauge(PREFIX + "cold.runners", new AtomicInteger());
@@ -136,6 +144,21 @@
 		this.coldPermitsUsed.set(permitsUsed);
 	}
 
+	/**
+	 * Updates the reserved slots.
+	 * @param reserved the slots of a runner that stay free, by service and rank
+	 */
+	void slotsReserved(Map<String, Map<Integer, Double>> reserved) {
+		this.reservedSlots.register(reserved.entrySet()
+			.stream()
+			.flatMap((service) -> service.getValue()
+				.entrySet()
+				.stream()
+				.map((rank) -> MultiGauge.Row
+					.of(Tags.of("service", service.getKey(), "rank", String.valueOf(rank.getKey())), rank.getValue())))
+			.toList(), true);
+	}
+
 	/**
 	 * Counts a final answer that the entry itself produced.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -351,8 +351,7 @@
 		report.getLoadsList()
 			.forEach((load) -> this.dispatcher.peerLoads().update(peer, LoadReportCodec.decode(load), now));
 		report.getContendedList()
-			.forEach((one) -> this.dispatcher.contention()
-				.reported(one.getService(), Duration.ofMillis(one.getAgeMillis()), now));
+			.forEach((one) -> this.dispatcher.contention().reported(peer, LoadReportCodec.decode(one), now));
 		this.dispatcher.rateLimits().merge(peer, LoadReportCodec.decodeRates(report, now), now);
 	}
 
@@ -368,6 +367,7 @@
 		if (this.ticks % TICKS_PER_UPDATE == 0) {
 			this.dispatcher.updateEntryCount(this.roster.entryCount());
 			this.rateLimitLog.updateEntries(this.roster, this.localView, now);
+			this.metrics.slotsReserved(this.dispatcher.contention().reservedSlots().current(now));
 			this.updates.ifPresent((updates) -> updates
 				.tick(this.roster.linkDistances(this.peers.orElseThrow().linkedEntries()), now));
 			this.storeReading
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -71,8 +71,9 @@
 		Job job = refuse.job();
 		Object[] inputs = RegionLog.withRefusalInputs(job, this.localView, nowNanos, "attempt", job.attemptId(),
 				"request", Long.toHexString(job.contentHash()), "code", refuse.code().name(), "route",
-				job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "ageMs",
-				TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
+				job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "rank", job.standing().rank(),
+				"reservedSlots", job.standing().reservedSlots(), "contendedRank", job.standing().contendedRank(),
+				"ageMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
 		this.log.failure("refused", inputs);
 		this.evacuations.requestRefused(refuse, nowNanos);
 		this.metrics.answered("refused", refuse.code().name());
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -113,7 +113,7 @@
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(this.fleet.random.nextLong());
 		EntryClocks clocks = new EntryClocks(this.fleet::now, () -> this.fleet.now() / FleetHarness.MILLI);
 		DispatchLimits limits = new DispatchLimits(this.failureDomain, 0.2, 100, Duration.ofSeconds(10),
-				Duration.ofSeconds(8), RegionMap.NONE, COLD_START_BOUND);
+				Duration.ofSeconds(8), RegionMap.NONE, COLD_START_BOUND, false);
 		DirectState started = new DirectState(settings(), info(), Dispatcher.create(limits, random), this,
 				this.fleet.log, DirectMetrics.create(new SimpleMeterRegistry()), random, clocks,
 				new DirectView(clocks));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,7 +80,7 @@
 				limits, random);
 		this.paths = new RunnerPaths(this.registry, this.placement, this.engineSpecs::of);
 		this.retryBudgets = new RetryBudgets(limits);
-		this.admission = new AdmissionPolicy(this.contention, this.evacuated, random);
+		this.admission = new AdmissionPolicy(this.contention, this.evacuated, limits.finalRefusals(), random);
 		this.retryPolicy = new RetryPolicy();
 		this.responses = new FinalResponses(this.admission, (effect) -> this.pendingEffects.add(effect));
 	}
@@ -215,6 +214,7 @@
 	public void updateEntryCount(EntryCount count) {
 		this.entryCount = count;
 		this.placement.updateEntryCount(count);
+		this.admission.updateEntryCount(count);
 	}
 
 	/**
@@ -229,7 +229,7 @@
 	 */
 	public void requestArrived(Job job, long nowNanos) {
 		this.jobs.put(job.id(), job);
-		this.admission.arrived(job);
+		this.admission.arrived(job, nowNanos);
 		this.rateLimits.requestArrived(job, nowNanos);
 		place(job, nowNanos);
 	}
@@ -371,9 +371,9 @@
 	}
 
 	private void place(Job job, long nowNanos) {
-		Deque<Job> queue = this.waiting.queue(job, this.admission.isLate(job, nowNanos));
-		if (placeOrKeepWaiting(job, queue.size(), nowNanos)) {
-			queue.addLast(job);
+		boolean late = this.admission.assess(job, nowNanos);
+		if (placeOrKeepWaiting(job, this.waiting.ahead(job, late), nowNanos)) {
+			this.waiting.add(job, late);
 		}
 	}
 
@@ -385,7 +385,7 @@
 			return true;
 		}
 		Placement.Choice choice = this.placement.choose(job, this.engineSpecs.of(job.service()),
-				this.admission.isLate(job, nowNanos), nowNanos);
+				this.admission.assess(job, nowNanos), nowNanos);
 		switch (this.admission.decide(job, choice, ahead, nowNanos)) {
 			case SEND -> send(job, choice, nowNanos);
 			case WAIT -> {
@@ -403,6 +403,7 @@
 		RunnerState runner = choice.runner().orElseThrow();
 		if (job.dispatchCount == 0) {
 			this.retryBudgets.of(job.service()).recordFirstDispatch();
+			this.admission.admitted(job, nowNanos);
 		}
 		job.dispatchedTo(runner, choice, this.admission.isLate(job, nowNanos), nowNanos);
 		boolean requiresNewConnection = this.placement.requiresNewConnection(runner, this.engineSpecs.of(job.service()),
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/ColdFleet.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/ColdFleet.java
@@ -200,7 +200,7 @@
 			this.name = name;
 			this.readDelayNanos = ColdFleet.this.random.nextInt(MAX_READ_DELAY_MILLIS) * MILLI;
 			this.dispatcher = Dispatcher.create(new DispatchLimits(failureDomain, 0.2, 100, Duration.ofSeconds(10),
-					Duration.ofSeconds(8), RegionMap.NONE, BOUND), ColdFleet.this.random);
+					Duration.ofSeconds(8), RegionMap.NONE, BOUND, false), ColdFleet.this.random);
 			ServiceSpec service = new ServiceSpec("registry-api", 96, Optional.empty(), Optional.empty(),
 					ColdFleet.this.coldStarts ? Optional.of(COLD_START) : Optional.empty());
 			this.dispatcher.updateRouteTable(RouteTable.of(1, List.of(DispatcherHarness.LOOKUP), List.of(service),
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherHarness.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherHarness.java
@@ -61,7 +61,8 @@
 
 	DispatcherHarness(RegionMap regions) {
 		this.dispatcher = Dispatcher.create(new DispatchLimits("hall-a", 0.2, 100, Duration.ofSeconds(10),
-				Duration.ofSeconds(8), regions, ColdStartBound.STRICT), RandomSource.XO_RO_SHI_RO_128_PP.create(42));
+				Duration.ofSeconds(8), regions, ColdStartBound.STRICT, false),
+				RandomSource.XO_RO_SHI_RO_128_PP.create(42));
 		CallLimits limits = new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
 		ServiceSpec engines = new ServiceSpec("lm-notice", 264, Optional.of(ENGINE), Optional.empty());
 		ServiceSpec plain = new ServiceSpec("registry-api", 96, Optional.empty(), Optional.empty());
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -314,63 +314,64 @@
       "\031.wisteriapost.RunnerLimit\022,\n\007demands\030\004 " +
       "\003(\0132\033.wisteriapost.ServiceDemand\0222\n\tcont" +
       "ended\030\005 \003(\0132\037.wisteriapost.ServiceConten" +
-      "tion\"8\n\021ServiceContention\022\017\n\007service\030\001 \001" +
-      "(\t\022\022\n\nage_millis\030\002 \001(\r\"n\n\013RunnerLimit\022\016\n" +
-      "\006runner\030\001 \001(\t\022\026\n\016started_millis\030\002 \001(\003\022\017\n" +
-      "\007limited\030\003 \001(\010\022\022\n\nper_second\030\004 \001(\001\022\022\n\nag" +
-      "e_millis\030\005 \001(\r\"4\n\rServiceDemand\022\017\n\007servi" +
-      "ce\030\001 \001(\t\022\022\n\nper_second\030\002 \001(\001\"L\n\016RefusedR" +
-      "equest\022\017\n\007request\030\001 \001(\006\022\024\n\014asked_millis\030" +
-      "\002 \001(\r\022\023\n\013left_millis\030\003 \001(\r\"m\n\nRunnerLoad" +
-      "\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030\002 \001(\r\022\017\n\007wait" +
-      "ing\030\003 \001(\r\022\026\n\016waiting_prompt\030\004 \001(\r\022\026\n\016sta" +
-      "rted_millis\030\005 \001(\003\"\213\001\n\013EngineState\022\017\n\007add" +
-      "ress\030\001 \001(\t\022\025\n\rholds_weights\030\002 \001(\010\022\017\n\007ver" +
-      "sion\030\003 \001(\r\022\021\n\tswitching\030\004 \001(\010\022\030\n\020closes_" +
-      "in_millis\030\005 \001(\r\022\026\n\016started_millis\030\006 \001(\003\"" +
-      ">\n\014WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007versio" +
-      "n\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r" +
-      "\n\005stamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n" +
-      "\013NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 " +
-      "\003(\0132\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 " +
-      "\001(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010\022\026\n\016reads_de" +
-      "flated\030\005 \001(\010B\010\n\006_stamp\"^\n\tKnownKind\022%\n\004k" +
-      "ind\030\001 \001(\0162\027.wisteriapost.StoreKind\022*\n\007ob" +
-      "jects\030\002 \003(\0132\031.wisteriapost.KnownObject\"-" +
-      "\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030" +
-      "\002 \001(\004\"\217\002\n\004News\022\017\n\007current\030\001 \001(\010\022%\n\004kind\030" +
-      "\002 \001(\0162\027.wisteriapost.StoreKind\022\013\n\003all\030\003 " +
-      "\001(\010\022*\n\007objects\030\004 \003(\0132\031.wisteriapost.Stor" +
-      "eObject\022\n\n\002at\030\005 \001(\004\022\020\n\010sequence\030\006 \001(\004\022\027\n" +
-      "\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005stamp\030\010 \001(\003H\001\210" +
-      "\001\001\022\035\n\020heard_ago_millis\030\t \001(\004H\002\210\001\001B\r\n\013_ag" +
-      "e_millisB\010\n\006_stampB\023\n\021_heard_ago_millis\"" +
-      "p\n\013StoreObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision" +
-      "\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017\n\007content\030\004 \001(\014" +
-      "\022\r\n\005known\030\005 \001(\010\022\020\n\010deflated\030\006 \001(\014\"5\n\006Ros" +
-      "ter\022+\n\007members\030\001 \003(\0132\032.wisteriapost.Rost" +
-      "erMember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005" +
-      "place\030\002 \001(\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t" +
-      "\022\'\n\005loads\030\002 \003(\0132\030.wisteriapost.RunnerLoa" +
-      "d\022*\n\007engines\030\003 \003(\0132\031.wisteriapost.Engine" +
-      "State\"?\n\rSuspectReport\022.\n\010suspects\030\001 \003(\013" +
-      "2\034.wisteriapost.SuspectRequest\"\201\001\n\016Suspe" +
-      "ctRequest\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losse" +
-      "s\030\002 \003(\0132\030.wisteriapost.RunnerLoss\022\021\n\tcom" +
-      "pleted\030\003 \001(\010\022\034\n\024completed_age_millis\030\004 \001" +
-      "(\r\"0\n\nRunnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_" +
-      "millis\030\002 \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED" +
-      "\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006" +
-      "NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcom" +
-      "e\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007N" +
-      "OT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030" +
-      "CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001" +
-      "\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\t" +
-      "StoreKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n" +
-      "\014STORE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rST" +
-      "ORE_WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STOR" +
-      "E_EVACUATIONS\020\005B$\n\036org.wisteriapost.prot" +
-      "ocol.wireH\001P\001b\006proto3"
+      "tion\"O\n\021ServiceContention\022\017\n\007service\030\001 \001" +
+      "(\t\022\022\n\nage_millis\030\002 \001(\r\022\025\n\rrank_plus_one\030" +
+      "\003 \001(\r\"n\n\013RunnerLimit\022\016\n\006runner\030\001 \001(\t\022\026\n\016" +
+      "started_millis\030\002 \001(\003\022\017\n\007limited\030\003 \001(\010\022\022\n" +
+      "\nper_second\030\004 \001(\001\022\022\n\nage_millis\030\005 \001(\r\"4\n" +
+      "\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\022\n\nper_s" +
+      "econd\030\002 \001(\001\"L\n\016RefusedRequest\022\017\n\007request" +
+      "\030\001 \001(\006\022\024\n\014asked_millis\030\002 \001(\r\022\023\n\013left_mil" +
+      "lis\030\003 \001(\r\"m\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022" +
+      "\016\n\006active\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n\016wait" +
+      "ing_prompt\030\004 \001(\r\022\026\n\016started_millis\030\005 \001(\003" +
+      "\"\213\001\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025\n\rhol" +
+      "ds_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswi" +
+      "tching\030\004 \001(\010\022\030\n\020closes_in_millis\030\005 \001(\r\022\026" +
+      "\n\016started_millis\030\006 \001(\003\">\n\014WeightsNamed\022\r" +
+      "\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\r\022\016\n\006origin" +
+      "\030\003 \001(\t\"\034\n\013EchoRequest\022\r\n\005stamp\030\001 \001(\003\"\025\n\004" +
+      "Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n\013NewsRequest\022\016\n\006w" +
+      "anted\030\001 \001(\010\022&\n\005known\030\002 \003(\0132\027.wisteriapos" +
+      "t.KnownKind\022\022\n\005stamp\030\003 \001(\003H\000\210\001\001\022\022\n\nkeep_" +
+      "alive\030\004 \001(\010\022\026\n\016reads_deflated\030\005 \001(\010B\010\n\006_" +
+      "stamp\"^\n\tKnownKind\022%\n\004kind\030\001 \001(\0162\027.wiste" +
+      "riapost.StoreKind\022*\n\007objects\030\002 \003(\0132\031.wis" +
+      "teriapost.KnownObject\"-\n\013KnownObject\022\014\n\004" +
+      "name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\217\002\n\004News\022\017\n" +
+      "\007current\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriap" +
+      "ost.StoreKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 " +
+      "\003(\0132\031.wisteriapost.StoreObject\022\n\n\002at\030\005 \001" +
+      "(\004\022\020\n\010sequence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004" +
+      "H\000\210\001\001\022\022\n\005stamp\030\010 \001(\003H\001\210\001\001\022\035\n\020heard_ago_m" +
+      "illis\030\t \001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_stam" +
+      "pB\023\n\021_heard_ago_millis\"p\n\013StoreObject\022\014\n" +
+      "\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted" +
+      "\030\003 \001(\010\022\017\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\022\020" +
+      "\n\010deflated\030\006 \001(\014\"5\n\006Roster\022+\n\007members\030\001 " +
+      "\003(\0132\032.wisteriapost.RosterMember\")\n\014Roste" +
+      "rMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p\n\nPl" +
+      "aceState\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003(\0132\030" +
+      ".wisteriapost.RunnerLoad\022*\n\007engines\030\003 \003(" +
+      "\0132\031.wisteriapost.EngineState\"?\n\rSuspectR" +
+      "eport\022.\n\010suspects\030\001 \003(\0132\034.wisteriapost.S" +
+      "uspectRequest\"\201\001\n\016SuspectRequest\022\024\n\014cont" +
+      "ent_hash\030\001 \001(\006\022(\n\006losses\030\002 \003(\0132\030.wisteri" +
+      "apost.RunnerLoss\022\021\n\tcompleted\030\003 \001(\010\022\034\n\024c" +
+      "ompleted_age_millis\030\004 \001(\r\"0\n\nRunnerLoss\022" +
+      "\016\n\006runner\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(\r*2\n\004R" +
+      "ole\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t\n\005" +
+      "AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006URGEN" +
+      "T\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UNSP" +
+      "ECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNO" +
+      "WN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_UNSP" +
+      "ECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSING" +
+      "\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStoreKind\022\032\n\026STOR" +
+      "E_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020\001\022\021" +
+      "\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021\n\r" +
+      "STORE_ENTRIES\020\004\022\025\n\021STORE_EVACUATIONS\020\005B$" +
+      "\n\036org.wisteriapost.protocol.wireH\001P\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -501,7 +502,7 @@
     internal_static_wisteriapost_ServiceContention_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ServiceContention_descriptor,
-        new java.lang.String[] { "Service", "AgeMillis", });
+        new java.lang.String[] { "Service", "AgeMillis", "RankPlusOne", });
     internal_static_wisteriapost_RunnerLimit_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_wisteriapost_RunnerLimit_fieldAccessorTable = new
