At most eight cold runners are named in a refusal's log line

Cause: a service with hundreds of cold runners would have written all their names for each refusal. Change: their number, and the first eight names. Measured: ColdRunnerFleetTests 4 of 4 and RateLimitFleetTests pass, with formatter and linter.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/ColdStartLog.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ColdStartLog.java
@@ -15,6 +15,9 @@
 
 	private static final String RUNNER_LIMIT = "runner-limit";
 
+	// A service can have hundreds of runners.
+	private static final int MAX_NAMED = 8;
+
 	private final ColdRunners runners;
 
 	private final DecisionLog log;
@@ -55,7 +58,8 @@
 			List<String> cold = this.runners.coldRunners(refuse.job().service(), now);
 			if (!cold.isEmpty()) {
 				this.log.decision("refused-by-cold-runners", "attempt", refuse.job().attemptId(), "service",
-						refuse.job().service(), "runners", cold);
+						refuse.job().service(), "cold", cold.size(), "runners",
+						cold.stream().limit(MAX_NAMED).toList());
 			}
 		}
 	}
