Entries count on the pace that engines state of themselves

Cause: an engine has spells of 0.6 s in which it is 2.5 times slower than declared. Entries learned of it from first events only, by when the spell was over, and callers got late answers.

Change: `pace` of the engine's report is decoded, the agent puts it with its age into EngineState when it changes by more than a fifth, at most once in 100 ms, and repeats it while it lasts; entries multiply their prediction by it for one second and for that incarnation. The learnt factors get first events divided by the pace stated at the send. Nothing is read or sent for engines whose report has no pace.

--- a/agent/src/main/java/org/wisteriapost/agent/site/RolloutExecutor.java
+++ b/agent/src/main/java/org/wisteriapost/agent/site/RolloutExecutor.java
@@ -101,6 +101,8 @@
 
 	private final Rollout rollout;
 
+	private final PaceReporter pace;
+
 	private final Set<Link> entries = new HashSet<>();
 
 	private Optional<ModelTransfer> modelTransfer = Optional.empty();
@@ -130,6 +132,7 @@
 		this.log = log;
 		this.engine = site.engine(caller, settings.runner().orElseThrow());
 		this.rollout = Rollout.create(settings.guarantees().weightsActivationDelay());
+		this.pace = new PaceReporter(log);
 	}
 
 	void onFrame(Link link, Frame frame) {
@@ -155,13 +158,16 @@
 		});
 		this.rollout.tick(System.nanoTime());
 		executeEffects();
+		if (this.pace.readDue(System.nanoTime())) {
+			readPace();
+		}
 	}
 
 	/**
 	 * Returns when the next tick is due if no event arrives before then.
 	 */
 	long nextTickNanos(long nowNanos) {
-		return this.rollout.nextNanos(nowNanos);
+		return Math.min(this.rollout.nextNanos(nowNanos), this.pace.nextTickNanos());
 	}
 
 	private void handleHello(Link link, Hello hello) {
@@ -240,14 +246,36 @@
 				case RolloutEffect.Abandon abandon -> abandonFetch();
 				case RolloutEffect.Verify verify -> verify(verify.version());
 				case RolloutEffect.Take take -> sendOrder(take.version(), take.sequence());
-				case RolloutEffect.PublishStatus tell ->
-					this.entries.forEach((link) -> link.send(engineStateFrame(tell)));
+				case RolloutEffect.PublishStatus tell -> publishStatus(tell);
 			}
 		}
+		if (this.pace.tellDue(System.nanoTime())) {
+			this.rollout.lastStatus().ifPresent(this::publishStatus);
+		}
+	}
+
+	private void publishStatus(RolloutEffect.PublishStatus status) {
+		this.entries.forEach((link) -> link.send(engineStateFrame(status)));
+		this.pace.told(this.entries.size(), System.nanoTime());
+	}
+
+	private void readPace() {
+		this.pace.readStarted(System.nanoTime());
+		this.engine.report().whenComplete((report, failure) -> runOnLoop(() -> paceRead(report, failure)));
+	}
+
+	private void paceRead(EngineControl.Report report, Throwable failure) {
+		if (failure != null) {
+			this.pace.readFailed();
+			return;
+		}
+		this.pace.reportRead(report, System.nanoTime());
 	}
 
 	private void readReport() {
+		this.pace.readStarted(System.nanoTime());
 		this.engine.report().whenComplete((report, failure) -> runOnLoop(() -> {
+			paceRead(report, failure);
 			if (failure != null) {
 				this.rollout.reportFailed(System.nanoTime());
 				return;
@@ -348,7 +376,7 @@
 	private Frame engineStateFrame(RolloutEffect.PublishStatus status) {
 		String address = this.settings.runner().orElseThrow();
 		return Frame.newBuilder()
-			.setEngineState(EngineStatusCodec.encode(address, status.status(), System.nanoTime()))
+			.setEngineState(EngineStatusCodec.encode(address, this.pace.withPace(status.status()), System.nanoTime()))
 			.build();
 	}
 
--- a/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -155,8 +156,8 @@
 
 	@Override
 	public synchronized CompletableFuture<Report> report() {
-		return CompletableFuture.completedFuture(
-				new Report(Map.copyOf(this.versionsByModel), false, this.sequence, 0, 0, RunnerIncarnation.UNKNOWN));
+		return CompletableFuture.completedFuture(new Report(Map.copyOf(this.versionsByModel), false, this.sequence, 0,
+				0, RunnerIncarnation.UNKNOWN, OptionalDouble.empty()));
 	}
 
 	@Override
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -34,9 +34,12 @@
 
 	private final AtomicInteger limitedRunners;
 
+	private final AtomicInteger slowEngines;
+
 	private DirectMetrics(MeterRegistry registry) {
 		this.registry = registry;
 		this.limitedRunners = registry.gauge(PREFIX + "limited.runners", new AtomicInteger());
+		this.slowEngines = registry.gauge(PREFIX + "slow.engines", new AtomicInteger());
 		this.quarantined = registry.gauge(PREFIX + "quarantined", new AtomicInteger());
 		this.firstEvent = timer("first.event", "Time from a request's arrival to its first event.");
 		this.wholeAnswer = timer("answer", "Time from a request's arrival to its whole answer.");
@@ -100,6 +103,13 @@
 		this.limitedRunners.set(limited);
 	}
 
+	/**
+	 * Records how many engines state that they are slower than declared.
+	 */
+	void slowEngines(int count) {
+		this.slowEngines.set(count);
+	}
+
 	/**
 	 * Counts a final answer that the entry itself produced.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -118,7 +118,7 @@
 		this.quarantineLog = new QuarantineLog(log, metrics);
 		this.rateLimitLog = new RateLimitLog(log, metrics);
 		this.contentionLog = new ContentionLog(log);
-		this.runnerReports = new RunnerReports(dispatcher, log);
+		this.runnerReports = new RunnerReports(dispatcher, log, metrics);
 		this.suspension = SuspensionDetector.start(now(), clocks.wallMillis().getAsLong());
 	}
 
@@ -369,6 +369,7 @@
 			requestEchoes(now);
 		}
 		this.contentionLog.report(this.dispatcher.contention(), now);
+		this.runnerReports.tick(now);
 		register(now);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -56,8 +56,8 @@
 				Long.toHexString(job.contentHash()), "route", job.route().name(), "runner", send.runner().id(),
 				"address", send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
 				this.localView.routeTableVersion(), "prompt", job.size().promptTokens(), "answer",
-				job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "tries",
-				send.requiresNewConnection());
+				job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace",
+				job.statedPace(), "tries", send.requiresNewConnection());
 		this.metrics.dispatched();
 		this.output.send(call, send);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RunnerReports.java
@@ -16,9 +16,16 @@
 
 	private final DecisionLog log;
 
-	RunnerReports(Dispatcher dispatcher, DecisionLog log) {
+	private final EnginePaceLog paceLog;
+
+	RunnerReports(Dispatcher dispatcher, DecisionLog log, DirectMetrics metrics) {
 		this.dispatcher = dispatcher;
 		this.log = log;
+		this.paceLog = new EnginePaceLog(log, metrics);
+	}
+
+	void tick(long now) {
+		this.paceLog.tick(now);
 	}
 
 	/**
@@ -53,8 +60,10 @@
 	 * Handles the status of an engine, as reported by its agent.
 	 */
 	void engineStatus(EngineState status, long now) {
-		this.log.decision("agent-says", "address", status.getAddress(), "version", status.getVersion(), "switching",
-				status.getSwitching(), "closesInMs", status.getClosesInMillis());
+		if (!this.paceLog.statusReceived(status, now)) {
+			this.log.decision("agent-says", "address", status.getAddress(), "version", status.getVersion(), "switching",
+					status.getSwitching(), "closesInMs", status.getClosesInMillis());
+		}
 		this.dispatcher.updateEngineStatus(status.getAddress(), EngineStatusCodec.decode(status, now), now);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/FirstEventLatencies.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/FirstEventLatencies.java
@@ -21,7 +21,8 @@
 	}
 
 	/**
-	 * Records the first event of a request at a model engine.
+	 * Records the first event of a request at a model engine. Slowness that the engine
+	 * had stated when the request was sent is not learned as well.
 	 */
 	void firstEvent(Job job, RunnerState runner, long nowNanos) {
 		if (job.nominalMillis <= 0) {
@@ -29,7 +30,7 @@
 		}
 		long waitNanos = nowNanos - job.sentNanos;
 		runner.firstEventWaits.recordWait(job.sentAsLate, waitNanos, nowNanos);
-		double ratio = waitNanos / (job.nominalMillis * Placement.NANOS_PER_MILLI);
+		double ratio = waitNanos / (job.nominalMillis * job.statedPace * Placement.NANOS_PER_MILLI);
 		runner.recordLatencyRatio(ratio / this.factors.of(job.service()));
 		this.factors.recordRatio(job.service(), ratio);
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -60,6 +60,9 @@
 
 	double nominalMillis;
 
+	// The pace that the runner of the latest dispatch had stated when it was sent.
+	double statedPace = 1;
+
 	// Arrival time of the first known attempt of the request.
 	long firstAttemptNanos;
 
@@ -152,6 +155,13 @@
 		return this.predictedMillis;
 	}
 
+	/**
+	 * Returns the pace that the runner had stated at the latest dispatch.
+	 */
+	public double statedPace() {
+		return this.statedPace;
+	}
+
 	/**
 	 * Returns the time of the latest dispatch.
 	 */
@@ -248,6 +258,7 @@
 		this.runner = Optional.of(target);
 		this.sentNanos = nowNanos;
 		this.sentAsLate = late;
+		this.statedPace = target.pace(nowNanos);
 		this.firstEventSent = false;
 		this.predictedMillis = choice.predictedMillis();
 		this.nominalMillis = choice.engine() ? choice.nominalMillis() : 0;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -153,7 +153,8 @@
 			}
 			InFlightLoad load = runner.total(nowNanos);
 			double nominal = nominalMillis(runner, engine, load, job);
-			double predicted = nominal * this.latencyFactors.of(job.service()) * runner.latencyFactor;
+			double predicted = nominal * this.latencyFactors.of(job.service()) * runner.latencyFactor
+					* runner.pace(nowNanos);
 			if (requirement == Requirement.HEALTHY_AND_ENDS_BEFORE_SWITCH
 					&& endsAfterSwitch(job, runner, engine, load, predicted, nowNanos)) {
 				continue;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -9,6 +9,7 @@
 
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.fleet.RunnerRest;
+import org.wisteriapost.policy.pace.PaceStatement;
 import org.wisteriapost.policy.ratelimit.RunnerRateLimit;
 
 /**
@@ -126,8 +127,21 @@
 	 * Updates the engine status reported by the agent.
 	 */
 	void updateEngineStatus(EngineStatus newer) {
+		boolean onlyPaceChanged = this.engineStatus.map((old) -> old.withPace(newer.pace()).equals(newer))
+			.orElse(false);
 		this.engineStatus = Optional.of(newer);
-		resetBackoff();
+		if (!onlyPaceChanged) {
+			resetBackoff();
+		}
+	}
+
+	/**
+	 * Returns the factor by which the engine states to be slower than declared.
+	 */
+	double pace(long nowNanos) {
+		return this.engineStatus.flatMap(EngineStatus::pace)
+			.map((stated) -> stated.effective(this.info.incarnation(), nowNanos))
+			.orElse(PaceStatement.NORMAL);
 	}
 
 	boolean switching() {
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/EngineControl.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/EngineControl.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.protocol.site;
 
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 
 import org.wisteriapost.kernel.Code;
@@ -37,9 +38,11 @@
 	 * @param queued number of queued requests
 	 * @param active number of requests in progress
 	 * @param incarnation the incarnation of the engine
+	 * @param pace above 1, the factor by which the engine is slower than declared; empty
+	 * if the engine does not report it
 	 */
 	record Report(Map<String, Integer> versions, boolean busy, long sequence, int queued, int active,
-			RunnerIncarnation incarnation) {
+			RunnerIncarnation incarnation, OptionalDouble pace) {
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineState.java
@@ -171,6 +171,36 @@
     return startedMillis_;
   }
 
+  public static final int PACE_PERCENT_FIELD_NUMBER = 20;
+  private int pacePercent_ = 0;
+  /**
+   * <pre>
+   * 100 times the factor by which the engine is slower than declared; 0: not slower
+   * </pre>
+   *
+   * <code>uint32 pace_percent = 20;</code>
+   * @return The pacePercent.
+   */
+  @java.lang.Override
+  public int getPacePercent() {
+    return pacePercent_;
+  }
+
+  public static final int PACE_AGE_MILLIS_FIELD_NUMBER = 21;
+  private int paceAgeMillis_ = 0;
+  /**
+   * <pre>
+   * since the engine's report said so
+   * </pre>
+   *
+   * <code>uint32 pace_age_millis = 21;</code>
+   * @return The paceAgeMillis.
+   */
+  @java.lang.Override
+  public int getPaceAgeMillis() {
+    return paceAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -203,6 +233,12 @@
     if (startedMillis_ != 0L) {
       output.writeInt64(6, startedMillis_);
     }
+    if (pacePercent_ != 0) {
+      output.writeUInt32(20, pacePercent_);
+    }
+    if (paceAgeMillis_ != 0) {
+      output.writeUInt32(21, paceAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -230,6 +266,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, startedMillis_);
     }
+    if (pacePercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(20, pacePercent_);
+    }
+    if (paceAgeMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(21, paceAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -266,6 +310,10 @@
         != other.getClosesInMillis()) return false;
     if (getStartedMillis()
         != other.getStartedMillis()) return false;
+    if (getPacePercent()
+        != other.getPacePercent()) return false;
+    if (getPaceAgeMillis()
+        != other.getPaceAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -292,6 +340,10 @@
     hash = (37 * hash) + STARTED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStartedMillis());
+    hash = (37 * hash) + PACE_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getPacePercent();
+    hash = (37 * hash) + PACE_AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getPaceAgeMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -433,6 +485,8 @@
       switching_ = false;
       closesInMillis_ = 0;
       startedMillis_ = 0L;
+      pacePercent_ = 0;
+      paceAgeMillis_ = 0;
       return this;
     }
 
@@ -484,6 +538,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.startedMillis_ = startedMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.pacePercent_ = pacePercent_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.paceAgeMillis_ = paceAgeMillis_;
+      }
     }
 
     @java.lang.Override
@@ -518,6 +578,12 @@
       if (other.getStartedMillis() != 0L) {
         setStartedMillis(other.getStartedMillis());
       }
+      if (other.getPacePercent() != 0) {
+        setPacePercent(other.getPacePercent());
+      }
+      if (other.getPaceAgeMillis() != 0) {
+        setPaceAgeMillis(other.getPaceAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -572,6 +638,16 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 160: {
+              pacePercent_ = input.readUInt32();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 160
+            case 168: {
+              paceAgeMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 168
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -889,6 +965,94 @@
       return this;
     }
 
+    private int pacePercent_ ;
+    /**
+     * <pre>
+     * 100 times the factor by which the engine is slower than declared; 0: not slower
+     * </pre>
+     *
+     * <code>uint32 pace_percent = 20;</code>
+     * @return The pacePercent.
+     */
+    @java.lang.Override
+    public int getPacePercent() {
+      return pacePercent_;
+    }
+    /**
+     * <pre>
+     * 100 times the factor by which the engine is slower than declared; 0: not slower
+     * </pre>
+     *
+     * <code>uint32 pace_percent = 20;</code>
+     * @param value The pacePercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPacePercent(int value) {
+
+      pacePercent_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * 100 times the factor by which the engine is slower than declared; 0: not slower
+     * </pre>
+     *
+     * <code>uint32 pace_percent = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPacePercent() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      pacePercent_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int paceAgeMillis_ ;
+    /**
+     * <pre>
+     * since the engine's report said so
+     * </pre>
+     *
+     * <code>uint32 pace_age_millis = 21;</code>
+     * @return The paceAgeMillis.
+     */
+    @java.lang.Override
+    public int getPaceAgeMillis() {
+      return paceAgeMillis_;
+    }
+    /**
+     * <pre>
+     * since the engine's report said so
+     * </pre>
+     *
+     * <code>uint32 pace_age_millis = 21;</code>
+     * @param value The paceAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPaceAgeMillis(int value) {
+
+      paceAgeMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * since the engine's report said so
+     * </pre>
+     *
+     * <code>uint32 pace_age_millis = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPaceAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      paceAgeMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.EngineState)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/EngineStateOrBuilder.java
@@ -75,4 +75,24 @@
    * @return The startedMillis.
    */
   long getStartedMillis();
+
+  /**
+   * <pre>
+   * 100 times the factor by which the engine is slower than declared; 0: not slower
+   * </pre>
+   *
+   * <code>uint32 pace_percent = 20;</code>
+   * @return The pacePercent.
+   */
+  int getPacePercent();
+
+  /**
+   * <pre>
+   * since the engine's report said so
+   * </pre>
+   *
+   * <code>uint32 pace_age_millis = 21;</code>
+   * @return The paceAgeMillis.
+   */
+  int getPaceAgeMillis();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -324,51 +324,53 @@
       "\002 \001(\r\022\023\n\013left_millis\030\003 \001(\r\"m\n\nRunnerLoad" +
       "\022\016\n\006runner\030\001 \001(\t\022\016\n\006active\030\002 \001(\r\022\017\n\007wait" +
       "ing\030\003 \001(\r\022\026\n\016waiting_prompt\030\004 \001(\r\022\026\n\016sta" +
-      "rted_millis\030\005 \001(\003\"\213\001\n\013EngineState\022\017\n\007add" +
+      "rted_millis\030\005 \001(\003\"\272\001\n\013EngineState\022\017\n\007add" +
       "ress\030\001 \001(\t\022\025\n\rholds_weights\030\002 \001(\010\022\017\n\007ver" +
       "sion\030\003 \001(\r\022\021\n\tswitching\030\004 \001(\010\022\030\n\020closes_" +
-      "in_millis\030\005 \001(\r\022\026\n\016started_millis\030\006 \001(\003\"" +
-      ">\n\014WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007versio" +
-      "n\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r" +
-      "\n\005stamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"w\n\013" +
-      "NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003" +
-      "(\0132\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 \001" +
-      "(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010B\010\n\006_stamp\"^\n" +
-      "\tKnownKind\022%\n\004kind\030\001 \001(\0162\027.wisteriapost." +
-      "StoreKind\022*\n\007objects\030\002 \003(\0132\031.wisteriapos" +
-      "t.KnownObject\"-\n\013KnownObject\022\014\n\004name\030\001 \001" +
-      "(\t\022\020\n\010revision\030\002 \001(\004\"\217\002\n\004News\022\017\n\007current" +
-      "\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.Stor" +
-      "eKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wi" +
-      "steriapost.StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010se" +
-      "quence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n" +
-      "\005stamp\030\010 \001(\003H\001\210\001\001\022\035\n\020heard_ago_millis\030\t " +
-      "\001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_stampB\023\n\021_he" +
-      "ard_ago_millis\"^\n\013StoreObject\022\014\n\004name\030\001 " +
-      "\001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 \001(\010\022\017" +
-      "\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\"5\n\006Roster" +
-      "\022+\n\007members\030\001 \003(\0132\032.wisteriapost.RosterM" +
-      "ember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005pla" +
-      "ce\030\002 \001(\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n" +
-      "\005loads\030\002 \003(\0132\030.wisteriapost.RunnerLoad\022*" +
-      "\n\007engines\030\003 \003(\0132\031.wisteriapost.EngineSta" +
-      "te\"?\n\rSuspectReport\022.\n\010suspects\030\001 \003(\0132\034." +
-      "wisteriapost.SuspectRequest\"\201\001\n\016SuspectR" +
-      "equest\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002" +
-      " \003(\0132\030.wisteriapost.RunnerLoss\022\021\n\tcomple" +
-      "ted\030\003 \001(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"" +
-      "0\n\nRunnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_mil" +
-      "lis\030\002 \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022" +
-      "\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NOR" +
-      "MAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027" +
-      "\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_" +
-      "RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHU" +
-      "NK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n" +
-      "\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*r\n\tStor" +
-      "eKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STO" +
-      "RE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_" +
-      "WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004B$\n\036org.wist" +
-      "eriapost.protocol.wireH\001P\001b\006proto3"
+      "in_millis\030\005 \001(\r\022\026\n\016started_millis\030\006 \001(\003\022" +
+      "\024\n\014pace_percent\030\024 \001(\r\022\027\n\017pace_age_millis" +
+      "\030\025 \001(\r\">\n\014WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n" +
+      "\007version\030\002 \001(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRe" +
+      "quest\022\r\n\005stamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 " +
+      "\001(\003\"w\n\013NewsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005kn" +
+      "own\030\002 \003(\0132\027.wisteriapost.KnownKind\022\022\n\005st" +
+      "amp\030\003 \001(\003H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010B\010\n\006_s" +
+      "tamp\"^\n\tKnownKind\022%\n\004kind\030\001 \001(\0162\027.wister" +
+      "iapost.StoreKind\022*\n\007objects\030\002 \003(\0132\031.wist" +
+      "eriapost.KnownObject\"-\n\013KnownObject\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\217\002\n\004News\022\017\n\007" +
+      "current\030\001 \001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapo" +
+      "st.StoreKind\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003" +
+      "(\0132\031.wisteriapost.StoreObject\022\n\n\002at\030\005 \001(" +
+      "\004\022\020\n\010sequence\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H" +
+      "\000\210\001\001\022\022\n\005stamp\030\010 \001(\003H\001\210\001\001\022\035\n\020heard_ago_mi" +
+      "llis\030\t \001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_stamp" +
+      "B\023\n\021_heard_ago_millis\"^\n\013StoreObject\022\014\n\004" +
+      "name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted\030" +
+      "\003 \001(\010\022\017\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\"5\n" +
+      "\006Roster\022+\n\007members\030\001 \003(\0132\032.wisteriapost." +
+      "RosterMember\")\n\014RosterMember\022\n\n\002vm\030\001 \001(\t" +
+      "\022\r\n\005place\030\002 \001(\t\"p\n\nPlaceState\022\r\n\005place\030\001" +
+      " \001(\t\022\'\n\005loads\030\002 \003(\0132\030.wisteriapost.Runne" +
+      "rLoad\022*\n\007engines\030\003 \003(\0132\031.wisteriapost.En" +
+      "gineState\"?\n\rSuspectReport\022.\n\010suspects\030\001" +
+      " \003(\0132\034.wisteriapost.SuspectRequest\"\201\001\n\016S" +
+      "uspectRequest\022\024\n\014content_hash\030\001 \001(\006\022(\n\006l" +
+      "osses\030\002 \003(\0132\030.wisteriapost.RunnerLoss\022\021\n" +
+      "\tcompleted\030\003 \001(\010\022\034\n\024completed_age_millis" +
+      "\030\004 \001(\r\"0\n\nRunnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\n" +
+      "age_millis\030\002 \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECI" +
+      "FIED\020\000\022\t\n\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority" +
+      "\022\n\n\006NORMAL\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Ou" +
+      "tcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022" +
+      "\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus" +
+      "\022\034\n\030CHUNK_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_" +
+      "OK\020\001\022\021\n\rCHUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*" +
+      "r\n\tStoreKind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000" +
+      "\022\020\n\014STORE_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n" +
+      "\rSTORE_WEIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004B$\n\036o" +
+      "rg.wisteriapost.protocol.wireH\001P\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -529,7 +531,7 @@
     internal_static_wisteriapost_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_EngineState_descriptor,
-        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", "ClosesInMillis", "StartedMillis", });
+        new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", "ClosesInMillis", "StartedMillis", "PacePercent", "PaceAgeMillis", });
     internal_static_wisteriapost_WeightsNamed_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_wisteriapost_WeightsNamed_fieldAccessorTable = new
