Tests of the pace on its way, and simulated engines with spells

Cause: nothing showed that a stated pace leaves the agent, passes relays with its age, and helps callers.

--- a/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
@@ -67,6 +67,10 @@
 	private volatile Runnable onOrder = () -> {
 	};
 
+	private OptionalDouble pace = OptionalDouble.empty();
+
+	private int reports;
+
 	private long sequence;
 
 	private int spoiltOriginReads;
@@ -137,6 +141,20 @@
 		this.heldChunk = chunk(version, HELD_PUT_INDEX);
 	}
 
+	/**
+	 * Sets the pace that the engine reports from now on.
+	 */
+	synchronized void pace(OptionalDouble reported) {
+		this.pace = reported;
+	}
+
+	/**
+	 * Returns how often the engine's report was read.
+	 */
+	synchronized int reports() {
+		return this.reports;
+	}
+
 	synchronized List<TakenCopy> takenCopies() {
 		return List.copyOf(this.takenCopies);
 	}
@@ -156,8 +174,9 @@
 
 	@Override
 	public synchronized CompletableFuture<Report> report() {
+		this.reports++;
 		return CompletableFuture.completedFuture(new Report(Map.copyOf(this.versionsByModel), false, this.sequence, 0,
-				0, RunnerIncarnation.UNKNOWN, OptionalDouble.empty()));
+				0, RunnerIncarnation.UNKNOWN, this.pace));
 	}
 
 	@Override
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FailureDomainRelayTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FailureDomainRelayTests.java
@@ -5,12 +5,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.wisteriapost.policy.dispatch.DispatchLimits;
 import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.policy.dispatch.EngineStatus;
@@ -20,6 +23,7 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.pace.PaceStatement;
 import org.wisteriapost.protocol.wire.EngineState;
 import org.wisteriapost.protocol.wire.Frame;
 
@@ -147,6 +151,43 @@
 		assertThat(anyEntryOf("hall-c").receivedEngines.getFirst().getSwitching(), Matchers.equalTo(true));
 	}
 
+	// Guards against entries elsewhere that do not learn of a slow engine, and against a
+	// statement that grows younger or is repeated after its time on the way.
+	@ParameterizedTest
+	@CsvSource({ "0,250", "700,250", "1000,0" })
+	void paceReachesOtherFailureDomainsWithItsAge(long ageMillis, int expectedPercent) {
+		long relayedNanos = (this.ticks + 1) * TICK_NANOS;
+		setPace("hall-b", relayedNanos - ageMillis * 1_000_000);
+		run(1);
+		EngineState received = anyEntryOf("hall-c").receivedEngines.getLast();
+		assertThat(received.getPacePercent(), Matchers.equalTo(expectedPercent));
+		assertThat((long) received.getPaceAgeMillis(), Matchers.equalTo((expectedPercent > 0) ? ageMillis : 0));
+	}
+
+	// Guards against more frames between failure domains than the relay's interval
+	// allows, however often agents state a pace.
+	@Test
+	void changesOfThePaceKeepTheRelayInterval() {
+		run(REPORT_INTERVAL_TICKS);
+		this.crossDomainFrames.clear();
+		for (int i = 0; i < 10 * REPORT_INTERVAL_TICKS; i++) {
+			setPace("hall-b", this.ticks * TICK_NANOS);
+			run(1);
+		}
+		assertThat(this.crossDomainFrames.size(),
+				Matchers.both(Matchers.greaterThan(0)).and(Matchers.lessThanOrEqualTo(10 * 2 + 4)));
+	}
+
+	private void setPace(String failureDomain, long readNanos) {
+		PaceStatement pace = new PaceStatement(2.5, readNanos, RunnerIncarnation.UNKNOWN);
+		EngineStatus status = new EngineStatus(OptionalInt.of(2), false, OptionalLong.empty(),
+				RunnerIncarnation.UNKNOWN, Optional.of(pace));
+		this.entries.values()
+			.stream()
+			.filter((entry) -> entry.info.failureDomain().equals(failureDomain))
+			.forEach((entry) -> entry.dispatcher.updateEngineStatus(engine(failureDomain), status, readNanos));
+	}
+
 	// State sent by an entry of another failure domain than the one described, or by an
 	// unknown entry, is neither applied nor forwarded.
 	@Test
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchProfile.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchProfile.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The load of a simulation, and the entries, engines and changes that it meets.
@@ -24,6 +25,12 @@
 
 	private static final int ENGINES = 15;
 
+	// One engine of twelve, and of the default fleet.
+	private static final double ONE_ENGINE = 1.0 / 12;
+
+	// Half of the agent's interval of 100 ms, and 30 ms until entries are told.
+	private static final Duration STATED_AFTER = Duration.ofMillis(80);
+
 	private static final Duration DURATION = Duration.ofSeconds(24);
 
 	public DispatchProfile {
@@ -39,10 +46,18 @@
 				of("shortage", engines, 0.8, new Change.Burst(seconds(4), seconds(12), 1.6)),
 				of("crash", engines, 0.8, new Change.Crash(seconds(6), seconds(4.5), 0.4)),
 				of("long-crash", engines, 0.85, new Change.Crash(seconds(6), seconds(9), 0.35)),
+				of("spells-untold", engines, 0.5, spells(ONE_ENGINE, Optional.empty())),
+				of("spells", engines, 0.5, spells(ONE_ENGINE, Optional.of(STATED_AFTER))),
+				of("all-spells-untold", engines, 0.7, spells(1, Optional.empty())),
+				of("all-spells", engines, 0.7, spells(1, Optional.of(STATED_AFTER))),
 				of("switch", engines, 0.8, new Change.Switch(seconds(6), seconds(8), 4)),
 				of("sudden-switch", engines, 0.8, new Change.Switch(seconds(6), seconds(2), 2)));
 	}
 
+	private static Change spells(double engineShare, Optional<Duration> statedAfter) {
+		return new Change.Spells(seconds(1), seconds(0.6), 2.5, 0.15, engineShare, statedAfter);
+	}
+
 	private static DispatchProfile of(String name, EngineProfile engines, double load, Change... changes) {
 		return new DispatchProfile(name, engines, ENTRIES, ENGINES, load, DURATION, List.of(changes));
 	}
@@ -106,6 +121,21 @@
 		record Switch(Duration at, Duration length, int groups) implements Change {
 		}
 
+		/**
+		 * Engines have spells in which they are slower than declared.
+		 *
+		 * @param at when the first spells may start
+		 * @param length how long a spell lasts
+		 * @param pace the factor by which an engine is slower in a spell
+		 * @param timeShare the share of the time in which an engine has a spell
+		 * @param engineShare the share of the engines that have spells
+		 * @param statedAfter the time from a change of an engine's pace until entries are
+		 * told; empty if they are not told
+		 */
+		record Spells(Duration at, Duration length, double pace, double timeShare, double engineShare,
+				Optional<Duration> statedAfter) implements Change {
+		}
+
 	}
 
 }
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/DispatchSim.java
@@ -15,6 +15,7 @@
 import org.wisteriapost.policy.dispatch.EngineStatus;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.pace.PaceStatement;
 import org.wisteriapost.policy.routing.CallLimits;
 import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.Route;
@@ -42,6 +43,9 @@
 	// Time from a crash until the registration is removed.
 	private static final Duration REGISTRATION_TTL = Duration.ofMillis(3600);
 
+	// Agents repeat a statement after this time.
+	private static final long REPEAT_NANOS = Duration.ofMillis(500).toNanos();
+
 	private final DispatchProfile profile;
 
 	private final EngineSpec spec;
@@ -134,6 +138,10 @@
 							() -> crash(engine, crash.length().toNanos())));
 			}
 			case Change.Switch switches -> scheduleSwitches(switches);
+			case Change.Spells spells -> this.engines.values()
+				.stream()
+				.limit(Math.round(spells.engineShare() * this.engines.size()))
+				.forEach((engine) -> scheduleSpells(engine, spells));
 		}
 	}
 
@@ -166,6 +174,38 @@
 		}
 	}
 
+	// The spells are drawn before the requests, so that runs with and without statements
+	// have the same ones.
+	private void scheduleSpells(SimulatedEngine engine, Change.Spells spells) {
+		double meanGap = spells.length().toNanos() * (1 / spells.timeShare() - 1);
+		long start = spells.at().toNanos() + gap(meanGap);
+		while (start < this.profile.duration().toNanos()) {
+			long end = start + spells.length().toNanos();
+			this.events.schedule(start, () -> engine.pace(spells.pace()));
+			this.events.schedule(end, () -> engine.pace(PaceStatement.NORMAL));
+			if (spells.statedAfter().isPresent()) {
+				long delay = spells.statedAfter().get().toNanos();
+				this.events.schedule(start + delay, () -> publishPace(engine, spells.pace()));
+				this.events.schedule(start + delay + REPEAT_NANOS, () -> publishPace(engine, spells.pace()));
+				this.events.schedule(end + delay, () -> publishPace(engine, PaceStatement.NORMAL));
+			}
+			start = end + gap(meanGap);
+		}
+	}
+
+	private long gap(double meanNanos) {
+		return (long) (-Math.log(1 - this.random.nextDouble()) * meanNanos);
+	}
+
+	private void publishPace(SimulatedEngine engine, double pace) {
+		Optional<PaceStatement> stated = (pace > PaceStatement.NORMAL)
+				? Optional.of(new PaceStatement(pace, this.events.nowNanos(), RunnerIncarnation.UNKNOWN))
+				: Optional.empty();
+		EngineStatus status = new EngineStatus(OptionalInt.of(1), false, OptionalLong.empty(),
+				RunnerIncarnation.UNKNOWN, stated);
+		forEachEntry((entry) -> entry.dispatcher().updateEngineStatus(address(engine), status, this.events.nowNanos()));
+	}
+
 	private void switched(SimulatedEngine engine) {
 		engine.open();
 		publish(engine, OptionalInt.of(2), false, OptionalLong.empty());
--- a/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEngine.java
+++ b/standin/src/main/java/org/wisteriapost/standin/sim/dispatch/SimulatedEngine.java
@@ -37,6 +37,9 @@
 
 	private boolean inPass;
 
+	// Factor by which passes that start now take longer than declared.
+	private double pace = 1;
+
 	private long lastSequence;
 
 	// Passes of an earlier incarnation end without effect.
@@ -113,6 +116,10 @@
 		open();
 	}
 
+	void pace(double now) {
+		this.pace = now;
+	}
+
 	boolean reachable() {
 		return this.reachable;
 	}
@@ -135,7 +142,7 @@
 		}
 		this.inPass = true;
 		List<Run> decoding = this.running.stream().filter((run) -> run.promptTokens == 0).toList();
-		double millis = prefillMillis() + decodeMillis(decoding);
+		double millis = this.pace * (prefillMillis() + decodeMillis(decoding));
 		int started = this.incarnation;
 		this.events.schedule((long) (millis * Duration.ofMillis(1).toNanos()), () -> {
 			if (started == this.incarnation) {
--- a/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/sim/DispatchSimTests.java
@@ -25,6 +25,9 @@
 	// At 0.95 of the capacity, four fifths of the worth is the target.
 	private static final double FULL_LOAD_EARNED = 0.8;
 
+	// Half of the smaller gain that five seeds showed.
+	private static final double SPELLS_GAIN = 0.02;
+
 	// One request in ten.
 	private static final double SHORTAGE_LATE = 0.1;
 
@@ -63,6 +66,26 @@
 		assertThat(late, lessThan(SHORTAGE_LATE));
 	}
 
+	// Guards against entries that keep sending to an engine in a spell: at 40 entries
+	// none
+	// gets enough first events to learn of it in time. All engines have spells, since
+	// those of one are within the noise of three seeds.
+	@ParameterizedTest
+	@ValueSource(strings = { "long-passes", "short-passes" })
+	void moreRequestsAreInTimeWhenSpellsAreStated(String engines) {
+		double stated = inTimeOfFortyEntries(engines, "all-spells");
+		double untold = inTimeOfFortyEntries(engines, "all-spells-untold");
+		assertThat(stated - untold, greaterThan(SPELLS_GAIN));
+	}
+
+	private static double inTimeOfFortyEntries(String engines, String name) {
+		DispatchProfile profile = profile(engines, name).withFleet(40, 12);
+		return SEEDS.stream()
+			.mapToDouble((seed) -> DispatchSim.run(profile, seed).inTimeShare())
+			.average()
+			.orElseThrow();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "long-passes,crash", "short-passes,switch" })
 	void sameSeedGivesIdenticalRuns(String engines, String name) {
