--- a/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
+++ b/agent/src/test/java/org/wisteriapost/agent/site/FakeEngineVm.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -66,6 +67,12 @@
 	private volatile Runnable onOrder = () -> {
 	};
 
+	private OptionalDouble pace = OptionalDouble.empty();
+
+	private int reports;
+
+	private int active;
+
 	private long sequence;
 
 	private int spoiltOriginReads;
@@ -136,6 +143,27 @@
 		this.heldChunk = chunk(version, HELD_PUT_INDEX);
 	}
 
+	/**
+	 * Sets the pace that the engine reports from now on.
+	 */
+	synchronized void pace(OptionalDouble reported) {
+		this.pace = reported;
+	}
+
+	/**
+	 * Sets the number of requests in progress that the engine reports from now on.
+	 */
+	synchronized void active(int requests) {
+		this.active = requests;
+	}
+
+	/**
+	 * Returns how often the engine's report was read.
+	 */
+	synchronized int reports() {
+		return this.reports;
+	}
+
 	synchronized List<TakenCopy> takenCopies() {
 		return List.copyOf(this.takenCopies);
 	}
@@ -155,8 +183,9 @@
 
 	@Override
 	public synchronized CompletableFuture<Report> report() {
-		return CompletableFuture.completedFuture(
-				new Report(Map.copyOf(this.versionsByModel), false, this.sequence, 0, 0, RunnerIncarnation.UNKNOWN));
+		this.reports++;
+		return CompletableFuture.completedFuture(new Report(Map.copyOf(this.versionsByModel), false, this.sequence, 0,
+				this.active, RunnerIncarnation.UNKNOWN, this.pace));
 	}
 
 	@Override
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -46,6 +46,8 @@
 
 	private final MultiGauge reservedSlots;
 
+	private final AtomicInteger slowEngines;
+
 	private DirectMetrics(MeterRegistry registry) {
 		this.registry = registry;
 		this.reservedSlots = MultiGauge.builder(PREFIX + "reserved.slots")
@@ -55,6 +57,7 @@
 		this.evacuatedFailureDomains = registry.gauge(PREFIX + "evacuated.failure.domains", new AtomicInteger());
 		this.coldRunners = registry.gauge(PREFIX + "cold.runners", new AtomicInteger());
 		this.coldPermitsUsed = registry.gauge(PREFIX + "cold.permits.used", new AtomicInteger());
+		this.slowEngines = registry.gauge(PREFIX + "slow.engines", new AtomicInteger());
 		this.quarantined = registry.gauge(PREFIX + "quarantined", new AtomicInteger());
 		this.firstEvent = timer("first.event", "Time from a request's arrival to its first event.");
 		this.wholeAnswer = timer("answer", "Time from a request's arrival to its whole answer.");
@@ -159,6 +162,13 @@
 			.toList(), true);
 	}
 
+	/**
+	 * Records how many engines state that they are slower than declared.
+	 */
+	void slowEngines(int count) {
+		this.slowEngines.set(count);
+	}
+
 	/**
 	 * Counts a final answer that the entry itself produced.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -120,7 +120,7 @@
 		this.quarantineLog = new QuarantineLog(log, metrics);
 		this.rateLimitLog = new RateLimitLog(dispatcher.rateLimits(), log, metrics);
 		this.contentionLog = new ContentionLog(log);
-		this.runnerReports = new RunnerReports(dispatcher, log);
+		this.runnerReports = new RunnerReports(dispatcher, log, metrics);
 		this.suspension = SuspensionDetector.start(now(), clocks.wallMillis().getAsLong());
 	}
 
@@ -377,6 +377,7 @@
 			requestEchoes(now);
 		}
 		this.contentionLog.report(this.dispatcher.contention(), now);
+		this.runnerReports.tick(now);
 		if (!this.shutdown.leaving()) {
 			this.registration.ifPresent((one) -> one.tick(this.ticks, ready(), now));
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -65,6 +65,9 @@
 
 	double nominalMillis;
 
+	// The pace that the runner of the latest dispatch had stated when it was sent.
+	double statedPace = 1;
+
 	// Arrival time of the first known attempt of the request.
 	long firstAttemptNanos;
 
@@ -172,6 +175,13 @@
 		return this.predictedMillis;
 	}
 
+	/**
+	 * Returns the pace that the runner had stated at the latest dispatch.
+	 */
+	public double statedPace() {
+		return this.statedPace;
+	}
+
 	/**
 	 * Returns the time of the latest dispatch.
 	 */
@@ -275,6 +285,7 @@
 		this.runner = Optional.of(target);
 		this.sentNanos = nowNanos;
 		this.sentAsLate = late;
+		this.statedPace = target.pace(nowNanos);
 		this.firstEventSent = false;
 		this.predictedMillis = choice.predictedMillis();
 		this.nominalMillis = choice.engine() ? choice.nominalMillis() : 0;
