--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -60,8 +60,8 @@
 				"request", Long.toHexString(job.contentHash()), "route", job.route().name(), "runner",
 				send.runner().id(), "address", send.runner().address(), "rank", send.rank(), "version",
 				send.weightsVersion(), "table", this.localView.routeTableVersion(), "prompt", job.size().promptTokens(),
-				"answer", job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace", job.statedPace(), "tries",
-				send.requiresNewConnection());
+				"answer", job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace",
+				job.statedPace(), "tries", send.requiresNewConnection());
 		this.log.decision("dispatched", inputs);
 		this.metrics.dispatched();
 		this.output.send(call, send);
