Findings of two reviews: reservation read by the gauge, shares by rank, permits by domain, evacuated subsets

Seen by two who had not written the parts: - reading the gauge of reserved slots ten times a second let the reservation grow; it is only read now (ReservedSlotsTests). - with requests of one rank only, organisations above their share left slots free and the queue was ordered by organisation. All is as before now until requests of another rank come (AdmissionPriorityTests). - a request that became late while it waited went to the head of the queue; it keeps its place. - at engines of few slots a less urgent rank could be kept out entirely; three quarters of the slots are the most. - permits for a cold runner were cached without its failure domain, and a runner whose registration was missing when its domain's evacuation ended came back warm. - an evacuated warm runner hid that all others are cold and out of permits. - an entry whose own domain is evacuated considered eight of 26 remaining runners (EvacuationTests, seen to fail). - truncated compressed content was accepted; a failed fetch allowed another abandonment; a repeated status without a change of pace no longer reset the backoff.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreObjectContent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreObjectContent.java
@@ -1,13 +1,13 @@
 package org.wisteriapost.entry.direct;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Optional;
 import java.util.zip.Deflater;
 import java.util.zip.DeflaterOutputStream;
-import java.util.zip.InflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 
 import com.google.protobuf.ByteString;
 import org.wisteriapost.protocol.wire.News;
@@ -26,6 +26,9 @@
 	// Smaller objects gain little, and are decoded at once when they change.
 	private static final int MIN_COMPRESSED_BYTES = 2048;
 
+	// Bounds the memory for a malformed frame; stores limit an object to some megabytes.
+	private static final int MAX_BYTES = 64 << 20;
+
 	private static final Logger LOG = System.getLogger(StoreObjectContent.class.getName());
 
 	private StoreObjectContent() {
@@ -96,11 +99,13 @@
 	}
 
 	private static byte[] inflate(ByteString compressed) throws IOException {
-		ByteArrayOutputStream content = new ByteArrayOutputStream();
-		try (InflaterOutputStream out = new InflaterOutputStream(content)) {
-			compressed.writeTo(out);
+		try (InputStream content = new InflaterInputStream(compressed.newInput())) {
+			byte[] read = content.readNBytes(MAX_BYTES + 1);
+			if (read.length > MAX_BYTES) {
+				throw new IOException("more than " + MAX_BYTES + " bytes");
+			}
+			return read;
 		}
-		return content.toByteArray();
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/admission/AdmissionPriority.java
+++ b/policy/src/main/java/org/wisteriapost/policy/admission/AdmissionPriority.java
@@ -4,7 +4,8 @@
 import java.util.OptionalInt;
 
 /**
- * Determines the standing of requests that compete for the slots of a service.
+ * Determines the standing of requests that compete for the slots of a service. Only while
+ * requests of different ranks come for the service is any of them preferred.
  *
  * A rank yields to more urgent ones while these find no slot. Within a rank, an
  * organisation with more than its fair share of the admissions yields to the others while
@@ -13,6 +14,9 @@
  */
 public final class AdmissionPriority {
 
+	// Requests without an organisation share as one.
+	private static final String NO_ORGANISATION = "";
+
 	private final ContentionByRank contention;
 
 	private final ReservedSlots reservedSlots;
@@ -31,7 +35,7 @@
 	 */
 	public void arrived(String service, int rank, Optional<String> organisation, long nowNanos) {
 		this.ranks.arrived(service, rank, nowNanos);
-		organisation.ifPresent((name) -> this.organisations.arrived(service, rank, name, nowNanos));
+		this.organisations.arrived(service, rank, organisation.orElse(NO_ORGANISATION), nowNanos);
 	}
 
 	/**
@@ -39,24 +43,26 @@
 	 */
 	public void admitted(String service, int rank, Optional<String> organisation, long nowNanos) {
 		this.ranks.admitted(service, rank, nowNanos);
-		organisation.ifPresent((name) -> this.organisations.admitted(service, rank, name, nowNanos));
+		this.organisations.admitted(service, rank, organisation.orElse(NO_ORGANISATION), nowNanos);
 	}
 
 	/**
 	 * Returns the standing of a request now.
 	 */
 	public AdmissionStanding standing(String service, int rank, Optional<String> organisation, long nowNanos) {
+		if (!this.ranks.several(service, nowNanos)) {
+			return AdmissionStanding.withoutCompetition(rank);
+		}
 		OptionalInt contended = this.contention.mostUrgent(service, nowNanos);
-		double share = organisation.map((name) -> this.organisations.admittedShare(service, rank, name, nowNanos))
-			.orElse(0.0);
+		String name = organisation.orElse(NO_ORGANISATION);
+		double share = this.organisations.admittedShare(service, rank, name, nowNanos);
 		if (rank > 0 && this.ranks.belowMinimum(service, rank, nowNanos)) {
 			return new AdmissionStanding(rank, 0, 0, share, contended);
 		}
 		boolean yields = contended.isPresent() && contended.getAsInt() <= rank
-				&& organisation.map((name) -> this.organisations.aboveFairShare(service, rank, name, nowNanos))
-					.orElse(false);
+				&& this.organisations.aboveFairShare(service, rank, name, nowNanos);
 		// An organisation above its share leaves as many slots free as the next rank.
-		int reservedRank = rank + (yields ? 1 : 0);
+		int reservedRank = Math.min(ContentionByRank.LAST_RANK, rank + (yields ? 1 : 0));
 		return new AdmissionStanding(rank, 2 * rank + (yields ? 1 : 0),
 				this.reservedSlots.reserved(service, reservedRank, nowNanos), share, contended);
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/admission/AdmissionStanding.java
+++ b/policy/src/main/java/org/wisteriapost/policy/admission/AdmissionStanding.java
@@ -17,10 +17,17 @@
 		OptionalInt contendedRank) {
 
 	/** The standing of a request that does not compete. */
-	public static final AdmissionStanding NONE = new AdmissionStanding(0, 0, 0, 0, OptionalInt.empty());
+	public static final AdmissionStanding NONE = withoutCompetition(0);
 
 	/** The order in which waiting requests are served; equal ones in order of arrival. */
 	public static final Comparator<AdmissionStanding> FIRST_SERVED = Comparator.comparingInt(AdmissionStanding::order)
 		.thenComparingDouble(AdmissionStanding::organisationShare);
 
+	/**
+	 * Returns the standing of a request while no other rank comes for its service.
+	 */
+	static AdmissionStanding withoutCompetition(int rank) {
+		return new AdmissionStanding(rank, 0, 0, 0, OptionalInt.empty());
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/admission/RankShares.java
+++ b/policy/src/main/java/org/wisteriapost/policy/admission/RankShares.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The recent requests of this entry and those of them that were admitted, by service and
@@ -17,13 +18,18 @@
 	// the random differences between entries.
 	private static final double MIN_RELATIVE_SHARE = 0.25 * 1.4;
 
+	// How long a rank counts as present after a request.
+	private static final long PRESENCE_NANOS = Duration.ofSeconds(10).toNanos();
+
 	// With fewer requests a share says nothing.
 	private static final double MIN_REQUESTS = 2;
 
 	private final Map<String, Counts[]> services = new HashMap<>();
 
 	void arrived(String service, int rank, long nowNanos) {
-		counts(service)[rank].arrived.increment(nowNanos);
+		Counts counts = counts(service)[rank];
+		counts.arrived.increment(nowNanos);
+		counts.lastNanos = OptionalLong.of(nowNanos);
 	}
 
 	void admitted(String service, int rank, long nowNanos) {
@@ -40,6 +46,18 @@
 		});
 	}
 
+	/**
+	 * Returns whether requests of different ranks have come for a service recently.
+	 */
+	boolean several(String service, long nowNanos) {
+		int present = 0;
+		for (Counts one : counts(service)) {
+			boolean recent = one.lastNanos.isPresent() && nowNanos - one.lastNanos.getAsLong() < PRESENCE_NANOS;
+			present += recent ? 1 : 0;
+		}
+		return present > 1;
+	}
+
 	/**
 	 * Returns whether a rank is served so rarely that it must not yield to others.
 	 */
@@ -80,6 +98,8 @@
 
 		private final DecayingCount admitted = new DecayingCount(HALF_LIFE);
 
+		private OptionalLong lastNanos = OptionalLong.empty();
+
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/admission/ReservedSlots.java
+++ b/policy/src/main/java/org/wisteriapost/policy/admission/ReservedSlots.java
@@ -59,7 +59,7 @@
 		if (rank <= 0) {
 			return 0;
 		}
-		Level[] ranks = this.levels.computeIfAbsent(service, (name) -> new Level[ContentionByRank.LAST_RANK + 2]);
+		Level[] ranks = this.levels.computeIfAbsent(service, (name) -> new Level[ContentionByRank.LAST_RANK + 1]);
 		int index = Math.min(rank, ranks.length - 1);
 		if (ranks[index] == null) {
 			ranks[index] = new Level(nowNanos);
@@ -70,12 +70,14 @@
 
 	/**
 	 * Returns the reserved slots by service and rank, without those that reserve none.
+	 * They are only read: a level grows when a request of its rank is assessed.
 	 */
 	public Map<String, Map<Integer, Double>> current(long nowNanos) {
 		Map<String, Map<Integer, Double>> current = new TreeMap<>();
 		for (String service : this.levels.keySet()) {
 			for (int rank = 1; rank <= ContentionByRank.LAST_RANK; rank++) {
-				double reserved = (this.levels.get(service)[rank] != null) ? reserved(service, rank, nowNanos) : 0;
+				Level level = this.levels.get(service)[rank];
+				double reserved = (level != null) ? level.decayed(nowNanos) : 0;
 				if (reserved > 0) {
 					current.computeIfAbsent(service, (name) -> new TreeMap<>()).put(rank, reserved);
 				}
@@ -95,6 +97,12 @@
 			this.steppedNanos = nowNanos;
 		}
 
+		private double decayed(long nowNanos) {
+			long steps = Math.max(0, (nowNanos - this.steppedNanos) / STEP.toNanos());
+			double left = this.reserved * Math.pow(1 - DECAY, steps);
+			return (left < NEGLIGIBLE) ? 0 : left;
+		}
+
 		private void advance(String service, int lastUrgentRank, long nowNanos) {
 			long steps = (nowNanos - this.steppedNanos) / STEP.toNanos();
 			if (steps <= 0) {
--- a/policy/src/main/java/org/wisteriapost/policy/coldstart/SharingEntries.java
+++ b/policy/src/main/java/org/wisteriapost/policy/coldstart/SharingEntries.java
@@ -122,8 +122,9 @@
 		if (this.cachedPermits.size() >= MAX_CACHED) {
 			this.cachedPermits.clear();
 		}
-		return this.cachedPermits.computeIfAbsent(new PermitKey(runnerId, total), (key) -> PermitAllocation
-			.permits(this.registered.self(), this.counted, runnerId, runnerFailureDomain, total));
+		return this.cachedPermits.computeIfAbsent(new PermitKey(runnerId, runnerFailureDomain, total),
+				(key) -> PermitAllocation.permits(this.registered.self(), this.counted, runnerId, runnerFailureDomain,
+						total));
 	}
 
 	private int usable(double maxRequests, long nowNanos) {
@@ -140,7 +141,7 @@
 		return this.confirmedNanos.isPresent() && nowNanos - this.confirmedNanos.getAsLong() <= MAX_STALENESS.toNanos();
 	}
 
-	private record PermitKey(String runnerId, int total) {
+	private record PermitKey(String runnerId, String failureDomain, int total) {
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/AdmissionPolicy.java
@@ -4,7 +4,6 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.policy.admission.AdmissionPriority;
-import org.wisteriapost.policy.admission.AdmissionStanding;
 import org.wisteriapost.policy.admission.ContentionByRank;
 import org.wisteriapost.policy.admission.ContentionTrend;
 import org.wisteriapost.policy.admission.RetryHints;
@@ -131,7 +130,7 @@
 	 */
 	boolean assess(Job job, long nowNanos) {
 		if (isLate(job, nowNanos)) {
-			job.standing = AdmissionStanding.NONE;
+			// One that became late while it waited keeps its place in the queue.
 			job.reservedSlots = 0;
 			return true;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/ColdRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/ColdRunners.java
@@ -141,7 +141,7 @@
 	 * @param revision the store's revision of the end
 	 */
 	void evacuationEnded(String failureDomain, long revision, long nowNanos) {
-		for (RunnerState state : this.registry.states()) {
+		for (RunnerState state : this.registry.statesWithRemoved()) {
 			ColdStart coldStart = this.specs.coldStarts().get(state.info.service());
 			if (coldStart != null && state.info.failureDomain().equals(failureDomain)) {
 				state.coldness.presumeColdUntil(nowNanos + coldStart.duration().toNanos(), revision);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -44,6 +44,10 @@
 	// capacity.
 	private static final int ENGINE_QUEUE = 2;
 
+	// Less urgent requests are never kept out of an idle engine, also of one with few
+	// slots.
+	private static final double MAX_RESERVED_SHARE = 0.75;
+
 	// Cost of a runner without free capacity. It exceeds any prediction that meets a
 	// latency target, so that a runner with free capacity is preferred.
 	private static final double FULL_RUNNER_COST_MILLIS = 10_000;
@@ -58,8 +62,6 @@
 
 	private final RateLimits rateLimits;
 
-	private final EvacuatedRunners evacuated;
-
 	private final String failureDomain;
 
 	private final UniformRandomProvider random;
@@ -71,9 +73,8 @@
 		this.latencyFactors = latencyFactors;
 		this.fence = fence;
 		this.eligibility = new RunnerEligibility(fence, limits.regions(), evacuated);
-		this.runners = new RegionalRunners(registry, limits.regions(), this.eligibility);
+		this.runners = new RegionalRunners(registry, limits.regions(), this.eligibility, evacuated);
 		this.rateLimits = rateLimits;
-		this.evacuated = evacuated;
 		this.failureDomain = limits.failureDomain();
 		this.random = random;
 	}
@@ -128,16 +129,15 @@
 			}
 		}
 		OptionalLong permitNanos = this.rateLimits.nextPermitNanos(runners,
-				(runner) -> this.eligibility.eligible(job, runner, engine, version, nowNanos), nowNanos);
+				(runner) -> this.eligibility.eligible(job, runner, engine, version, nowNanos),
+				this.eligibility::withdrawn, nowNanos);
 		return Choice.noRunner(version, permitNanos, restEndNanos(runners, nowNanos));
 	}
 
 	// Empty unless every runner that is not leaving or evacuated wants no requests: any
 	// other may be usable in a moment.
 	private OptionalLong restEndNanos(List<RunnerState> runners, long nowNanos) {
-		List<RunnerState> staying = runners.stream()
-			.filter((runner) -> !runner.draining() && !runner.removed && !this.evacuated.includes(runner))
-			.toList();
+		List<RunnerState> staying = runners.stream().filter((runner) -> !this.eligibility.withdrawn(runner)).toList();
 		return staying.stream().allMatch((runner) -> runner.rest.active(nowNanos))
 				? staying.stream().mapToLong((runner) -> runner.rest.endNanos(nowNanos).orElseThrow()).min()
 				: OptionalLong.empty();
@@ -189,7 +189,8 @@
 		}
 		EngineSpec spec = engine.get();
 		int free = spec.slots() + ENGINE_QUEUE - load.requests();
-		boolean hasFreeCapacity = free > job.reservedSlots && runner.capacityShare.available(free,
+		int reserved = Math.min(job.reservedSlots, (int) (MAX_RESERVED_SHARE * spec.slots()));
+		boolean hasFreeCapacity = free > reserved && runner.capacityShare.available(free,
 				this.entryCount.sendersTo(runner.info.failureDomain(), this.failureDomain), this.random, nowNanos);
 		double wait = EngineLatencyModel.slotWaitMillis(spec, load) * predicted / nominal;
 		OptionalInt requiredVersion = version.isPresent() ? runner.weightsVersion(spec.model()) : version;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
@@ -144,13 +144,15 @@
 	 * Returns when a request may be sent to one of these runners, if there is none for it
 	 * only because they limit their rate. That is now if it can't be known.
 	 * @param eligible whether the request may be sent to a runner, apart from its rate
+	 * @param withdrawn whether a runner takes no requests whatever its rate
 	 */
-	OptionalLong nextPermitNanos(List<RunnerState> runners, Predicate<RunnerState> eligible, long nowNanos) {
+	OptionalLong nextPermitNanos(List<RunnerState> runners, Predicate<RunnerState> eligible,
+			Predicate<RunnerState> withdrawn, long nowNanos) {
 		if (runners.stream().noneMatch((runner) -> !permits(runner, nowNanos) && eligible.test(runner))) {
 			return OptionalLong.empty();
 		}
 		return runners.stream()
-			.filter((runner) -> !runner.draining() && !runner.removed)
+			.filter(withdrawn.negate())
 			.mapToLong((runner) -> this.coldRunners.nextSendNanos(runner, nowNanos))
 			.min();
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RegionalRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RegionalRunners.java
@@ -3,15 +3,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.wisteriapost.policy.region.AllowedRegions;
 import org.wisteriapost.policy.region.RegionMap;
 
 /**
- * The runners of a service in the regions that a request may be handled in.
+ * The runners of a service that a request may be sent to: those in its allowed regions
+ * and outside evacuated failure domains.
  *
- * The runners that an entry considers are selected among those in the allowed regions: an
- * entry elsewhere would otherwise use only a few of them.
+ * The runners that an entry considers are selected among these. Otherwise an entry in
+ * another region or in an evacuated failure domain would use only a few of them, and
+ * would expect free slots at runners that the request can't be sent to.
  */
 final class RegionalRunners {
 
@@ -21,30 +24,36 @@
 
 	private final RunnerEligibility eligibility;
 
+	private final EvacuatedRunners evacuated;
+
 	// A service may have thousands of runners, which would be filtered for each
 	// placement.
 	private final Map<Key, Selection> cache = new HashMap<>();
 
 	private long cachedVersion;
 
-	RegionalRunners(RunnerRegistry registry, RegionMap regions, RunnerEligibility eligibility) {
+	RegionalRunners(RunnerRegistry registry, RegionMap regions, RunnerEligibility eligibility,
+			EvacuatedRunners evacuated) {
 		this.registry = registry;
 		this.regions = regions;
 		this.eligibility = eligibility;
+		this.evacuated = evacuated;
 	}
 
 	/**
-	 * Returns the runners of the request's service in its allowed regions.
+	 * Returns the runners of the request's service in its allowed regions, without those
+	 * in evacuated failure domains.
 	 */
 	List<RunnerState> all(Job job) {
-		return job.allowedRegions().restricted() ? selection(job).all() : this.registry.forService(job.service());
+		return filtered(job.allowedRegions()) ? selection(job.service(), job.allowedRegions()).all()
+				: this.registry.forService(job.service());
 	}
 
 	/**
 	 * Returns those runners that this entry considers for the request.
 	 */
 	List<RunnerState> candidates(Job job) {
-		return job.allowedRegions().restricted() ? selection(job).candidates()
+		return filtered(job.allowedRegions()) ? selection(job.service(), job.allowedRegions()).candidates()
 				: this.registry.candidates(job.service());
 	}
 
@@ -54,7 +63,8 @@
 	 * the entries elsewhere send few requests there.
 	 */
 	int serviceSize(Job job) {
-		return this.registry.forService(job.service()).size();
+		return filtered(AllowedRegions.ANY) ? selection(job.service(), AllowedRegions.ANY).all().size()
+				: this.registry.forService(job.service()).size();
 	}
 
 	/**
@@ -68,26 +78,32 @@
 			return false;
 		}
 		return allowed.names().get().isEmpty() || (!this.registry.states().isEmpty()
-				&& selection(job).all().stream().allMatch(this.eligibility::withdrawn));
+				&& selection(job.service(), allowed).all().stream().allMatch(this.eligibility::withdrawn));
+	}
+
+	private boolean filtered(AllowedRegions allowed) {
+		return allowed.restricted() || !this.evacuated.evacuations().isEmpty();
 	}
 
-	private Selection selection(Job job) {
+	private Selection selection(String service, AllowedRegions allowed) {
 		if (this.cachedVersion != this.registry.indexVersion()) {
 			this.cache.clear();
 			this.cachedVersion = this.registry.indexVersion();
 		}
-		return this.cache.computeIfAbsent(new Key(job.service(), job.allowedRegions()), this::select);
+		return this.cache.computeIfAbsent(new Key(service, allowed, this.evacuated.evacuations().failureDomains()),
+				this::select);
 	}
 
 	private Selection select(Key key) {
 		List<RunnerState> all = this.registry.forService(key.service())
 			.stream()
-			.filter((runner) -> this.regions.permits(key.allowed(), runner.info.failureDomain()))
+			.filter((runner) -> this.regions.permits(key.allowed(), runner.info.failureDomain())
+					&& !key.evacuated().contains(runner.info.failureDomain()))
 			.toList();
 		return new Selection(all, this.registry.candidates(all));
 	}
 
-	private record Key(String service, AllowedRegions allowed) {
+	private record Key(String service, AllowedRegions allowed, Set<String> evacuated) {
 	}
 
 	private record Selection(List<RunnerState> all, List<RunnerState> candidates) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -262,6 +262,16 @@
 		return statuses;
 	}
 
+	/**
+	 * Returns the registered runners and those whose registration was removed and may be
+	 * restored.
+	 */
+	List<RunnerState> statesWithRemoved() {
+		List<RunnerState> all = new ArrayList<>(this.runners.values());
+		all.addAll(this.removedRunners.values());
+		return all;
+	}
+
 	Collection<RunnerState> states() {
 		return this.runners.values();
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -130,7 +130,8 @@
 	 * Updates the engine status reported by the agent.
 	 */
 	void updateEngineStatus(EngineStatus newer) {
-		boolean onlyPaceChanged = this.engineStatus.map((old) -> old.withPace(newer.pace()).equals(newer))
+		boolean onlyPaceChanged = this.engineStatus
+			.map((old) -> !old.equals(newer) && old.withPace(newer.pace()).equals(newer))
 			.orElse(false);
 		this.engineStatus = Optional.of(newer);
 		if (!onlyPaceChanged) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerSubset.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerSubset.java
@@ -56,10 +56,15 @@
 					: remote.computeIfAbsent(failureDomain, (name) -> new ArrayList<>()))
 				.add(state);
 		}
+		// Without runners nearby, as while the own failure domain is evacuated, all
+		// requests
+		// go to remote ones.
+		int perRemoteDomain = chosen.isEmpty() ? Math.max(PER_REMOTE_DOMAIN, MAX_UNFILTERED / remote.size())
+				: PER_REMOTE_DOMAIN;
 		remote.values()
 			.forEach((states) -> states.stream()
 				.sorted(Comparator.comparingLong(this::hash))
-				.limit(PER_REMOTE_DOMAIN)
+				.limit(perRemoteDomain)
 				.forEach(chosen::add));
 		return chosen;
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/FetchProgress.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/FetchProgress.java
@@ -34,6 +34,7 @@
 		this.activeNanos = 0;
 		this.lastIncreaseNanos = nowNanos;
 		this.stalled = false;
+		this.resumed = false;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/Rollout.java
@@ -170,7 +170,9 @@
 			return;
 		}
 		this.staged = complete ? OptionalInt.of(version) : OptionalInt.empty();
-		this.supersededFetch.fetched();
+		if (complete) {
+			this.supersededFetch.fetched();
+		}
 		if (complete && (isHeldOrTaking(version) || this.orders.distrusts(this.staged))) {
 			enterIdle(nowNanos);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/rollout/SupersededFetchPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/rollout/SupersededFetchPolicy.java
@@ -55,9 +55,9 @@
 		if (this.abandoned) {
 			return false;
 		}
-		long required = this.plan.targetNanos(version, nowNanos);
-		long newerRequired = this.plan.targetNanos(newer, nowNanos);
-		this.abandoned = SupersededFetch.of(progress, required, newerRequired, this.activation, nowNanos)
+		long targetNanos = this.plan.targetNanos(version, nowNanos);
+		long newerTargetNanos = this.plan.targetNanos(newer, nowNanos);
+		this.abandoned = SupersededFetch.of(progress, targetNanos, newerTargetNanos, this.activation, nowNanos)
 			.betterAbandoned();
 		return this.abandoned;
 	}
--- a/policy/src/test/java/org/wisteriapost/policy/admission/AdmissionPriorityTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/admission/AdmissionPriorityTests.java
@@ -43,10 +43,22 @@
 		}
 	}
 
+	// Without requests of another rank, callers of a service are served as if there were
+	// no ranks: in order of arrival, whatever their organisation.
+	@Test
+	void singleRankIsServedInOrderOfArrival() {
+		arrive(1, "large", 30, 20);
+		arrive(1, "small", 10, 3);
+		contend(1);
+		assertThat(standing(1, "large"), Matchers.equalTo(AdmissionStanding.withoutCompetition(1)));
+		assertThat(AdmissionStanding.FIRST_SERVED.compare(standing(1, "large"), standing(1, "small")), Matchers.is(0));
+	}
+
 	// The burst of one organisation, or a large organisation among small ones.
 	@Test
 	void organisationAboveItsShareYieldsUnderContention() {
 		this.slots.reserved(SERVICE, 1, this.nowNanos);
+		arrive(1, "other", 1, 1);
 		arrive(0, "large", 30, 20);
 		arrive(0, "small", 10, 3);
 		assertThat("without contention", standing(0, "large").order(), Matchers.is(0));
@@ -60,6 +72,7 @@
 	@Test
 	void organisationThatIsHardlyServedDoesNotYield() {
 		contend(0);
+		arrive(1, "other", 1, 1);
 		arrive(0, "large", 200, 6);
 		for (int i = 0; i < 20; i++) {
 			arrive(0, "small-" + i, 4, 2);
--- a/policy/src/test/java/org/wisteriapost/policy/admission/ReservedSlotsTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/admission/ReservedSlotsTests.java
@@ -74,6 +74,18 @@
 		assertThat(previous, Matchers.is(0.0));
 	}
 
+	// Failure: the gauge, which is read ten times a second, drives the reservation.
+	@Test
+	void readingTheGaugeReservesNothing() {
+		contend(ENTRIES, OptionalInt.of(0), 1);
+		this.nowNanos += Duration.ofMillis(100).toNanos();
+		double before = this.slots.current(this.nowNanos).get(SERVICE).get(2);
+		for (int i = 0; i < 10; i++) {
+			assertThat(this.slots.current(this.nowNanos).get(SERVICE).get(2), Matchers.is(before));
+		}
+		assertThat(before, Matchers.lessThan(reserved(2)));
+	}
+
 	// Failure: one entry with a bad view of the load empties the slots of all engines.
 	@Test
 	void contentionAtFewEntriesIsTolerated() {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/EvacuationTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/EvacuationTests.java
@@ -135,6 +135,18 @@
 		assertThat(sent(1), Matchers.contains("Refuse:runner-resting"));
 	}
 
+	// An entry considers a few remote runners only. With its own domain evacuated it
+	// would refuse requests while most of the others have free slots.
+	@Test
+	void allRemainingRunnersAreUsedWhenTheOwnDomainIsEvacuated() {
+		IntStream.range(0, 39)
+			.forEach((i) -> this.harness.register(DispatcherHarness.engineIn("hall-" + (char) ('a' + i % 3), "e" + i)));
+		evacuate("hall-a");
+		IntStream.range(0, 300).forEach((i) -> this.harness.arrive(DispatcherHarness.STREAM));
+		long used = this.harness.effectNames().stream().filter((name) -> name.startsWith("Send")).distinct().count();
+		assertThat(used, Matchers.greaterThan(8L));
+	}
+
 	// Engines in the domain keep loading weights, and their status is used at the end.
 	@Test
 	void engineStatusIsKeptDuringEvacuation() {
