--- a/policy/src/main/java/org/wisteriapost/policy/coldstart/SharingEntries.java
+++ b/policy/src/main/java/org/wisteriapost/policy/coldstart/SharingEntries.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The entries that share the requests to cold runners, and the part of this one.
@@ -67,8 +66,8 @@
 		// A confirmation is withdrawn when this machine was suspended.
 		this.everConfirmed |= stalenessMillis.isPresent();
 		long unconfirmedMillis = this.everConfirmed ? MAX_ISOLATION.toMillis() : 0;
-		this.confirmedNanos = OptionalLong
-			.of(nowNanos - TimeUnit.MILLISECONDS.toNanos(stalenessMillis.orElse(unconfirmedMillis)));
+		this.confirmedNanos = OptionalLong.of(nowNanos - Duration.ofMillis(stalenessMillis.orElse(unconfirmedMillis)))
+			.toNanos();
 		if (!entries.equals(this.registered)) {
 			replace(entries, nowNanos);
 		}
