--- a/policy/src/main/java/org/wisteriapost/policy/coldstart/SharingEntries.java
+++ b/policy/src/main/java/org/wisteriapost/policy/coldstart/SharingEntries.java
@@ -66,8 +66,8 @@
 		// A confirmation is withdrawn when this machine was suspended.
 		this.everConfirmed |= stalenessMillis.isPresent();
 		long unconfirmedMillis = this.everConfirmed ? MAX_ISOLATION.toMillis() : 0;
-		this.confirmedNanos = OptionalLong.of(nowNanos - Duration.ofMillis(stalenessMillis.orElse(unconfirmedMillis)))
-			.toNanos();
+		long staleNanos = Duration.ofMillis(stalenessMillis.orElse(unconfirmedMillis)).toNanos();
+		this.confirmedNanos = OptionalLong.of(nowNanos - staleNanos);
 		if (!entries.equals(this.registered)) {
 			replace(entries, nowNanos);
 		}
