Each dispatch that an entry gives up is logged and counted with its reason

Now a line `dispatch-given-up` with reason, events forwarded and time since the runner's last output, and a counter by reason. No decision changes. DispatcherTests and RegionalRequestTests pass.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -11,6 +11,7 @@
 import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
+import org.wisteriapost.policy.dispatch.CancelReason;
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.dispatch.Job;
 import org.wisteriapost.policy.quarantine.QuarantineChange;
@@ -100,6 +101,13 @@
 		}
 	}
 
+	/**
+	 * Counts a dispatch that the entry has given up.
+	 */
+	void dispatchGivenUp(CancelReason reason) {
+		this.registry.counter(PREFIX + "dispatches.given.up", "reason", reason.name()).increment();
+	}
+
 	void firstEvent(Job job, long nowNanos) {
 		this.firstEvent.record(nowNanos - job.arrivedNanos(), TimeUnit.NANOSECONDS);
 		double predicted = job.predictedMillis();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -40,8 +40,8 @@
 				send(send, call);
 				return false;
 			}
-			case DispatchEffect.Cancel stop -> {
-				this.output.stop(call);
+			case DispatchEffect.Cancel cancel -> {
+				cancel(cancel, call);
 				return false;
 			}
 			case DispatchEffect.Refuse refuse -> refuse(refuse, call, nowNanos);
@@ -67,6 +67,14 @@
 		this.output.send(call, send);
 	}
 
+	private void cancel(DispatchEffect.Cancel cancel, DirectCall call) {
+		Job job = cancel.job();
+		this.log.decision("dispatch-given-up", "attempt", job.attemptId(), "dispatch", job.dispatchNumber(), "reason",
+				cancel.reason(), "events", job.events(), "idleMs", cancel.idleMillis());
+		this.metrics.dispatchGivenUp(cancel.reason());
+		this.output.stop(call);
+	}
+
 	private void refuse(DispatchEffect.Refuse refuse, DirectCall call, long nowNanos) {
 		Job job = refuse.job();
 		Object[] inputs = RegionLog.withRefusalInputs(job, this.localView, nowNanos, "attempt", job.attemptId(),
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
@@ -32,8 +32,11 @@
 	 * runner.
 	 *
 	 * @param job the request
+	 * @param reason why the dispatch is given up
+	 * @param idleMillis the time since the last output of the runner, or since the
+	 * request was sent to it
 	 */
-	record Cancel(Job job) implements DispatchEffect {
+	record Cancel(Job job, CancelReason reason, long idleMillis) implements DispatchEffect {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -287,7 +287,7 @@
 	 */
 	public void callerDisconnected(Job job, long nowNanos) {
 		if (!job.finished) {
-			cancel(job, nowNanos);
+			cancel(job, CancelReason.CALLER_DISCONNECTED, nowNanos);
 			finish(job);
 			placeWaiting(nowNanos);
 		}
@@ -313,7 +313,7 @@
 	private void watch(Job job, RunnerState runner, long nowNanos) {
 		this.latencies.waiting(job, runner, nowNanos);
 		if (job.events() == 0 && this.poisonGuard.remainingNanos(job, nowNanos).isPresent()) {
-			cancel(job, nowNanos);
+			cancel(job, CancelReason.QUARANTINED, nowNanos);
 			endIfQuarantined(job, nowNanos);
 		}
 		else if (this.placement.startDeadlinePassed(job, this.engineSpecs.of(job.service()), nowNanos)) {
@@ -328,7 +328,7 @@
 	// the runner. It may have just started, so it is sent to another runner only if it
 	// may run twice.
 	private void cancelUnstarted(Job job, long nowNanos) {
-		cancel(job, nowNanos);
+		cancel(job, CancelReason.NOT_STARTED_IN_TIME, nowNanos);
 		if (this.retryPolicy.canRetry(job)) {
 			retry(job, DispatchOutcome.BROKEN, nowNanos);
 		}
@@ -365,7 +365,7 @@
 	}
 
 	private void expire(Job job, long nowNanos) {
-		cancel(job, nowNanos);
+		cancel(job, CancelReason.DEADLINE_PASSED, nowNanos);
 		finish(job);
 		this.responses.deadlineExceeded(job, nowNanos);
 	}
@@ -428,17 +428,17 @@
 		job.runner = Optional.empty();
 	}
 
-	private void cancel(Job job, long nowNanos) {
+	private void cancel(Job job, CancelReason reason, long nowNanos) {
 		job.runner.ifPresent((runner) -> {
 			runner.cancelled(job, nowNanos);
-			this.pendingEffects.add(new DispatchEffect.Cancel(job));
+			this.pendingEffects.add(new DispatchEffect.Cancel(job, reason, job.idleMillis(nowNanos)));
 		});
 		job.runner = Optional.empty();
 	}
 
 	private void cancelStalled(Job job, long nowNanos) {
 		release(job, DispatchOutcome.BROKEN, nowNanos);
-		this.pendingEffects.add(new DispatchEffect.Cancel(job));
+		this.pendingEffects.add(new DispatchEffect.Cancel(job, CancelReason.RUNNER_SILENT, job.idleMillis(nowNanos)));
 		retry(job, DispatchOutcome.BROKEN, nowNanos);
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.policy.admission.AdmissionStanding;
 import org.wisteriapost.policy.region.AllowedRegions;
@@ -299,6 +300,13 @@
 		return (this.events > 0) ? Math.max(this.lastEventNanos, this.sentNanos) : this.sentNanos;
 	}
 
+	/**
+	 * Returns the time since the last progress.
+	 */
+	long idleMillis(long nowNanos) {
+		return TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos());
+	}
+
 	boolean isStream() {
 		return this.route.kind() == RouteKind.STREAM;
 	}
