A streamed answer has chunks on a connection that is closed after it

Cause: CallerAnswer left the framing of a stream to the HTTP server, which sends neither a length nor chunks where the connection is closed after the answer. That is so for callers that ask for it and for every answer of an entry that leaves. What callers saw: the end of the process, by which the kernel closes the connection, looks as the end of a whole stream does. A stream that had been begun there at a whole event was taken for complete. Evidence: CallerAnswerFramingTests failed in its three cases of HTTP/1.1 with such a connection: no chunks, the bytes end with the connection. Change: a stream to a caller of HTTP/1.1 always has chunks. A caller of 1.0 knows none; its cut stream is reset, which the test holds. Measured: CallerAnswerFramingTests 11 of 11; CallerAnswerTests, HttpFrontTests, EntryAnswerTests and DirectHttpServerTests pass.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/CallerAnswer.java
@@ -110,7 +110,14 @@
 			}
 			this.headSent = true;
 		}
-		onIoThread(() -> sendHead(status, headers, weights, Outcome.RAN));
+		onIoThread(() -> {
+			sendHead(status, headers, weights, Outcome.RAN);
+			// The server would send no chunks on a connection that it closes. The end of
+			// such an answer looks as the end of a killed process does.
+			if (this.exchange.isHttp11() && !this.exchange.isResponseStarted()) {
+				this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+			}
+		});
 	}
 
 	@Override
