An event stream that ends within an event is not reported as complete

Cause: the agent took every orderly end of a runner's answer for its complete end. A stream that a runner breaks off may end so too: with its connection where it has neither a length nor chunks, or with a last chunk. What callers saw: on the product's own interface a stream that ended within an event, and looked complete. Evidence: AgentProcessTests.streamThatEndsWithinAnEventIsReportedAsUnknownOutcome failed in its four cases: outcome RAN. Further tests hold that an answer without framing is complete, and that an answer goes on after 1 and 2 s of silence; these passed before.

--- a/agent/src/main/java/org/wisteriapost/agent/RunnerCall.java
+++ b/agent/src/main/java/org/wisteriapost/agent/RunnerCall.java
@@ -11,6 +11,7 @@
 import org.wisteriapost.policy.agent.AgentEvent;
 import org.wisteriapost.policy.request.GateCodes;
 import org.wisteriapost.protocol.CallerHeaders;
+import org.wisteriapost.protocol.http.EventBoundary;
 import org.wisteriapost.protocol.http.HttpExchange;
 import org.wisteriapost.protocol.http.HttpResponseListener;
 import org.wisteriapost.protocol.link.Link;
@@ -41,6 +42,8 @@
 	private static final Code WITHHELD = Code.error("answer-withheld",
 			"The runner answered from other weights than the call asked for; the answer was withheld.");
 
+	private static final int OK = 200;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int MIN_ERROR_STATUS = 400;
@@ -69,6 +72,9 @@
 
 	private volatile Optional<CallEnd> decidedEnd = Optional.empty();
 
+	// Only of a stream of events.
+	private Optional<EventBoundary> eventBoundary = Optional.empty();
+
 	RunnerCall(long key, Link link, Call call, long deadlineNanos, RunnerCalls runnerCalls) {
 		this.key = key;
 		this.link = link;
@@ -136,6 +142,9 @@
 			cancel();
 			return;
 		}
+		if (status == OK && EventBoundary.isEventStream(headers)) {
+			this.eventBoundary = Optional.of(new EventBoundary());
+		}
 		CallStarted.Builder started = CallStarted.newBuilder()
 			.setId(this.call.getId())
 			.setStatus(status)
@@ -153,6 +162,7 @@
 		if (this.decidedEnd.isPresent()) {
 			return;
 		}
+		this.eventBoundary.ifPresent((boundary) -> boundary.read(data));
 		this.link.send(this.runnerCalls.agentLinks()
 			.newFrame()
 			.setCallData(CallData.newBuilder().setId(this.call.getId()).setData(ByteString.copyFrom(data)))
@@ -164,7 +174,9 @@
 
 	@Override
 	public void onEnd() {
-		finish(this.decidedEnd.orElseGet(() -> callEnd(Outcome.RAN, "", 0)));
+		boolean cut = this.eventBoundary.filter(EventBoundary::withinEvent).isPresent();
+		finish(this.decidedEnd
+			.orElseGet(() -> cut ? callEnd(Outcome.UNKNOWN, CUT.name(), 0) : callEnd(Outcome.RAN, "", 0)));
 	}
 
 	@Override
--- a/agent/src/test/java/org/wisteriapost/agent/AgentProcessTests.java
+++ b/agent/src/test/java/org/wisteriapost/agent/AgentProcessTests.java
@@ -10,6 +10,9 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.kernel.Invariants;
 import org.wisteriapost.kernel.settings.Settings;
 import org.wisteriapost.policy.agent.AgentEffect;
@@ -180,6 +183,55 @@
 		assertThat(end.getCode(), equalTo("runner-cut"));
 	}
 
+	// Guards against a stream that its runner breaks off within an event and that the
+	// entry passes on as complete, with and without chunks.
+	@ParameterizedTest
+	@ValueSource(strings = { "data: 1\n\ndata: 2\n", "data: 1\n\ndata: 2", "data: 1", "data: 1\r\n\r\nid" })
+	void streamThatEndsWithinAnEventIsReportedAsUnknownOutcome(String stream) {
+		Bundle bundle = rollOut(1, "model-a");
+		FakeEntry entry = connectEntry(start());
+		awaitServing(entry, bundle);
+		for (int id = 1; id <= 2; id++) {
+			entry.call(id, "/events", stream, digestOf(bundle));
+			CallEnd end = entry.awaitEnd(id, new StringBuilder());
+			assertThat(end.getOutcome(), is(Outcome.UNKNOWN));
+			assertThat(end.getCode(), equalTo("runner-cut"));
+			this.engine.omitFraming();
+		}
+	}
+
+	// Guards against a complete answer with neither a length nor chunks that counts as
+	// broken off, or whose connection is used again.
+	@ParameterizedTest
+	@CsvSource({ "/x, hello, echo hello", "/x, '', 'echo '", "/events, 'data: 1\n\n', 'data: 1\n\n'",
+			"/events, 'data: 1\r\n\r\n', 'data: 1\r\n\r\n'", "/events, '', ''" })
+	void answerWithoutFramingIsComplete(String path, String body, String expected) {
+		Bundle bundle = rollOut(1, "model-a");
+		FakeEntry entry = connectEntry(start());
+		awaitServing(entry, bundle);
+		this.engine.omitFraming();
+		for (int id = 1; id <= 3; id++) {
+			StringBuilder answer = new StringBuilder();
+			entry.call(id, path, body, digestOf(bundle));
+			assertThat(entry.awaitEnd(id, answer).getOutcome(), is(Outcome.RAN));
+			assertThat(answer.toString(), equalTo(expected));
+		}
+	}
+
+	// Guards against a pause of a sound runner that ends its answer.
+	@ParameterizedTest
+	@CsvSource({ "0, 1000", "0, 2000", "1, 1000", "1, 2000" })
+	void answerContinuesAfterAPause(int eventsBefore, long millis) {
+		Bundle bundle = rollOut(1, "model-a");
+		FakeEntry entry = connectEntry(start());
+		awaitServing(entry, bundle);
+		this.engine.pauseAnswers(eventsBefore, millis);
+		StringBuilder answer = new StringBuilder();
+		entry.call(1, "/events", "data: 1\n\ndata: 2\n\n", digestOf(bundle));
+		assertThat(entry.awaitEnd(1, answer).getOutcome(), is(Outcome.RAN));
+		assertThat(answer.toString(), equalTo("data: 1\n\ndata: 2\n\n"));
+	}
+
 	// The link to the entry closes during a call. Unless cancelled, the call occupies the
 	// runner's capacity until its deadline.
 	@Test
--- a/agent/src/test/java/org/wisteriapost/agent/FakeEngine.java
+++ b/agent/src/test/java/org/wisteriapost/agent/FakeEngine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.undertow.Undertow;
@@ -16,7 +17,8 @@
 import org.xnio.IoUtils;
 
 /**
- * In-process model engine that takes orders directly and calls over HTTP.
+ * In-process model engine that takes orders directly and calls over HTTP. It answers a
+ * call of {@code /events} with the request's body as a stream of events.
  */
 final class FakeEngine implements Engine {
 
@@ -37,6 +39,12 @@
 
 	private volatile boolean connectionsClosed;
 
+	private volatile boolean framed = true;
+
+	private volatile int eventsBeforePause;
+
+	private volatile long pauseMillis;
+
 	FakeEngine() {
 		this.server.start();
 	}
@@ -58,6 +66,21 @@
 		this.reportedWeights = weightsDigest;
 	}
 
+	/**
+	 * Pauses each answer of {@code /events} from now on, after none or one event.
+	 */
+	void pauseAnswers(int eventsBefore, long millis) {
+		this.eventsBeforePause = eventsBefore;
+		this.pauseMillis = millis;
+	}
+
+	/**
+	 * Answers with neither a length nor chunks from now on.
+	 */
+	void omitFraming() {
+		this.framed = false;
+	}
+
 	void completeSlowCalls() {
 		this.slowCallsReleased.countDown();
 	}
@@ -97,6 +120,17 @@
 		exchange.startBlocking();
 		byte[] body = exchange.getInputStream().readAllBytes();
 		exchange.getResponseHeaders().put(new HttpString(CallerHeaders.WEIGHTS), this.reportedWeights);
+		exchange.setPersistent(this.framed);
+		if (exchange.getRequestPath().equals("/events")) {
+			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+			int pauseAt = new String(body).indexOf("\n\n") + 2;
+			pauseAt = (this.eventsBeforePause > 0) ? pauseAt : 0;
+			exchange.getOutputStream().write(body, 0, pauseAt);
+			exchange.getOutputStream().flush();
+			TimeUnit.MILLISECONDS.sleep(this.pauseMillis);
+			exchange.getOutputStream().write(body, pauseAt, body.length - pauseAt);
+			return;
+		}
 		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
 		exchange.getOutputStream().write("echo ".getBytes());
 		exchange.getOutputStream().flush();
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/package-info.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/package-info.java
@@ -1,4 +1,4 @@
 /**
- * An HTTP client based on Undertow.
+ * An HTTP client based on Undertow, and the event streams that it receives.
  */
 package org.wisteriapost.protocol.http;
