A surplus empty line at the end of a stream does not break it off

Cause: EventSplitter took every byte after the last event for a part of another event, an empty line too. The search for ends of events stood there and, since the agent looks for them, in EventBoundary. What callers saw: a whole stream that its runner ends with a further line end was taken for broken off. It was resumed elsewhere or cut, and the runner's health suffered for it. Evidence: on the splitter before, 'data: 1\n\n\n' leaves one byte and 'data: 1\r\n\r\n\r\n' two, which endStream reports as DISCONNECTED. Change: EventSplitter uses EventBoundary, so that both interfaces agree on what is within an event. It no longer searches the bytes of an unfinished event again with every read.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/EventSplitter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EventSplitter.java
@@ -5,6 +5,8 @@
 import java.util.Arrays;
 import java.util.Optional;
 
+import org.wisteriapost.protocol.http.EventBoundary;
+
 /**
  * Splits a stream of server-sent events at event boundaries.
  *
@@ -18,6 +20,8 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	private final EventBoundary boundary = new EventBoundary();
+
 	private final ByteArrayOutputStream remainder = new ByteArrayOutputStream();
 
 	private int eventCount;
@@ -29,29 +33,31 @@
 	 * event.
 	 */
 	byte[] completeEvents(byte[] data) {
-		this.remainder.writeBytes(data);
-		byte[] all = this.remainder.toByteArray();
 		this.eventCount = 0;
-		int start = 0;
-		int end = endOfEvent(all, start);
-		while (end > 0) {
-			parseEvent(all, start, end);
-			start = end;
-			end = endOfEvent(all, start);
+		int received = this.remainder.size();
+		this.remainder.writeBytes(data);
+		int end = 0;
+		for (int i = 0; i < data.length; i++) {
+			if (this.boundary.endsEvent(data[i])) {
+				this.eventCount++;
+				end = received + i + 1;
+			}
 		}
-		if (start == 0) {
+		if (end == 0) {
 			return EMPTY;
 		}
+		byte[] all = this.remainder.toByteArray();
+		parseIds(all, end);
 		this.remainder.reset();
-		this.remainder.write(all, start, all.length - start);
-		return Arrays.copyOf(all, start);
+		this.remainder.write(all, end, all.length - end);
+		return Arrays.copyOf(all, end);
 	}
 
 	/**
-	 * Returns the bytes after the last complete event.
+	 * Returns whether a stream that ends now has been broken off.
 	 */
-	byte[] remainder() {
-		return this.remainder.toByteArray();
+	boolean withinEvent() {
+		return this.boundary.withinEvent();
 	}
 
 	/**
@@ -69,27 +75,10 @@
 		return this.lastEventId;
 	}
 
-	// An event ends with an empty line; lines end with LF or CRLF.
-	private static int endOfEvent(byte[] all, int from) {
-		for (int i = from; i + 1 < all.length; i++) {
-			if (all[i] != '\n') {
-				continue;
-			}
-			if (all[i + 1] == '\n') {
-				return i + 2;
-			}
-			if (all[i + 1] == '\r' && i + 2 < all.length && all[i + 2] == '\n') {
-				return i + 3;
-			}
-		}
-		return -1;
-	}
-
-	// Called some hundred times a second, so only the id line is decoded to a string.
-	private void parseEvent(byte[] all, int start, int end) {
-		this.eventCount++;
-		int line = start;
-		for (int i = start; i < end; i++) {
+	// Called some hundred times a second, so only the id lines are decoded to strings.
+	private void parseIds(byte[] all, int end) {
+		int line = 0;
+		for (int i = 0; i < end; i++) {
 			if (all[i] == '\n') {
 				if (startsWithId(all, line, i)) {
 					int from = line + ID_FIELD.length;
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -10,6 +10,7 @@
 
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.protocol.http.EventBoundary;
 import org.wisteriapost.protocol.http.HttpExchange;
 import org.wisteriapost.protocol.http.HttpResponseListener;
 import org.wisteriapost.protocol.site.CallProtocol;
@@ -122,8 +123,7 @@
 			return;
 		}
 		this.headers = endToEndHeaders(all);
-		String type = first.getOrDefault("content-type", "");
-		this.streaming = code == SUCCESS && type.startsWith("text/event-stream");
+		this.streaming = code == SUCCESS && EventBoundary.isEventStream(first);
 		if (!this.call.headSent()) {
 			this.call.job().recordWeightsVersion(reply.weightsVersion());
 		}
@@ -217,8 +217,7 @@
 	}
 
 	private void endStream() {
-		byte[] rest = this.splitter.remainder();
-		if (rest.length > 0) {
+		if (this.splitter.withinEvent()) {
 			end(DispatchOutcome.DISCONNECTED, "the stream ended within an event");
 			return;
 		}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EventSplitterTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EventSplitterTests.java
@@ -41,7 +41,21 @@
 		EventSplitter splitter = new EventSplitter();
 		splitter.completeEvents("id: 1\ndata: a\n\nid: 2\nda".getBytes(StandardCharsets.UTF_8));
 		assertThat(splitter.lastEventId(), Matchers.equalTo(Optional.of("1")));
-		assertThat(new String(splitter.remainder(), StandardCharsets.UTF_8), Matchers.equalTo("id: 2\nda"));
+		assertThat(splitter.withinEvent(), Matchers.equalTo(true));
+		String rest = new String(splitter.completeEvents("ta: b\n\n".getBytes(StandardCharsets.UTF_8)),
+				StandardCharsets.UTF_8);
+		assertThat(rest, Matchers.equalTo("id: 2\ndata: b\n\n"));
+	}
+
+	// Guards against a complete stream that counts as broken off for a surplus line end.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "\n", "\n\n" })
+	void surplusEmptyLinesAreWithinNoEvent(String surplus) {
+		EventSplitter splitter = new EventSplitter();
+		byte[] stream = ("id: 1\ndata: a\n\n" + surplus).getBytes(StandardCharsets.UTF_8);
+		splitter.completeEvents(stream);
+		assertThat(splitter.eventCount(), Matchers.equalTo(1));
+		assertThat(splitter.withinEvent(), Matchers.equalTo(false));
 	}
 
 }
