Tests of pauses of a sound runner on the product's own interface

A sound runner may fall silent for a second or so and go on. The entry waits for 1 and 2 s, before the first byte and within an answer, streamed and buffered; six cases, which pass on the code as it is.

--- a/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/EntryAnswerTests.java
@@ -5,10 +5,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.protocol.CallerHeaders;
 import org.wisteriapost.protocol.http.HttpResponse;
@@ -57,6 +59,29 @@
 		assertThrows(CompletionException.class, reply::join);
 	}
 
+	// Guards against a pause of a sound runner that ends its answer.
+	@ParameterizedTest
+	@CsvSource({ "true, 0, 1000", "true, 0, 2000", "true, 1, 1000", "true, 1, 2000", "false, 0, 2000",
+			"false, 1, 2000" })
+	void answerContinuesAfterAPause(boolean stream, int dataBefore, long millis) {
+		this.fixture.model().answerWith((link, call) -> Thread.ofVirtual().start(() -> {
+			if (dataBefore > 0) {
+				FakeAgent.send(link, FakeAgent.started(call, call.getWeightsDigest()));
+				FakeAgent.send(link, FakeAgent.data(call, "first,"));
+			}
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+			if (dataBefore == 0) {
+				FakeAgent.send(link, FakeAgent.started(call, call.getWeightsDigest()));
+				FakeAgent.send(link, FakeAgent.data(call, "first,"));
+			}
+			FakeAgent.send(link, FakeAgent.data(call, "second"));
+			FakeAgent.send(link, FakeAgent.end(call, Outcome.RAN, ""));
+		}));
+		HttpResponse reply = this.fixture.chat("x", stream).join();
+		assertThat(EntryFixture.text(reply), is("first,second"));
+		assertThat(EntryFixture.outcome(reply), is("ran"));
+	}
+
 	// The runner fails before any byte of a buffered answer was sent, so the caller can
 	// still be told that the request may have run.
 	@Test
