Failing tests: answers that are given up because their runner is silent for a time

Cause, by reading and by these tests: Dispatcher.cancelStalled ends the dispatch at a silent runner before another one has taken the request. Callers see a 502 before the first event, and a connection that is cut after it, though the runner would have gone on.

--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
@@ -0,0 +1,171 @@
+package org.wisteriapost.entry.direct;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wisteriapost.kernel.EventLoop;
+import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.dispatch.DispatchLimits;
+import org.wisteriapost.policy.dispatch.Dispatcher;
+import org.wisteriapost.policy.fleet.EntryInfo;
+import org.wisteriapost.policy.fleet.RunnerIncarnation;
+import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.routing.CallLimits;
+import org.wisteriapost.policy.routing.Organisation;
+import org.wisteriapost.policy.routing.Route;
+import org.wisteriapost.policy.routing.Route.WeightedService;
+import org.wisteriapost.policy.routing.RouteKind;
+import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.policy.routing.ServiceSpec;
+import org.wisteriapost.protocol.http.HttpCall;
+import org.wisteriapost.protocol.http.HttpResponse;
+import org.wisteriapost.protocol.http.PooledHttpClient;
+import org.wisteriapost.protocol.site.DecodedObject;
+import org.wisteriapost.protocol.site.ObjectKind;
+import org.wisteriapost.protocol.site.ObjectStore;
+import org.wisteriapost.protocol.site.SiteSettings;
+import org.wisteriapost.protocol.wire.Frame;
+
+/**
+ * An entry with the production HTTP server, state thread and calls to runners, without
+ * peers and with a fixed store.
+ */
+final class EntryOnSockets implements AutoCloseable {
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+
+	private static final Duration TARGET = Duration.ofMillis(200);
+
+	private final PooledHttpClient client = PooledHttpClient.create(1);
+
+	private final PooledHttpClient callers = PooledHttpClient.create(1);
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+	private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+
+	private final DecisionLog log = DecisionLog.start("test", new PrintStream(this.logged));
+
+	private final FakeObjectStore store = new FakeObjectStore(5);
+
+	private final EventLoop<DirectEvent> loop;
+
+	private final DirectHttpServer server;
+
+	EntryOnSockets(List<String> runnerAddresses) {
+		SiteSettings settings = settings();
+		DirectView view = new DirectView(EntryClocks.SYSTEM);
+		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(42);
+		DispatchLimits limits = new DispatchLimits("p1", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8));
+		FleetProtocol protocol = new FleetProtocol();
+		DirectState state = new DirectState(settings, new EntryInfo("a", 1, "127.0.0.1:1", "127.0.0.1:2", "p1", "r1"),
+				Dispatcher.create(limits, random), new DirectOutput(this.client, protocol, view::put), this.log,
+				DirectMetrics.create(new SimpleMeterRegistry()), random, EntryClocks.SYSTEM, view);
+		state.connect(new NoPeers(), this.store, new StoreWatches());
+		this.loop = EventLoop.start("entry", 1024, state::apply);
+		view.loop(this.loop);
+		view.put(new DirectEvent.StoreReachability(ObjectKind.RUNNERS, true));
+		for (ObjectKind kind : ObjectKind.inUse(settings.guarantees())) {
+			view.put(new DirectEvent.ObjectsListed(kind, objects(kind, runnerAddresses), 5));
+		}
+		this.server = DirectHttpServer.start(settings, protocol, this.client.worker(), view);
+		this.timer.scheduleWithFixedDelay(() -> view.offer(new DirectEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	private static SiteSettings settings() {
+		Optional<InetSocketAddress> anyPort = Optional.of(new InetSocketAddress("127.0.0.1", 0));
+		return new SiteSettings("a", "127.0.0.1", "p1", "r1", anyPort, Optional.empty(), Optional.empty(), 1, 1,
+				URI.create("http://store.example"), Optional.empty(), "", 1_000_000,
+				new SiteSettings.Guarantees(Duration.ofSeconds(8), Duration.ofSeconds(3), Duration.ofSeconds(8), 0.2,
+						100, Duration.ofSeconds(10), Duration.ofSeconds(3)));
+	}
+
+	private List<ObjectStore.Item> objects(ObjectKind kind, List<String> runnerAddresses) {
+		List<ObjectStore.Item> items = new ArrayList<>();
+		if (kind == ObjectKind.ROUTES) {
+			items.add(this.store.item("current", 1, new DecodedObject.Routes(table())));
+		}
+		if (kind == ObjectKind.RUNNERS) {
+			runnerAddresses.forEach(
+					(address) -> items.add(this.store.item(address, 1, new DecodedObject.Runner(new RunnerInfo(address,
+							"api", address, "p1", 64, false, 0, Map.of(), 1, RunnerIncarnation.UNKNOWN)))));
+		}
+		return items;
+	}
+
+	private static RouteTable table() {
+		Route stream = new Route("stream", "127.0.0.1", "/stream/", RouteKind.STREAM, REQUEST_TIMEOUT, TARGET, 1,
+				List.of(new WeightedService("api", 1)), 2, true, true, Duration.ofMillis(400));
+		return RouteTable.of(1, List.of(stream),
+				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty())),
+				Map.of("key", new Organisation("org", OptionalInt.empty())),
+				new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+	}
+
+	/**
+	 * Sends a request for a stream.
+	 */
+	CompletableFuture<HttpResponse> request(String attempt) {
+		int port = this.server.ports().getFirst();
+		return this.callers.call(
+				HttpCall.of("GET", URI.create("http://127.0.0.1:" + port + "/stream/x"), REQUEST_TIMEOUT.plusSeconds(5))
+					.header("attempt", attempt));
+	}
+
+	/**
+	 * Closes the entry and returns the lines that it has logged.
+	 */
+	List<String> closeAndReadLog() {
+		close();
+		return this.logged.toString(StandardCharsets.UTF_8).lines().toList();
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.server.close();
+		this.loop.close();
+		this.client.close();
+		this.callers.close();
+		this.log.close();
+	}
+
+	private static final class NoPeers implements PeerTransport {
+
+		@Override
+		public void setDesiredPeers(Map<String, InetSocketAddress> peers) {
+		}
+
+		@Override
+		public SendResult send(String name, Frame frame) {
+			return SendResult.NO_LINK;
+		}
+
+		@Override
+		public Set<String> linkedEntries() {
+			return Set.of();
+		}
+
+	}
+
+}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.function.Function;
 
 import org.wisteriapost.protocol.site.CallProtocol;
@@ -15,10 +16,13 @@
 
 /**
  * The headers of responses of {@link FleetRunner}s: {@code attempt}, {@code limit},
- * {@code leaving}, and {@code rest} and {@code cold}, in milliseconds.
+ * {@code leaving}, and {@code rest} and {@code cold}, in milliseconds. Requests carry
+ * {@code attempt} and {@code last-event-id}.
  */
 final class FleetProtocol implements CallProtocol {
 
+	static final String LAST_EVENT_HEADER = "last-event-id";
+
 	private static final int REJECTED = 503;
 
 	@Override
@@ -33,7 +37,8 @@
 
 	@Override
 	public CallerRequestFields parseRequest(Function<String, String> header) {
-		throw new UnsupportedOperationException();
+		return new CallerRequestFields(Optional.ofNullable(header.apply("attempt")), OptionalLong.empty(), 0, 0,
+				OptionalInt.empty(), Optional.empty(), Optional.empty());
 	}
 
 	@Override
@@ -43,7 +48,7 @@
 
 	@Override
 	public List<Map.Entry<String, String>> runnerHeaders(RunnerRequestFields call) {
-		return List.of();
+		return call.lastEventId().map((id) -> List.of(Map.entry(LAST_EVENT_HEADER, id))).orElse(List.of());
 	}
 
 	@Override
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherHarness.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/DispatcherHarness.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.policy.coldstart.ColdStartBound;
@@ -53,6 +55,11 @@
 
 	private final List<DispatchEffect> effects = new ArrayList<>();
 
+	// The runners of the dispatches that are open, by request and dispatch number.
+	private final Map<Long, Map<Integer, RunnerInfo>> open = new HashMap<>();
+
+	private final Map<Long, Integer> sent = new HashMap<>();
+
 	private long lastId;
 
 	DispatcherHarness() {
@@ -161,6 +168,31 @@
 		confirmConnections();
 	}
 
+	/**
+	 * Returns the runners of the open dispatches of a request by dispatch number.
+	 */
+	Map<Integer, RunnerInfo> open(Job job) {
+		return this.open.getOrDefault(job.id(), Map.of());
+	}
+
+	/**
+	 * Delivers an event of a dispatch, which must be open.
+	 */
+	void event(Job job, int dispatch) {
+		job.recordEvents(1, Optional.of(String.valueOf(job.events() + 1)), this.nowNanos);
+		this.dispatcher.firstEventSent(job, this.nowNanos);
+		confirmConnections();
+	}
+
+	/**
+	 * Ends a dispatch, which must be open.
+	 */
+	void ended(Job job, int dispatch, DispatchOutcome outcome) {
+		this.open.get(job.id()).remove(dispatch);
+		this.dispatcher.dispatchEnded(job, outcome, this.nowNanos);
+		confirmConnections();
+	}
+
 	/**
 	 * Makes connections to a runner fail from now on.
 	 */
@@ -175,6 +207,7 @@
 		while (!newEffects.isEmpty()) {
 			this.effects.addAll(newEffects);
 			for (DispatchEffect effect : newEffects) {
+				updateOpen(effect);
 				if (effect instanceof DispatchEffect.Send send && send.requiresNewConnection()
 						&& !this.blockedRunners.contains(send.runner().id())) {
 					this.dispatcher.connectionEstablished(send.job(), this.nowNanos);
@@ -184,6 +217,16 @@
 		}
 	}
 
+	private void updateOpen(DispatchEffect effect) {
+		Map<Integer, RunnerInfo> dispatches = this.open.computeIfAbsent(effect.job().id(), (id) -> new TreeMap<>());
+		if (effect instanceof DispatchEffect.Send send) {
+			dispatches.put(this.sent.merge(send.job().id(), 1, Integer::sum), send.runner());
+		}
+		else {
+			dispatches.clear();
+		}
+	}
+
 	/**
 	 * Returns the effects since the previous call.
 	 */
