HTTP client: the calling process's own delay is no timeout of the server

Cause: the connect timeout started on the calling thread, before the client had loaded its classes and before the I/O thread was free to register the socket. Besides, an I/O thread runs expired timers before it looks at its sockets, so after a delay of the process a timeout wins over a connection that is established or a response that has arrived.

What callers saw: "no connection in 400 ms" from a server that listens and is idle, once in LeavingTests#entriesListTheirOwnAddressFirst beside a load of 17 to 24; the same with "no response in ..." and "no complete response".

Evidence: with an I/O thread that is delayed by 0.6 s five cases of PooledHttpClientTests fail. A listener that is bound late is ruled out: the port is known once bound.

Change: connecting begins on the I/O thread that carries the call, and its timeout after it.

--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -18,6 +18,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -61,8 +62,12 @@
 		return this.buffers;
 	}
 
-	XnioWorker worker() {
-		return this.worker;
+	/**
+	 * Returns the calling thread if it is an I/O thread of this pool, otherwise any.
+	 */
+	XnioIoThread ioThread() {
+		XnioIoThread current = XnioIoThread.currentThread();
+		return (current != null && current.getWorker() == this.worker) ? current : this.worker.getIoThread();
 	}
 
 	/**
@@ -123,9 +128,9 @@
 		}
 	}
 
-	void connect(URI target, ClientCallback<ClientConnection> callback) {
+	void connect(XnioIoThread thread, URI target, ClientCallback<ClientConnection> callback) {
 		OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-		UndertowClient.getInstance().connect(callback, target, this.worker, this.buffers, options);
+		UndertowClient.getInstance().connect(callback, target, thread, this.buffers, options);
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpClient.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpClient.java
@@ -6,8 +6,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
@@ -19,7 +17,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
-import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -102,39 +100,59 @@
 	 * @param target a URI with the server's host and port
 	 */
 	public void checkConnection(URI target, Duration timeout, Consumer<Boolean> accepted) {
-		AtomicBoolean reported = new AtomicBoolean();
-		XnioExecutor.Key timer = this.worker.getIoThread().executeAfter(() -> {
-			if (reported.compareAndSet(false, true)) {
-				accepted.accept(false);
-			}
-		}, timeout.toNanos(), TimeUnit.NANOSECONDS);
-		this.pool.connect(target, new ClientCallback<>() {
+		XnioIoThread thread = this.pool.ioThread();
+		thread.execute(() -> new ConnectionCheck(thread, accepted).start(this.pool, target, timeout));
+	}
 
-			@Override
-			public void completed(ClientConnection connection) {
-				ConnectionPool.abort(connection);
-				report(true);
-			}
+	@Override
+	public void close() {
+		this.pool.close();
+		this.worker.shutdownNow();
+	}
 
-			@Override
-			public void failed(IOException ex) {
+	/** Uses one I/O thread only. */
+	private static final class ConnectionCheck implements ClientCallback<ClientConnection> {
+
+		private final XnioIoThread thread;
+
+		private final Consumer<Boolean> accepted;
+
+		private boolean reported;
+
+		private ConnectionCheck(XnioIoThread thread, Consumer<Boolean> accepted) {
+			this.thread = thread;
+			this.accepted = accepted;
+		}
+
+		private void start(ConnectionPool pool, URI target, Duration timeout) {
+			try {
+				pool.connect(this.thread, target, this);
+			}
+			catch (IllegalArgumentException ex) {
 				report(false);
+				return;
 			}
+			PeerTimeout.schedule(this.thread, timeout, () -> report(false));
+		}
 
-			private void report(boolean result) {
-				if (reported.compareAndSet(false, true)) {
-					timer.remove();
-					accepted.accept(result);
-				}
-			}
+		@Override
+		public void completed(ClientConnection connection) {
+			ConnectionPool.abort(connection);
+			report(true);
+		}
 
-		});
-	}
+		@Override
+		public void failed(IOException ex) {
+			report(false);
+		}
+
+		private void report(boolean result) {
+			if (!this.reported) {
+				this.reported = true;
+				this.accepted.accept(result);
+			}
+		}
 
-	@Override
-	public void close() {
-		this.pool.close();
-		this.worker.shutdownNow();
 	}
 
 	private static final class BufferingListener implements HttpResponseListener {
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -27,6 +27,7 @@
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -53,9 +54,11 @@
 
 	private volatile boolean paused;
 
+	private XnioIoThread thread;
+
 	private volatile XnioExecutor.Key timer;
 
-	private volatile XnioExecutor.Key connectTimer;
+	private XnioExecutor.Key connectTimer;
 
 	private volatile XnioExecutor.Key progressTimer;
 
@@ -74,16 +77,27 @@
 	}
 
 	void start() {
+		Optional<ClientConnection> pooled = this.pool.acquire(this.call.target(), this.call.maxReuseIdle());
+		this.thread = pooled.map(ClientConnection::getIoThread).orElseGet(this.pool::ioThread);
 		Duration whole = this.call.timeouts().total();
 		this.timer = schedule(whole, () -> fail(new TimeoutException("no complete response in " + whole)));
-		Optional<ClientConnection> pooled = this.pool.acquire(this.call.target(), this.call.maxReuseIdle());
-		if (pooled.isPresent()) {
-			ClientConnection reused = pooled.get();
-			reused.getIoThread().execute(() -> send(reused));
+		this.thread.execute(() -> pooled.ifPresentOrElse(this::send, this::connect));
+	}
+
+	// Runs on the I/O thread, so that the timeout does not include the time until the
+	// thread is free.
+	private void connect() {
+		if (this.done.get()) {
+			return;
+		}
+		try {
+			this.pool.connect(this.thread, this.call.target(), new Step<>(this::onConnected));
+		}
+		catch (IllegalArgumentException ex) {
+			fail(ex);
 			return;
 		}
 		this.connectTimer = schedule(this.call.timeouts().connect(), this::onConnectTimeout);
-		this.pool.connect(this.call.target(), new Step<>(this::send));
 	}
 
 	private void onConnectTimeout() {
@@ -92,6 +106,16 @@
 		}
 	}
 
+	private void onConnected(ClientConnection established) {
+		if (this.connectTimer != null) {
+			this.connectTimer.remove();
+		}
+		if (!this.done.get()) {
+			this.listener.onConnected();
+		}
+		send(established);
+	}
+
 	// A timeout for the whole response alone would either abort a large response that is
 	// still arriving or detect a stalled one too late. This timeout restarts with each
 	// received chunk; the one for the whole response bounds a slow trickle.
@@ -119,7 +143,7 @@
 	}
 
 	private XnioExecutor.Key schedule(Duration wait, Runnable task) {
-		return this.pool.worker().getIoThread().executeAfter(task, wait.toNanos(), TimeUnit.NANOSECONDS);
+		return PeerTimeout.schedule(this.thread, wait, task);
 	}
 
 	@Override
@@ -143,16 +167,10 @@
 
 	private void send(ClientConnection to) {
 		this.connection = to;
-		if (this.connectTimer != null) {
-			this.connectTimer.remove();
-		}
 		if (this.done.get()) {
 			IoUtils.safeClose(to);
 			return;
 		}
-		if (this.connectTimer != null) {
-			this.listener.onConnected();
-		}
 		URI target = this.call.target();
 		String query = (target.getRawQuery() != null) ? "?" + target.getRawQuery() : "";
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/PooledHttpClientTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/PooledHttpClientTests.java
@@ -27,7 +27,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.endsWith;
@@ -188,6 +190,56 @@
 		}
 	}
 
+	// The I/O thread runs expired timers before it reads from sockets. A delay of this
+	// process must not be taken for a slow server: the connection is established, or the
+	// response received by the kernel, within the timeout.
+	@ParameterizedTest
+	@EnumSource(OwnDelay.class)
+	void delayOfOwnIoThreadIsNoTimeout(OwnDelay delay) {
+		assertThat(this.caller.call(HttpCall.of("GET", at("/name"), LONG)).join().status(), is(200));
+		CompletableFuture<HttpResponse> reply = new CompletableFuture<>();
+		XnioIoThread thread = this.caller.worker().getIoThread();
+		thread.execute(() -> {
+			this.caller.call(delay.call(at("/name"))).whenComplete((response, failure) -> {
+				if (failure == null) {
+					reply.complete(response);
+				}
+				else {
+					reply.completeExceptionally(failure);
+				}
+			});
+			thread.execute(PooledHttpClientTests::delayThread);
+		});
+		assertThat(reply.join().status(), is(200));
+	}
+
+	// A call from another thread waits for the I/O thread before it can connect.
+	@Test
+	void busyIoThreadDelaysConnectTimeout() {
+		this.caller.worker().getIoThread().execute(PooledHttpClientTests::delayThread);
+		assertThat(this.caller.call(HttpCall.of("GET", at("/name"), LONG)).join().status(), is(200));
+	}
+
+	@Test
+	void delayOfOwnIoThreadDoesNotFailConnectionCheck() {
+		CompletableFuture<Boolean> accepted = new CompletableFuture<>();
+		XnioIoThread thread = this.caller.worker().getIoThread();
+		thread.execute(() -> {
+			this.caller.checkConnection(at(""), SHORT, accepted::complete);
+			thread.execute(PooledHttpClientTests::delayThread);
+		});
+		assertThat(accepted.join(), is(true));
+	}
+
+	private static void delayThread() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(600);
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static void answerAll(ServerSocket server) {
 		try {
 			while (!server.isClosed()) {
@@ -333,4 +385,28 @@
 		}
 	}
 
+	private enum OwnDelay {
+
+		WHILE_CONNECTING(HttpTimeouts.total(LONG), Optional.of(Duration.ZERO)),
+
+		BEFORE_RESPONSE(HttpTimeouts.total(LONG).withProgress(SHORT, SHORT), Optional.empty()),
+
+		BEFORE_END(HttpTimeouts.total(SHORT), Optional.empty());
+
+		private final HttpTimeouts timeouts;
+
+		private final Optional<Duration> maxReuseIdle;
+
+		OwnDelay(HttpTimeouts timeouts, Optional<Duration> maxReuseIdle) {
+			this.timeouts = timeouts;
+			this.maxReuseIdle = maxReuseIdle;
+		}
+
+		HttpCall call(URI target) {
+			return new HttpCall("GET", target, Map.of(), new byte[0], this.timeouts, this.maxReuseIdle,
+					Optional.empty());
+		}
+
+	}
+
 }
