A request at a silent runner is tried at a second one without giving the first up

Cause: Dispatcher.cancelStalled ended the dispatch at a runner that had sent nothing for a second before another runner had taken the request. With no other runner, no room, no retry budget, or another runner that refuses or fails, the request ended; also where another one was tried, the first could no longer complete the answer. What callers saw: 502 before the first event and a connection cut after it, though the runner went on a moment later.

Change: silence only opens a second dispatch beside the first, and only to a usable runner that has room now and within the retry budget (HedgePolicy); it is looked for again at each tick. Job holds its open dispatches (Dispatch), each of which is released once (OpenDispatches). On the I/O thread the first dispatch with output cancels the other before it writes and reports that to the state thread, so only one thread decides which one goes on; a second dispatch is not sent if the first has gone on meanwhile. A dispatch that ends leaves the request to the other. Caller's disconnect, deadline and quarantine cancel both; a weights switch only what has not started. A silent runner still counts as broken, once a dispatch, and is usable again as soon as it goes on. New log lines dispatch-hedged and dispatch-superseded, lastOutcome in failed, counters hedges and hedges.ended.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/CallOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/CallOutput.java
@@ -21,9 +21,10 @@
 	void check(RunnerInfo runner);
 
 	/**
-	 * Cancels a request's current dispatch to a runner.
+	 * Cancels a dispatch of a request.
+	 * @param dispatch its number
 	 */
-	void stop(DirectCall call);
+	void stop(DirectCall call, int dispatch);
 
 	/**
 	 * Answers that a request did not run and will not, so that the caller may retry it.
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectCall.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCall.java
@@ -3,14 +3,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import org.wisteriapost.entry.caller.CallerAnswer;
 import org.wisteriapost.policy.dispatch.Job;
 
 /**
- * A request in progress and the {@link ResponseForwarder} that may write its answer.
+ * A request in progress and the {@link ResponseForwarder}s that may write its answer.
  *
- * A request has at most one current forwarder. One that was replaced is cancelled and
+ * A request has two forwarders while one runner is silent and another one is tried. The
+ * first that has output cancels the other before it writes, and one that was cancelled
  * writes nothing more, so an answer never mixes the output of two dispatches.
  */
 final class DirectCall {
@@ -21,7 +23,8 @@
 
 	// The fields below are confined to the I/O thread.
 
-	private Optional<ResponseForwarder> forwarder = Optional.empty();
+	// By the number of the dispatch.
+	private final Map<Integer, ResponseForwarder> forwarders = new TreeMap<>();
 
 	private Optional<RunnerResponse> heldResponse = Optional.empty();
 
@@ -46,17 +49,41 @@
 		return this.request.answer();
 	}
 
+	void addForwarder(int dispatch, ResponseForwarder forwarder) {
+		this.forwarders.put(dispatch, forwarder);
+	}
+
+	/**
+	 * Removes the forwarder of a dispatch that has ended.
+	 */
+	void removeForwarder(int dispatch) {
+		this.forwarders.remove(dispatch);
+	}
+
 	/**
-	 * Replaces the forwarder and cancels the one before.
+	 * Cancels a dispatch, unless it has ended.
 	 */
-	void forwarder(Optional<ResponseForwarder> next) {
-		Optional<ResponseForwarder> previous = this.forwarder;
-		this.forwarder = next;
-		previous.ifPresent(ResponseForwarder::cancel);
+	void cancel(int dispatch) {
+		Optional.ofNullable(this.forwarders.remove(dispatch)).ifPresent(ResponseForwarder::cancel);
 	}
 
-	boolean isForwardedBy(ResponseForwarder candidate) {
-		return this.forwarder.isPresent() && this.forwarder.get() == candidate;
+	/**
+	 * Cancels all dispatches but one and returns their numbers.
+	 */
+	List<Integer> cancelOthers(int dispatch) {
+		List<Integer> others = others(dispatch);
+		others.forEach(this::cancel);
+		return others;
+	}
+
+	/**
+	 * Returns the dispatches that may write the answer, apart from one.
+	 */
+	List<Integer> others(int dispatch) {
+		if (this.forwarders.size() == 1 && this.forwarders.containsKey(dispatch)) {
+			return List.of();
+		}
+		return this.forwarders.keySet().stream().filter((other) -> other != dispatch).toList();
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -64,6 +64,17 @@
 	record DispatchEnded(DirectCall call, int dispatch, DispatchOutcome outcome, String detail) implements DirectEvent {
 	}
 
+	/**
+	 * A dispatch was cancelled because another one of the request has continued the
+	 * answer.
+	 *
+	 * @param call the request
+	 * @param dispatch the number of the dispatch
+	 * @param by the number of the other one
+	 */
+	record DispatchSuperseded(DirectCall call, int dispatch, int by) implements DirectEvent {
+	}
+
 	/**
 	 * All objects of a kind were listed.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -108,10 +108,28 @@
 		this.registry.counter(PREFIX + "dispatches.given.up", "reason", reason.name()).increment();
 	}
 
-	void firstEvent(Job job, long nowNanos) {
+	/**
+	 * Counts a request that is sent to a second runner because the first one is silent.
+	 */
+	void hedged() {
+		this.registry.counter(PREFIX + "hedges").increment();
+	}
+
+	/**
+	 * Counts a request whose answer one of two open dispatches has continued.
+	 * @param by the number of that dispatch
+	 */
+	void superseded(int dispatch, int by) {
+		this.registry.counter(PREFIX + "hedges.ended", "winner", (by < dispatch) ? "first" : "second").increment();
+	}
+
+	/**
+	 * Records the first event of a dispatch.
+	 */
+	void firstEvent(Job job, int dispatch, long nowNanos) {
 		this.firstEvent.record(nowNanos - job.arrivedNanos(), TimeUnit.NANOSECONDS);
 		double predicted = job.predictedMillis();
-		if (predicted > 0) {
+		if (predicted > 0 && dispatch == job.dispatchNumber()) {
 			this.predictionRatio.record(TimeUnit.NANOSECONDS.toMillis(nowNanos - job.sentNanos()) / predicted);
 		}
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -3,8 +3,10 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -26,6 +28,9 @@
  */
 final class DirectOutput implements CallOutput {
 
+	// Dispatches are numbered from 1.
+	private static final int NO_DISPATCH = 0;
+
 	private static final int BAD_GATEWAY = 502;
 
 	private static final int GATEWAY_TIMEOUT = 504;
@@ -65,7 +70,7 @@
 
 	@Override
 	public void send(DirectCall call, DispatchEffect.Send send) {
-		int dispatch = call.job().dispatchNumber();
+		int dispatch = send.dispatch();
 		onIoThread(() -> {
 			if (call.complete()) {
 				// The previous dispatch completed the answer before it was cancelled.
@@ -73,9 +78,15 @@
 						new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.DONE, "answer already complete"));
 				return;
 			}
+			List<Integer> others = call.others(dispatch);
+			if (!others.isEmpty() && call.job().events() != send.events()) {
+				// The other runner has gone on since the second one was chosen.
+				this.events.accept(new DirectEvent.DispatchSuperseded(call, dispatch, others.getFirst()));
+				return;
+			}
 			ResponseForwarder forwarder = new ResponseForwarder(call, dispatch, send.runner(), this.dialect,
 					this.events);
-			call.forwarder(Optional.of(forwarder));
+			call.addForwarder(dispatch, forwarder);
 			forwarder.exchangeStarted(this.caller.stream(outbound(call, send), forwarder));
 		});
 	}
@@ -87,8 +98,8 @@
 	}
 
 	@Override
-	public void stop(DirectCall call) {
-		onIoThread(() -> call.forwarder(Optional.empty()));
+	public void stop(DirectCall call, int dispatch) {
+		onIoThread(() -> call.cancel(dispatch));
 	}
 
 	@Override
@@ -112,7 +123,7 @@
 			if (call.complete()) {
 				return;
 			}
-			call.forwarder(Optional.empty());
+			call.cancelOthers(NO_DISPATCH);
 			int status = timeout ? GATEWAY_TIMEOUT : BAD_GATEWAY;
 			call.answer().refuse(Refusal.outcomeUnknown(status, code.name(), code.summary()));
 		});
@@ -129,8 +140,10 @@
 		Job job = call.job();
 		long remaining = Math.max(1, TimeUnit.NANOSECONDS.toMillis(job.deadlineNanos() - System.nanoTime()));
 		Map<String, String> headers = new LinkedHashMap<>(request.headers());
+		// An event may have been forwarded since the runner was chosen.
+		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : send.weightsVersion();
 		RunnerRequestFields headerFields = new RunnerRequestFields(remaining, send.runner().id(),
-				job.organisation().map(Organisation::name), send.rank(), send.weightsVersion(), job.lastEvent());
+				job.organisation().map(Organisation::name), send.rank(), version, job.lastEvent());
 		this.dialect.runnerHeaders(headerFields).forEach((header) -> headers.put(header.getKey(), header.getValue()));
 		URI target = URI.create("http://" + send.runner().address() + request.target());
 		HttpTimeouts timeouts = HttpTimeouts.total(Duration.ofMillis(remaining).plus(RESPONSE_TIMEOUT_MARGIN));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -155,6 +155,7 @@
 			case DirectEvent.CallerDisconnected disconnected -> callerDisconnected(disconnected.id(), now);
 			case DirectEvent.RunnerConnected connected -> runnerConnected(connected, now);
 			case DirectEvent.FirstEventForwarded first -> firstEventForwarded(first, now);
+			case DirectEvent.DispatchSuperseded superseded -> dispatchSuperseded(superseded, now);
 			case DirectEvent.DispatchEnded ended -> dispatchEnded(ended, now);
 			case DirectEvent.ObjectsListed listed -> objectsListed(listed, now);
 			case DirectEvent.ObjectChanged changed -> objectChanged(changed.kind(), changed.change(), now);
@@ -220,35 +221,47 @@
 	}
 
 	private void runnerConnected(DirectEvent.RunnerConnected connected, long now) {
-		if (connected.dispatch() == connected.call().job().dispatchNumber()) {
-			Job job = connected.call().job();
+		Job job = connected.call().job();
+		if (job.isOpen(connected.dispatch())) {
 			long millis = TimeUnit.NANOSECONDS.toMillis(now - job.sentNanos());
 			if (millis >= SLOW_CONNECTION_MILLIS) {
 				this.log.decision("slow-connection", "attempt", job.attemptId(), "dispatch", connected.dispatch(), "ms",
 						millis);
 			}
-			this.dispatcher.connectionEstablished(job, now);
+			this.dispatcher.connectionEstablished(job, connected.dispatch(), now);
 		}
 	}
 
 	private void firstEventForwarded(DirectEvent.FirstEventForwarded first, long now) {
-		if (first.dispatch() == first.call().job().dispatchNumber()) {
-			this.metrics.firstEvent(first.call().job(), now);
-			this.dispatcher.firstEventSent(first.call().job(), now);
+		Job job = first.call().job();
+		if (job.isOpen(first.dispatch())) {
+			this.metrics.firstEvent(job, first.dispatch(), now);
+			this.dispatcher.firstEventSent(job, first.dispatch(), now);
+		}
+	}
+
+	private void dispatchSuperseded(DirectEvent.DispatchSuperseded superseded, long now) {
+		Job job = superseded.call().job();
+		if (job.isOpen(superseded.dispatch())) {
+			this.log.decision("dispatch-superseded", "attempt", job.attemptId(), "dispatch", superseded.dispatch(),
+					"by", superseded.by());
+			this.metrics.superseded(superseded.dispatch(), superseded.by());
+			this.dispatcher.dispatchSuperseded(job, superseded.dispatch(), superseded.by(), now);
 		}
 	}
 
 	private void dispatchEnded(DirectEvent.DispatchEnded ended, long now) {
 		Job job = ended.call().job();
-		if (ended.dispatch() != job.dispatchNumber()) {
+		if (!job.isOpen(ended.dispatch())) {
 			return;
 		}
 		this.log.decision("dispatch-ended", "attempt", job.attemptId(), "dispatch", ended.dispatch(), "outcome",
 				ended.outcome(), "detail", ended.detail(), "events", job.events(), "ageMs",
 				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
 		this.metrics.dispatchEnded(job, ended.outcome(), now);
-		this.dispatcher.dispatchEnded(job, ended.outcome(), now);
+		this.dispatcher.dispatchEnded(job, ended.dispatch(), ended.outcome(), now);
 		if (ended.outcome() == DispatchOutcome.DONE) {
+			applyEffects();
 			this.calls.remove(job.id());
 		}
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -56,23 +56,28 @@
 
 	private void send(DispatchEffect.Send send, DirectCall call) {
 		Job job = send.job();
-		Object[] inputs = RegionLog.withRegions(job, "attempt", job.attemptId(), "dispatch", job.dispatchNumber(),
-				"request", Long.toHexString(job.contentHash()), "route", job.route().name(), "runner",
-				send.runner().id(), "address", send.runner().address(), "rank", send.rank(), "version",
-				send.weightsVersion(), "table", this.localView.routeTableVersion(), "prompt", job.size().promptTokens(),
-				"answer", job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace",
+		Object[] inputs = RegionLog.withRegions(job, "attempt", job.attemptId(), "dispatch", send.dispatch(), "request",
+				Long.toHexString(job.contentHash()), "route", job.route().name(), "runner", send.runner().id(),
+				"address", send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
+				this.localView.routeTableVersion(), "prompt", job.size().promptTokens(), "answer",
+				job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace",
 				job.statedPace(), "tries", send.requiresNewConnection());
 		this.log.decision("dispatched", inputs);
 		this.metrics.dispatched();
+		send.hedged().ifPresent((silent) -> {
+			this.log.decision("dispatch-hedged", "attempt", job.attemptId(), "dispatch", send.dispatch(), "silent",
+					silent.dispatch(), "idleMs", silent.idleMillis(), "events", send.events());
+			this.metrics.hedged();
+		});
 		this.output.send(call, send);
 	}
 
 	private void cancel(DispatchEffect.Cancel cancel, DirectCall call) {
 		Job job = cancel.job();
-		this.log.decision("dispatch-given-up", "attempt", job.attemptId(), "dispatch", job.dispatchNumber(), "reason",
+		this.log.decision("dispatch-given-up", "attempt", job.attemptId(), "dispatch", cancel.dispatch(), "reason",
 				cancel.reason(), "events", job.events(), "idleMs", cancel.idleMillis());
 		this.metrics.dispatchGivenUp(cancel.reason());
-		this.output.stop(call);
+		this.output.stop(call, cancel.dispatch());
 	}
 
 	private void refuse(DispatchEffect.Refuse refuse, DirectCall call, long nowNanos) {
@@ -91,7 +96,7 @@
 	private void fail(DispatchEffect.Fail fail, DirectCall call) {
 		Job job = fail.job();
 		this.log.failure("failed", "attempt", job.attemptId(), "request", Long.toHexString(job.contentHash()), "code",
-				fail.code().name(), "events", job.events());
+				fail.code().name(), "events", job.events(), "lastOutcome", job.lastOutcome());
 		this.metrics.answered("failed", fail.code().name());
 		this.output.fail(call, fail.code(), fail.timeout());
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
@@ -50,6 +51,8 @@
 
 	private List<Map.Entry<String, String>> headers = List.of();
 
+	private OptionalInt weightsVersion = OptionalInt.empty();
+
 	private boolean streaming;
 
 	private boolean finished;
@@ -124,10 +127,8 @@
 		this.headers = endToEndHeaders(all);
 		String type = first.getOrDefault("content-type", "");
 		this.streaming = code == SUCCESS && type.startsWith("text/event-stream");
-		if (!this.call.headSent()) {
-			this.call.job().recordWeightsVersion(reply.weightsVersion());
-		}
-		else if (!this.streaming) {
+		this.weightsVersion = reply.weightsVersion();
+		if (this.call.headSent() && !this.streaming) {
 			// A stream that was begun cannot be continued by a plain response.
 			end(DispatchOutcome.BROKEN, "no stream on resuming: status " + code);
 			cancel();
@@ -175,6 +176,8 @@
 			end(DispatchOutcome.ERROR, "status " + this.status);
 			return;
 		}
+		supersedeOthers();
+		this.call.job().recordWeightsVersion(this.weightsVersion);
 		this.call.markComplete();
 		this.call.answer().complete(whole.status(), whole.headers(), "", whole.body());
 		end(DispatchOutcome.DONE, "status " + this.status);
@@ -228,8 +231,18 @@
 		end(DispatchOutcome.DONE, "status " + this.status);
 	}
 
+	// Called before anything is written, and again for each output: another dispatch may
+	// have been sent since.
+	private void supersedeOthers() {
+		this.call.cancelOthers(this.dispatch)
+			.forEach(
+					(other) -> this.events.accept(new DirectEvent.DispatchSuperseded(this.call, other, this.dispatch)));
+	}
+
 	private void startResponse() {
+		supersedeOthers();
 		if (!this.call.headSent()) {
+			this.call.job().recordWeightsVersion(this.weightsVersion);
 			this.call.markHeadSent();
 			this.call.answer().start(this.status, this.headers, "");
 		}
@@ -237,6 +250,7 @@
 
 	private void end(DispatchOutcome outcome, String detail) {
 		this.finished = true;
+		this.call.removeForwarder(this.dispatch);
 		this.events.accept(new DirectEvent.DispatchEnded(this.call, this.dispatch, outcome, detail));
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
@@ -122,6 +122,14 @@
 				new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 	}
 
+	/**
+	 * Replaces the runners that the entry knows.
+	 */
+	void replaceRunners(List<String> runnerAddresses) {
+		this.loop
+			.put(new DirectEvent.ObjectsListed(ObjectKind.RUNNERS, objects(ObjectKind.RUNNERS, runnerAddresses), 6));
+	}
+
 	/**
 	 * Sends a request for a stream.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/CancelReason.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/CancelReason.java
@@ -14,7 +14,7 @@
 	QUARANTINED,
 	/** The runner has not started the request before a newer weights version. */
 	NOT_STARTED_IN_TIME,
-	/** The runner has sent nothing for longer than usual. */
-	RUNNER_SILENT
+	/** Another dispatch of the request has continued its answer. */
+	SUPERSEDED
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/DispatchEffect.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 
 import org.wisteriapost.kernel.Code;
@@ -16,27 +17,40 @@
 	 * Sends the request to a runner.
 	 *
 	 * @param job the request
+	 * @param dispatch the number of the dispatch
 	 * @param runner the target runner
 	 * @param rank admission rank at the runner, from 0 (first) to 9 (last)
 	 * @param weightsVersion the only weights version on which the request may run, if it
 	 * matters
 	 * @param requiresNewConnection whether the request may only be sent over a newly
 	 * established connection, because the network path to the runner may be blocked
+	 * @param events the events that the caller had been sent when this was decided
+	 * @param hedged the dispatch that stays open beside this one, as its runner is silent
 	 */
-	record Send(Job job, RunnerInfo runner, int rank, OptionalInt weightsVersion,
-			boolean requiresNewConnection) implements DispatchEffect {
+	record Send(Job job, int dispatch, RunnerInfo runner, int rank, OptionalInt weightsVersion,
+			boolean requiresNewConnection, int events, Optional<Hedged> hedged) implements DispatchEffect {
 	}
 
 	/**
-	 * Cancels the current dispatch of the request and closes its connection to the
-	 * runner.
+	 * A dispatch at a silent runner.
+	 *
+	 * @param dispatch its number
+	 * @param idleMillis the time since the last output of the runner, or since the
+	 * request was sent to it
+	 */
+	record Hedged(int dispatch, long idleMillis) {
+	}
+
+	/**
+	 * Cancels a dispatch of the request and closes its connection to the runner.
 	 *
 	 * @param job the request
+	 * @param dispatch the number of the dispatch
 	 * @param reason why the dispatch is given up
 	 * @param idleMillis the time since the last output of the runner, or since the
 	 * request was sent to it
 	 */
-	record Cancel(Job job, CancelReason reason, long idleMillis) implements DispatchEffect {
+	record Cancel(Job job, int dispatch, CancelReason reason, long idleMillis) implements DispatchEffect {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -6,13 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.fleet.TargetWeights;
 import org.wisteriapost.policy.quarantine.RequestQuarantine;
+import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.RouteTable;
 
 /**
@@ -20,7 +20,8 @@
  * {@link DispatchEffect}s.
  *
  * {@link Placement} chooses the runner, {@link AdmissionPolicy} decides how long to wait
- * for one, and {@link RetryPolicy} decides how to continue when a runner failed.
+ * for one, {@link RetryPolicy} decides how to continue when a runner failed, and
+ * {@link HedgePolicy} whether to try a second runner while the first one is silent.
  */
 public final class Dispatcher {
 
@@ -56,6 +57,10 @@
 
 	private final FinalResponses responses;
 
+	private final OpenDispatches dispatches;
+
+	private final HedgePolicy hedges;
+
 	private final Map<Long, Job> jobs = new LinkedHashMap<>();
 
 	private final WaitingRequests waiting = new WaitingRequests();
@@ -64,8 +69,6 @@
 
 	private List<DispatchEffect> pendingEffects = new ArrayList<>();
 
-	private EntryCount entryCount = EntryCount.unpartitioned(1);
-
 	private Dispatcher(DispatchLimits limits, UniformRandomProvider random) {
 		this.registry = new RunnerRegistry(new RunnerSubset(limits.failureDomain(), random.nextLong()));
 		this.peerLoads = new PeerLoads(this.registry);
@@ -83,6 +86,10 @@
 		this.admission = new AdmissionPolicy(this.contention, this.evacuated, limits.finalRefusals(), random);
 		this.retryPolicy = new RetryPolicy();
 		this.responses = new FinalResponses(this.admission, (effect) -> this.pendingEffects.add(effect));
+		this.dispatches = new OpenDispatches(this.placement, this.admission, this.retryPolicy, this.poisonGuard,
+				this.rateLimits, this.latencies, (effect) -> this.pendingEffects.add(effect));
+		this.hedges = new HedgePolicy(this.placement, this.admission, this.poisonGuard, this.retryPolicy,
+				this.retryBudgets);
 	}
 
 	/**
@@ -212,7 +219,7 @@
 	 * Updates the number of entries.
 	 */
 	public void updateEntryCount(EntryCount count) {
-		this.entryCount = count;
+		this.retryBudgets.updateEntryCount(count.total());
 		this.placement.updateEntryCount(count);
 		this.admission.updateEntryCount(count);
 	}
@@ -238,38 +245,53 @@
 	 * Records that the connection for a request was established; the request is now sent
 	 * over it.
 	 */
-	public void connectionEstablished(Job job, long nowNanos) {
-		job.runner.ifPresent((runner) -> {
-			runner.path.connected(job.sentNanos);
+	public void connectionEstablished(Job job, int dispatch, long nowNanos) {
+		job.openDispatch(dispatch).ifPresent((open) -> {
+			open.runner.path.connected(open.sentNanos);
 			placeWaiting(nowNanos);
 		});
 	}
 
 	/**
-	 * Records that the first event of a response was sent to the caller.
+	 * Records that the first event of a dispatch was sent to the caller.
 	 */
-	public void firstEventSent(Job job, long nowNanos) {
-		if (job.finished || job.firstEventSent || job.runner.isEmpty()) {
-			return;
-		}
-		job.firstEventSent = true;
-		job.responseStarted = true;
-		RunnerState runner = job.runner.get();
-		runner.firstEvent(job);
-		this.poisonGuard.quarantine().runnerAnswered(runner.info, nowNanos);
-		this.rateLimits.answered(job, runner, nowNanos);
-		this.latencies.firstEvent(job, runner, nowNanos);
-		placeWaiting(nowNanos);
+	public void firstEventSent(Job job, int dispatch, long nowNanos) {
+		job.openDispatch(dispatch).filter((open) -> !open.firstEventSent).ifPresent((open) -> {
+			this.dispatches.firstEventSent(open, nowNanos);
+			placeWaiting(nowNanos);
+		});
 	}
 
 	/**
-	 * Records the outcome of the latest dispatch of a request.
+	 * Records that a dispatch was cancelled because another one has continued the answer.
+	 * @param by the number of the other dispatch
 	 */
-	public void dispatchEnded(Job job, DispatchOutcome outcome, long nowNanos) {
-		release(job, outcome, nowNanos);
-		if (job.finished) {
-			return;
-		}
+	public void dispatchSuperseded(Job job, int dispatch, int by, long nowNanos) {
+		job.openDispatch(dispatch).ifPresent((open) -> {
+			this.dispatches.cancel(open, CancelReason.SUPERSEDED, nowNanos);
+			job.openDispatch(by).ifPresent(this.dispatches::continued);
+			if (job.openDispatches().isEmpty()) {
+				// The other one was cancelled by this thread at the same time.
+				retryOrEnd(job, DispatchOutcome.BROKEN, nowNanos);
+			}
+			placeWaiting(nowNanos);
+		});
+	}
+
+	/**
+	 * Records the outcome of a dispatch.
+	 */
+	public void dispatchEnded(Job job, int dispatch, DispatchOutcome outcome, long nowNanos) {
+		job.openDispatch(dispatch).ifPresent((open) -> {
+			this.dispatches.ended(open, outcome, nowNanos);
+			if (job.openDispatches().isEmpty()) {
+				lastDispatchEnded(job, outcome, nowNanos);
+			}
+			placeWaiting(nowNanos);
+		});
+	}
+
+	private void lastDispatchEnded(Job job, DispatchOutcome outcome, long nowNanos) {
 		switch (this.retryPolicy.decide(job, outcome)) {
 			case FINISH -> finish(job);
 			case FORWARD_ERROR -> {
@@ -279,7 +301,6 @@
 			case FAIL -> endWithoutRetry(job, outcome, nowNanos);
 			case RETRY -> retry(job, outcome, nowNanos);
 		}
-		placeWaiting(nowNanos);
 	}
 
 	/**
@@ -287,7 +308,7 @@
 	 */
 	public void callerDisconnected(Job job, long nowNanos) {
 		if (!job.finished) {
-			cancel(job, CancelReason.CALLER_DISCONNECTED, nowNanos);
+			this.dispatches.cancelAll(job, CancelReason.CALLER_DISCONNECTED, nowNanos);
 			finish(job);
 			placeWaiting(nowNanos);
 		}
@@ -303,37 +324,47 @@
 			if (nowNanos >= job.deadlineNanos()) {
 				expire(job, nowNanos);
 			}
-			else if (job.runner.isPresent()) {
-				watch(job, job.runner.get(), nowNanos);
+			else if (!job.openDispatches().isEmpty()) {
+				watch(job, nowNanos);
 			}
 		}
 		this.waiting.retryAll((job) -> placeOrKeepWaiting(job, 0, nowNanos));
 	}
 
-	private void watch(Job job, RunnerState runner, long nowNanos) {
-		this.latencies.waiting(job, runner, nowNanos);
+	private void watch(Job job, long nowNanos) {
+		this.dispatches.recordWaits(job, nowNanos);
 		if (job.events() == 0 && this.poisonGuard.remainingNanos(job, nowNanos).isPresent()) {
-			cancel(job, CancelReason.QUARANTINED, nowNanos);
+			this.dispatches.cancelAll(job, CancelReason.QUARANTINED, nowNanos);
 			endIfQuarantined(job, nowNanos);
+			return;
 		}
-		else if (this.placement.startDeadlinePassed(job, this.engineSpecs.of(job.service()), nowNanos)) {
-			cancelUnstarted(job, nowNanos);
-		}
-		else if (this.retryPolicy.stalled(job, nowNanos)) {
-			cancelStalled(job, nowNanos);
-		}
+		cancelUnstarted(job, nowNanos);
+		this.dispatches.watchSilence(job, nowNanos);
+		this.hedges.secondRunner(job, this.engineSpecs.of(job.service()), nowNanos)
+			.ifPresent((choice) -> send(job, choice, nowNanos));
 	}
 
-	// The request is cancelled because of a weights switch, which is not a failure of
-	// the runner. It may have just started, so it is sent to another runner only if it
-	// may run twice.
+	// A dispatch is cancelled because of a weights switch, which is not a failure of the
+	// runner. It may have just started, so the request is sent to another runner only if
+	// it may run twice.
 	private void cancelUnstarted(Job job, long nowNanos) {
-		cancel(job, CancelReason.NOT_STARTED_IN_TIME, nowNanos);
+		Optional<EngineSpec> engine = this.engineSpecs.of(job.service());
+		List<Dispatch> unstarted = job.openDispatches()
+			.stream()
+			.filter((dispatch) -> this.placement.startDeadlinePassed(dispatch, engine, nowNanos))
+			.toList();
+		unstarted.forEach((dispatch) -> this.dispatches.cancel(dispatch, CancelReason.NOT_STARTED_IN_TIME, nowNanos));
+		if (job.openDispatches().isEmpty()) {
+			retryOrEnd(job, DispatchOutcome.BROKEN, nowNanos);
+		}
+	}
+
+	private void retryOrEnd(Job job, DispatchOutcome outcome, long nowNanos) {
 		if (this.retryPolicy.canRetry(job)) {
-			retry(job, DispatchOutcome.BROKEN, nowNanos);
+			retry(job, outcome, nowNanos);
 		}
 		else {
-			endWithoutRetry(job, DispatchOutcome.BROKEN, nowNanos);
+			endWithoutRetry(job, outcome, nowNanos);
 		}
 	}
 
@@ -342,7 +373,7 @@
 			return;
 		}
 		boolean chargesBudget = outcome != DispatchOutcome.NOT_SENT;
-		if (chargesBudget && !this.retryBudgets.of(job.service()).tryAcquire(this.entryCount.total(), nowNanos)) {
+		if (chargesBudget && !this.retryBudgets.tryAcquire(job.service(), nowNanos)) {
 			endWithoutRetry(job, outcome, nowNanos);
 			return;
 		}
@@ -365,7 +396,7 @@
 	}
 
 	private void expire(Job job, long nowNanos) {
-		cancel(job, CancelReason.DEADLINE_PASSED, nowNanos);
+		this.dispatches.cancelAll(job, CancelReason.DEADLINE_PASSED, nowNanos);
 		finish(job);
 		this.responses.deadlineExceeded(job, nowNanos);
 	}
@@ -400,48 +431,17 @@
 	}
 
 	private void send(Job job, Placement.Choice choice, long nowNanos) {
-		RunnerState runner = choice.runner().orElseThrow();
 		if (job.dispatchCount == 0) {
-			this.retryBudgets.of(job.service()).recordFirstDispatch();
+			this.retryBudgets.recordFirstDispatch(job.service());
 			this.admission.admitted(job, nowNanos);
 		}
-		job.dispatchedTo(runner, choice, this.admission.isLate(job, nowNanos), nowNanos);
-		boolean requiresNewConnection = this.placement.requiresNewConnection(runner, this.engineSpecs.of(job.service()),
-				nowNanos);
-		runner.sent(job, requiresNewConnection, nowNanos);
-		OptionalInt version = (job.events() > 0) ? job.weightsVersion() : choice.requiredVersion();
-		this.pendingEffects.add(new DispatchEffect.Send(job, runner.info, this.admission.rank(job, nowNanos), version,
-				requiresNewConnection));
+		this.dispatches.send(job, choice, this.engineSpecs.of(job.service()), nowNanos);
 	}
 
 	private void placeWaiting(long nowNanos) {
 		this.waiting.retry((job) -> placeOrKeepWaiting(job, 0, nowNanos));
 	}
 
-	private void release(Job job, DispatchOutcome outcome, long nowNanos) {
-		job.runner.ifPresent((runner) -> {
-			runner.ended(job, outcome, nowNanos);
-			this.poisonGuard.dispatchEnded(job, runner, outcome, nowNanos);
-			this.rateLimits.answered(job, runner, nowNanos);
-			job.possibleRuns -= outcome.certainlyNotRun() ? 1 : 0;
-		});
-		job.runner = Optional.empty();
-	}
-
-	private void cancel(Job job, CancelReason reason, long nowNanos) {
-		job.runner.ifPresent((runner) -> {
-			runner.cancelled(job, nowNanos);
-			this.pendingEffects.add(new DispatchEffect.Cancel(job, reason, job.idleMillis(nowNanos)));
-		});
-		job.runner = Optional.empty();
-	}
-
-	private void cancelStalled(Job job, long nowNanos) {
-		release(job, DispatchOutcome.BROKEN, nowNanos);
-		this.pendingEffects.add(new DispatchEffect.Cancel(job, CancelReason.RUNNER_SILENT, job.idleMillis(nowNanos)));
-		retry(job, DispatchOutcome.BROKEN, nowNanos);
-	}
-
 	private void finish(Job job) {
 		job.finished = true;
 		this.jobs.remove(job.id());
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/FirstEventLatencies.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/FirstEventLatencies.java
@@ -14,9 +14,9 @@
 	/**
 	 * Records the wait so far of a request at a model engine.
 	 */
-	void waiting(Job job, RunnerState runner, long nowNanos) {
-		if (job.nominalMillis > 0 && !job.firstEventSent) {
-			runner.firstEventWaits.recordWait(job.sentAsLate, nowNanos - job.sentNanos, nowNanos);
+	void waiting(Dispatch dispatch, long nowNanos) {
+		if (dispatch.nominalMillis > 0 && !dispatch.firstEventSent) {
+			dispatch.runner.firstEventWaits.recordWait(dispatch.sentAsLate, nowNanos - dispatch.sentNanos, nowNanos);
 		}
 	}
 
@@ -24,15 +24,16 @@
 	 * Records the first event of a request at a model engine. Slowness that the engine
 	 * had stated when the request was sent is not learned as well.
 	 */
-	void firstEvent(Job job, RunnerState runner, long nowNanos) {
-		if (job.nominalMillis <= 0) {
+	void firstEvent(Dispatch dispatch, long nowNanos) {
+		if (dispatch.nominalMillis <= 0) {
 			return;
 		}
-		long waitNanos = nowNanos - job.sentNanos;
-		runner.firstEventWaits.recordWait(job.sentAsLate, waitNanos, nowNanos);
-		double ratio = waitNanos / (job.nominalMillis * job.statedPace * Placement.NANOS_PER_MILLI);
-		runner.recordLatencyRatio(ratio / this.factors.of(job.service()));
-		this.factors.recordRatio(job.service(), ratio);
+		long waitNanos = nowNanos - dispatch.sentNanos;
+		dispatch.runner.firstEventWaits.recordWait(dispatch.sentAsLate, waitNanos, nowNanos);
+		double ratio = waitNanos / (dispatch.nominalMillis * dispatch.statedPace * Placement.NANOS_PER_MILLI);
+		String service = dispatch.job.service();
+		dispatch.runner.recordLatencyRatio(ratio / this.factors.of(service));
+		this.factors.recordRatio(service, ratio);
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -1,12 +1,15 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.policy.admission.AdmissionStanding;
 import org.wisteriapost.policy.region.AllowedRegions;
@@ -49,9 +52,15 @@
 
 	private volatile OptionalInt weightsVersion = OptionalInt.empty();
 
-	private volatile Optional<NamedLimit> namedLimit = Optional.empty();
+	// By the number of the dispatch.
+	private volatile Map<Integer, OptionalDouble> namedLimits = Map.of();
 
-	Optional<RunnerState> runner = Optional.empty();
+	// In the order in which they were sent; two while a runner is silent.
+	private final List<Dispatch> open = new ArrayList<>(2);
+
+	private Optional<Dispatch> latest = Optional.empty();
+
+	private Optional<DispatchOutcome> lastOutcome = Optional.empty();
 
 	final Set<String> triedRunners = new HashSet<>();
 
@@ -60,27 +69,12 @@
 	// Dispatches that may have been executed.
 	int possibleRuns;
 
-	long sentNanos;
-
-	double predictedMillis;
-
-	double nominalMillis;
-
-	// The pace that the runner of the latest dispatch had stated when it was sent.
-	double statedPace = 1;
-
 	// Arrival time of the first known attempt of the request.
 	long firstAttemptNanos;
 
-	// Whether the latest dispatch was given the rank of late requests.
-	boolean sentAsLate;
-
 	// Whether any dispatch of the request has sent an event to the caller.
 	boolean responseStarted;
 
-	// Whether the latest dispatch has sent an event to the caller.
-	boolean firstEventSent;
-
 	boolean finished;
 
 	// As of the latest attempt to place the request.
@@ -173,21 +167,21 @@
 	 * Returns the predicted time from the latest dispatch to the first event.
 	 */
 	public double predictedMillis() {
-		return this.predictedMillis;
+		return this.latest.map((dispatch) -> dispatch.predictedMillis).orElse(0.0);
 	}
 
 	/**
 	 * Returns the pace that the runner had stated at the latest dispatch.
 	 */
 	public double statedPace() {
-		return this.statedPace;
+		return this.latest.map((dispatch) -> dispatch.statedPace).orElse(1.0);
 	}
 
 	/**
 	 * Returns the time of the latest dispatch.
 	 */
 	public long sentNanos() {
-		return this.sentNanos;
+		return this.latest.map((dispatch) -> dispatch.sentNanos).orElse(0L);
 	}
 
 	/**
@@ -198,13 +192,28 @@
 	}
 
 	/**
-	 * Returns the number of the latest dispatch, starting at 1. Events of earlier
-	 * dispatches are ignored.
+	 * Returns the number of the latest dispatch, starting at 1.
 	 */
 	public int dispatchNumber() {
 		return this.dispatchCount;
 	}
 
+	/**
+	 * Returns whether a dispatch has been sent and has neither ended nor been cancelled.
+	 * Events of others are ignored.
+	 * @param dispatch its number
+	 */
+	public boolean isOpen(int dispatch) {
+		return openDispatch(dispatch).isPresent();
+	}
+
+	/**
+	 * Returns how the dispatch that was the last to end has ended, if any has.
+	 */
+	public Optional<DispatchOutcome> lastOutcome() {
+		return this.lastOutcome;
+	}
+
 	/**
 	 * Returns the id of the last event that the caller has received.
 	 */
@@ -265,59 +274,75 @@
 	 * @param perSecond the requests a second that the runner takes; empty for no limit
 	 */
 	public void recordNamedLimit(int dispatch, OptionalDouble perSecond) {
-		this.namedLimit = Optional.of(new NamedLimit(dispatch, perSecond));
+		Map<Integer, OptionalDouble> changed = new HashMap<>(this.namedLimits);
+		changed.put(dispatch, perSecond);
+		this.namedLimits = Map.copyOf(changed);
 	}
 
 	/**
-	 * Returns what the response to the latest dispatch has named, once its head was read.
+	 * Returns what the response to a dispatch has named, once its head was read.
 	 */
-	Optional<NamedLimit> namedLimit() {
-		return this.namedLimit.filter((named) -> named.dispatch == this.dispatchCount);
+	Optional<OptionalDouble> namedLimit(int dispatch) {
+		return Optional.ofNullable(this.namedLimits.get(dispatch));
 	}
 
 	/**
-	 * Records a dispatch to a runner.
+	 * Opens a dispatch to the chosen runner.
 	 * @param late whether the request has the rank of late requests
 	 */
-	void dispatchedTo(RunnerState target, Placement.Choice choice, boolean late, long nowNanos) {
+	Dispatch open(Placement.Choice choice, boolean late, long nowNanos) {
 		this.dispatchCount++;
 		this.possibleRuns++;
-		this.triedRunners.add(target.info.id());
-		this.runner = Optional.of(target);
-		this.sentNanos = nowNanos;
-		this.sentAsLate = late;
-		this.statedPace = target.pace(nowNanos);
-		this.firstEventSent = false;
-		this.predictedMillis = choice.predictedMillis();
-		this.nominalMillis = choice.engine() ? choice.nominalMillis() : 0;
+		Dispatch dispatch = Dispatch.create(this, this.dispatchCount, choice, late, nowNanos);
+		this.triedRunners.add(dispatch.runner.info.id());
+		this.open.add(dispatch);
+		this.latest = Optional.of(dispatch);
+		return dispatch;
 	}
 
 	/**
-	 * Returns the time of the last event, or of the latest dispatch if there was no event
-	 * since.
+	 * Closes a dispatch that has ended.
 	 */
-	long lastProgressNanos() {
-		return (this.events > 0) ? Math.max(this.lastEventNanos, this.sentNanos) : this.sentNanos;
+	void closed(Dispatch dispatch, DispatchOutcome outcome) {
+		this.lastOutcome = Optional.of(outcome);
+		this.possibleRuns -= outcome.certainlyNotRun() ? 1 : 0;
+		closed(dispatch);
 	}
 
 	/**
-	 * Returns the time since the last progress.
+	 * Closes a dispatch that was cancelled.
 	 */
-	long idleMillis(long nowNanos) {
-		return TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos());
+	void closed(Dispatch dispatch) {
+		this.open.remove(dispatch);
 	}
 
-	boolean isStream() {
-		return this.route.kind() == RouteKind.STREAM;
+	/**
+	 * Returns the open dispatches in the order in which they were sent.
+	 */
+	List<Dispatch> openDispatches() {
+		return this.open;
+	}
+
+	Optional<Dispatch> openDispatch(int number) {
+		return this.open.stream().filter((dispatch) -> dispatch.number == number).findFirst();
 	}
 
 	/**
-	 * The rate limit that the response to a dispatch names.
-	 *
-	 * @param dispatch the number of the dispatch
-	 * @param perSecond the requests a second that the runner takes; empty for no limit
+	 * Returns whether a dispatch to the runner is open.
 	 */
-	record NamedLimit(int dispatch, OptionalDouble perSecond) {
+	boolean isAt(RunnerState runner) {
+		return this.open.stream().anyMatch((dispatch) -> dispatch.runner == runner);
+	}
+
+	/**
+	 * Returns the time of the last event that was sent to the caller.
+	 */
+	OptionalLong lastEventNanos() {
+		return (this.events > 0) ? OptionalLong.of(this.lastEventNanos) : OptionalLong.empty();
+	}
+
+	boolean isStream() {
+		return this.route.kind() == RouteKind.STREAM;
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -238,9 +238,8 @@
 	/**
 	 * Returns whether a request has not started in time at its runner.
 	 */
-	boolean startDeadlinePassed(Job job, Optional<EngineSpec> engine, long nowNanos) {
-		return !job.firstEventSent
-				&& job.runner.map((runner) -> nowNanos >= startDeadlineNanos(runner, engine)).orElse(false);
+	boolean startDeadlinePassed(Dispatch dispatch, Optional<EngineSpec> engine, long nowNanos) {
+		return !dispatch.firstEventSent && nowNanos >= startDeadlineNanos(dispatch.runner, engine);
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
@@ -24,6 +24,13 @@
 		return this.quarantine.remainingNanos(job.contentHash(), nowNanos);
 	}
 
+	/**
+	 * Returns whether a request is in quarantine, or may be after a loss is confirmed.
+	 */
+	boolean suspected(Job job, long nowNanos) {
+		return remainingNanos(job, nowNanos).isPresent() || this.quarantine.undecided(job.contentHash());
+	}
+
 	/**
 	 * Records the outcome of a dispatch.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
@@ -121,12 +121,12 @@
 	}
 
 	/**
-	 * Records what the answer to the latest dispatch names, if there is one.
+	 * Records what the answer to a dispatch names, if there is one.
 	 */
-	void answered(Job job, RunnerState runner, long nowNanos) {
-		job.namedLimit().ifPresent((named) -> {
-			if (runner.rateLimit.answered(named.perSecond(), nowNanos)) {
-				changed(runner, "runner", nowNanos);
+	void answered(Dispatch dispatch, long nowNanos) {
+		dispatch.job.namedLimit(dispatch.number).ifPresent((perSecond) -> {
+			if (dispatch.runner.rateLimit.answered(perSecond, nowNanos)) {
+				changed(dispatch.runner, "runner", nowNanos);
 			}
 		});
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RetryPolicy.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RetryPolicy.java
@@ -4,11 +4,12 @@
 
 /**
  * Decides how a request continues after a failed dispatch, and when a runner without
- * output counts as failed.
+ * output counts as silent.
  *
  * Runners crash, become unreachable or lose responses under load. A request that must run
  * at most once must not run twice, and a stream must not wait for a dead runner until its
- * caller disconnects.
+ * caller disconnects. A sound runner may be silent for seconds too, so a silent runner is
+ * a reason to try another one and none to end the dispatch.
  */
 final class RetryPolicy {
 
@@ -35,19 +36,20 @@
 	}
 
 	/**
-	 * Returns whether a request that may be retried has waited too long for output of its
-	 * runner.
+	 * Returns whether a request that may be retried has waited longer than usual for
+	 * output of the runner of a dispatch.
 	 */
-	boolean stalled(Job job, long nowNanos) {
+	boolean stalled(Dispatch dispatch, long nowNanos) {
+		Job job = dispatch.job;
 		if (!canRetry(job)) {
 			return false;
 		}
-		long idleNanos = nowNanos - job.lastProgressNanos();
+		long idleNanos = nowNanos - dispatch.lastProgressNanos();
 		if (!job.isStream()) {
 			return idleNanos > PLAIN_TIMEOUT_FACTOR * job.route().targetLatency().toNanos();
 		}
 		if (job.events() == 0) {
-			double expectedNanos = job.predictedMillis * Placement.NANOS_PER_MILLI
+			double expectedNanos = dispatch.predictedMillis * Placement.NANOS_PER_MILLI
 					+ job.route().targetLatency().toNanos();
 			return idleNanos > Math.max(STREAM_IDLE_TIMEOUT_NANOS, FIRST_EVENT_TIMEOUT_FACTOR * expectedNanos);
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerEligibility.java
@@ -40,6 +40,9 @@
 				|| !this.regions.permits(job.allowedRegions(), runner.info.failureDomain())) {
 			return false;
 		}
+		if (job.isAt(runner)) {
+			return false;
+		}
 		if (job.triedRunners.contains(runner.info.id()) && job.triedRunners.size() < 3) {
 			return false;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerHealth.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerHealth.java
@@ -47,6 +47,9 @@
 	// Whether the cause of the ejection is a failed connection.
 	private boolean ejectedAsUnreachable;
 
+	// Whether the cause of the ejection is that the runner was silent.
+	private boolean ejectedAsSilent;
+
 	// Send time of the latest request that failed.
 	private long lastFailedSentNanos = Long.MIN_VALUE;
 
@@ -98,6 +101,29 @@
 		}
 	}
 
+	/**
+	 * Records that the runner has sent nothing for a request for longer than usual, which
+	 * counts as a broken response until it goes on.
+	 * @param sentNanos the send time of the request
+	 */
+	void silent(long sentNanos, long nowNanos) {
+		boolean ejectedOtherwise = this.ejected && !this.ejectedAsSilent;
+		cancelled(sentNanos);
+		failed(sentNanos);
+		broken(nowNanos);
+		this.ejectedAsSilent = this.ejected && !ejectedOtherwise;
+	}
+
+	/**
+	 * Records that the runner goes on after it was silent. It can be used at once.
+	 */
+	void continued() {
+		this.consecutiveBroken = 0;
+		if (this.ejectedAsSilent) {
+			reinstate();
+		}
+	}
+
 	/**
 	 * Records the outcome of a request.
 	 * @param sentNanos the send time of the request
@@ -110,6 +136,7 @@
 			case NOT_SENT -> {
 				failed(sentNanos);
 				this.ejectedAsUnreachable = true;
+				this.ejectedAsSilent = false;
 				eject(nowNanos);
 			}
 			case DISCONNECTED, BROKEN -> {
@@ -148,6 +175,7 @@
 	private void reinstate() {
 		this.ejected = false;
 		this.ejectedAsUnreachable = false;
+		this.ejectedAsSilent = false;
 		this.probeSentNanos = OptionalLong.empty();
 	}
 
@@ -156,6 +184,7 @@
 		sample(1);
 		if (this.samples >= MIN_ERROR_SAMPLES && this.errorRate > MAX_ERROR_RATE) {
 			this.ejectedAsUnreachable = false;
+			this.ejectedAsSilent = false;
 			eject(nowNanos);
 		}
 	}
@@ -165,6 +194,7 @@
 		sample(1);
 		if (this.consecutiveBroken >= BROKEN_THRESHOLD || this.ejected) {
 			this.ejectedAsUnreachable = false;
+			this.ejectedAsSilent = false;
 			eject(nowNanos);
 		}
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -161,60 +161,77 @@
 	 * @param requiresNewConnection whether the request is only sent over a newly
 	 * established connection
 	 */
-	void sent(Job job, boolean requiresNewConnection, long nowNanos) {
+	void sent(Dispatch dispatch, boolean requiresNewConnection, long nowNanos) {
 		this.capacityShare.recordSend();
 		this.rateLimit.sent(nowNanos);
 		this.coldness.sent(nowNanos);
-		this.ownLoad = this.ownLoad.plus(new InFlightLoad(1, 1, job.size().promptTokens()));
+		this.ownLoad = this.ownLoad.plus(new InFlightLoad(1, 1, dispatch.job.size().promptTokens()));
 		this.health.sent(nowNanos);
 		// The response times of plain services vary too much to judge the network path
 		// by them.
-		if (job.nominalMillis > 0) {
-			this.path.sent(job.predictedMillis * (job.sentAsLate ? LATE_PREDICTION_FACTOR : 1), requiresNewConnection,
-					nowNanos);
+		if (dispatch.nominalMillis > 0) {
+			this.path.sent(dispatch.predictedMillis * (dispatch.sentAsLate ? LATE_PREDICTION_FACTOR : 1),
+					requiresNewConnection, nowNanos);
 		}
 	}
 
-	void firstEvent(Job job) {
-		this.ownLoad = this.ownLoad.plus(new InFlightLoad(0, -1, -job.size().promptTokens()));
-		this.health.firstEvent(job.sentNanos);
-		this.path.answered(job.sentNanos);
+	void firstEvent(Dispatch dispatch) {
+		this.ownLoad = this.ownLoad.plus(new InFlightLoad(0, -1, -dispatch.job.size().promptTokens()));
+		this.health.firstEvent(dispatch.sentNanos);
+		this.path.answered(dispatch.sentNanos);
+	}
+
+	/**
+	 * Records that the runner has sent nothing for a request for longer than usual.
+	 */
+	void silent(Dispatch dispatch, long nowNanos) {
+		this.health.silent(dispatch.sentNanos, nowNanos);
+		this.path.endProbe(dispatch.sentNanos);
 	}
 
 	/**
 	 * Records that a request was cancelled for a reason other than a failure of the
 	 * runner.
 	 */
-	void cancelled(Job job, long nowNanos) {
-		subtractLoad(job);
-		this.health.cancelled(job.sentNanos);
-		this.path.abandoned(job.sentNanos, nowNanos);
+	void cancelled(Dispatch dispatch, long nowNanos) {
+		subtractLoad(dispatch);
+		this.health.cancelled(dispatch.sentNanos);
+		if (dispatch.silent()) {
+			this.path.endProbe(dispatch.sentNanos);
+		}
+		else {
+			this.path.abandoned(dispatch.sentNanos, nowNanos);
+		}
 	}
 
 	/**
 	 * Records the outcome of a request.
 	 */
-	void ended(Job job, DispatchOutcome outcome, long nowNanos) {
-		subtractLoad(job);
-		this.health.ended(outcome, job.sentNanos, nowNanos);
+	void ended(Dispatch dispatch, DispatchOutcome outcome, long nowNanos) {
+		subtractLoad(dispatch);
+		boolean broken = outcome == DispatchOutcome.DISCONNECTED || outcome == DispatchOutcome.BROKEN;
+		// The silence has counted as a broken response.
+		if (!broken || !dispatch.silent()) {
+			this.health.ended(outcome, dispatch.sentNanos, nowNanos);
+		}
 		switch (outcome) {
-			case NOT_SENT, DISCONNECTED, BROKEN -> this.path.endProbe(job.sentNanos);
-			case DONE, ERROR -> this.path.answered(job.sentNanos);
+			case NOT_SENT, DISCONNECTED, BROKEN -> this.path.endProbe(dispatch.sentNanos);
+			case DONE, ERROR -> this.path.answered(dispatch.sentNanos);
 			case FULL -> {
-				this.path.answered(job.sentNanos);
+				this.path.answered(dispatch.sentNanos);
 				full(nowNanos);
 			}
 			case MISDIRECTED -> {
-				this.path.answered(job.sentNanos);
+				this.path.answered(dispatch.sentNanos);
 				misdirected(nowNanos);
 			}
 		}
 	}
 
-	private void subtractLoad(Job job) {
-		boolean firstEventSent = job.firstEventSent;
-		this.ownLoad = this.ownLoad
-			.plus(new InFlightLoad(-1, firstEventSent ? 0 : -1, firstEventSent ? 0 : -job.size().promptTokens()));
+	private void subtractLoad(Dispatch dispatch) {
+		boolean firstEventSent = dispatch.firstEventSent;
+		this.ownLoad = this.ownLoad.plus(new InFlightLoad(-1, firstEventSent ? 0 : -1,
+				firstEventSent ? 0 : -dispatch.job.size().promptTokens()));
 	}
 
 	void updatePeerLoad(String peer, InFlightLoad load, long nowNanos) {
