The soak learns pauses, answers without framing and streams that end within an event

Streams of the soak consist of events, so that SoakCall finds a cut as the agent does (EventBoundary). SoakTests plays seeds 1 to 4, two of them with poison requests.

--- a/standin/src/main/java/org/wisteriapost/standin/soak/Soak.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/Soak.java
@@ -33,7 +33,8 @@
 		long end = System.nanoTime() + seconds * VirtualTime.SECOND;
 		boolean clean = true;
 		do {
-			Map<String, Object> result = run(seed++, virtualSeconds, line.hasOption("poison"));
+			Map<String, Object> result = run(seed++, virtualSeconds, line.hasOption("poison"),
+					line.hasOption("answers"));
 			System.out.println(JsonMapper.builder().build().writeValueAsString(result));
 			clean &= ((Map<?, ?>) result.get("violations")).isEmpty();
 		}
@@ -46,16 +47,18 @@
 	 * @param seconds the virtual time during which faults are injected
 	 */
 	public static Map<String, Object> run(long seed, long seconds) {
-		return run(seed, seconds, false);
+		return run(seed, seconds, false, false);
 	}
 
 	/**
 	 * Runs one seed and returns its counters and violations.
 	 * @param seconds the virtual time during which faults are injected
 	 * @param poison whether callers send requests that crash the runners that run them
+	 * @param disturbedAnswers whether runners pause, omit framing and end streams within
+	 * an event
 	 */
-	public static Map<String, Object> run(long seed, long seconds, boolean poison) {
-		SoakFleet fleet = new SoakFleet(seed, poison);
+	public static Map<String, Object> run(long seed, long seconds, boolean poison, boolean disturbedAnswers) {
+		SoakFleet fleet = new SoakFleet(seed, poison, disturbedAnswers);
 		fleet.run(seconds * VirtualTime.SECOND);
 		Map<String, Object> result = new LinkedHashMap<>();
 		result.put("seed", seed);
@@ -73,6 +76,10 @@
 		Options options = new Options().addOption(option("seed", "first seed, default 1"))
 			.addOption(option("seconds", "time after which no further seed starts, default 30"))
 			.addOption(Option.builder().longOpt("poison").desc("also send requests that crash runners").get())
+			.addOption(Option.builder()
+				.longOpt("answers")
+				.desc("runners also pause, answer without length or chunks, and end streams within an event")
+				.get())
 			.addOption(option("virtual", "virtual seconds with faults in each run, default 300"));
 		try {
 			return new DefaultParser().parse(options, args);
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakCall.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakCall.java
@@ -1,6 +1,10 @@
 package org.wisteriapost.standin.soak;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
 import com.google.protobuf.ByteString;
+import org.wisteriapost.protocol.http.EventBoundary;
 import org.wisteriapost.protocol.wire.Call;
 import org.wisteriapost.protocol.wire.CallData;
 import org.wisteriapost.protocol.wire.CallEnd;
@@ -80,6 +84,9 @@
 
 		private final long number;
 
+		// Only of a stream of events.
+		private Optional<EventBoundary> eventBoundary = Optional.empty();
+
 		private boolean wrongWeights;
 
 		private ResponseForwarder(long number) {
@@ -97,6 +104,7 @@
 					return;
 				}
 				if (!weights.isEmpty()) {
+					this.eventBoundary = Optional.of(new EventBoundary());
 					SoakCall.this.vm.ledger().recordServedWeights(SoakCall.this.vm.name(), weights);
 				}
 				send(Frame.newBuilder()
@@ -110,6 +118,7 @@
 		@Override
 		public void data(String text) {
 			SoakCall.this.vm.step(() -> {
+				this.eventBoundary.ifPresent((boundary) -> boundary.read(text.getBytes(StandardCharsets.UTF_8)));
 				if (!this.wrongWeights) {
 					send(Frame.newBuilder()
 						.setCallData(CallData.newBuilder()
@@ -121,13 +130,18 @@
 
 		@Override
 		public void completed() {
-			SoakCall.this.vm.step(() -> finish(this.wrongWeights ? Outcome.UNKNOWN : Outcome.RAN,
-					this.wrongWeights ? "answer-withheld" : ""));
+			SoakCall.this.vm.step(() -> {
+				if (this.wrongWeights || this.eventBoundary.filter(EventBoundary::withinEvent).isPresent()) {
+					finishCut();
+					return;
+				}
+				finish(Outcome.RAN, "");
+			});
 		}
 
 		@Override
 		public void aborted() {
-			SoakCall.this.vm.step(() -> finish(Outcome.UNKNOWN, this.wrongWeights ? "answer-withheld" : "runner-cut"));
+			SoakCall.this.vm.step(this::finishCut);
 		}
 
 		@Override
@@ -135,6 +149,10 @@
 			SoakCall.this.vm.step(() -> finish(Outcome.NOT_RUN, "runner-refused"));
 		}
 
+		private void finishCut() {
+			finish(Outcome.UNKNOWN, this.wrongWeights ? "answer-withheld" : "runner-cut");
+		}
+
 		private void finish(Outcome outcome, String code) {
 			SoakCall.this.end(outcome, code, 0);
 			SoakCall.this.vm.callEnded(this.number, this.wrongWeights);
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakCallers.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakCallers.java
@@ -153,7 +153,7 @@
 		}
 		StringBuilder expected = new StringBuilder();
 		for (int i = 0; i < SoakRunner.TOKENS; i++) {
-			expected.append(answer.weightsDigest()).append('|').append(requestId).append('|').append(i).append('\n');
+			expected.append(SoakRunner.event(answer.weightsDigest(), requestId, i));
 		}
 		this.fleet.invariants()
 			.holds(body.equals(expected.toString()), "whole-own-answer-of-one-digest", requestId + " got " + body);
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakFleet.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakFleet.java
@@ -49,6 +49,8 @@
 
 	private final SoakFaults faults;
 
+	private final SoakAnswerFaults answerFaults;
+
 	private final Map<String, SoakEntry> entries = new LinkedHashMap<>();
 
 	private final Map<String, SoakVm> vms = new LinkedHashMap<>();
@@ -62,10 +64,13 @@
 	/**
 	 * Creates a fleet.
 	 * @param poison whether callers send requests that crash the runners that run them
+	 * @param disturbedAnswers whether runners pause, omit framing and end streams within
+	 * an event
 	 */
-	SoakFleet(long seed, boolean poison) {
+	SoakFleet(long seed, boolean poison, boolean disturbedAnswers) {
 		this.poison = poison;
 		this.time = new VirtualTime(seed);
+		this.answerFaults = new SoakAnswerFaults(seed, disturbedAnswers, this.ledger);
 		this.platform = new SoakPlatform(this.time);
 		this.operators = new SoakOperators(this);
 		this.faults = new SoakFaults(this);
@@ -247,7 +252,7 @@
 
 	private void startVm(String failureDomain, boolean plain) {
 		String name = "vm-" + this.nextNameNumber++;
-		SoakRunner runner = new SoakRunner(this.time, this.ledger, plain, this.time.chance(0.5));
+		SoakRunner runner = new SoakRunner(this.time, this.ledger, this.answerFaults, plain, this.time.chance(0.5));
 		this.vms.put(name, new SoakVm(this, name, failureDomain, plain ? PLAIN_SERVICE : MODEL_SERVICE, plain, runner));
 	}
 
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakRunner.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakRunner.java
@@ -30,7 +30,9 @@
 
 	private final boolean fencing;
 
-	private final Map<Long, Listener> running = new HashMap<>();
+	private final SoakAnswerFaults answerFaults;
+
+	private final Map<Long, Answer> running = new HashMap<>();
 
 	private final List<AgentEffect.SendOrder> acceptedOrders = new ArrayList<>();
 
@@ -40,9 +42,10 @@
 
 	private int lastNumber;
 
-	SoakRunner(VirtualTime time, SoakLedger ledger, boolean plain, boolean fencing) {
+	SoakRunner(VirtualTime time, SoakLedger ledger, SoakAnswerFaults answerFaults, boolean plain, boolean fencing) {
 		this.time = time;
 		this.ledger = ledger;
+		this.answerFaults = answerFaults;
 		this.plain = plain;
 		this.fencing = fencing;
 	}
@@ -87,9 +90,10 @@
 			return;
 		}
 		this.ledger.recordStart(requestId, key);
-		this.running.put(call, listener);
+		Answer answer = new Answer(listener, this.answerFaults.next(this.plain ? 1 : TOKENS, !this.plain));
+		this.running.put(call, answer);
 		long delayNanos = this.time.randomBetween(5 * VirtualTime.MILLI, 60 * VirtualTime.MILLI);
-		this.time.after(delayNanos, () -> startAnswer(call, requestId, key));
+		this.time.after(delayNanos + answer.plan.pauseNanos(0), () -> startAnswer(call, requestId, key));
 	}
 
 	/**
@@ -101,7 +105,7 @@
 			return;
 		}
 		this.ledger.recordPoisonStart(requestId, this.time.nowNanos());
-		this.running.put(call, listener);
+		this.running.put(call, new Answer(listener, this.answerFaults.next(1, false)));
 		this.time.after(this.time.randomBetween(40 * VirtualTime.MILLI, 160 * VirtualTime.MILLI), () -> {
 			if (this.running.containsKey(call)) {
 				this.ledger.recordPoisonCrash(this.time.nowNanos());
@@ -111,9 +115,9 @@
 	}
 
 	void cancel(long call) {
-		Listener listener = this.running.remove(call);
-		if (listener != null) {
-			this.time.afterNetworkDelay(listener::aborted);
+		Answer answer = this.running.remove(call);
+		if (answer != null) {
+			this.time.afterNetworkDelay(answer.listener::aborted);
 		}
 	}
 
@@ -122,18 +126,39 @@
 	 * the next order. The VM keeps the weights that it has fetched.
 	 */
 	void crash() {
-		List.copyOf(this.running.keySet()).forEach(this::cancel);
+		List.copyOf(this.running.keySet()).forEach(this::crashed);
 		this.weightsDigest = "";
 		this.loading = false;
 		this.acceptedOrders.clear();
 	}
 
+	// Without framing the end of the process looks as the end of the answer does, but for
+	// the event that was being written.
+	private void crashed(long call) {
+		Answer answer = this.running.get(call);
+		if (!answer.streaming || !answer.plan.unframed()) {
+			cancel(call);
+			return;
+		}
+		this.running.remove(call);
+		this.ledger.count("unframedStreamsCrashed");
+		this.time.afterNetworkDelay(() -> endWithinEvent(answer.listener));
+	}
+
+	private void endWithinEvent(Listener listener) {
+		this.ledger.count("streamsCut");
+		listener.data("data: ");
+		listener.completed();
+	}
+
 	private void startAnswer(long call, String requestId, String key) {
-		Listener listener = this.running.get(call);
-		if (listener == null) {
+		Answer started = this.running.get(call);
+		if (started == null) {
 			return;
 		}
+		Listener listener = started.listener;
 		listener.started(this.weightsDigest);
+		started.streaming = !this.plain;
 		if (this.plain) {
 			String answer = key.isEmpty() ? "lookup|" + requestId : "number|" + ++this.lastNumber + "|" + key;
 			listener.data(answer);
@@ -144,21 +169,32 @@
 	}
 
 	private void sendToken(long call, String requestId, int index) {
-		Listener listener = this.running.get(call);
-		if (listener == null) {
+		Answer answer = this.running.get(call);
+		if (answer == null) {
+			return;
+		}
+		if (index == answer.plan.endWithin()) {
+			endWithinEvent(this.running.remove(call).listener);
 			return;
 		}
-		listener.data(this.weightsDigest + "|" + requestId + "|" + index + "\n");
+		answer.listener.data(event(this.weightsDigest, requestId, index));
 		if (index + 1 == TOKENS) {
 			finish(call);
 			return;
 		}
 		long delayNanos = this.time.randomBetween(5 * VirtualTime.MILLI, 200 * VirtualTime.MILLI);
-		this.time.after(delayNanos, () -> sendToken(call, requestId, index + 1));
+		this.time.after(delayNanos + answer.plan.pauseNanos(index + 1), () -> sendToken(call, requestId, index + 1));
 	}
 
 	private void finish(long call) {
-		this.running.remove(call).completed();
+		this.running.remove(call).listener.completed();
+	}
+
+	/**
+	 * Returns the event that carries a token.
+	 */
+	static String event(String weightsDigest, String requestId, int index) {
+		return "data: " + weightsDigest + "|" + requestId + "|" + index + "\n\n";
 	}
 
 	private static boolean older(AgentEffect.SendOrder one, AgentEffect.SendOrder other) {
@@ -168,6 +204,22 @@
 		return one.epoch() < other.epoch();
 	}
 
+	/** An answer in progress. */
+	private static final class Answer {
+
+		private final Listener listener;
+
+		private final SoakAnswerFaults.AnswerPlan plan;
+
+		private boolean streaming;
+
+		private Answer(Listener listener, SoakAnswerFaults.AnswerPlan plan) {
+			this.listener = listener;
+			this.plan = plan;
+		}
+
+	}
+
 	/**
 	 * Receives the answer of a call.
 	 */
--- a/standin/src/test/java/org/wisteriapost/standin/soak/SoakTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/soak/SoakTests.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.hasKey;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -27,7 +29,17 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void poisonRequestIsStoppedUnderRandomFaults(long seed) {
-		assertThat(Soak.run(seed, 60, true).get("violations"), is(Map.of()));
+		assertThat(Soak.run(seed, 60, true, false).get("violations"), is(Map.of()));
+	}
+
+	// Guards against a stream that its runner ends within an event and that looks
+	// complete to the caller.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void answersAreWholeWhenRunnersPauseAndCutStreams(long seed) {
+		Map<String, Object> result = Soak.run(seed, 60, seed % 2 == 0, true);
+		assertThat(result.get("violations"), is(Map.of()));
+		assertThat((Map<?, ?>) result.get("counts"), allOf(hasKey("runnerPauses"), hasKey("streamsCut")));
 	}
 
 	@Test
