Test of mixed events: the runners' answers overlap

Without the cancelling of the other dispatch eventsOfTwoDispatchesDoNotMix passed, as the runners of the test sent the rest of a stream at once. They now take 5 ms an event: 3 of 4 cases fail with the cancelling taken out (events twice, or restarted from 1), all 16 of SilentRunnerAnswerTests pass with it.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/PausableRunners.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PausableRunners.java
@@ -28,6 +28,9 @@
 
 	private static final long MAX_PAUSE_SECONDS = 20;
 
+	// So that the answers of two runners overlap.
+	private static final long EVENT_INTERVAL_MILLIS = 5;
+
 	private final List<Undertow> servers;
 
 	private final Map<String, AtomicInteger> arrivals = new ConcurrentHashMap<>();
@@ -89,6 +92,7 @@
 			}
 			out.write(("id: " + event + "\ndata: " + dispatch + "\n\n").getBytes(StandardCharsets.US_ASCII));
 			out.flush();
+			Thread.sleep(EVENT_INTERVAL_MILLIS);
 		}
 		if (EVENTS < script.pauseBefore) {
 			script.resumed.await(MAX_PAUSE_SECONDS, TimeUnit.SECONDS);
