Logs name the parts of a prompt and how long an answer had gone on

Cause: no line tells what requests that crashed runners have in common, nor whether a request had begun to write when its runner ended, so the incident of prompt parts could not be traced from the logs.

Change: dispatched has the parts as the caller names them (the first 200 characters), dispatch-ended the time since the dispatch forwarded its first event. No decision changes.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -243,9 +243,12 @@
 		if (ended.dispatch() != job.dispatchNumber()) {
 			return;
 		}
+		OptionalLong firstEvent = job.firstEventNanos();
+		long sinceFirstEvent = firstEvent.isPresent() ? TimeUnit.NANOSECONDS.toMillis(now - firstEvent.getAsLong())
+				: -1;
 		this.log.decision("dispatch-ended", "attempt", job.attemptId(), "dispatch", ended.dispatch(), "outcome",
-				ended.outcome(), "detail", ended.detail(), "events", job.events(), "ageMs",
-				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
+				ended.outcome(), "detail", ended.detail(), "events", job.events(), "sinceFirstEventMs", sinceFirstEvent,
+				"ageMs", TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
 		this.metrics.dispatchEnded(job, ended.outcome(), now);
 		this.dispatcher.dispatchEnded(job, ended.outcome(), now);
 		if (ended.outcome() == DispatchOutcome.DONE) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -12,6 +12,8 @@
  */
 final class EffectExecutor {
 
+	private static final int MAX_LOGGED_PARTS_LENGTH = 200;
+
 	private final CallOutput output;
 
 	private final DecisionLog log;
@@ -60,13 +62,18 @@
 				"request", Long.toHexString(job.contentHash()), "route", job.route().name(), "runner",
 				send.runner().id(), "address", send.runner().address(), "rank", send.rank(), "version",
 				send.weightsVersion(), "table", this.localView.routeTableVersion(), "prompt", job.size().promptTokens(),
-				"answer", job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace",
-				job.statedPace(), "tries", send.requiresNewConnection());
+				"parts", parts(call), "answer", job.size().maxAnswerTokens(), "predictedMs",
+				Math.round(job.predictedMillis()), "pace", job.statedPace(), "tries", send.requiresNewConnection());
 		this.log.decision("dispatched", inputs);
 		this.metrics.dispatched();
 		this.output.send(call, send);
 	}
 
+	private static String parts(DirectCall call) {
+		String parts = call.request().fields().prompt().orElse("");
+		return parts.substring(0, Math.min(parts.length(), MAX_LOGGED_PARTS_LENGTH));
+	}
+
 	private void cancel(DispatchEffect.Cancel cancel, DirectCall call) {
 		Job job = cancel.job();
 		this.log.decision("dispatch-given-up", "attempt", job.attemptId(), "dispatch", job.dispatchNumber(), "reason",
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -252,8 +252,7 @@
 		if (job.finished || job.firstEventSent || job.runner.isEmpty()) {
 			return;
 		}
-		job.firstEventSent = true;
-		job.responseStarted = true;
+		job.recordFirstEvent(nowNanos);
 		RunnerState runner = job.runner.get();
 		runner.firstEvent(job);
 		this.poisonGuard.quarantine().runnerAnswered(runner.info, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -81,6 +81,9 @@
 	// Whether the latest dispatch has sent an event to the caller.
 	boolean firstEventSent;
 
+	// Of the latest dispatch, if it has sent an event.
+	OptionalLong firstEventNanos = OptionalLong.empty();
+
 	boolean finished;
 
 	// As of the latest attempt to place the request.
@@ -190,6 +193,13 @@
 		return this.sentNanos;
 	}
 
+	/**
+	 * Returns when the latest dispatch sent its first event, if it has sent one.
+	 */
+	public OptionalLong firstEventNanos() {
+		return this.firstEventNanos;
+	}
+
 	/**
 	 * Returns its standing at the latest attempt to place it.
 	 */
@@ -288,10 +298,20 @@
 		this.sentAsLate = late;
 		this.statedPace = target.pace(nowNanos);
 		this.firstEventSent = false;
+		this.firstEventNanos = OptionalLong.empty();
 		this.predictedMillis = choice.predictedMillis();
 		this.nominalMillis = choice.engine() ? choice.nominalMillis() : 0;
 	}
 
+	/**
+	 * Records that the latest dispatch has sent its first event to the caller.
+	 */
+	void recordFirstEvent(long nowNanos) {
+		this.firstEventSent = true;
+		this.firstEventNanos = OptionalLong.of(nowNanos);
+		this.responseStarted = true;
+	}
+
 	/**
 	 * Returns the time of the last event, or of the latest dispatch if there was no event
 	 * since.
