--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -256,8 +256,9 @@
 			return;
 		}
 		this.log.decision("dispatch-ended", "attempt", job.attemptId(), "dispatch", ended.dispatch(), "outcome",
-				ended.outcome(), "detail", ended.detail(), "events", job.events(), "ageMs",
-				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
+				ended.outcome(), "detail", ended.detail(), "events", job.events(), "sinceFirstEventMs",
+				job.sinceFirstEventMillis(ended.dispatch(), now),
+				"ageMs", TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
 		this.metrics.dispatchEnded(job, ended.outcome(), now);
 		this.dispatcher.dispatchEnded(job, ended.dispatch(), ended.outcome(), now);
 		if (ended.outcome() == DispatchOutcome.DONE) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -12,6 +12,8 @@
  */
 final class EffectExecutor {
 
+	private static final int MAX_LOGGED_PARTS_LENGTH = 200;
+
 	private final CallOutput output;
 
 	private final DecisionLog log;
@@ -59,7 +61,7 @@
 		Object[] inputs = RegionLog.withRegions(job, "attempt", job.attemptId(), "dispatch", send.dispatch(), "request",
 				Long.toHexString(job.contentHash()), "route", job.route().name(), "runner", send.runner().id(),
 				"address", send.runner().address(), "rank", send.rank(), "version", send.weightsVersion(), "table",
-				this.localView.routeTableVersion(), "prompt", job.size().promptTokens(), "answer",
+				this.localView.routeTableVersion(), "prompt", job.size().promptTokens(), "parts", parts(call), "answer",
 				job.size().maxAnswerTokens(), "predictedMs", Math.round(job.predictedMillis()), "pace",
 				job.statedPace(), "tries", send.requiresNewConnection());
 		this.log.decision("dispatched", inputs);
@@ -72,6 +74,11 @@
 		this.output.send(call, send);
 	}
 
+	private static String parts(DirectCall call) {
+		String parts = call.request().fields().prompt().orElse("");
+		return parts.substring(0, Math.min(parts.length(), MAX_LOGGED_PARTS_LENGTH));
+	}
+
 	private void cancel(DispatchEffect.Cancel cancel, DirectCall call) {
 		Job job = cancel.job();
 		this.log.decision("dispatch-given-up", "attempt", job.attemptId(), "dispatch", cancel.dispatch(), "reason",
@@ -83,8 +90,8 @@
 	private void refuse(DispatchEffect.Refuse refuse, DirectCall call, long nowNanos) {
 		Job job = refuse.job();
 		Object[] inputs = RegionLog.withRefusalInputs(job, this.localView, nowNanos, "attempt", job.attemptId(),
-				"request", Long.toHexString(job.contentHash()), "code", refuse.code().name(), "route",
-				job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "rank", job.standing().rank(),
+				"request", Long.toHexString(job.contentHash()), "parts", parts(call), "code", refuse.code().name(),
+				"route", job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "rank", job.standing().rank(),
 				"reservedSlots", job.standing().reservedSlots(), "contendedRank", job.standing().contendedRank(),
 				"ageMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
 		this.log.failure("refused", inputs);
@@ -95,8 +102,8 @@
 
 	private void fail(DispatchEffect.Fail fail, DirectCall call) {
 		Job job = fail.job();
-		this.log.failure("failed", "attempt", job.attemptId(), "request", Long.toHexString(job.contentHash()), "code",
-				fail.code().name(), "events", job.events(), "lastOutcome", job.lastOutcome());
+		this.log.failure("failed", "attempt", job.attemptId(), "request", Long.toHexString(job.contentHash()), "parts",
+				parts(call), "code", fail.code().name(), "events", job.events(), "lastOutcome", job.lastOutcome());
 		this.metrics.answered("failed", fail.code().name());
 		this.output.fail(call, fail.code(), fail.timeout());
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatch.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatch.java
@@ -31,6 +31,12 @@
 	// Whether it has sent an event to the caller.
 	boolean firstEventSent;
 
+	// When it sent that event.
+	OptionalLong firstEventNanos = OptionalLong.empty();
+
+	// Whether its answer is known to have gone on.
+	boolean answerWentOn;
+
 	// Since when the runner is known to have sent nothing for longer than usual.
 	private OptionalLong silentSinceNanos = OptionalLong.empty();
 
@@ -53,6 +59,15 @@
 		return new Dispatch(job, number, choice.runner().orElseThrow(), choice, late, nowNanos);
 	}
 
+	/**
+	 * Records that it has sent its first event to the caller.
+	 */
+	void recordFirstEvent(long nowNanos) {
+		this.firstEventSent = true;
+		this.firstEventNanos = OptionalLong.of(nowNanos);
+		this.job.responseStarted = true;
+	}
+
 	/**
 	 * Returns whether the runner has been silent for longer than usual and has not gone
 	 * on.
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -332,7 +332,7 @@
 	}
 
 	private void watch(Job job, long nowNanos) {
-		this.dispatches.recordWaits(job, nowNanos);
+		this.dispatches.watch(job, nowNanos);
 		if (job.events() == 0 && this.poisonGuard.remainingNanos(job, nowNanos).isPresent()) {
 			this.dispatches.cancelAll(job, CancelReason.QUARANTINED, nowNanos);
 			endIfQuarantined(job, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 
 import org.wisteriapost.policy.admission.AdmissionStanding;
+import org.wisteriapost.policy.quarantine.PromptParts;
 import org.wisteriapost.policy.region.AllowedRegions;
 import org.wisteriapost.policy.routing.Organisation;
 import org.wisteriapost.policy.routing.Route;
@@ -125,6 +126,13 @@
 		return this.identity.contentHash();
 	}
 
+	/**
+	 * Returns the parts of the prompt that may crash runners.
+	 */
+	PromptParts parts() {
+		return this.identity.parts();
+	}
+
 	/**
 	 * Returns a key that is equal for all attempts of the request, if known.
 	 */
@@ -184,6 +192,15 @@
 		return this.latest.map((dispatch) -> dispatch.sentNanos).orElse(0L);
 	}
 
+	/**
+	 * Returns the time since an open dispatch sent its first event; -1 if it has sent
+	 * none.
+	 */
+	public long sinceFirstEventMillis(int dispatch, long nowNanos) {
+		OptionalLong first = openDispatch(dispatch).map((open) -> open.firstEventNanos).orElse(OptionalLong.empty());
+		return first.isPresent() ? (nowNanos - first.getAsLong()) / Placement.NANOS_PER_MILLI : -1;
+	}
+
 	/**
 	 * Returns its standing at the latest attempt to place it.
 	 */
@@ -353,8 +370,18 @@
 	 * @param requestKey equal for all attempts of the same request; requests with the
 	 * same content may have different keys
 	 * @param lastEvent the event after which the caller resumes a stream
+	 * @param parts the parts of the prompt that may crash runners
 	 */
-	public record Attempt(String id, long contentHash, OptionalLong requestKey, Optional<String> lastEvent) {
+	public record Attempt(String id, long contentHash, OptionalLong requestKey, Optional<String> lastEvent,
+			PromptParts parts) {
+
+		/**
+		 * Creates the identity of an attempt whose prompt is not known.
+		 */
+		public Attempt(String id, long contentHash, OptionalLong requestKey, Optional<String> lastEvent) {
+			this(id, contentHash, requestKey, lastEvent, PromptParts.NONE);
+		}
+
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/OpenDispatches.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/OpenDispatches.java
@@ -58,8 +58,7 @@
 	}
 
 	void firstEventSent(Dispatch dispatch, long nowNanos) {
-		dispatch.firstEventSent = true;
-		dispatch.job.responseStarted = true;
+		dispatch.recordFirstEvent(nowNanos);
 		dispatch.runner.firstEvent(dispatch);
 		this.poisonGuard.quarantine().runnerAnswered(dispatch.runner.info, nowNanos);
 		this.rateLimits.answered(dispatch, nowNanos);
@@ -94,10 +93,12 @@
 	}
 
 	/**
-	 * Records how long a request has been waiting for its first event.
+	 * Records how long a request has been waiting for its first event, and answers that
+	 * go on.
 	 */
-	void recordWaits(Job job, long nowNanos) {
+	void watch(Job job, long nowNanos) {
 		job.openDispatches().forEach((dispatch) -> this.latencies.waiting(dispatch, nowNanos));
+		this.poisonGuard.watch(job, nowNanos);
 	}
 
 	/**
@@ -110,7 +111,7 @@
 		}
 		Job job = dispatch.job;
 		dispatch.runner.ended(dispatch, outcome, nowNanos);
-		this.poisonGuard.dispatchEnded(job, dispatch.runner, outcome, nowNanos);
+		this.poisonGuard.dispatchEnded(dispatch, outcome, nowNanos);
 		this.rateLimits.answered(dispatch, nowNanos);
 		job.closed(dispatch, outcome);
 		if (outcome == DispatchOutcome.DONE) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.time.Duration;
 import java.util.OptionalLong;
 
 import org.wisteriapost.policy.quarantine.RequestQuarantine;
@@ -10,6 +11,12 @@
  */
 final class PoisonGuard {
 
+	// A part that crashes runners does so within some tenths of a second after its
+	// request has begun.
+	private static final long GOES_ON_NANOS = Duration.ofMillis(300).toNanos();
+
+	private static final long YOUNG_NANOS = Duration.ofMillis(500).toNanos();
+
 	private final RequestQuarantine quarantine = new RequestQuarantine();
 
 	RequestQuarantine quarantine() {
@@ -21,7 +28,22 @@
 	 * quarantine.
 	 */
 	OptionalLong remainingNanos(Job job, long nowNanos) {
-		return this.quarantine.remainingNanos(job.contentHash(), nowNanos);
+		return this.quarantine.remainingNanos(job.contentHash(), job.parts(), nowNanos);
+	}
+
+	/**
+	 * Records answers that go on.
+	 */
+	void watch(Job job, long nowNanos) {
+		job.openDispatches().forEach((dispatch) -> watch(dispatch, nowNanos));
+	}
+
+	private void watch(Dispatch dispatch, long nowNanos) {
+		if (!dispatch.answerWentOn && dispatch.firstEventNanos.isPresent()
+				&& dispatch.lastProgressNanos() - dispatch.firstEventNanos.getAsLong() >= GOES_ON_NANOS) {
+			dispatch.answerWentOn = true;
+			this.quarantine.partsAnswered(dispatch.job.parts(), dispatch.firstEventNanos.getAsLong(), nowNanos);
+		}
 	}
 
 	/**
@@ -34,17 +56,21 @@
 	/**
 	 * Records the outcome of a dispatch.
 	 */
-	void dispatchEnded(Job job, RunnerState runner, DispatchOutcome outcome, long nowNanos) {
+	void dispatchEnded(Dispatch dispatch, DispatchOutcome outcome, long nowNanos) {
+		Job job = dispatch.job;
+		RunnerState runner = dispatch.runner;
 		switch (outcome) {
 			case DONE -> {
 				this.quarantine.runnerAnswered(runner.info, nowNanos);
 				this.quarantine.requestCompleted(job.contentHash(), nowNanos);
+				answerBegan(dispatch).ifPresent((begun) -> this.quarantine.partsAnswered(job.parts(), begun, nowNanos));
 			}
 			case ERROR, FULL -> this.quarantine.runnerAnswered(runner.info, nowNanos);
 			case DISCONNECTED -> {
 				// A runner that leaves may close connections at its end.
 				if (!runner.draining() && !runner.removed) {
 					this.quarantine.runnerLost(job.contentHash(), runner.info, nowNanos);
+					partsLost(dispatch, nowNanos);
 				}
 			}
 			case NOT_SENT, MISDIRECTED, BROKEN -> {
@@ -53,4 +79,21 @@
 		}
 	}
 
+	// An answer that had gone on was not what crashed the runner.
+	private void partsLost(Dispatch dispatch, long nowNanos) {
+		watch(dispatch, nowNanos);
+		boolean young = dispatch.firstEventNanos.isEmpty()
+				|| nowNanos - dispatch.firstEventNanos.getAsLong() < YOUNG_NANOS;
+		if (young && !dispatch.answerWentOn) {
+			this.quarantine.runnerLost(dispatch.job.parts(), dispatch.runner.info, nowNanos);
+		}
+	}
+
+	// When a plain request began to run is not known, but not before it was sent. A
+	// stream without events has not begun.
+	private static OptionalLong answerBegan(Dispatch dispatch) {
+		return (dispatch.job.isStream() || dispatch.firstEventSent) ? dispatch.firstEventNanos
+				: OptionalLong.of(dispatch.sentNanos);
+	}
+
 }
