--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatch.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatch.java
@@ -1,7 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One dispatch of a request to a runner, until it has ended. It is owned by the
@@ -88,7 +87,7 @@
 	 * Returns the time since the last progress.
 	 */
 	long idleMillis(long nowNanos) {
-		return TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos());
+		return (nowNanos - lastProgressNanos()) / Placement.NANOS_PER_MILLI;
 	}
 
 }
