--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -257,8 +257,8 @@
 		}
 		this.log.decision("dispatch-ended", "attempt", job.attemptId(), "dispatch", ended.dispatch(), "outcome",
 				ended.outcome(), "detail", ended.detail(), "events", job.events(), "sinceFirstEventMs",
-				job.sinceFirstEventMillis(ended.dispatch(), now),
-				"ageMs", TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
+				job.sinceFirstEventMillis(ended.dispatch(), now), "ageMs",
+				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
 		this.metrics.dispatchEnded(job, ended.outcome(), now);
 		this.dispatcher.dispatchEnded(job, ended.dispatch(), ended.outcome(), now);
 		if (ended.outcome() == DispatchOutcome.DONE) {
@@ -417,8 +417,6 @@
 		this.announcer.announceLeaving();
 	}
 
-	// Effects.
-
 	private void applyEffects() {
 		for (DispatchEffect effect : this.dispatcher.drainEffects()) {
 			DirectCall call = this.calls.get(effect.job().id());
