A stream that has begun is not cut at a weights switch

Cause: a dispatch counts as not started until the state thread has processed the report of its first event. At the moment at which a newer weights version takes effect, a tick may be ahead of that report in the queue, and the entry cancels a stream that its caller already reads. Found by the review of the trace of answers given up at silent runners. Callers see a connection that is cut within the answer. Evidence: WeightsSwitchTests.streamThatHasBegunIsNotCancelledAtTheSwitch failed in both of its cases before: Stop, Fail:run-broken. Change: the events that the thread reading the response records are looked at, which are there before the caller has them. Measured: WeightsSwitchTests, HedgedRequestTests, SilentRunnerTests, DispatcherTests and WeightsFenceTests pass.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatch.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatch.java
@@ -90,6 +90,14 @@
 		return this.silentSinceNanos.isPresent() && lastProgressNanos() >= this.silentSinceNanos.getAsLong();
 	}
 
+	/**
+	 * Returns whether the caller was sent an event since this dispatch. The thread that
+	 * reads the response records events before this thread learns of the first.
+	 */
+	boolean hasOutput() {
+		return this.firstEventSent || lastProgressNanos() > this.sentNanos;
+	}
+
 	/**
 	 * Returns the time of the last event, or of this dispatch if there was no event
 	 * since.
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Placement.java
@@ -239,7 +239,7 @@
 	 * Returns whether a request has not started in time at its runner.
 	 */
 	boolean startDeadlinePassed(Dispatch dispatch, Optional<EngineSpec> engine, long nowNanos) {
-		return !dispatch.firstEventSent && nowNanos >= startDeadlineNanos(dispatch.runner, engine);
+		return !dispatch.hasOutput() && nowNanos >= startDeadlineNanos(dispatch.runner, engine);
 	}
 
 	/**
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsSwitchTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/WeightsSwitchTests.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -8,8 +9,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.policy.fleet.TargetWeights;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -62,4 +65,20 @@
 		assertThat(arrive(250), Matchers.contains("Send:e1"));
 	}
 
+	// Guards against cutting a stream at a weights switch because the first event, which
+	// the caller already has, is not yet known to the thread that decides.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void streamThatHasBegunIsNotCancelledAtTheSwitch(boolean resumable) {
+		Job job = this.harness.arrive(resumable ? DispatcherHarness.STREAM : DispatcherHarness.STREAM_ONCE, 500,
+				12_000);
+		this.harness.dispatcher.targetWeightsPublished(new TargetWeights("lm", 2), false, this.harness.nowNanos);
+		this.harness.effectNames();
+		for (int millis = 0; millis < 9000; millis += 100) {
+			this.harness.advance(100);
+			job.recordEvents(1, Optional.of(String.valueOf(millis)), this.harness.nowNanos);
+		}
+		assertThat(this.harness.effectNames(), Matchers.empty());
+	}
+
 }
