A suspect part keeps its first and its last losses

Cause: of a part with more than 32 losses the earliest were kept. Where runners crash faster than 32 in two seconds, a part that was good shortly before never has losses at three moments a second apart, and is never recognised.

Change: losses in the middle are dropped instead.

--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectPart.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectPart.java
@@ -43,7 +43,11 @@
 			merged.removeIf((loss) -> loss.atNanos() <= good.getAsLong());
 		}
 		merged.sort(BY_TIME);
-		return new SuspectPart(this.id, merged.subList(0, Math.min(merged.size(), MAX_LOSSES)), good);
+		// The first and the last losses tell over how long a time they came.
+		while (merged.size() > MAX_LOSSES) {
+			merged.remove(MAX_LOSSES / 2);
+		}
+		return new SuspectPart(this.id, merged, good);
 	}
 
 	private OptionalLong latestGood(SuspectPart other) {
