A leaving entry hands its last answers to their connections before it exits

Cause: the state thread completes the future on which the process exits in the same event in which it decides on the last answer. A refusal, a failure or a runner's error that is forwarded is written by the I/O thread, which may come after the exit. Callers would see a connection that ends with neither an answer nor a refusal beside a planned stop. Change: the process exits when the I/O thread has carried out what was decided before. Measured: DirectOutputTests (a new case holds that the future waits for the I/O thread; there was no such future before), SiteTests and DirectHttpServerTests pass.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -135,6 +136,14 @@
 			.ifPresent((held) -> call.answer().complete(held.status(), held.headers(), "", held.body())));
 	}
 
+	/**
+	 * Returns a future that completes when everything decided so far was carried out.
+	 */
+	CompletableFuture<Void> carriedOut() {
+		return CompletableFuture.runAsync(() -> {
+		}, this.caller.worker().getIoThread());
+	}
+
 	private HttpCall outbound(DirectCall call, DispatchEffect.Send send) {
 		IncomingRequest request = call.request();
 		Job job = call.job();
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -44,6 +44,8 @@
 
 	private final PooledHttpClient caller;
 
+	private final DirectOutput output;
+
 	private final Links links;
 
 	private final ScheduledExecutorService timer;
@@ -60,10 +62,11 @@
 
 	private final DecisionLog log;
 
-	private DirectProcess(PooledHttpClient caller, Links links, ScheduledExecutorService timer,
+	private DirectProcess(PooledHttpClient caller, DirectOutput output, Links links, ScheduledExecutorService timer,
 			EventLoop<DirectEvent> loop, PeerLinkManager mesh, DirectHttpServer httpServer, AdminServer admin,
 			DirectView view, DecisionLog log) {
 		this.caller = caller;
+		this.output = output;
 		this.links = links;
 		this.timer = timer;
 		this.loop = loop;
@@ -89,9 +92,9 @@
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(System.nanoTime());
 		EntryInfo self = self(settings, random);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-		DirectState state = new DirectState(settings, self, Dispatcher.create(limits(settings), random),
-				new DirectOutput(caller, dialect, view::put), log, DirectMetrics.create(registry), random,
-				EntryClocks.SYSTEM, view);
+		DirectOutput output = new DirectOutput(caller, dialect, view::put);
+		DirectState state = new DirectState(settings, self, Dispatcher.create(limits(settings), random), output, log,
+				DirectMetrics.create(registry), random, EntryClocks.SYSTEM, view);
 		EventLoop<DirectEvent> loop = EventLoop.start("entry", EVENT_RING_SIZE, state::apply);
 		view.loop(loop);
 		PeerLinkManager mesh = PeerLinkManager.start(links, new InetSocketAddress(settings.host(), settings.linkPort()),
@@ -107,7 +110,7 @@
 		timer.scheduleWithFixedDelay(() -> view.offer(new DirectEvent.Tick()), TICK_MILLIS, TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
 		log.decision("started", "role", "entry", "place", settings.failureDomain());
-		return new DirectProcess(caller, links, timer, loop, mesh, httpServer, admin, view, log);
+		return new DirectProcess(caller, output, links, timer, loop, mesh, httpServer, admin, view, log);
 	}
 
 	private static EntryInfo self(SiteSettings settings, UniformRandomProvider random) {
@@ -163,14 +166,15 @@
 	 */
 	public CompletableFuture<Void> leave() {
 		this.view.put(new DirectEvent.Leave());
-		return this.view.termination();
+		return termination();
 	}
 
 	/**
-	 * Returns a future that completes when the process may exit.
+	 * Returns a future that completes when the process may exit: the last answers that
+	 * were decided on are handed to their connections.
 	 */
 	public CompletableFuture<Void> termination() {
-		return this.view.termination();
+		return this.view.termination().thenCompose((ended) -> this.output.carriedOut());
 	}
 
 	/**
--- a/entry/src/test/java/org/wisteriapost/entry/direct/DirectOutputTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectOutputTests.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -82,4 +83,32 @@
 		assertThat(this.events.poll(5, TimeUnit.SECONDS), Matchers.instanceOf(DirectEvent.DispatchEnded.class));
 	}
 
+	// Guards against a process that exits before the answers that it has decided on are
+	// handed to their connections.
+	@Test
+	void decisionsAreCarriedOutBeforeTheProcessExits() {
+		DirectCall call = call();
+		RunnerInfo runner = new RunnerInfo("r1", "api", "127.0.0.1:1", "p1", 6, false, 0, Map.of(), 1,
+				RunnerIncarnation.UNKNOWN);
+		onIoThread(() -> call.addForwarder(1,
+				new ResponseForwarder(call, 1, runner, new FleetProtocol(), this.events::add)));
+		CountDownLatch busy = new CountDownLatch(1);
+		this.client.worker().getIoThread().execute(() -> awaitUninterrupted(busy));
+		this.output.stop(call, 1);
+		CompletableFuture<Void> carriedOut = this.output.carriedOut();
+		assertThat(carriedOut.isDone(), Matchers.is(false));
+		busy.countDown();
+		carriedOut.orTimeout(5, TimeUnit.SECONDS).join();
+		assertThat(call.others(2), Matchers.empty());
+	}
+
+	private static void awaitUninterrupted(CountDownLatch latch) {
+		try {
+			latch.await(5, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
