A silence that is over is not held against its runner

Cause: a silent runner's error samples and its doubled ejection time stayed when it went on. Callers see fewer runners: eight streams went on after a pause, then one answer with 500, and the sound runner was ejected. Evidence: HedgedRequestTests.silenceThatIsOverIsNotHeldAgainstTheEngine failed before. Change: silence counts for the broken answers in a row, not for the error rate; going on takes its ejection back. Measured: HedgedRequestTests, SilentRunnerTests, DispatcherTests, UnreachableRunnerTests and RunnerPathTests pass.

--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerHealth.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerHealth.java
@@ -110,7 +110,7 @@
 		boolean ejectedOtherwise = this.ejected && !this.ejectedAsSilent;
 		cancelled(sentNanos);
 		failed(sentNanos);
-		broken(nowNanos);
+		brokenInARow(nowNanos);
 		this.ejectedAsSilent = this.ejected && !ejectedOtherwise;
 	}
 
@@ -120,6 +120,7 @@
 	void continued() {
 		this.consecutiveBroken = 0;
 		if (this.ejectedAsSilent) {
+			this.ejections = Math.max(0, this.ejections - 1);
 			reinstate();
 		}
 	}
@@ -190,8 +191,12 @@
 	}
 
 	private void broken(long nowNanos) {
-		this.consecutiveBroken++;
 		sample(1);
+		brokenInARow(nowNanos);
+	}
+
+	private void brokenInARow(long nowNanos) {
+		this.consecutiveBroken++;
 		if (this.consecutiveBroken >= BROKEN_THRESHOLD || this.ejected) {
 			this.ejectedAsUnreachable = false;
 			this.ejectedAsSilent = false;
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/HedgedRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/HedgedRequestTests.java
@@ -145,6 +145,27 @@
 		assertThat(fleet.effectNames(), Matchers.hasItem("Send:e1"));
 	}
 
+	// Guards against a sound engine that is ejected for one error, since the errors that
+	// its silence counted as are still held against it.
+	@Test
+	void silenceThatIsOverIsNotHeldAgainstTheEngine() {
+		DispatcherHarness fleet = new DispatcherHarness().register(DispatcherHarness.engine("e1"));
+		List<Job> jobs = IntStream.range(0, 8)
+			.mapToObj((i) -> fleet.arrive(DispatcherHarness.STREAM, 100, REQUEST_MILLIS))
+			.toList();
+		jobs.forEach(fleet::firstEvent);
+		fleet.advance(1100);
+		jobs.forEach((silent) -> fleet.event(silent, 1));
+		fleet.advance(20);
+		Job failing = fleet.arrive(DispatcherHarness.STREAM, 100, REQUEST_MILLIS);
+		fleet.register(DispatcherHarness.engine("e2"));
+		fleet.ended(failing, DispatchOutcome.ERROR);
+		jobs.forEach((silent) -> fleet.ended(silent, DispatchOutcome.DONE));
+		fleet.effectNames();
+		sendSome(fleet);
+		assertThat(fleet.effectNames(), Matchers.hasItem("Send:e1"));
+	}
+
 	private static void sendSome(DispatcherHarness fleet) {
 		for (int i = 0; i < 6; i++) {
 			fleet.arrive(DispatcherHarness.STREAM, 100, REQUEST_MILLIS);
