Suspect parts of prompts are a declared field of the wire

Cause: the parts were written as an unknown field, as the generator could not be fetched where they were built. The bytes stay the same.

--- a/entry/src/main/java/org/wisteriapost/entry/quarantine/SuspectReportCodec.java
+++ b/entry/src/main/java/org/wisteriapost/entry/quarantine/SuspectReportCodec.java
@@ -1,13 +1,8 @@
 package org.wisteriapost.entry.quarantine;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
-import com.google.protobuf.UnknownFieldSet;
 import org.wisteriapost.policy.quarantine.RequestQuarantine;
 import org.wisteriapost.policy.quarantine.SuspectPart;
 import org.wisteriapost.policy.quarantine.SuspectRequest;
@@ -20,26 +15,13 @@
  */
 final class SuspectReportCodec {
 
-	private static final Logger LOG = System.getLogger(SuspectReportCodec.class.getName());
-
-	/**
-	 * Suspect parts of prompts, each a SuspectRequest with the id of the part as its
-	 * hash; completed says that an answer went on, after which it began. Reserved in
-	 * wire.proto; older entries ignore it.
-	 */
-	private static final int PARTS_FIELD = 2;
-
 	private SuspectReportCodec() {
 	}
 
 	static SuspectReport encode(RequestQuarantine.Updates updates, long nowNanos) {
 		SuspectReport.Builder report = SuspectReport.newBuilder();
 		updates.updates().forEach((update) -> report.addSuspects(encode(update, nowNanos)));
-		if (!updates.parts().isEmpty()) {
-			UnknownFieldSet.Field.Builder parts = UnknownFieldSet.Field.newBuilder();
-			updates.parts().forEach((part) -> parts.addLengthDelimited(encode(part, nowNanos).toByteString()));
-			report.setUnknownFields(UnknownFieldSet.newBuilder().addField(PARTS_FIELD, parts.build()).build());
-		}
+		updates.parts().forEach((part) -> report.addParts(encode(part, nowNanos)));
 		return report.build();
 	}
 
@@ -75,19 +57,7 @@
 				quarantine.merge(decode(suspect, nowNanos), source, nowNanos);
 			}
 		}
-		mergeParts(report, quarantine, source, nowNanos);
-	}
-
-	private static void mergeParts(SuspectReport report, RequestQuarantine quarantine, String source, long nowNanos) {
-		for (ByteString encoded : report.getUnknownFields().getField(PARTS_FIELD).getLengthDelimitedList()) {
-			try {
-				quarantine.merge(decodePart(org.wisteriapost.protocol.wire.SuspectRequest.parseFrom(encoded), nowNanos),
-						source, nowNanos);
-			}
-			catch (InvalidProtocolBufferException ex) {
-				LOG.log(Level.WARNING, "suspect part of " + source + " cannot be read", ex);
-			}
-		}
+		report.getPartsList().forEach((part) -> quarantine.merge(decodePart(part, nowNanos), source, nowNanos));
 	}
 
 	private static SuspectPart decodePart(org.wisteriapost.protocol.wire.SuspectRequest part, long nowNanos) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -16,7 +16,6 @@
 import java.util.Set;
 import java.util.function.IntFunction;
 
-import com.google.protobuf.UnknownFieldSet;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wisteriapost.kernel.log.DecisionLog;
@@ -284,7 +283,7 @@
 		if (!this.links.containsKey(link)) {
 			return PeerTransport.SendResult.NO_LINK;
 		}
-		Frame sent = (isLegacy(from.name()) || isLegacy(to)) ? withoutUnknownFields(frame) : frame;
+		Frame sent = (isLegacy(from.name()) || isLegacy(to)) ? withoutSuspectParts(frame) : frame;
 		this.sentBytes.merge(from.name(), (long) frame.getSerializedSize(), Long::sum);
 		long arrival = Math.max(this.links.get(link) + 1, this.now + between(1, 4));
 		this.links.put(link, arrival);
@@ -301,10 +300,10 @@
 		return this.legacyEntries.contains(entry);
 	}
 
-	private static Frame withoutUnknownFields(Frame frame) {
+	private static Frame withoutSuspectParts(Frame frame) {
 		Frame.Builder stripped = frame.toBuilder();
 		if (frame.hasSuspectReport()) {
-			stripped.getSuspectReportBuilder().setUnknownFields(UnknownFieldSet.getDefaultInstance());
+			stripped.getSuspectReportBuilder().clearParts();
 		}
 		return stripped.build();
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/PoisonPromptPartFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PoisonPromptPartFleetTests.java
@@ -41,8 +41,7 @@
 	}
 
 	// Guards against a part of the prompt that crashes runners in request after request,
-	// each
-	// of which is known by its whole content only.
+	// each of which is known by its whole content only.
 	@ParameterizedTest
 	@MethodSource("fleets")
 	void requestsWithABadPartStopReachingRunners(int entries, int runners, boolean streams, long seed) {
@@ -118,8 +117,7 @@
 	}
 
 	// Guards against entries of the version before that keep knowledge from the others.
-	// They
-	// themselves go on sending such requests.
+	// They themselves go on sending such requests.
 	@ParameterizedTest
 	@MethodSource("fleets")
 	void badPartIsStoppedBesideEntriesOfTheVersionBefore(int entries, int runners, boolean streams, long seed) {
--- a/policy/src/test/java/org/wisteriapost/policy/quarantine/PartQuarantineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/quarantine/PartQuarantineTests.java
@@ -126,8 +126,7 @@
 	}
 
 	// Guards against refusing a part of many requests, which some of any runner's
-	// requests
-	// have, before an answer on it can go on.
+	// requests have, before an answer on it can go on.
 	@Test
 	void partThatWasGoodLatelyNeedsLossesOverALongerTime() {
 		this.quarantine.partsAnswered(parts(SHARED), this.now, this.now);
@@ -148,8 +147,7 @@
 	}
 
 	// Guards against an entry that has restarted and takes a part for bad which others
-	// know
-	// to be sound.
+	// know to be sound.
 	@Test
 	void otherEntriesObject() {
 		RequestQuarantine other = new RequestQuarantine();
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/SuspectReport.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/SuspectReport.java
@@ -33,6 +33,7 @@
   }
   private SuspectReport() {
     suspects_ = java.util.Collections.emptyList();
+    parts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -94,6 +95,67 @@
     return suspects_.get(index);
   }
 
+  public static final int PARTS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wisteriapost.protocol.wire.SuspectRequest> parts_;
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wisteriapost.protocol.wire.SuspectRequest> getPartsList() {
+    return parts_;
+  }
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.wisteriapost.protocol.wire.SuspectRequestOrBuilder> 
+      getPartsOrBuilderList() {
+    return parts_;
+  }
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  @java.lang.Override
+  public int getPartsCount() {
+    return parts_.size();
+  }
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.SuspectRequest getParts(int index) {
+    return parts_.get(index);
+  }
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.SuspectRequestOrBuilder getPartsOrBuilder(
+      int index) {
+    return parts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -111,6 +173,9 @@
     for (int i = 0; i < suspects_.size(); i++) {
       output.writeMessage(1, suspects_.get(i));
     }
+    for (int i = 0; i < parts_.size(); i++) {
+      output.writeMessage(2, parts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -124,6 +189,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = parts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(parts_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -150,6 +224,8 @@
 
     if (!getSuspectsList()
         .equals(other.getSuspectsList())) return false;
+    if (!getPartsList()
+        .equals(other.getPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -165,6 +241,10 @@
       hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
       hash = (53 * hash) + getSuspectsList().hashCode();
     }
+    if (getPartsCount() > 0) {
+      hash = (37 * hash) + PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +387,13 @@
         suspectsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      if (partsBuilder_ == null) {
+        parts_ = java.util.Collections.emptyList();
+      } else {
+        parts_ = null;
+        partsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
       return this;
     }
 
@@ -349,6 +436,15 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
+      if (partsBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          parts_ = java.util.Collections.unmodifiableList(parts_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.parts_ = parts_;
+      } else {
+        result.parts_ = partsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.wisteriapost.protocol.wire.SuspectReport result) {
@@ -393,6 +489,32 @@
           }
         }
       }
+      if (partsBuilder_ == null) {
+        if (!other.parts_.isEmpty()) {
+          if (parts_.isEmpty()) {
+            parts_ = other.parts_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensurePartsIsMutable();
+            parts_.addAll(other.parts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.parts_.isEmpty()) {
+          if (partsBuilder_.isEmpty()) {
+            partsBuilder_.dispose();
+            partsBuilder_ = null;
+            parts_ = other.parts_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            partsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartsFieldBuilder() : null;
+          } else {
+            partsBuilder_.addAllMessages(other.parts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -430,6 +552,19 @@
               }
               break;
             } // case 10
+            case 18: {
+              org.wisteriapost.protocol.wire.SuspectRequest m =
+                  input.readMessage(
+                      org.wisteriapost.protocol.wire.SuspectRequest.parser(),
+                      extensionRegistry);
+              if (partsBuilder_ == null) {
+                ensurePartsIsMutable();
+                parts_.add(m);
+              } else {
+                partsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -681,6 +816,312 @@
       return suspectsBuilder_;
     }
 
+    private java.util.List<org.wisteriapost.protocol.wire.SuspectRequest> parts_ =
+      java.util.Collections.emptyList();
+    private void ensurePartsIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        parts_ = new java.util.ArrayList<org.wisteriapost.protocol.wire.SuspectRequest>(parts_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.SuspectRequest, org.wisteriapost.protocol.wire.SuspectRequest.Builder, org.wisteriapost.protocol.wire.SuspectRequestOrBuilder> partsBuilder_;
+
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.SuspectRequest> getPartsList() {
+      if (partsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(parts_);
+      } else {
+        return partsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public int getPartsCount() {
+      if (partsBuilder_ == null) {
+        return parts_.size();
+      } else {
+        return partsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.SuspectRequest getParts(int index) {
+      if (partsBuilder_ == null) {
+        return parts_.get(index);
+      } else {
+        return partsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder setParts(
+        int index, org.wisteriapost.protocol.wire.SuspectRequest value) {
+      if (partsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.set(index, value);
+        onChanged();
+      } else {
+        partsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder setParts(
+        int index, org.wisteriapost.protocol.wire.SuspectRequest.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder addParts(org.wisteriapost.protocol.wire.SuspectRequest value) {
+      if (partsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.add(value);
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder addParts(
+        int index, org.wisteriapost.protocol.wire.SuspectRequest value) {
+      if (partsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.add(index, value);
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder addParts(
+        org.wisteriapost.protocol.wire.SuspectRequest.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder addParts(
+        int index, org.wisteriapost.protocol.wire.SuspectRequest.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder addAllParts(
+        java.lang.Iterable<? extends org.wisteriapost.protocol.wire.SuspectRequest> values) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, parts_);
+        onChanged();
+      } else {
+        partsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder clearParts() {
+      if (partsBuilder_ == null) {
+        parts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        partsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public Builder removeParts(int index) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.remove(index);
+        onChanged();
+      } else {
+        partsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.SuspectRequest.Builder getPartsBuilder(
+        int index) {
+      return internalGetPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.SuspectRequestOrBuilder getPartsOrBuilder(
+        int index) {
+      if (partsBuilder_ == null) {
+        return parts_.get(index);  } else {
+        return partsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public java.util.List<? extends org.wisteriapost.protocol.wire.SuspectRequestOrBuilder> 
+         getPartsOrBuilderList() {
+      if (partsBuilder_ != null) {
+        return partsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(parts_);
+      }
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.SuspectRequest.Builder addPartsBuilder() {
+      return internalGetPartsFieldBuilder().addBuilder(
+          org.wisteriapost.protocol.wire.SuspectRequest.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public org.wisteriapost.protocol.wire.SuspectRequest.Builder addPartsBuilder(
+        int index) {
+      return internalGetPartsFieldBuilder().addBuilder(
+          index, org.wisteriapost.protocol.wire.SuspectRequest.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * parts of prompts, with their id as content_hash; completed: an answer went on
+     * </pre>
+     *
+     * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+     */
+    public java.util.List<org.wisteriapost.protocol.wire.SuspectRequest.Builder> 
+         getPartsBuilderList() {
+      return internalGetPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wisteriapost.protocol.wire.SuspectRequest, org.wisteriapost.protocol.wire.SuspectRequest.Builder, org.wisteriapost.protocol.wire.SuspectRequestOrBuilder> 
+        internalGetPartsFieldBuilder() {
+      if (partsBuilder_ == null) {
+        partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.wisteriapost.protocol.wire.SuspectRequest, org.wisteriapost.protocol.wire.SuspectRequest.Builder, org.wisteriapost.protocol.wire.SuspectRequestOrBuilder>(
+                parts_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        parts_ = null;
+      }
+      return partsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.SuspectReport)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/SuspectReportOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/SuspectReportOrBuilder.java
@@ -33,4 +33,48 @@
    */
   org.wisteriapost.protocol.wire.SuspectRequestOrBuilder getSuspectsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  java.util.List<org.wisteriapost.protocol.wire.SuspectRequest> 
+      getPartsList();
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  org.wisteriapost.protocol.wire.SuspectRequest getParts(int index);
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  int getPartsCount();
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  java.util.List<? extends org.wisteriapost.protocol.wire.SuspectRequestOrBuilder> 
+      getPartsOrBuilderList();
+  /**
+   * <pre>
+   * parts of prompts, with their id as content_hash; completed: an answer went on
+   * </pre>
+   *
+   * <code>repeated .wisteriapost.SuspectRequest parts = 2;</code>
+   */
+  org.wisteriapost.protocol.wire.SuspectRequestOrBuilder getPartsOrBuilder(
+      int index);
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -354,25 +354,26 @@
       "\n\014RosterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(" +
       "\t\"p\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030" +
       "\002 \003(\0132\030.wisteriapost.RunnerLoad\022*\n\007engin" +
-      "es\030\003 \003(\0132\031.wisteriapost.EngineState\"?\n\rS" +
+      "es\030\003 \003(\0132\031.wisteriapost.EngineState\"l\n\rS" +
       "uspectReport\022.\n\010suspects\030\001 \003(\0132\034.wisteri" +
-      "apost.SuspectRequest\"\201\001\n\016SuspectRequest\022" +
-      "\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002 \003(\0132\030." +
-      "wisteriapost.RunnerLoss\022\021\n\tcompleted\030\003 \001" +
-      "(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"0\n\nRunn" +
-      "erLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_millis\030\002 \001" +
-      "(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTR" +
-      "Y\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n" +
-      "\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCO" +
-      "ME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013" +
-      "\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STAT" +
-      "US_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_" +
-      "MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStoreKind\022" +
-      "\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROU" +
-      "TES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHT" +
-      "S\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STORE_EVACUATI" +
-      "ONS\020\005B$\n\036org.wisteriapost.protocol.wireH" +
-      "\001P\001b\006proto3"
+      "apost.SuspectRequest\022+\n\005parts\030\002 \003(\0132\034.wi" +
+      "steriapost.SuspectRequest\"\201\001\n\016SuspectReq" +
+      "uest\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002 \003" +
+      "(\0132\030.wisteriapost.RunnerLoss\022\021\n\tcomplete" +
+      "d\030\003 \001(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"0\n" +
+      "\nRunnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_milli" +
+      "s\030\002 \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n" +
+      "\005ENTRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMA" +
+      "L\020\000\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023" +
+      "OUTCOME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RU" +
+      "N\020\002\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK" +
+      "_STATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rC" +
+      "HUNK_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStore" +
+      "Kind\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STOR" +
+      "E_ROUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_W" +
+      "EIGHTS\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STORE_EVA" +
+      "CUATIONS\020\005B$\n\036org.wisteriapost.protocol." +
+      "wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -605,7 +606,7 @@
     internal_static_wisteriapost_SuspectReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_SuspectReport_descriptor,
-        new java.lang.String[] { "Suspects", });
+        new java.lang.String[] { "Suspects", "Parts", });
     internal_static_wisteriapost_SuspectRequest_descriptor =
       getDescriptor().getMessageType(38);
     internal_static_wisteriapost_SuspectRequest_fieldAccessorTable = new
