Log the store's epoch, each listing and each change that is ignored

The logs could not tell a change that does not arrive from one that is ignored, nor the store from the one before.

The reader logs each listing with revision, epoch and what it had read before, and each change that it ignores with both revisions; the entry logs an older table that it reads and the revision of a runner's registration. No logic changes.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
@@ -233,7 +233,8 @@
 	private void applyRunner(RunnerInfo info, long now) {
 		if (this.dispatcher.updateRunner(info, now)) {
 			this.log.decision("runner-changed", "runner", info.id(), "address", info.address(), "service",
-					info.service(), "draining", info.draining(), "models", info.weightsVersions());
+					info.service(), "draining", info.draining(), "models", info.weightsVersions(), "revision",
+					info.revision());
 			this.notifier.peersChanged();
 		}
 	}
@@ -241,6 +242,9 @@
 	// A lagging listing must not restore a removed route or token.
 	private void applyRoutes(RouteTable newTable) {
 		if (this.routeTable.isPresent() && this.routeTable.get().version() >= newTable.version()) {
+			if (this.routeTable.get().version() > newTable.version()) {
+				this.log.decision("older-table-read", "version", newTable.version(), "inForce", routeTableVersion());
+			}
 			return;
 		}
 		this.routeTable = Optional.of(newTable);
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/ObjectStore.java
@@ -13,11 +13,18 @@
  * A site's store: objects by kind and name, a single revision that increases with every
  * change, and watches that start at a revision.
  *
+ * A store can be restored from a copy: what was written since the copy is lost, and its
+ * revisions are given out again. The epoch counts this, so a revision means something
+ * only within its epoch.
+ *
  * A failed future carries a {@link org.wisteriapost.kernel.CodedException}. Cancelling
  * the future of a listing or a watch cancels the call.
  */
 public interface ObjectStore {
 
+	/** The epoch of a store that states none. */
+	long UNKNOWN_EPOCH = 0;
+
 	/** The store did not answer or rejected the call. */
 	Code UNAVAILABLE = Code.unavailable("store-unavailable", "The site's store did not take the call.");
 
@@ -81,8 +88,17 @@
 	 * @param items ordered by name
 	 * @param hasMore whether there are further pages
 	 * @param revision the store's revision
+	 * @param epoch the store's epoch, or {@link #UNKNOWN_EPOCH}
 	 */
-	record Page(List<Item> items, boolean hasMore, long revision) {
+	record Page(List<Item> items, boolean hasMore, long revision, long epoch) {
+
+		/**
+		 * Creates a page of a store that states no epoch.
+		 */
+		public Page(List<Item> items, boolean hasMore, long revision) {
+			this(items, hasMore, revision, UNKNOWN_EPOCH);
+		}
+
 	}
 
 	/**
@@ -99,8 +115,17 @@
 	 *
 	 * @param changes the changes
 	 * @param revision the revision from which to continue
+	 * @param epoch the store's epoch, or {@link #UNKNOWN_EPOCH}
 	 */
-	record Changes(List<Change> changes, long revision) {
+	record Changes(List<Change> changes, long revision, long epoch) {
+
+		/**
+		 * Creates changes of a store that states no epoch.
+		 */
+		public Changes(List<Change> changes, long revision) {
+			this(changes, revision, UNKNOWN_EPOCH);
+		}
+
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/StoreWatcher.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/StoreWatcher.java
@@ -72,6 +72,9 @@
 	// Up to which revision the listener has received all changes.
 	private long publishedRevision = NO_REVISION;
 
+	// For the log: unlike the published revision it is kept until the next listing.
+	private long lastRevision = NO_REVISION;
+
 	private Optional<Boolean> reachable = Optional.empty();
 
 	private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -228,6 +231,9 @@
 						Optional.of(page.items().getLast().name()));
 				return;
 			}
+			LOG.log(Level.INFO, "listed: " + this.kind + " at revision " + from + " of epoch " + page.epoch()
+					+ ", read up to " + this.lastRevision + " before");
+			this.lastRevision = from;
 			publishSnapshot(listing.items, from);
 			publishConfirmed(listing.requestNanos);
 			this.publishedRevision = from;
@@ -295,6 +301,7 @@
 
 	private void watchAfter(ObjectStore.Changes changes, long at) {
 		this.publishedRevision = at;
+		this.lastRevision = at;
 		if (changes.changes().isEmpty()) {
 			watch(at);
 			return;
@@ -326,6 +333,8 @@
 		ObjectStore.Item item = change.item();
 		long known = this.revisions.getOrDefault(item.name(), -1L);
 		if (item.revision() < known) {
+			LOG.log(Level.INFO, "change-ignored: " + this.kind + " " + item.name() + " at revision " + item.revision()
+					+ ", known at " + known);
 			return;
 		}
 		if (change.deleted()) {
