Failing test: draining runners get requests after the store was restored

The harness plays a store that is restored from a copy, runners that register as draining and tables with versions.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/FakeObjectStore.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FakeObjectStore.java
@@ -43,7 +43,7 @@
 	 * Returns an object that {@link #decode} restores from its content.
 	 */
 	Item item(String name, long revision, DecodedObject value) {
-		String text = name + "@" + revision;
+		String text = name + "@" + revision + "#" + this.itemsByContent.size();
 		Item item = new Item(name, revision, Optional.of(value), () -> text.getBytes(StandardCharsets.UTF_8));
 		this.itemsByContent.put(text, item);
 		return item;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -61,6 +61,8 @@
 
 	private Optional<DirectState> state = Optional.empty();
 
+	private DirectView view;
+
 	// Present in fleets whose entries read the store by their production watches.
 	private Optional<FleetStore> store = Optional.empty();
 
@@ -112,11 +114,11 @@
 		this.disturbedNanos = this.fleet.now();
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(this.fleet.random.nextLong());
 		EntryClocks clocks = new EntryClocks(this.fleet::now, () -> this.fleet.now() / FleetHarness.MILLI);
+		this.view = new DirectView(clocks);
 		DispatchLimits limits = new DispatchLimits(this.failureDomain, 0.2, 100, Duration.ofSeconds(10),
 				Duration.ofSeconds(8), RegionMap.NONE, COLD_START_BOUND, false);
 		DirectState started = new DirectState(settings(), info(), Dispatcher.create(limits, random), this,
-				this.fleet.log, DirectMetrics.create(new SimpleMeterRegistry()), random, clocks,
-				new DirectView(clocks));
+				this.fleet.log, DirectMetrics.create(new SimpleMeterRegistry()), random, clocks, this.view);
 		this.state = Optional.of(started);
 		long current = this.incarnation;
 		if (this.fleet.readsByWatches()) {
@@ -143,6 +145,11 @@
 		callers.values().forEach((caller) -> caller.accept(new FleetHarness.Answer("cut", 0)));
 	}
 
+	/** Returns the version of the table in force; 0 without one. */
+	long tableVersion() {
+		return this.view.limits().map((limits) -> limits.maxBodyBytes() - FleetHarness.BODY_BYTES).orElse(0L);
+	}
+
 	Optional<FleetStore> store() {
 		return this.store;
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -54,6 +54,9 @@
 
 	static final int RUNNER_SLOTS = 8;
 
+	/** The limit of a request's body is higher by the version of the table. */
+	static final int BODY_BYTES = 1 << 20;
+
 	/** How long an entry must have run undisturbed to be held to the limits. */
 	static final long CONTACT_NANOS = 3 * SECOND;
 
@@ -103,6 +106,12 @@
 
 	private long revision = 1;
 
+	private long epoch = 1;
+
+	private boolean storeAway;
+
+	private int tableVersion = 1;
+
 	/** Parts of prompts that crash each runner which begins a request with them. */
 	final Set<String> badParts = new HashSet<>();
 
@@ -326,12 +335,61 @@
 		return this.revision;
 	}
 
-	private void writeRoutes() {
+	long epoch() {
+		return this.epoch;
+	}
+
+	/** Skips revisions, as if objects of other kinds were written. */
+	void advanceRevision(long by) {
+		this.revision += by;
+	}
+
+	/** Copies the store. */
+	StoreCopy copyStore() {
+		Map<ObjectKind, Map<String, ObjectStore.Item>> current = new EnumMap<>(ObjectKind.class);
+		this.objects.forEach((kind, items) -> current.put(kind, new LinkedHashMap<>(items)));
+		Map<ObjectKind, List<Recorded>> changes = new EnumMap<>(ObjectKind.class);
+		this.history.forEach((kind, recorded) -> changes.put(kind, new ArrayList<>(recorded)));
+		return new StoreCopy(current, changes, this.revision);
+	}
+
+	/**
+	 * Takes the store away, and brings it back from a copy. What was written since is
+	 * lost, and the revisions are given out again.
+	 */
+	void restoreStore(StoreCopy copy, long awayMillis) {
+		this.entries.values().forEach((entry) -> entry.store().ifPresent(FleetStore::cutWatches));
+		this.storeAway = true;
+		after(awayMillis * MILLI, () -> {
+			this.storeAway = false;
+			this.epoch++;
+			this.revision = copy.revision;
+			this.objects.putAll(copy.objects);
+			this.history.clear();
+			this.history.putAll(copy.changes);
+		});
+	}
+
+	boolean storeAway() {
+		return this.storeAway;
+	}
+
+	/** Declares a table with the next version. */
+	void declareRoutes() {
+		this.tableVersion++;
+		writeRoutes();
+	}
+
+	long tableVersion() {
+		return this.tableVersion;
+	}
+
+	void writeRoutes() {
 		Route route = new Route("draft", HOST, "/draft/", this.routeKind, REQUEST_TIMEOUT, Duration.ofMillis(1500), 1,
 				List.of(new WeightedService("api", 1)), 2, true, false, Duration.ofMillis(400));
-		RouteTable table = RouteTable.of(1, List.of(route),
+		RouteTable table = RouteTable.of(this.tableVersion, List.of(route),
 				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty(), this.coldStart)), Map.of(),
-				new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+				new CallLimits(16_384, BODY_BYTES + this.tableVersion, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 		write(ObjectKind.ROUTES, "current", new DecodedObject.Routes(table));
 	}
 
@@ -344,8 +402,8 @@
 	}
 
 	RunnerInfo runnerInfo(FleetRunner runner) {
-		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), this.runnerSlots, false,
-				runner.coldMillis(), Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
+		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), this.runnerSlots,
+				runner.draining(), runner.coldMillis(), Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
 	}
 
 	void removeRunner(String id) {
@@ -410,7 +468,12 @@
 
 	}
 
-	private record Recorded(long revision, ObjectStore.Change change) {
+	/** The state of the store at a time. */
+	record StoreCopy(Map<ObjectKind, Map<String, ObjectStore.Item>> objects, Map<ObjectKind, List<Recorded>> changes,
+			long revision) {
+	}
+
+	record Recorded(long revision, ObjectStore.Change change) {
 	}
 
 	private record Task(long atNanos, long number, Runnable action) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
@@ -45,6 +45,8 @@
 
 	private boolean leaving;
 
+	private boolean draining;
+
 	// When each incarnation of an entry first passed on an answer that states it.
 	private final Map<EntryInfo, Long> leavingToldNanos = new HashMap<>();
 
@@ -88,6 +90,7 @@
 		this.starts++;
 		this.toldNanos.clear();
 		this.leaving = false;
+		this.draining = false;
 		this.restUntilNanos = Long.MIN_VALUE;
 		this.askedToRestNanos.clear();
 		this.leavingToldNanos.clear();
@@ -120,6 +123,18 @@
 		this.leaving = true;
 	}
 
+	/**
+	 * Registers as draining and goes on serving.
+	 */
+	void drain() {
+		this.draining = true;
+		this.fleet.writeRunner(this);
+	}
+
+	boolean draining() {
+		return this.draining;
+	}
+
 	/**
 	 * Turns all requests away for a time, and asks each entry to send nothing meanwhile.
 	 */
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetStore.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetStore.java
@@ -60,6 +60,12 @@
 		this.silent = silent;
 	}
 
+	/** Cuts the watches that wait, as the store does when it goes away. */
+	void cutWatches() {
+		List.copyOf(this.waiting).forEach((watch) -> respond(() -> rejected(watch.reply)));
+		this.waiting.clear();
+	}
+
 	void close() {
 		this.closed = true;
 		this.waiting.clear();
@@ -77,7 +83,13 @@
 	@Override
 	public CompletableFuture<Page> list(ObjectKind kind, Optional<String> after) {
 		CompletableFuture<Page> reply = call(kind, CALL_TIMEOUT);
-		respond(() -> reply.complete(new Page(this.fleet.objects(kind), false, this.fleet.revision())));
+		respond(() -> {
+			if (this.fleet.storeAway()) {
+				rejected(reply);
+				return;
+			}
+			reply.complete(new Page(this.fleet.objects(kind), false, this.fleet.revision(), this.fleet.epoch()));
+		});
 		return reply;
 	}
 
@@ -85,6 +97,14 @@
 	public CompletableFuture<Changes> watch(ObjectKind kind, long revision, Duration wait) {
 		CompletableFuture<Changes> reply = call(kind, wait.isZero() ? CALL_TIMEOUT : wait.plus(WATCH_TIMEOUT_MARGIN));
 		respond(() -> {
+			if (this.fleet.storeAway()) {
+				rejected(reply);
+				return;
+			}
+			if (revision > this.fleet.revision()) {
+				reply.completeExceptionally(CodedException.of(HISTORY_GONE, "revision not given out yet"));
+				return;
+			}
 			if (wait.isZero() || !this.fleet.changes(kind, revision).isEmpty()) {
 				answer(reply, kind, revision);
 				return;
@@ -101,10 +121,14 @@
 	}
 
 	private void answer(CompletableFuture<Changes> reply, ObjectKind kind, long revision) {
-		Changes changes = new Changes(this.fleet.changes(kind, revision), this.fleet.revision());
+		Changes changes = new Changes(this.fleet.changes(kind, revision), this.fleet.revision(), this.fleet.epoch());
 		respond(() -> reply.complete(changes));
 	}
 
+	private static void rejected(CompletableFuture<?> reply) {
+		reply.completeExceptionally(CodedException.of(UNAVAILABLE, "connection reset"));
+	}
+
 	private <T> CompletableFuture<T> call(ObjectKind kind, Duration timeout) {
 		this.fleet.storeCalls.merge(kind, 1, Integer::sum);
 		CompletableFuture<T> reply = new CompletableFuture<>();
--- /dev/null
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
@@ -0,0 +1,98 @@
+package org.wisteriapost.entry.direct;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.hamcrest.Matchers;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+
+/**
+ * Fleets whose store is restored from a copy some seconds old.
+ */
+class RestoredStoreFleetTests {
+
+	private static final Duration DELAY = Duration.ofSeconds(5);
+
+	private static final long DRAIN_NANOS = 2 * FleetHarness.SECOND;
+
+	private static final int RUNNERS = 12;
+
+	private static final int REQUESTS_PER_SECOND = 60;
+
+	static Stream<Arguments> fleets() {
+		return Stream.of(6, 14)
+			.flatMap((entries) -> Arrays.stream(Return.values())
+				.flatMap((back) -> IntStream.rangeClosed(1, Math.ceilDiv(FleetHarness.SEEDS, 2))
+					.mapToObj((seed) -> Arguments.of(entries, back, seed))));
+	}
+
+	// Guards against requests to a runner whose registration as draining is not read,
+	// since the store has given out its revision before.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void drainingRunnersGetNoRequestsOnceTheStoreIsBack(int entries, Return back, long seed) {
+		try (FleetHarness fleet = restoredFleet(entries, back, seed)) {
+			List<FleetRunner> draining = fleet.runners.values().stream().limit(RUNNERS / 3).toList();
+			draining.forEach(FleetRunner::drain);
+			long boundNanos = fleet.now() + DRAIN_NANOS;
+			fleet.run(Duration.ofSeconds(6));
+			assertThat(draining.stream()
+				.flatMap((runner) -> runner.arrivals().stream())
+				.filter((arrival) -> arrival.entryInTouch() && arrival.atNanos() > boundNanos)
+				.toList(), Matchers.empty());
+		}
+	}
+
+	// Returns a fleet three seconds after its store has been restored, when all that
+	// runners and operators had written since the copy has been written again.
+	private static FleetHarness restoredFleet(int entries, Return back, long seed) {
+		FleetHarness fleet = new FleetHarness(entries, RUNNERS, seed, (entry) -> Optional.of(DELAY));
+		new FleetTraffic(fleet, REQUESTS_PER_SECOND);
+		fleet.run(Duration.ofSeconds(6));
+		FleetHarness.StoreCopy copy = fleet.copyStore();
+		fleet.advanceRevision(20);
+		fleet.declareRoutes();
+		fleet.runners.values().forEach(fleet::writeRunner);
+		fleet.run(Duration.ofSeconds(4));
+		fleet.restoreStore(copy, back.awayMillis);
+		fleet.run(Duration.ofMillis(back.awayMillis).plusMillis(1));
+		fleet.advanceRevision(back.skippedRevisions);
+		fleet.runners.values()
+			.forEach((runner) -> fleet.after(fleet.between(0, 1500), () -> fleet.writeRunner(runner)));
+		fleet.after(fleet.between(0, 1500), fleet::writeRoutes);
+		fleet.run(Duration.ofSeconds(3));
+		return fleet;
+	}
+
+	/** How the store comes back. */
+	enum Return {
+
+		/** Its revisions stay below those that entries have read. */
+		BELOW(2900, 0),
+		/** The same after so short a time that its loss may go unnoticed. */
+		BELOW_AT_ONCE(1, 0),
+		/** Its revisions have passed those that entries have read before these return. */
+		BEYOND(2900, 60),
+		/** The same after so short a time that its loss may go unnoticed. */
+		BEYOND_AT_ONCE(1, 60);
+
+		private final long awayMillis;
+
+		private final long skippedRevisions;
+
+		Return(long awayMillis, long skippedRevisions) {
+			this.awayMillis = awayMillis;
+			this.skippedRevisions = skippedRevisions;
+		}
+
+	}
+
+}
