--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -110,7 +110,7 @@
 
 	private boolean storeAway;
 
-	private int tableVersion = 1;
+	private long tableVersion = 1;
 
 	/** Parts of prompts that crash each runner which begins a request with them. */
 	final Set<String> badParts = new HashSet<>();
--- a/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
@@ -23,6 +23,8 @@
 
 	private static final long DRAIN_NANOS = 2 * FleetHarness.SECOND;
 
+	private static final Duration APPLY_DELAY = Duration.ofSeconds(2);
+
 	private static final int RUNNERS = 12;
 
 	private static final int REQUESTS_PER_SECOND = 60;
@@ -51,6 +53,21 @@
 		}
 	}
 
+	// Guards against tables that are not read, since the store has given out their
+	// revision before.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void newTableIsInForceOnceTheStoreIsBack(int entries, Return back, long seed) {
+		try (FleetHarness fleet = restoredFleet(entries, back, seed)) {
+			for (int i = 0; i < 3; i++) {
+				fleet.declareRoutes();
+				fleet.run(APPLY_DELAY);
+				assertThat(fleet.entries.values().stream().map(FleetEntry::tableVersion).toList(),
+						Matchers.everyItem(Matchers.is(fleet.tableVersion())));
+			}
+		}
+	}
+
 	// Returns a fleet three seconds after its store has been restored, when all that
 	// runners and operators had written since the copy has been written again.
 	private static FleetHarness restoredFleet(int entries, Return back, long seed) {
