Split the reader of the store, the entry's state and the fleet of tests

ReadPosition has the revision and epoch up to which a watch has read, ObjectPublisher passes objects on, ReplicaUpdates applies updates of peers, StoreEvents handles what the entry learns of the store, FleetObjects is the store of the fleet in tests. A removal in that store takes a revision of its own, so that watches report it. No other logic changes.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -26,7 +24,6 @@
 import org.wisteriapost.protocol.wire.EchoRequest;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.LoadReport;
-import org.wisteriapost.protocol.wire.NewsRequest;
 
 /**
  * The entry's state machine. Events are applied on the state thread.
@@ -66,6 +63,8 @@
 
 	private final SiteView localView;
 
+	private final StoreEvents storeEvents;
+
 	private final RequestAdmission admission;
 
 	private final EffectExecutor effects;
@@ -86,12 +85,6 @@
 
 	private Optional<PeerTransport> peers = Optional.empty();
 
-	private Optional<StoreReplication> updates = Optional.empty();
-
-	private Optional<StoreRoleController> storeReading = Optional.empty();
-
-	private Optional<StoreRestores> restores = Optional.empty();
-
 	private Optional<LoadReporter> loadReports = Optional.empty();
 
 	private Optional<FailureDomainRelay> failureDomainUpdates = Optional.empty();
@@ -115,10 +108,11 @@
 		EvacuationUpdates evacuations = new EvacuationUpdates(dispatcher.evacuated(), log, metrics);
 		this.localView = new SiteView(dispatcher, this.roster, this.announcer, log, this.activationDelay, evacuations,
 				this.kinds);
+		this.storeEvents = new StoreEvents(dispatcher, this.localView, log);
 		this.view = view;
 		this.shutdown = new GracefulShutdown(settings.guarantees().shutdownGrace());
 		this.admission = new RequestAdmission(this.localView, this.shutdown, output, log, metrics, random,
-				this::isFollower);
+				this.storeEvents::isFollower);
 		this.effects = new EffectExecutor(output, log, metrics, this.localView, evacuations);
 		this.quarantineLog = new QuarantineLog(log, metrics);
 		this.rateLimitLog = new RateLimitLog(dispatcher.rateLimits(), log, metrics);
@@ -138,9 +132,8 @@
 		UpstreamSelector upstream = UpstreamSelector.of(this.self.name());
 		StoreReplication exchange = new StoreReplication(objectStore, duty, upstream, this.kinds, peers::send,
 				this.clocks.monotonicNanos(), this.log);
-		this.updates = Optional.of(exchange);
-		this.storeReading = Optional.of(new StoreRoleController(duty, exchange, following, peers::send, this.log));
-		this.restores = Optional.of(new StoreRestores(following, this.log, this.metrics));
+		this.storeEvents.connect(exchange, new StoreRoleController(duty, exchange, following, peers::send, this.log),
+				new StoreRestores(following, this.log, this.metrics));
 		this.loadReports = Optional.of(new LoadReporter(this.self.failureDomain(), peers::send));
 		this.suspects = Optional.of(SuspectExchange.of(this.self.name(), this.dispatcher.quarantine(),
 				peers::linkedEntries, (peer, report) -> peers.send(peer,
@@ -161,12 +154,13 @@
 			case DirectEvent.FirstEventForwarded first -> firstEventForwarded(first, now);
 			case DirectEvent.DispatchSuperseded superseded -> dispatchSuperseded(superseded, now);
 			case DirectEvent.DispatchEnded ended -> dispatchEnded(ended, now);
-			case DirectEvent.StoreEpochRead read -> storeEpochRead(read);
-			case DirectEvent.ObjectsListed listed -> objectsListed(listed, now);
-			case DirectEvent.ObjectChanged changed -> objectChanged(changed.kind(), changed.change(), now);
-			case DirectEvent.StoreReachability reachable -> storeReachable(reachable, now);
-			case DirectEvent.StoreConfirmed confirmed -> storeConfirmed(confirmed);
-			case DirectEvent.StoreWatchLost lost -> this.updates.ifPresent(StoreReplication::dismissSubscribers);
+			case DirectEvent.StoreEpochRead read -> this.storeEvents.epochRead(read, now);
+			case DirectEvent.ObjectsListed listed -> this.storeEvents.objectsListed(listed, now);
+			case DirectEvent.ObjectChanged changed ->
+				this.storeEvents.objectChanged(changed.kind(), changed.change(), now);
+			case DirectEvent.StoreReachability reachable -> this.storeEvents.reachabilityChanged(reachable, now);
+			case DirectEvent.StoreConfirmed confirmed -> this.storeEvents.confirmed(confirmed);
+			case DirectEvent.StoreWatchLost lost -> this.storeEvents.watchLost();
 			case DirectEvent.PeerLinkChanged link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.markLeaving(leaving.peer());
 			case DirectEvent.PeerIdentified identified -> peerIdentified(identified.peer());
@@ -180,9 +174,9 @@
 			case DirectEvent.FailureDomainReported report -> this.failureDomainUpdates
 				.ifPresent((domains) -> domains.stateReceived(report.peer(), report.report(), now)
 					.forEach((one) -> this.runnerReports.engineStatus(one, now)));
-			case DirectEvent.PeerStateUpdated update -> peerUpdate(update, now);
+			case DirectEvent.PeerStateUpdated update -> this.storeEvents.peerUpdated(update, now);
 			case DirectEvent.PeerSubscriptionChanged subscription ->
-				peerSubscription(subscription.peer(), subscription.request());
+				this.storeEvents.subscriptionChanged(subscription.peer(), subscription.request(), now);
 			case DirectEvent.EngineStatusReported reported -> this.runnerReports.engineStatus(reported.status(), now);
 			case DirectEvent.EchoReceived echo ->
 				this.dispatcher.runnerPaths().echoReceived(echo.address(), echo.stampNanos(), now);
@@ -204,7 +198,7 @@
 	private void resumed(long now) {
 		this.log.decision("woke");
 		this.localView.suspended(now);
-		this.updates.ifPresent((updates) -> updates.suspended(now));
+		this.storeEvents.suspended(now);
 	}
 
 	private void requestArrived(IncomingRequest request, long now) {
@@ -272,103 +266,6 @@
 		}
 	}
 
-	// Events from the store.
-
-	private void storeEpochRead(DirectEvent.StoreEpochRead read) {
-		this.updates.ifPresent((updates) -> updates.epochRead(read.kind(), read.epoch()));
-		epochObserved(read.epoch());
-	}
-
-	private void epochObserved(long epoch) {
-		this.restores.ifPresent((known) -> known.observed(epoch));
-	}
-
-	// Discards what was read while this entry became a follower: it is older than what
-	// the leader sends.
-	private void objectsListed(DirectEvent.ObjectsListed listed, long now) {
-		if (discardsReads(listed.kind())) {
-			discarded(listed.kind());
-			return;
-		}
-		this.storeReading.ifPresent((reading) -> reading.listingApplied(listed.kind()));
-		boolean current = this.updates
-			.map((updates) -> updates.applyFromStore(listed.kind(), listed.items(), listed.revision()))
-			.orElse(true);
-		if (current) {
-			this.localView.replaceAll(listed.kind(), listed.items(), now);
-		}
-	}
-
-	private void objectChanged(ObjectKind kind, ObjectStore.Change change, long now) {
-		if (discardsReads(kind)) {
-			discarded(kind);
-		}
-		else if (this.updates.map((updates) -> updates.applyFromStore(kind, change)).orElse(true)) {
-			this.localView.applyChange(kind, change, now);
-		}
-	}
-
-	private void discarded(ObjectKind kind) {
-		this.storeReading.ifPresent((reading) -> reading.readDiscarded(kind));
-	}
-
-	private boolean discardsReads(ObjectKind kind) {
-		return this.storeReading.map((reading) -> reading.discardsReads(kind)).orElse(false);
-	}
-
-	private boolean isFollower() {
-		return this.storeReading.map(StoreRoleController::isFollower).orElse(false);
-	}
-
-	private void storeReachable(DirectEvent.StoreReachability reachable, long now) {
-		this.log.decision("store", "kind", reachable.kind(), "reachable", reachable.reachable());
-		if (reachable.kind() == ObjectKind.RUNNERS) {
-			this.dispatcher.departures().storeReachable(reachable.reachable(), now);
-			this.updates.ifPresent((updates) -> updates.storeReachable(reachable.reachable()));
-		}
-	}
-
-	private void storeConfirmed(DirectEvent.StoreConfirmed confirmed) {
-		boolean confirms = this.storeReading.map((reading) -> reading.confirms(confirmed.kind())).orElse(true)
-				&& !readsBeforeRestore(confirmed.kind());
-		if (confirmed.kind() == ObjectKind.ROUTES && confirms) {
-			this.localView.routesConfirmed(confirmed.asOfNanos());
-			this.updates.ifPresent((updates) -> updates.routesConfirmed(confirmed.asOfNanos()));
-		}
-	}
-
-	private boolean readsBeforeRestore(ObjectKind kind) {
-		long latest = this.restores.map(StoreRestores::epoch).orElse(ObjectStore.UNKNOWN_EPOCH);
-		return this.updates.map((updates) -> updates.readsBefore(kind, latest)).orElse(false);
-	}
-
-	// Applies state updates that another entry forwards.
-	private void peerUpdate(DirectEvent.PeerStateUpdated received, long now) {
-		epochObserved(received.update().getEpoch());
-		List<DirectEvent> applied = this.storeReading
-			.map((reading) -> reading.updateReceived(received.peer(), received.update(), now))
-			.orElse(List.of());
-		if (!applied.isEmpty()) {
-			this.dispatcher.departures().storeReachable(true, now);
-		}
-		for (DirectEvent one : applied) {
-			switch (one) {
-				case DirectEvent.ObjectsListed listed -> this.localView.replaceAll(listed.kind(), listed.items(), now);
-				case DirectEvent.ObjectChanged change ->
-					this.localView.applyChange(change.kind(), change.change(), now);
-				default -> throw new IllegalStateException("unexpected event from the store: " + one);
-			}
-		}
-		this.updates.map(StoreReplication::routesConfirmedNanos)
-			.orElse(OptionalLong.empty())
-			.ifPresent(this.localView::routesConfirmed);
-	}
-
-	private void peerSubscription(String peer, NewsRequest request) {
-		epochObserved(ReplicatedKinds.latestEpoch(request));
-		this.updates.ifPresent((updates) -> updates.requestReceived(peer, request));
-	}
-
 	// Events from peers and agents, and reports to them.
 
 	private void peerLink(String peer, boolean up, long now) {
@@ -388,7 +285,7 @@
 	private void peerIdentified(String peer) {
 		this.announcer.greetingReceived(peer);
 		this.suspects.ifPresent((exchange) -> exchange.linkEstablished(peer));
-		this.updates.ifPresent((updates) -> updates.linkEstablished(peer));
+		this.storeEvents.linkEstablished(peer);
 	}
 
 	private void peerLoads(String peer, LoadReport report, long now) {
@@ -413,10 +310,8 @@
 			this.dispatcher.updateEntryCount(this.roster.entryCount());
 			this.rateLimitLog.updateEntries(this.roster, this.localView, now);
 			this.metrics.slotsReserved(this.dispatcher.contention().reservedSlots().current(now));
-			this.updates.ifPresent((updates) -> updates
-				.tick(this.roster.linkDistances(this.peers.orElseThrow().linkedEntries()), now));
-			this.storeReading
-				.ifPresent((reading) -> reading.tick(this.roster.leaderGroup(), this.localView.allKindsKnown(), now));
+			this.storeEvents.tick(this.roster.linkDistances(this.peers.orElseThrow().linkedEntries()),
+					this.roster.leaderGroup(), now);
 		}
 		if (this.ticks % TICKS_PER_ECHO == 0) {
 			requestEchoes(now);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReplica.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReplica.java
@@ -45,6 +45,9 @@
 	// The store's epoch to which the objects of a kind belong.
 	private final Map<ObjectKind, Long> epochs = new EnumMap<>(ObjectKind.class);
 
+	// The store's epoch to which this entry's own reads of a kind belong.
+	private final Map<ObjectKind, Long> readEpochs = new EnumMap<>(ObjectKind.class);
+
 	/**
 	 * Creates an empty replica.
 	 * @param kinds the kinds of objects that it holds
@@ -77,6 +80,17 @@
 		return this.epochs.getOrDefault(kind, ObjectStore.UNKNOWN_EPOCH);
 	}
 
+	/**
+	 * Records the store's epoch to which this entry's next reads of a kind belong.
+	 */
+	void epochRead(ObjectKind kind, long epoch) {
+		this.readEpochs.put(kind, epoch);
+	}
+
+	long readEpoch(ObjectKind kind) {
+		return this.readEpochs.getOrDefault(kind, ObjectStore.UNKNOWN_EPOCH);
+	}
+
 	/**
 	 * Returns whether an epoch is earlier than that of the objects of a kind.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreReplication.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreReplication.java
@@ -1,8 +1,6 @@
 package org.wisteriapost.entry.direct;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +22,6 @@
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.News;
 import org.wisteriapost.protocol.wire.NewsRequest;
-import org.wisteriapost.protocol.wire.StoreObject;
 
 /**
  * Replicates the site's store between entries. Sends updates to entries that do not read
@@ -42,6 +39,8 @@
 
 	private final UpdateSubscriptions subscriptions;
 
+	private final ReplicaUpdates replicaUpdates;
+
 	private final UpdatePublisher publisher;
 
 	private final BiConsumer<String, Frame> sender;
@@ -61,9 +60,6 @@
 	// ever and never become followers. It is repeated once a tick until it arrives.
 	private final Set<String> unsolicited = new HashSet<>();
 
-	// The store's epoch to which this entry's own reads of a kind belong.
-	private final Map<ObjectKind, Long> readEpochs = new EnumMap<>(ObjectKind.class);
-
 	private List<LinkedEntry> linkedEntries = List.of();
 
 	private long tickNanos;
@@ -87,6 +83,7 @@
 		this.kinds = new ReplicatedKinds(kinds);
 		this.replica = new StoreReplica(store, this.kinds);
 		this.subscriptions = new UpdateSubscriptions(this.replica, this.kinds, clock, log);
+		this.replicaUpdates = new ReplicaUpdates(this.replica, this.subscriptions);
 		this.publisher = new UpdatePublisher(sender, clock);
 		this.storeRole = storeRole;
 		this.upstream = upstream;
@@ -101,11 +98,7 @@
 	 * Records the store's epoch to which this entry's next reads of a kind belong.
 	 */
 	void epochRead(ObjectKind kind, long epoch) {
-		this.readEpochs.put(kind, epoch);
-	}
-
-	private long readEpoch(ObjectKind kind) {
-		return this.readEpochs.getOrDefault(kind, ObjectStore.UNKNOWN_EPOCH);
+		this.replica.epochRead(kind, epoch);
 	}
 
 	/**
@@ -113,11 +106,7 @@
 	 * store than the given one.
 	 */
 	boolean readsBefore(ObjectKind kind, long epoch) {
-		return readEpoch(kind) < epoch;
-	}
-
-	private boolean readsAreOutdated(ObjectKind kind) {
-		return this.replica.isOutdated(kind, readEpoch(kind));
+		return this.replica.readEpoch(kind) < epoch;
 	}
 
 	/**
@@ -126,16 +115,16 @@
 	 * @param revision the store's revision at the listing
 	 */
 	boolean applyFromStore(ObjectKind kind, List<ObjectStore.Item> all, long revision) {
-		if (readsAreOutdated(kind)) {
-			this.log.failure("outdated-read", "kind", kind, "epoch", readEpoch(kind));
+		long epoch = this.replica.readEpoch(kind);
+		if (this.replica.isOutdated(kind, epoch)) {
+			this.log.failure("outdated-read", "kind", kind, "epoch", epoch);
 			return false;
 		}
-		boolean restored = this.replica.isLater(kind, readEpoch(kind));
-		boolean revisionsReused = restored
-				|| (readEpoch(kind) == ObjectStore.UNKNOWN_EPOCH && revision < knownRevision(kind));
+		boolean restored = this.replica.isLater(kind, epoch);
+		boolean revisionsReused = restored || (epoch == ObjectStore.UNKNOWN_EPOCH && revision < knownRevision(kind));
 		Map<String, Long> before = revisionsReused ? Map.of() : this.replica.revisions(kind);
 		if (restored) {
-			this.replica.setEpoch(kind, readEpoch(kind));
+			this.replica.setEpoch(kind, epoch);
 		}
 		if (this.replica.applyFromStore(kind, all, revision) && !restored) {
 			this.subscriptions.objectsDropped(kind);
@@ -155,7 +144,7 @@
 	 * Applies a change and returns whether it is newer than what is known.
 	 */
 	boolean applyFromStore(ObjectKind kind, ObjectStore.Change change) {
-		if (readsAreOutdated(kind) || !this.replica.applyFromStore(kind, change)) {
+		if (this.replica.isOutdated(kind, this.replica.readEpoch(kind)) || !this.replica.applyFromStore(kind, change)) {
 			return false;
 		}
 		publish(() -> News.newBuilder()
@@ -404,67 +393,7 @@
 		if (this.upstream.acceptsUpdatesFrom(peer)) {
 			this.upstream.answerReceived(true, this.tickNanos);
 		}
-		if (update.getEpoch() == ObjectStore.UNKNOWN_EPOCH && knowsBetter(kind)) {
-			if (update.getAll()) {
-				this.subscriptions.markDelivered(peer, kind);
-			}
-			return List.of();
-		}
-		boolean later = this.replica.isLater(kind, update.getEpoch());
-		if (this.replica.isOutdated(kind, update.getEpoch()) || (later && !update.getAll())) {
-			this.subscriptions.otherEpochReceived(peer, kind, update);
-			return List.of();
-		}
-		boolean rolledBack = update.getAll() && this.subscriptions.isRolledBack(peer, kind, update);
-		if (later || rolledBack) {
-			return replaceAll(peer, kind, update);
-		}
-		if (!this.replica.hasReferenced(kind, update.getObjectsList())) {
-			this.subscriptions.contentMissing(peer, kind, update);
-			return List.of();
-		}
-		List<DirectEvent> changes = new ArrayList<>();
-		for (StoreObject object : update.getObjectsList()) {
-			this.replica.applyFromPeer(kind, object)
-				.ifPresent((change) -> changes.add(new DirectEvent.ObjectChanged(kind, change)));
-		}
-		if (update.getAll()) {
-			this.subscriptions.markDelivered(peer, kind);
-			return List.of(applyFullUpdate(kind, update));
-		}
-		// If an earlier change is missing, the update does not prove up to where the
-		// kind is known: a subscriber of this entry would remove objects that were
-		// created in between.
-		if (this.subscriptions.hasAll(peer, kind)) {
-			update.getObjectsList().forEach((object) -> this.replica.advanceRevision(kind, object.getRevision()));
-		}
-		return changes;
-	}
-
-	// A peer of an older version may send what the store has lost, at a higher revision
-	// than what this entry reads itself.
-	private boolean knowsBetter(ObjectKind kind) {
-		return this.ownReadsAnswered && epoch(kind) != ObjectStore.UNKNOWN_EPOCH;
-	}
-
-	// The store was restored from a copy: whatever is known belongs to an earlier epoch.
-	private List<DirectEvent> replaceAll(String peer, ObjectKind kind, News update) {
-		if (update.getObjectsList().stream().anyMatch(StoreObject::getKnown)) {
-			this.subscriptions.contentMissing(peer, kind, update);
-			return List.of();
-		}
-		this.replica.setEpoch(kind, update.getEpoch());
-		this.replica.replaceFromPeer(kind, update.getObjectsList(), update.getAt());
-		this.subscriptions.markDelivered(peer, kind);
-		return List.of(new DirectEvent.ObjectsListed(kind, this.replica.items(kind), update.getAt()));
-	}
-
-	private DirectEvent applyFullUpdate(ObjectKind kind, News update) {
-		Set<String> listed = new HashSet<>();
-		update.getObjectsList().forEach((object) -> listed.add(object.getName()));
-		this.replica.removeUnlisted(kind, listed, update.getAt());
-		this.replica.advanceRevision(kind, update.getAt());
-		return new DirectEvent.ObjectsListed(kind, this.replica.items(kind), this.replica.knownRevision(kind));
+		return this.replicaUpdates.apply(peer, kind, update, this.ownReadsAnswered);
 	}
 
 	private boolean accepts(String peer, News update) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/UpdateSubscriptions.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/UpdateSubscriptions.java
@@ -438,16 +438,4 @@
 
 	}
 
-	/** What is known of a peer's protocol version. */
-	private enum PeerCapability {
-
-		/** Nothing was received yet. */
-		UNKNOWN,
-		/** Numbers its frames and echoes stamps. */
-		ECHOES_STAMPS,
-		/** Neither numbers frames nor echoes stamps. */
-		LEGACY
-
-	}
-
 }
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -179,7 +179,8 @@
 		}
 		apply(new DirectEvent.StoreReachability(ObjectKind.RUNNERS, true));
 		for (ObjectKind kind : ObjectKind.inUse(settings().guarantees())) {
-			apply(new DirectEvent.ObjectsListed(kind, this.fleet.objects(kind), this.fleet.revision()));
+			apply(new DirectEvent.ObjectsListed(kind, this.fleet.objects().list(kind),
+					this.fleet.objects().revision()));
 		}
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -89,9 +89,7 @@
 	/** Calls of all entries to the store, where these read by their watches. */
 	final Map<ObjectKind, Integer> storeCalls = new EnumMap<>(ObjectKind.class);
 
-	private final Map<ObjectKind, Map<String, ObjectStore.Item>> objects = new HashMap<>();
-
-	private final Map<ObjectKind, List<Recorded>> history = new HashMap<>();
+	private final FleetObjects objects = new FleetObjects();
 
 	private final PriorityQueue<Task> tasks = new PriorityQueue<>(
 			Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::number));
@@ -105,10 +103,6 @@
 
 	private long taskNumber;
 
-	private long revision = 1;
-
-	private long epoch = 1;
-
 	private boolean storeAway;
 
 	private long tableVersion = 1;
@@ -153,9 +147,6 @@
 		this.evacuationDelay = evacuationDelay;
 		this.coldStart = coldStart;
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-		for (ObjectKind kind : ObjectKind.values()) {
-			this.objects.put(kind, new LinkedHashMap<>());
-		}
 		writeRoutes();
 		for (int i = 0; i < runnerCount; i++) {
 			FleetRunner runner = new FleetRunner(this, "10.9.0." + i + ":80", failureDomain(i));
@@ -336,47 +327,25 @@
 
 	// The store.
 
-	List<ObjectStore.Item> objects(ObjectKind kind) {
-		return List.copyOf(this.objects.get(kind).values());
-	}
-
-	long revision() {
-		return this.revision;
+	FleetObjects objects() {
+		return this.objects;
 	}
 
 	/** Returns the epoch that an entry reads in the store's answers. */
 	long epoch(String entry) {
-		return isLegacy(entry) ? ObjectStore.UNKNOWN_EPOCH : this.epoch;
-	}
-
-	/** Skips revisions, as if objects of other kinds were written. */
-	void advanceRevision(long by) {
-		this.revision += by;
-	}
-
-	/** Copies the store. */
-	StoreCopy copyStore() {
-		Map<ObjectKind, Map<String, ObjectStore.Item>> current = new EnumMap<>(ObjectKind.class);
-		this.objects.forEach((kind, items) -> current.put(kind, new LinkedHashMap<>(items)));
-		Map<ObjectKind, List<Recorded>> changes = new EnumMap<>(ObjectKind.class);
-		this.history.forEach((kind, recorded) -> changes.put(kind, new ArrayList<>(recorded)));
-		return new StoreCopy(current, changes, this.revision);
+		return isLegacy(entry) ? ObjectStore.UNKNOWN_EPOCH : this.objects.epoch();
 	}
 
 	/**
 	 * Takes the store away, and brings it back from a copy. What was written since is
 	 * lost, and the revisions are given out again.
 	 */
-	void restoreStore(StoreCopy copy, long awayMillis) {
+	void restoreStore(FleetObjects.Copy copy, long awayMillis) {
 		this.entries.values().forEach((entry) -> entry.store().ifPresent(FleetStore::cutWatches));
 		this.storeAway = true;
 		after(awayMillis * MILLI, () -> {
 			this.storeAway = false;
-			this.epoch++;
-			this.revision = copy.revision;
-			this.objects.putAll(copy.objects);
-			this.history.clear();
-			this.history.putAll(copy.changes);
+			this.objects.restore(copy);
 		});
 	}
 
@@ -413,12 +382,12 @@
 
 	RunnerInfo runnerInfo(FleetRunner runner) {
 		return new RunnerInfo(runner.id(), "api", runner.address(), runner.failureDomain(), this.runnerSlots,
-				runner.draining(), runner.coldMillis(), Map.of(), this.revision + 1, RunnerIncarnation.UNKNOWN);
+				runner.draining(), runner.coldMillis(), Map.of(), this.objects.revision() + 1,
+				RunnerIncarnation.UNKNOWN);
 	}
 
 	void removeRunner(String id) {
-		ObjectStore.Item removed = this.objects.get(ObjectKind.RUNNERS).remove(id);
-		announce(ObjectKind.RUNNERS, new ObjectStore.Change(removed, true));
+		announce(ObjectKind.RUNNERS, this.objects.remove(ObjectKind.RUNNERS, id));
 	}
 
 	/** Evacuates a failure domain. */
@@ -427,30 +396,15 @@
 	}
 
 	void endEvacuation(String failureDomain) {
-		this.revision++;
-		ObjectStore.Item removed = this.objects.get(ObjectKind.EVACUATIONS).remove(failureDomain);
-		announce(ObjectKind.EVACUATIONS, new ObjectStore.Change(removed, true));
+		announce(ObjectKind.EVACUATIONS, this.objects.remove(ObjectKind.EVACUATIONS, failureDomain));
 	}
 
 	private void write(ObjectKind kind, String name, DecodedObject value) {
-		this.revision++;
-		ObjectStore.Item item = this.store.item(name, this.revision, value);
-		this.objects.get(kind).put(name, item);
-		announce(kind, new ObjectStore.Change(item, false));
-	}
-
-	/** Returns the changes of a kind after a revision. */
-	List<ObjectStore.Change> changes(ObjectKind kind, long after) {
-		return this.history.getOrDefault(kind, List.of())
-			.stream()
-			.filter((recorded) -> recorded.revision > after)
-			.map(Recorded::change)
-			.toList();
+		announce(kind, this.objects.write(kind, (revision) -> this.store.item(name, revision, value)));
 	}
 
 	private void announce(ObjectKind kind, ObjectStore.Change change) {
 		if (readsByWatches()) {
-			this.history.computeIfAbsent(kind, (key) -> new ArrayList<>()).add(new Recorded(this.revision, change));
 			this.entries.values().forEach((entry) -> entry.store().ifPresent((store) -> store.changed(kind)));
 			return;
 		}
@@ -478,42 +432,7 @@
 
 	}
 
-	/** The state of the store at a time. */
-	record StoreCopy(Map<ObjectKind, Map<String, ObjectStore.Item>> objects, Map<ObjectKind, List<Recorded>> changes,
-			long revision) {
-	}
-
-	record Recorded(long revision, ObjectStore.Change change) {
-	}
-
 	private record Task(long atNanos, long number, Runnable action) {
 	}
 
-	/** Collects the results of requests by their code. */
-	static final class Results {
-
-		private final Map<String, Integer> counts = new HashMap<>();
-
-		private final List<String> all = new ArrayList<>();
-
-		void add(Answer answer) {
-			this.counts.merge(answer.result(), 1, Integer::sum);
-			this.all.add(answer.result());
-		}
-
-		int count(String result) {
-			return this.counts.getOrDefault(result, 0);
-		}
-
-		int total() {
-			return this.all.size();
-		}
-
-		@Override
-		public String toString() {
-			return this.counts.toString();
-		}
-
-	}
-
 }
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetStore.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetStore.java
@@ -91,8 +91,8 @@
 				rejected(reply);
 				return;
 			}
-			reply.complete(
-					new Page(this.fleet.objects(kind), false, this.fleet.revision(), this.fleet.epoch(this.entry)));
+			reply.complete(new Page(this.fleet.objects().list(kind), false, this.fleet.objects().revision(),
+					this.fleet.epoch(this.entry)));
 		});
 		return reply;
 	}
@@ -105,11 +105,11 @@
 				rejected(reply);
 				return;
 			}
-			if (revision > this.fleet.revision()) {
+			if (revision > this.fleet.objects().revision()) {
 				reply.completeExceptionally(CodedException.of(HISTORY_GONE, "revision not given out yet"));
 				return;
 			}
-			if (wait.isZero() || !this.fleet.changes(kind, revision).isEmpty()) {
+			if (wait.isZero() || !this.fleet.objects().changes(kind, revision).isEmpty()) {
 				answer(reply, kind, revision);
 				return;
 			}
@@ -125,7 +125,7 @@
 	}
 
 	private void answer(CompletableFuture<Changes> reply, ObjectKind kind, long revision) {
-		Changes changes = new Changes(this.fleet.changes(kind, revision), this.fleet.revision(),
+		Changes changes = new Changes(this.fleet.objects().changes(kind, revision), this.fleet.objects().revision(),
 				this.fleet.epoch(this.entry));
 		respond(() -> reply.complete(changes));
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetTraffic.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetTraffic.java
@@ -19,7 +19,7 @@
 
 	private final Optional<FleetEntry> onlyEntry;
 
-	private final FleetHarness.Results innocent = new FleetHarness.Results();
+	private final FleetResults innocent = new FleetResults();
 
 	private long lastBody;
 
@@ -45,7 +45,7 @@
 	}
 
 	/** Returns the answers to all attempts of ordinary requests. */
-	FleetHarness.Results innocent() {
+	FleetResults innocent() {
 		return this.innocent;
 	}
 
@@ -67,12 +67,12 @@
 	/** Sends a request that crashes runners again and again. */
 	void startPoison(String body, long meanIntervalMillis) {
 		this.fleet.after(this.fleet.between(1, 2 * meanIntervalMillis), () -> {
-			attempt(body, 1, new FleetHarness.Results());
+			attempt(body, 1, new FleetResults());
 			startPoison(body, meanIntervalMillis);
 		});
 	}
 
-	private void attempt(String body, int retries, FleetHarness.Results results) {
+	private void attempt(String body, int retries, FleetResults results) {
 		this.onlyEntry.orElseGet(this.fleet::randomEntry).request(body, (answer) -> {
 			results.add(answer);
 			if (!answer.done() && retries > 0) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/PromptTraffic.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PromptTraffic.java
@@ -24,7 +24,7 @@
 
 	private final FleetHarness fleet;
 
-	private final FleetHarness.Results sound = new FleetHarness.Results();
+	private final FleetResults sound = new FleetResults();
 
 	private final List<FirstAttempt> firstAttempts = new ArrayList<>();
 
@@ -45,7 +45,7 @@
 	}
 
 	/** Returns the answers to all attempts of sound requests. */
-	FleetHarness.Results sound() {
+	FleetResults sound() {
 		return this.sound;
 	}
 
--- a/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
@@ -156,15 +156,15 @@
 
 	// Returns the fleet three seconds after its store has been restored.
 	private static FleetHarness restore(FleetHarness fleet, Return back, Runnable firstWrites) {
-		FleetHarness.StoreCopy copy = fleet.copyStore();
-		fleet.advanceRevision(20);
+		FleetObjects.Copy copy = fleet.objects().copy();
+		fleet.objects().skipRevisions(20);
 		fleet.declareRoutes();
 		fleet.runners.values().forEach(fleet::writeRunner);
 		fleet.run(Duration.ofSeconds(4));
 		fleet.restoreStore(copy, back.awayMillis);
 		fleet.run(Duration.ofMillis(back.awayMillis).plusMillis(1));
 		firstWrites.run();
-		fleet.advanceRevision(back.skippedRevisions);
+		fleet.objects().skipRevisions(back.skippedRevisions);
 		fleet.run(Duration.ofSeconds(3));
 		return fleet;
 	}
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/StoreWatcher.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/StoreWatcher.java
@@ -4,13 +4,8 @@
 import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.SequencedMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -22,19 +17,10 @@
 /**
  * Reads all objects of a kind from the store, then watches for changes.
  *
- * A listing takes several calls and can overlap with changes, so a change that is older
- * than the known revision of an object is ignored. Otherwise a runner that is leaving
- * would be considered ready again until its later change is read.
- *
  * After a failed watch or a pause, the changes since the last known revision are
  * requested at once. All objects are listed again only when the store no longer has those
  * changes, when they were too large to arrive completely, or in a later epoch of the
  * store.
- *
- * A store that was restored from a copy soon passes the revision up to which it was read
- * before. A watch from there would report no failure and never what was written between
- * the copy and that revision. So a revision is only used in the epoch in which it was
- * read, and an answer of an earlier epoch is a failed call.
  */
 public final class StoreWatcher {
 
@@ -71,18 +57,10 @@
 
 	private final LongSupplier clock;
 
-	private final Map<String, Long> revisions = new HashMap<>();
+	private final ObjectPublisher publisher;
 
 	// Up to which revision the listener has received all changes.
-	private long publishedRevision = NO_REVISION;
-
-	// For the log: unlike the published revision it is kept until the next listing.
-	private long lastRevision = NO_REVISION;
-
-	// The epoch to which the revisions belong, and the latest epoch that is known of.
-	private long epoch = ObjectStore.UNKNOWN_EPOCH;
-
-	private long latestEpoch = ObjectStore.UNKNOWN_EPOCH;
+	private final ReadPosition position = new ReadPosition();
 
 	private Optional<Boolean> reachable = Optional.empty();
 
@@ -112,6 +90,7 @@
 		this.timer = timer;
 		this.listener = listener;
 		this.clock = clock;
+		this.publisher = new ObjectPublisher(kind, listener);
 		this.confirmedNanos = clock.getAsLong();
 	}
 
@@ -155,7 +134,7 @@
 	 * listener discarded the last updates.
 	 */
 	public void relistOnResume() {
-		this.timer.execute(() -> this.publishedRevision = NO_REVISION);
+		this.timer.execute(this.position::discard);
 	}
 
 	/**
@@ -169,8 +148,8 @@
 		this.timer.execute(() -> {
 			if (this.paused) {
 				this.paused = false;
-				if (this.publishedRevision != NO_REVISION) {
-					continueFrom(peerEpoch, peerRevision);
+				if (this.position.continueFrom(peerEpoch, peerRevision)) {
+					publishEpoch();
 				}
 				this.reachable = Optional.empty();
 				this.backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -179,63 +158,51 @@
 		});
 	}
 
-	private void continueFrom(long peerEpoch, long peerRevision) {
-		if (peerEpoch == this.epoch) {
-			this.publishedRevision = Math.max(this.publishedRevision, peerRevision);
-		}
-		else if (peerEpoch > this.epoch) {
-			setEpoch(peerEpoch);
-			this.publishedRevision = peerRevision;
-		}
-		else {
-			this.publishedRevision = NO_REVISION;
-		}
-	}
-
 	/**
 	 * Handles an epoch that another watch or a peer has read. If it is later than that of
 	 * the last listing, all objects are listed again at once.
 	 */
 	public void epochObserved(long observed) {
 		this.timer.execute(() -> {
-			this.latestEpoch = Math.max(this.latestEpoch, observed);
-			boolean outdated = this.publishedRevision != NO_REVISION && this.epoch < this.latestEpoch;
-			if (outdated && !this.paused) {
+			if (this.position.isOutdatedBy(observed) && !this.paused) {
 				this.session++;
 				this.call.cancel(false);
-				this.publishedRevision = NO_REVISION;
+				this.position.discard();
 				continueReading();
 			}
 		});
 	}
 
-	private void setEpoch(long read) {
-		LOG.log(Level.INFO, "store-epoch: " + this.kind + ", " + read + " after " + this.epoch);
-		this.epoch = read;
-		this.latestEpoch = Math.max(this.latestEpoch, read);
-		this.listener.onEpoch(read);
+	private void publishEpoch() {
+		LOG.log(Level.INFO, "store-epoch: " + this.kind + ", " + this.position.epoch());
+		this.listener.onEpoch(this.position.epoch());
 	}
 
-	// Returns whether the answer to a call from the published revision belongs to its
-	// epoch. If it does not, the objects are listed again.
+	// Returns whether the answer to a call from the last revision belongs to its epoch.
+	// If it does not, the objects are listed again.
 	private boolean isCurrent(long answerEpoch, String event) {
-		if (answerEpoch == ObjectStore.UNKNOWN_EPOCH || answerEpoch == this.epoch) {
+		if (this.position.isOfEpoch(answerEpoch)) {
 			return true;
 		}
-		if (isOutdated(answerEpoch, event)) {
+		if (failIfOutdated(answerEpoch, event)) {
 			return false;
 		}
-		setEpoch(answerEpoch);
-		this.publishedRevision = NO_REVISION;
+		beginEpoch(answerEpoch);
+		this.position.discard();
 		continueReading();
 		return false;
 	}
 
-	private boolean isOutdated(long answerEpoch, String event) {
-		boolean outdated = answerEpoch != ObjectStore.UNKNOWN_EPOCH && answerEpoch < this.latestEpoch;
+	private void beginEpoch(long read) {
+		if (this.position.beginEpoch(read)) {
+			publishEpoch();
+		}
+	}
+
+	private boolean failIfOutdated(long answerEpoch, String event) {
+		boolean outdated = this.position.isOutdated(answerEpoch);
 		if (outdated) {
-			onCallFailed(event, CodedException.of(ObjectStore.UNAVAILABLE,
-					"answer of epoch " + answerEpoch + " after " + this.latestEpoch));
+			onCallFailed(event, CodedException.of(ObjectStore.UNAVAILABLE, "answer of earlier epoch " + answerEpoch));
 		}
 		return outdated;
 	}
@@ -246,11 +213,11 @@
 		if (this.paused) {
 			return;
 		}
-		if (this.publishedRevision == NO_REVISION) {
+		if (!this.position.isKnown()) {
 			list();
 		}
 		else {
-			catchUp(this.publishedRevision);
+			catchUp(this.position.revision());
 		}
 	}
 
@@ -278,20 +245,12 @@
 			if (relistIfRolledBack(changes, from)) {
 				return;
 			}
-			latestChanges(changes.changes()).forEach(this::publishChange);
+			this.publisher.publishLatest(changes.changes());
 			publishConfirmed(requestNanos);
 			watchAfter(changes, changes.revision());
 		}, this.timer);
 	}
 
-	// Like a listing, publishes only the current state: a runner that was registered and
-	// removed in the gap is reported only as deleted, so that it gets no requests.
-	private static Collection<ObjectStore.Change> latestChanges(List<ObjectStore.Change> changes) {
-		SequencedMap<String, ObjectStore.Change> latest = new LinkedHashMap<>();
-		changes.forEach((change) -> latest.putLast(change.item().name(), change));
-		return latest.values();
-	}
-
 	private void listPage(Listing listing, Optional<String> after) {
 		int requestSession = this.session;
 		CompletableFuture<ObjectStore.Page> answer = this.store.list(this.kind, after);
@@ -304,7 +263,7 @@
 				onCallFailed("listing-failed", failure);
 				return;
 			}
-			if (isOutdated(page.epoch(), "listing-failed")) {
+			if (failIfOutdated(page.epoch(), "listing-failed")) {
 				return;
 			}
 			setReachable(true);
@@ -320,15 +279,12 @@
 						Optional.of(page.items().getLast().name()));
 				return;
 			}
-			if (page.epoch() > this.epoch) {
-				setEpoch(page.epoch());
-			}
-			LOG.log(Level.INFO, "listed: " + this.kind + " at revision " + from + " of epoch " + page.epoch()
-					+ ", read up to " + this.lastRevision + " before");
-			this.lastRevision = from;
-			publishSnapshot(listing.items, from);
+			beginEpoch(page.epoch());
+			LOG.log(Level.INFO, "listed: " + this.kind + " at revision " + from + ", read up to "
+					+ this.position.lastRevision() + " before");
+			this.publisher.publishSnapshot(listing.items, from);
 			publishConfirmed(listing.requestNanos);
-			this.publishedRevision = from;
+			this.position.readUpTo(from);
 			watch(from);
 		}, this.timer);
 	}
@@ -354,7 +310,7 @@
 				return;
 			}
 			long asOfNanos = confirmedTime(changes, requestNanos, wait);
-			changes.changes().forEach(this::publishChange);
+			this.publisher.publishAll(changes.changes());
 			publishConfirmed(asOfNanos);
 			watchAfter(changes, changes.revision());
 		}, this.timer);
@@ -365,7 +321,7 @@
 	private boolean relistIfRolledBack(ObjectStore.Changes changes, long from) {
 		boolean rolledBack = changes.revision() < from;
 		if (rolledBack) {
-			this.publishedRevision = NO_REVISION;
+			this.position.discard();
 			continueReading();
 		}
 		return rolledBack;
@@ -395,8 +351,7 @@
 	}
 
 	private void watchAfter(ObjectStore.Changes changes, long at) {
-		this.publishedRevision = at;
-		this.lastRevision = at;
+		this.position.readUpTo(at);
 		if (changes.changes().isEmpty()) {
 			watch(at);
 			return;
@@ -409,32 +364,6 @@
 		}, this.kind.batchDelay().toMillis(), TimeUnit.MILLISECONDS);
 	}
 
-	// The listing replaces all that was known. Keeping the higher revision of an object
-	// from before would make its next changes look older, if the store was restored from
-	// a copy and gives out its revisions again.
-	private void publishSnapshot(List<ObjectStore.Item> items, long at) {
-		this.revisions.clear();
-		items.forEach((item) -> this.revisions.put(item.name(), item.revision()));
-		this.listener.onSnapshot(List.copyOf(items), at);
-	}
-
-	private void publishChange(ObjectStore.Change change) {
-		ObjectStore.Item item = change.item();
-		long known = this.revisions.getOrDefault(item.name(), -1L);
-		if (item.revision() < known) {
-			LOG.log(Level.INFO, "change-ignored: " + this.kind + " " + item.name() + " at revision " + item.revision()
-					+ ", known at " + known);
-			return;
-		}
-		if (change.deleted()) {
-			this.revisions.remove(item.name());
-		}
-		else {
-			this.revisions.put(item.name(), item.revision());
-		}
-		this.listener.onChange(change);
-	}
-
 	// The store may have closed the watch and still be available, so retry at once.
 	private void onWatchFailed(Throwable failure) {
 		LOG.log(Level.INFO, "watch-ended: " + this.kind + ", " + cause(failure).getMessage());
@@ -464,7 +393,7 @@
 	// ever arrive over a saturated link. A listing has each object only once.
 	private void relistIfTruncated(long expectedNanos) {
 		if (this.clock.getAsLong() - expectedNanos > TRUNCATED_RESPONSE_NANOS) {
-			this.publishedRevision = NO_REVISION;
+			this.position.discard();
 		}
 	}
 
@@ -472,7 +401,7 @@
 		boolean historyGone = cause(failure) instanceof CodedException coded
 				&& coded.code() == ObjectStore.HISTORY_GONE;
 		if (historyGone) {
-			this.publishedRevision = NO_REVISION;
+			this.position.discard();
 		}
 		return historyGone;
 	}
