A copy of the store does not revive a runner that leaves

Cause: the entry believed the registration of a copy, "ready", over what it knew of the same start of the runner: that it had registered as draining, or that its registration had been removed. Class: an older fact with a newer arrival.

What callers would see: requests to a runner that is about to exit, longer than two seconds after the store had accepted that it leaves (DRAIN).

Change: a runner that has registered as draining leaves until its next start, as with what it says in its answers. A removed registration that a restored store lists again stays removed until the runner writes it again, or until five seconds have passed, after which the store would have removed it for silence.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreEvents.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreEvents.java
@@ -86,7 +86,7 @@
 	}
 
 	private void epochObserved(long epoch, long now) {
-		this.restores.ifPresent((known) -> known.observed(epoch));
+		this.restores.ifPresent((known) -> known.observed(epoch, now));
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreRestores.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreRestores.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.entry.direct;
 
 import org.wisteriapost.kernel.log.DecisionLog;
+import org.wisteriapost.policy.dispatch.Dispatcher;
 import org.wisteriapost.protocol.site.ObjectStore;
 
 /**
@@ -14,14 +15,17 @@
 
 	private final StoreWatches watches;
 
+	private final Dispatcher dispatcher;
+
 	private final DecisionLog log;
 
 	private final DirectMetrics metrics;
 
 	private long epoch = ObjectStore.UNKNOWN_EPOCH;
 
-	StoreRestores(StoreWatches watches, DecisionLog log, DirectMetrics metrics) {
+	StoreRestores(StoreWatches watches, Dispatcher dispatcher, DecisionLog log, DirectMetrics metrics) {
 		this.watches = watches;
+		this.dispatcher = dispatcher;
 		this.log = log;
 		this.metrics = metrics;
 	}
@@ -29,7 +33,7 @@
 	/**
 	 * Handles an epoch that the store or a peer has stated.
 	 */
-	void observed(long stated) {
+	void observed(long stated, long nowNanos) {
 		if (stated <= this.epoch) {
 			return;
 		}
@@ -38,6 +42,9 @@
 		this.epoch = stated;
 		this.metrics.storeEpoch(stated);
 		this.watches.epochObserved(stated);
+		if (restored) {
+			this.dispatcher.departures().storeRestored(nowNanos);
+		}
 	}
 
 	/**
--- a/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
@@ -88,6 +88,43 @@
 		}
 	}
 
+	// The copy calls a runner ready that has registered as draining since, or has a
+	// registration that was removed since. Guards against requests to it.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void copyDoesNotReviveRunnersThatLeave(int entries, Return back, long seed) {
+		FleetHarness started = startedFleet(entries, seed);
+		List<FleetRunner> leaving = started.runners.values().stream().limit(RUNNERS / 3).toList();
+		List<FleetRunner> removed = leaving.subList(0, leaving.size() / 2);
+		FleetObjects.Copy copy = started.objects().copy();
+		leaving.forEach((runner) -> {
+			if (removed.contains(runner)) {
+				started.removeRunner(runner.id());
+			}
+			else {
+				runner.drain();
+			}
+		});
+		long boundNanos = started.now() + DRAIN_NANOS;
+		try (FleetHarness fleet = restore(started, copy, back, () -> fleetWritesAllBut(started, leaving))) {
+			leaving.forEach((runner) -> fleet.after(fleet.between(1000, 1500), () -> {
+				if (removed.contains(runner)) {
+					fleet.removeRunner(runner.id());
+				}
+				else {
+					runner.drain();
+				}
+			}));
+			fleet.run(Duration.ofSeconds(6));
+			assertThat(lateArrivals(leaving, boundNanos), Matchers.empty());
+		}
+	}
+
+	private static void fleetWritesAllBut(FleetHarness fleet, List<FleetRunner> leaving) {
+		fleet.runners.values().stream().filter((runner) -> !leaving.contains(runner)).forEach(fleet::writeRunner);
+		fleet.writeRoutes();
+	}
+
 	// The same for a table.
 	@ParameterizedTest
 	@MethodSource("fleets")
@@ -157,9 +194,13 @@
 	// Returns the fleet three seconds after its store has been restored.
 	private static FleetHarness restore(FleetHarness fleet, Return back, Runnable firstWrites) {
 		FleetObjects.Copy copy = fleet.objects().copy();
+		fleet.runners.values().forEach(fleet::writeRunner);
+		return restore(fleet, copy, back, firstWrites);
+	}
+
+	private static FleetHarness restore(FleetHarness fleet, FleetObjects.Copy copy, Return back, Runnable firstWrites) {
 		fleet.objects().skipRevisions(20);
 		fleet.declareRoutes();
-		fleet.runners.values().forEach(fleet::writeRunner);
 		fleet.run(Duration.ofSeconds(4));
 		fleet.restoreStore(copy, back.awayMillis);
 		fleet.run(Duration.ofMillis(back.awayMillis).plusMillis(1));
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerDepartures.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerDepartures.java
@@ -38,6 +38,14 @@
 		this.registry.updateStoreReachable(reachable, nowNanos);
 	}
 
+	/**
+	 * Records that the site's store was restored from a copy. What runners have written
+	 * since is missing until they write it again.
+	 */
+	public void storeRestored(long nowNanos) {
+		this.registry.storeRestored(nowNanos);
+	}
+
 	/**
 	 * Records that a runner stated in an answer that it is leaving, and returns whether
 	 * that was unknown. It holds until the runner's next incarnation, whatever its
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -21,6 +21,11 @@
  * disappears around an outage is kept until {@link #REGISTRATION_GRACE_NANOS} after the
  * store is reachable again. Otherwise a removed registration means that the runner is
  * shutting down, possibly without draining first, and it gets no new requests.
+ *
+ * A store that was restored from a copy lacks registrations that were written since, and
+ * lists others that were removed since. The former count as missing around an outage. The
+ * latter stay removed until the runner writes again, or until the store would have
+ * removed them for silence.
  */
 final class RunnerRegistry {
 
@@ -29,6 +34,10 @@
 	 */
 	static final long REGISTRATION_GRACE_NANOS = Duration.ofMillis(2300).toNanos();
 
+	// Longer than the time after which the store removes the registration of a silent
+	// runner.
+	private static final long REVIVED_HOLD_NANOS = Duration.ofSeconds(5).toNanos();
+
 	// Expired registrations that are renewed are renewed within seconds. The limit
 	// covers simultaneous expiry across a large site.
 	private static final int MAX_REMOVED = 200;
@@ -48,6 +57,11 @@
 
 	private final Set<String> missingDuringOutage = new HashSet<>();
 
+	// Removed registrations that a restored store lists again.
+	private final Map<String, RunnerInfo> revived = new HashMap<>();
+
+	private long storeRestoredNanos = Long.MIN_VALUE / 2;
+
 	private long indexVersion;
 
 	private boolean storeReachable = true;
@@ -75,21 +89,42 @@
 	 */
 	void replaceAll(Collection<RunnerInfo> infos, long nowNanos) {
 		Set<String> ids = new HashSet<>();
+		boolean restored = nowNanos - this.storeRestoredNanos < REVIVED_HOLD_NANOS;
+		this.revived.clear();
 		infos.forEach((info) -> {
 			ids.add(info.id());
-			update(info, nowNanos);
+			if (restored && isRemoved(info)) {
+				this.revived.put(info.id(), info);
+			}
+			else {
+				update(info, nowNanos);
+			}
 		});
 		this.listed = true;
 		List<String> missing = this.runners.keySet().stream().filter((id) -> !ids.contains(id)).toList();
 		missing.forEach((id) -> registrationRemoved(id, nowNanos));
 	}
 
+	private boolean isRemoved(RunnerInfo info) {
+		return Optional.ofNullable(this.removedRunners.get(info.id()))
+			.filter((state) -> !state.info.incarnation().precedes(info.incarnation()))
+			.isPresent();
+	}
+
+	/**
+	 * Records that the store was restored from a copy.
+	 */
+	void storeRestored(long nowNanos) {
+		this.storeRestoredNanos = nowNanos;
+	}
+
 	/**
 	 * Adds or updates a registration and returns whether it contains anything new other
 	 * than a renewal.
 	 */
 	boolean update(RunnerInfo info, long nowNanos) {
 		this.missingDuringOutage.remove(info.id());
+		this.revived.remove(info.id());
 		RunnerState known = this.runners.get(info.id());
 		if (known == null) {
 			return addOrRestore(info, nowNanos);
@@ -165,6 +200,7 @@
 	}
 
 	void registrationRemoved(String id, long nowNanos) {
+		this.revived.remove(id);
 		if (inOutageGracePeriod(nowNanos)) {
 			this.missingDuringOutage.add(id);
 			return;
@@ -174,9 +210,12 @@
 
 	/**
 	 * Removes runners that are still missing after the grace period that follows an
-	 * outage.
+	 * outage, and uses those that a restored store still lists.
 	 */
 	void tick(long nowNanos) {
+		if (!this.revived.isEmpty() && nowNanos - this.storeRestoredNanos >= REVIVED_HOLD_NANOS) {
+			List.copyOf(this.revived.values()).forEach((info) -> update(info, nowNanos));
+		}
 		if (this.missingDuringOutage.isEmpty() || inOutageGracePeriod(nowNanos)) {
 			return;
 		}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerState.java
@@ -100,9 +100,11 @@
 	}
 
 	/**
-	 * Updates the registration of the same incarnation.
+	 * Updates the registration of the same incarnation. One that has registered as
+	 * draining leaves: the store may have been restored from a copy that calls it ready.
 	 */
 	void registered(RunnerInfo newer) {
+		this.leaving |= this.info.draining();
 		this.info = newer;
 		this.removed = false;
 		resetBackoff();
