Runners that a copy of the store lacks stay in use until they can be back

Cause: the grace for registrations that are missing around an outage began only when the reader noticed the outage. A store that comes back from a copy after a moment lacks registrations that were written since, though their runners serve.

What callers would see: requests refused for lack of a runner, for up to two seconds after the store is back.

Change: the grace begins with each epoch of the store.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
@@ -120,6 +120,30 @@
 		}
 	}
 
+	// Registrations that the copy lacks are written again within two seconds. Guards
+	// against taking their runners for gone meanwhile, when callers are refused for lack
+	// of one.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void runnersThatTheCopyLacksAreUsed(int entries, Return back, long seed) {
+		FleetHarness started = startedFleet(entries, seed);
+		List<FleetRunner> all = List.copyOf(started.runners.values());
+		all.forEach((runner) -> started.removeRunner(runner.id()));
+		FleetObjects.Copy copy = started.objects().copy();
+		all.forEach(started::writeRunner);
+		started.run(Duration.ofSeconds(1));
+		long returnNanos = started.now() + 4 * FleetHarness.SECOND + back.awayMillis * FleetHarness.MILLI;
+		try (FleetHarness fleet = restore(started, copy, back, () -> all
+			.forEach((runner) -> started.after(started.between(1500, 1900), () -> started.writeRunner(runner))))) {
+			assertThat(fleet.runners.values()
+				.stream()
+				.flatMap((runner) -> runner.arrivals().stream())
+				.filter((arrival) -> arrival.atNanos() > returnNanos + 300 * FleetHarness.MILLI
+						&& arrival.atNanos() < returnNanos + 1500 * FleetHarness.MILLI)
+				.toList(), Matchers.not(Matchers.empty()));
+		}
+	}
+
 	private static void fleetWritesAllBut(FleetHarness fleet, List<FleetRunner> leaving) {
 		fleet.runners.values().stream().filter((runner) -> !leaving.contains(runner)).forEach(fleet::writeRunner);
 		fleet.writeRoutes();
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RunnerRegistry.java
@@ -116,6 +116,7 @@
 	 */
 	void storeRestored(long nowNanos) {
 		this.storeRestoredNanos = nowNanos;
+		this.storeRecoveredNanos = nowNanos;
 	}
 
 	/**
