A restored store confirms no rejection until operators have written again

Cause: each answer of the store confirmed the table as the newest. A store that comes back from a copy lacks what it had accepted, so an entry that had not read that, or has just started, held an older table for confirmed and rejected requests for good.

What callers would see: 401, 403 or 404 for a route or key that the store had accepted before; these are not retried.

Change: after each epoch that is new here, the first one included as the process may start right after a restore, confirmations count only from three seconds on; and a store whose table is older than the one in force confirms nothing. Until then such requests are refused as not run, with a time to come back. Requests that the table covers are served as before. A suspension no longer shortens a later bound. Nothing changes where the store states no epoch, but for a store that has an older table.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -133,7 +133,7 @@
 		StoreReplication exchange = new StoreReplication(objectStore, duty, upstream, this.kinds, peers::send,
 				this.clocks.monotonicNanos(), this.log);
 		this.storeEvents.connect(exchange, new StoreRoleController(duty, exchange, following, peers::send, this.log),
-				new StoreRestores(following, this.dispatcher, this.log, this.metrics));
+				new StoreRestores(following, this.dispatcher, this.localView, this.log, this.metrics));
 		this.loadReports = Optional.of(new LoadReporter(this.self.failureDomain(), peers::send));
 		this.suspects = Optional.of(SuspectExchange.of(this.self.name(), this.dispatcher.quarantine(),
 				peers::linkedEntries, (peer, report) -> peers.send(peer,
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
@@ -44,6 +44,8 @@
 
 	private Optional<RouteTable> routeTable = Optional.empty();
 
+	private long lastReadTableVersion = -1;
+
 	/**
 	 * Creates an empty view.
 	 * @param activationDelay the activation delay of declarations
@@ -98,10 +100,21 @@
 	}
 
 	/**
-	 * Records the time as of which the routes are known to match the store.
+	 * Records the time as of which the routes are known to match the store. A store that
+	 * has an older table than the active one was restored from a copy, and does not know
+	 * what was declared since.
 	 */
 	void routesConfirmed(long confirmedNanos) {
-		this.rejectionGuard.confirmed(confirmedNanos);
+		if (this.lastReadTableVersion >= routeTableVersion()) {
+			this.rejectionGuard.confirmed(confirmedNanos);
+		}
+	}
+
+	/**
+	 * Handles a store that was restored from a copy, or is read for the first time.
+	 */
+	void storeRestored(long now) {
+		this.rejectionGuard.storeRestored(now);
 	}
 
 	/**
@@ -241,6 +254,7 @@
 
 	// A lagging listing must not restore a removed route or token.
 	private void applyRoutes(RouteTable newTable) {
+		this.lastReadTableVersion = newTable.version();
 		if (this.routeTable.isPresent() && this.routeTable.get().version() >= newTable.version()) {
 			if (this.routeTable.get().version() > newTable.version()) {
 				this.log.decision("older-table-read", "version", newTable.version(), "inForce", routeTableVersion());
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreRestores.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreRestores.java
@@ -17,15 +17,19 @@
 
 	private final Dispatcher dispatcher;
 
+	private final SiteView localView;
+
 	private final DecisionLog log;
 
 	private final DirectMetrics metrics;
 
 	private long epoch = ObjectStore.UNKNOWN_EPOCH;
 
-	StoreRestores(StoreWatches watches, Dispatcher dispatcher, DecisionLog log, DirectMetrics metrics) {
+	StoreRestores(StoreWatches watches, Dispatcher dispatcher, SiteView localView, DecisionLog log,
+			DirectMetrics metrics) {
 		this.watches = watches;
 		this.dispatcher = dispatcher;
+		this.localView = localView;
 		this.log = log;
 		this.metrics = metrics;
 	}
@@ -42,6 +46,7 @@
 		this.epoch = stated;
 		this.metrics.storeEpoch(stated);
 		this.watches.epochObserved(stated);
+		this.localView.storeRestored(nowNanos);
 		if (restored) {
 			this.dispatcher.departures().storeRestored(nowNanos);
 		}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/RejectionStalenessTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RejectionStalenessTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.wisteriapost.policy.routing.RouteTable;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.wire.Frame;
 import org.wisteriapost.protocol.wire.NewsRequest;
@@ -92,6 +93,46 @@
 		assertThat(fault.answer(this.bench), Matchers.equalTo(fault.rejection));
 	}
 
+	// Guards against rejecting a request for what the store had accepted before it was
+	// restored, while operators have not written it again.
+	@ParameterizedTest
+	@EnumSource
+	void restoredStoreConfirmsNothingUntilOperatorsHaveWrittenAgain(Fault fault) {
+		this.bench.apply(new DirectEvent.StoreEpochRead(ObjectKind.ROUTES, 1));
+		confirmed(ObjectKind.ROUTES, this.bench.now());
+		assertThat(fault.answer(this.bench), Matchers.equalTo(Fault.DOUBTFUL));
+		this.bench.advanceClocks(3000);
+		confirmed(ObjectKind.ROUTES, this.bench.now());
+		assertThat(fault.answer(this.bench), Matchers.equalTo(fault.rejection));
+		this.bench.apply(new DirectEvent.StoreEpochRead(ObjectKind.ROUTES, 2));
+		assertThat(fault.answer(this.bench), Matchers.equalTo(Fault.DOUBTFUL));
+		this.bench.suspend(Duration.ofMillis(10));
+		this.bench.advanceClocks(2999);
+		confirmed(ObjectKind.ROUTES, this.bench.now());
+		assertThat(fault.answer(this.bench), Matchers.equalTo(Fault.DOUBTFUL));
+		this.bench.advanceClocks(1);
+		confirmed(ObjectKind.ROUTES, this.bench.now());
+		assertThat(fault.answer(this.bench), Matchers.equalTo(fault.rejection));
+	}
+
+	// Guards against a store that confirms an older table than callers were promised.
+	@ParameterizedTest
+	@EnumSource
+	void storeWithAnOlderTableConfirmsNothing(Fault fault) {
+		list(6, EntryStateFixture.table(2, KNOWN));
+		list(4, EntryStateFixture.table(1, KNOWN));
+		confirmed(ObjectKind.ROUTES, this.bench.now());
+		assertThat(fault.answer(this.bench), Matchers.equalTo(Fault.DOUBTFUL));
+		list(5, EntryStateFixture.table(2, KNOWN));
+		confirmed(ObjectKind.ROUTES, this.bench.now());
+		assertThat(fault.answer(this.bench), Matchers.equalTo(fault.rejection));
+	}
+
+	private void list(long revision, RouteTable table) {
+		this.bench.apply(new DirectEvent.ObjectsListed(ObjectKind.ROUTES, List.of(this.bench.routes(revision, table)),
+				revision));
+	}
+
 	// The front checks sizes on its own thread, by what the state thread has published
 	// last. The state thread is delayed, or the VM was suspended since.
 	@ParameterizedTest
--- a/policy/src/main/java/org/wisteriapost/policy/routing/LastConfirmedTime.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/LastConfirmedTime.java
@@ -31,7 +31,10 @@
 	 */
 	public void discardBefore(long nowNanos) {
 		clear();
-		this.notBeforeNanos = OptionalLong.of(nowNanos);
+		boolean later = this.notBeforeNanos.isEmpty() || nowNanos - this.notBeforeNanos.getAsLong() > 0;
+		if (later) {
+			this.notBeforeNanos = OptionalLong.of(nowNanos);
+		}
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/RejectionGuard.java
@@ -12,6 +12,9 @@
  * retry. So a request that a stale table does not cover is refused as not run instead;
  * the caller retries or asks another entry.
  *
+ * A store that was restored from a copy may lack what it had accepted before, until
+ * operators have written it again. Meanwhile its answers confirm nothing.
+ *
  * A declaration takes effect after the site's activation delay. A table that was
  * confirmed as the newest within a little less than that contains all active
  * declarations.
@@ -21,6 +24,9 @@
 	// The rest of the activation delay is for the time from the check to the answer.
 	private static final double ACTIVATION_DELAY_SHARE = 0.9;
 
+	// Time after which operators have written again what a restored store had lost.
+	private static final long REWRITE_NANOS = Duration.ofSeconds(3).toNanos();
+
 	private final long maxStalenessNanos;
 
 	private final LastConfirmedTime lastConfirmed = new LastConfirmedTime();
@@ -52,6 +58,16 @@
 		this.lastConfirmed.discardBefore(nowNanos);
 	}
 
+	/**
+	 * Discards all confirmations from before operators can have written again what the
+	 * store has lost.
+	 * @param nowNanos when this process learns that the store was restored from a copy,
+	 * or reads it for the first time: it may just have been restored
+	 */
+	public void storeRestored(long nowNanos) {
+		this.lastConfirmed.discardBefore(nowNanos + REWRITE_NANOS);
+	}
+
 	/**
 	 * Returns whether a request may be rejected now.
 	 */
