Linked entries outlast a listing that lacks their registrations

Cause: an entry dropped every peer that a listing of the store did not have. After a restore from a copy these are entries that registered since; they are linked and serve until they have registered again.

What callers would see: addresses of some entries only, and shares of budgets computed for too few entries, for half a second or more.

Change: a linked entry stays until its link is closed; the entry itself counts as not registered at once and registers again.

EntryRegistryTests#linkedEntriesOutlastAListingThatLacksThem: new with the change.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRegistry.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRegistry.java
@@ -45,6 +45,9 @@
 
 	private final Set<String> leavingNames = new HashSet<>();
 
+	// Linked entries without a registration in the store.
+	private final Set<String> unlistedNames = new HashSet<>();
+
 	// All of these are read on each tick or event. With dozens of entries an idle entry
 	// would spend most of its time computing the same lists, so they are computed only
 	// after changes.
@@ -88,6 +91,7 @@
 
 	void put(EntryInfo info, long revision, long nowNanos) {
 		invalidate();
+		this.unlistedNames.remove(info.name());
 		Registration before = this.registered.get(info.name());
 		if (before == null || before.info.incarnation() != info.incarnation()) {
 			this.leavingNames.remove(info.name());
@@ -100,11 +104,20 @@
 	void remove(String name) {
 		invalidate();
 		this.registered.remove(name);
+		this.unlistedNames.remove(name);
 	}
 
+	/**
+	 * Removes entries that a listing lacks, except linked ones until their link is
+	 * closed: a store that was restored from a copy lacks them until they register again,
+	 * and callers would be directed to the others alone.
+	 */
 	void retain(Set<String> names) {
 		invalidate();
-		this.registered.keySet().retainAll(names);
+		this.registered.keySet().removeIf((name) -> !names.contains(name) && !this.linkedNames.contains(name));
+		this.unlistedNames.clear();
+		this.unlistedNames.addAll(this.registered.keySet());
+		this.unlistedNames.removeAll(names);
 	}
 
 	void linkChanged(String name, boolean up, long nowNanos) {
@@ -115,6 +128,9 @@
 			return;
 		}
 		this.linkedNames.remove(name);
+		if (this.unlistedNames.remove(name)) {
+			this.registered.remove(name);
+		}
 		Registration entry = this.registered.get(name);
 		if (entry != null) {
 			this.registered.put(name, new Registration(entry.info, entry.revision, nowNanos));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryRegistryTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryRegistryTests.java
@@ -105,6 +105,24 @@
 		return Matchers.contains(those.stream().map(Matchers::sameInstance).toList());
 	}
 
+	// The store was restored from a copy that lacks registrations. Guards against callers
+	// that are directed to the other entries alone, and against entries that are gone.
+	@Test
+	void linkedEntriesOutlastAListingThatLacksThem() {
+		List<EntryInfo> entries = entries(1, 3);
+		EntryRegistry registry = linked(entries, entries.getFirst());
+		registry.linkChanged("edge-0-2", false, SECOND);
+		registry.retain(Set.of());
+		assertThat(registry.livePeers(), Matchers.contains(entries.get(1)));
+		assertThat(registry.selfRegistered(), Matchers.is(false));
+		registry.linkChanged("edge-0-1", false, 2 * SECOND);
+		assertThat(registry.registeredPeers(), Matchers.empty());
+		registry.linkChanged("edge-0-1", true, 3 * SECOND);
+		registry.put(entries.get(1), 4, 3 * SECOND);
+		registry.linkChanged("edge-0-1", false, 4 * SECOND);
+		assertThat(registry.registeredPeers(), Matchers.contains(entries.get(1)));
+	}
+
 	// Only the first live entry of a failure domain removes the registration of an
 	// unreachable peer. A missing link to an entry that is no link target must not
 	// count as its death.
