Evacuations that a copy of the store lacks stay in force for ten seconds

Cause: a listing ended each evacuation that it did not have, also one that had begun after the copy and that operators write again.

What callers would see: requests that reach an evacuated failure domain. The other error costs some capacity for ten seconds.

EvacuationsTests#restoredStoreEndsMissingEvacuationsOnlyAfterATime: new with the change.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -310,6 +310,7 @@
 			this.dispatcher.updateEntryCount(this.roster.entryCount());
 			this.rateLimitLog.updateEntries(this.roster, this.localView, now);
 			this.metrics.slotsReserved(this.dispatcher.contention().reservedSlots().current(now));
+			this.localView.tick(now);
 			this.storeEvents.tick(this.roster.linkDistances(this.peers.orElseThrow().linkedEntries()),
 					this.roster.leaderGroup(), now);
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EvacuationUpdates.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EvacuationUpdates.java
@@ -60,6 +60,14 @@
 		reportChanges();
 	}
 
+	/**
+	 * Ends evacuations that are due to end.
+	 */
+	void tick(long nowNanos) {
+		this.evacuated.tick(nowNanos);
+		reportChanges();
+	}
+
 	private boolean isReadable(ObjectStore.Item item) {
 		boolean readable = item.value().filter(DecodedObject.Evacuation.class::isInstance).isPresent();
 		if (!readable) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
@@ -125,6 +125,13 @@
 		this.rejectionGuard.discardBefore(now);
 	}
 
+	/**
+	 * Applies what is due.
+	 */
+	void tick(long now) {
+		this.evacuations.tick(now);
+	}
+
 	/**
 	 * Returns whether enough is known to serve callers.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreRestores.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreRestores.java
@@ -49,6 +49,7 @@
 		this.localView.storeRestored(nowNanos);
 		if (restored) {
 			this.dispatcher.departures().storeRestored(nowNanos);
+			this.dispatcher.evacuated().storeRestored(nowNanos);
 		}
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
@@ -44,13 +44,34 @@
 	 */
 	public void replaceAll(Map<String, Long> revisions, long nowNanos) {
 		Set<String> ended = new HashSet<>(this.evacuations.failureDomains());
-		ended.removeAll(revisions.keySet());
 		boolean changed = this.evacuations.replaceAll(revisions, nowNanos);
-		// The revision of the end is unknown.
-		ended.forEach((failureDomain) -> this.coldRunners.evacuationEnded(failureDomain, Long.MAX_VALUE, nowNanos));
+		ended.removeAll(this.evacuations.failureDomains());
+		ended(ended, nowNanos);
 		placeWaitingIf(changed, nowNanos);
 	}
 
+	// The revision of the end is unknown.
+	private void ended(Set<String> failureDomains, long nowNanos) {
+		failureDomains
+			.forEach((failureDomain) -> this.coldRunners.evacuationEnded(failureDomain, Long.MAX_VALUE, nowNanos));
+	}
+
+	/**
+	 * Records that the site's store was restored from a copy.
+	 */
+	public void storeRestored(long nowNanos) {
+		this.evacuations.storeRestored(nowNanos);
+	}
+
+	/**
+	 * Ends the evacuations that a restored store lacks for too long.
+	 */
+	public void tick(long nowNanos) {
+		Set<String> ended = this.evacuations.tick(nowNanos);
+		ended(ended, nowNanos);
+		placeWaitingIf(!ended.isEmpty(), nowNanos);
+	}
+
 	/**
 	 * Applies the object of an evacuation that was written.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/evacuation/Evacuations.java
+++ b/policy/src/main/java/org/wisteriapost/policy/evacuation/Evacuations.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.evacuation;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,14 +14,24 @@
  *
  * An evacuation is in force here from when this entry has read its object until it has
  * read the removal, and as long as nothing newer is read: while the store is unavailable
- * the last known state holds.
+ * the last known state holds. A store that was restored from a copy may lack it until
+ * operators write it again. Requests to an evacuated failure domain are worse than some
+ * seconds without it, so it stays in force meanwhile.
  */
 public final class Evacuations {
 
+	// Longer than operators need to write an object again.
+	private static final long RESTORE_HOLD_NANOS = Duration.ofSeconds(10).toNanos();
+
+	private static final long NO_REVISION = -1;
+
 	private final Map<String, Evacuation> active = new HashMap<>();
 
 	private final Map<String, Long> endNanos = new HashMap<>();
 
+	// Until when objects that a restored store lacks count; empty without a restore.
+	private OptionalLong heldUntilNanos = OptionalLong.empty();
+
 	private List<EvacuationChange> changes = new ArrayList<>();
 
 	/**
@@ -61,10 +72,32 @@
 		return (end != null) ? OptionalLong.of(end) : OptionalLong.empty();
 	}
 
+	/**
+	 * Records that the store was restored from a copy.
+	 */
+	public void storeRestored(long nowNanos) {
+		this.heldUntilNanos = OptionalLong.of(nowNanos + RESTORE_HOLD_NANOS);
+	}
+
+	/**
+	 * Ends the evacuations that a restored store still lacks, and returns their failure
+	 * domains.
+	 */
+	public Set<String> tick(long nowNanos) {
+		if (this.heldUntilNanos.isEmpty() || nowNanos - this.heldUntilNanos.getAsLong() < 0) {
+			return Set.of();
+		}
+		this.heldUntilNanos = OptionalLong.empty();
+		Set<String> lacking = new TreeSet<>(this.active.keySet());
+		lacking.removeIf((failureDomain) -> this.active.get(failureDomain).revision != NO_REVISION);
+		lacking.forEach((failureDomain) -> end(failureDomain, NO_REVISION, nowNanos));
+		return lacking;
+	}
+
 	/**
 	 * Replaces all evacuations and returns whether the evacuated failure domains have
-	 * changed. Those that are missing have ended, whatever their revision: the store may
-	 * have been restored from an older copy.
+	 * changed. Those that are missing have ended, whatever their revision, unless the
+	 * store was just restored from a copy.
 	 * @param revisions the revisions of the objects by failure domain
 	 */
 	public boolean replaceAll(Map<String, Long> revisions, long nowNanos) {
@@ -72,11 +105,21 @@
 		Set.copyOf(this.active.keySet())
 			.stream()
 			.filter((failureDomain) -> !revisions.containsKey(failureDomain))
-			.forEach((failureDomain) -> end(failureDomain, this.active.get(failureDomain).revision, nowNanos));
+			.forEach((failureDomain) -> missing(failureDomain, nowNanos));
 		revisions.forEach((failureDomain, revision) -> begin(failureDomain, revision, nowNanos));
 		return this.changes.size() > before;
 	}
 
+	private void missing(String failureDomain, long nowNanos) {
+		Evacuation known = this.active.get(failureDomain);
+		if (this.heldUntilNanos.isPresent()) {
+			this.active.put(failureDomain, new Evacuation(NO_REVISION, known.sinceNanos));
+		}
+		else {
+			end(failureDomain, known.revision, nowNanos);
+		}
+	}
+
 	/**
 	 * Applies an object that was written, and returns whether an evacuation starts. An
 	 * object that is written again leaves the start as it is.
--- a/policy/src/test/java/org/wisteriapost/policy/evacuation/EvacuationsTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/evacuation/EvacuationsTests.java
@@ -15,6 +15,8 @@
  */
 class EvacuationsTests {
 
+	private static final long SECOND = 1_000_000_000;
+
 	private final Evacuations evacuations = new Evacuations();
 
 	// Guards against an evacuation that is not reported, or with a wrong duration.
@@ -51,6 +53,21 @@
 		assertThat(this.evacuations.end("hall-b", 10, 400), Matchers.equalTo(true));
 	}
 
+	// The copy lacks an evacuation that began since. Guards against requests to the
+	// domain
+	// before operators write it again, and against one that never ends.
+	@Test
+	void restoredStoreEndsMissingEvacuationsOnlyAfterATime() {
+		this.evacuations.replaceAll(Map.of("hall-a", 50L, "hall-b", 60L, "hall-c", 70L), 0);
+		this.evacuations.storeRestored(SECOND);
+		assertThat(this.evacuations.replaceAll(Map.of("hall-b", 8L), 2 * SECOND), Matchers.equalTo(false));
+		this.evacuations.begin("hall-c", 9, 3 * SECOND);
+		assertThat(this.evacuations.tick(10 * SECOND), Matchers.empty());
+		assertThat(this.evacuations.tick(11 * SECOND), Matchers.contains("hall-a"));
+		assertThat(this.evacuations.failureDomains(), Matchers.contains("hall-b", "hall-c"));
+		assertThat(this.evacuations.end("hall-c", 10, 12 * SECOND), Matchers.equalTo(true));
+	}
+
 	// Guards against runners that count as warm after an evacuation: the time of its end
 	// outlasts a later evacuation.
 	@Test
