The emulated store comes back from a copy; a real entry follows it

SiteTests#changesOfARestoredStoreApply: a real entry over HTTP applies changes of the table after it, with revisions that stay below those read before and with ones that have passed them.

--- a/app/src/test/java/org/wisteriapost/app/SiteTests.java
+++ b/app/src/test/java/org/wisteriapost/app/SiteTests.java
@@ -19,9 +19,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.entry.direct.DirectProcess;
 import org.wisteriapost.platform.emulator.EmulatedRunner;
 import org.wisteriapost.platform.emulator.EmulatedSite;
+import org.wisteriapost.platform.emulator.EmulatedStore;
 import org.wisteriapost.protocol.http.HttpCall;
 import org.wisteriapost.protocol.http.HttpResponse;
 import org.wisteriapost.protocol.link.Link;
@@ -250,6 +252,30 @@
 				() -> call(2, "GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status() == 404);
 	}
 
+	// Guards against changes that a real entry does not read from a real store that was
+	// restored from a copy, whether or not its revisions have passed the ones read
+	// before.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 40 })
+	void changesOfARestoredStoreApply(int skippedRevisions) throws Exception {
+		this.site.store().stateEra();
+		this.site.addEngine(1);
+		this.site.addPlainRunner();
+		startEntry(1);
+		awaitServing();
+		EmulatedStore.Copy copy = this.site.store().copy();
+		for (int i = 0; i < 10; i++) {
+			this.site.configure(true);
+		}
+		awaitServing();
+		this.site.store().restore(copy);
+		this.site.configure(false);
+		this.site.store().skipRevisions(skippedRevisions);
+		await("the route is gone", () -> call("GET", "/lookup/x", EmulatedSite.KEY, new byte[0]).status() == 404);
+		this.site.configure(true);
+		awaitServing();
+	}
+
 	@Test
 	void aDrainedRunnerReceivesNoNewRequests() throws Exception {
 		this.site.addEngine(1);
