Reread: a refused listing is not applied, evacuations are reported when they end

- A listing of an earlier epoch was refused and yet cleared the mark of a discarded read.
It is cleared only by a listing that is applied.
- Every 100 ms each entry built and reported the evacuated failure domains; now only when a held evacuation has ended.
- Two handlers of updates that are not applied share one method.
- A doc comment had slipped to the wrong metric.

Run: RestoredStoreReplicationTests, StoreReplicationTests, LateStoreReadTests, RejectionStalenessTests, EntryRegistryTests, the tests of evacuations, and lint of entry and what it depends on; all pass.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectMetrics.java
@@ -196,12 +196,15 @@
 	}
 
 	/**
-	 * Records how many engines state that they are slower than declared.
+	 * Records the latest epoch of the site's store.
 	 */
 	void storeEpoch(long epoch) {
 		this.storeEpoch.set(epoch);
 	}
 
+	/**
+	 * Records how many engines state that they are slower than declared.
+	 */
 	void slowEngines(int count) {
 		this.slowEngines.set(count);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EvacuationUpdates.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EvacuationUpdates.java
@@ -64,8 +64,9 @@
 	 * Ends evacuations that are due to end.
 	 */
 	void tick(long nowNanos) {
-		this.evacuated.tick(nowNanos);
-		reportChanges();
+		if (this.evacuated.tick(nowNanos)) {
+			reportChanges();
+		}
 	}
 
 	private boolean isReadable(ObjectStore.Item item) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreEvents.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreEvents.java
@@ -98,11 +98,11 @@
 			discarded(listed.kind());
 			return;
 		}
-		this.storeReading.ifPresent((reading) -> reading.listingApplied(listed.kind()));
 		boolean current = this.updates
 			.map((updates) -> updates.applyFromStore(listed.kind(), listed.items(), listed.revision()))
 			.orElse(true);
 		if (current) {
+			this.storeReading.ifPresent((reading) -> reading.listingApplied(listed.kind()));
 			this.localView.replaceAll(listed.kind(), listed.items(), now);
 		}
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/UpdateSubscriptions.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/UpdateSubscriptions.java
@@ -166,9 +166,8 @@
 	void contentMissing(String peer, ObjectKind kind, News update) {
 		this.log.failure("news-lacking", "peer", peer, "kind", kind);
 		Subscription subscription = subscription(peer);
-		subscription.delivered.remove(kind);
 		subscription.requestsAll |= !subscription.framesMissed;
-		subscription.answerPending &= !subscription.followsRequest(update);
+		subscription.notApplied(kind, update);
 	}
 
 	/**
@@ -178,9 +177,7 @@
 	 */
 	void otherEpochReceived(String peer, ObjectKind kind, News update) {
 		this.log.failure("news-of-other-epoch", "peer", peer, "kind", kind, "epoch", update.getEpoch());
-		Subscription subscription = subscription(peer);
-		subscription.delivered.remove(kind);
-		subscription.answerPending &= !subscription.followsRequest(update);
+		subscription(peer).notApplied(kind, update);
 	}
 
 	/**
@@ -392,6 +389,11 @@
 			return restarted;
 		}
 
+		private void notApplied(ObjectKind kind, News update) {
+			this.delivered.remove(kind);
+			this.answerPending &= !followsRequest(update);
+		}
+
 		// Makes a request due at once, or as soon as an answer in transit has passed.
 		private void retryNow(long nowNanos) {
 			this.lastActivityNanos = nowNanos - this.retryDelayNanos;
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/EvacuatedRunners.java
@@ -64,12 +64,14 @@
 	}
 
 	/**
-	 * Ends the evacuations that a restored store lacks for too long.
+	 * Ends the evacuations that a restored store lacks for too long, and returns whether
+	 * there were any.
 	 */
-	public void tick(long nowNanos) {
+	public boolean tick(long nowNanos) {
 		Set<String> ended = this.evacuations.tick(nowNanos);
 		ended(ended, nowNanos);
 		placeWaitingIf(!ended.isEmpty(), nowNanos);
+		return !ended.isEmpty();
 	}
 
 	/**
