--- a/review/src/ExtraAnswers.java
+++ b/review/src/ExtraAnswers.java
@@ -75,7 +75,7 @@
 	}
 
 	public static void main(String[] args) throws Exception {
-		Path folder = Stand.temporaryFolder();
+		Path folder = Stand.prepare(CASE);
 		Stand.Store store = Stand.Store.start("127.0.0.1");
 		store.put("config", "main", """
 				{"version":3,"routes":[{"name":"hold","host":"desk.example","pathPrefix":"/hold/","routeType":"non_idempotent",
--- a/review/src/SlowReader.java
+++ b/review/src/SlowReader.java
@@ -10,7 +10,7 @@
 /** An entry is stopped with SIGTERM while callers read their answers slowly. */
 final class SlowReader {
 
-	private static final String CASE = "review/2";
+	private static final String CASE = "review/3";
 
 	private static final int CALLERS = 5;
 
@@ -23,7 +23,7 @@
 	private static final AtomicInteger cut = new AtomicInteger();
 
 	public static void main(String[] args) throws Exception {
-		Path folder = Stand.temporaryFolder();
+		Path folder = Stand.prepare(CASE);
 		Stand.Store store = Stand.Store.start("127.0.0.1");
 		store.put("config", "main", """
 				{"version":3,"routes":[{"name":"look","host":"desk.example","pathPrefix":"/look/","routeType":"idempotent",
@@ -50,14 +50,15 @@
 		if (!Stand.await(30_000, entry::isReady)) {
 			Stand.finish(CASE, 2, "the entry did not become ready");
 		}
-		Stand.sleep(1500);
+		// Longer than contactMs.
+		Stand.sleep(4000);
 		List<Thread> callers = new ArrayList<>();
 		for (int i = 0; i < CALLERS; i++) {
 			callers.add(Thread.ofPlatform().start(() -> read(entry)));
 		}
 		Stand.sleep(400);
 		if (Stand.trouble()) {
-			Stand.signal(entry.process(), "TERM");
+			entry.process().destroy();
 			Stand.record("SIGTERM sent to edge-1");
 			entry.process().onExit().thenRun(() -> Stand.record("edge-1 has ended"));
 		}
--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -87,10 +87,7 @@
 	static void finish(String caseFolder, int code, String verdict) {
 		record("verdict: %s (exit %d)", verdict, code);
 		System.out.println(verdict);
-		PROCESSES.forEach((process) -> {
-			signal(process, "CONT");
-			process.destroyForcibly();
-		});
+		endProcesses();
 		try {
 			writeRecord(caseFolder);
 		}
@@ -315,6 +312,11 @@
 
 		private long revision = 100;
 
+		// Stated in all answers.
+		private int era = 1;
+
+		private volatile boolean away;
+
 		InetSocketAddress address;
 
 		static Store start(String host) throws IOException {
@@ -349,18 +351,52 @@
 			return this.kinds.getOrDefault(kind, new TreeMap<>()).size();
 		}
 
+		/** Returns a function that brings the store back as it is now, with the next era. */
+		synchronized Runnable copy() {
+			Map<String, TreeMap<String, Item>> objects = new HashMap<>();
+			this.kinds.forEach((kind, items) -> objects.put(kind, new TreeMap<>(items)));
+			List<Event> events = new ArrayList<>(this.history);
+			long copied = this.revision;
+			return () -> {
+				synchronized (this) {
+					this.kinds.clear();
+					this.kinds.putAll(objects);
+					this.history.clear();
+					this.history.addAll(events);
+					this.revision = copied;
+					this.era++;
+					notifyAll();
+				}
+			};
+		}
+
+		synchronized void setAway(boolean away) {
+			this.away = away;
+			notifyAll();
+		}
+
 		private void handle(Message request, Socket socket, InputStream in, OutputStream out) throws Exception {
 			body(in, request, false);
+			if (this.away) {
+				socket.close();
+				return;
+			}
 			String[] parts = request.path().split("/");
 			String kind = (parts.length > 3) ? parts[3] : "";
 			String name = (parts.length > 4) ? parts[4] : "";
-			String json = "Content-Type: application/json\r\n";
+			String json = "Content-Type: application/json\r\nStore-Era: " + this.era + "\r\n";
 			switch (request.method()) {
 				case "GET" -> {
 					String watch = request.query("watch");
+					int before = this.era;
 					String answer = (watch != null)
 							? watch(kind, Long.parseLong(watch), Long.parseLong(request.query("waitMs"))) : list(kind);
-					out.write(response(200, json, bytes(answer)));
+					if (this.away || this.era != before) {
+						// Cut off while it waited.
+						socket.close();
+						return;
+					}
+					out.write((answer != null) ? response(200, json, bytes(answer)) : response(410, json, bytes("{}")));
 				}
 				case "PUT", "POST" -> {
 					String text = request.text();
@@ -407,7 +443,14 @@
 
 		private synchronized String watch(String kind, long from, long waitMs) throws InterruptedException {
 			long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+			int before = this.era;
+			if (from > this.revision) {
+				return null;
+			}
 			while (true) {
+				if (this.away || this.era != before) {
+					return "";
+				}
 				List<String> events = new ArrayList<>();
 				for (Event event : this.history) {
 					if (event.revision > from && event.kind.equals(kind)) {
@@ -545,15 +588,10 @@
 		return process;
 	}
 
-	static void signal(Process process, String signal) {
-		if (!process.isAlive()) {
-			return;
-		}
-		try {
-			new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
-		}
-		catch (IOException | InterruptedException ex) {
-			throw new IllegalStateException(ex);
+	private static void endProcesses() {
+		synchronized (PROCESSES) {
+			PROCESSES.forEach(Process::destroyForcibly);
+			PROCESSES.forEach((process) -> process.onExit().join());
 		}
 	}
 
@@ -568,9 +606,17 @@
 		return condition.getAsBoolean();
 	}
 
-	static Path temporaryFolder() throws IOException {
+	/**
+	 * Prepares a case: its processes end with it in any case, and a failure of the script
+	 * itself is no verdict. Returns a folder for settings and logs.
+	 */
+	static Path prepare(String caseFolder) throws IOException {
+		Runtime.getRuntime().addShutdownHook(new Thread(Stand::endProcesses));
+		Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
+			failure.printStackTrace();
+			finish(caseFolder, 2, "the case could not run: " + failure);
+		});
 		Path folder = Files.createTempDirectory("review");
-		folder.toFile().deleteOnExit();
 		return folder;
 	}
 
