--- a/review/src/ExtraAnswers.java
+++ b/review/src/ExtraAnswers.java
@@ -29,6 +29,9 @@
 
 	private static final int ATTEMPTS = 380;
 
+	// On a slow machine fewer attempts are made.
+	private static final double MAX_S = 105;
+
 	private static final long PERIOD_MS = 245;
 
 	private static volatile boolean full;
@@ -128,7 +131,7 @@
 		Stand.sleep(1500);
 		int served = 0;
 		int other = 0;
-		for (int i = 0; i < ATTEMPTS; i++) {
+		for (int i = 0; i < ATTEMPTS && Stand.now() < MAX_S; i++) {
 			long start = System.nanoTime();
 			// The slots of all three are taken for some milliseconds.
 			full = true;
@@ -156,7 +159,7 @@
 				Stand.record("%s was made %d times", booking, runs);
 			}
 		});
-		Stand.finish(CASE, broken.isEmpty() ? 0 : 1, "of " + ATTEMPTS + " requests that found the runners full " + served
+		Stand.finish(CASE, broken.isEmpty() ? 0 : 1, "requests that found the runners full: " + served
 				+ " served, " + other + " failed; refused in all " + refused.size() + ", refused and run " + broken.size());
 	}
 
