Log the connection of each dispatch; hypotheses on a request that was refused and had run

A late copy of a rejection, an end of an earlier dispatch that is applied to a later one, and a refusal of the entry's own leave the same lines. dispatch-ended now names the connection and the call on it; no decision changes.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.protocol.http.ConnectionUse;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.wire.EngineState;
@@ -60,8 +62,18 @@
 	 * @param dispatch the number of the dispatch
 	 * @param outcome the result
 	 * @param detail for the log
+	 * @param connection the connection that the request was sent on, if it was
 	 */
-	record DispatchEnded(DirectCall call, int dispatch, DispatchOutcome outcome, String detail) implements DirectEvent {
+	record DispatchEnded(DirectCall call, int dispatch, DispatchOutcome outcome, String detail,
+			Optional<ConnectionUse> connection) implements DirectEvent {
+
+		/**
+		 * Returns the end of a dispatch that was not sent.
+		 */
+		static DispatchEnded withoutConnection(DirectCall call, int dispatch, DispatchOutcome outcome, String detail) {
+			return new DispatchEnded(call, dispatch, outcome, detail, Optional.empty());
+		}
+
 	}
 
 	/**
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -75,8 +75,8 @@
 		onIoThread(() -> {
 			if (call.complete()) {
 				// The previous dispatch completed the answer before it was cancelled.
-				this.events.accept(
-						new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.DONE, "answer already complete"));
+				this.events.accept(DirectEvent.DispatchEnded.withoutConnection(call, dispatch, DispatchOutcome.DONE,
+						"answer already complete"));
 				return;
 			}
 			List<Integer> others = call.others(dispatch);
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -18,6 +18,7 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.StoreRole;
 import org.wisteriapost.policy.fleet.UpstreamSelector;
+import org.wisteriapost.protocol.http.ConnectionUse;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
@@ -257,7 +258,9 @@
 		this.log.decision("dispatch-ended", "attempt", job.attemptId(), "dispatch", ended.dispatch(), "outcome",
 				ended.outcome(), "detail", ended.detail(), "events", job.events(), "sinceFirstEventMs",
 				job.sinceFirstEventMillis(ended.dispatch(), now), "ageMs",
-				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()));
+				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()), "connection",
+				ended.connection().map(ConnectionUse::connection), "callOnConnection",
+				ended.connection().map(ConnectionUse::call));
 		this.metrics.dispatchEnded(job, ended.outcome(), now);
 		this.dispatcher.dispatchEnded(job, ended.dispatch(), ended.outcome(), now);
 		if (ended.outcome() == DispatchOutcome.DONE) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -250,7 +251,8 @@
 	private void end(DispatchOutcome outcome, String detail) {
 		this.finished = true;
 		this.call.removeForwarder(this.dispatch);
-		this.events.accept(new DirectEvent.DispatchEnded(this.call, this.dispatch, outcome, detail));
+		this.events.accept(new DirectEvent.DispatchEnded(this.call, this.dispatch, outcome, detail,
+				Optional.ofNullable(this.exchange).flatMap(HttpExchange::connectionUse)));
 	}
 
 	private static List<Map.Entry<String, String>> endToEndHeaders(List<Map.Entry<String, String>> all) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -239,7 +239,7 @@
 		rateLimit.ifPresent((limit) -> headers.put("limit", Double.toString(limit)));
 		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply).onHead(200, headers, List.of());
 		answer(call.request().id(), new FleetHarness.Answer("done", 0));
-		apply(new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.DONE, "status 200"));
+		apply(DirectEvent.DispatchEnded.withoutConnection(call, dispatch, DispatchOutcome.DONE, "status 200"));
 	}
 
 	/**
@@ -261,7 +261,7 @@
 	}
 
 	void misdirected(DirectCall call, int dispatch) {
-		apply(new DirectEvent.DispatchEnded(call, dispatch, DispatchOutcome.MISDIRECTED, "status 421"));
+		apply(DirectEvent.DispatchEnded.withoutConnection(call, dispatch, DispatchOutcome.MISDIRECTED, "status 421"));
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -49,7 +49,7 @@
 
 	private final ByteBufferPool buffers;
 
-	private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
+	private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
 
 	private long lastEvictionNanos = System.nanoTime();
 
@@ -74,32 +74,33 @@
 	 * Returns the most recently used connection to a host.
 	 * @param maxIdle how long it may have been idle; empty for no limit
 	 */
-	synchronized Optional<ClientConnection> acquire(URI target, Optional<Duration> maxIdle) {
+	synchronized Optional<PooledConnection> acquire(URI target, Optional<Duration> maxIdle) {
 		evictExpired();
-		Deque<IdleConnection> list = this.idle.getOrDefault(target.getAuthority(), new ArrayDeque<>());
+		Deque<PooledConnection> list = this.idle.getOrDefault(target.getAuthority(), new ArrayDeque<>());
 		while (!list.isEmpty()) {
-			IdleConnection candidate = list.peekFirst();
-			if (maxIdle.isPresent() && candidate.idleNanos() > maxIdle.get().toNanos()) {
+			PooledConnection candidate = list.peekFirst();
+			if (maxIdle.isPresent() && candidate.idleLongerThan(maxIdle.get())) {
 				// The new connection replaces the one that has been idle for longest.
-				IoUtils.safeClose(list.pollLast().connection);
+				IoUtils.safeClose(list.pollLast().connection());
 				return Optional.empty();
 			}
 			list.pollFirst();
 			if (candidate.usable()) {
-				return Optional.of(candidate.connection);
+				return Optional.of(candidate);
 			}
-			IoUtils.safeClose(candidate.connection);
+			IoUtils.safeClose(candidate.connection());
 		}
 		return Optional.empty();
 	}
 
-	synchronized void release(URI target, ClientConnection connection, long idleMillis) {
-		Deque<IdleConnection> list = this.idle.computeIfAbsent(target.getAuthority(), (host) -> new ArrayDeque<>());
-		if (!connection.isOpen() || list.size() >= MAX_IDLE_PER_HOST) {
-			IoUtils.safeClose(connection);
+	synchronized void release(URI target, PooledConnection connection, long idleMillis) {
+		Deque<PooledConnection> list = this.idle.computeIfAbsent(target.getAuthority(), (host) -> new ArrayDeque<>());
+		if (!connection.connection().isOpen() || list.size() >= MAX_IDLE_PER_HOST) {
+			IoUtils.safeClose(connection.connection());
 			return;
 		}
-		list.addFirst(new IdleConnection(connection, System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(idleMillis)));
+		connection.endCall(idleMillis);
+		list.addFirst(connection);
 	}
 
 	private void evictExpired() {
@@ -111,7 +112,7 @@
 		this.idle.values().forEach((list) -> list.removeIf((pooled) -> {
 			boolean expired = !pooled.usable();
 			if (expired) {
-				IoUtils.safeClose(pooled.connection);
+				IoUtils.safeClose(pooled.connection());
 			}
 			return expired;
 		}));
@@ -122,9 +123,9 @@
 	 * Closes the idle connections to a host.
 	 */
 	synchronized void closeIdle(URI target) {
-		Deque<IdleConnection> list = this.idle.remove(target.getAuthority());
+		Deque<PooledConnection> list = this.idle.remove(target.getAuthority());
 		if (list != null) {
-			list.forEach((pooled) -> IoUtils.safeClose(pooled.connection));
+			list.forEach((pooled) -> IoUtils.safeClose(pooled.connection()));
 		}
 	}
 
@@ -134,7 +135,7 @@
 	}
 
 	/**
-	 * Resets a connection; does nothing without one.
+	 * Resets a connection.
 	 *
 	 * Undertow's close shuts down the sending side and waits up to 10 seconds for the
 	 * server, which would keep working on an abandoned request. The underlying connection
@@ -142,9 +143,6 @@
 	 * be sent after an orderly close, and a runner would start the abandoned request.
 	 */
 	static void abort(ClientConnection dropped) {
-		if (dropped == null) {
-			return;
-		}
 		dropped.getIoThread().execute(() -> {
 			try {
 				StreamConnection underlying = dropped.performUpgrade();
@@ -158,20 +156,8 @@
 	}
 
 	synchronized void close() {
-		this.idle.values().forEach((list) -> list.forEach((pooled) -> IoUtils.safeClose(pooled.connection)));
+		this.idle.values().forEach((list) -> list.forEach((pooled) -> IoUtils.safeClose(pooled.connection())));
 		this.idle.clear();
 	}
 
-	private record IdleConnection(ClientConnection connection, long sinceNanos, long maxIdleNanos) {
-
-		private long idleNanos() {
-			return System.nanoTime() - this.sinceNanos;
-		}
-
-		private boolean usable() {
-			return this.connection.isOpen() && idleNanos() < this.maxIdleNanos;
-		}
-
-	}
-
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpExchange.java
@@ -1,5 +1,7 @@
 package org.wisteriapost.protocol.http;
 
+import java.util.Optional;
+
 /**
  * A streamed call in progress.
  */
@@ -11,6 +13,11 @@
 	 */
 	void cancel();
 
+	/**
+	 * Returns the connection that the request was sent on, once it was.
+	 */
+	Optional<ConnectionUse> connectionUse();
+
 	/**
 	 * Stops reading the response until {@link #resume}, so that a slow consumer throttles
 	 * the server instead of filling the heap.
--- /dev/null
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
@@ -0,0 +1,71 @@
+package org.wisteriapost.protocol.http;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.undertow.client.ClientConnection;
+
+/**
+ * A connection and how it has been used. Only the call that uses it or the pool that
+ * holds it may change it.
+ */
+final class PooledConnection {
+
+	private static final AtomicLong LAST_NUMBER = new AtomicLong();
+
+	private final long number = LAST_NUMBER.incrementAndGet();
+
+	private final ClientConnection connection;
+
+	private volatile int calls;
+
+	private volatile long idleSinceNanos;
+
+	private volatile long maxIdleNanos;
+
+	private PooledConnection(ClientConnection connection) {
+		this.connection = connection;
+	}
+
+	/**
+	 * Returns a connection that was just established.
+	 */
+	static PooledConnection of(ClientConnection established) {
+		return new PooledConnection(established);
+	}
+
+	ClientConnection connection() {
+		return this.connection;
+	}
+
+	/**
+	 * Records that a call begins to use it.
+	 */
+	ConnectionUse beginCall() {
+		this.calls++;
+		return new ConnectionUse(this.number, this.calls);
+	}
+
+	/**
+	 * Records that the call that used it has ended.
+	 * @param maxIdleMillis how long it may be idle until its next call
+	 */
+	void endCall(long maxIdleMillis) {
+		this.idleSinceNanos = System.nanoTime();
+		this.maxIdleNanos = TimeUnit.MILLISECONDS.toNanos(maxIdleMillis);
+	}
+
+	boolean idleLongerThan(Duration limit) {
+		return idleNanos() > limit.toNanos();
+	}
+
+	boolean usable() {
+		return this.connection.isOpen() && idleNanos() < this.maxIdleNanos;
+	}
+
+	private long idleNanos() {
+		return System.nanoTime() - this.idleSinceNanos;
+	}
+
+}
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -46,7 +46,9 @@
 
 	private final AtomicBoolean done = new AtomicBoolean();
 
-	private volatile ClientConnection connection;
+	private volatile PooledConnection connection;
+
+	private volatile Optional<ConnectionUse> connectionUse = Optional.empty();
 
 	private volatile StreamSourceChannel responseChannel;
 
@@ -77,8 +79,8 @@
 	}
 
 	void start() {
-		Optional<ClientConnection> pooled = this.pool.acquire(this.call.target(), this.call.maxReuseIdle());
-		this.thread = pooled.map(ClientConnection::getIoThread).orElseGet(this.pool::ioThread);
+		Optional<PooledConnection> pooled = this.pool.acquire(this.call.target(), this.call.maxReuseIdle());
+		this.thread = pooled.map((idle) -> idle.connection().getIoThread()).orElseGet(this.pool::ioThread);
 		Duration whole = this.call.timeouts().total();
 		this.timer = schedule(whole, () -> fail(new TimeoutException("no complete response in " + whole)));
 		this.thread.execute(() -> pooled.ifPresentOrElse(this::send, this::connect));
@@ -113,7 +115,7 @@
 		if (!this.done.get()) {
 			this.listener.onConnected();
 		}
-		send(established);
+		send(PooledConnection.of(established));
 	}
 
 	// A timeout for the whole response alone would either abort a large response that is
@@ -151,6 +153,11 @@
 		fail(new Cancelled());
 	}
 
+	@Override
+	public Optional<ConnectionUse> connectionUse() {
+		return this.connectionUse;
+	}
+
 	@Override
 	public void pause() {
 		this.paused = true;
@@ -165,12 +172,13 @@
 		}
 	}
 
-	private void send(ClientConnection to) {
+	private void send(PooledConnection to) {
 		this.connection = to;
 		if (this.done.get()) {
-			IoUtils.safeClose(to);
+			IoUtils.safeClose(to.connection());
 			return;
 		}
+		this.connectionUse = Optional.of(to.beginCall());
 		URI target = this.call.target();
 		String query = (target.getRawQuery() != null) ? "?" + target.getRawQuery() : "";
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
@@ -185,7 +193,7 @@
 		if (this.call.timeouts().hasProgressTimeouts()) {
 			checkProgress();
 		}
-		to.sendRequest(request, new Step<>(this::onExchangeStarted));
+		to.connection().sendRequest(request, new Step<>(this::onExchangeStarted));
 	}
 
 	private void onExchangeStarted(ClientExchange exchange) {
@@ -302,7 +310,10 @@
 	private void fail(Throwable cause) {
 		if (this.done.compareAndSet(false, true)) {
 			stopTimers();
-			ConnectionPool.abort(this.connection);
+			PooledConnection used = this.connection;
+			if (used != null) {
+				ConnectionPool.abort(used.connection());
+			}
 			if (!(cause instanceof Cancelled)) {
 				// Idle connections to the same host have probably failed as well.
 				this.pool.closeIdle(this.call.target());
