--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectCall.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCall.java
@@ -21,6 +21,9 @@
 
 	private final Job job;
 
+	// Confined to the state thread.
+	private final DispatchHistory history = new DispatchHistory();
+
 	// The fields below are confined to the I/O thread.
 
 	// By the number of the dispatch.
@@ -45,6 +48,10 @@
 		return this.job;
 	}
 
+	DispatchHistory history() {
+		return this.history;
+	}
+
 	CallerAnswer answer() {
 		return this.request.answer();
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -18,7 +18,6 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.StoreRole;
 import org.wisteriapost.policy.fleet.UpstreamSelector;
-import org.wisteriapost.protocol.http.ConnectionUse;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
 import org.wisteriapost.protocol.site.SiteSettings;
@@ -259,8 +258,8 @@
 				ended.outcome(), "detail", ended.detail(), "events", job.events(), "sinceFirstEventMs",
 				job.sinceFirstEventMillis(ended.dispatch(), now), "ageMs",
 				TimeUnit.NANOSECONDS.toMillis(now - job.arrivedNanos()), "connection",
-				ended.connection().map(ConnectionUse::connection), "callOnConnection",
-				ended.connection().map(ConnectionUse::call));
+				DispatchHistory.describe(ended.connection()));
+		ended.call().history().add(ended);
 		this.metrics.dispatchEnded(job, ended.outcome(), now);
 		this.dispatcher.dispatchEnded(job, ended.dispatch(), ended.outcome(), now);
 		if (ended.outcome() == DispatchOutcome.DONE) {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EffectExecutor.java
@@ -93,7 +93,7 @@
 				"request", Long.toHexString(job.contentHash()), "parts", parts(call), "code", refuse.code().name(),
 				"route", job.route().name(), "retryAfterMs", refuse.retryAfterMillis(), "rank", job.standing().rank(),
 				"reservedSlots", job.standing().reservedSlots(), "contendedRank", job.standing().contendedRank(),
-				"ageMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
+				"dispatches", call.history(), "ageMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()));
 		this.log.failure("refused", inputs);
 		this.evacuations.requestRefused(refuse, nowNanos);
 		this.metrics.answered("refused", refuse.code().name());
@@ -103,7 +103,8 @@
 	private void fail(DispatchEffect.Fail fail, DirectCall call) {
 		Job job = fail.job();
 		this.log.failure("failed", "attempt", job.attemptId(), "request", Long.toHexString(job.contentHash()), "parts",
-				parts(call), "code", fail.code().name(), "events", job.events(), "lastOutcome", job.lastOutcome());
+				parts(call), "code", fail.code().name(), "events", job.events(), "lastOutcome", job.lastOutcome(),
+				"dispatches", call.history());
 		this.metrics.answered("failed", fail.code().name());
 		this.output.fail(call, fail.code(), fail.timeout());
 	}
