Dispatches of an attempt never share a connection

Cause: an answer is matched by attempt and connection. After three rejections a request goes to one of the three runners again, over the connection that was used last. A late second copy of the earlier rejection is the next answer there and bears the same attempt.

Change: the calls of an attempt form a CallSeries, of which no two use the same connection; connection and attempt then name one dispatch, whatever the status. The new connection replaces the one idle for longest, so a runner's connections do not become more.

PooledHttpClientTests#callsOfASeriesNeverShareAConnection.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectCall.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCall.java
@@ -7,6 +7,7 @@
 
 import org.wisteriapost.entry.caller.CallerAnswer;
 import org.wisteriapost.policy.dispatch.Job;
+import org.wisteriapost.protocol.http.CallSeries;
 
 /**
  * A request in progress and the {@link ResponseForwarder}s that may write its answer.
@@ -21,6 +22,9 @@
 
 	private final Job job;
 
+	// The runners' responses to all of them bear the id of the attempt.
+	private final CallSeries dispatches = CallSeries.create();
+
 	// Confined to the state thread.
 	private final DispatchHistory history = new DispatchHistory();
 
@@ -56,6 +60,13 @@
 		return this.request.answer();
 	}
 
+	/**
+	 * Returns the calls to runners that its dispatches make.
+	 */
+	CallSeries dispatches() {
+		return this.dispatches;
+	}
+
 	void addForwarder(int dispatch, ResponseForwarder forwarder) {
 		this.forwarders.put(dispatch, forwarder);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -107,7 +107,7 @@
 		}
 		RunnerResponseFields reply = this.dialect.parseResponse(code, first);
 		// On a reused connection a surplus response to an earlier request can arrive
-		// first.
+		// first. No other dispatch of this attempt has used the connection.
 		if (reply.attemptId().isEmpty() || !reply.attemptId().get().equals(this.call.job().attemptId())) {
 			end(DispatchOutcome.BROKEN,
 					"answer of another attempt: " + reply.attemptId().orElse("none") + " status " + code);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
@@ -55,6 +55,9 @@
 
 	private static final Duration TARGET = Duration.ofMillis(200);
 
+	// Long enough to wait for a runner that has just turned requests away.
+	private static final Duration PATIENT_TARGET = Duration.ofMillis(1600);
+
 	private final PooledHttpClient client = PooledHttpClient.create(1);
 
 	private final PooledHttpClient callers = PooledHttpClient.create(1);
@@ -116,12 +119,19 @@
 	private static RouteTable table() {
 		Route stream = new Route("stream", "127.0.0.1", "/stream/", RouteKind.STREAM, REQUEST_TIMEOUT, TARGET, 1,
 				List.of(new WeightedService("api", 1)), 2, true, true, Duration.ofMillis(400));
-		return RouteTable.of(1, List.of(stream),
+		return RouteTable.of(1,
+				List.of(stream, patientRoute("plain", RouteKind.IDEMPOTENT, 3),
+						patientRoute("once", RouteKind.AT_MOST_ONCE, 1), patientRoute("feed", RouteKind.STREAM, 2)),
 				List.of(new ServiceSpec("api", 96, Optional.empty(), Optional.empty())),
 				Map.of("key", new Organisation("org", OptionalInt.empty())),
 				new CallLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 	}
 
+	private static Route patientRoute(String name, RouteKind kind, int maxAttempts) {
+		return new Route(name, "127.0.0.1", "/" + name + "/", kind, REQUEST_TIMEOUT, PATIENT_TARGET, 1,
+				List.of(new WeightedService("api", 1)), maxAttempts, true, true, Duration.ofMillis(400));
+	}
+
 	/**
 	 * Replaces the runners that the entry knows.
 	 */
@@ -134,10 +144,16 @@
 	 * Sends a request for a stream.
 	 */
 	CompletableFuture<HttpResponse> request(String attempt) {
-		int port = this.server.ports().getFirst();
-		return this.callers.call(
-				HttpCall.of("GET", URI.create("http://127.0.0.1:" + port + "/stream/x"), REQUEST_TIMEOUT.plusSeconds(5))
-					.header("attempt", attempt));
+		return request("/stream/x", attempt);
+	}
+
+	/**
+	 * Sends a request to one of the routes {@code /stream/}, {@code /feed/} and
+	 * {@code /plain/}, which may be retried, and {@code /once/}, which may not.
+	 */
+	CompletableFuture<HttpResponse> request(String path, String attempt) {
+		URI target = URI.create("http://127.0.0.1:" + this.server.ports().getFirst() + path);
+		return this.callers.call(HttpCall.of("GET", target, REQUEST_TIMEOUT.plusSeconds(5)).header("attempt", attempt));
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -2,10 +2,10 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -23,7 +23,9 @@
 
 /**
  * Idle connections by host and port. A connection is returned to the pool only after a
- * complete response, so a late response is never read by another call.
+ * complete response, so the response to a call that was given up is never read by another
+ * one. A surplus copy of a response may be; {@link CallSeries} has the calls that could
+ * not recognise it.
  *
  * Every call, to any host, closes the connections whose idle time has expired. Otherwise,
  * with many processes that rarely call a server with a low connection limit, unused
@@ -71,25 +73,26 @@
 	}
 
 	/**
-	 * Returns the most recently used connection to a host.
-	 * @param maxIdle how long it may have been idle; empty for no limit
+	 * Returns the most recently used connection that a call may use. If there is none,
+	 * the new connection replaces the one that has been idle for longest, since servers
+	 * limit their connections.
 	 */
-	synchronized Optional<PooledConnection> acquire(URI target, Optional<Duration> maxIdle) {
+	synchronized Optional<PooledConnection> acquire(HttpCall call) {
 		evictExpired();
-		Deque<PooledConnection> list = this.idle.getOrDefault(target.getAuthority(), new ArrayDeque<>());
-		while (!list.isEmpty()) {
-			PooledConnection candidate = list.peekFirst();
-			if (maxIdle.isPresent() && candidate.idleLongerThan(maxIdle.get())) {
-				// The new connection replaces the one that has been idle for longest.
-				IoUtils.safeClose(list.pollLast().connection());
-				return Optional.empty();
+		Deque<PooledConnection> list = this.idle.getOrDefault(call.target().getAuthority(), new ArrayDeque<>());
+		Iterator<PooledConnection> candidates = list.iterator();
+		while (candidates.hasNext()) {
+			PooledConnection candidate = candidates.next();
+			if (!candidate.usable()) {
+				candidates.remove();
+				IoUtils.safeClose(candidate.connection());
 			}
-			list.pollFirst();
-			if (candidate.usable()) {
+			else if (candidate.allowedFor(call)) {
+				candidates.remove();
 				return Optional.of(candidate);
 			}
-			IoUtils.safeClose(candidate.connection());
 		}
+		Optional.ofNullable(list.pollLast()).ifPresent((oldest) -> IoUtils.safeClose(oldest.connection()));
 		return Optional.empty();
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCall.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCall.java
@@ -17,9 +17,10 @@
  * @param maxReuseIdle maximum idle time of a reused connection; empty for no limit
  * @param maxKeepIdle maximum idle time of the connection afterwards; empty for the
  * server's limit
+ * @param series the calls whose responses can't be told from the one to this call
  */
 public record HttpCall(String method, URI target, Map<String, String> headers, byte[] body, HttpTimeouts timeouts,
-		Optional<Duration> maxReuseIdle, Optional<Duration> maxKeepIdle) {
+		Optional<Duration> maxReuseIdle, Optional<Duration> maxKeepIdle, Optional<CallSeries> series) {
 
 	private static final byte[] NO_BODY = new byte[0];
 
@@ -35,7 +36,8 @@
 	 * Returns a request without a body.
 	 */
 	public static HttpCall of(String method, URI target, HttpTimeouts times) {
-		return new HttpCall(method, target, Map.of(), NO_BODY, times, Optional.empty(), Optional.empty());
+		return new HttpCall(method, target, Map.of(), NO_BODY, times, Optional.empty(), Optional.empty(),
+				Optional.empty());
 	}
 
 	/**
@@ -45,7 +47,16 @@
 		Map<String, String> extended = new LinkedHashMap<>(this.headers);
 		extended.put(name, value);
 		return new HttpCall(this.method, this.target, extended, this.body, this.timeouts, this.maxReuseIdle,
-				this.maxKeepIdle);
+				this.maxKeepIdle, this.series);
+	}
+
+	/**
+	 * Returns this request with a limit on the idle time that a reused connection has
+	 * had; zero for a connection of its own.
+	 */
+	public HttpCall maxReuseIdle(Duration maxIdle) {
+		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeouts, Optional.of(maxIdle),
+				this.maxKeepIdle, this.series);
 	}
 
 	/**
@@ -54,7 +65,15 @@
 	 */
 	public HttpCall maxKeepIdle(Duration maxIdle) {
 		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeouts, this.maxReuseIdle,
-				Optional.of(maxIdle));
+				Optional.of(maxIdle), this.series);
+	}
+
+	/**
+	 * Returns this request as one of a series.
+	 */
+	public HttpCall in(CallSeries calls) {
+		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeouts, this.maxReuseIdle,
+				this.maxKeepIdle, Optional.of(calls));
 	}
 
 	/**
@@ -62,7 +81,7 @@
 	 */
 	public HttpCall body(byte[] body) {
 		return new HttpCall(this.method, this.target, this.headers, body, this.timeouts, this.maxReuseIdle,
-				this.maxKeepIdle);
+				this.maxKeepIdle, this.series);
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
@@ -1,6 +1,5 @@
 package org.wisteriapost.protocol.http;
 
-import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -35,6 +34,10 @@
 		return new PooledConnection(established);
 	}
 
+	long number() {
+		return this.number;
+	}
+
 	ClientConnection connection() {
 		return this.connection;
 	}
@@ -56,8 +59,12 @@
 		this.maxIdleNanos = TimeUnit.MILLISECONDS.toNanos(maxIdleMillis);
 	}
 
-	boolean idleLongerThan(Duration limit) {
-		return idleNanos() > limit.toNanos();
+	/**
+	 * Returns whether a call may use it, as long as it is usable.
+	 */
+	boolean allowedFor(HttpCall call) {
+		return call.maxReuseIdle().filter((limit) -> idleNanos() > limit.toNanos()).isEmpty()
+				&& call.series().filter((series) -> series.hasUsed(this)).isEmpty();
 	}
 
 	boolean usable() {
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -79,7 +79,7 @@
 	}
 
 	void start() {
-		Optional<PooledConnection> pooled = this.pool.acquire(this.call.target(), this.call.maxReuseIdle());
+		Optional<PooledConnection> pooled = this.pool.acquire(this.call);
 		this.thread = pooled.map((idle) -> idle.connection().getIoThread()).orElseGet(this.pool::ioThread);
 		Duration whole = this.call.timeouts().total();
 		this.timer = schedule(whole, () -> fail(new TimeoutException("no complete response in " + whole)));
@@ -178,7 +178,9 @@
 			IoUtils.safeClose(to.connection());
 			return;
 		}
-		this.connectionUse = Optional.of(to.beginCall());
+		ConnectionUse use = to.beginCall();
+		this.connectionUse = Optional.of(use);
+		this.call.series().ifPresent((series) -> series.add(use));
 		URI target = this.call.target();
 		String query = (target.getRawQuery() != null) ? "?" + target.getRawQuery() : "";
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/PooledHttpClientTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/PooledHttpClientTests.java
@@ -277,6 +277,18 @@
 		assertThat(port(Optional.empty()), equalTo(second));
 	}
 
+	// Guards against a surplus response to one call of a series that is taken for the
+	// response to the next one, and against connections that are left behind.
+	@Test
+	void callsOfASeriesNeverShareAConnection() {
+		CallSeries series = CallSeries.create();
+		String first = port(HttpCall.of("GET", at("/port"), LONG).in(series));
+		String second = port(HttpCall.of("GET", at("/port"), LONG).in(series));
+		assertThat(second, is(not(first)));
+		assertThat("the new connection replaces the idle one",
+				port(HttpCall.of("GET", at("/port"), LONG).in(CallSeries.create())), is(second));
+	}
+
 	// Calls that require a new connection each time must not accumulate idle connections,
 	// since the server limits their number.
 	@Test
@@ -286,8 +298,7 @@
 			try (Socket idle = server.accept()) {
 				write(idle, "HTTP/1.1 204 No Content\r\n\r\n");
 				first.join();
-				HttpCall fresh = new HttpCall("GET", address(server), Map.of(), new byte[0], HttpTimeouts.total(LONG),
-						Optional.of(Duration.ZERO), Optional.empty());
+				HttpCall fresh = HttpCall.of("GET", address(server), LONG).maxReuseIdle(Duration.ZERO);
 				CompletableFuture<HttpResponse> reply = this.caller.call(fresh);
 				try (Socket created = server.accept()) {
 					write(created, "HTTP/1.1 204 No Content\r\n\r\n");
@@ -339,8 +350,11 @@
 
 	// Returns the client port that the server sees.
 	private String port(Optional<Duration> maxIdle) {
-		HttpCall call = new HttpCall("GET", at("/port"), Map.of(), new byte[0], HttpTimeouts.total(LONG), maxIdle,
-				Optional.empty());
+		HttpCall call = HttpCall.of("GET", at("/port"), LONG);
+		return port(maxIdle.map(call::maxReuseIdle).orElse(call));
+	}
+
+	private String port(HttpCall call) {
 		return new String(this.caller.call(call).join().body(), StandardCharsets.UTF_8);
 	}
 
@@ -404,7 +418,7 @@
 
 		HttpCall call(URI target) {
 			return new HttpCall("GET", target, Map.of(), new byte[0], this.timeouts, this.maxReuseIdle,
-					Optional.empty());
+					Optional.empty(), Optional.empty());
 		}
 
 	}
