--- a/agent/src/main/java/org/wisteriapost/agent/RunnerCalls.java
+++ b/agent/src/main/java/org/wisteriapost/agent/RunnerCalls.java
@@ -56,6 +56,8 @@
 
 	private final AtomicLong lastKey = new AtomicLong();
 
+	private final RecentSeries series = new RecentSeries();
+
 	private AgentLinks agentLinks;
 
 	RunnerCalls(String service, URI runner, Duration maxCallDuration, PooledHttpClient caller, AgentLoop loop,
@@ -165,7 +167,8 @@
 				request = request.header(header.getName(), header.getValue());
 			}
 		}
-		return request.header(CallerHeaders.REQUEST_ID, call.getRequestId())
+		return request.identifiedBy(CallerHeaders.REQUEST_ID, call.getRequestId())
+			.in(this.series.of(call.getRequestId()))
 			.header(CallerHeaders.PRIORITY, priority(call).name().toLowerCase(Locale.ROOT))
 			.header(CallerHeaders.DEADLINE, Long.toString(timeout.toMillis()));
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -158,7 +158,7 @@
 		HttpTimeouts timeouts = HttpTimeouts.total(Duration.ofMillis(remaining).plus(RESPONSE_TIMEOUT_MARGIN));
 		return new HttpCall(request.method(), target, headers, request.body(),
 				send.requiresNewConnection() ? timeouts.connect(probeTimeout(job.route().targetLatency())) : timeouts,
-				maxConnectionIdle(send), Optional.empty(), Optional.of(call.dispatches()));
+				maxConnectionIdle(send), Optional.empty(), Optional.of(call.dispatches()), Optional.empty());
 	}
 
 	private static Optional<Duration> maxConnectionIdle(DispatchEffect.Send send) {
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCall.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpCall.java
@@ -3,8 +3,10 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * An HTTP request.
@@ -18,9 +20,12 @@
  * @param maxKeepIdle maximum idle time of the connection afterwards; empty for the
  * server's limit
  * @param series the calls whose responses can't be told from the one to this call
+ * @param identifyingHeader the header that identifies the call and that a server may
+ * repeat in its response
  */
 public record HttpCall(String method, URI target, Map<String, String> headers, byte[] body, HttpTimeouts timeouts,
-		Optional<Duration> maxReuseIdle, Optional<Duration> maxKeepIdle, Optional<CallSeries> series) {
+		Optional<Duration> maxReuseIdle, Optional<Duration> maxKeepIdle, Optional<CallSeries> series,
+		Optional<String> identifyingHeader) {
 
 	private static final byte[] NO_BODY = new byte[0];
 
@@ -37,7 +42,7 @@
 	 */
 	public static HttpCall of(String method, URI target, HttpTimeouts times) {
 		return new HttpCall(method, target, Map.of(), NO_BODY, times, Optional.empty(), Optional.empty(),
-				Optional.empty());
+				Optional.empty(), Optional.empty());
 	}
 
 	/**
@@ -47,7 +52,7 @@
 		Map<String, String> extended = new LinkedHashMap<>(this.headers);
 		extended.put(name, value);
 		return new HttpCall(this.method, this.target, extended, this.body, this.timeouts, this.maxReuseIdle,
-				this.maxKeepIdle, this.series);
+				this.maxKeepIdle, this.series, this.identifyingHeader);
 	}
 
 	/**
@@ -56,7 +61,7 @@
 	 */
 	public HttpCall maxReuseIdle(Duration maxIdle) {
 		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeouts, Optional.of(maxIdle),
-				this.maxKeepIdle, this.series);
+				this.maxKeepIdle, this.series, this.identifyingHeader);
 	}
 
 	/**
@@ -65,7 +70,37 @@
 	 */
 	public HttpCall maxKeepIdle(Duration maxIdle) {
 		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeouts, this.maxReuseIdle,
-				Optional.of(maxIdle), this.series);
+				Optional.of(maxIdle), this.series, this.identifyingHeader);
+	}
+
+	/**
+	 * Returns this request with a header that identifies it. A response that bears
+	 * another value of this header is one to another call and fails this one; a response
+	 * without it is accepted.
+	 */
+	public HttpCall identifiedBy(String name, String value) {
+		HttpCall named = header(name, value);
+		return new HttpCall(named.method, named.target, named.headers, named.body, named.timeouts, named.maxReuseIdle,
+				named.maxKeepIdle, named.series, Optional.of(name));
+	}
+
+	/**
+	 * Returns this request with an identification of its own in a header, as
+	 * {@link #identifiedBy(String, String)} does.
+	 */
+	public HttpCall identifiedBy(String name) {
+		return identifiedBy(name, Long.toHexString(ThreadLocalRandom.current().nextLong()));
+	}
+
+	/**
+	 * Returns whether a response is one to another call.
+	 * @param responseHeaders by lower-case name
+	 */
+	boolean isForOtherCall(Map<String, String> responseHeaders) {
+		return this.identifyingHeader
+			.filter((name) -> !this.headers.get(name)
+				.equals(responseHeaders.getOrDefault(name.toLowerCase(Locale.ROOT), this.headers.get(name))))
+			.isPresent();
 	}
 
 	/**
@@ -73,7 +108,7 @@
 	 */
 	public HttpCall in(CallSeries calls) {
 		return new HttpCall(this.method, this.target, this.headers, this.body, this.timeouts, this.maxReuseIdle,
-				this.maxKeepIdle, Optional.of(calls));
+				this.maxKeepIdle, Optional.of(calls), this.identifyingHeader);
 	}
 
 	/**
@@ -81,7 +116,7 @@
 	 */
 	public HttpCall body(byte[] body) {
 		return new HttpCall(this.method, this.target, this.headers, body, this.timeouts, this.maxReuseIdle,
-				this.maxKeepIdle, this.series);
+				this.maxKeepIdle, this.series, this.identifyingHeader);
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -243,6 +243,10 @@
 			headers.put(name.toLowerCase(Locale.ROOT), header.getFirst());
 			header.forEach((value) -> all.add(Map.entry(name, value)));
 		});
+		if (this.call.isForOtherCall(headers)) {
+			fail(new IOException("response to another call"));
+			return;
+		}
 		readKeepAlive(headers);
 		onBytesReceived();
 		this.responseChannel = exchange.getResponseChannel();
