Responses without an end are bounded in bytes and time

What would have happened: a server that sends a head, interim heads, chunk extensions or trailers without an end held the I/O thread, so that no other call was answered and no timer ran, until the memory was used up; bodies were read on after their call had failed or been answered; an event had no bound; all kept responses together had none.

Cause: the library bounds heads of requests only and reads for as long as there are bytes; calls see neither.

Change: ReceivedBytes, below the library, hands the thread on after 64 KiB and bounds what is outside the body; BufferQuota bounds what is kept by all calls together and ends the largest; discardRest bounds what nobody needs; an event has a bound; exceptions of a step fail their call; interim responses other than 100 fail instead of counting as final.

--- a/agent/src/main/java/org/wisteriapost/agent/RunnerCall.java
+++ b/agent/src/main/java/org/wisteriapost/agent/RunnerCall.java
@@ -131,6 +131,7 @@
 		if (status == SERVICE_UNAVAILABLE && NOT_RUN.equals(headers.get(lowerCase(CallerHeaders.OUTCOME)))) {
 			this.decidedEnd = Optional
 				.of(callEnd(Outcome.NOT_RUN, GateCodes.RUNNER_REFUSED.name(), retryAfter(headers)));
+			Optional.ofNullable(this.exchange).ifPresent(HttpExchange::discardRest);
 			return;
 		}
 		String weights = headers.getOrDefault(lowerCase(CallerHeaders.WEIGHTS), "");
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectOutput.java
@@ -86,7 +86,7 @@
 				return;
 			}
 			ResponseForwarder forwarder = new ResponseForwarder(call, dispatch, send.runner(), this.dialect,
-					this.events);
+					this.events, this.caller.bufferQuota());
 			call.addForwarder(dispatch, forwarder);
 			forwarder.exchangeStarted(this.caller.stream(outbound(call, send), forwarder));
 		});
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EventSplitter.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EventSplitter.java
@@ -53,6 +53,13 @@
 		return Arrays.copyOf(all, end);
 	}
 
+	/**
+	 * Returns how many bytes of an event that is not complete are kept.
+	 */
+	int remainderBytes() {
+		return this.remainder.size();
+	}
+
 	/**
 	 * Returns whether a stream that ends now has been broken off.
 	 */
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -12,6 +12,7 @@
 
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.fleet.RunnerInfo;
+import org.wisteriapost.protocol.http.BufferQuota;
 import org.wisteriapost.protocol.http.EventBoundary;
 import org.wisteriapost.protocol.http.HttpExchange;
 import org.wisteriapost.protocol.http.HttpResponseListener;
@@ -33,6 +34,9 @@
 
 	private static final int MAX_BUFFERED_BYTES = 16 << 20;
 
+	// An event has the text of a few tokens.
+	private static final int MAX_EVENT_BYTES = 1 << 20;
+
 	private final DirectCall call;
 
 	private final int dispatch;
@@ -47,7 +51,9 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	private HttpExchange exchange;
+	private final BufferQuota.Share buffered;
+
+	private Optional<HttpExchange> exchange = Optional.empty();
 
 	private int status;
 
@@ -66,16 +72,17 @@
 	 * @param runner the runner that it is sent to
 	 */
 	ResponseForwarder(DirectCall call, int dispatch, RunnerInfo runner, CallProtocol dialect,
-			Consumer<DirectEvent> events) {
+			Consumer<DirectEvent> events, BufferQuota quota) {
 		this.call = call;
 		this.dispatch = dispatch;
 		this.runner = runner;
 		this.dialect = dialect;
 		this.events = events;
+		this.buffered = quota.open(() -> breakOff("answers take too much memory"));
 	}
 
 	void exchangeStarted(HttpExchange started) {
-		this.exchange = started;
+		this.exchange = Optional.of(started);
 	}
 
 	/**
@@ -83,9 +90,8 @@
 	 */
 	void cancel() {
 		this.finished = true;
-		if (this.exchange != null) {
-			this.exchange.cancel();
-		}
+		this.buffered.close();
+		this.exchange.ifPresent(HttpExchange::cancel);
 	}
 
 	@Override
@@ -109,9 +115,7 @@
 		// On a reused connection a surplus response to an earlier request can arrive
 		// first. No other dispatch of this attempt has used the connection.
 		if (reply.attemptId().isEmpty() || !reply.attemptId().get().equals(this.call.job().attemptId())) {
-			end(DispatchOutcome.BROKEN,
-					"answer of another attempt: " + reply.attemptId().orElse("none") + " status " + code);
-			cancel();
+			breakOff("answer of another attempt: " + reply.attemptId().orElse("none") + " status " + code);
 			return;
 		}
 		this.status = code;
@@ -124,6 +128,7 @@
 		}
 		if (reply.otherIncarnation() || reply.notRun()) {
 			end(reply.otherIncarnation() ? DispatchOutcome.MISDIRECTED : DispatchOutcome.FULL, "status " + code);
+			this.exchange.ifPresent(HttpExchange::discardRest);
 			return;
 		}
 		this.headers = endToEndHeaders(all);
@@ -131,8 +136,7 @@
 		this.weightsVersion = reply.weightsVersion();
 		if (this.call.headSent() && !this.streaming) {
 			// A stream that was begun cannot be continued by a plain response.
-			end(DispatchOutcome.BROKEN, "no stream on resuming: status " + code);
-			cancel();
+			breakOff("no stream on resuming: status " + code);
 		}
 	}
 
@@ -156,7 +160,12 @@
 			return;
 		}
 		byte[] whole = this.splitter.completeEvents(data);
-		if (whole.length > 0) {
+		if (this.splitter.remainderBytes() > MAX_EVENT_BYTES) {
+			breakOff("event over " + MAX_EVENT_BYTES + " bytes");
+			return;
+		}
+		this.buffered.resize(this.splitter.remainderBytes());
+		if (whole.length > 0 && !this.finished) {
 			forward(whole);
 		}
 	}
@@ -199,19 +208,18 @@
 
 	private void buffer(byte[] data) {
 		if (this.body.size() + data.length > MAX_BUFFERED_BYTES) {
-			end(DispatchOutcome.BROKEN, "answer over " + MAX_BUFFERED_BYTES + " bytes");
-			cancel();
+			breakOff("answer over " + MAX_BUFFERED_BYTES + " bytes");
 			return;
 		}
 		this.body.writeBytes(data);
+		this.buffered.resize(this.body.size());
 	}
 
 	private void forward(byte[] whole) {
 		startResponse();
 		this.call.job().recordEvents(this.splitter.eventCount(), this.splitter.lastEventId(), System.nanoTime());
 		if (!this.call.answer().write(whole)) {
-			end(DispatchOutcome.BROKEN, "the caller does not read");
-			cancel();
+			breakOff("the caller does not read");
 			return;
 		}
 		if (!this.firstEventReported) {
@@ -248,11 +256,17 @@
 		}
 	}
 
+	private void breakOff(String detail) {
+		end(DispatchOutcome.BROKEN, detail);
+		cancel();
+	}
+
 	private void end(DispatchOutcome outcome, String detail) {
 		this.finished = true;
+		this.buffered.close();
 		this.call.removeForwarder(this.dispatch);
 		this.events.accept(new DirectEvent.DispatchEnded(this.call, this.dispatch, outcome, detail,
-				Optional.ofNullable(this.exchange).flatMap(HttpExchange::connectionUse)));
+				this.exchange.flatMap(HttpExchange::connectionUse)));
 	}
 
 	private static List<Map.Entry<String, String>> endToEndHeaders(List<Map.Entry<String, String>> all) {
--- a/entry/src/test/java/org/wisteriapost/entry/direct/DirectOutputTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectOutputTests.java
@@ -71,7 +71,8 @@
 		RunnerInfo runner = new RunnerInfo("r2", "api", "127.0.0.1:1", "p1", 6, false, 0, Map.of(), 1,
 				RunnerIncarnation.UNKNOWN);
 		DirectCall call = call();
-		ResponseForwarder first = new ResponseForwarder(call, 1, runner, new FleetProtocol(), this.events::add);
+		ResponseForwarder first = new ResponseForwarder(call, 1, runner, new FleetProtocol(), this.events::add,
+				this.client.bufferQuota());
 		onIoThread(() -> {
 			call.addForwarder(1, first);
 			call.job().recordEvents(1, Optional.of("1"), System.nanoTime());
@@ -90,8 +91,8 @@
 		DirectCall call = call();
 		RunnerInfo runner = new RunnerInfo("r1", "api", "127.0.0.1:1", "p1", 6, false, 0, Map.of(), 1,
 				RunnerIncarnation.UNKNOWN);
-		onIoThread(() -> call.addForwarder(1,
-				new ResponseForwarder(call, 1, runner, new FleetProtocol(), this.events::add)));
+		onIoThread(() -> call.addForwarder(1, new ResponseForwarder(call, 1, runner, new FleetProtocol(),
+				this.events::add, this.client.bufferQuota())));
 		CountDownLatch busy = new CountDownLatch(1);
 		this.client.worker().getIoThread().execute(() -> awaitUninterrupted(busy));
 		this.output.stop(call, 1);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -30,6 +30,7 @@
 import org.wisteriapost.policy.fleet.EntryInfo;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.region.RegionMap;
+import org.wisteriapost.protocol.http.BufferQuota;
 import org.wisteriapost.protocol.site.CallerRequestFields;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.SiteSettings;
@@ -43,6 +44,8 @@
 	/** Applies to runners of services that declare a cold start. */
 	static final ColdStartBound COLD_START_BOUND = new ColdStartBound(1.5, 5);
 
+	private static final BufferQuota NO_LIMIT = BufferQuota.of(Long.MAX_VALUE);
+
 	private static final long TICK_NANOS = 20 * FleetHarness.MILLI;
 
 	private final FleetHarness fleet;
@@ -237,7 +240,8 @@
 			headers.put("cold", Long.toString(runner.coldMillis()));
 		}
 		rateLimit.ifPresent((limit) -> headers.put("limit", Double.toString(limit)));
-		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply).onHead(200, headers, List.of());
+		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply, NO_LIMIT).onHead(200, headers,
+				List.of());
 		answer(call.request().id(), new FleetHarness.Answer("done", 0));
 		apply(DirectEvent.DispatchEnded.withoutConnection(call, dispatch, DispatchOutcome.DONE, "status 200"));
 	}
@@ -257,7 +261,8 @@
 	 */
 	void turnedAway(DirectCall call, int dispatch, RunnerInfo runner, long restMillis) {
 		Map<String, String> headers = Map.of("attempt", call.job().attemptId(), "rest", Long.toString(restMillis));
-		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply).onHead(503, headers, List.of());
+		new ResponseForwarder(call, dispatch, runner, new FleetProtocol(), this::apply, NO_LIMIT).onHead(503, headers,
+				List.of());
 	}
 
 	void misdirected(DirectCall call, int dispatch) {
@@ -269,7 +274,7 @@
 	 * @param sent whether the request had been sent
 	 */
 	void connectionFailed(DirectCall call, int dispatch, boolean sent) {
-		new ResponseForwarder(call, dispatch, null, null, this::apply).onFailure(sent,
+		new ResponseForwarder(call, dispatch, null, null, this::apply, NO_LIMIT).onFailure(sent,
 				new IOException("Connection reset by peer"));
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ConnectionPool.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientCallback;
@@ -53,6 +54,8 @@
 
 	private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
 
+	private final Map<XnioIoThread, BoundedConnector> connectors = new ConcurrentHashMap<>();
+
 	private long lastEvictionNanos = System.nanoTime();
 
 	ConnectionPool(XnioWorker worker, ByteBufferPool buffers) {
@@ -132,9 +135,22 @@
 		}
 	}
 
-	void connect(XnioIoThread thread, URI target, ClientCallback<ClientConnection> callback) {
+	void connect(XnioIoThread thread, URI target, ClientCallback<PooledConnection> callback) {
+		BoundedConnector connector = this.connectors.computeIfAbsent(thread, BoundedConnector::new);
 		OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-		UndertowClient.getInstance().connect(callback, target, thread, this.buffers, options);
+		UndertowClient.getInstance().connect(new ClientCallback<>() {
+
+			@Override
+			public void completed(ClientConnection established) {
+				callback.completed(PooledConnection.of(established, connector.opened()));
+			}
+
+			@Override
+			public void failed(IOException ex) {
+				callback.failed(ex);
+			}
+
+		}, target, connector, this.buffers, options);
 	}
 
 	/**
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/HttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/HttpExchange.java
@@ -13,6 +13,12 @@
 	 */
 	void cancel();
 
+	/**
+	 * States that the rest of the response is not needed. It is read for a short time, so
+	 * that the connection can be used again, and the call cancelled if it does not end.
+	 */
+	void discardRest();
+
 	/**
 	 * Returns the connection that the request was sent on, once it was.
 	 */
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
@@ -17,21 +17,24 @@
 
 	private final ClientConnection connection;
 
+	private final ReceivedBytes received;
+
 	private volatile int calls;
 
 	private volatile long idleSinceNanos;
 
 	private volatile long maxIdleNanos;
 
-	private PooledConnection(ClientConnection connection) {
+	private PooledConnection(ClientConnection connection, ReceivedBytes received) {
 		this.connection = connection;
+		this.received = received;
 	}
 
 	/**
 	 * Returns a connection that was just established.
 	 */
-	static PooledConnection of(ClientConnection established) {
-		return new PooledConnection(established);
+	static PooledConnection of(ClientConnection established, ReceivedBytes received) {
+		return new PooledConnection(established, received);
 	}
 
 	long number() {
@@ -42,11 +45,19 @@
 		return this.connection;
 	}
 
+	/**
+	 * Records bytes of the body that the call has received.
+	 */
+	void bodyReceived(int count) {
+		this.received.bodyReceived(count);
+	}
+
 	/**
 	 * Records that a call begins to use it.
 	 */
 	ConnectionUse beginCall() {
 		this.calls++;
+		this.received.beginCall();
 		return new ConnectionUse(this.number, this.calls);
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpClient.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpClient.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import org.wisteriapost.kernel.Code;
@@ -37,6 +36,8 @@
 
 	private final ConnectionPool pool;
 
+	private final BufferQuota bufferQuota = BufferQuota.ofHeap();
+
 	private PooledHttpClient(XnioWorker worker, ByteBufferPool buffers) {
 		this.worker = worker;
 		this.pool = new ConnectionPool(worker, buffers);
@@ -70,15 +71,24 @@
 		return this.worker;
 	}
 
+	/**
+	 * Returns the bound on the responses that are kept until they are complete.
+	 */
+	public BufferQuota bufferQuota() {
+		return this.bufferQuota;
+	}
+
 	/**
 	 * Sends a request and returns the complete response. A failed future carries
 	 * {@link #HTTP_FAILED} with an {@link HttpCallException} as its cause.
 	 */
 	public CompletableFuture<HttpResponse> call(HttpCall call) {
 		CompletableFuture<HttpResponse> future = new CompletableFuture<>();
-		HttpExchange exchange = stream(call, new BufferingListener(future, call));
+		BufferingListener listener = new BufferingListener(future, call, this.bufferQuota);
+		HttpExchange exchange = stream(call, listener);
 		future.whenComplete((reply, failure) -> {
-			if (future.isCancelled()) {
+			listener.close();
+			if (failure != null) {
 				exchange.cancel();
 			}
 		});
@@ -111,7 +121,7 @@
 	}
 
 	/** Uses one I/O thread only. */
-	private static final class ConnectionCheck implements ClientCallback<ClientConnection> {
+	private static final class ConnectionCheck implements ClientCallback<PooledConnection> {
 
 		private final XnioIoThread thread;
 
@@ -136,8 +146,8 @@
 		}
 
 		@Override
-		public void completed(ClientConnection connection) {
-			ConnectionPool.abort(connection);
+		public void completed(PooledConnection established) {
+			ConnectionPool.abort(established.connection());
 			report(true);
 		}
 
@@ -161,15 +171,26 @@
 
 		private final HttpCall call;
 
+		private final BufferQuota.Share share;
+
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 		private int status;
 
 		private Map<String, String> headers = Map.of();
 
-		private BufferingListener(CompletableFuture<HttpResponse> future, HttpCall call) {
+		private BufferingListener(CompletableFuture<HttpResponse> future, HttpCall call, BufferQuota quota) {
 			this.future = future;
 			this.call = call;
+			this.share = quota.open(this::exceeded);
+		}
+
+		private void exceeded() {
+			this.future.completeExceptionally(CodedException.of(HTTP_FAILED, "response exceeds the size limit"));
+		}
+
+		private void close() {
+			this.share.close();
 		}
 
 		@Override
@@ -181,10 +202,11 @@
 		@Override
 		public void onData(byte[] data) {
 			if (this.body.size() + data.length > MAX_BUFFERED_BODY_BYTES) {
-				this.future.completeExceptionally(CodedException.of(HTTP_FAILED, "response exceeds the size limit"));
+				exceeded();
 				return;
 			}
 			this.body.writeBytes(data);
+			this.share.resize(this.body.size());
 		}
 
 		@Override
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -36,7 +36,15 @@
  */
 final class PooledHttpExchange implements HttpExchange {
 
-	private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d+)");
+	private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,9})");
+
+	// A connect to a runner costs about as much as reading this.
+	private static final int MAX_DISCARDED_BYTES = 64 * 1024;
+
+	// The library takes other interim responses than 100 for the response.
+	private static final int MIN_FINAL_STATUS = 200;
+
+	private static final Duration MAX_DISCARD_TIME = Duration.ofMillis(500);
 
 	private final HttpCall call;
 
@@ -56,6 +64,10 @@
 
 	private volatile boolean paused;
 
+	private volatile boolean discarding;
+
+	private int discardableBytes = MAX_DISCARDED_BYTES;
+
 	private XnioIoThread thread;
 
 	private volatile XnioExecutor.Key timer;
@@ -108,14 +120,14 @@
 		}
 	}
 
-	private void onConnected(ClientConnection established) {
+	private void onConnected(PooledConnection established) {
 		if (this.connectTimer != null) {
 			this.connectTimer.remove();
 		}
 		if (!this.done.get()) {
 			this.listener.onConnected();
 		}
-		send(PooledConnection.of(established));
+		send(established);
 	}
 
 	// A timeout for the whole response alone would either abort a large response that is
@@ -158,6 +170,12 @@
 		return this.connectionUse;
 	}
 
+	@Override
+	public void discardRest() {
+		this.discarding = true;
+		schedule(MAX_DISCARD_TIME, this::cancel);
+	}
+
 	@Override
 	public void pause() {
 		this.paused = true;
@@ -243,6 +261,10 @@
 			headers.put(name.toLowerCase(Locale.ROOT), header.getFirst());
 			header.forEach((value) -> all.add(Map.entry(name, value)));
 		});
+		if (response.getResponseCode() < MIN_FINAL_STATUS) {
+			fail(new IOException("interim response with status " + response.getResponseCode()));
+			return;
+		}
 		if (this.call.isForOtherCall(headers)) {
 			fail(new IOException("response to another call"));
 			return;
@@ -289,6 +311,11 @@
 					return;
 				}
 				onBytesReceived();
+				if (exceedsDiscarded(count)) {
+					fail(new Cancelled());
+					return;
+				}
+				this.connection.bodyReceived(count);
 				byte[] data = new byte[count];
 				buffer.flip().get(data);
 				this.listener.onData(data);
@@ -299,6 +326,14 @@
 		}
 	}
 
+	private boolean exceedsDiscarded(int count) {
+		if (!this.discarding) {
+			return false;
+		}
+		this.discardableBytes -= count;
+		return this.discardableBytes < 0;
+	}
+
 	private void onBytesReceived() {
 		this.lastReadNanos = System.nanoTime();
 		this.responseStarted = true;
@@ -358,7 +393,13 @@
 
 		@Override
 		public void completed(T result) {
-			this.next.accept(result);
+			try {
+				this.next.accept(result);
+			}
+			catch (RuntimeException ex) {
+				// Otherwise the call would hold its connection until its timeout.
+				fail(ex);
+			}
 		}
 
 		@Override
