--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -17,7 +17,6 @@
 import java.util.regex.Pattern;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
--- a/standin/src/main/java/org/wisteriapost/standin/soak/Soak.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/Soak.java
@@ -33,8 +33,8 @@
 		long end = System.nanoTime() + seconds * VirtualTime.SECOND;
 		boolean clean = true;
 		do {
-			Map<String, Object> result = run(seed++, virtualSeconds, line.hasOption("poison"),
-					line.hasOption("answers"));
+			Map<String, Object> result = run(seed++, virtualSeconds,
+					new SoakOptions(line.hasOption("poison"), line.hasOption("answers"), line.hasOption("stray")));
 			System.out.println(JsonMapper.builder().build().writeValueAsString(result));
 			clean &= ((Map<?, ?>) result.get("violations")).isEmpty();
 		}
@@ -47,18 +47,15 @@
 	 * @param seconds the virtual time during which faults are injected
 	 */
 	public static Map<String, Object> run(long seed, long seconds) {
-		return run(seed, seconds, false, false);
+		return run(seed, seconds, SoakOptions.NONE);
 	}
 
 	/**
 	 * Runs one seed and returns its counters and violations.
 	 * @param seconds the virtual time during which faults are injected
-	 * @param poison whether callers send requests that crash the runners that run them
-	 * @param disturbedAnswers whether runners pause, omit framing and end streams within
-	 * an event
 	 */
-	public static Map<String, Object> run(long seed, long seconds, boolean poison, boolean disturbedAnswers) {
-		SoakFleet fleet = new SoakFleet(seed, poison, disturbedAnswers);
+	static Map<String, Object> run(long seed, long seconds, SoakOptions options) {
+		SoakFleet fleet = new SoakFleet(seed, options);
 		fleet.run(seconds * VirtualTime.SECOND);
 		Map<String, Object> result = new LinkedHashMap<>();
 		result.put("seed", seed);
@@ -80,6 +77,10 @@
 				.longOpt("answers")
 				.desc("runners also pause, answer without length or chunks, and end streams within an event")
 				.get())
+			.addOption(Option.builder()
+				.longOpt("stray")
+				.desc("runners also send ends and rejections twice, and events without an end")
+				.get())
 			.addOption(option("virtual", "virtual seconds with faults in each run, default 300"));
 		try {
 			return new DefaultParser().parse(options, args);
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakAnswerFaults.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakAnswerFaults.java
@@ -1,5 +1,7 @@
 package org.wisteriapost.standin.soak;
 
+import java.util.OptionalLong;
+
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -13,6 +15,12 @@
 
 	private static final AnswerPlan NONE = new AnswerPlan(NEVER, 0, NEVER, false);
 
+	private static final double REPEAT_SHARE = 0.1;
+
+	private static final double ENDLESS_SHARE = 0.03;
+
+	private static final long MAX_REPEAT_DELAY_NANOS = 300 * VirtualTime.MILLI;
+
 	private static final double PAUSE_SHARE = 0.1;
 
 	private static final double CUT_SHARE = 0.05;
@@ -25,13 +33,17 @@
 
 	private final UniformRandomProvider random;
 
-	private final boolean active;
+	// So that the other faults of a run do not depend on these.
+	private final UniformRandomProvider strayRandom;
+
+	private final SoakOptions options;
 
 	private final SoakLedger ledger;
 
-	SoakAnswerFaults(long seed, boolean active, SoakLedger ledger) {
+	SoakAnswerFaults(long seed, SoakOptions options, SoakLedger ledger) {
 		this.random = RandomSource.SPLIT_MIX_64.create(~seed);
-		this.active = active;
+		this.strayRandom = RandomSource.SPLIT_MIX_64.create(Long.reverse(seed));
+		this.options = options;
 		this.ledger = ledger;
 	}
 
@@ -41,7 +53,7 @@
 	 * @param stream whether the parts are events
 	 */
 	AnswerPlan next(int parts, boolean stream) {
-		if (!this.active) {
+		if (!this.options.disturbedAnswers()) {
 			return NONE;
 		}
 		int pauseBefore = choose(PAUSE_SHARE, parts, "runnerPauses");
@@ -50,6 +62,28 @@
 		return new AnswerPlan(pauseBefore, pauseNanos, endWithin, this.random.nextDouble() < UNFRAMED_SHARE);
 	}
 
+	/**
+	 * Returns after how long the end of an answer is sent once more, if it is.
+	 */
+	OptionalLong repeatDelayNanos() {
+		if (!this.options.strayAnswers() || this.strayRandom.nextDouble() >= REPEAT_SHARE) {
+			return OptionalLong.empty();
+		}
+		this.ledger.count("answersRepeated");
+		return OptionalLong.of(this.strayRandom.nextLong(MAX_REPEAT_DELAY_NANOS));
+	}
+
+	/**
+	 * Chooses whether an event of a stream does not end.
+	 */
+	boolean eventWithoutEnd() {
+		boolean endless = this.options.strayAnswers() && this.strayRandom.nextDouble() < ENDLESS_SHARE;
+		if (endless) {
+			this.ledger.count("eventsWithoutEnd");
+		}
+		return endless;
+	}
+
 	private int choose(double share, int parts, String counter) {
 		if (this.random.nextDouble() >= share) {
 			return NEVER;
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakCall.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakCall.java
@@ -89,6 +89,8 @@
 
 		private boolean wrongWeights;
 
+		private boolean finished;
+
 		private ResponseForwarder(long number) {
 			this.number = number;
 		}
@@ -153,9 +155,13 @@
 			finish(Outcome.UNKNOWN, this.wrongWeights ? "answer-withheld" : "runner-cut");
 		}
 
+		// An end that comes twice reaches the entry twice.
 		private void finish(Outcome outcome, String code) {
 			SoakCall.this.end(outcome, code, 0);
-			SoakCall.this.vm.callEnded(this.number, this.wrongWeights);
+			if (!this.finished) {
+				this.finished = true;
+				SoakCall.this.vm.callEnded(this.number, this.wrongWeights);
+			}
 		}
 
 	}
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakFleet.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakFleet.java
@@ -63,14 +63,11 @@
 
 	/**
 	 * Creates a fleet.
-	 * @param poison whether callers send requests that crash the runners that run them
-	 * @param disturbedAnswers whether runners pause, omit framing and end streams within
-	 * an event
 	 */
-	SoakFleet(long seed, boolean poison, boolean disturbedAnswers) {
-		this.poison = poison;
+	SoakFleet(long seed, SoakOptions options) {
+		this.poison = options.poison();
 		this.time = new VirtualTime(seed);
-		this.answerFaults = new SoakAnswerFaults(seed, disturbedAnswers, this.ledger);
+		this.answerFaults = new SoakAnswerFaults(seed, options, this.ledger);
 		this.platform = new SoakPlatform(this.time);
 		this.operators = new SoakOperators(this);
 		this.faults = new SoakFaults(this);
--- a/standin/src/main/java/org/wisteriapost/standin/soak/SoakRunner.java
+++ b/standin/src/main/java/org/wisteriapost/standin/soak/SoakRunner.java
@@ -22,6 +22,8 @@
 
 	private static final int MAX_CONCURRENT_CALLS = 4;
 
+	private static final long ENDLESS_INTERVAL_NANOS = 50 * VirtualTime.MILLI;
+
 	private final VirtualTime time;
 
 	private final SoakLedger ledger;
@@ -87,6 +89,7 @@
 	void run(long call, String requestId, String key, Listener listener) {
 		if (!this.plain && (this.loading || this.weightsDigest.isEmpty())) {
 			this.time.afterNetworkDelay(listener::refused);
+			repeat(listener::refused);
 			return;
 		}
 		this.ledger.recordStart(requestId, key);
@@ -177,6 +180,10 @@
 			endWithinEvent(this.running.remove(call).listener);
 			return;
 		}
+		if (this.answerFaults.eventWithoutEnd()) {
+			sendWithoutEnd(call);
+			return;
+		}
 		answer.listener.data(event(this.weightsDigest, requestId, index));
 		if (index + 1 == TOKENS) {
 			finish(call);
@@ -186,8 +193,23 @@
 		this.time.after(delayNanos + answer.plan.pauseNanos(index + 1), () -> sendToken(call, requestId, index + 1));
 	}
 
+	// Until the call is cancelled.
+	private void sendWithoutEnd(long call) {
+		Answer answer = this.running.get(call);
+		if (answer != null) {
+			answer.listener.data("data: x");
+			this.time.after(ENDLESS_INTERVAL_NANOS, () -> sendWithoutEnd(call));
+		}
+	}
+
 	private void finish(long call) {
-		this.running.remove(call).listener.completed();
+		Listener listener = this.running.remove(call).listener;
+		listener.completed();
+		repeat(listener::completed);
+	}
+
+	private void repeat(Runnable end) {
+		this.answerFaults.repeatDelayNanos().ifPresent((delay) -> this.time.after(delay, end));
 	}
 
 	/**
--- a/standin/src/test/java/org/wisteriapost/standin/soak/SoakTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/soak/SoakTests.java
@@ -29,7 +29,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void poisonRequestIsStoppedUnderRandomFaults(long seed) {
-		assertThat(Soak.run(seed, 60, true, false).get("violations"), is(Map.of()));
+		assertThat(Soak.run(seed, 60, new SoakOptions(true, false, false)).get("violations"), is(Map.of()));
 	}
 
 	// Guards against a stream that its runner ends within an event and that looks
@@ -37,17 +37,28 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void answersAreWholeWhenRunnersPauseAndCutStreams(long seed) {
-		Map<String, Object> result = Soak.run(seed, 60, seed % 2 == 0, true);
+		Map<String, Object> result = Soak.run(seed, 60, new SoakOptions(seed % 2 == 0, true, false));
 		assertThat(result.get("violations"), is(Map.of()));
 		assertThat((Map<?, ?>) result.get("counts"), allOf(hasKey("runnerPauses"), hasKey("streamsCut")));
 	}
 
+	// Guards against an end of an answer that counts for another one or twice, and
+	// against
+	// a slot that an event without an end keeps.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void answersThatComeTwiceOrNeverEndBreakNothing(long seed) {
+		Map<String, Object> result = Soak.run(seed, 60, new SoakOptions(false, seed % 2 == 0, true));
+		assertThat(result.get("violations"), is(Map.of()));
+		assertThat((Map<?, ?>) result.get("counts"), allOf(hasKey("answersRepeated"), hasKey("eventsWithoutEnd")));
+	}
+
 	// These seeds have exposed an engine that stays on the weights before, and a poison
 	// request that crashes runners again after the entries that knew it have ended.
 	@ParameterizedTest
 	@ValueSource(longs = { 204, 205 })
 	void invariantsHoldWithPoisonAndDisturbedAnswers(long seed) {
-		assertThat(Soak.run(seed, 60, true, true).get("violations"), is(Map.of()));
+		assertThat(Soak.run(seed, 60, new SoakOptions(true, true, false)).get("violations"), is(Map.of()));
 	}
 
 	@Test
