An entry that shuts down waits until its answers are sent, not only known

Cause: GracefulShutdown counts the requests in the dispatcher, where one ends as soon as its answer is known.

Change: OpenAnswers counts requests that were read whole until their exchange is complete or the caller has gone; the process stays while there are any, for as long as before at most.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectHttpServer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectHttpServer.java
@@ -203,11 +203,19 @@
 			long now) {
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
 			IncomingRequest request = readRequest(exchange, fields, body, answer, now);
+			Runnable answerSent = this.entry.openAnswers().begin();
+			exchange.addExchangeCompleteListener((done, next) -> {
+				answerSent.run();
+				next.proceed();
+			});
 			if (!this.entry.offer(new DirectEvent.RequestArrived(request))) {
 				answer.refuse(Refusal.temporary(LOOP_FULL.name(), LOOP_FULL.summary(), SHORT_RETRY_MILLIS));
 				return;
 			}
-			DisconnectWatch.start(exchange, () -> this.entry.put(new DirectEvent.CallerDisconnected(request.id())));
+			DisconnectWatch.start(exchange, () -> {
+				answerSent.run();
+				this.entry.put(new DirectEvent.CallerDisconnected(request.id()));
+			});
 		});
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -371,7 +371,7 @@
 		this.view.publish(ready(), this.shutdown.leaving(), this.roster.advertisedEntries(ready()),
 				this.roster.scopedByFailureDomain(), this.localView.routeTable(),
 				this.localView.rejectionPermit(now(), this.clocks.wallMillis().getAsLong()),
-				this.shutdown.mayExit(this.dispatcher.inProgress(), now()));
+				this.shutdown.mayExit(this.dispatcher.inProgress() + this.view.openAnswers().count(), now()));
 	}
 
 }
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectView.java
@@ -25,6 +25,8 @@
 
 	private final CompletableFuture<Void> termination = new CompletableFuture<>();
 
+	private final OpenAnswers openAnswers = new OpenAnswers();
+
 	private volatile Snapshot snapshot = INITIAL;
 
 	private final EntryClocks clocks;
@@ -92,6 +94,11 @@
 		return this.snapshot.routeTable().map(RouteTable::limits);
 	}
 
+	@Override
+	public OpenAnswers openAnswers() {
+		return this.openAnswers;
+	}
+
 	@Override
 	public boolean mayReject() {
 		return this.snapshot.rejectionPermit()
--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryHandle.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryHandle.java
@@ -42,6 +42,11 @@
 	 */
 	Optional<CallLimits> limits();
 
+	/**
+	 * Returns the count of answers that are not sent whole.
+	 */
+	OpenAnswers openAnswers();
+
 	/**
 	 * Returns whether the declared routes and limits were confirmed recently enough to
 	 * reject a request by them.
--- a/entry/src/main/java/org/wisteriapost/entry/direct/GracefulShutdown.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/GracefulShutdown.java
@@ -57,8 +57,10 @@
 
 	/**
 	 * Returns whether the process may exit.
+	 * @param unanswered the number of requests whose answers are not known or not sent
+	 * whole
 	 */
-	boolean mayExit(int inProgress, long nowNanos) {
+	boolean mayExit(int unanswered, long nowNanos) {
 		if (!this.leaving) {
 			return false;
 		}
@@ -67,7 +69,7 @@
 			return true;
 		}
 		boolean idle = nowNanos - this.lastArrivalNanos > IDLE_NANOS;
-		return inProgress == 0 && elapsed > MIN_DRAIN_NANOS && (idle || elapsed > ACCEPT_NANOS + IDLE_NANOS);
+		return unanswered == 0 && elapsed > MIN_DRAIN_NANOS && (idle || elapsed > ACCEPT_NANOS + IDLE_NANOS);
 	}
 
 }
--- a/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
@@ -167,6 +167,8 @@
 
 		private final Queue<CallLimits> limits = new ConcurrentLinkedQueue<>();
 
+		private final OpenAnswers openAnswers = new OpenAnswers();
+
 		private volatile boolean mayReject;
 
 		private volatile DirectoryQuery lastQuery;
@@ -201,6 +203,11 @@
 			return Optional.ofNullable((this.limits.size() > 1) ? this.limits.poll() : this.limits.peek());
 		}
 
+		@Override
+		public OpenAnswers openAnswers() {
+			return this.openAnswers;
+		}
+
 		@Override
 		public boolean mayReject() {
 			return this.mayReject;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
@@ -20,6 +20,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.hamcrest.Matchers;
 import org.wisteriapost.kernel.EventLoop;
 import org.wisteriapost.kernel.log.DecisionLog;
 import org.wisteriapost.policy.dispatch.DispatchLimits;
@@ -43,6 +44,8 @@
 import org.wisteriapost.protocol.site.SiteSettings;
 import org.wisteriapost.protocol.wire.Frame;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+
 /**
  * An entry with the production HTTP server, state thread and calls to runners, without
  * peers and with a fixed store.
@@ -70,13 +73,15 @@
 
 	private final FakeObjectStore store = new FakeObjectStore(5);
 
+	private final DirectView view = new DirectView(EntryClocks.SYSTEM);
+
 	private final EventLoop<DirectEvent> loop;
 
 	private final DirectHttpServer server;
 
 	EntryOnSockets(List<String> runnerAddresses) {
 		SiteSettings settings = settings();
-		DirectView view = new DirectView(EntryClocks.SYSTEM);
+		DirectView view = this.view;
 		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(42);
 		DispatchLimits limits = new DispatchLimits("p1", 0.2, 100, Duration.ofSeconds(10), Duration.ofSeconds(8));
 		FleetProtocol protocol = new FleetProtocol();
@@ -152,10 +157,36 @@
 	 * {@code /plain/}, which may be retried, and {@code /once/}, which may not.
 	 */
 	CompletableFuture<HttpResponse> request(String path, String attempt) {
-		URI target = URI.create("http://127.0.0.1:" + this.server.ports().getFirst() + path);
+		URI target = URI.create("http://127.0.0.1:" + port() + path);
 		return this.callers.call(HttpCall.of("GET", target, REQUEST_TIMEOUT.plusSeconds(5)).header("attempt", attempt));
 	}
 
+	/**
+	 * Returns the port for callers.
+	 */
+	int port() {
+		return this.server.ports().getFirst();
+	}
+
+	/**
+	 * Starts a graceful shutdown; the future completes when the process may exit.
+	 */
+	CompletableFuture<Void> leave() {
+		this.view.put(new DirectEvent.Leave());
+		return this.view.termination();
+	}
+
+	/**
+	 * Waits until no answer is left to be sent.
+	 */
+	void awaitNoOpenAnswers() throws InterruptedException {
+		long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(12);
+		while (this.view.openAnswers().count() > 0 && System.nanoTime() < untilNanos) {
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+		assertThat(this.view.openAnswers().count(), Matchers.equalTo(0));
+	}
+
 	/**
 	 * Closes the entry and returns the lines that it has logged.
 	 */
