--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -166,6 +166,15 @@
 	record PeerIdentified(String peer) implements DirectEvent {
 	}
 
+	/**
+	 * Another entry has stated the version of the route table that it has in force.
+	 *
+	 * @param peer the name of the other entry
+	 * @param version the version
+	 */
+	record PeerTableStated(String peer, long version) implements DirectEvent {
+	}
+
 	/**
 	 * Another entry reported its in-flight load.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -164,6 +164,7 @@
 			case DirectEvent.PeerLinkChanged link -> peerLink(link.peer(), link.up(), now);
 			case DirectEvent.PeerLeaving leaving -> this.roster.markLeaving(leaving.peer());
 			case DirectEvent.PeerIdentified identified -> peerIdentified(identified.peer());
+			case DirectEvent.PeerTableStated stated -> this.localView.peerTableStated(stated.peer(), stated.version());
 			case DirectEvent.PeerLoadReported loads -> peerLoads(loads.peer(), loads.report(), now);
 			case DirectEvent.RunnerLeaving leaving -> this.runnerReports.leavingStated(leaving.runner());
 			case DirectEvent.RunnerResting resting -> this.runnerReports.restStated(resting, now);
@@ -286,6 +287,7 @@
 
 	private void peerIdentified(String peer) {
 		this.announcer.greetingReceived(peer);
+		this.announcer.sendTable(peer, this.localView.routeTable());
 		this.suspects.ifPresent((exchange) -> exchange.linkEstablished(peer));
 		this.storeEvents.linkEstablished(peer);
 	}
@@ -364,7 +366,7 @@
 	}
 
 	private boolean ready() {
-		return this.localView.isReady() && !this.shutdown.leaving();
+		return this.localView.isReady(now()) && !this.shutdown.leaving();
 	}
 
 	private void publish() {
--- a/entry/src/main/java/org/wisteriapost/entry/direct/PeerFrames.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/PeerFrames.java
@@ -21,6 +21,8 @@
 		return switch (frame.getBodyCase()) {
 			case ENGINE_STATE -> Optional.of(new DirectEvent.EngineStatusReported(frame.getEngineState()));
 			case LEAVING -> Optional.of(new DirectEvent.PeerLeaving(frame.getLeaving().getVm()));
+			case TABLE_IN_FORCE ->
+				peer.map((name) -> new DirectEvent.PeerTableStated(name, frame.getTableInForce().getVersion()));
 			case LOAD_REPORT -> peer.map((name) -> new DirectEvent.PeerLoadReported(name, frame.getLoadReport()));
 			case PLACE_STATE -> peer.map((name) -> new DirectEvent.FailureDomainReported(name, frame.getPlaceState()));
 			case SUSPECT_REPORT -> peer.map((name) -> new DirectEvent.SuspectsReported(name, frame.getSuspectReport()));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/PeerNotifier.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/PeerNotifier.java
@@ -22,6 +22,7 @@
 import org.wisteriapost.protocol.wire.Leaving;
 import org.wisteriapost.protocol.wire.Roster;
 import org.wisteriapost.protocol.wire.RosterMember;
+import org.wisteriapost.protocol.wire.TableInForce;
 import org.wisteriapost.protocol.wire.WeightsNamed;
 
 /**
@@ -103,6 +104,15 @@
 		}
 	}
 
+	/**
+	 * Sends the version of the table in force to another entry, which may have just
+	 * started and have read an older one.
+	 */
+	void sendTable(String peer, Optional<RouteTable> table) {
+		table.ifPresent((one) -> trySend(peer,
+				Frame.newBuilder().setTableInForce(TableInForce.newBuilder().setVersion(one.version())).build()));
+	}
+
 	// A full link drops the notice, and its peer would go on advertising this entry to
 	// callers. So the notice stays pending until the link accepts it. A peer without a
 	// link gets it when its link is established.
--- a/entry/src/main/java/org/wisteriapost/entry/direct/RequestAdmission.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RequestAdmission.java
@@ -82,6 +82,9 @@
 		if (this.localView.routeTable().isEmpty()) {
 			return refuse(request, TABLE_ABSENT, SHORT_RETRY_MILLIS, now);
 		}
+		if (this.localView.routeTableOutdated(now)) {
+			return refuse(request, TABLE_DOUBTFUL, SHORT_RETRY_MILLIS, now);
+		}
 		if (!this.localView.evacuationsKnown()) {
 			return refuse(request, EVACUATIONS_UNKNOWN, SHORT_RETRY_MILLIS, now);
 		}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/SiteView.java
@@ -16,6 +16,7 @@
 import org.wisteriapost.policy.routing.RejectionGuard;
 import org.wisteriapost.policy.routing.RejectionPermit;
 import org.wisteriapost.policy.routing.RouteTable;
+import org.wisteriapost.policy.routing.StartupTable;
 import org.wisteriapost.protocol.site.DecodedObject;
 import org.wisteriapost.protocol.site.ObjectKind;
 import org.wisteriapost.protocol.site.ObjectStore;
@@ -42,6 +43,8 @@
 
 	private final RejectionGuard rejectionGuard;
 
+	private final StartupTable startupTable = StartupTable.create();
+
 	private Optional<RouteTable> routeTable = Optional.empty();
 
 	private long lastReadTableVersion = -1;
@@ -135,8 +138,27 @@
 	/**
 	 * Returns whether enough is known to serve callers.
 	 */
-	boolean isReady() {
-		return this.routeTable.isPresent() && this.knownKinds.contains(ObjectKind.RUNNERS) && evacuationsKnown();
+	boolean isReady(long now) {
+		return this.routeTable.isPresent() && !routeTableOutdated(now) && this.knownKinds.contains(ObjectKind.RUNNERS)
+				&& evacuationsKnown();
+	}
+
+	/**
+	 * Returns whether a peer has a newer route table than this entry has read at its
+	 * start.
+	 */
+	boolean routeTableOutdated(long now) {
+		return this.startupTable.outdated(now);
+	}
+
+	/**
+	 * Records the version of the route table that a peer has in force.
+	 */
+	void peerTableStated(String peer, long version) {
+		if (version > routeTableVersion()) {
+			this.log.decision("newer-table-stated", "peer", peer, "version", version, "inForce", routeTableVersion());
+		}
+		this.startupTable.stated(version);
 	}
 
 	/**
@@ -238,7 +260,7 @@
 
 	private void applyDeclared(DecodedObject value, boolean foundAtStartup, long now) {
 		switch (value) {
-			case DecodedObject.Routes routes -> applyRoutes(routes.table());
+			case DecodedObject.Routes routes -> applyRoutes(routes.table(), now);
 			case DecodedObject.Weights weights -> applyTargetWeights(weights.target(), foundAtStartup, now);
 			case DecodedObject.Runner runner -> applyRunner(runner.info(), now);
 			case DecodedObject.Entry entry -> {
@@ -260,7 +282,7 @@
 	}
 
 	// A lagging listing must not restore a removed route or token.
-	private void applyRoutes(RouteTable newTable) {
+	private void applyRoutes(RouteTable newTable, long now) {
 		this.lastReadTableVersion = newTable.version();
 		if (this.routeTable.isPresent() && this.routeTable.get().version() >= newTable.version()) {
 			if (this.routeTable.get().version() > newTable.version()) {
@@ -269,6 +291,7 @@
 			return;
 		}
 		this.routeTable = Optional.of(newTable);
+		this.startupTable.inForce(newTable.version(), now);
 		this.log.decision("table-in-force", "version", newTable.version());
 		this.dispatcher.updateRouteTable(newTable);
 		this.notifier.notifyAgents(this.routeTable);
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetEntry.java
@@ -153,6 +153,14 @@
 		return this.view.limits().map((limits) -> limits.maxBodyBytes() - FleetHarness.BODY_BYTES).orElse(0L);
 	}
 
+	boolean ready() {
+		return this.view.ready();
+	}
+
+	boolean servesOlderTableThan(long version) {
+		return ready() && tableVersion() < version;
+	}
+
 	Optional<FleetStore> store() {
 		return this.store;
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RestoredStoreFleetTests.java
@@ -67,6 +67,24 @@
 		}
 	}
 
+	// Guards against an entry that starts before the operators have written again and
+	// serves by the table of the copy, where a key is valid that was revoked since.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void entryThatStartsBetweenRestoreAndRewriteDoesNotServeByTheCopy(int entries, Return back, long seed) {
+		FleetHarness started = startedFleet(entries, seed);
+		FleetEntry restarted = List.copyOf(started.entries.values()).getLast();
+		try (FleetHarness fleet = restore(started, back, () -> started.restart(restarted, 200))) {
+			assertThat(restarted.servesOlderTableThan(fleet.tableVersion()), Matchers.is(false));
+			fleet.run(Duration.ofSeconds(2));
+			assertThat(restarted.servesOlderTableThan(fleet.tableVersion()), Matchers.is(false));
+			rewriteAll(fleet);
+			fleet.run(APPLY_DELAY);
+			assertThat(restarted.ready(), Matchers.is(true));
+			assertThat(restarted.tableVersion(), Matchers.is(fleet.tableVersion()));
+		}
+	}
+
 	private static List<FleetRunner.Arrival> lateArrivals(List<FleetRunner> draining, long boundNanos) {
 		return draining.stream()
 			.flatMap((runner) -> runner.arrivals().stream())
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Frame.java
@@ -85,6 +85,7 @@
     ECHO_REQUEST(25),
     ECHO(26),
     SUSPECT_REPORT(27),
+    TABLE_IN_FORCE(28),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -128,6 +129,7 @@
         case 25: return ECHO_REQUEST;
         case 26: return ECHO;
         case 27: return SUSPECT_REPORT;
+        case 28: return TABLE_IN_FORCE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -960,6 +962,37 @@
     return org.wisteriapost.protocol.wire.SuspectReport.getDefaultInstance();
   }
 
+  public static final int TABLE_IN_FORCE_FIELD_NUMBER = 28;
+  /**
+   * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+   * @return Whether the tableInForce field is set.
+   */
+  @java.lang.Override
+  public boolean hasTableInForce() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+   * @return The tableInForce.
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.TableInForce getTableInForce() {
+    if (bodyCase_ == 28) {
+       return (org.wisteriapost.protocol.wire.TableInForce) body_;
+    }
+    return org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance();
+  }
+  /**
+   * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+   */
+  @java.lang.Override
+  public org.wisteriapost.protocol.wire.TableInForceOrBuilder getTableInForceOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.wisteriapost.protocol.wire.TableInForce) body_;
+    }
+    return org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1055,6 +1088,9 @@
     if (bodyCase_ == 27) {
       output.writeMessage(27, (org.wisteriapost.protocol.wire.SuspectReport) body_);
     }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.wisteriapost.protocol.wire.TableInForce) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1167,6 +1203,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(27, (org.wisteriapost.protocol.wire.SuspectReport) body_);
     }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.wisteriapost.protocol.wire.TableInForce) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1299,6 +1339,10 @@
         if (!getSuspectReport()
             .equals(other.getSuspectReport())) return false;
         break;
+      case 28:
+        if (!getTableInForce()
+            .equals(other.getTableInForce())) return false;
+        break;
       case 0:
       default:
     }
@@ -1421,6 +1465,10 @@
         hash = (37 * hash) + SUSPECT_REPORT_FIELD_NUMBER;
         hash = (53 * hash) + getSuspectReport().hashCode();
         break;
+      case 28:
+        hash = (37 * hash) + TABLE_IN_FORCE_FIELD_NUMBER;
+        hash = (53 * hash) + getTableInForce().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1639,6 +1687,9 @@
       if (suspectReportBuilder_ != null) {
         suspectReportBuilder_.clear();
       }
+      if (tableInForceBuilder_ != null) {
+        tableInForceBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1787,6 +1838,10 @@
           suspectReportBuilder_ != null) {
         result.body_ = suspectReportBuilder_.build();
       }
+      if (bodyCase_ == 28 &&
+          tableInForceBuilder_ != null) {
+        result.body_ = tableInForceBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1909,6 +1964,10 @@
           mergeSuspectReport(other.getSuspectReport());
           break;
         }
+        case TABLE_IN_FORCE: {
+          mergeTableInForce(other.getTableInForce());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2124,6 +2183,13 @@
               bodyCase_ = 27;
               break;
             } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetTableInForceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5828,6 +5894,146 @@
       return suspectReportBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.TableInForce, org.wisteriapost.protocol.wire.TableInForce.Builder, org.wisteriapost.protocol.wire.TableInForceOrBuilder> tableInForceBuilder_;
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     * @return Whether the tableInForce field is set.
+     */
+    @java.lang.Override
+    public boolean hasTableInForce() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     * @return The tableInForce.
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.TableInForce getTableInForce() {
+      if (tableInForceBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.wisteriapost.protocol.wire.TableInForce) body_;
+        }
+        return org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return tableInForceBuilder_.getMessage();
+        }
+        return org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    public Builder setTableInForce(org.wisteriapost.protocol.wire.TableInForce value) {
+      if (tableInForceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        tableInForceBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    public Builder setTableInForce(
+        org.wisteriapost.protocol.wire.TableInForce.Builder builderForValue) {
+      if (tableInForceBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        tableInForceBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    public Builder mergeTableInForce(org.wisteriapost.protocol.wire.TableInForce value) {
+      if (tableInForceBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance()) {
+          body_ = org.wisteriapost.protocol.wire.TableInForce.newBuilder((org.wisteriapost.protocol.wire.TableInForce) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          tableInForceBuilder_.mergeFrom(value);
+        } else {
+          tableInForceBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    public Builder clearTableInForce() {
+      if (tableInForceBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        tableInForceBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    public org.wisteriapost.protocol.wire.TableInForce.Builder getTableInForceBuilder() {
+      return internalGetTableInForceFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    @java.lang.Override
+    public org.wisteriapost.protocol.wire.TableInForceOrBuilder getTableInForceOrBuilder() {
+      if ((bodyCase_ == 28) && (tableInForceBuilder_ != null)) {
+        return tableInForceBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (org.wisteriapost.protocol.wire.TableInForce) body_;
+        }
+        return org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.wisteriapost.protocol.wire.TableInForce, org.wisteriapost.protocol.wire.TableInForce.Builder, org.wisteriapost.protocol.wire.TableInForceOrBuilder> 
+        internalGetTableInForceFieldBuilder() {
+      if (tableInForceBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.wisteriapost.protocol.wire.TableInForce.getDefaultInstance();
+        }
+        tableInForceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.wisteriapost.protocol.wire.TableInForce, org.wisteriapost.protocol.wire.TableInForce.Builder, org.wisteriapost.protocol.wire.TableInForceOrBuilder>(
+                (org.wisteriapost.protocol.wire.TableInForce) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return tableInForceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.Frame)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/FrameOrBuilder.java
@@ -406,5 +406,20 @@
    */
   org.wisteriapost.protocol.wire.SuspectReportOrBuilder getSuspectReportOrBuilder();
 
+  /**
+   * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+   * @return Whether the tableInForce field is set.
+   */
+  boolean hasTableInForce();
+  /**
+   * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+   * @return The tableInForce.
+   */
+  org.wisteriapost.protocol.wire.TableInForce getTableInForce();
+  /**
+   * <code>.wisteriapost.TableInForce table_in_force = 28;</code>
+   */
+  org.wisteriapost.protocol.wire.TableInForceOrBuilder getTableInForceOrBuilder();
+
   org.wisteriapost.protocol.wire.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_wisteriapost_Hello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wisteriapost_TableInForce_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_wisteriapost_TableInForce_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wisteriapost_Head_descriptor;
   static final 
@@ -235,7 +240,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\014wisteriapost\"\342\t\n\005Frame\022\022\n\n" +
+      "\n\nwire.proto\022\014wisteriapost\"\230\n\n\005Frame\022\022\n\n" +
       "generation\030\001 \001(\004\022$\n\005hello\030\002 \001(\0132\023.wister" +
       "iapost.HelloH\000\022\"\n\004head\030\003 \001(\0132\022.wisteriap" +
       "ost.HeadH\000\0225\n\016bundle_request\030\004 \001(\0132\033.wis" +
@@ -266,115 +271,117 @@
       "ceStateH\000\0221\n\014echo_request\030\031 \001(\0132\031.wister" +
       "iapost.EchoRequestH\000\022\"\n\004echo\030\032 \001(\0132\022.wis" +
       "teriapost.EchoH\000\0225\n\016suspect_report\030\033 \001(\013" +
-      "2\033.wisteriapost.SuspectReportH\000B\006\n\004body\"" +
-      "d\n\005Hello\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022 \n\004r" +
-      "ole\030\003 \001(\0162\022.wisteriapost.Role\022\017\n\007service" +
-      "\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\"[\n\004Head\022\022\n\ngenerat" +
-      "ion\030\001 \001(\004\022\016\n\006digest\030\002 \001(\t\022\034\n\024confirmed_a" +
-      "ge_millis\030\003 \001(\004\022\021\n\tconfirmed\030\004 \001(\010\"\r\n\013He" +
-      "adRequest\"\037\n\rBundleRequest\022\016\n\006digest\030\001 \001" +
-      "(\t\"X\n\013BundleReply\022\016\n\006digest\030\001 \001(\t\022\016\n\006bun" +
-      "dle\030\002 \001(\014\022)\n\tapprovals\030\003 \003(\0132\026.wisteriap" +
-      "ost.Approval\"/\n\010Approval\022\020\n\010operator\030\001 \001" +
-      "(\t\022\021\n\tsignature\030\002 \001(\014\"\256\002\n\006Report\022\n\n\002vm\030\001" +
-      " \001(\t\022\r\n\005place\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\r\n\005" +
-      "plain\030\004 \001(\010\022\021\n\tadmitting\030\005 \001(\010\022\017\n\007leavin" +
-      "g\030\006 \001(\010\022\026\n\016weights_digest\030\007 \001(\t\022\031\n\021bundl" +
-      "e_generation\030\010 \001(\004\022\017\n\007running\030\t \001(\r\022\020\n\010c" +
-      "apacity\030\n \001(\r\022\016\n\006queued\030\013 \001(\r\022\027\n\017chunks_" +
-      "verified\030\014 \001(\004\022\024\n\014chunks_total\030\r \001(\004\022\017\n\007" +
-      "failing\030\016 \001(\t\022\020\n\010prefixes\030\017 \003(\006\022\r\n\005epoch" +
-      "\030\020 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\t\"\374\001\n\004Call\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 " +
-      "\001(\t\022\016\n\006method\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022%\n\007hea" +
-      "ders\030\005 \003(\0132\024.wisteriapost.Header\022\014\n\004body" +
-      "\030\006 \001(\014\022\030\n\020remaining_millis\030\007 \001(\r\022(\n\010prio" +
-      "rity\030\010 \001(\0162\026.wisteriapost.Priority\022\026\n\016we" +
-      "ights_digest\030\t \001(\t\022\024\n\014organisation\030\n \001(\t" +
-      "\022\022\n\nrequest_id\030\013 \001(\t\"h\n\013CallStarted\022\n\n\002i" +
-      "d\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022%\n\007headers\030\003 \003(\013" +
-      "2\024.wisteriapost.Header\022\026\n\016weights_digest" +
-      "\030\004 \001(\t\"$\n\010CallData\022\n\n\002id\030\001 \001(\004\022\014\n\004data\030\002" +
-      " \001(\014\"g\n\007CallEnd\022\n\n\002id\030\001 \001(\004\022&\n\007outcome\030\002" +
-      " \001(\0162\025.wisteriapost.Outcome\022\014\n\004code\030\003 \001(" +
-      "\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030\n\nCallCan" +
-      "cel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002vm\030\001 \001(\t\"+" +
-      "\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 " +
-      "\001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(" +
-      "\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014\022\r\n\005added" +
-      "\030\005 \003(\r\"W\n\014ChunkRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004fi" +
-      "le\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\022\016\n\006offset\030\004 \001(\r\022" +
-      "\016\n\006length\030\005 \001(\r\"\216\001\n\nChunkReply\022\n\n\002id\030\001 \001" +
-      "(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\022)\n\006statu" +
-      "s\030\004 \001(\0162\031.wisteriapost.ChunkStatus\022\014\n\004da" +
-      "ta\030\005 \001(\014\022\016\n\006offset\030\006 \001(\r\022\016\n\006length\030\007 \001(\r" +
-      "\"\361\001\n\nLoadReport\022\'\n\005loads\030\001 \003(\0132\030.wisteri" +
-      "apost.RunnerLoad\022-\n\007refused\030\002 \003(\0132\034.wist" +
-      "eriapost.RefusedRequest\022)\n\006limits\030\003 \003(\0132" +
-      "\031.wisteriapost.RunnerLimit\022,\n\007demands\030\004 " +
-      "\003(\0132\033.wisteriapost.ServiceDemand\0222\n\tcont" +
-      "ended\030\005 \003(\0132\037.wisteriapost.ServiceConten" +
-      "tion\"O\n\021ServiceContention\022\017\n\007service\030\001 \001" +
-      "(\t\022\022\n\nage_millis\030\002 \001(\r\022\025\n\rrank_plus_one\030" +
-      "\003 \001(\r\"n\n\013RunnerLimit\022\016\n\006runner\030\001 \001(\t\022\026\n\016" +
-      "started_millis\030\002 \001(\003\022\017\n\007limited\030\003 \001(\010\022\022\n" +
-      "\nper_second\030\004 \001(\001\022\022\n\nage_millis\030\005 \001(\r\"4\n" +
-      "\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\022\n\nper_s" +
-      "econd\030\002 \001(\001\"L\n\016RefusedRequest\022\017\n\007request" +
-      "\030\001 \001(\006\022\024\n\014asked_millis\030\002 \001(\r\022\023\n\013left_mil" +
-      "lis\030\003 \001(\r\"m\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022" +
-      "\016\n\006active\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n\016wait" +
-      "ing_prompt\030\004 \001(\r\022\026\n\016started_millis\030\005 \001(\003" +
-      "\"\272\001\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025\n\rhol" +
-      "ds_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021\n\tswi" +
-      "tching\030\004 \001(\010\022\030\n\020closes_in_millis\030\005 \001(\r\022\026" +
-      "\n\016started_millis\030\006 \001(\003\022\024\n\014pace_percent\030\024" +
-      " \001(\r\022\027\n\017pace_age_millis\030\025 \001(\r\">\n\014Weights" +
-      "Named\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\r\022\016\n" +
-      "\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r\n\005stamp\030\001 " +
-      "\001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n\013NewsReque" +
-      "st\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003(\0132\027.wist" +
-      "eriapost.KnownKind\022\022\n\005stamp\030\003 \001(\003H\000\210\001\001\022\022" +
-      "\n\nkeep_alive\030\004 \001(\010\022\026\n\016reads_deflated\030\005 \001" +
-      "(\010B\010\n\006_stamp\"m\n\tKnownKind\022%\n\004kind\030\001 \001(\0162" +
-      "\027.wisteriapost.StoreKind\022*\n\007objects\030\002 \003(" +
-      "\0132\031.wisteriapost.KnownObject\022\r\n\005epoch\030\003 " +
-      "\001(\004\"-\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revi" +
-      "sion\030\002 \001(\004\"\236\002\n\004News\022\017\n\007current\030\001 \001(\010\022%\n\004" +
-      "kind\030\002 \001(\0162\027.wisteriapost.StoreKind\022\013\n\003a" +
-      "ll\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wisteriapost" +
-      ".StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010sequence\030\006 \001" +
-      "(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005stamp\030\010 \001" +
-      "(\003H\001\210\001\001\022\r\n\005epoch\030\n \001(\004\022\035\n\020heard_ago_mill" +
-      "is\030\t \001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_stampB\023" +
-      "\n\021_heard_ago_millis\"p\n\013StoreObject\022\014\n\004na" +
-      "me\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007deleted\030\003 " +
-      "\001(\010\022\017\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001(\010\022\020\n\010d" +
-      "eflated\030\006 \001(\014\"5\n\006Roster\022+\n\007members\030\001 \003(\013" +
-      "2\032.wisteriapost.RosterMember\")\n\014RosterMe" +
-      "mber\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p\n\nPlace" +
-      "State\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003(\0132\030.wi" +
-      "steriapost.RunnerLoad\022*\n\007engines\030\003 \003(\0132\031" +
-      ".wisteriapost.EngineState\"l\n\rSuspectRepo" +
-      "rt\022.\n\010suspects\030\001 \003(\0132\034.wisteriapost.Susp" +
-      "ectRequest\022+\n\005parts\030\002 \003(\0132\034.wisteriapost" +
-      ".SuspectRequest\"\201\001\n\016SuspectRequest\022\024\n\014co" +
-      "ntent_hash\030\001 \001(\006\022(\n\006losses\030\002 \003(\0132\030.wiste" +
-      "riapost.RunnerLoss\022\021\n\tcompleted\030\003 \001(\010\022\034\n" +
-      "\024completed_age_millis\030\004 \001(\r\"0\n\nRunnerLos" +
-      "s\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(\r*2\n" +
-      "\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\t" +
-      "\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n\n\006URG" +
-      "ENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCOME_UN" +
-      "SPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNK" +
-      "NOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STATUS_UN" +
-      "SPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_MISSI" +
-      "NG\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStoreKind\022\032\n\026ST" +
-      "ORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROUTES\020\001" +
-      "\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHTS\020\003\022\021" +
-      "\n\rSTORE_ENTRIES\020\004\022\025\n\021STORE_EVACUATIONS\020\005" +
-      "B$\n\036org.wisteriapost.protocol.wireH\001P\001b\006" +
-      "proto3"
+      "2\033.wisteriapost.SuspectReportH\000\0224\n\016table" +
+      "_in_force\030\034 \001(\0132\032.wisteriapost.TableInFo" +
+      "rceH\000B\006\n\004body\"d\n\005Hello\022\n\n\002vm\030\001 \001(\t\022\r\n\005pl" +
+      "ace\030\002 \001(\t\022 \n\004role\030\003 \001(\0162\022.wisteriapost.R" +
+      "ole\022\017\n\007service\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\"\037\n\014T" +
+      "ableInForce\022\017\n\007version\030\001 \001(\003\"[\n\004Head\022\022\n\n" +
+      "generation\030\001 \001(\004\022\016\n\006digest\030\002 \001(\t\022\034\n\024conf" +
+      "irmed_age_millis\030\003 \001(\004\022\021\n\tconfirmed\030\004 \001(" +
+      "\010\"\r\n\013HeadRequest\"\037\n\rBundleRequest\022\016\n\006dig" +
+      "est\030\001 \001(\t\"X\n\013BundleReply\022\016\n\006digest\030\001 \001(\t" +
+      "\022\016\n\006bundle\030\002 \001(\014\022)\n\tapprovals\030\003 \003(\0132\026.wi" +
+      "steriapost.Approval\"/\n\010Approval\022\020\n\010opera" +
+      "tor\030\001 \001(\t\022\021\n\tsignature\030\002 \001(\014\"\256\002\n\006Report\022" +
+      "\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\022\017\n\007service\030\003 " +
+      "\001(\t\022\r\n\005plain\030\004 \001(\010\022\021\n\tadmitting\030\005 \001(\010\022\017\n" +
+      "\007leaving\030\006 \001(\010\022\026\n\016weights_digest\030\007 \001(\t\022\031" +
+      "\n\021bundle_generation\030\010 \001(\004\022\017\n\007running\030\t \001" +
+      "(\r\022\020\n\010capacity\030\n \001(\r\022\016\n\006queued\030\013 \001(\r\022\027\n\017" +
+      "chunks_verified\030\014 \001(\004\022\024\n\014chunks_total\030\r " +
+      "\001(\004\022\017\n\007failing\030\016 \001(\t\022\020\n\010prefixes\030\017 \003(\006\022\r" +
+      "\n\005epoch\030\020 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\t\"\374\001\n\004Call\022\n\n\002id\030\001 \001(\004\022\017\n\007ser" +
+      "vice\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\014\n\004path\030\004 \001(\t" +
+      "\022%\n\007headers\030\005 \003(\0132\024.wisteriapost.Header\022" +
+      "\014\n\004body\030\006 \001(\014\022\030\n\020remaining_millis\030\007 \001(\r\022" +
+      "(\n\010priority\030\010 \001(\0162\026.wisteriapost.Priorit" +
+      "y\022\026\n\016weights_digest\030\t \001(\t\022\024\n\014organisatio" +
+      "n\030\n \001(\t\022\022\n\nrequest_id\030\013 \001(\t\"h\n\013CallStart" +
+      "ed\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022%\n\007header" +
+      "s\030\003 \003(\0132\024.wisteriapost.Header\022\026\n\016weights" +
+      "_digest\030\004 \001(\t\"$\n\010CallData\022\n\n\002id\030\001 \001(\004\022\014\n" +
+      "\004data\030\002 \001(\014\"g\n\007CallEnd\022\n\n\002id\030\001 \001(\004\022&\n\007ou" +
+      "tcome\030\002 \001(\0162\025.wisteriapost.Outcome\022\014\n\004co" +
+      "de\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\030\n\n" +
+      "CallCancel\022\n\n\002id\030\001 \001(\004\"\025\n\007Leaving\022\n\n\002vm\030" +
+      "\001 \001(\t\"+\n\017ChunkMapRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004" +
+      "file\030\002 \001(\t\"Q\n\010ChunkMap\022\n\n\002id\030\001 \001(\004\022\014\n\004fi" +
+      "le\030\002 \001(\t\022\016\n\006chunks\030\003 \001(\r\022\014\n\004bits\030\004 \001(\014\022\r" +
+      "\n\005added\030\005 \003(\r\"W\n\014ChunkRequest\022\n\n\002id\030\001 \001(" +
+      "\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\022\016\n\006offset" +
+      "\030\004 \001(\r\022\016\n\006length\030\005 \001(\r\"\216\001\n\nChunkReply\022\n\n" +
+      "\002id\030\001 \001(\004\022\014\n\004file\030\002 \001(\t\022\r\n\005index\030\003 \001(\r\022)" +
+      "\n\006status\030\004 \001(\0162\031.wisteriapost.ChunkStatu" +
+      "s\022\014\n\004data\030\005 \001(\014\022\016\n\006offset\030\006 \001(\r\022\016\n\006lengt" +
+      "h\030\007 \001(\r\"\361\001\n\nLoadReport\022\'\n\005loads\030\001 \003(\0132\030." +
+      "wisteriapost.RunnerLoad\022-\n\007refused\030\002 \003(\013" +
+      "2\034.wisteriapost.RefusedRequest\022)\n\006limits" +
+      "\030\003 \003(\0132\031.wisteriapost.RunnerLimit\022,\n\007dem" +
+      "ands\030\004 \003(\0132\033.wisteriapost.ServiceDemand\022" +
+      "2\n\tcontended\030\005 \003(\0132\037.wisteriapost.Servic" +
+      "eContention\"O\n\021ServiceContention\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\022\025\n\rrank_pl" +
+      "us_one\030\003 \001(\r\"n\n\013RunnerLimit\022\016\n\006runner\030\001 " +
+      "\001(\t\022\026\n\016started_millis\030\002 \001(\003\022\017\n\007limited\030\003" +
+      " \001(\010\022\022\n\nper_second\030\004 \001(\001\022\022\n\nage_millis\030\005" +
+      " \001(\r\"4\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\022" +
+      "\n\nper_second\030\002 \001(\001\"L\n\016RefusedRequest\022\017\n\007" +
+      "request\030\001 \001(\006\022\024\n\014asked_millis\030\002 \001(\r\022\023\n\013l" +
+      "eft_millis\030\003 \001(\r\"m\n\nRunnerLoad\022\016\n\006runner" +
+      "\030\001 \001(\t\022\016\n\006active\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022" +
+      "\026\n\016waiting_prompt\030\004 \001(\r\022\026\n\016started_milli" +
+      "s\030\005 \001(\003\"\272\001\n\013EngineState\022\017\n\007address\030\001 \001(\t" +
+      "\022\025\n\rholds_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r" +
+      "\022\021\n\tswitching\030\004 \001(\010\022\030\n\020closes_in_millis\030" +
+      "\005 \001(\r\022\026\n\016started_millis\030\006 \001(\003\022\024\n\014pace_pe" +
+      "rcent\030\024 \001(\r\022\027\n\017pace_age_millis\030\025 \001(\r\">\n\014" +
+      "WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002" +
+      " \001(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r\n\005s" +
+      "tamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n\013Ne" +
+      "wsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003(\013" +
+      "2\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 \001(\003" +
+      "H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010\022\026\n\016reads_defla" +
+      "ted\030\005 \001(\010B\010\n\006_stamp\"m\n\tKnownKind\022%\n\004kind" +
+      "\030\001 \001(\0162\027.wisteriapost.StoreKind\022*\n\007objec" +
+      "ts\030\002 \003(\0132\031.wisteriapost.KnownObject\022\r\n\005e" +
+      "poch\030\003 \001(\004\"-\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022" +
+      "\020\n\010revision\030\002 \001(\004\"\236\002\n\004News\022\017\n\007current\030\001 " +
+      "\001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.StoreKi" +
+      "nd\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wiste" +
+      "riapost.StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010seque" +
+      "nce\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005st" +
+      "amp\030\010 \001(\003H\001\210\001\001\022\r\n\005epoch\030\n \001(\004\022\035\n\020heard_a" +
+      "go_millis\030\t \001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_" +
+      "stampB\023\n\021_heard_ago_millis\"p\n\013StoreObjec" +
+      "t\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007del" +
+      "eted\030\003 \001(\010\022\017\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001" +
+      "(\010\022\020\n\010deflated\030\006 \001(\014\"5\n\006Roster\022+\n\007member" +
+      "s\030\001 \003(\0132\032.wisteriapost.RosterMember\")\n\014R" +
+      "osterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p" +
+      "\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003" +
+      "(\0132\030.wisteriapost.RunnerLoad\022*\n\007engines\030" +
+      "\003 \003(\0132\031.wisteriapost.EngineState\"l\n\rSusp" +
+      "ectReport\022.\n\010suspects\030\001 \003(\0132\034.wisteriapo" +
+      "st.SuspectRequest\022+\n\005parts\030\002 \003(\0132\034.wiste" +
+      "riapost.SuspectRequest\"\201\001\n\016SuspectReques" +
+      "t\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002 \003(\0132" +
+      "\030.wisteriapost.RunnerLoss\022\021\n\tcompleted\030\003" +
+      " \001(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"0\n\nRu" +
+      "nnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_millis\030\002" +
+      " \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005EN" +
+      "TRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000" +
+      "\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUT" +
+      "COME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002" +
+      "\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_ST" +
+      "ATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUN" +
+      "K_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStoreKin" +
+      "d\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_R" +
+      "OUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIG" +
+      "HTS\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STORE_EVACUA" +
+      "TIONS\020\005B$\n\036org.wisteriapost.protocol.wir" +
+      "eH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -385,237 +392,243 @@
     internal_static_wisteriapost_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Frame_descriptor,
-        new java.lang.String[] { "Generation", "Hello", "Head", "BundleRequest", "BundleReply", "Report", "Call", "CallStarted", "CallData", "CallEnd", "CallCancel", "Leaving", "ChunkMapRequest", "ChunkMap", "ChunkRequest", "ChunkReply", "HeadRequest", "LoadReport", "EngineState", "WeightsNamed", "Roster", "NewsRequest", "News", "PlaceState", "EchoRequest", "Echo", "SuspectReport", "Body", });
+        new java.lang.String[] { "Generation", "Hello", "Head", "BundleRequest", "BundleReply", "Report", "Call", "CallStarted", "CallData", "CallEnd", "CallCancel", "Leaving", "ChunkMapRequest", "ChunkMap", "ChunkRequest", "ChunkReply", "HeadRequest", "LoadReport", "EngineState", "WeightsNamed", "Roster", "NewsRequest", "News", "PlaceState", "EchoRequest", "Echo", "SuspectReport", "TableInForce", "Body", });
     internal_static_wisteriapost_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_wisteriapost_Hello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Hello_descriptor,
         new java.lang.String[] { "Vm", "Place", "Role", "Service", "Epoch", });
-    internal_static_wisteriapost_Head_descriptor =
+    internal_static_wisteriapost_TableInForce_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_wisteriapost_TableInForce_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_wisteriapost_TableInForce_descriptor,
+        new java.lang.String[] { "Version", });
+    internal_static_wisteriapost_Head_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_wisteriapost_Head_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Head_descriptor,
         new java.lang.String[] { "Generation", "Digest", "ConfirmedAgeMillis", "Confirmed", });
     internal_static_wisteriapost_HeadRequest_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_wisteriapost_HeadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_HeadRequest_descriptor,
         new java.lang.String[] { });
     internal_static_wisteriapost_BundleRequest_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_wisteriapost_BundleRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_BundleRequest_descriptor,
         new java.lang.String[] { "Digest", });
     internal_static_wisteriapost_BundleReply_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_wisteriapost_BundleReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_BundleReply_descriptor,
         new java.lang.String[] { "Digest", "Bundle", "Approvals", });
     internal_static_wisteriapost_Approval_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_wisteriapost_Approval_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Approval_descriptor,
         new java.lang.String[] { "Operator", "Signature", });
     internal_static_wisteriapost_Report_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_wisteriapost_Report_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Report_descriptor,
         new java.lang.String[] { "Vm", "Place", "Service", "Plain", "Admitting", "Leaving", "WeightsDigest", "BundleGeneration", "Running", "Capacity", "Queued", "ChunksVerified", "ChunksTotal", "Failing", "Prefixes", "Epoch", });
     internal_static_wisteriapost_Header_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_wisteriapost_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_wisteriapost_Call_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_wisteriapost_Call_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Call_descriptor,
         new java.lang.String[] { "Id", "Service", "Method", "Path", "Headers", "Body", "RemainingMillis", "Priority", "WeightsDigest", "Organisation", "RequestId", });
     internal_static_wisteriapost_CallStarted_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_wisteriapost_CallStarted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_CallStarted_descriptor,
         new java.lang.String[] { "Id", "Status", "Headers", "WeightsDigest", });
     internal_static_wisteriapost_CallData_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_wisteriapost_CallData_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_CallData_descriptor,
         new java.lang.String[] { "Id", "Data", });
     internal_static_wisteriapost_CallEnd_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_wisteriapost_CallEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_CallEnd_descriptor,
         new java.lang.String[] { "Id", "Outcome", "Code", "RetryAfterMillis", });
     internal_static_wisteriapost_CallCancel_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_wisteriapost_CallCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_CallCancel_descriptor,
         new java.lang.String[] { "Id", });
     internal_static_wisteriapost_Leaving_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_wisteriapost_Leaving_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Leaving_descriptor,
         new java.lang.String[] { "Vm", });
     internal_static_wisteriapost_ChunkMapRequest_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_wisteriapost_ChunkMapRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkMapRequest_descriptor,
         new java.lang.String[] { "Id", "File", });
     internal_static_wisteriapost_ChunkMap_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_wisteriapost_ChunkMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkMap_descriptor,
         new java.lang.String[] { "Id", "File", "Chunks", "Bits", "Added", });
     internal_static_wisteriapost_ChunkRequest_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_wisteriapost_ChunkRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkRequest_descriptor,
         new java.lang.String[] { "Id", "File", "Index", "Offset", "Length", });
     internal_static_wisteriapost_ChunkReply_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_wisteriapost_ChunkReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ChunkReply_descriptor,
         new java.lang.String[] { "Id", "File", "Index", "Status", "Data", "Offset", "Length", });
     internal_static_wisteriapost_LoadReport_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_wisteriapost_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_LoadReport_descriptor,
         new java.lang.String[] { "Loads", "Refused", "Limits", "Demands", "Contended", });
     internal_static_wisteriapost_ServiceContention_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_wisteriapost_ServiceContention_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ServiceContention_descriptor,
         new java.lang.String[] { "Service", "AgeMillis", "RankPlusOne", });
     internal_static_wisteriapost_RunnerLimit_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_wisteriapost_RunnerLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RunnerLimit_descriptor,
         new java.lang.String[] { "Runner", "StartedMillis", "Limited", "PerSecond", "AgeMillis", });
     internal_static_wisteriapost_ServiceDemand_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_wisteriapost_ServiceDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_ServiceDemand_descriptor,
         new java.lang.String[] { "Service", "PerSecond", });
     internal_static_wisteriapost_RefusedRequest_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_wisteriapost_RefusedRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RefusedRequest_descriptor,
         new java.lang.String[] { "Request", "AskedMillis", "LeftMillis", });
     internal_static_wisteriapost_RunnerLoad_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_wisteriapost_RunnerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RunnerLoad_descriptor,
         new java.lang.String[] { "Runner", "Active", "Waiting", "WaitingPrompt", "StartedMillis", });
     internal_static_wisteriapost_EngineState_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_wisteriapost_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_EngineState_descriptor,
         new java.lang.String[] { "Address", "HoldsWeights", "Version", "Switching", "ClosesInMillis", "StartedMillis", "PacePercent", "PaceAgeMillis", });
     internal_static_wisteriapost_WeightsNamed_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_wisteriapost_WeightsNamed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_WeightsNamed_descriptor,
         new java.lang.String[] { "Model", "Version", "Origin", });
     internal_static_wisteriapost_EchoRequest_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_wisteriapost_EchoRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_EchoRequest_descriptor,
         new java.lang.String[] { "Stamp", });
     internal_static_wisteriapost_Echo_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_wisteriapost_Echo_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Echo_descriptor,
         new java.lang.String[] { "Stamp", });
     internal_static_wisteriapost_NewsRequest_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_wisteriapost_NewsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_NewsRequest_descriptor,
         new java.lang.String[] { "Wanted", "Known", "Stamp", "KeepAlive", "ReadsDeflated", });
     internal_static_wisteriapost_KnownKind_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_wisteriapost_KnownKind_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_KnownKind_descriptor,
         new java.lang.String[] { "Kind", "Objects", "Epoch", });
     internal_static_wisteriapost_KnownObject_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_wisteriapost_KnownObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_KnownObject_descriptor,
         new java.lang.String[] { "Name", "Revision", });
     internal_static_wisteriapost_News_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_wisteriapost_News_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_News_descriptor,
         new java.lang.String[] { "Current", "Kind", "All", "Objects", "At", "Sequence", "AgeMillis", "Stamp", "Epoch", "HeardAgoMillis", });
     internal_static_wisteriapost_StoreObject_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_wisteriapost_StoreObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_StoreObject_descriptor,
         new java.lang.String[] { "Name", "Revision", "Deleted", "Content", "Known", "Deflated", });
     internal_static_wisteriapost_Roster_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_wisteriapost_Roster_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_Roster_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_wisteriapost_RosterMember_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_wisteriapost_RosterMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RosterMember_descriptor,
         new java.lang.String[] { "Vm", "Place", });
     internal_static_wisteriapost_PlaceState_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_wisteriapost_PlaceState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_PlaceState_descriptor,
         new java.lang.String[] { "Place", "Loads", "Engines", });
     internal_static_wisteriapost_SuspectReport_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_wisteriapost_SuspectReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_SuspectReport_descriptor,
         new java.lang.String[] { "Suspects", "Parts", });
     internal_static_wisteriapost_SuspectRequest_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_wisteriapost_SuspectRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_SuspectRequest_descriptor,
         new java.lang.String[] { "ContentHash", "Losses", "Completed", "CompletedAgeMillis", });
     internal_static_wisteriapost_RunnerLoss_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_wisteriapost_RunnerLoss_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RunnerLoss_descriptor,
