Bodies are limited by what the site declares, not by 2 MiB

Cause: the server library's own limit, left at its default. Change: it is 64 MiB, above any declared limit, which is checked separately.

DirectHttpServerTests#bodyOfTheDeclaredSizeIsAccepted: 4 of 5 sizes fail without the change (413, or a reset where it comes in chunks), 5 pass.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectHttpServer.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectHttpServer.java
@@ -65,6 +65,10 @@
 	// The parser's limit is above any declared one, which is checked separately.
 	private static final int MAX_PARSED_HEADER_BYTES = 64 << 10;
 
+	// The same for a body. What a caller sends beyond a declared limit is read up to
+	// this, since it would otherwise see a reset instead of the rejection.
+	private static final long MAX_READ_BODY_BYTES = 64L << 20;
+
 	// Twice the usual idle limit of callers, so that a connection is not closed while a
 	// caller is about to reuse it.
 	private static final int IDLE_TIMEOUT_MILLIS = 60_000;
@@ -97,6 +101,7 @@
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
 			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_PARSED_HEADER_BYTES)
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_READ_BODY_BYTES)
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
 			.setSocketOption(org.xnio.Options.REUSE_ADDRESSES, true);
 		settings.callerAddress().ifPresent((address) -> listen(builder, address, httpServer::handleCall));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
@@ -136,6 +136,19 @@
 		assertThat(answer.status(), Matchers.equalTo(503));
 	}
 
+	// Guards against bodies within the declared limit that are rejected by a lower one of
+	// the server's own.
+	@ParameterizedTest
+	@CsvSource({ "2000000", "3000000", "8000000", "8388607", "8388608" })
+	void bodyOfTheDeclaredSizeIsAccepted(int bytes) throws IOException {
+		this.entry.limits.add(limits(8 << 20));
+		this.entry.mayReject = true;
+		this.entry.accepts = true;
+		assertThat(post("Content-Length: " + bytes, "x".repeat(bytes)).status(), Matchers.equalTo(200));
+		assertThat(postChunked(bytes).status(), Matchers.equalTo(200));
+		assertThat(this.entry.arrivedBytes, Matchers.contains(bytes, bytes));
+	}
+
 	// Until limits are known a default applies, by which nothing is rejected.
 	@Test
 	void nothingIsRejectedWhileLimitsAreUnknown() throws IOException {
@@ -169,13 +182,21 @@
 
 		private final OpenAnswers openAnswers = new OpenAnswers();
 
+		private final Queue<Integer> arrivedBytes = new ConcurrentLinkedQueue<>();
+
+		private volatile boolean accepts;
+
 		private volatile boolean mayReject;
 
 		private volatile DirectoryQuery lastQuery;
 
 		@Override
 		public boolean offer(DirectEvent event) {
-			return false;
+			if (this.accepts && event instanceof DirectEvent.RequestArrived arrived) {
+				this.arrivedBytes.add(arrived.request().body().length);
+				arrived.request().answer().complete(200, List.of(), "", new byte[] { 1 });
+			}
+			return this.accepts;
 		}
 
 		@Override
--- a/policy/src/main/java/org/wisteriapost/policy/routing/StartupTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/routing/StartupTable.java
@@ -55,8 +55,7 @@
 	 * Returns whether no request may be served by the table yet.
 	 */
 	public boolean outdated(long nowNanos) {
-		return this.inForce != NONE && this.inForce < this.newestStated
-				&& nowNanos - this.startNanos < MAX_WAIT_NANOS;
+		return this.inForce != NONE && this.inForce < this.newestStated && nowNanos - this.startNanos < MAX_WAIT_NANOS;
 	}
 
 }
