HTTP client: head of a response and body of a request have classes of their own

An exception of a step after the end of its call is no longer swallowed; the history of dispatches is written out only where it is logged. No change of behaviour otherwise.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DispatchHistory.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DispatchHistory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import org.wisteriapost.protocol.http.ConnectionUse;
 
@@ -12,11 +13,10 @@
  */
 final class DispatchHistory {
 
-	private final List<String> ended = new ArrayList<>();
+	private final List<DirectEvent.DispatchEnded> ended = new ArrayList<>(1);
 
 	void add(DirectEvent.DispatchEnded dispatch) {
-		this.ended
-			.add(dispatch.dispatch() + " " + dispatch.outcome() + " on connection " + describe(dispatch.connection()));
+		this.ended.add(dispatch);
 	}
 
 	/**
@@ -29,7 +29,9 @@
 
 	@Override
 	public String toString() {
-		return String.join(", ", this.ended);
+		return this.ended.stream()
+			.map((one) -> one.dispatch() + " " + one.outcome() + " on connection " + describe(one.connection()))
+			.collect(Collectors.joining(", "));
 	}
 
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -4,22 +4,13 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -27,7 +18,6 @@
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -35,14 +25,9 @@
  */
 final class PooledHttpExchange implements HttpExchange {
 
-	private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,9})");
-
 	// A connect to a runner costs about as much as reading this.
 	private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
-	// The library takes other interim responses than 100 for the response.
-	private static final int MIN_FINAL_STATUS = 200;
-
 	private static final Duration MAX_DISCARD_TIME = Duration.ofMillis(500);
 
 	private final HttpCall call;
@@ -216,76 +201,28 @@
 
 	private void onExchangeStarted(ClientExchange exchange) {
 		exchange.setResponseListener(new Step<>(this::onResponse));
-		write(exchange.getRequestChannel(), ByteBuffer.wrap(this.call.body()));
-	}
-
-	private void write(StreamSinkChannel channel, ByteBuffer body) {
-		try {
-			while (body.hasRemaining()) {
-				if (channel.write(body) == 0) {
-					channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) (same) -> write(same, body));
-					channel.resumeWrites();
-					return;
-				}
-			}
-			channel.shutdownWrites();
-			if (!channel.flush()) {
-				channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) this::flush);
-				channel.resumeWrites();
-			}
-		}
-		catch (IOException ex) {
-			fail(ex);
-		}
-	}
-
-	private void flush(StreamSinkChannel channel) {
-		try {
-			if (channel.flush()) {
-				channel.suspendWrites();
-			}
-		}
-		catch (IOException ex) {
-			fail(ex);
-		}
+		new RequestBody(exchange.getRequestChannel(), this.call.body(), this::fail).write();
 	}
 
 	private void onResponse(ClientExchange exchange) {
-		ClientResponse response = exchange.getResponse();
-		Map<String, String> headers = new HashMap<>();
-		List<Map.Entry<String, String>> all = new ArrayList<>();
-		response.getResponseHeaders().forEach((header) -> {
-			String name = header.getHeaderName().toString();
-			headers.put(name.toLowerCase(Locale.ROOT), header.getFirst());
-			header.forEach((value) -> all.add(Map.entry(name, value)));
-		});
-		if (response.getResponseCode() < MIN_FINAL_STATUS) {
-			fail(new IOException("interim response with status " + response.getResponseCode()));
+		ResponseHead head = ResponseHead.of(exchange.getResponse());
+		if (head.interim()) {
+			fail(new IOException("interim response with status " + head.status()));
 			return;
 		}
-		if (this.call.isForOtherCall(headers)) {
+		if (this.call.isForOtherCall(head.headers())) {
 			fail(new IOException("response to another call"));
 			return;
 		}
-		readKeepAlive(headers);
+		this.maxIdleMillis = head.maxIdleMillis();
 		onBytesReceived();
 		this.responseChannel = exchange.getResponseChannel();
 		if (!this.done.get()) {
-			this.listener.onHead(response.getResponseCode(), headers, all);
+			this.listener.onHead(head.status(), head.headers(), head.all());
 			read(this.responseChannel);
 		}
 	}
 
-	// Uses half of the server's Keep-Alive timeout: if the server closes the connection
-	// while a request is in transit, it is unknown whether the request has run.
-	private void readKeepAlive(Map<String, String> headers) {
-		Matcher seconds = KEEP_ALIVE_SECONDS.matcher(headers.getOrDefault("keep-alive", ""));
-		if (seconds.find()) {
-			long serverMillis = TimeUnit.SECONDS.toMillis(Long.parseLong(seconds.group(1)));
-			this.maxIdleMillis = Math.min(ConnectionPool.MAX_IDLE_MILLIS, serverMillis / 2);
-		}
-	}
-
 	private void read(StreamSourceChannel channel) {
 		if (this.done.get()) {
 			return;
@@ -395,6 +332,9 @@
 				this.next.accept(result);
 			}
 			catch (RuntimeException ex) {
+				if (PooledHttpExchange.this.done.get()) {
+					throw ex;
+				}
 				// Otherwise the call would hold its connection until its timeout.
 				fail(ex);
 			}
