Entries state their table only where the store states epochs

A store that states none never comes back from a copy as far as anyone knows, and nothing of this was meant to apply there.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -287,7 +287,9 @@
 
 	private void peerIdentified(String peer) {
 		this.announcer.greetingReceived(peer);
-		this.announcer.sendTable(peer, this.localView.routeTable());
+		if (this.storeEvents.storeStatesEpochs()) {
+			this.announcer.sendTable(peer, this.localView.routeTable());
+		}
 		this.suspects.ifPresent((exchange) -> exchange.linkEstablished(peer));
 		this.storeEvents.linkEstablished(peer);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/StoreEvents.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/StoreEvents.java
@@ -85,6 +85,13 @@
 		epochObserved(read.epoch(), now);
 	}
 
+	/**
+	 * Returns whether the store states epochs, so that it may come back from a copy.
+	 */
+	boolean storeStatesEpochs() {
+		return this.restores.filter((known) -> known.epoch() != ObjectStore.UNKNOWN_EPOCH).isPresent();
+	}
+
 	private void epochObserved(long epoch, long now) {
 		this.restores.ifPresent((known) -> known.observed(epoch, now));
 	}
