Log which answer or report changed what is known of a runner's limit

A line runner-limit said that a limit ended, but not by which answer: one to a request that was sent before the runner named it looked like a true end. Now it names the attempt, the dispatch and the age of the request, or the age that a peer states for its knowledge.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/RateLimitLog.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/RateLimitLog.java
@@ -6,6 +6,7 @@
 import org.wisteriapost.policy.dispatch.DispatchEffect;
 import org.wisteriapost.policy.dispatch.RateLimits;
 import org.wisteriapost.policy.ratelimit.RateLimitChange;
+import org.wisteriapost.policy.ratelimit.RateLimitSource;
 
 /**
  * Logs and counts what an entry learns of the rates that runners ask for, and of runners
@@ -49,11 +50,21 @@
 	boolean report() {
 		List<RateLimitChange> changes = this.limits.drainChanges();
 		for (RateLimitChange change : changes) {
-			this.log.decision("runner-limit", "runner", change.runnerId(), "perSecond", change.perSecond(), "share",
-					change.share(), "from", change.source());
+			log(change);
 			this.metrics.rateLimitChanged(this.limits.limitedRunners());
 		}
 		return !changes.isEmpty();
 	}
 
+	private void log(RateLimitChange change) {
+		switch (change.source()) {
+			case RateLimitSource.Answer answer -> this.log.decision("runner-limit", "runner", change.runnerId(),
+					"perSecond", change.perSecond(), "share", change.share(), "from", "runner", "attempt",
+					answer.attemptId(), "dispatch", answer.dispatch(), "requestAgeMs", answer.requestAge().toMillis());
+			case RateLimitSource.Report report ->
+				this.log.decision("runner-limit", "runner", change.runnerId(), "perSecond", change.perSecond(), "share",
+						change.share(), "from", report.peer(), "ageMs", report.age().toMillis());
+		}
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
@@ -1,5 +1,6 @@
 package org.wisteriapost.policy.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.wisteriapost.policy.ratelimit.EntryGroup;
 import org.wisteriapost.policy.ratelimit.RateLimitChange;
 import org.wisteriapost.policy.ratelimit.RateLimitReport;
+import org.wisteriapost.policy.ratelimit.RateLimitSource;
 
 /**
  * Keeps the rates that runners in need ask for, and the limit of runners that have just
@@ -70,7 +72,8 @@
 				.filter((state) -> state.info.incarnation().equals(limit.incarnation()))
 				.ifPresent((state) -> {
 					if (state.rateLimit.reported(limit.perSecond(), limit.toldNanos())) {
-						changed(state, peer, nowNanos);
+						Duration age = Duration.ofNanos(nowNanos - limit.toldNanos());
+						changed(state, new RateLimitSource.Report(peer, age), nowNanos);
 					}
 				});
 		}
@@ -126,7 +129,9 @@
 	void answered(Dispatch dispatch, long nowNanos) {
 		dispatch.job.namedLimit(dispatch.number).ifPresent((perSecond) -> {
 			if (dispatch.runner.rateLimit.answered(perSecond, nowNanos)) {
-				changed(dispatch.runner, "runner", nowNanos);
+				Duration requestAge = Duration.ofNanos(nowNanos - dispatch.sentNanos);
+				changed(dispatch.runner,
+						new RateLimitSource.Answer(dispatch.job.attemptId(), dispatch.number, requestAge), nowNanos);
 			}
 		});
 	}
@@ -162,7 +167,7 @@
 				nowNanos);
 	}
 
-	private void changed(RunnerState runner, String source, long nowNanos) {
+	private void changed(RunnerState runner, RateLimitSource source, long nowNanos) {
 		this.limited.put(runner.info.id(), runner);
 		OptionalDouble perSecond = runner.rateLimit.perSecond();
 		this.changes.add(new RateLimitChange(runner.info.id(), perSecond, share(runner, nowNanos), source));
--- a/policy/src/main/java/org/wisteriapost/policy/ratelimit/RateLimitChange.java
+++ b/policy/src/main/java/org/wisteriapost/policy/ratelimit/RateLimitChange.java
@@ -9,7 +9,7 @@
  * @param perSecond the requests a second that it takes from all entries together; empty
  * for no limit
  * @param share the share of it that this entry may use
- * @param source the entry that reported it, or {@code runner}
+ * @param source from whom it is known
  */
-public record RateLimitChange(String runnerId, OptionalDouble perSecond, double share, String source) {
+public record RateLimitChange(String runnerId, OptionalDouble perSecond, double share, RateLimitSource source) {
 }
