Fix: an answer from before a runner named its limit does not lift it

What callers saw: nothing by themselves; a runner in need that had asked for 0.5 requests a second got up to 14 in 4 s from six entries that had all been told.

Cause: what an answer said of the rate was applied when its first event was sent and again when it ended, both times dated by the moment at which that was done. A stream that had begun before the runner named its limit ended seconds after it: the entry took its head for news, lifted the limit and told all others so, dated now. Until the next answer named the limit again, 0.1 to 0.8 s later, all entries sent to the runner, which looked idle, as much as to any other.

Change: the head is applied once, as an event of its own like the other statements of runners. A statement is dated by two times: it was made after the request was sent, and before the answer was read. A limit ends or rises only by a statement that was certainly made later; where the order is not known the stricter one holds. Reports carry both ages; one of the version before does not say when its request was sent, so it limits and does not lift. A report may have waited a second on a link.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.wisteriapost.policy.dispatch.DispatchOutcome;
 import org.wisteriapost.policy.fleet.RunnerInfo;
@@ -184,6 +185,16 @@
 	record PeerLoadReported(String peer, LoadReport report) implements DirectEvent {
 	}
 
+	/**
+	 * The head of a runner's response has named a limit on its rate, or none.
+	 *
+	 * @param call the request
+	 * @param dispatch the number of the dispatch
+	 * @param perSecond the requests a second that the runner takes; empty for no limit
+	 */
+	record RunnerRateStated(DirectCall call, int dispatch, OptionalDouble perSecond) implements DirectEvent {
+	}
+
 	/**
 	 * A runner stated in an answer that it is leaving.
 	 *
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -169,6 +169,8 @@
 			case DirectEvent.RunnerLeaving leaving -> this.runnerReports.leavingStated(leaving.runner());
 			case DirectEvent.RunnerResting resting -> this.runnerReports.restStated(resting, now);
 			case DirectEvent.RunnerCold cold -> this.runnerReports.coldStated(cold, now);
+			case DirectEvent.RunnerRateStated stated ->
+				this.dispatcher.rateLimits().stated(stated.call().job(), stated.dispatch(), stated.perSecond(), now);
 			case DirectEvent.RunnerChecked checked -> this.runnerReports.checked(checked, now);
 			case DirectEvent.SuspectsReported reported ->
 				this.suspects.ifPresent((exchange) -> exchange.reportReceived(reported.peer(), reported.report(), now));
--- a/entry/src/main/java/org/wisteriapost/entry/direct/LoadReportCodec.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/LoadReportCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.policy.admission.ContentionReport;
@@ -12,6 +13,7 @@
 import org.wisteriapost.policy.dispatch.RunnerLoad;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.ratelimit.RateLimitReport;
+import org.wisteriapost.policy.ratelimit.RateStatement;
 import org.wisteriapost.protocol.site.EngineStatusCodec;
 import org.wisteriapost.protocol.wire.LoadReport;
 import org.wisteriapost.protocol.wire.RunnerLimit;
@@ -73,13 +75,7 @@
 	}
 
 	static void encode(RateLimitReport rates, LoadReport.Builder report, long nowNanos) {
-		rates.limits()
-			.forEach((limit) -> report.addLimits(RunnerLimit.newBuilder()
-				.setRunner(limit.runnerId())
-				.setStartedMillis(incarnationMillis(limit.incarnation()))
-				.setLimited(limit.perSecond().isPresent())
-				.setPerSecond(limit.perSecond().orElse(0))
-				.setAgeMillis(millis(nowNanos - limit.toldNanos()))));
+		rates.limits().forEach((limit) -> report.addLimits(encode(limit, nowNanos)));
 		rates.demands()
 			.forEach((demand) -> report
 				.addDemands(ServiceDemand.newBuilder().setService(demand.service()).setPerSecond(demand.perSecond())));
@@ -88,10 +84,7 @@
 	static RateLimitReport decodeRates(LoadReport report, long nowNanos) {
 		List<RateLimitReport.Limit> limits = report.getLimitsList()
 			.stream()
-			.map((limit) -> new RateLimitReport.Limit(limit.getRunner(),
-					EngineStatusCodec.incarnation(limit.getStartedMillis()),
-					limit.getLimited() ? OptionalDouble.of(limit.getPerSecond()) : OptionalDouble.empty(),
-					nowNanos - TimeUnit.MILLISECONDS.toNanos(limit.getAgeMillis())))
+			.map((limit) -> decode(limit, nowNanos))
 			.toList();
 		List<RateLimitReport.Demand> demands = report.getDemandsList()
 			.stream()
@@ -100,6 +93,30 @@
 		return new RateLimitReport(limits, demands);
 	}
 
+	private static RunnerLimit encode(RateLimitReport.Limit limit, long nowNanos) {
+		RateStatement statement = limit.statement();
+		RunnerLimit.Builder message = RunnerLimit.newBuilder()
+			.setRunner(limit.runnerId())
+			.setStartedMillis(incarnationMillis(limit.incarnation()))
+			.setLimited(statement.perSecond().isPresent())
+			.setPerSecond(statement.perSecond().orElse(0))
+			.setAgeMillis(millis(nowNanos - statement.latestNanos()));
+		statement.earliestNanos()
+			.ifPresent((earliest) -> message.setRequestAgeMillisPlusOne(millis(nowNanos - earliest) + 1));
+		return message.build();
+	}
+
+	private static RateLimitReport.Limit decode(RunnerLimit message, long nowNanos) {
+		OptionalDouble perSecond = message.getLimited() ? OptionalDouble.of(message.getPerSecond())
+				: OptionalDouble.empty();
+		int requestAge = message.getRequestAgeMillisPlusOne();
+		OptionalLong earliest = (requestAge > 0) ? OptionalLong.of(nowNanos - TimeUnit.MILLISECONDS.toNanos(requestAge))
+				: OptionalLong.empty();
+		return new RateLimitReport.Limit(message.getRunner(), EngineStatusCodec.incarnation(message.getStartedMillis()),
+				new RateStatement(perSecond, earliest,
+						nowNanos - TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis())));
+	}
+
 	private static int millis(long nanos) {
 		return (int) Math.clamp(TimeUnit.NANOSECONDS.toMillis(nanos), 0, Integer.MAX_VALUE);
 	}
--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -122,10 +122,6 @@
 		if (!reply.otherIncarnation()) {
 			reportStatements(reply);
 		}
-		// A rejection without a limit does not say that the limit has ended.
-		if (!reply.otherIncarnation() && (reply.requestsPerSecond().isPresent() || !reply.notRun())) {
-			this.call.job().recordNamedLimit(this.dispatch, reply.requestsPerSecond());
-		}
 		if (reply.otherIncarnation() || reply.notRun()) {
 			end(reply.otherIncarnation() ? DispatchOutcome.MISDIRECTED : DispatchOutcome.FULL, "status " + code);
 			this.exchange.ifPresent(HttpExchange::discardRest);
@@ -148,6 +144,10 @@
 		reply.coldStart()
 			.ifPresent((remaining) -> this.events.accept(new DirectEvent.RunnerCold(this.runner, remaining)));
 		reply.rest().ifPresent((rest) -> this.events.accept(new DirectEvent.RunnerResting(this.runner, rest)));
+		// A rejection without a limit does not say that the limit has ended.
+		if (reply.requestsPerSecond().isPresent() || !reply.notRun()) {
+			this.events.accept(new DirectEvent.RunnerRateStated(this.call, this.dispatch, reply.requestsPerSecond()));
+		}
 	}
 
 	@Override
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -87,7 +87,7 @@
 		this.retryPolicy = new RetryPolicy();
 		this.responses = new FinalResponses(this.admission, (effect) -> this.pendingEffects.add(effect));
 		this.dispatches = new OpenDispatches(this.placement, this.admission, this.retryPolicy, this.poisonGuard,
-				this.rateLimits, this.latencies, (effect) -> this.pendingEffects.add(effect));
+				this.latencies, (effect) -> this.pendingEffects.add(effect));
 		this.hedges = new HedgePolicy(this.placement, this.admission, this.poisonGuard, this.retryPolicy,
 				this.retryBudgets);
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Job.java
@@ -1,12 +1,9 @@
 package org.wisteriapost.policy.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -53,9 +50,6 @@
 
 	private volatile OptionalInt weightsVersion = OptionalInt.empty();
 
-	// By the number of the dispatch.
-	private volatile Map<Integer, OptionalDouble> namedLimits = Map.of();
-
 	// In the order in which they were sent; two while a runner is silent.
 	private final List<Dispatch> open = new ArrayList<>(2);
 
@@ -284,25 +278,6 @@
 		this.weightsVersion = version;
 	}
 
-	/**
-	 * Records the rate limit that the head of a response names. Must be called only by
-	 * the thread that reads the response.
-	 * @param dispatch the number of the dispatch
-	 * @param perSecond the requests a second that the runner takes; empty for no limit
-	 */
-	public void recordNamedLimit(int dispatch, OptionalDouble perSecond) {
-		Map<Integer, OptionalDouble> changed = new HashMap<>(this.namedLimits);
-		changed.put(dispatch, perSecond);
-		this.namedLimits = Map.copyOf(changed);
-	}
-
-	/**
-	 * Returns what the response to a dispatch has named, once its head was read.
-	 */
-	Optional<OptionalDouble> namedLimit(int dispatch) {
-		return Optional.ofNullable(this.namedLimits.get(dispatch));
-	}
-
 	/**
 	 * Opens a dispatch to the chosen runner.
 	 * @param late whether the request has the rank of late requests
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/OpenDispatches.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/OpenDispatches.java
@@ -9,8 +9,8 @@
 
 /**
  * Opens and closes dispatches, and keeps what depends on them: the load, health and
- * network path of their runners, rate limits and suspected poison requests. Each dispatch
- * is released once, by its end or by its cancellation.
+ * network path of their runners, and suspected poison requests. Each dispatch is released
+ * once, by its end or by its cancellation.
  */
 final class OpenDispatches {
 
@@ -22,19 +22,16 @@
 
 	private final PoisonGuard poisonGuard;
 
-	private final RateLimits rateLimits;
-
 	private final FirstEventLatencies latencies;
 
 	private final Consumer<DispatchEffect> effects;
 
 	OpenDispatches(Placement placement, AdmissionPolicy admission, RetryPolicy retryPolicy, PoisonGuard poisonGuard,
-			RateLimits rateLimits, FirstEventLatencies latencies, Consumer<DispatchEffect> effects) {
+			FirstEventLatencies latencies, Consumer<DispatchEffect> effects) {
 		this.placement = placement;
 		this.admission = admission;
 		this.retryPolicy = retryPolicy;
 		this.poisonGuard = poisonGuard;
-		this.rateLimits = rateLimits;
 		this.latencies = latencies;
 		this.effects = effects;
 	}
@@ -61,7 +58,6 @@
 		dispatch.recordFirstEvent(nowNanos);
 		dispatch.runner.firstEvent(dispatch);
 		this.poisonGuard.quarantine().runnerAnswered(dispatch.runner.info, nowNanos);
-		this.rateLimits.answered(dispatch, nowNanos);
 		this.latencies.firstEvent(dispatch, nowNanos);
 		continued(dispatch);
 	}
@@ -112,7 +108,6 @@
 		Job job = dispatch.job;
 		dispatch.runner.ended(dispatch, outcome, nowNanos);
 		this.poisonGuard.dispatchEnded(dispatch, outcome, nowNanos);
-		this.rateLimits.answered(dispatch, nowNanos);
 		job.closed(dispatch, outcome);
 		if (outcome == DispatchOutcome.DONE) {
 			cancelAll(job, CancelReason.SUPERSEDED, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
@@ -16,6 +16,7 @@
 import org.wisteriapost.policy.ratelimit.RateLimitChange;
 import org.wisteriapost.policy.ratelimit.RateLimitReport;
 import org.wisteriapost.policy.ratelimit.RateLimitSource;
+import org.wisteriapost.policy.ratelimit.RateStatement;
 
 /**
  * Keeps the rates that runners in need ask for, and the limit of runners that have just
@@ -71,8 +72,8 @@
 			this.registry.find(limit.runnerId())
 				.filter((state) -> state.info.incarnation().equals(limit.incarnation()))
 				.ifPresent((state) -> {
-					if (state.rateLimit.reported(limit.perSecond(), limit.toldNanos())) {
-						Duration age = Duration.ofNanos(nowNanos - limit.toldNanos());
+					if (state.rateLimit.reported(limit.statement())) {
+						Duration age = Duration.ofNanos(nowNanos - limit.statement().latestNanos());
 						changed(state, new RateLimitSource.Report(peer, age), nowNanos);
 					}
 				});
@@ -92,8 +93,8 @@
 		List<RateLimitReport.Limit> limits = new ArrayList<>();
 		this.limited.values()
 			.forEach((state) -> state.rateLimit.lastTold(nowNanos)
-				.ifPresent((toldNanos) -> limits.add(new RateLimitReport.Limit(state.info.id(),
-						state.info.incarnation(), state.rateLimit.perSecond(), toldNanos))));
+				.ifPresent((told) -> limits
+					.add(new RateLimitReport.Limit(state.info.id(), state.info.incarnation(), told))));
 		List<RateLimitReport.Demand> demands = this.limited.values()
 			.stream()
 			.map((state) -> state.info.service())
@@ -124,14 +125,16 @@
 	}
 
 	/**
-	 * Records what the answer to a dispatch names, if there is one.
+	 * Records what the answer to a dispatch states when its head is read. A dispatch that
+	 * was ended here states nothing.
+	 * @param perSecond the requests a second that the runner takes; empty for no limit
 	 */
-	void answered(Dispatch dispatch, long nowNanos) {
-		dispatch.job.namedLimit(dispatch.number).ifPresent((perSecond) -> {
-			if (dispatch.runner.rateLimit.answered(perSecond, nowNanos)) {
-				Duration requestAge = Duration.ofNanos(nowNanos - dispatch.sentNanos);
-				changed(dispatch.runner,
-						new RateLimitSource.Answer(dispatch.job.attemptId(), dispatch.number, requestAge), nowNanos);
+	public void stated(Job job, int dispatch, OptionalDouble perSecond, long nowNanos) {
+		job.openDispatch(dispatch).ifPresent((open) -> {
+			RateStatement statement = RateStatement.answered(perSecond, open.sentNanos, nowNanos);
+			if (open.runner.rateLimit.answered(statement)) {
+				Duration requestAge = Duration.ofNanos(nowNanos - open.sentNanos);
+				changed(open.runner, new RateLimitSource.Answer(job.attemptId(), dispatch, requestAge), nowNanos);
 			}
 		});
 	}
--- a/policy/src/main/java/org/wisteriapost/policy/ratelimit/RateLimitReport.java
+++ b/policy/src/main/java/org/wisteriapost/policy/ratelimit/RateLimitReport.java
@@ -1,7 +1,6 @@
 package org.wisteriapost.policy.ratelimit;
 
 import java.util.List;
-import java.util.OptionalDouble;
 
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 
@@ -23,10 +22,9 @@
 	 *
 	 * @param runnerId its id
 	 * @param incarnation its incarnation
-	 * @param perSecond the requests a second that it takes; empty for no limit
-	 * @param toldNanos when the runner told so
+	 * @param statement what it has stated
 	 */
-	public record Limit(String runnerId, RunnerIncarnation incarnation, OptionalDouble perSecond, long toldNanos) {
+	public record Limit(String runnerId, RunnerIncarnation incarnation, RateStatement statement) {
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/ratelimit/RunnerRateLimit.java
+++ b/policy/src/main/java/org/wisteriapost/policy/ratelimit/RunnerRateLimit.java
@@ -8,7 +8,8 @@
 
 /**
  * The limit that one incarnation of a runner names for its rate, and the permits for this
- * entry's share of it. It holds until an answer does not name it any more.
+ * entry's share of it. It holds until an answer to a later request does not name it any
+ * more.
  */
 public final class RunnerRateLimit {
 
@@ -21,48 +22,59 @@
 	/** How long an entry reports what a runner has told it. */
 	static final Duration REPORT_TTL = Duration.ofSeconds(10);
 
-	private OptionalDouble perSecond = OptionalDouble.empty();
+	// A report of another entry may wait on a slow link. What it states is dated by its
+	// arrival.
+	private static final Duration MAX_REPORT_DELAY = Duration.ofSeconds(1);
 
-	private Optional<RatePermits> permits = Optional.empty();
+	private RateStatement known = RateStatement.NONE;
 
-	private long toldNanos = Long.MIN_VALUE / 2;
+	private Optional<RatePermits> permits = Optional.empty();
 
 	private boolean toldByRunner;
 
 	private boolean everLimited;
 
 	/**
-	 * Records what an answer of the runner names, and returns whether that is new.
+	 * Records what an answer of the runner states, and returns whether that changes what
+	 * is known.
 	 */
-	public boolean answered(OptionalDouble named, long nowNanos) {
-		this.toldByRunner = true;
-		return set(named, nowNanos);
+	public boolean answered(RateStatement statement) {
+		return apply(statement, true);
 	}
 
 	/**
-	 * Records what the runner has told another entry, and returns whether that is new.
+	 * Records what the runner has told another entry, and returns whether that changes
+	 * what is known.
 	 */
-	public boolean reported(OptionalDouble named, long atNanos) {
-		if (atNanos <= this.toldNanos) {
-			return false;
-		}
-		this.toldByRunner = false;
-		return set(named, atNanos);
+	public boolean reported(RateStatement statement) {
+		return apply(statement.maybeEarlierBy(MAX_REPORT_DELAY), false);
 	}
 
-	private boolean set(OptionalDouble named, long atNanos) {
-		boolean changed = !named.equals(this.perSecond);
-		this.toldNanos = atNanos;
-		this.perSecond = named;
-		this.everLimited |= named.isPresent();
-		if (named.isEmpty()) {
+	// Where the order of two statements is not known the stricter one holds: the next
+	// answer tells that the limit has ended, while requests that were sent can't be
+	// taken back.
+	private boolean apply(RateStatement statement, boolean byRunner) {
+		if (statement.perSecond().equals(this.known.perSecond())) {
+			this.toldByRunner = (statement.latestNanos() - this.known.latestNanos() > 0) ? byRunner : this.toldByRunner;
+			this.known = this.known.repeatedBy(statement);
+			return false;
+		}
+		boolean holds = statement.stricterThan(this.known) ? !this.known.certainlyAfter(statement)
+				: statement.certainlyAfter(this.known);
+		if (!holds) {
+			return false;
+		}
+		this.known = statement;
+		this.toldByRunner = byRunner;
+		this.everLimited |= statement.perSecond().isPresent();
+		if (statement.perSecond().isEmpty()) {
 			this.permits = Optional.empty();
 		}
-		return changed;
+		return true;
 	}
 
 	public OptionalDouble perSecond() {
-		return this.perSecond;
+		return this.known.perSecond();
 	}
 
 	/**
@@ -70,10 +82,10 @@
 	 * @param share the share of the limit that this entry may use
 	 */
 	public boolean permits(double share, UniformRandomProvider random, long nowNanos) {
-		if (this.perSecond.isEmpty()) {
+		if (perSecond().isEmpty()) {
 			return true;
 		}
-		double rate = Math.max(MIN_SHARE_PER_SECOND, Math.max(MIN_PER_SECOND, this.perSecond.getAsDouble()) * share);
+		double rate = Math.max(MIN_SHARE_PER_SECOND, Math.max(MIN_PER_SECOND, perSecond().getAsDouble()) * share);
 		if (this.permits.isEmpty()) {
 			this.permits = Optional.of(new RatePermits(rate, random.nextDouble(), nowNanos));
 		}
@@ -89,12 +101,12 @@
 	}
 
 	/**
-	 * Returns when the runner told this entry its limit, or that it has none any more, if
-	 * that was lately.
+	 * Returns what the runner has told this entry of its limit, or that it has none any
+	 * more, if that was lately.
 	 */
-	public Optional<Long> lastTold(long nowNanos) {
-		boolean lately = nowNanos - this.toldNanos < REPORT_TTL.toNanos();
-		return (this.everLimited && this.toldByRunner && lately) ? Optional.of(this.toldNanos) : Optional.empty();
+	public Optional<RateStatement> lastTold(long nowNanos) {
+		boolean lately = nowNanos - this.known.latestNanos() < REPORT_TTL.toNanos();
+		return (this.everLimited && this.toldByRunner && lately) ? Optional.of(this.known) : Optional.empty();
 	}
 
 }
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/ColdFleet.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/ColdFleet.java
@@ -289,8 +289,8 @@
 						.add(arrival)));
 			ColdFleet.this.tasks.add(new Task(arrival + 20 * MILLI, () -> {
 				if (job.dispatchNumber() == dispatch && !job.finished) {
-					ColdFleet.this.namedLimit
-						.ifPresent((limit) -> job.recordNamedLimit(dispatch, OptionalDouble.of(limit)));
+					ColdFleet.this.namedLimit.ifPresent((limit) -> this.dispatcher.rateLimits()
+						.stated(job, dispatch, OptionalDouble.of(limit), ColdFleet.this.now));
 					this.dispatcher.dispatchEnded(job, dispatch,
 							turnedAway ? DispatchOutcome.FULL : DispatchOutcome.DONE, ColdFleet.this.now);
 					applyEffects();
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLimit.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLimit.java
@@ -160,6 +160,21 @@
     return ageMillis_;
   }
 
+  public static final int REQUEST_AGE_MILLIS_PLUS_ONE_FIELD_NUMBER = 6;
+  private int requestAgeMillisPlusOne_ = 0;
+  /**
+   * <pre>
+   * since the request was sent that it answered, plus 1; 0 from an older version
+   * </pre>
+   *
+   * <code>uint32 request_age_millis_plus_one = 6;</code>
+   * @return The requestAgeMillisPlusOne.
+   */
+  @java.lang.Override
+  public int getRequestAgeMillisPlusOne() {
+    return requestAgeMillisPlusOne_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -189,6 +204,9 @@
     if (ageMillis_ != 0) {
       output.writeUInt32(5, ageMillis_);
     }
+    if (requestAgeMillisPlusOne_ != 0) {
+      output.writeUInt32(6, requestAgeMillisPlusOne_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -212,6 +230,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, ageMillis_);
     }
+    if (requestAgeMillisPlusOne_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, requestAgeMillisPlusOne_);
+    }
     return size;
   }
   @java.lang.Override
@@ -247,6 +269,8 @@
             other.getPerSecond())) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (getRequestAgeMillisPlusOne()
+        != other.getRequestAgeMillisPlusOne()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -271,6 +295,8 @@
         java.lang.Double.doubleToLongBits(getPerSecond()));
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMillis();
+    hash = (37 * hash) + REQUEST_AGE_MILLIS_PLUS_ONE_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestAgeMillisPlusOne();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -411,6 +437,7 @@
       limited_ = false;
       perSecond_ = 0D;
       ageMillis_ = 0;
+      requestAgeMillisPlusOne_ = 0;
       return this;
     }
 
@@ -459,6 +486,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.requestAgeMillisPlusOne_ = requestAgeMillisPlusOne_;
+      }
     }
 
     @java.lang.Override
@@ -490,6 +520,9 @@
       if (other.getAgeMillis() != 0) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (other.getRequestAgeMillisPlusOne() != 0) {
+        setRequestAgeMillisPlusOne(other.getRequestAgeMillisPlusOne());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -539,6 +572,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              requestAgeMillisPlusOne_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -824,6 +862,50 @@
       return this;
     }
 
+    private int requestAgeMillisPlusOne_ ;
+    /**
+     * <pre>
+     * since the request was sent that it answered, plus 1; 0 from an older version
+     * </pre>
+     *
+     * <code>uint32 request_age_millis_plus_one = 6;</code>
+     * @return The requestAgeMillisPlusOne.
+     */
+    @java.lang.Override
+    public int getRequestAgeMillisPlusOne() {
+      return requestAgeMillisPlusOne_;
+    }
+    /**
+     * <pre>
+     * since the request was sent that it answered, plus 1; 0 from an older version
+     * </pre>
+     *
+     * <code>uint32 request_age_millis_plus_one = 6;</code>
+     * @param value The requestAgeMillisPlusOne to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestAgeMillisPlusOne(int value) {
+
+      requestAgeMillisPlusOne_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * since the request was sent that it answered, plus 1; 0 from an older version
+     * </pre>
+     *
+     * <code>uint32 request_age_millis_plus_one = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestAgeMillisPlusOne() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      requestAgeMillisPlusOne_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wisteriapost.RunnerLimit)
   }
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLimitOrBuilder.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/RunnerLimitOrBuilder.java
@@ -69,4 +69,14 @@
    * @return The ageMillis.
    */
   int getAgeMillis();
+
+  /**
+   * <pre>
+   * since the request was sent that it answered, plus 1; 0 from an older version
+   * </pre>
+   *
+   * <code>uint32 request_age_millis_plus_one = 6;</code>
+   * @return The requestAgeMillisPlusOne.
+   */
+  int getRequestAgeMillisPlusOne();
 }
--- a/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/wire/Wire.java
@@ -323,65 +323,66 @@
       "2\n\tcontended\030\005 \003(\0132\037.wisteriapost.Servic" +
       "eContention\"O\n\021ServiceContention\022\017\n\007serv" +
       "ice\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\022\025\n\rrank_pl" +
-      "us_one\030\003 \001(\r\"n\n\013RunnerLimit\022\016\n\006runner\030\001 " +
-      "\001(\t\022\026\n\016started_millis\030\002 \001(\003\022\017\n\007limited\030\003" +
-      " \001(\010\022\022\n\nper_second\030\004 \001(\001\022\022\n\nage_millis\030\005" +
-      " \001(\r\"4\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\022" +
-      "\n\nper_second\030\002 \001(\001\"L\n\016RefusedRequest\022\017\n\007" +
-      "request\030\001 \001(\006\022\024\n\014asked_millis\030\002 \001(\r\022\023\n\013l" +
-      "eft_millis\030\003 \001(\r\"m\n\nRunnerLoad\022\016\n\006runner" +
-      "\030\001 \001(\t\022\016\n\006active\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022" +
-      "\026\n\016waiting_prompt\030\004 \001(\r\022\026\n\016started_milli" +
-      "s\030\005 \001(\003\"\272\001\n\013EngineState\022\017\n\007address\030\001 \001(\t" +
-      "\022\025\n\rholds_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r" +
-      "\022\021\n\tswitching\030\004 \001(\010\022\030\n\020closes_in_millis\030" +
-      "\005 \001(\r\022\026\n\016started_millis\030\006 \001(\003\022\024\n\014pace_pe" +
-      "rcent\030\024 \001(\r\022\027\n\017pace_age_millis\030\025 \001(\r\">\n\014" +
-      "WeightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002" +
-      " \001(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r\n\005s" +
-      "tamp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n\013Ne" +
-      "wsRequest\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003(\013" +
-      "2\027.wisteriapost.KnownKind\022\022\n\005stamp\030\003 \001(\003" +
-      "H\000\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010\022\026\n\016reads_defla" +
-      "ted\030\005 \001(\010B\010\n\006_stamp\"m\n\tKnownKind\022%\n\004kind" +
-      "\030\001 \001(\0162\027.wisteriapost.StoreKind\022*\n\007objec" +
-      "ts\030\002 \003(\0132\031.wisteriapost.KnownObject\022\r\n\005e" +
-      "poch\030\003 \001(\004\"-\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022" +
-      "\020\n\010revision\030\002 \001(\004\"\236\002\n\004News\022\017\n\007current\030\001 " +
-      "\001(\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.StoreKi" +
-      "nd\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wiste" +
-      "riapost.StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010seque" +
-      "nce\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005st" +
-      "amp\030\010 \001(\003H\001\210\001\001\022\r\n\005epoch\030\n \001(\004\022\035\n\020heard_a" +
-      "go_millis\030\t \001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_" +
-      "stampB\023\n\021_heard_ago_millis\"p\n\013StoreObjec" +
-      "t\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007del" +
-      "eted\030\003 \001(\010\022\017\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001" +
-      "(\010\022\020\n\010deflated\030\006 \001(\014\"5\n\006Roster\022+\n\007member" +
-      "s\030\001 \003(\0132\032.wisteriapost.RosterMember\")\n\014R" +
-      "osterMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p" +
-      "\n\nPlaceState\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003" +
-      "(\0132\030.wisteriapost.RunnerLoad\022*\n\007engines\030" +
-      "\003 \003(\0132\031.wisteriapost.EngineState\"l\n\rSusp" +
-      "ectReport\022.\n\010suspects\030\001 \003(\0132\034.wisteriapo" +
-      "st.SuspectRequest\022+\n\005parts\030\002 \003(\0132\034.wiste" +
-      "riapost.SuspectRequest\"\201\001\n\016SuspectReques" +
-      "t\022\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002 \003(\0132" +
-      "\030.wisteriapost.RunnerLoss\022\021\n\tcompleted\030\003" +
-      " \001(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"0\n\nRu" +
-      "nnerLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_millis\030\002" +
-      " \001(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005EN" +
-      "TRY\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000" +
-      "\022\n\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUT" +
-      "COME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002" +
-      "\022\013\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_ST" +
-      "ATUS_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUN" +
-      "K_MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStoreKin" +
-      "d\022\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_R" +
-      "OUTES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIG" +
-      "HTS\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STORE_EVACUA" +
-      "TIONS\020\005B$\n\036org.wisteriapost.protocol.wir" +
-      "eH\001P\001b\006proto3"
+      "us_one\030\003 \001(\r\"\223\001\n\013RunnerLimit\022\016\n\006runner\030\001" +
+      " \001(\t\022\026\n\016started_millis\030\002 \001(\003\022\017\n\007limited\030" +
+      "\003 \001(\010\022\022\n\nper_second\030\004 \001(\001\022\022\n\nage_millis\030" +
+      "\005 \001(\r\022#\n\033request_age_millis_plus_one\030\006 \001" +
+      "(\r\"4\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\022\n\n" +
+      "per_second\030\002 \001(\001\"L\n\016RefusedRequest\022\017\n\007re" +
+      "quest\030\001 \001(\006\022\024\n\014asked_millis\030\002 \001(\r\022\023\n\013lef" +
+      "t_millis\030\003 \001(\r\"m\n\nRunnerLoad\022\016\n\006runner\030\001" +
+      " \001(\t\022\016\n\006active\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\026\n" +
+      "\016waiting_prompt\030\004 \001(\r\022\026\n\016started_millis\030" +
+      "\005 \001(\003\"\272\001\n\013EngineState\022\017\n\007address\030\001 \001(\t\022\025" +
+      "\n\rholds_weights\030\002 \001(\010\022\017\n\007version\030\003 \001(\r\022\021" +
+      "\n\tswitching\030\004 \001(\010\022\030\n\020closes_in_millis\030\005 " +
+      "\001(\r\022\026\n\016started_millis\030\006 \001(\003\022\024\n\014pace_perc" +
+      "ent\030\024 \001(\r\022\027\n\017pace_age_millis\030\025 \001(\r\">\n\014We" +
+      "ightsNamed\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001" +
+      "(\r\022\016\n\006origin\030\003 \001(\t\"\034\n\013EchoRequest\022\r\n\005sta" +
+      "mp\030\001 \001(\003\"\025\n\004Echo\022\r\n\005stamp\030\001 \001(\003\"\217\001\n\013News" +
+      "Request\022\016\n\006wanted\030\001 \001(\010\022&\n\005known\030\002 \003(\0132\027" +
+      ".wisteriapost.KnownKind\022\022\n\005stamp\030\003 \001(\003H\000" +
+      "\210\001\001\022\022\n\nkeep_alive\030\004 \001(\010\022\026\n\016reads_deflate" +
+      "d\030\005 \001(\010B\010\n\006_stamp\"m\n\tKnownKind\022%\n\004kind\030\001" +
+      " \001(\0162\027.wisteriapost.StoreKind\022*\n\007objects" +
+      "\030\002 \003(\0132\031.wisteriapost.KnownObject\022\r\n\005epo" +
+      "ch\030\003 \001(\004\"-\n\013KnownObject\022\014\n\004name\030\001 \001(\t\022\020\n" +
+      "\010revision\030\002 \001(\004\"\236\002\n\004News\022\017\n\007current\030\001 \001(" +
+      "\010\022%\n\004kind\030\002 \001(\0162\027.wisteriapost.StoreKind" +
+      "\022\013\n\003all\030\003 \001(\010\022*\n\007objects\030\004 \003(\0132\031.wisteri" +
+      "apost.StoreObject\022\n\n\002at\030\005 \001(\004\022\020\n\010sequenc" +
+      "e\030\006 \001(\004\022\027\n\nage_millis\030\007 \001(\004H\000\210\001\001\022\022\n\005stam" +
+      "p\030\010 \001(\003H\001\210\001\001\022\r\n\005epoch\030\n \001(\004\022\035\n\020heard_ago" +
+      "_millis\030\t \001(\004H\002\210\001\001B\r\n\013_age_millisB\010\n\006_st" +
+      "ampB\023\n\021_heard_ago_millis\"p\n\013StoreObject\022" +
+      "\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007delet" +
+      "ed\030\003 \001(\010\022\017\n\007content\030\004 \001(\014\022\r\n\005known\030\005 \001(\010" +
+      "\022\020\n\010deflated\030\006 \001(\014\"5\n\006Roster\022+\n\007members\030" +
+      "\001 \003(\0132\032.wisteriapost.RosterMember\")\n\014Ros" +
+      "terMember\022\n\n\002vm\030\001 \001(\t\022\r\n\005place\030\002 \001(\t\"p\n\n" +
+      "PlaceState\022\r\n\005place\030\001 \001(\t\022\'\n\005loads\030\002 \003(\013" +
+      "2\030.wisteriapost.RunnerLoad\022*\n\007engines\030\003 " +
+      "\003(\0132\031.wisteriapost.EngineState\"l\n\rSuspec" +
+      "tReport\022.\n\010suspects\030\001 \003(\0132\034.wisteriapost" +
+      ".SuspectRequest\022+\n\005parts\030\002 \003(\0132\034.wisteri" +
+      "apost.SuspectRequest\"\201\001\n\016SuspectRequest\022" +
+      "\024\n\014content_hash\030\001 \001(\006\022(\n\006losses\030\002 \003(\0132\030." +
+      "wisteriapost.RunnerLoss\022\021\n\tcompleted\030\003 \001" +
+      "(\010\022\034\n\024completed_age_millis\030\004 \001(\r\"0\n\nRunn" +
+      "erLoss\022\016\n\006runner\030\001 \001(\006\022\022\n\nage_millis\030\002 \001" +
+      "(\r*2\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t\n\005ENTR" +
+      "Y\020\001\022\t\n\005AGENT\020\002*,\n\010Priority\022\n\n\006NORMAL\020\000\022\n" +
+      "\n\006URGENT\020\001\022\010\n\004BULK\020\002*E\n\007Outcome\022\027\n\023OUTCO" +
+      "ME_UNSPECIFIED\020\000\022\007\n\003RAN\020\001\022\013\n\007NOT_RUN\020\002\022\013" +
+      "\n\007UNKNOWN\020\003*\\\n\013ChunkStatus\022\034\n\030CHUNK_STAT" +
+      "US_UNSPECIFIED\020\000\022\014\n\010CHUNK_OK\020\001\022\021\n\rCHUNK_" +
+      "MISSING\020\002\022\016\n\nCHUNK_BUSY\020\003*\211\001\n\tStoreKind\022" +
+      "\032\n\026STORE_KIND_UNSPECIFIED\020\000\022\020\n\014STORE_ROU" +
+      "TES\020\001\022\021\n\rSTORE_RUNNERS\020\002\022\021\n\rSTORE_WEIGHT" +
+      "S\020\003\022\021\n\rSTORE_ENTRIES\020\004\022\025\n\021STORE_EVACUATI" +
+      "ONS\020\005B$\n\036org.wisteriapost.protocol.wireH" +
+      "\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -524,7 +525,7 @@
     internal_static_wisteriapost_RunnerLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wisteriapost_RunnerLimit_descriptor,
-        new java.lang.String[] { "Runner", "StartedMillis", "Limited", "PerSecond", "AgeMillis", });
+        new java.lang.String[] { "Runner", "StartedMillis", "Limited", "PerSecond", "AgeMillis", "RequestAgeMillisPlusOne", });
     internal_static_wisteriapost_ServiceDemand_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_wisteriapost_ServiceDemand_fieldAccessorTable = new
