Fix: a failure or a limit that can't be read does not lift a runner's limit

What callers saw: nothing; a runner could get more than it had asked for.

Cause: any answer without a readable limit, rejections apart, said that the limit had ended. An error can come from something before the runner that knows nothing of its limit, and "fast" or -1 is no statement that there is none.

Change: only a success without a limit says that there is none.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/ResponseForwarder.java
@@ -30,6 +30,8 @@
 
 	private static final int SUCCESS = 200;
 
+	private static final int CLIENT_ERROR = 400;
+
 	private static final int SERVER_ERROR = 500;
 
 	private static final int MAX_BUFFERED_BYTES = 16 << 20;
@@ -120,7 +122,7 @@
 		}
 		this.status = code;
 		if (!reply.otherIncarnation()) {
-			reportStatements(reply);
+			reportStatements(code, reply);
 		}
 		if (reply.otherIncarnation() || reply.notRun()) {
 			end(reply.otherIncarnation() ? DispatchOutcome.MISDIRECTED : DispatchOutcome.FULL, "status " + code);
@@ -137,15 +139,16 @@
 	}
 
 	// Before the outcome, so that the request is not retried there.
-	private void reportStatements(RunnerResponseFields reply) {
+	private void reportStatements(int code, RunnerResponseFields reply) {
 		if (reply.leaving()) {
 			this.events.accept(new DirectEvent.RunnerLeaving(this.runner));
 		}
 		reply.coldStart()
 			.ifPresent((remaining) -> this.events.accept(new DirectEvent.RunnerCold(this.runner, remaining)));
 		reply.rest().ifPresent((rest) -> this.events.accept(new DirectEvent.RunnerResting(this.runner, rest)));
-		// A rejection without a limit does not say that the limit has ended.
-		if (reply.requestsPerSecond().isPresent() || !reply.notRun()) {
+		// A rejection or failure without a limit does not say that the limit has ended:
+		// something before the runner may have answered.
+		if (reply.requestsPerSecond().isPresent() || (code < CLIENT_ERROR && !reply.rateUnreadable())) {
 			this.events.accept(new DirectEvent.RunnerRateStated(this.call, this.dispatch, reply.requestsPerSecond()));
 		}
 	}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/DirectHttpServerTests.java
@@ -258,7 +258,7 @@
 		@Override
 		public RunnerResponseFields parseResponse(int status, Map<String, String> headers) {
 			return new RunnerResponseFields(Optional.empty(), false, false, false, Optional.empty(), Optional.empty(),
-					OptionalInt.empty(), OptionalDouble.empty());
+					OptionalInt.empty(), OptionalDouble.empty(), false);
 		}
 
 		@Override
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetProtocol.java
@@ -16,8 +16,8 @@
 
 /**
  * The headers of responses of {@link FleetRunner}s: {@code attempt}, {@code limit},
- * {@code leaving}, and {@code rest} and {@code cold}, in milliseconds. Requests carry
- * {@code attempt} and {@code last-event-id}.
+ * {@code unreadable-limit}, {@code leaving}, and {@code rest} and {@code cold}, in
+ * milliseconds. Requests carry {@code attempt} and {@code last-event-id}.
  */
 final class FleetProtocol implements CallProtocol {
 
@@ -32,7 +32,8 @@
 				Optional.ofNullable(headers.get("rest")).map((millis) -> Duration.ofMillis(Long.parseLong(millis))),
 				Optional.ofNullable(headers.get("cold")).map((millis) -> Duration.ofMillis(Long.parseLong(millis))),
 				OptionalInt.empty(), headers.containsKey("limit")
-						? OptionalDouble.of(Double.parseDouble(headers.get("limit"))) : OptionalDouble.empty());
+						? OptionalDouble.of(Double.parseDouble(headers.get("limit"))) : OptionalDouble.empty(),
+				headers.containsKey("unreadable-limit"));
 	}
 
 	@Override
--- a/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/site/RunnerResponseFields.java
@@ -18,8 +18,9 @@
  * @param weightsVersion the version that served the request
  * @param requestsPerSecond the rate that the runner takes from all entries together, when
  * it limits that
+ * @param rateUnreadable whether it names a limit that is no number
  */
 public record RunnerResponseFields(Optional<String> attemptId, boolean notRun, boolean otherIncarnation,
 		boolean leaving, Optional<Duration> rest, Optional<Duration> coldStart, OptionalInt weightsVersion,
-		OptionalDouble requestsPerSecond) {
+		OptionalDouble requestsPerSecond, boolean rateUnreadable) {
 }
