Fix: shares of a limit add up to one where failure domains have few entries

Beyond 16 entries an entry divided the quarter that remote entries share by the number of entries outside its own failure domain, not outside the runner's. In domains without entries three quarters of a limit were not used.

Change: EntryGroup has the entries of each failure domain, and the remote share counts those outside the runner's.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/EntryRegistry.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/EntryRegistry.java
@@ -272,9 +272,9 @@
 	}
 
 	private EntryGroup computeGroup() {
-		List<EntryInfo> peers = registeredPeers();
-		long local = peers.stream().filter((info) -> info.failureDomain().equals(this.self.failureDomain())).count();
-		return new EntryGroup(peers.size() + 1, (int) local + 1, scopedByFailureDomain());
+		Map<String, Integer> sizes = Stream.concat(Stream.of(this.self), registeredPeers().stream())
+			.collect(Collectors.toMap(EntryInfo::failureDomain, (info) -> 1, Integer::sum));
+		return new EntryGroup(this.self.failureDomain(), sizes, scopedByFailureDomain());
 	}
 
 	/**
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/RateLimits.java
@@ -29,8 +29,6 @@
 
 	private final RunnerRegistry registry;
 
-	private final String failureDomain;
-
 	private final UniformRandomProvider random;
 
 	private final DemandShares shares = new DemandShares();
@@ -44,7 +42,6 @@
 
 	RateLimits(RunnerRegistry registry, DispatchLimits limits, EngineSpecs specs, UniformRandomProvider random) {
 		this.registry = registry;
-		this.failureDomain = limits.failureDomain();
 		this.coldRunners = new ColdRunners(registry, specs, limits.coldStartBound());
 		this.random = random;
 	}
@@ -166,8 +163,7 @@
 	}
 
 	private double share(RunnerState runner, long nowNanos) {
-		return this.shares.share(runner.info.service(), runner.info.failureDomain().equals(this.failureDomain),
-				nowNanos);
+		return this.shares.share(runner.info.service(), runner.info.failureDomain(), nowNanos);
 	}
 
 	private void changed(RunnerState runner, RateLimitSource source, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/ratelimit/DemandShares.java
+++ b/policy/src/main/java/org/wisteriapost/policy/ratelimit/DemandShares.java
@@ -68,11 +68,11 @@
 
 	/**
 	 * Returns the share of a limit, from 0 to 1.
-	 * @param home whether the runner is in the failure domain of this entry
+	 * @param failureDomain the failure domain of the runner
 	 */
-	public double share(String service, boolean home, long nowNanos) {
-		if (this.group.scoped() && !home) {
-			return (1 - HOME_SHARE) / Math.max(1, this.group.total() - this.group.inFailureDomain());
+	public double share(String service, String failureDomain, long nowNanos) {
+		if (this.group.scoped() && !failureDomain.equals(this.group.failureDomain())) {
+			return remoteShare(failureDomain);
 		}
 		CachedShare cached = this.cachedShares.get(service);
 		if (cached == null || nowNanos - cached.computedNanos >= CACHE_NANOS) {
@@ -80,7 +80,13 @@
 			this.cachedShares.put(service, cached);
 		}
 		double share = cached.share;
-		return this.group.scoped() ? HOME_SHARE * share : share;
+		boolean shared = this.group.scoped() && this.group.in(failureDomain) < this.group.total();
+		return shared ? HOME_SHARE * share : share;
+	}
+
+	private double remoteShare(String failureDomain) {
+		int home = this.group.in(failureDomain);
+		return (home > 0) ? (1 - HOME_SHARE) / (this.group.total() - home) : 1.0 / this.group.total();
 	}
 
 	private double shareAmongReporting(String service, long nowNanos) {
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/ColdFleet.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/ColdFleet.java
@@ -246,7 +246,7 @@
 		private void update() {
 			Registrations view = this.frozenView.orElseGet(this::view);
 			int total = view.domains.size() + 1;
-			this.dispatcher.rateLimits().updateGroup(new EntryGroup(total, total, false));
+			this.dispatcher.rateLimits().updateGroup(EntryGroup.unscoped(total));
 			this.dispatcher.rateLimits()
 				.coldRunners()
 				.updateEntries(new RegisteredEntries(this.name, view.domains),
--- a/policy/src/test/java/org/wisteriapost/policy/ratelimit/DemandSharesTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/ratelimit/DemandSharesTests.java
@@ -1,6 +1,7 @@
 package org.wisteriapost.policy.ratelimit;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.stream.IntStream;
 
 import org.hamcrest.Matchers;
@@ -28,28 +29,34 @@
 			"4, 0, 0, 0, 0, 0.25", "4, 0, 10, 0, 3, 0.0" })
 	void shareFollowsReportedDemand(int entries, int arrivals, double first, double others, int reports,
 			double expected) {
-		this.shares.updateGroup(new EntryGroup(entries, entries, false));
+		this.shares.updateGroup(EntryGroup.unscoped(entries));
 		arrivals(arrivals);
 		IntStream.range(0, reports)
 			.forEach((i) -> this.shares.update("peer-" + i, "api", (i == 0) ? first : others, 0));
-		assertThat(this.shares.share("api", true, 0), Matchers.closeTo(expected, 1e-9));
+		assertThat(this.shares.share("api", "hall-a", 0), Matchers.closeTo(expected, 1e-9));
 	}
 
-	// Guards against entries of other failure domains that are not heard of.
-	@Test
-	void sharesOfAllFailureDomainsAddUpToOne() {
-		this.shares.updateGroup(new EntryGroup(48, 16, true));
-		assertThat(16 * this.shares.share("api", true, 0) + 32 * this.shares.share("api", false, 0),
-				Matchers.closeTo(1, 1e-9));
+	// Guards against entries of other failure domains that are not heard of, and against
+	// a
+	// limit that is exceeded, or wasted, where failure domains have few entries or none.
+	@ParameterizedTest
+	@CsvSource({ "16, 16, 16", "14, 2, 2", "2, 14, 2", "1, 30, 18", "0, 18, 6", "20, 0, 0" })
+	void sharesOfAllFailureDomainsAddUpToOne(int home, int second, int third) {
+		Map<String, Integer> sizes = Map.of("hall-a", home, "hall-b", second, "hall-c", third);
+		double sum = sizes.entrySet().stream().mapToDouble((domain) -> {
+			this.shares.updateGroup(new EntryGroup(domain.getKey(), sizes, true));
+			return (domain.getValue() > 0) ? domain.getValue() * this.shares.share("api", "hall-a", 0) : 0;
+		}).sum();
+		assertThat(sum, Matchers.closeTo(1, 1e-9));
 	}
 
 	@Test
 	void silentEntryCountsWithTheMeanDemand() {
-		this.shares.updateGroup(new EntryGroup(2, 2, false));
+		this.shares.updateGroup(EntryGroup.unscoped(2));
 		arrivals(20);
 		this.shares.update("peer", "api", 30, 0);
-		assertThat(this.shares.share("api", true, 0), Matchers.closeTo(0.25, 1e-9));
-		assertThat(this.shares.share("api", true, 3 * SECOND), Matchers.closeTo(0.5, 1e-9));
+		assertThat(this.shares.share("api", "hall-a", 0), Matchers.closeTo(0.25, 1e-9));
+		assertThat(this.shares.share("api", "hall-a", 3 * SECOND), Matchers.closeTo(0.5, 1e-9));
 	}
 
 	// Guards against permits that are kept and used at once.
