--- a/app/src/test/java/org/wisteriapost/app/EntryProcesses.java
+++ b/app/src/test/java/org/wisteriapost/app/EntryProcesses.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 import org.wisteriapost.platform.emulator.EmulatedSite;
 import org.wisteriapost.protocol.site.SiteProvider;
@@ -23,6 +24,8 @@
 	// How long after a disturbance an entry is not held to limits.
 	private static final long CONTACT_NANOS = Duration.ofSeconds(3).toNanos();
 
+	private static final long MAX_SHUTDOWN_SECONDS = 15;
+
 	private final EmulatedSite site;
 
 	private final Path folder;
@@ -73,10 +76,6 @@
 		return this.folder.resolve("entry-" + number + ".log");
 	}
 
-	List<Integer> running() {
-		return List.copyOf(this.running.keySet());
-	}
-
 	/**
 	 * Kills an entry.
 	 */
@@ -86,11 +85,15 @@
 	}
 
 	/**
-	 * Terminates an entry, which ends when its requests have ended.
+	 * Terminates an entry and returns when it has ended, after its requests.
 	 */
-	void terminate(int number) {
+	void terminate(int number) throws InterruptedException {
 		disturbed(number);
-		this.running.remove(number).destroy();
+		Process process = this.running.remove(number);
+		process.destroy();
+		if (!process.waitFor(MAX_SHUTDOWN_SECONDS, TimeUnit.SECONDS)) {
+			process.destroyForcibly().waitFor();
+		}
 	}
 
 	/**
--- a/app/src/test/java/org/wisteriapost/app/RateLimitSoak.java
+++ b/app/src/test/java/org/wisteriapost/app/RateLimitSoak.java
@@ -83,6 +83,8 @@
 
 	private final List<EmulatedRunner> limited = new ArrayList<>();
 
+	private final List<AutoCloseable> agents = new ArrayList<>();
+
 	private final AtomicLong attempts = new AtomicLong();
 
 	private final AtomicLong served = new AtomicLong();
@@ -104,6 +106,14 @@
 		startCallers();
 	}
 
+	/**
+	 * Starts the entries, runners and callers of a seed.
+	 * @param classPath of the entries, of this build or another
+	 */
+	static RateLimitSoak start(long seed, Path folder, String classPath) throws Exception {
+		return new RateLimitSoak(seed, folder, classPath);
+	}
+
 	/**
 	 * Runs consecutive seeds and prints a line for each.
 	 * @param args first seed, number of seeds, seconds of each, the class path of the
@@ -114,7 +124,7 @@
 		long first = Long.parseLong(args[0]);
 		for (long seed = first; seed < first + Long.parseLong(args[1]); seed++) {
 			Path folder = Files.createTempDirectory("rate-limit-soak");
-			try (RateLimitSoak soak = new RateLimitSoak(seed, folder, args[3])) {
+			try (RateLimitSoak soak = start(seed, folder, args[3])) {
 				clean &= soak.run(Duration.ofSeconds(Long.parseLong(args[2])), args.length > 4).isEmpty();
 				System.out.println("seed " + seed + " " + soak.summary() + " logs " + folder);
 			}
@@ -129,8 +139,9 @@
 			EmulatedRunner engine = this.site.addEngine(1, EntryProcesses.failureDomain(i));
 			engine.answers().varyStreams(MIN_EVENTS, this.maxEvents, EVENT_INTERVAL_MILLIS);
 			engine.answers().pauseBefore(1, FIRST_EVENT_MILLIS);
-			SiteAgent.start(provider.settings(this.site.writeAgentSettings(folder, i, EntryProcesses.failureDomain(i))),
-					provider, discardedOutput);
+			this.agents.add(SiteAgent.start(
+					provider.settings(this.site.writeAgentSettings(folder, i, EntryProcesses.failureDomain(i))),
+					provider, discardedOutput));
 			if (i <= LIMITED_ENGINES) {
 				this.limited.add(engine);
 			}
@@ -178,7 +189,7 @@
 	/**
 	 * Plays limits, and faults if wanted, and returns the counts that exceed a limit.
 	 */
-	private List<RateLimitLedger.Count> run(Duration time, boolean faults) throws Exception {
+	List<RateLimitLedger.Count> run(Duration time, boolean faults) throws Exception {
 		TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
 		long until = System.nanoTime() + time.toNanos();
 		while (System.nanoTime() < until) {
@@ -214,7 +225,6 @@
 			}
 			case 1 -> {
 				this.entries.terminate(entry);
-				TimeUnit.SECONDS.sleep(1);
 				this.entries.start(entry);
 			}
 			case 2 -> {
@@ -239,7 +249,15 @@
 			.highestCounts((entry, nanos) -> this.entries.disturbed(Integer.parseInt(entry), nanos));
 	}
 
-	private String summary() {
+	long served() {
+		return this.served.get();
+	}
+
+	long unserved() {
+		return this.unserved.get();
+	}
+
+	String summary() {
 		Map<Double, Integer> highest = new TreeMap<>();
 		highestCounts().forEach((count) -> highest.merge(count.perSecond(), count.requests(), Math::max));
 		List<String> exceeded = this.limited.stream()
@@ -260,6 +278,9 @@
 	public void close() throws Exception {
 		this.timer.shutdownNow();
 		this.entries.close();
+		for (AutoCloseable agent : this.agents) {
+			agent.close();
+		}
 		this.caller.close();
 		this.site.close();
 		this.log.close();
