--- a/entry/src/test/java/org/wisteriapost/entry/direct/RateLimitFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RateLimitFleetTests.java
@@ -43,6 +43,29 @@
 		return fleets().filter((size) -> (int) size.get()[0] < 49 || (int) size.get()[2] == 1);
 	}
 
+	// The same while entries are killed, frozen and cut from each other, runners crash,
+	// and
+	// each limit falls, ends or comes again.
+	@ParameterizedTest
+	@MethodSource("smallFleets")
+	void changedLimitsAreKeptWhileLongStreamsEndDespiteOtherFaults(int entries, int runners, long seed) {
+		try (FleetHarness fleet = new FleetHarness(entries, runners, seed)) {
+			fleet.answerWithLongStreams();
+			FleetTraffic traffic = new FleetTraffic(fleet, runners * 8);
+			fleet.run(Duration.ofSeconds(6));
+			traffic.startFaults(700);
+			List<FleetRunner> limited = fleet.runners.values().stream().limit(LIMITS.length).toList();
+			for (int round = 0; round < 6; round++) {
+				long named = fleet.now();
+				limited.forEach((runner) -> runner.nameLimit(fleet.random.nextInt(4) > 0
+						? OptionalDouble.of(LIMITS[fleet.random.nextInt(LIMITS.length)]) : OptionalDouble.empty()));
+				fleet.run(Duration.ofMillis(fleet.random.nextLong(4000, 9000)));
+				assertLimitsAreKept(limited.stream().filter((runner) -> runner.rateLimit().isPresent()).toList(),
+						named);
+			}
+		}
+	}
+
 	static Stream<Arguments> smallFleets() {
 		return fleets().filter((size) -> (int) size.get()[0] < 49);
 	}
