Shares: the number of entries is summed when it changes, not at each reading

A share is read for each runner at each placement, and since each reading summed the entries of all failure domains where entries are scoped by them.

--- a/policy/src/main/java/org/wisteriapost/policy/ratelimit/DemandShares.java
+++ b/policy/src/main/java/org/wisteriapost/policy/ratelimit/DemandShares.java
@@ -36,11 +36,14 @@
 
 	private EntryGroup group = EntryGroup.SINGLE;
 
+	private int total = this.group.total();
+
 	/**
 	 * Updates the entries that share the limits.
 	 */
 	public void updateGroup(EntryGroup entries) {
 		this.group = entries;
+		this.total = entries.total();
 	}
 
 	/**
@@ -80,13 +83,13 @@
 			this.cachedShares.put(service, cached);
 		}
 		double share = cached.share;
-		boolean shared = this.group.scoped() && this.group.in(failureDomain) < this.group.total();
+		boolean shared = this.group.scoped() && this.group.in(failureDomain) < this.total;
 		return shared ? HOME_SHARE * share : share;
 	}
 
 	private double remoteShare(String failureDomain) {
 		int home = this.group.in(failureDomain);
-		return (home > 0) ? (1 - HOME_SHARE) / (this.group.total() - home) : 1.0 / this.group.total();
+		return (home > 0) ? (1 - HOME_SHARE) / (this.total - home) : 1.0 / this.total;
 	}
 
 	private double shareAmongReporting(String service, long nowNanos) {
