--- a/entry/src/test/java/org/wisteriapost/entry/direct/RateLimitFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/RateLimitFleetTests.java
@@ -57,8 +57,7 @@
 			List<FleetRunner> limited = fleet.runners.values().stream().limit(LIMITS.length).toList();
 			for (int round = 0; round < 6; round++) {
 				long named = fleet.now();
-				limited.forEach((runner) -> runner.nameLimit(fleet.random.nextInt(4) > 0
-						? OptionalDouble.of(LIMITS[fleet.random.nextInt(LIMITS.length)]) : OptionalDouble.empty()));
+				limited.forEach((runner) -> runner.nameLimit(limitOrNone(fleet)));
 				fleet.run(Duration.ofMillis(fleet.random.nextLong(4000, 9000)));
 				assertLimitsAreKept(limited.stream().filter((runner) -> runner.rateLimit().isPresent()).toList(),
 						named);
@@ -66,6 +65,11 @@
 		}
 	}
 
+	private static OptionalDouble limitOrNone(FleetHarness fleet) {
+		boolean limited = fleet.random.nextInt(4) > 0;
+		return limited ? OptionalDouble.of(LIMITS[fleet.random.nextInt(LIMITS.length)]) : OptionalDouble.empty();
+	}
+
 	static Stream<Arguments> smallFleets() {
 		return fleets().filter((size) -> (int) size.get()[0] < 49);
 	}
