--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -737,6 +737,9 @@
 
 		volatile String poison;
 
+		// The version of the weights from which on the request crashes the runner.
+		volatile int poisonFrom = 1;
+
 		// After its start the runner checks in this much later.
 		volatile int firstCheckInMs;
 
@@ -939,7 +942,7 @@
 					return null;
 				}
 			}
-			if (this.poison != null && new String(request.body, StandardCharsets.UTF_8).equals(this.poison)) {
+			if (this.poison != null && this.version >= this.poisonFrom && new String(request.body, StandardCharsets.UTF_8).equals(this.poison)) {
 				crash("by " + attempt);
 				return null;
 			}
@@ -1003,6 +1006,7 @@
 					case "parts" -> rig.crashingPart();
 					case "again" -> rig.startedAgain();
 					case "version" -> rig.oldVersion();
+					case "sudden" -> rig.crashesOnNewWeights();
 					case "forgotten" -> rig.forgotten();
 					default -> throw new IllegalArgumentException(args[0]);
 				};
@@ -1351,6 +1355,56 @@
 		return late > 3;
 	}
 
+	// BUDGET with a request that ran before the new weights.
+	boolean crashesOnNewWeights() throws Exception {
+		configure();
+		nameWeights(1);
+		for (int i = 1; i <= 6; i++) {
+			addRunner("lm-" + i, "lm", i, 1);
+		}
+		for (int i = 1; i <= 3; i++) {
+			startEntry(i);
+		}
+		for (Runner runner : this.runners) {
+			startAgent(runner);
+		}
+		awaitReady();
+		Thread.sleep(6000);
+		traffic(millis() + 80000, 100, () -> draft("draft"));
+		String poison = "prompt that crashes";
+		if (this.trouble) {
+			this.runners.forEach((runner) -> {
+				runner.poisonFrom = 2;
+				runner.poison = poison;
+			});
+		}
+		long end = millis() + 60000;
+		for (int n = 0; millis() < end; n++) {
+			int entry = 1 + n % this.entries;
+			Thread.ofVirtual().start(() -> poisonCall(entry, poison));
+			Thread.sleep(1000);
+			if (n == 5) {
+				nameWeights(2);
+				log("the store has accepted version 2");
+			}
+		}
+		List<Long> crashes = new ArrayList<>();
+		this.runners.forEach((runner) -> crashes.addAll(runner.crashes));
+		Collections.sort(crashes);
+		log("clients: " + new TreeMap<>(this.counts));
+		log("crashes at ms: " + crashes);
+		if (crashes.size() < 3) {
+			return false;
+		}
+		long from = crashes.get(2) + CONTACT_MS;
+		long late = this.runners.stream()
+			.flatMap((runner) -> runner.arrivals.stream())
+			.filter((one) -> one.ran && one.atMs > from && one.attempt.startsWith("bad"))
+			.count();
+		log("retries that reached runners later than " + CONTACT_MS + " ms after the third crash: " + late);
+		return late > 3;
+	}
+
 	void poisonCall(int entry, String poison) {
 		String attempt = "bad" + attempt();
 		Answer answer = call(entry, "POST", "/draft/p", attempt, "5c1e07a2:40,77aa77aa:300", poison.getBytes(), 6000);
