Review: a part beyond the 64th that crashes runners gets sound requests refused (case 5, LOST)

Only the first 64 parts of a prompt are suspected, so the shared ones before the bad one are quarantined.

--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -1006,6 +1006,7 @@
 					case "parts" -> rig.crashingPart();
 					case "again" -> rig.startedAgain();
 					case "version" -> rig.oldVersion();
+					case "many" -> rig.manyParts();
 					case "sudden" -> rig.crashesOnNewWeights();
 					case "forgotten" -> rig.forgotten();
 					default -> throw new IllegalArgumentException(args[0]);
@@ -1355,6 +1356,79 @@
 		return late > 3;
 	}
 
+	record Sound(long sentMs, String attempt) {
+	}
+
+	// LOST and BUDGET with a part that crashes runners, in prompts of many parts.
+	boolean manyParts() throws Exception {
+		configure();
+		nameWeights(1);
+		for (int i = 1; i <= 6; i++) {
+			addRunner("lm-" + i, "lm", i, 1);
+		}
+		for (int i = 1; i <= 3; i++) {
+			startEntry(i);
+		}
+		for (Runner runner : this.runners) {
+			startAgent(runner);
+		}
+		awaitReady();
+		Thread.sleep(6000);
+		List<Sound> sound = Collections.synchronizedList(new ArrayList<>());
+		// The parts that all requests share.
+		StringBuilder shared = new StringBuilder("5c1e07a2:40");
+		for (int i = 0; i < 68; i++) {
+			shared.append("," + attempt() + ":8");
+		}
+		long zero = millis();
+		long end = zero + 70000;
+		traffic(end, 100, () -> {
+			String attempt = attempt();
+			int entry = 1 + ThreadLocalRandom.current().nextInt(this.entries);
+			sound.add(new Sound(millis(), attempt));
+			Answer answer = call(entry, "POST", "/draft/x", attempt, shared + "," + attempt() + ":50",
+					("prompt " + attempt).getBytes(), 6000);
+			log("client sound " + attempt + " edge-" + entry + " status " + answer.status + " events " + answer.events
+					+ answer.failure);
+			count("sound " + answer.status);
+		});
+		Thread.sleep(10000);
+		if (this.trouble) {
+			this.runners.forEach((runner) -> runner.crashingParts.add("bad0bad0"));
+		}
+		long first = millis();
+		for (int n = 0; millis() < end - 2000; n++) {
+			int entry = 1 + n % this.entries;
+			Thread.ofVirtual().start(() -> {
+				String attempt = "bad" + attempt();
+				Answer answer = call(entry, "POST", "/draft/x", attempt, shared + ",bad0bad0:100," + attempt() + ":50", ("prompt " + attempt).getBytes(), 6000);
+				log("client bad-part " + attempt + " edge-" + entry + " status " + answer.status + " events " + answer.events + answer.failure);
+			});
+			Thread.sleep(1000);
+		}
+		Thread.sleep(3000);
+		List<Long> crashes = new ArrayList<>();
+		Set<String> begun = new java.util.HashSet<>();
+		this.runners.forEach((runner) -> {
+			crashes.addAll(runner.crashes);
+			runner.begun.forEach((one) -> begun.add(one.attempt));
+		});
+		Collections.sort(crashes);
+		log("clients: " + new TreeMap<>(this.counts));
+		log("crashes at ms: " + crashes);
+		long from = (crashes.size() >= 5) ? crashes.get(4) + 2 * CONTACT_MS : first + 12000;
+		List<Sound> before = sound.stream().filter((one) -> one.sentMs < first).toList();
+		List<Sound> after = sound.stream().filter((one) -> one.sentMs > from && one.sentMs < end - 2000).toList();
+		double shareBefore = (double) before.stream().filter((one) -> begun.contains(one.attempt)).count() / before.size();
+		double shareAfter = (double) after.stream().filter((one) -> begun.contains(one.attempt)).count() / after.size();
+		long late = this.runners.stream().flatMap((runner) -> runner.arrivals.stream()).filter((one) -> one.ran && one.parts.contains("bad0bad0")
+				&& crashes.size() >= 5 && one.atMs > crashes.get(4) + CONTACT_MS).count();
+		log("requests with the part that reached runners later than " + CONTACT_MS + " ms after the fifth crash: " + late);
+		log("sound requests that began: " + shareBefore + " of " + before.size() + " before, " + shareAfter + " of " + after.size()
+				+ " from 2 x contactMs after the fifth crash on");
+		return shareAfter < shareBefore / 2;
+	}
+
 	// BUDGET with a request that ran before the new weights.
 	boolean crashesOnNewWeights() throws Exception {
 		configure();
