--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../src-2/case.sh" again "$(dirname "$0")"
+exec "$(dirname "$0")/../src-2/case.sh" many "$(dirname "$0")"
--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -22,10 +22,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -55,13 +57,6 @@
 
 	static final int HISTORY_MS = 20_000;
 
-	static final int VERSION_MS = 8000;
-
-	// The longest ones of the site file: on = "core", and how = "giver".
-	static final int FREEZE_MS = 4000;
-
-	static final int GIVER_FREEZE_MS = 7900;
-
 	// Three check-in intervals.
 	static final int SILENCE_MS = 3600;
 
@@ -743,8 +738,6 @@
 		// After its start the runner checks in this much later.
 		volatile int firstCheckInMs;
 
-		volatile long frozenUntilMs;
-
 		volatile int backMs = 4000;
 
 		volatile int events = 12;
@@ -838,13 +831,7 @@
 			});
 		}
 
-		// Its machine stands still.
-		void thaw() throws InterruptedException {
-			Thread.sleep(Math.max(0, this.frozenUntilMs - millis()));
-		}
-
 		Message handle(Message request, Socket socket) throws Exception {
-			thaw();
 			String path = request.path();
 			if (path.equals("/v1/report")) {
 				return echo(request, Message.json(200,
@@ -935,7 +922,6 @@
 
 		private Message stream(Message request, String attempt, String parts, Socket socket) throws Exception {
 			Thread.sleep(60);
-			thaw();
 			for (String part : parts.split(",")) {
 				if (this.crashingParts.contains(part.split(":")[0])) {
 					crash("by " + attempt);
@@ -958,7 +944,6 @@
 				out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
 				out.flush();
 				Thread.sleep(50);
-				thaw();
 			}
 			out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
 			out.flush();
@@ -1003,12 +988,10 @@
 			try {
 				boolean broken = switch (args[0]) {
 					case "entry" -> rig.unreadableEntry();
-					case "parts" -> rig.crashingPart();
 					case "again" -> rig.startedAgain();
-					case "version" -> rig.oldVersion();
+					case "kept" -> rig.keptChannels();
 					case "many" -> rig.manyParts();
 					case "sudden" -> rig.crashesOnNewWeights();
-					case "forgotten" -> rig.forgotten();
 					default -> throw new IllegalArgumentException(args[0]);
 				};
 				rig.log(broken ? "RESULT the rule is broken" : "RESULT the rule held");
@@ -1084,68 +1067,6 @@
 		return late > 0;
 	}
 
-	// BUDGET with a part of prompts that crashes runners.
-	boolean crashingPart() throws Exception {
-		configure();
-		nameWeights(1);
-		int size = 6;
-		for (int i = 1; i <= size; i++) {
-			addRunner("lm-" + i, "lm", i, 1);
-		}
-		for (int i = 1; i <= 3; i++) {
-			startEntry(i);
-		}
-		for (Runner runner : this.runners) {
-			startAgent(runner);
-		}
-		awaitReady();
-		long zero = millis();
-		traffic(zero + 60000, 100, () -> {
-			String attempt = attempt();
-			int entry = 1 + ThreadLocalRandom.current().nextInt(this.entries);
-			Answer answer = call(entry, "POST", "/draft/x", attempt, "5c1e07a2:40,91bd3f06:400," + attempt() + ":250",
-					("prompt " + attempt).getBytes(), 6000);
-			log("client sound " + attempt + " edge-" + entry + " status " + answer.status + " events " + answer.events
-					+ answer.failure);
-			count("sound " + (millis() - zero) / 5000 * 5 + "s " + answer.status);
-		});
-		Thread.sleep(8000);
-		if (this.trouble) {
-			this.runners.forEach((runner) -> runner.crashingParts.add("bad0bad0"));
-		}
-		for (int burst = 0; burst < 4; burst++) {
-			log("burst " + burst);
-			for (int i = 0; i < size; i++) {
-				int entry = 1 + i % this.entries;
-				Thread.ofVirtual().start(() -> {
-					String attempt = attempt();
-					Answer answer = call(entry, "POST", "/draft/x", attempt,
-							"5c1e07a2:40,bad0bad0:400," + attempt() + ":250", ("prompt " + attempt).getBytes(), 6000);
-					log("client bad-part " + attempt + " edge-" + entry + " status " + answer.status + " events "
-							+ answer.events + answer.failure);
-				});
-			}
-			Thread.sleep(10000);
-		}
-		List<Long> crashes = new ArrayList<>();
-		List<Arrival> bad = new ArrayList<>();
-		for (Runner runner : this.runners) {
-			crashes.addAll(runner.crashes);
-			runner.arrivals.stream().filter((one) -> one.parts.contains("bad0bad0")).forEach(bad::add);
-		}
-		Collections.sort(crashes);
-		log("clients: " + new TreeMap<>(this.counts));
-		log("crashes at ms: " + crashes);
-		if (crashes.size() < 5) {
-			return false;
-		}
-		long from = crashes.get(4) + CONTACT_MS;
-		List<Arrival> late = bad.stream().filter((one) -> one.atMs > from).toList();
-		late.forEach((one) -> log("late request with the part at " + one.atMs + " " + one.attempt + " ran " + one.ran));
-		log("requests with the part at runners later than " + CONTACT_MS + " ms after the fifth crash: " + late.size());
-		return late.size() > 3;
-	}
-
 	// CONFIG after the runners of a service have drained and started again under their ids.
 	boolean startedAgain() throws Exception {
 		configure();
@@ -1213,14 +1134,10 @@
 		return (double) served / Math.max(1, total(routes));
 	}
 
-	final Map<String, Integer> entryOf = new ConcurrentHashMap<>();
-
 	void draft(String route) {
 		String attempt = attempt();
 		int entry = 1 + ThreadLocalRandom.current().nextInt(this.entries);
-		this.entryOf.put(attempt, entry);
 		long sent = millis();
-		this.sentMs.put(attempt, sent);
 		Answer answer = call(entry, "POST", "/" + route + "/x", attempt, "5c1e07a2:40," + attempt() + ":650",
 				("prompt " + attempt).getBytes(), 6000);
 		log("client " + route + " " + attempt + " edge-" + entry + " sent " + sent + " status " + answer.status + " events "
@@ -1228,132 +1145,85 @@
 		count(route + " " + answer.status);
 	}
 
-	final Map<String, Long> sentMs = new ConcurrentHashMap<>();
+	record Ended(long sentMs, long tookMs, boolean answered) {
+	}
 
-	// VERSION while a machine of an entry and one of a runner stand still for 4 s.
-	boolean oldVersion() throws Exception {
+	// CONFIG at an entry whose clients keep their channels.
+	boolean keptChannels() throws Exception {
 		configure();
-		nameWeights(1);
 		for (int i = 1; i <= 3; i++) {
-			addRunner("lm-" + i, "lm", i, 1);
+			addRunner("plain-" + i, "registry", i, 0).workMs = 10;
 		}
 		Process entry = startEntry(1);
-		startEntry(2);
-		Map<Runner, Process> agents = new LinkedHashMap<>();
-		for (Runner runner : this.runners) {
-			agents.put(runner, startAgent(runner));
-		}
 		awaitReady();
-		Thread.sleep(8000);
-		traffic(millis() + 26000, 20, () -> draft("draft"));
-		Thread.sleep(3000);
-		// Runners switch in the order of the hashes of their addresses; this is the last one.
-		Runner last = this.runners.stream().max(java.util.Comparator.comparing((one) -> sha256(one.ip.getBytes()))).orElseThrow();
-		long frozen = millis();
-		if (this.trouble) {
-			signal("STOP", entry);
-			signal("STOP", agents.get(last));
-			last.frozenUntilMs = frozen + GIVER_FREEZE_MS;
-			log("the machines of edge-1 and " + last.id + " stand still");
-		}
-		Thread.sleep(500);
-		nameWeights(2);
-		long named = millis();
-		log("the store has accepted version 2");
-		Thread.sleep(Math.max(0, frozen + FREEZE_MS - millis()));
-		if (this.trouble) {
-			signal("CONT", entry);
-			log("the machine of edge-1 goes on");
-		}
-		long inTouch = millis() + CONTACT_MS;
-		Thread.sleep(Math.max(0, frozen + GIVER_FREEZE_MS - millis()));
-		if (this.trouble) {
-			signal("CONT", agents.get(last));
-			log("the machine of " + last.id + " goes on");
-		}
-		Thread.sleep(11000);
-		int late = 0;
-		for (Runner runner : this.runners) {
-			for (Arrival one : List.copyOf(runner.begun)) {
-				if (one.version < 2 && one.atMs > named + VERSION_MS) {
-					log("begun on version " + one.version + " " + (one.atMs - named) + " ms after the acknowledgement of 2: "
-							+ one.attempt + " at " + runner.id + " from edge-" + this.entryOf.get(one.attempt) + ", sent by its client at "
-							+ this.sentMs.get(one.attempt));
-					late += (this.sentMs.get(one.attempt) > inTouch) ? 1 : 0;
-				}
+		Thread.sleep(1000);
+		int clients = 98;
+		int usual = 150;
+		long zero = millis();
+		long calmFrom = zero + 80000;
+		long end = zero + 100000;
+		Queue<Ended> all = new ConcurrentLinkedQueue<>();
+		for (int client = 0; client < clients; client++) {
+			long phase = 1000L * client / usual;
+			Thread.ofVirtual().start(() -> keptChannel(zero + phase, end, (double) usual / clients, calmFrom, all));
+		}
+		long next = zero + 5000;
+		while (millis() < end + 4000) {
+			Thread.sleep(100);
+			if (millis() > next) {
+				log("answered " + all.stream().filter(Ended::answered).count() + ", not " + all.stream().filter((one) -> !one.answered).count()
+						+ ", entry alive " + entry.isAlive());
+				next += 5000;
 			}
 		}
-		log("edge-1 was in touch again at " + inTouch + ", version 2 was due at " + (named + VERSION_MS));
-		log("clients: " + new TreeMap<>(this.counts));
-		log("requests begun on version 1 later than " + VERSION_MS + " ms after the acknowledgement of 2, sent on by machines in touch: " + late);
-		return late > 0;
+		// 5 s after the last burst, and contactMs more.
+		List<Ended> judged = all.stream()
+			.filter((one) -> one.sentMs > calmFrom + 5000 + CONTACT_MS && one.sentMs < end - 3000)
+			.toList();
+		long late = judged.stream().filter((one) -> one.tookMs > 2000).count();
+		long none = judged.stream().filter((one) -> one.tookMs > 2500).count();
+		log("sent from " + (calmFrom + 5000 + CONTACT_MS) + " to " + (end - 3000) + ": " + judged.size() + ", unanswered at the route's timeoutMs: " + late
+				+ ", of these without an answer half a second later: " + none);
+		return none >= 20 && none * 2 > late;
 	}
 
-	static void signal(String name, Process process) throws Exception {
-		new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).inheritIO().start().waitFor();
+	// Bursts of 1.7 times the usual rate for 3 s in every 4 s.
+	double factor(long atMs, long zeroMs, long calmFrom) {
+		return (this.trouble && atMs < calmFrom && (atMs - zeroMs) % 4000 < 3000) ? 1.7 : 1;
 	}
 
-	boolean forgotten() throws Exception {
-		configure();
-		nameWeights(1);
-		for (int i = 1; i <= 6; i++) {
-			addRunner("lm-" + i, "lm", i, 1);
-		}
-		List<Process> edges = new ArrayList<>();
-		for (int i = 1; i <= 4; i++) {
-			edges.add(startEntry(i));
-		}
-		for (Runner runner : this.runners) {
-			startAgent(runner);
-		}
-		awaitReady();
-		Thread.sleep(5000);
-		traffic(millis() + 60000, 100, () -> draft("draft"));
-		Thread.sleep(3000);
-		String poison = "prompt that crashes";
-		if (this.trouble) {
-			this.runners.forEach((runner) -> runner.poison = poison);
-		}
-		for (int n = 0; n < 8; n++) {
-			poisonCall(1 + n % this.entries, poison);
-			Thread.sleep(1000);
-		}
-		if (this.trouble) {
-			edges.forEach(Process::destroyForcibly);
-			for (Process edge : edges) {
-				edge.waitFor();
+	void keptChannel(long first, long end, double perSecond, long calmFrom, Queue<Ended> all) {
+		byte[] body = "b".repeat(3600).getBytes(StandardCharsets.US_ASCII);
+		double next = first;
+		while (millis() < end) {
+			try (Socket socket = new Socket()) {
+				socket.connect(new InetSocketAddress(entryIp(1), this.port), 1000);
+				socket.setTcpNoDelay(true);
+				socket.setSoTimeout(4000);
+				InputStream in = new BufferedInputStream(socket.getInputStream());
+				while (millis() < end) {
+					Thread.sleep(Math.max(0, (long) next - millis()));
+					next = Math.max(next, millis() - 1000) + 1000 / (perSecond * factor(millis(), first, calmFrom));
+					long sent = millis();
+					boolean answered = false;
+					try {
+						socket.getOutputStream()
+							.write(("POST /hold/x HTTP/1.1\r\nHost: " + HOST + "\r\nX-Wisteriapost-Attempt-Id: " + attempt()
+									+ "\r\nX-Wisteriapost-Deadline-Ms: 4000\r\nAuthorization: Bearer " + KEY + "\r\nContent-Length: "
+									+ body.length + "\r\n\r\n" + new String(body, StandardCharsets.US_ASCII))
+								.getBytes(StandardCharsets.US_ASCII));
+						Message.read(in, true, null);
+						answered = true;
+					}
+					finally {
+						all.add(new Ended(sent, millis() - sent, answered));
+					}
+				}
 			}
-			log("all entries were killed");
-		}
-		Thread.sleep(1000);
-		long started = millis();
-		if (this.trouble) {
-			for (int i = 1; i <= 4; i++) {
-				startEntry(i);
+			catch (IOException | InterruptedException ex) {
+				// Goes on with another channel.
 			}
 		}
-		awaitReady();
-		Thread.sleep(Math.max(0, started + 6000 - millis()));
-		for (int n = 0; n < 4; n++) {
-			int entry = 1 + n;
-			Thread.ofVirtual().start(() -> poisonCall(entry, poison));
-		}
-		Thread.sleep(5000);
-		for (int n = 0; n < 4; n++) {
-			poisonCall(1 + n % this.entries, poison);
-			Thread.sleep(1000);
-		}
-		List<Long> crashes = new ArrayList<>();
-		this.runners.forEach((runner) -> crashes.addAll(runner.crashes));
-		Collections.sort(crashes);
-		log("crashes " + crashes);
-		if (crashes.size() < 3) {
-			return false;
-		}
-		long from = crashes.get(2) + CONTACT_MS;
-		long late = this.runners.stream().flatMap((runner) -> runner.arrivals.stream()).filter((one) -> one.ran && one.atMs > from && one.attempt.startsWith("bad")).count();
-		log("retries that reached runners later than contactMs after the third crash, sent by machines in touch: " + late);
-		return late > 3;
 	}
 
 	record Sound(long sentMs, String attempt) {
@@ -1363,7 +1233,7 @@
 	boolean manyParts() throws Exception {
 		configure();
 		nameWeights(1);
-		for (int i = 1; i <= 6; i++) {
+		for (int i = 1; i <= 4; i++) {
 			addRunner("lm-" + i, "lm", i, 1);
 		}
 		for (int i = 1; i <= 3; i++) {
