--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -55,6 +55,9 @@
 
 	static final int CONTACT_MS = 3000;
 
+	// A script may run for 120 s.
+	static final int MAX_MS = 116_000;
+
 	static final int HISTORY_MS = 20_000;
 
 	// Three check-in intervals.
@@ -984,6 +987,16 @@
 			boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 			Rig rig = new Rig(repo, work, record, trouble);
 			Runtime.getRuntime().addShutdownHook(new Thread(rig::close));
+			Thread.ofPlatform().daemon().start(() -> {
+				try {
+					Thread.sleep(MAX_MS);
+				}
+				catch (InterruptedException ex) {
+					return;
+				}
+				rig.log("the case couldn't run: it takes too long");
+				System.exit(2);
+			});
 			rig.log("case " + args[0] + ", trouble " + trouble);
 			try {
 				boolean broken = switch (args[0]) {
