--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -1202,6 +1202,9 @@
 		List<Ended> judged = all.stream()
 			.filter((one) -> one.sentMs > calmFrom + 5000 + CONTACT_MS && one.sentMs < end - 3000)
 			.toList();
+		judged.forEach((one) -> log("client sent " + one.sentMs + ", took " + one.tookMs + ", answered " + one.answered));
+		log("sent in all " + all.size() + ", answered " + all.stream().filter(Ended::answered).count() + ", run by the runners "
+				+ this.runners.stream().mapToInt((runner) -> runner.arrivals.size()).sum());
 		long late = judged.stream().filter((one) -> one.tookMs > 2000).count();
 		long none = judged.stream().filter((one) -> one.tookMs > 2500).count();
 		log("sent from " + (calmFrom + 5000 + CONTACT_MS) + " to " + (end - 3000) + ": " + judged.size() + ", unanswered at the route's timeoutMs: " + late
