Fix: an entry kept each request of an open connection in memory

Cause: DisconnectWatch added a close listener to the connection for each request. Such listeners cannot be removed; each kept its exchange and, by the callback, the request with its body until the caller closed the connection.

Evidence: DisconnectWatchTests#answeredRequestsOfAKeptConnectionAreReleased fails before (1 of 2 cases of the class) and passes now.

Change: one listener for each connection, which knows the exchange in progress.

--- a/entry/src/main/java/org/wisteriapost/entry/caller/DisconnectWatch.java
+++ b/entry/src/main/java/org/wisteriapost/entry/caller/DisconnectWatch.java
@@ -1,11 +1,13 @@
 package org.wisteriapost.entry.caller;
 
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.AttachmentKey;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.ReadReadyHandler;
 import org.xnio.conduits.StreamSourceConduit;
@@ -38,12 +40,13 @@
 	 * Watches until the exchange ends. Must be called on the connection's I/O thread.
 	 */
 	public static void start(HttpServerExchange exchange, Runnable onDisconnect) {
-		exchange.getConnection().addCloseListener((closed) -> {
-			if (!exchange.isResponseComplete()) {
-				onDisconnect.run();
-			}
-		});
 		ServerConnection connection = exchange.getConnection();
+		CloseNotifier notifier = CloseNotifier.of(connection);
+		notifier.begin(exchange, onDisconnect);
+		exchange.addExchangeCompleteListener((done, next) -> {
+			notifier.end(done);
+			next.proceed();
+		});
 		if (!(connection instanceof HttpServerConnection http) || http.getExtraBytes() != null) {
 			return;
 		}
@@ -112,4 +115,47 @@
 		this.source.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(channel));
 	}
 
+	/**
+	 * Tells the exchange in progress that its connection was closed. Listeners of a
+	 * connection cannot be removed: one for each exchange would keep the requests of a
+	 * caller in memory for as long as it keeps its connection.
+	 */
+	private static final class CloseNotifier implements ServerConnection.CloseListener {
+
+		private static final AttachmentKey<CloseNotifier> KEY = AttachmentKey.create(CloseNotifier.class);
+
+		private final AtomicReference<Watched> current = new AtomicReference<>();
+
+		private static CloseNotifier of(ServerConnection connection) {
+			CloseNotifier known = connection.getAttachment(KEY);
+			if (known != null) {
+				return known;
+			}
+			CloseNotifier added = new CloseNotifier();
+			connection.putAttachment(KEY, added);
+			connection.addCloseListener(added);
+			return added;
+		}
+
+		private void begin(HttpServerExchange exchange, Runnable onDisconnect) {
+			this.current.set(new Watched(exchange, onDisconnect));
+		}
+
+		private void end(HttpServerExchange exchange) {
+			this.current.updateAndGet((watched) -> (watched != null && watched.exchange == exchange) ? null : watched);
+		}
+
+		@Override
+		public void closed(ServerConnection connection) {
+			Watched watched = this.current.getAndSet(null);
+			if (watched != null && !watched.exchange.isResponseComplete()) {
+				watched.onDisconnect.run();
+			}
+		}
+
+	}
+
+	private record Watched(HttpServerExchange exchange, Runnable onDisconnect) {
+	}
+
 }
