Fix: the parts that all requests share were refused in the place of a bad one

Cause: of each request the first 64 parts of the prompt were suspected. The bad part was the 70th; the ones before it were all that the crashes had in common, and were convicted. That the list was cut short was not taken into account.

Change: up to 1,536 parts are suspected, and none of a request with more. Parts that no answer is known to have gone on with are told first, so that an entry never knows the losses of shared parts alone. Logs name at most 16 parts of a crash and 32 of a verdict. Names without a part (",") no longer throw on the state thread, where the request had no answer.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/QuarantineLog.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/QuarantineLog.java
@@ -13,6 +13,8 @@
  */
 final class QuarantineLog {
 
+	private static final int MAX_LOGGED_PARTS = 32;
+
 	private final DecisionLog log;
 
 	private final DirectMetrics metrics;
@@ -40,10 +42,11 @@
 					this.log.decision("quarantine-ended", "request", hash(released.contentHash()));
 				case QuarantineChange.PartSuspected suspected -> this.log.decision("part-suspected", "part",
 						PromptParts.name(suspected.part()), "losses", suspected.losses());
-				case QuarantineChange.PartsQuarantined started -> this.log.failure("parts-quarantined", "parts",
-						names(started.parts()), "losses", started.losses(), "forMs", started.forMillis());
-				case QuarantineChange.PartsReleased released ->
-					this.log.decision("parts-released", "parts", names(released.parts()));
+				case QuarantineChange.PartsQuarantined started ->
+					this.log.failure("parts-quarantined", "parts", names(started.parts()), "count",
+							started.parts().size(), "losses", started.losses(), "forMs", started.forMillis());
+				case QuarantineChange.PartsReleased released -> this.log.decision("parts-released", "parts",
+						names(released.parts()), "count", released.parts().size());
 			}
 		}
 	}
@@ -53,7 +56,7 @@
 	}
 
 	private static String names(Set<Long> parts) {
-		return parts.stream().map(PromptParts::name).sorted().collect(Collectors.joining(","));
+		return parts.stream().map(PromptParts::name).sorted().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(","));
 	}
 
 }
--- a/entry/src/test/java/org/wisteriapost/entry/direct/PoisonPromptPartFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PoisonPromptPartFleetTests.java
@@ -22,6 +22,8 @@
 
 	private static final String OTHER_BAD = "bad2";
 
+	private static final int MAX_ENTRIES_OF_LONG_PROMPTS = 6;
+
 	private static final int MAX_CRASHES = 5;
 
 	private static final long MAX_LATE_ARRIVALS = 3;
@@ -54,6 +56,29 @@
 		}
 	}
 
+	// Guards against a bad part that is not looked at, as many others come before it:
+	// those
+	// that all requests share were refused in its place.
+	@ParameterizedTest
+	@MethodSource("longPrompts")
+	void badPartBehindManyOthersIsStopped(int entries, int runners, boolean streams, long seed, int shared, int own) {
+		try (FleetHarness fleet = fleet(entries, runners, streams, seed)) {
+			PromptTraffic traffic = new PromptTraffic(fleet, SOUND_PER_SECOND);
+			traffic.lengthen(shared, own);
+			fleet.run(QUIET);
+			traffic.startBad(BAD_INTERVAL_MILLIS, List.of(List.of(BAD)));
+			fleet.run(DURATION);
+			assertPartIsStopped(fleet, BAD);
+			assertSoundRequestsAreServed(fleet, traffic, List.of(BAD));
+		}
+	}
+
+	static Stream<Arguments> longPrompts() {
+		return Stream.of(List.of(69, 0), List.of(300, 0), List.of(4, 150))
+			.flatMap((parts) -> fleets().filter((fleet) -> (int) fleet.get()[0] <= MAX_ENTRIES_OF_LONG_PROMPTS)
+				.map((fleet) -> Arguments.of(Stream.concat(Stream.of(fleet.get()), parts.stream()).toArray())));
+	}
+
 	// Guards against taking the crashes of one part for those of another.
 	@ParameterizedTest
 	@MethodSource("fleets")
--- a/entry/src/test/java/org/wisteriapost/entry/direct/PromptTraffic.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PromptTraffic.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -28,6 +29,10 @@
 
 	private final List<FirstAttempt> firstAttempts = new ArrayList<>();
 
+	private final List<String> leadingParts = new ArrayList<>();
+
+	private int ownParts;
+
 	private long lastRequest;
 
 	/**
@@ -44,6 +49,15 @@
 		return Arrays.stream(prompt.split(",")).map((part) -> part.substring(0, part.indexOf(':'))).toList();
 	}
 
+	/**
+	 * Makes prompts longer: those of all requests by the same parts at their start, and
+	 * those with bad parts by further ones, before these, that no other request has.
+	 */
+	void lengthen(int shared, int own) {
+		IntStream.range(0, shared).forEach((i) -> this.leadingParts.add("a" + i));
+		this.ownParts = own;
+	}
+
 	/** Returns the answers to all attempts of sound requests. */
 	FleetResults sound() {
 		return this.sound;
@@ -69,7 +83,9 @@
 
 	private void bad(List<String> badParts) {
 		List<String> parts = new ArrayList<>(sharedParts());
-		badParts.forEach((part) -> parts.add(this.fleet.random.nextInt(parts.size() + 1), part));
+		IntStream.range(0, this.ownParts).forEach((i) -> parts.add("b" + this.lastRequest + "0" + i));
+		int first = this.leadingParts.size() + this.ownParts;
+		badParts.forEach((part) -> parts.add(first + this.fleet.random.nextInt(parts.size() - first + 1), part));
 		attempt(prompt(parts), 1, (answer) -> {
 		});
 	}
@@ -90,7 +106,8 @@
 	}
 
 	private List<String> sharedParts() {
-		List<String> shared = new ArrayList<>(List.of(FIRST_PART));
+		List<String> shared = new ArrayList<>(this.leadingParts);
+		shared.add(FIRST_PART);
 		Stream.generate(() -> "5" + this.fleet.random.nextInt(SHARED_PARTS))
 			.limit(this.fleet.random.nextInt(1, 3))
 			.forEach(shared::add);
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PartQuarantine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PartQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -22,6 +23,9 @@
 
 	private static final long EXPIRY_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
+	// A request may name hundreds of parts, and each change is a line of the log.
+	private static final int MAX_REPORTED_PARTS = 16;
+
 	private final PartTable table;
 
 	private final AnsweredParts answered = new AnsweredParts();
@@ -47,12 +51,25 @@
 	}
 
 	/**
-	 * Records that a runner crashed before a request with the part had gone on.
+	 * Records that a runner crashed before a request with these parts had gone on. Other
+	 * entries are told first of parts that no answer is known to have gone on with: until
+	 * they know these, nothing else would explain the losses of sound ones.
+	 * @return the changes of the parts with the most losses
 	 */
-	Optional<QuarantineChange> runnerLost(long id, long runner, long lostNanos, long nowNanos) {
-		SuspectPart loss = new SuspectPart(id, List.of(new SuspectRequest.Loss(runner, lostNanos)),
-				this.answered.begunNanos(id));
-		if (!merge(loss, Optional.empty(), nowNanos)) {
+	List<QuarantineChange.PartSuspected> runnerLost(PromptParts lost, long runner, long lostNanos, long nowNanos) {
+		return lost.suspects()
+			.stream()
+			.sorted(Comparator.comparing((Long id) -> this.answered.begunNanos(id).isPresent())
+				.thenComparing(Comparator.naturalOrder()))
+			.flatMap((id) -> partLost(id, new SuspectRequest.Loss(runner, lostNanos), nowNanos).stream())
+			.sorted(Comparator.comparingInt(QuarantineChange.PartSuspected::losses).reversed())
+			.limit(MAX_REPORTED_PARTS)
+			.toList();
+	}
+
+	private Optional<QuarantineChange.PartSuspected> partLost(long id, SuspectRequest.Loss loss, long nowNanos) {
+		SuspectPart part = new SuspectPart(id, List.of(loss), this.answered.begunNanos(id));
+		if (!merge(part, Optional.empty(), nowNanos)) {
 			return Optional.empty();
 		}
 		int losses = this.table.get(id).map(SuspectPart::losses).orElse(List.of()).size();
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PromptParts.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PromptParts.java
@@ -1,10 +1,9 @@
 package org.wisteriapost.policy.quarantine;
 
 import java.util.Arrays;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
@@ -16,11 +15,13 @@
  */
 public record PromptParts(Set<Long> suspects) {
 
-	/** The caller names no parts, or only one. */
+	/** The caller names no parts, only one, or more than can be suspected. */
 	public static final PromptParts NONE = new PromptParts(Set.of());
 
-	// Bounds the work for one request; further parts are not suspected.
-	private static final int MAX_PARTS = 64;
+	// Bounds the work for one request, and fewer than are remembered. To suspect some of
+	// more would convict those that all requests share, if the bad part is among the
+	// rest.
+	private static final int MAX_PARTS = 1536;
 
 	private static final int MAX_ID_LENGTH = 16;
 
@@ -37,10 +38,14 @@
 		if (named.isEmpty()) {
 			return NONE;
 		}
-		List<String> parts = Arrays.stream(named.get().split(",")).map(String::strip).toList();
-		Set<Long> suspects = new LinkedHashSet<>();
-		parts.stream().limit(Math.min(parts.size() - 1, MAX_PARTS)).map(PromptParts::id).forEach(suspects::add);
-		return new PromptParts(suspects);
+		String[] parts = named.get().split(",");
+		if (parts.length <= 1 || parts.length - 1 > MAX_PARTS) {
+			return NONE;
+		}
+		return new PromptParts(Arrays.stream(parts, 0, parts.length - 1)
+			.map(String::strip)
+			.map(PromptParts::id)
+			.collect(Collectors.toUnmodifiableSet()));
 	}
 
 	// Other names than numbers of 64 bits are hashed.
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/RequestQuarantine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/RequestQuarantine.java
@@ -45,10 +45,9 @@
 
 	private final PartQuarantine parts = new PartQuarantine(this.sequence);
 
-	private final UnconfirmedLosses unconfirmed = new UnconfirmedLosses();
+	private final UnconfirmedLosses<Long> unconfirmed = new UnconfirmedLosses<>();
 
-	// The same by the ids of parts of prompts.
-	private final UnconfirmedLosses unconfirmedParts = new UnconfirmedLosses();
+	private final UnconfirmedLosses<PromptParts> unconfirmedParts = new UnconfirmedLosses<>();
 
 	private final CompletedRequests completed = new CompletedRequests();
 
@@ -77,7 +76,9 @@
 	 * these parts had gone on.
 	 */
 	public void runnerLost(PromptParts lost, RunnerInfo runner, long nowNanos) {
-		lost.suspects().forEach((part) -> this.unconfirmedParts.add(part, runner, nowNanos));
+		if (!lost.suspects().isEmpty()) {
+			this.unconfirmedParts.add(lost, runner, nowNanos);
+		}
 	}
 
 	/**
@@ -141,7 +142,7 @@
 			return;
 		}
 		this.unconfirmed.removeLossesOf(runner.incarnationHash()).forEach((loss) -> confirm(loss, nowNanos));
-		this.unconfirmedParts.removeLossesOf(runner.incarnationHash()).forEach((loss) -> confirmPart(loss, nowNanos));
+		this.unconfirmedParts.removeLossesOf(runner.incarnationHash()).forEach((loss) -> confirmParts(loss, nowNanos));
 	}
 
 	/**
@@ -160,7 +161,7 @@
 	 */
 	public void tick(long nowNanos) {
 		this.unconfirmed.removeOverdue(nowNanos).forEach((loss) -> confirm(loss, nowNanos));
-		this.unconfirmedParts.removeOverdue(nowNanos).forEach((loss) -> confirmPart(loss, nowNanos));
+		this.unconfirmedParts.removeOverdue(nowNanos).forEach((loss) -> confirmParts(loss, nowNanos));
 		decideOnParts(nowNanos);
 		if (nowNanos >= this.nextExpiryNanos) {
 			this.nextExpiryNanos = nowNanos + EXPIRY_INTERVAL_NANOS;
@@ -286,9 +287,9 @@
 		return drained;
 	}
 
-	private void confirm(UnconfirmedLosses.Unconfirmed loss, long nowNanos) {
+	private void confirm(UnconfirmedLosses.Unconfirmed<Long> loss, long nowNanos) {
 		List<SuspectRequest.Loss> losses = List.of(new SuspectRequest.Loss(loss.runner(), loss.lostNanos()));
-		addLosses(loss.contentHash(), losses, Optional.empty(), nowNanos);
+		addLosses(loss.subject(), losses, Optional.empty(), nowNanos);
 	}
 
 	private void addLosses(long contentHash, List<SuspectRequest.Loss> losses, Optional<String> source, long nowNanos) {
@@ -302,9 +303,8 @@
 		}
 	}
 
-	private void confirmPart(UnconfirmedLosses.Unconfirmed loss, long nowNanos) {
-		this.parts.runnerLost(loss.contentHash(), loss.runner(), loss.lostNanos(), nowNanos)
-			.ifPresent(this.changes::add);
+	private void confirmParts(UnconfirmedLosses.Unconfirmed<PromptParts> loss, long nowNanos) {
+		this.changes.addAll(this.parts.runnerLost(loss.subject(), loss.runner(), loss.lostNanos(), nowNanos));
 	}
 
 	private void decideOnParts(long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/UnconfirmedLosses.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/UnconfirmedLosses.java
@@ -16,8 +16,10 @@
  * connections and answers, a crashed one does neither. So each lost runner is checked
  * with a connection, and its losses are confirmed when it refuses that or gives no sign
  * of life.
+ *
+ * @param <S> what was lost with a runner: a request by its content, or its parts
  */
-final class UnconfirmedLosses {
+final class UnconfirmedLosses<S> {
 
 	/** How long to wait for a sign of life; the runner needs longer to start again. */
 	static final Duration MAX_WAIT = Duration.ofMillis(500);
@@ -31,7 +33,7 @@
 	// Above what one entry usually has in progress.
 	private static final int MAX_LOSSES = 1024;
 
-	private final List<Unconfirmed> losses = new ArrayList<>();
+	private final List<Unconfirmed<S>> losses = new ArrayList<>();
 
 	// Lost runners that are still to be checked, by the hash of their incarnation.
 	private final Map<Long, LostRunner> unchecked = new LinkedHashMap<>();
@@ -40,22 +42,21 @@
 		return this.losses.isEmpty();
 	}
 
-	void add(long contentHash, RunnerInfo runner, long nowNanos) {
+	void add(S subject, RunnerInfo runner, long nowNanos) {
 		long hash = runner.incarnationHash();
 		if (this.losses.stream().noneMatch((loss) -> loss.runner == hash)) {
 			this.unchecked.put(hash, new LostRunner(runner, nowNanos));
 		}
-		add(contentHash, hash, nowNanos);
+		add(subject, hash, nowNanos);
 	}
 
 	/**
 	 * Adds the loss of a runner that this entry cannot connect to.
 	 */
-	void add(long contentHash, long runner, long nowNanos) {
-		boolean known = this.losses.stream()
-			.anyMatch((loss) -> loss.contentHash == contentHash && loss.runner == runner);
+	void add(S subject, long runner, long nowNanos) {
+		boolean known = this.losses.stream().anyMatch((loss) -> loss.runner == runner && loss.subject.equals(subject));
 		if (!known && this.losses.size() < MAX_LOSSES) {
-			this.losses.add(new Unconfirmed(contentHash, runner, nowNanos));
+			this.losses.add(new Unconfirmed<>(subject, runner, nowNanos));
 		}
 	}
 
@@ -86,19 +87,19 @@
 		this.losses.removeIf((loss) -> loss.runner == runner);
 	}
 
-	void requestCompleted(long contentHash) {
-		this.losses.removeIf((loss) -> loss.contentHash == contentHash);
+	void requestCompleted(S request) {
+		this.losses.removeIf((loss) -> loss.subject.equals(request));
 	}
 
-	int count(long contentHash) {
-		return (int) this.losses.stream().filter((loss) -> loss.contentHash == contentHash).count();
+	int count(S request) {
+		return (int) this.losses.stream().filter((loss) -> loss.subject.equals(request)).count();
 	}
 
 	/**
 	 * Removes and returns the losses of a runner that refuses connections.
 	 */
-	List<Unconfirmed> removeLossesOf(long runner) {
-		List<Unconfirmed> confirmed = this.losses.stream().filter((loss) -> loss.runner == runner).toList();
+	List<Unconfirmed<S>> removeLossesOf(long runner) {
+		List<Unconfirmed<S>> confirmed = this.losses.stream().filter((loss) -> loss.runner == runner).toList();
 		this.losses.removeAll(confirmed);
 		return confirmed;
 	}
@@ -106,8 +107,8 @@
 	/**
 	 * Removes and returns the losses without any sign of life since.
 	 */
-	List<Unconfirmed> removeOverdue(long nowNanos) {
-		List<Unconfirmed> overdue = this.losses.stream()
+	List<Unconfirmed<S>> removeOverdue(long nowNanos) {
+		List<Unconfirmed<S>> overdue = this.losses.stream()
 			.filter((loss) -> nowNanos - loss.lostNanos >= MAX_WAIT.toNanos())
 			.toList();
 		this.losses.removeAll(overdue);
@@ -117,11 +118,11 @@
 	/**
 	 * A request that was in progress at a runner when the connections to it ended.
 	 *
-	 * @param contentHash the request
+	 * @param subject what was lost
 	 * @param runner hash of the runner's incarnation
 	 * @param lostNanos when the connection ended
 	 */
-	record Unconfirmed(long contentHash, long runner, long lostNanos) {
+	record Unconfirmed<S>(S subject, long runner, long lostNanos) {
 	}
 
 	private record LostRunner(RunnerInfo info, long lostNanos) {
--- a/policy/src/test/java/org/wisteriapost/policy/quarantine/PartQuarantineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/quarantine/PartQuarantineTests.java
@@ -8,12 +8,14 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wisteriapost.policy.fleet.RunnerIncarnation;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 
@@ -46,9 +48,7 @@
 
 	private void crashAtOnce(int count, long... ids) {
 		for (int i = 0; i < count; i++) {
-			RunnerInfo runner = new RunnerInfo("runner-" + ++this.runners, "api", "10.0.0.1:80", "hall-a", 8, false, 0,
-					Map.of(), 0, RunnerIncarnation.UNKNOWN);
-			this.quarantine.runnerLost(parts(ids), runner, this.now);
+			this.quarantine.runnerLost(parts(ids), runner(), this.now);
 		}
 		advance(30);
 		this.quarantine.runnersToCheck(this.now)
@@ -63,6 +63,30 @@
 		advance(1000);
 	}
 
+	private void crash(String named) {
+		RunnerInfo runner = runner();
+		this.quarantine.runnerLost(PromptParts.of(Optional.of(named)), runner, this.now);
+		advance(30);
+		this.quarantine.runnersToCheck(this.now)
+			.forEach((checked) -> this.quarantine.runnerChecked(checked, false, this.now));
+		advance(300);
+	}
+
+	private RunnerInfo runner() {
+		return new RunnerInfo("runner-" + ++this.runners, "api", "10.0.0.1:80", "hall-a", 8, false, 0, Map.of(), 0,
+				RunnerIncarnation.UNKNOWN);
+	}
+
+	private static String names(String start, int count) {
+		return IntStream.range(0, count)
+			.mapToObj((i) -> start + String.format("%04x", i) + ":10,")
+			.collect(Collectors.joining());
+	}
+
+	private boolean refused(String named) {
+		return this.quarantine.remainingNanos(99, PromptParts.of(Optional.of(named)), this.now).isPresent();
+	}
+
 	private boolean refused(long... ids) {
 		return this.quarantine.remainingNanos(99, parts(ids), this.now).isPresent();
 	}
@@ -160,6 +184,34 @@
 		assertThat(other.remainingNanos(99, parts(SHARED), this.now), Matchers.equalTo(OptionalLong.empty()));
 	}
 
+	// Guards against taking the parts that all requests share for what crashes runners,
+	// when
+	// the part that does comes after many others.
+	@ParameterizedTest
+	@CsvSource({ "63, 0", "69, 0", "5, 68", "500, 0", "5, 900", "1200, 0" })
+	void badPartBehindManyOthersIsRefusedAlone(int shared, int own) {
+		for (int i = 0; i < 3; i++) {
+			crash(names("a", shared) + names("b" + i, own) + "bad:10,c" + i + ":10");
+		}
+		advance(1000);
+		assertThat(refused(names("a", shared) + "d1:10"), Matchers.is(false));
+		assertThat(refused(names("a", shared) + names("b9", own) + "bad:10,d2:10"), Matchers.is(true));
+	}
+
+	// Guards against a request with so many parts that those of all others are forgotten,
+	// and
+	// against names without any part.
+	@ParameterizedTest
+	@ValueSource(strings = { ",", ",,,", ":", " " })
+	void namesWithoutPartsAreNotSuspected(String named) {
+		assertThat(PromptParts.of(Optional.of(named)), Matchers.equalTo(PromptParts.NONE));
+	}
+
+	@Test
+	void requestWithTooManyPartsIsNotSuspectedByParts() {
+		assertThat(PromptParts.of(Optional.of(names("a", 4000))), Matchers.equalTo(PromptParts.NONE));
+	}
+
 	// Guards against memory and reports that grow with the number of parts.
 	@Test
 	void badPartOutlivesManyOthers() {
