Fix: a request that was completed a minute ago could crash any number of runners

Cause: what had been completed in the last minute was not suspected. Losses of it were dropped, whether they came before the completed run or after.

Change: a completed run is dated by when it was sent; only losses up to then are dropped, as for parts of prompts. Losses of a request that was completed less than a minute before the first of them count by moments, more than 1 s apart, as content that many callers send is in progress at any crash of a fleet. Entries report both; those of the version before read a completion as they did.

--- a/entry/src/main/java/org/wisteriapost/entry/quarantine/SuspectReportCodec.java
+++ b/entry/src/main/java/org/wisteriapost/entry/quarantine/SuspectReportCodec.java
@@ -53,7 +53,7 @@
 				quarantine.mergeCompletion(suspect.getContentHash(),
 						nanosBefore(suspect.getCompletedAgeMillis(), nowNanos), source, nowNanos);
 			}
-			else {
+			if (suspect.getLossesCount() > 0) {
 				quarantine.merge(decode(suspect, nowNanos), source, nowNanos);
 			}
 		}
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetHarness.java
@@ -109,6 +109,9 @@
 	/** Parts of prompts that crash each runner which begins a request with them. */
 	final Set<String> badParts = new HashSet<>();
 
+	/** The time from which poison requests crash runners; before they run well. */
+	long poisonFromNanos = Long.MIN_VALUE;
+
 	/**
 	 * Entries of a version that knows neither parts of prompts nor epochs of the store.
 	 */
--- a/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/FleetRunner.java
@@ -276,7 +276,7 @@
 			.map((parts) -> new HashSet<>(parts.subList(0, parts.size() - 1)))
 			.orElseGet(HashSet::new);
 		causes.retainAll(this.fleet.badParts);
-		if (body.startsWith(POISON)) {
+		if (body.startsWith(POISON) && this.fleet.now() >= this.fleet.poisonFromNanos) {
 			causes.add(body);
 		}
 		return causes;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/PoisonRequestFleetTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/PoisonRequestFleetTests.java
@@ -22,6 +22,8 @@
 
 	private static final int MAX_LATE_ARRIVALS = 3;
 
+	private static final Duration LAST_GOOD_RUN = Duration.ofSeconds(6);
+
 	private static final Duration DURATION = Duration.ofSeconds(30);
 
 	static Stream<Arguments> fleets() {
@@ -78,6 +80,25 @@
 		}
 	}
 
+	// Guards against a request that nothing is held against since it ran well a moment
+	// ago,
+	// on the former version of the runners.
+	@ParameterizedTest
+	@MethodSource("fleets")
+	void requestThatRanWellIsStoppedOnceItCrashesRunners(int entries, int runners, long seed) {
+		try (FleetHarness fleet = new FleetHarness(entries, runners, seed)) {
+			FleetTraffic traffic = new FleetTraffic(fleet, entries * 4);
+			fleet.poisonFromNanos = fleet.now() + LAST_GOOD_RUN.toNanos();
+			traffic.startPoison("poison-1", 400);
+			fleet.run(LAST_GOOD_RUN.plus(DURATION));
+			assertThat(traffic.innocent().toString(), traffic.innocent().count("refused poison-request"),
+					Matchers.equalTo(0));
+			List<Long> crashes = fleet.crashes("poison-1");
+			assertThat(crashes, Matchers.hasSize(Matchers.greaterThanOrEqualTo(MAX_CRASHES)));
+			assertPoisonIsStopped(fleet, "poison-1");
+		}
+	}
+
 	private static void assertPoisonIsStopped(FleetHarness fleet, String body) {
 		List<FleetRunner.Arrival> arrivals = fleet.runners.values()
 			.stream()
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/PoisonGuard.java
@@ -62,7 +62,7 @@
 		switch (outcome) {
 			case DONE -> {
 				this.quarantine.runnerAnswered(runner.info, nowNanos);
-				this.quarantine.requestCompleted(job.contentHash(), nowNanos);
+				this.quarantine.requestCompleted(job.contentHash(), dispatch.sentNanos);
 				answerBegan(dispatch).ifPresent((begun) -> this.quarantine.partsAnswered(job.parts(), begun, nowNanos));
 			}
 			case ERROR, FULL -> this.quarantine.runnerAnswered(runner.info, nowNanos);
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/CompletedRequests.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/CompletedRequests.java
@@ -14,7 +14,7 @@
 	// A minute of requests at some 70 a second.
 	private static final int MAX_REQUESTS = 4096;
 
-	private final Map<Long, Long> completedNanos = new LinkedHashMap<>() {
+	private final Map<Long, Long> begunNanos = new LinkedHashMap<>() {
 
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
@@ -23,18 +23,26 @@
 
 	};
 
-	void add(long contentHash, long nowNanos) {
-		this.completedNanos.remove(contentHash);
-		this.completedNanos.put(contentHash, nowNanos);
+	/**
+	 * Records that a run of a request which began then was completed.
+	 */
+	void add(long contentHash, long begun) {
+		Long known = this.begunNanos.remove(contentHash);
+		this.begunNanos.put(contentHash, (known != null) ? Math.max(known, begun) : begun);
+	}
+
+	boolean contains(long contentHash) {
+		return this.begunNanos.containsKey(contentHash);
 	}
 
 	/**
-	 * Returns when a request was last completed, if that was lately.
+	 * Returns when the latest run of a request that was completed began, if that was
+	 * lately.
 	 */
-	OptionalLong completedNanos(long contentHash, long nowNanos) {
-		Long completed = this.completedNanos.get(contentHash);
-		boolean lately = completed != null && nowNanos - completed < SuspectTable.COMPLETION_TTL.toNanos();
-		return lately ? OptionalLong.of(completed) : OptionalLong.empty();
+	OptionalLong begunNanos(long contentHash, long nowNanos) {
+		Long begun = this.begunNanos.get(contentHash);
+		boolean lately = begun != null && nowNanos - begun < SuspectRequest.COMPLETION_TTL.toNanos();
+		return lately ? OptionalLong.of(begun) : OptionalLong.empty();
 	}
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PoisonDetector.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PoisonDetector.java
@@ -38,16 +38,15 @@
 	static Map<Long, SuspectRequest> detect(Collection<SuspectRequest> suspects, PartQuarantine parts) {
 		List<SuspectRequest> candidates = suspects.stream()
 			.map((suspect) -> suspect.without((loss) -> parts.explains(loss, suspect)))
-			.filter((suspect) -> suspect.losses().size() >= THRESHOLD)
+			.filter((suspect) -> suspect.countedLosses() >= THRESHOLD)
 			.sorted(BY_DECIDING_LOSS)
 			.toList();
 		// Deciding losses of the requests detected so far, by the runners they explain.
 		Map<Long, Set<Long>> detected = new HashMap<>();
 		Map<Long, SuspectRequest> counted = new HashMap<>();
 		for (SuspectRequest candidate : candidates) {
-			SuspectRequest unexplained = new SuspectRequest(candidate.contentHash(),
-					candidate.losses().stream().filter((loss) -> !isExplained(candidate, loss, detected)).toList());
-			if (unexplained.losses().size() >= THRESHOLD) {
+			SuspectRequest unexplained = candidate.without((loss) -> isExplained(candidate, loss, detected));
+			if (unexplained.countedLosses() >= THRESHOLD) {
 				candidate.losses()
 					.forEach((loss) -> detected.computeIfAbsent(loss.runner(), (key) -> new HashSet<>())
 						.add(decidingLoss(candidate).runner()));
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/RequestQuarantine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/RequestQuarantine.java
@@ -66,9 +66,7 @@
 	 * Records that the connection to a runner ended while it processed a request.
 	 */
 	public void runnerLost(long contentHash, RunnerInfo runner, long nowNanos) {
-		if (this.completed.completedNanos(contentHash, nowNanos).isEmpty()) {
-			this.unconfirmed.add(contentHash, runner, nowNanos);
-		}
+		this.unconfirmed.add(contentHash, runner, nowNanos);
 	}
 
 	/**
@@ -93,9 +91,7 @@
 	 * @param runner hash of its name
 	 */
 	public void runnerLost(long contentHash, long runner, long nowNanos) {
-		if (this.completed.completedNanos(contentHash, nowNanos).isEmpty()) {
-			this.unconfirmed.add(contentHash, runner, nowNanos);
-		}
+		this.unconfirmed.add(contentHash, runner, nowNanos);
 	}
 
 	/**
@@ -147,13 +143,17 @@
 
 	/**
 	 * Records that a runner has completed a request, which a poison request never is.
+	 * Only runners that were lost later count against it: a new version of the runners
+	 * may crash on a request that the former one has completed.
+	 * @param begunNanos when the run began, or a time before
 	 */
-	public void requestCompleted(long contentHash, long nowNanos) {
-		this.completed.add(contentHash, nowNanos);
-		this.unconfirmed.requestCompleted(contentHash);
-		if (this.table.contains(contentHash)) {
-			clear(contentHash, nowNanos, Optional.empty(), nowNanos);
-		}
+	public void requestCompleted(long contentHash, long begunNanos) {
+		this.completed.add(contentHash, begunNanos);
+		this.unconfirmed.requestCompleted(contentHash, begunNanos);
+		this.table.get(contentHash)
+			.filter((suspect) -> suspect.losses().stream().anyMatch((loss) -> loss.atNanos() <= begunNanos))
+			.ifPresent((suspect) -> merge(new SuspectRequest(contentHash, List.of(), OptionalLong.of(begunNanos)),
+					Optional.empty(), begunNanos));
 	}
 
 	/**
@@ -174,24 +174,18 @@
 	// What other entries report.
 
 	/**
-	 * Adds losses that another entry has reported.
+	 * Adds what another entry reports of a request.
 	 */
 	public void merge(SuspectRequest suspect, String source, long nowNanos) {
-		OptionalLong completedNanos = this.completed.completedNanos(suspect.contentHash(), nowNanos);
-		if (completedNanos.isPresent()) {
-			// The other entry learns of it with the next report.
-			clear(suspect.contentHash(), completedNanos.getAsLong(), Optional.empty(), nowNanos);
-			return;
-		}
-		addLosses(suspect.contentHash(), suspect.losses(), Optional.of(source), nowNanos);
+		merge(suspect, Optional.of(source), nowNanos);
 	}
 
 	/**
 	 * Records that some runner has completed a request, according to another entry.
 	 */
 	public void mergeCompletion(long contentHash, long completedNanos, String source, long nowNanos) {
-		if (nowNanos - completedNanos < SuspectTable.COMPLETION_TTL.toNanos()) {
-			clear(contentHash, completedNanos, Optional.of(source), nowNanos);
+		if (nowNanos - completedNanos < SuspectRequest.COMPLETION_TTL.toNanos()) {
+			merge(new SuspectRequest(contentHash, List.of(), OptionalLong.of(completedNanos)), source, nowNanos);
 		}
 	}
 
@@ -227,7 +221,7 @@
 		List<Update> updates = rows.stream()
 			.filter((row) -> row.change() <= last)
 			.filter((row) -> !row.source().equals(Optional.of(peer)))
-			.map((row) -> new Update(row.suspect(), row.completedNanos()))
+			.map((row) -> new Update(row.suspect(), row.suspect().completedNanos()))
 			.toList();
 		List<SuspectPart> suspectParts = partRows.stream()
 			.filter((row) -> row.change() <= last)
@@ -266,7 +260,13 @@
 			return false;
 		}
 		int unconfirmedLosses = this.unconfirmed.count(contentHash);
-		return unconfirmedLosses > 0 && this.table.losses(contentHash) + unconfirmedLosses >= PoisonDetector.THRESHOLD;
+		// All of them are of one moment.
+		int counted = this.completed.contains(contentHash) ? Math.min(1, unconfirmedLosses) : unconfirmedLosses;
+		return counted > 0 && countedLosses(contentHash) + counted >= PoisonDetector.THRESHOLD;
+	}
+
+	private int countedLosses(long contentHash) {
+		return this.table.get(contentHash).map(SuspectRequest::countedLosses).orElse(0);
 	}
 
 	/**
@@ -289,20 +289,31 @@
 
 	private void confirm(UnconfirmedLosses.Unconfirmed<Long> loss, long nowNanos) {
 		List<SuspectRequest.Loss> losses = List.of(new SuspectRequest.Loss(loss.runner(), loss.lostNanos()));
-		addLosses(loss.subject(), losses, Optional.empty(), nowNanos);
+		merge(new SuspectRequest(loss.subject(), losses), Optional.empty(), nowNanos);
 	}
 
-	private void addLosses(long contentHash, List<SuspectRequest.Loss> losses, Optional<String> source, long nowNanos) {
-		if (!this.table.addLosses(contentHash, losses, source, nowNanos)) {
+	private void merge(SuspectRequest told, Optional<String> source, long nowNanos) {
+		long contentHash = told.contentHash();
+		int before = losses(contentHash);
+		if (!this.table.merge(told, this.completed.begunNanos(contentHash, nowNanos), source, nowNanos)) {
 			return;
 		}
-		int known = this.table.losses(contentHash);
-		this.changes.add(new QuarantineChange.Suspected(contentHash, known));
-		if (known >= PoisonDetector.THRESHOLD) {
+		int known = losses(contentHash);
+		if (known > before) {
+			this.changes.add(new QuarantineChange.Suspected(contentHash, known));
+		}
+		if (known < before) {
+			this.changes.add(new QuarantineChange.Cleared(contentHash, source));
+		}
+		if (known >= PoisonDetector.THRESHOLD || this.quarantinedUntil.containsKey(contentHash)) {
 			decisionDue(source, nowNanos);
 		}
 	}
 
+	private int losses(long contentHash) {
+		return this.table.get(contentHash).map((suspect) -> suspect.losses().size()).orElse(0);
+	}
+
 	private void confirmParts(UnconfirmedLosses.Unconfirmed<PromptParts> loss, long nowNanos) {
 		this.changes.addAll(this.parts.runnerLost(loss.subject(), loss.runner(), loss.lostNanos(), nowNanos));
 	}
@@ -333,15 +344,6 @@
 		});
 	}
 
-	private void clear(long contentHash, long completedNanos, Optional<String> source, long nowNanos) {
-		if (this.table.markCompleted(contentHash, completedNanos, source)) {
-			this.changes.add(new QuarantineChange.Cleared(contentHash, source));
-			if (this.quarantinedUntil.containsKey(contentHash)) {
-				decide(source, nowNanos);
-			}
-		}
-	}
-
 	private void decide(Optional<String> source, long nowNanos) {
 		Map<Long, Long> decided = new HashMap<>();
 		PoisonDetector.detect(this.table.suspects(), this.parts).forEach((contentHash, counted) -> {
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectTable.java
@@ -22,9 +22,6 @@
 	/** How long a loss counts; longer than any quarantine. */
 	static final Duration LOSS_TTL = Duration.ofHours(1);
 
-	/** How long a request that was completed is not suspected. */
-	static final Duration COMPLETION_TTL = Duration.ofMinutes(1);
-
 	// A crash adds a row for each request that was in progress. Rows with a single loss
 	// are dropped first: without them a poison request is detected one crash later.
 	private static final int MAX_SINGLE_LOSS_ROWS = 512;
@@ -45,48 +42,34 @@
 	}
 
 	/**
-	 * Adds losses of a request and returns whether any was new. A request that was
-	 * completed lately is not suspected.
-	 * @param source the entry that reported them; empty for this one
+	 * Adds what is known of a request and returns whether any of it was new.
+	 * @param told what was reported
+	 * @param ownCompletion when the latest run that this entry knows to have been
+	 * completed began
+	 * @param source the entry that reported it; empty for this one
 	 */
-	boolean addLosses(long contentHash, List<SuspectRequest.Loss> losses, Optional<String> source, long nowNanos) {
-		Row known = this.byHash.get(contentHash);
-		if (known != null && known.completedLately(nowNanos)) {
-			return false;
-		}
-		SuspectRequest before = (known != null && known.completedNanos.isEmpty()) ? known.suspect
-				: new SuspectRequest(contentHash, List.of());
-		SuspectRequest after = before
-			.with(losses.stream().filter((loss) -> nowNanos - loss.atNanos() < LOSS_TTL.toNanos()).toList());
+	boolean merge(SuspectRequest told, OptionalLong ownCompletion, Optional<String> source, long nowNanos) {
+		SuspectRequest before = Optional.ofNullable(this.byHash.get(told.contentHash()))
+			.map(Row::suspect)
+			.orElseGet(() -> new SuspectRequest(told.contentHash(), List.of()));
+		List<SuspectRequest.Loss> recent = told.losses()
+			.stream()
+			.filter((loss) -> nowNanos - loss.atNanos() < LOSS_TTL.toNanos())
+			.toList();
+		SuspectRequest after = before.with(recent, told.completedNanos()).with(List.of(), ownCompletion);
 		if (after.equals(before)) {
 			return false;
 		}
-		// The source lacks the losses that were known here before.
-		boolean sameAtSource = after.losses().size() == losses.size();
-		put(new Row(after, OptionalLong.empty(), sameAtSource ? source : Optional.empty(), this.changes.next()));
+		put(new Row(after, after.equals(told) ? source : Optional.empty(), this.changes.next()));
 		return true;
 	}
 
-	/**
-	 * Records that a request was completed, and returns whether it was suspected.
-	 */
-	boolean markCompleted(long contentHash, long completedNanos, Optional<String> source) {
-		Row known = this.byHash.get(contentHash);
-		if (known != null && known.completedNanos.isPresent()) {
-			return false;
-		}
-		put(new Row(new SuspectRequest(contentHash, List.of()), OptionalLong.of(completedNanos), source,
-				this.changes.next()));
-		return known != null;
-	}
-
 	boolean contains(long contentHash) {
 		return this.byHash.containsKey(contentHash);
 	}
 
-	int losses(long contentHash) {
-		Row row = this.byHash.get(contentHash);
-		return (row != null) ? row.suspect.losses().size() : 0;
+	Optional<SuspectRequest> get(long contentHash) {
+		return Optional.ofNullable(this.byHash.get(contentHash)).map(Row::suspect);
 	}
 
 	/**
@@ -134,24 +117,19 @@
 	/**
 	 * A request that is suspected, or that was completed after it had been suspected.
 	 *
-	 * @param suspect the request with its losses; without any once it was completed
-	 * @param completedNanos when it was completed
+	 * @param suspect the request with its losses
 	 * @param source the entry that has reported exactly this; empty for this one
 	 * @param change the number of the latest change
 	 */
-	record Row(SuspectRequest suspect, OptionalLong completedNanos, Optional<String> source, long change) {
+	record Row(SuspectRequest suspect, Optional<String> source, long change) {
 
 		long contentHash() {
 			return this.suspect.contentHash();
 		}
 
-		boolean completedLately(long nowNanos) {
-			return this.completedNanos.isPresent()
-					&& nowNanos - this.completedNanos.getAsLong() < COMPLETION_TTL.toNanos();
-		}
-
 		private boolean expired(long nowNanos) {
-			return this.completedNanos.isPresent() ? !completedLately(nowNanos)
+			return this.suspect.losses().isEmpty() ? nowNanos
+					- this.suspect.completedNanos().orElse(nowNanos) >= SuspectRequest.COMPLETION_TTL.toNanos()
 					: nowNanos - this.suspect.lastLossNanos() >= LOSS_TTL.toNanos();
 		}
 
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/UnconfirmedLosses.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/UnconfirmedLosses.java
@@ -87,8 +87,11 @@
 		this.losses.removeIf((loss) -> loss.runner == runner);
 	}
 
-	void requestCompleted(S request) {
-		this.losses.removeIf((loss) -> loss.subject.equals(request));
+	/**
+	 * Drops the losses of a request before a run of it began that was completed.
+	 */
+	void requestCompleted(S request, long begunNanos) {
+		this.losses.removeIf((loss) -> loss.subject.equals(request) && loss.lostNanos <= begunNanos);
 	}
 
 	int count(S request) {
--- a/policy/src/test/java/org/wisteriapost/policy/quarantine/RequestQuarantineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/quarantine/RequestQuarantineTests.java
@@ -95,6 +95,52 @@
 		assertThat(quarantined(POISON), Matchers.is(false));
 	}
 
+	// Guards against a request that ran well on the former version of the runners and
+	// crashes each of the present one, unnoticed since it was completed a moment ago.
+	@Test
+	void lossesAfterACompletedRunCount() {
+		this.quarantine.requestCompleted(POISON, this.now);
+		for (String runner : List.of("a", "b", "c")) {
+			assertThat(quarantined(POISON), Matchers.is(false));
+			advance(Duration.ofMillis(1100));
+			crash(runner, POISON);
+		}
+		assertThat(quarantined(POISON), Matchers.is(true));
+	}
+
+	// Guards against a run that began before the crashes and clears the request of these.
+	@Test
+	void completionOfARunThatBeganBeforeLossesDoesNotClearThem() {
+		long begun = this.now;
+		for (String runner : List.of("a", "b", "c")) {
+			advance(Duration.ofMillis(1100));
+			crash(runner, POISON);
+		}
+		this.quarantine.requestCompleted(POISON, begun);
+		assertThat(quarantined(POISON), Matchers.is(true));
+		this.quarantine.requestCompleted(POISON, this.now);
+		advance(Duration.ofMillis(20));
+		assertThat(quarantined(POISON), Matchers.is(false));
+	}
+
+	// Guards against refusing a request that many callers send since many runners lost
+	// power at once, or twice, also at entries that have not completed it.
+	@Test
+	void outageIsOneLossOfARequestThatWasCompletedBefore() {
+		RequestQuarantine other = new RequestQuarantine();
+		this.quarantine.requestCompleted(POISON, this.now);
+		for (int outage = 0; outage < 2; outage++) {
+			advance(Duration.ofSeconds(5));
+			for (int i = 0; i < 12; i++) {
+				this.quarantine.runnerLost(POISON, runner("r" + outage + "-" + i), this.now);
+			}
+			advance(UnconfirmedLosses.MAX_WAIT);
+			exchange(this.quarantine, other);
+		}
+		assertThat(quarantined(POISON), Matchers.is(false));
+		assertThat(other.remainingNanos(POISON, this.now), Matchers.equalTo(OptionalLong.empty()));
+	}
+
 	// Guards against taking a runner that resets connections for one that crashed.
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
@@ -181,7 +227,7 @@
 				to.mergeCompletion(update.suspect().contentHash(), update.completedNanos().getAsLong(), "from",
 						this.now);
 			}
-			else {
+			if (!update.suspect().losses().isEmpty()) {
 				to.merge(update.suspect(), "from", this.now);
 			}
 		});
