Fix: a part that turned bad and crashed all runners at once was stopped late

Fifteen runners crashed within 0.9 s, hardly any were left for a while, and the third moment, 1 ms too early the first time, came 3.5 s after the first.

Change: ten losses and more count by moments of 0.25 s, as those of any other part.

--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/BadPartDetector.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/BadPartDetector.java
@@ -33,6 +33,11 @@
 	// progress at any crash.
 	private static final long GOOD_MOMENT_NANOS = Duration.ofSeconds(1).toNanos();
 
+	// A part that turns bad may crash all runners within a second. Then hardly any are
+	// left
+	// for further crashes, and so many losses do not come about by chance.
+	private static final int MANY_LOSSES = 10;
+
 	private static final long LATELY_NANOS = Duration.ofSeconds(10).toNanos();
 
 	// Time for other entries to report an answer that has gone on.
@@ -133,7 +138,7 @@
 			long firstLoss = this.unexplained.getFirst().atNanos();
 			boolean latelyGood = this.part.goodNanos().isPresent()
 					&& firstLoss - this.part.goodNanos().getAsLong() < LATELY_NANOS;
-			long gap = latelyGood ? GOOD_MOMENT_NANOS : MOMENT_NANOS;
+			long gap = (latelyGood && this.unexplained.size() < MANY_LOSSES) ? GOOD_MOMENT_NANOS : MOMENT_NANOS;
 			List<Long> moments = new ArrayList<>();
 			for (SuspectRequest.Loss loss : this.unexplained) {
 				if (moments.isEmpty() || loss.atNanos() - moments.getLast() > gap) {
