Fix: sound requests were refused before the part beside them was known as bad

What callers saw: one or two sound requests ended with poison-request when a part of other prompts began to crash runners.

Cause: three losses convict a request at once, while a part waits half a second for objections. A request that was at the first three runners to crash was convicted before the part that explains them.

In the fleets a print of the verdicts showed such a request convicted by three crashes within 0.4 s.

Change: a request that was lost together with parts is decided on half a second after its deciding loss, when the parts are; until then it waits.

--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/BadPartDetector.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/BadPartDetector.java
@@ -40,8 +40,8 @@
 
 	private static final long LATELY_NANOS = Duration.ofSeconds(10).toNanos();
 
-	// Time for other entries to report an answer that has gone on.
-	private static final long OBJECTION_NANOS = Duration.ofMillis(500).toNanos();
+	/** Time for other entries to report an answer that has gone on. */
+	static final long OBJECTION_NANOS = Duration.ofMillis(500).toNanos();
 
 	private static final Comparator<Candidate> BY_LOSSES = Comparator
 		.comparingInt((Candidate candidate) -> -candidate.unexplained.size())
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PartQuarantine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PartQuarantine.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Keeps requests with a part of the prompt that crashes runners from these.
@@ -38,6 +39,8 @@
 	// The most losses of any part that was lost with a runner.
 	private Map<Long, Integer> mostLosses = Map.of();
 
+	private Set<Long> lostRunners = Set.of();
+
 	private long decisions;
 
 	private boolean decisionDue;
@@ -129,6 +132,14 @@
 				|| this.mostLosses.getOrDefault(loss.runner(), 0) > request.losses().size();
 	}
 
+	/**
+	 * Returns whether a request was lost together with parts of prompts, one of which may
+	 * be the cause.
+	 */
+	boolean involvedIn(SuspectRequest request) {
+		return request.losses().stream().anyMatch((loss) -> this.lostRunners.contains(loss.runner()));
+	}
+
 	/**
 	 * Returns the number of decisions so far.
 	 */
@@ -177,6 +188,10 @@
 		this.verdicts = decided;
 		this.explainedRunners = explained;
 		this.mostLosses = mostLosses(parts);
+		this.lostRunners = parts.stream()
+			.flatMap((part) -> part.losses().stream())
+			.map(SuspectRequest.Loss::runner)
+			.collect(Collectors.toSet());
 		return changes;
 	}
 
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PoisonDetector.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PoisonDetector.java
@@ -32,10 +32,10 @@
 	}
 
 	/**
-	 * Returns the poison requests by content hash, with the losses that count for each.
+	 * Returns the poison requests, with the losses that count for each.
 	 * @param parts explain crashes by parts of prompts
 	 */
-	static Map<Long, SuspectRequest> detect(Collection<SuspectRequest> suspects, PartQuarantine parts) {
+	static Verdicts detect(Collection<SuspectRequest> suspects, PartQuarantine parts, long nowNanos) {
 		List<SuspectRequest> candidates = suspects.stream()
 			.map((suspect) -> suspect.without((loss) -> parts.explains(loss, suspect)))
 			.filter((suspect) -> suspect.countedLosses() >= THRESHOLD)
@@ -44,16 +44,21 @@
 		// Deciding losses of the requests detected so far, by the runners they explain.
 		Map<Long, Set<Long>> detected = new HashMap<>();
 		Map<Long, SuspectRequest> counted = new HashMap<>();
+		Map<Long, Long> undecided = new HashMap<>();
 		for (SuspectRequest candidate : candidates) {
 			SuspectRequest unexplained = candidate.without((loss) -> isExplained(candidate, loss, detected));
-			if (unexplained.countedLosses() >= THRESHOLD) {
+			long certain = decidingLoss(candidate).atNanos() + BadPartDetector.OBJECTION_NANOS;
+			if (nowNanos < certain && parts.involvedIn(unexplained)) {
+				undecided.put(candidate.contentHash(), certain);
+			}
+			else if (unexplained.countedLosses() >= THRESHOLD) {
 				candidate.losses()
 					.forEach((loss) -> detected.computeIfAbsent(loss.runner(), (key) -> new HashSet<>())
 						.add(decidingLoss(candidate).runner()));
 				counted.put(candidate.contentHash(), unexplained);
 			}
 		}
-		return counted;
+		return new Verdicts(counted, undecided);
 	}
 
 	// Two requests that the same loss would convict cannot be told apart.
@@ -67,4 +72,14 @@
 		return suspect.losses().get(THRESHOLD - 1);
 	}
 
+	/**
+	 * What is decided of the suspect requests.
+	 *
+	 * @param poison the poison requests by content hash, with the losses that count
+	 * @param undecided requests that may be beside a bad part, by content hash, and when
+	 * enough is known of the part
+	 */
+	record Verdicts(Map<Long, SuspectRequest> poison, Map<Long, Long> undecided) {
+	}
+
 }
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/RequestQuarantine.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/RequestQuarantine.java
@@ -53,6 +53,9 @@
 
 	private final Map<Long, Long> quarantinedUntil = new HashMap<>();
 
+	// Requests whose losses a part of prompts may explain, and when that is decided.
+	private Map<Long, Long> undecided = Map.of();
+
 	private List<QuarantineChange> changes = new ArrayList<>();
 
 	// A loss was added that may put requests in quarantine.
@@ -163,6 +166,9 @@
 		this.unconfirmed.removeOverdue(nowNanos).forEach((loss) -> confirm(loss, nowNanos));
 		this.unconfirmedParts.removeOverdue(nowNanos).forEach((loss) -> confirmParts(loss, nowNanos));
 		decideOnParts(nowNanos);
+		if (this.undecided.values().stream().anyMatch((certain) -> nowNanos >= certain)) {
+			decide(Optional.empty(), nowNanos);
+		}
 		if (nowNanos >= this.nextExpiryNanos) {
 			this.nextExpiryNanos = nowNanos + EXPIRY_INTERVAL_NANOS;
 			if (this.table.expire(nowNanos) || !this.quarantinedUntil.isEmpty()) {
@@ -256,6 +262,9 @@
 	 * poison request.
 	 */
 	public boolean undecided(long contentHash) {
+		if (this.undecided.containsKey(contentHash)) {
+			return true;
+		}
 		if (this.unconfirmed.isEmpty()) {
 			return false;
 		}
@@ -346,7 +355,9 @@
 
 	private void decide(Optional<String> source, long nowNanos) {
 		Map<Long, Long> decided = new HashMap<>();
-		PoisonDetector.detect(this.table.suspects(), this.parts).forEach((contentHash, counted) -> {
+		PoisonDetector.Verdicts verdicts = PoisonDetector.detect(this.table.suspects(), this.parts, nowNanos);
+		this.undecided = verdicts.undecided();
+		verdicts.poison().forEach((contentHash, counted) -> {
 			long until = counted.lastLossNanos() + durationNanos(counted.losses().size());
 			if (until > nowNanos) {
 				decided.put(contentHash, until);
--- a/policy/src/test/java/org/wisteriapost/policy/quarantine/RequestQuarantineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/quarantine/RequestQuarantineTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
@@ -84,6 +85,38 @@
 		assertThat(quarantined(BESIDE), Matchers.is(true));
 	}
 
+	// Guards against refusing a sound request that was beside a part which crashes
+	// runners,
+	// before enough is known of the part.
+	@Test
+	void requestBesideABadPartIsNotQuarantinedBeforeThePartIs() {
+		PromptParts bad = new PromptParts(Set.of(77L));
+		for (String id : List.of("a", "b", "c", "d")) {
+			this.quarantine.runnerLost(bad, runner(id), this.now);
+			crash(id, id.equals("d") ? POISON : BESIDE);
+			assertThat(quarantined(BESIDE), Matchers.is(false));
+			advance(Duration.ofMillis(100));
+		}
+		advance(Duration.ofSeconds(1));
+		assertThat(quarantined(BESIDE), Matchers.is(false));
+	}
+
+	// Guards against a poison request that names parts and is not refused, or reaches
+	// runners while that is decided.
+	@Test
+	void poisonRequestWithPartsIsQuarantinedAMomentLater() {
+		PromptParts parts = new PromptParts(Set.of(77L));
+		for (String id : List.of("a", "b", "c")) {
+			this.quarantine.runnerLost(parts, runner(id), this.now);
+			crash(id, POISON);
+		}
+		advance(Duration.ofMillis(20));
+		assertThat(quarantined(POISON), Matchers.is(false));
+		assertThat(this.quarantine.undecided(POISON), Matchers.is(true));
+		advance(Duration.ofMillis(500));
+		assertThat(quarantined(POISON), Matchers.is(true));
+	}
+
 	@Test
 	void completedRequestIsNotSuspected() {
 		crash("a", POISON);
