--- a/app/src/test/java/org/wisteriapost/app/RateLimitSoak.java
+++ b/app/src/test/java/org/wisteriapost/app/RateLimitSoak.java
@@ -25,6 +25,7 @@
 import org.wisteriapost.agent.site.SiteAgent;
 import org.wisteriapost.platform.emulator.EmulatedRunner;
 import org.wisteriapost.platform.emulator.EmulatedSite;
+import org.wisteriapost.platform.emulator.OddSpec;
 import org.wisteriapost.platform.emulator.RateLimitLedger;
 import org.wisteriapost.protocol.http.HttpCall;
 import org.wisteriapost.protocol.http.HttpResponseListener;
@@ -93,6 +94,8 @@
 
 	private volatile int preferredEntry = 1;
 
+	private int oddObjects;
+
 	private RateLimitSoak(long seed, Path folder, String classPath) throws Exception {
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 		this.maxEvents = MAX_EVENTS[this.random.nextInt(MAX_EVENTS.length)];
@@ -196,6 +199,7 @@
 			changeLimits();
 			TimeUnit.MILLISECONDS.sleep(this.random.nextInt(6000, 15000));
 			if (faults) {
+				writeOddObject();
 				disturb();
 			}
 		}
@@ -215,6 +219,12 @@
 		}
 	}
 
+	// Another process overwrites the same object again and again.
+	private void writeOddObject() {
+		OddSpec odd = OddSpec.values()[this.oddObjects++ % OddSpec.values().length];
+		this.site.store().putText("servers", "odd", odd.runner("registry"));
+	}
+
 	private void disturb() throws Exception {
 		int entry = 1 + this.random.nextInt(ENTRIES);
 		switch (this.random.nextInt(4)) {
