Fix: relayed times of a completed run were told on without an end

Found by reading the change of completed runs: each entry that is told such a time learns one that is later by the time in transit, and took it for news. Where links form a circle, reports would have gone round for as long as the row was kept.

Evidence: RequestQuarantineTests#relayedCompletionIsNotToldOnAgain fails before.

Change: as for parts of prompts, with the same code (GoodTimes): a later time counts if it clears a loss, or from one second on. A request whose losses are explained no longer waits for the decision on parts.

--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PartTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PartTable.java
@@ -22,9 +22,8 @@
 	private static final Duration GOOD_TTL = Duration.ofMinutes(1);
 
 	// A crash adds a row for each part of the requests that had not begun. Rows with at
-	// most one loss are dropped first, but not those of the same request: the part that
-	// is
-	// the cause would be forgotten each time.
+	// most one loss are dropped first. All parts of one request must fit: otherwise the
+	// part that is the cause would be forgotten each time.
 	private static final int MAX_SINGLE_LOSS_ROWS = 1792;
 
 	private static final int MAX_ROWS = 2048;
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PoisonDetector.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PoisonDetector.java
@@ -47,11 +47,14 @@
 		Map<Long, Long> undecided = new HashMap<>();
 		for (SuspectRequest candidate : candidates) {
 			SuspectRequest unexplained = candidate.without((loss) -> isExplained(candidate, loss, detected));
+			if (unexplained.countedLosses() < THRESHOLD) {
+				continue;
+			}
 			long certain = decidingLoss(candidate).atNanos() + BadPartDetector.OBJECTION_NANOS;
 			if (nowNanos < certain && parts.involvedIn(unexplained)) {
 				undecided.put(candidate.contentHash(), certain);
 			}
-			else if (unexplained.countedLosses() >= THRESHOLD) {
+			else {
 				candidate.losses()
 					.forEach((loss) -> detected.computeIfAbsent(loss.runner(), (key) -> new HashSet<>())
 						.add(decidingLoss(candidate).runner()));
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/PromptParts.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/PromptParts.java
@@ -18,9 +18,8 @@
 	/** The caller names no parts, only one, or more than can be suspected. */
 	public static final PromptParts NONE = new PromptParts(Set.of());
 
-	// Bounds the work for one request, and fewer than are remembered. To suspect some of
-	// more would convict those that all requests share, if the bad part is among the
-	// rest.
+	// Bounds the work for one request; fewer than are remembered. A longer list is not
+	// cut short: without the bad part, those that all requests share would be convicted.
 	private static final int MAX_PARTS = 1536;
 
 	private static final int MAX_ID_LENGTH = 16;
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectPart.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectPart.java
@@ -19,9 +19,6 @@
 	/** More than crash until a part is recognised. */
 	static final int MAX_LOSSES = 32;
 
-	// Relayed times shift by the time in transit; less than this is not worth telling on.
-	private static final long GOOD_STEP_NANOS = 1_000_000_000;
-
 	private static final Comparator<SuspectRequest.Loss> BY_TIME = Comparator
 		.comparingLong(SuspectRequest.Loss::atNanos)
 		.thenComparingLong(SuspectRequest.Loss::runner);
@@ -34,7 +31,7 @@
 	 * Returns this part with what is known elsewhere of the same part.
 	 */
 	SuspectPart with(SuspectPart other) {
-		OptionalLong good = latestGood(other);
+		OptionalLong good = GoodTimes.latest(this.goodNanos, this.losses, other.goodNanos, other.losses);
 		List<SuspectRequest.Loss> merged = new ArrayList<>(this.losses);
 		other.losses.stream()
 			.filter((loss) -> merged.stream().noneMatch((known) -> known.runner() == loss.runner()))
@@ -50,17 +47,6 @@
 		return new SuspectPart(this.id, merged, good);
 	}
 
-	private OptionalLong latestGood(SuspectPart other) {
-		if (this.goodNanos.isEmpty() || other.goodNanos.isEmpty()) {
-			return this.goodNanos.isPresent() ? this.goodNanos : other.goodNanos;
-		}
-		long known = this.goodNanos.getAsLong();
-		long told = other.goodNanos.getAsLong();
-		boolean clearsLosses = this.losses.stream().anyMatch((loss) -> loss.atNanos() <= told && loss.atNanos() > known)
-				|| other.losses.stream().anyMatch((loss) -> loss.atNanos() <= told && loss.atNanos() > known);
-		return (clearsLosses || told > known + GOOD_STEP_NANOS) ? other.goodNanos : this.goodNanos;
-	}
-
 	/**
 	 * Returns whether an answer that began then clears the part of losses.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectRequest.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectRequest.java
@@ -23,9 +23,8 @@
 	/** For how long a request counts as one that many callers send. */
 	static final Duration COMPLETION_TTL = Duration.ofMinutes(1);
 
-	// Many callers may send a request that was completed shortly before, so that some are
-	// in
-	// progress at any crash.
+	// Many callers may send a request that was completed shortly before: some of its
+	// attempts are in progress at any crash.
 	private static final long MOMENT_NANOS = Duration.ofSeconds(1).toNanos();
 
 	private static final Comparator<Loss> BY_TIME = Comparator.comparingLong(Loss::atNanos)
@@ -49,7 +48,7 @@
 	SuspectRequest with(List<Loss> further, OptionalLong completed) {
 		List<Loss> merged = new ArrayList<>(this.losses);
 		further.stream().filter((loss) -> !includes(merged, loss.runner())).forEach(merged::add);
-		OptionalLong latest = later(this.completedNanos, completed);
+		OptionalLong latest = GoodTimes.latest(this.completedNanos, this.losses, completed, further);
 		latest.ifPresent((begun) -> merged.removeIf((loss) -> loss.atNanos() <= begun));
 		merged.sort(BY_TIME);
 		// The first and the last losses tell over how long a time they came.
@@ -59,13 +58,6 @@
 		return new SuspectRequest(this.contentHash, merged, latest);
 	}
 
-	private static OptionalLong later(OptionalLong one, OptionalLong other) {
-		if (one.isEmpty() || other.isEmpty()) {
-			return one.isPresent() ? one : other;
-		}
-		return OptionalLong.of(Math.max(one.getAsLong(), other.getAsLong()));
-	}
-
 	/**
 	 * Returns this request without some of its losses.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/quarantine/RequestQuarantineTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/quarantine/RequestQuarantineTests.java
@@ -156,6 +156,28 @@
 		assertThat(quarantined(POISON), Matchers.is(false));
 	}
 
+	// Guards against reports between entries that never end: relayed times of a completed
+	// run are later at each entry.
+	@Test
+	void relayedCompletionIsNotToldOnAgain() {
+		RequestQuarantine other = new RequestQuarantine();
+		crash("a", POISON);
+		this.quarantine.requestCompleted(POISON, this.now);
+		relayLater(this.quarantine, other);
+		long told = this.quarantine.lastChange();
+		relayLater(other, this.quarantine);
+		assertThat(this.quarantine.lastChange(), Matchers.equalTo(told));
+	}
+
+	private void relayLater(RequestQuarantine from, RequestQuarantine to) {
+		long transit = Duration.ofMillis(5).toNanos();
+		from.updatesSince(0, "to", Integer.MAX_VALUE)
+			.updates()
+			.forEach((update) -> update.completedNanos()
+				.ifPresent((completed) -> to.mergeCompletion(update.suspect().contentHash(), completed + transit,
+						"from", this.now)));
+	}
+
 	// Guards against refusing a request that many callers send since many runners lost
 	// power at once, or twice, also at entries that have not completed it.
 	@Test
