--- a/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectTable.java
+++ b/policy/src/main/java/org/wisteriapost/policy/quarantine/SuspectTable.java
@@ -64,10 +64,6 @@
 		return true;
 	}
 
-	boolean contains(long contentHash) {
-		return this.byHash.containsKey(contentHash);
-	}
-
 	Optional<SuspectRequest> get(long contentHash) {
 		return Optional.ofNullable(this.byHash.get(contentHash)).map(Row::suspect);
 	}
