Fix: an answer with malformed framing reached callers as a whole one

Callers got a plain 200, a 503 "not run" or a stream whose body was not the runner's: a part of it where a head had two lengths or a chunk a wrong size, the framing itself where the transfer coding was not known or its field had got a leading blank, events twice or of two runs in streams.

Cause: nobody decided whether a response is well-formed. The HTTP library does, leniently: it takes the first of several lengths and "+30" for 30, reads the body of an unknown transfer coding until the connection ends, prefers chunks or a length where both are stated, skips whatever stands behind a chunk, behind its size and in trailers, and takes any version. Refused by the library already: status 000, a line that is no field, a name with a blank or a control byte; their tests are kept.

Change: ResponseValidator reads all bytes of a connection before the library has them (ReceivedBytes) and fails the call at the first that RFC 9112 does not allow, so nothing of such a head is believed. As every response is read by this client, this holds for both request paths, agents, the store and its watch, and the origin. An obsolete line folding is still allowed, but not of a length or coding, nor with a colon, since that may be a field whose name has got a leading blank.

--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
@@ -55,9 +55,9 @@
 	/**
 	 * Records that a call begins to use it.
 	 */
-	ConnectionUse beginCall() {
+	ConnectionUse beginCall(HttpCall call) {
 		this.calls++;
-		this.received.beginCall();
+		this.received.beginCall(call);
 		return new ConnectionUse(this.number, this.calls);
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -180,7 +180,7 @@
 			IoUtils.safeClose(to.connection());
 			return;
 		}
-		ConnectionUse use = to.beginCall();
+		ConnectionUse use = to.beginCall(this.call);
 		this.connectionUse = Optional.of(use);
 		this.call.series().ifPresent((series) -> series.add(use));
 		URI target = this.call.target();
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ReceivedBytes.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ReceivedBytes.java
@@ -2,12 +2,13 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Bounds what is read from a connection. Confined to its I/O thread.
+ * Bounds what is read from a connection, and has it checked. Confined to its I/O thread.
  *
  * A server may send bytes without an end. In a status line, a header, interim responses,
  * the framing of chunks or trailers they never reach the listener of a call, so that
@@ -31,6 +32,8 @@
 	// their turn.
 	private static final int MAX_BYTES_PER_TURN = 64 * 1024;
 
+	private final ResponseValidator validator = new ResponseValidator();
+
 	private int remainingInTurn = MAX_BYTES_PER_TURN;
 
 	private long received;
@@ -42,11 +45,12 @@
 	}
 
 	/**
-	 * Begins to count the response to another call.
+	 * Begins the response to another call.
 	 */
-	void beginCall() {
+	void beginCall(HttpCall call) {
 		this.received = 0;
 		this.body = 0;
+		this.validator.begin(call.method());
 	}
 
 	/**
@@ -61,15 +65,24 @@
 		if (endsTurn()) {
 			return 0;
 		}
-		return (int) count(super.read(target));
+		int start = target.position();
+		int bytes = (int) count(super.read(target));
+		validate(target, start);
+		return bytes;
 	}
 
 	@Override
 	public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-		if (endsTurn()) {
-			return 0;
+		for (ByteBuffer target : Arrays.asList(targets).subList(offset, offset + length)) {
+			if (target.hasRemaining()) {
+				return read(target);
+			}
 		}
-		return count(super.read(targets, offset, length));
+		return 0;
+	}
+
+	private void validate(ByteBuffer target, int start) throws MalformedResponseException {
+		this.validator.received(target.duplicate().flip().position(start));
 	}
 
 	// The connection remains readable, so the I/O thread continues it after the others.
