Fix: a part of a body was passed on as the whole where its length was too small

Callers got a plain 200 or a complete stream with the beginning of the runner's body only, where the stated length was smaller than the body or the last chunk came too early.

Cause: the rest then stands behind the end of the response, where nobody looked. It was read as the response to the next call on that connection.

Change: when a response has ended, ReceivedBytes reads what the server has sent besides. Other bytes than the beginning of another response fail the call, since the length may be the damaged part; a response that comes twice is still complete the first time. The connection is closed in both cases, and if the server has closed it. Bytes that arrive only later than the end can't be known; the call that meets them fails, as its status line is malformed.

Evidence: 9 more cases of MalformedAnswerTests (a length of 15 and of 0 for 30 bytes, an early last chunk; plain, at most once, stream) failed on: 200 with a part of the body. All pass, and those of the client, one with a body that is larger than a read.

--- a/entry/src/test/java/org/wisteriapost/entry/direct/MalformedAnswerTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/MalformedAnswerTests.java
@@ -55,9 +55,10 @@
 
 	/** Answers whose end is not that of the runner's body. */
 	private static Stream<String> bodies() {
-		return Stream.of(chunks("1e\r\n" + EVENTS + "\r\n0\r\nnoise\r\n\r\n"),
-				chunks("f\r\n" + EVENTS + "\r\n0\r\n\r\n"), chunks("1ex\r\n" + EVENTS + "\r\n0\r\n\r\n"),
-				chunks("1e\r\n" + EVENTS + "\r\n0x\r\n\r\n"),
+		return Stream.of(head("Content-Length: 15"), head("Content-Length: 0"),
+				chunks("1e\r\n" + EVENTS + "\r\n0\r\nnoise\r\n\r\n"), chunks("f\r\n" + EVENTS + "\r\n0\r\n\r\n"),
+				chunks("1ex\r\n" + EVENTS + "\r\n0\r\n\r\n"), chunks("1e\r\n" + EVENTS + "\r\n0x\r\n\r\n"),
+				chunks(FIRST_EVENT + "0\r\n\r\n" + FIRST_EVENT),
 				chunks(FIRST_EVENT + "f" + EVENTS.substring(15) + "\r\n0\r\n\r\n"));
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
@@ -61,6 +61,15 @@
 		return new ConnectionUse(this.number, this.calls);
 	}
 
+	/**
+	 * Ends the response to a call, and returns whether another call may use the
+	 * connection.
+	 * @throws MalformedResponseException if the response was not complete
+	 */
+	boolean endResponse() throws MalformedResponseException {
+		return this.received.endCall();
+	}
+
 	/**
 	 * Records that the call that used it has ended.
 	 * @param maxIdleMillis how long it may be idle until its next call
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -237,7 +237,7 @@
 				buffer.clear();
 				int count = channel.read(buffer);
 				if (count < 0) {
-					complete();
+					end(this.connection.endResponse());
 					return;
 				}
 				if (count == 0) {
@@ -274,11 +274,16 @@
 		this.responseStarted = true;
 	}
 
-	private void complete() {
+	private void end(boolean reusable) {
 		if (this.done.compareAndSet(false, true)) {
 			stopTimers();
-			long limitMillis = this.call.maxKeepIdle().map(Duration::toMillis).orElse(Long.MAX_VALUE);
-			this.pool.release(this.call.target(), this.connection, Math.min(limitMillis, this.maxIdleMillis));
+			if (reusable) {
+				long limitMillis = this.call.maxKeepIdle().map(Duration::toMillis).orElse(Long.MAX_VALUE);
+				this.pool.release(this.call.target(), this.connection, Math.min(limitMillis, this.maxIdleMillis));
+			}
+			else {
+				ConnectionPool.abort(this.connection.connection());
+			}
 			this.listener.onEnd();
 		}
 	}
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ReceivedBytes.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ReceivedBytes.java
@@ -32,6 +32,9 @@
 	// their turn.
 	private static final int MAX_BYTES_PER_TURN = 64 * 1024;
 
+	// Any of them show that the server has sent more than the response.
+	private static final int SURPLUS_BYTES = 16;
+
 	private final ResponseValidator validator = new ResponseValidator();
 
 	private int remainingInTurn = MAX_BYTES_PER_TURN;
@@ -60,6 +63,29 @@
 		this.body += count;
 	}
 
+	/**
+	 * Ends the response to a call, and returns whether the connection may be used for
+	 * another one: the server has sent nothing else and has not closed it.
+	 * @throws MalformedResponseException if the response was not complete
+	 */
+	boolean endCall() throws MalformedResponseException {
+		ByteBuffer behind = ByteBuffer.allocate(SURPLUS_BYTES);
+		boolean open = readBehindEnd(behind);
+		this.validator.received(behind.flip());
+		this.validator.checkComplete();
+		return open && !this.validator.hasSurplus();
+	}
+
+	private boolean readBehindEnd(ByteBuffer target) {
+		try {
+			return super.read(target) >= 0;
+		}
+		catch (IOException ex) {
+			// The connection ended after the response.
+			return false;
+		}
+	}
+
 	@Override
 	public int read(ByteBuffer target) throws IOException {
 		if (endsTurn()) {
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ResponseValidator.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ResponseValidator.java
@@ -28,6 +28,8 @@
 
 	private static final int HEXADECIMAL = 16;
 
+	private static final byte[] NEXT_RESPONSE = "HTTP/".getBytes(StandardCharsets.US_ASCII);
+
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
 	private final List<FieldLine> framingFields = new ArrayList<>();
@@ -44,6 +46,8 @@
 
 	private long remaining;
 
+	private int surplus;
+
 	/**
 	 * Begins the response to a request.
 	 */
@@ -51,6 +55,7 @@
 		this.method = method;
 		this.line.reset();
 		this.lineEnds = false;
+		this.surplus = 0;
 		beginHead();
 	}
 
@@ -67,12 +72,30 @@
 		while (bytes.hasRemaining()) {
 			switch (this.part) {
 				case BODY, CHUNK -> skip(bytes);
-				case BODY_UNTIL_CLOSE, COMPLETE -> bytes.position(bytes.limit());
+				case BODY_UNTIL_CLOSE -> bytes.position(bytes.limit());
+				case COMPLETE -> receivedBehindEnd(bytes.get());
 				case STATUS_LINE, FIELDS, CHUNK_SIZE, CHUNK_END, TRAILERS -> receivedOfLine(bytes.get());
 			}
 		}
 	}
 
+	/**
+	 * Checks that the response is complete, if the connection ends now.
+	 */
+	void checkComplete() throws MalformedResponseException {
+		boolean ended = this.part == Part.COMPLETE || this.part == Part.BODY_UNTIL_CLOSE;
+		if (!ended || (hasSurplus() && this.surplus < NEXT_RESPONSE.length)) {
+			throw MalformedResponseException.of("its end");
+		}
+	}
+
+	/**
+	 * Returns whether the server has sent more than the response.
+	 */
+	boolean hasSurplus() {
+		return this.surplus > 0;
+	}
+
 	private void skip(ByteBuffer bytes) {
 		int count = (int) Math.min(this.remaining, bytes.remaining());
 		bytes.position(bytes.position() + count);
@@ -82,6 +105,15 @@
 		}
 	}
 
+	// A response that comes twice is complete the first time. Other bytes may be the rest
+	// of a body whose length was damaged.
+	private void receivedBehindEnd(byte next) throws MalformedResponseException {
+		if (this.surplus < NEXT_RESPONSE.length && next != NEXT_RESPONSE[this.surplus]) {
+			throw MalformedResponseException.of("bytes behind its end");
+		}
+		this.surplus = Math.min(this.surplus + 1, NEXT_RESPONSE.length);
+	}
+
 	private void receivedOfLine(byte next) throws MalformedResponseException {
 		if (this.lineEnds != (next == '\n') || this.line.size() >= MAX_LINE_BYTES) {
 			throw MalformedResponseException.of("line end");
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/MalformedResponseTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/MalformedResponseTests.java
@@ -125,6 +125,13 @@
 			.flatMap((some) -> some));
 	}
 
+	static Stream<String> followedByOtherBytes() {
+		return Stream.of(OK + "Content-Length: 3\r\n\r\nbody", OK + "Content-Length: 0\r\n\r\nbody",
+				OK + LENGTH + "\r\nbody\r\n", OK + LENGTH + "\r\nbodyHTTP", OK + LENGTH + "\r\nbodyHTTPS/1.1 200 OK",
+				CHUNKED + CHUNKED + "4\r\nbody\r\n0\r\n\r\n4\r\nmore\r\n0\r\n\r\n",
+				OK + "Content-Length: 100000\r\n\r\n" + "x".repeat(100_001), "HTTP/1.1 204 No Content\r\n\r\nbody");
+	}
+
 	static Stream<Arguments> sound() {
 		return inBothPaces(Stream.of(OK + LENGTH + "\r\nbody", OK + "content-length:4\r\n\r\nbody",
 				OK + "CONTENT-LENGTH: \t 4 \t \r\n\r\nbody", OK + "Content-Length: 0004\r\n\r\nbody",
@@ -170,6 +177,15 @@
 		}
 	}
 
+	// Guards against a part of a body whose length was damaged, which is returned as the
+	// whole.
+	@ParameterizedTest
+	@MethodSource("followedByOtherBytes")
+	void responseFollowedByOtherBytesFails(String response) {
+		serve(response, false);
+		assertThat(failure().getCause(), instanceOf(MalformedResponseException.class));
+	}
+
 	// Guards against an unusual response that is allowed and fails.
 	@ParameterizedTest
 	@MethodSource("sound")
