Fix: a response without a body that states a length was waited for

A caller got 502 or 504 after the timeout for a sound 304 whose head states the length that its body would have, and for a 204 with one.

Cause: the HTTP library takes the length for that of a body, except of HEAD requests. RFC 9112 (6.3): such a response ends with its head, whatever fields it has.

Change: the call ends with the head if the library would wait, and gives up the connection. What follows is checked as behind any other response.

--- a/protocol/src/main/java/org/wisteriapost/protocol/http/BodyFraming.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/BodyFraming.java
@@ -26,6 +26,17 @@
 		return length.isPresent() ? new Length(length.getAsLong()) : new UntilClose();
 	}
 
+	/**
+	 * Returns whether it states that bytes follow.
+	 */
+	default boolean statesBytes() {
+		return switch (this) {
+			case Length(long bytes) -> bytes > 0;
+			case Chunked() -> true;
+			case UntilClose() -> false;
+		};
+	}
+
 	// No other coding is asked for in requests.
 	private static void checkCodings(List<String> codings, StatusLine statusLine, OptionalLong length)
 			throws MalformedResponseException {
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledConnection.java
@@ -61,6 +61,13 @@
 		return new ConnectionUse(this.number, this.calls);
 	}
 
+	/**
+	 * Returns whether the response is complete although its head states a body.
+	 */
+	boolean statedBodyAbsent() {
+		return this.received.statedBodyAbsent();
+	}
+
 	/**
 	 * Ends the response to a call, and returns whether another call may use the
 	 * connection.
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/PooledHttpExchange.java
@@ -219,7 +219,23 @@
 		this.responseChannel = exchange.getResponseChannel();
 		if (!this.done.get()) {
 			this.listener.onHead(head.status(), head.headers(), head.all());
-			read(this.responseChannel);
+			if (this.connection.statedBodyAbsent()) {
+				endWithoutBody();
+			}
+			else {
+				read(this.responseChannel);
+			}
+		}
+	}
+
+	// The library would wait for the body that the head states.
+	private void endWithoutBody() {
+		try {
+			this.connection.endResponse();
+			end(false);
+		}
+		catch (IOException ex) {
+			fail(ex);
 		}
 	}
 
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ReceivedBytes.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ReceivedBytes.java
@@ -63,6 +63,13 @@
 		this.body += count;
 	}
 
+	/**
+	 * Returns whether the response is complete although its head states a body.
+	 */
+	boolean statedBodyAbsent() {
+		return this.validator.statedBodyAbsent();
+	}
+
 	/**
 	 * Ends the response to a call, and returns whether the connection may be used for
 	 * another one: the server has sent nothing else and has not closed it.
--- a/protocol/src/main/java/org/wisteriapost/protocol/http/ResponseValidator.java
+++ b/protocol/src/main/java/org/wisteriapost/protocol/http/ResponseValidator.java
@@ -46,6 +46,8 @@
 
 	private long remaining;
 
+	private boolean statedBodyAbsent;
+
 	private int surplus;
 
 	/**
@@ -55,6 +57,7 @@
 		this.method = method;
 		this.line.reset();
 		this.lineEnds = false;
+		this.statedBodyAbsent = false;
 		this.surplus = 0;
 		beginHead();
 	}
@@ -89,6 +92,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the response is complete although its head states a body that the
+	 * library waits for.
+	 */
+	boolean statedBodyAbsent() {
+		return this.statedBodyAbsent;
+	}
+
 	/**
 	 * Returns whether the server has sent more than the response.
 	 */
@@ -179,7 +190,11 @@
 		if (status.interim()) {
 			beginHead();
 		}
-		else if (status.withoutBody() || this.method.equals("HEAD")) {
+		else if (this.method.equals("HEAD")) {
+			this.part = Part.COMPLETE;
+		}
+		else if (status.withoutBody()) {
+			this.statedBodyAbsent = framing.statesBytes();
 			this.part = Part.COMPLETE;
 		}
 		else {
--- a/protocol/src/test/java/org/wisteriapost/protocol/http/MalformedResponseTests.java
+++ b/protocol/src/test/java/org/wisteriapost/protocol/http/MalformedResponseTests.java
@@ -129,7 +129,8 @@
 		return Stream.of(OK + "Content-Length: 3\r\n\r\nbody", OK + "Content-Length: 0\r\n\r\nbody",
 				OK + LENGTH + "\r\nbody\r\n", OK + LENGTH + "\r\nbodyHTTP", OK + LENGTH + "\r\nbodyHTTPS/1.1 200 OK",
 				CHUNKED + CHUNKED + "4\r\nbody\r\n0\r\n\r\n4\r\nmore\r\n0\r\n\r\n",
-				OK + "Content-Length: 100000\r\n\r\n" + "x".repeat(100_001), "HTTP/1.1 204 No Content\r\n\r\nbody");
+				OK + "Content-Length: 100000\r\n\r\n" + "x".repeat(100_001), "HTTP/1.1 204 No Content\r\n\r\nbody",
+				"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\nbody");
 	}
 
 	static Stream<Arguments> sound() {
@@ -159,6 +160,13 @@
 				CHUNKED + "4\r\nbody\r\n0\r\n\r\n" + OK + LENGTH + "\r\nmore"));
 	}
 
+	static Stream<Arguments> withoutBody() {
+		return Stream.of("GET 204", "GET 304", "HEAD 200", "HEAD 404")
+			.flatMap((kind) -> Stream.of("", "Content-Length: 0\r\n", LENGTH, "Transfer-Encoding: chunked\r\n")
+				.map((header) -> Arguments.of(kind.split(" ")[0],
+						"HTTP/1.1 " + kind.split(" ")[1] + " X\r\n" + header + "\r\n")));
+	}
+
 	private static Stream<Arguments> inBothPaces(Stream<String> responses) {
 		return responses.flatMap((response) -> Stream.of(Arguments.of(response, false), Arguments.of(response, true)));
 	}
@@ -194,6 +202,20 @@
 		assertThat(new String(call("GET").body(), StandardCharsets.ISO_8859_1), equalTo("body"));
 	}
 
+	// Guards against a response that never has a body and whose length is waited for.
+	@ParameterizedTest
+	@MethodSource("withoutBody")
+	void responseWithoutBodyEndsWithItsHead(String method, String response) {
+		serve((socket) -> {
+			while (true) {
+				answer(socket, response, false);
+			}
+		});
+		for (int i = 0; i < 3; i++) {
+			assertThat(call(method).body().length, equalTo(0));
+		}
+	}
+
 	private HttpResponse call(String method) {
 		URI target = URI.create("http://127.0.0.1:" + this.server.getLocalPort() + "/");
 		return this.caller.call(HttpCall.of(method, target, TIMEOUT)).join();
