Fix: a request that came as a leaving entry decided to exit was passed on

A caller whose request arrived within milliseconds of the decision got no answer although a runner had begun to work on it. By reading; no play has shown it.

Cause: an entry that has had no request for 0.9 s decides to exit from 2.6 s after the signal on, and refuses requests from 2.9 s on only.

Change: what arrives after the decision is refused, and the decision stands (GracefulShutdownTests#refusesRequestsOnceTheProcessMayExit).

--- a/entry/src/main/java/org/wisteriapost/entry/direct/GracefulShutdown.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/GracefulShutdown.java
@@ -27,6 +27,8 @@
 
 	private boolean leaving;
 
+	private boolean exiting;
+
 	private long startNanos;
 
 	private long lastArrivalNanos = Long.MIN_VALUE / 2;
@@ -52,18 +54,21 @@
 	 * Returns whether new requests are refused.
 	 */
 	boolean refusesRequests(long nowNanos) {
-		return this.leaving && nowNanos - this.startNanos > ACCEPT_NANOS;
+		return this.exiting || (this.leaving && nowNanos - this.startNanos > ACCEPT_NANOS);
 	}
 
 	/**
-	 * Returns whether the process may exit.
+	 * Returns whether the process may exit, which does not change any more. A request
+	 * that arrived after that could be passed on and cut.
 	 * @param unanswered the number of requests whose answers are not known or not sent
 	 * whole
 	 */
 	boolean mayExit(int unanswered, long nowNanos) {
-		if (!this.leaving) {
-			return false;
-		}
+		this.exiting |= this.leaving && complete(unanswered, nowNanos);
+		return this.exiting;
+	}
+
+	private boolean complete(int unanswered, long nowNanos) {
 		long elapsed = nowNanos - this.startNanos;
 		if (elapsed > this.maxDrainNanos) {
 			return true;
--- a/entry/src/test/java/org/wisteriapost/entry/direct/GracefulShutdownTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/GracefulShutdownTests.java
@@ -33,6 +33,16 @@
 		assertThat(this.shutdown.mayExit(inProgress, millis * MILLI), Matchers.equalTo(mayExit));
 	}
 
+	// Guards against a request that is passed on after the process has decided to exit.
+	@Test
+	void refusesRequestsOnceTheProcessMayExit() {
+		this.shutdown.begin(0);
+		assertThat(this.shutdown.refusesRequests(2700 * MILLI), Matchers.is(false));
+		assertThat(this.shutdown.mayExit(0, 2700 * MILLI), Matchers.is(true));
+		assertThat(this.shutdown.refusesRequests(2700 * MILLI), Matchers.is(true));
+		assertThat(this.shutdown.mayExit(1, 2710 * MILLI), Matchers.is(true));
+	}
+
 	@Test
 	void refusesNothingBeforeShutdown() {
 		assertThat(this.shutdown.refusesRequests(Long.MAX_VALUE), Matchers.equalTo(false));
