Fix: requests that outlast the grace period were cut without an answer

Callers whose request was still waiting or running when the grace period of a leaving entry was nearly over got a closed connection, though the entry knew what to tell them.

Change: 200 ms before the entry has to exit it ends all requests: refused as not run where no runner can have begun, else 502; streams are cut visibly as before.

Evidence: requestThatOutlastsTheGracePeriodIsAnswered fails without the call in DirectState (scratch copy: connection closed) and passes with it, as does requestsEndWithTheirProcess.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectState.java
@@ -308,6 +308,9 @@
 	private void tick(long now) {
 		this.ticks++;
 		this.dispatcher.tick(now);
+		if (this.shutdown.endsRequests(now)) {
+			this.dispatcher.endAll(RequestAdmission.ENTRY_STOPPING, now);
+		}
 		this.dispatcher.quarantine().runnersToCheck(now).forEach(this.output::check);
 		this.announcer.tick(this.localView.routeTable(), now);
 		this.loadReports.ifPresent((reports) -> reports.tick(this.ticks, now, this.roster::loadReportReceivers,
--- a/entry/src/main/java/org/wisteriapost/entry/direct/GracefulShutdown.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/GracefulShutdown.java
@@ -23,6 +23,9 @@
 
 	private static final Duration KILL_MARGIN = Duration.ofMillis(400);
 
+	// For the last answers to be sent.
+	private static final long ANSWER_NANOS = Duration.ofMillis(200).toNanos();
+
 	private final long maxDrainNanos;
 
 	private boolean leaving;
@@ -57,6 +60,13 @@
 		return this.exiting || (this.leaving && nowNanos - this.startNanos > ACCEPT_NANOS);
 	}
 
+	/**
+	 * Returns whether requests in progress are ended, since their answers would be cut.
+	 */
+	boolean endsRequests(long nowNanos) {
+		return this.leaving && nowNanos - this.startNanos > this.maxDrainNanos - ANSWER_NANOS;
+	}
+
 	/**
 	 * Returns whether the process may exit, which does not change any more. A request
 	 * that arrived after that could be passed on and cut.
--- a/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/EntryOnSockets.java
@@ -187,6 +187,14 @@
 		assertThat(this.view.openAnswers().count(), Matchers.equalTo(0));
 	}
 
+	/**
+	 * Closes the connections, as a process does before it exits.
+	 */
+	void closeConnections() {
+		this.server.close();
+		this.client.close();
+	}
+
 	/**
 	 * Closes the entry and returns the lines that it has logged.
 	 */
--- a/entry/src/test/java/org/wisteriapost/entry/direct/GracefulShutdownTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/GracefulShutdownTests.java
@@ -43,6 +43,14 @@
 		assertThat(this.shutdown.mayExit(1, 2710 * MILLI), Matchers.is(true));
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "7300,false", "7500,true" })
+	void requestsEndBeforeTheProcessExits(long millis, boolean end) {
+		this.shutdown.begin(0);
+		assertThat(this.shutdown.endsRequests(millis * MILLI), Matchers.equalTo(end));
+		assertThat(this.shutdown.mayExit(1, millis * MILLI), Matchers.is(false));
+	}
+
 	@Test
 	void refusesNothingBeforeShutdown() {
 		assertThat(this.shutdown.refusesRequests(Long.MAX_VALUE), Matchers.equalTo(false));
--- a/entry/src/test/java/org/wisteriapost/entry/direct/SlowReaderShutdownTests.java
+++ b/entry/src/test/java/org/wisteriapost/entry/direct/SlowReaderShutdownTests.java
@@ -12,6 +12,7 @@
 
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.Test;
+import org.wisteriapost.protocol.http.HttpResponse;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 
@@ -60,6 +61,22 @@
 		}
 	}
 
+	// Guards against a request that is cut without an answer at the end of the grace
+	// period, while its runner still works on it.
+	@Test
+	void requestThatOutlastsTheGracePeriodIsAnswered() throws Exception {
+		try (ScriptedRunner runner = ScriptedRunner.start((one, request, socket) -> one.recordRun(request.attempt()));
+				EntryOnSockets entry = new EntryOnSockets(List.of(runner.address()))) {
+			CompletableFuture<HttpResponse> response = entry.request("/once/x", "a");
+			while (runner.runs().isEmpty()) {
+				TimeUnit.MILLISECONDS.sleep(10);
+			}
+			entry.leave().get(12, TimeUnit.SECONDS);
+			entry.closeConnections();
+			assertThat(response.get(12, TimeUnit.SECONDS).status(), Matchers.equalTo(502));
+		}
+	}
+
 	// Guards against an entry that waits for a caller that has left.
 	@Test
 	void callerThatLeavesDoesNotHoldTheProcess() throws Exception {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/CancelReason.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/CancelReason.java
@@ -15,6 +15,8 @@
 	/** The runner has not started the request before a newer weights version. */
 	NOT_STARTED_IN_TIME,
 	/** Another dispatch of the request has continued its answer. */
-	SUPERSEDED
+	SUPERSEDED,
+	/** This process is about to end. */
+	STOPPING
 
 }
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/Dispatcher.java
@@ -5,14 +5,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wisteriapost.kernel.Code;
 import org.wisteriapost.policy.fleet.RunnerInfo;
 import org.wisteriapost.policy.fleet.TargetWeights;
 import org.wisteriapost.policy.quarantine.RequestQuarantine;
-import org.wisteriapost.policy.routing.EngineSpec;
 import org.wisteriapost.policy.routing.RouteTable;
 
 /**
@@ -314,6 +313,18 @@
 		}
 	}
 
+	/**
+	 * Ends all requests, since this process is about to end.
+	 * @param code the reason
+	 */
+	public void endAll(Code code, long nowNanos) {
+		for (Job job : List.copyOf(this.jobs.values())) {
+			this.dispatches.cancelAll(job, CancelReason.STOPPING, nowNanos);
+			finish(job);
+			this.responses.endStopped(job, code);
+		}
+	}
+
 	/**
 	 * Applies timeouts and places waiting requests.
 	 */
@@ -338,25 +349,13 @@
 			endIfQuarantined(job, nowNanos);
 			return;
 		}
-		cancelUnstarted(job, nowNanos);
-		this.dispatches.watchSilence(job, nowNanos);
-		this.hedges.secondRunner(job, this.engineSpecs.of(job.service()), nowNanos)
-			.ifPresent((choice) -> send(job, choice, nowNanos));
-	}
-
-	// A dispatch is cancelled because of a weights switch, which is not a failure of the
-	// runner. It may have just started, so the request is sent to another runner only if
-	// it may run twice.
-	private void cancelUnstarted(Job job, long nowNanos) {
-		Optional<EngineSpec> engine = this.engineSpecs.of(job.service());
-		List<Dispatch> unstarted = job.openDispatches()
-			.stream()
-			.filter((dispatch) -> this.placement.startDeadlinePassed(dispatch, engine, nowNanos))
-			.toList();
-		unstarted.forEach((dispatch) -> this.dispatches.cancel(dispatch, CancelReason.NOT_STARTED_IN_TIME, nowNanos));
+		this.dispatches.cancelUnstarted(job, this.engineSpecs.of(job.service()), nowNanos);
 		if (job.openDispatches().isEmpty()) {
 			retryOrEnd(job, DispatchOutcome.BROKEN, nowNanos);
 		}
+		this.dispatches.watchSilence(job, nowNanos);
+		this.hedges.secondRunner(job, this.engineSpecs.of(job.service()), nowNanos)
+			.ifPresent((choice) -> send(job, choice, nowNanos));
 	}
 
 	private void retryOrEnd(Job job, DispatchOutcome outcome, long nowNanos) {
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/FinalResponses.java
@@ -40,6 +40,9 @@
 	static final Code RUN_BROKEN = Code.warning("run-broken",
 			"The runner's answer broke off and the request may not run again.");
 
+	// Another process can answer at once.
+	private static final long IMMEDIATE_RETRY_MILLIS = 20;
+
 	private final AdmissionPolicy admission;
 
 	private final Consumer<DispatchEffect> effects;
@@ -101,6 +104,17 @@
 				: this.admission.retryAfterMillis(job, nowNanos));
 	}
 
+	/**
+	 * Ends a request whose process is about to end.
+	 */
+	void endStopped(Job job, Code code) {
+		if (job.possibleRuns > 0) {
+			this.effects.accept(new DispatchEffect.Fail(job, code, false));
+			return;
+		}
+		this.effects.accept(new DispatchEffect.Refuse(job, code, IMMEDIATE_RETRY_MILLIS));
+	}
+
 	/**
 	 * Ends a request that is in quarantine.
 	 */
--- a/policy/src/main/java/org/wisteriapost/policy/dispatch/OpenDispatches.java
+++ b/policy/src/main/java/org/wisteriapost/policy/dispatch/OpenDispatches.java
@@ -124,6 +124,18 @@
 		dispatch.job.closed(dispatch);
 	}
 
+	/**
+	 * Cancels the dispatches that were not started before a weights switch, which is not
+	 * a failure of the runner. They may have just started, so the request is sent to
+	 * another runner only if it may run twice.
+	 */
+	void cancelUnstarted(Job job, Optional<EngineSpec> engine, long nowNanos) {
+		List.copyOf(job.openDispatches())
+			.stream()
+			.filter((dispatch) -> this.placement.startDeadlinePassed(dispatch, engine, nowNanos))
+			.forEach((dispatch) -> cancel(dispatch, CancelReason.NOT_STARTED_IN_TIME, nowNanos));
+	}
+
 	/**
 	 * Cancels all dispatches of a request.
 	 */
--- a/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
+++ b/policy/src/test/java/org/wisteriapost/policy/dispatch/LateRequestTests.java
@@ -159,4 +159,18 @@
 			.toList();
 	}
 
+	// Guards against requests without an answer when their process ends, and against one
+	// that is said not to have run although it may have.
+	@Test
+	void requestsEndWithTheirProcess() {
+		this.harness.arrive(DispatcherHarness.STREAM, 1000, 6000);
+		occupySlots(18);
+		this.harness.arrive(DispatcherHarness.STREAM, 1000, 6000);
+		assertThat(this.harness.effectNames(), Matchers.contains("Send:e1"));
+		this.harness.dispatcher.endAll(FinalResponses.NO_RUNNER, this.harness.nowNanos);
+		assertThat(this.harness.effectNames(),
+				Matchers.contains("Stop", "Fail:no-usable-runner", "Refuse:no-usable-runner"));
+		assertThat(this.harness.dispatcher.inProgress(), Matchers.is(0));
+	}
+
 }
