Test: damaged heads before a real entry, and before the product's own agents

ProcessFaultTests damages what the plain service sends, beside requests and a rollout: runner, agent, entry and caller are real.

--- a/app/src/test/java/org/wisteriapost/app/StrayAnswerTests.java
+++ b/app/src/test/java/org/wisteriapost/app/StrayAnswerTests.java
@@ -26,8 +26,8 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * A real entry before a runner that sends answers again or without an end, and sound
- * ones.
+ * A real entry before a runner that sends answers again, without an end or with a damaged
+ * head, and sound ones.
  */
 class StrayAnswerTests {
 
@@ -39,6 +39,8 @@
 
 	private static final int REQUESTS_PER_ROUND = 4;
 
+	private static final int MIN_DAMAGED = 4;
+
 	private static final int MAX_ROUNDS_UNTIL_READY = 400;
 
 	private final List<EmulatedRunner> runners = new ArrayList<>();
@@ -85,14 +87,16 @@
 	// Guards against an answer that belongs to another request, a request that is refused
 	// and has run, one that runs twice, and sound runners that are no longer reached.
 	@ParameterizedTest
-	@CsvSource({ "0.2, 0", "0, 0.1", "0.2, 0.1" })
-	void noRequestGetsAnAnswerThatIsNotItsOwn(double surplusShare, double endlessShare) throws Exception {
+	@CsvSource({ "0.2, 0, 0", "0, 0.1, 0", "0.2, 0.1, 0", "0, 0, 0.3", "0.1, 0.05, 0.2" })
+	void noRequestGetsAnAnswerThatIsNotItsOwn(double surplusShare, double endlessShare, double damagedShare)
+			throws Exception {
 		this.proxy.repeatAnswers(surplusShare);
 		this.proxy.sendWithoutEnd(endlessShare);
+		this.proxy.damageHeads(damagedShare);
 		int served = 0;
 		int sentRequests = 0;
 		for (int round = 0; round < ROUNDS
-				|| (!faultsPlayed(surplusShare, endlessShare) && round < MAX_ROUNDS); round++) {
+				|| (!faultsPlayed(surplusShare, endlessShare, damagedShare) && round < MAX_ROUNDS); round++) {
 			TimeUnit.MILLISECONDS.sleep(ROUND_PAUSE_MILLIS);
 			sentRequests += REQUESTS_PER_ROUND;
 			String path = (round % 2 == 0) ? "/lookup/x" : "/allocate/x";
@@ -113,13 +117,14 @@
 			}
 		}
 		assertThat(served, greaterThan(sentRequests * 3 / 4));
-		assertThat(faultsPlayed(surplusShare, endlessShare), equalTo(true));
+		assertThat(faultsPlayed(surplusShare, endlessShare, damagedShare), equalTo(true));
 	}
 
 	// An entry avoids the runner for a time after an answer that broke off.
-	private boolean faultsPlayed(double surplusShare, double endlessShare) {
+	private boolean faultsPlayed(double surplusShare, double endlessShare, double damagedShare) {
 		return (surplusShare == 0 || this.proxy.surplusAnswers() > 0)
-				&& (endlessShare == 0 || this.proxy.endlessAnswers() > 0);
+				&& (endlessShare == 0 || this.proxy.endlessAnswers() > 0)
+				&& (damagedShare == 0 || this.proxy.damagedAnswers() > MIN_DAMAGED);
 	}
 
 	/**
--- a/standin/src/test/java/org/wisteriapost/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/ProcessFaultTests.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterAll;
@@ -42,6 +43,14 @@
 
 	private static final long DISCONNECT_INTERVAL_MILLIS = 300;
 
+	// Of heads, where they tell the length of the body, and of the status.
+	private static final List<UnaryOperator<String>> DAMAGES = List.of(
+			(text) -> text.replaceFirst("Content-Length: \\d", "Content-Length: 1"),
+			(text) -> text.replaceFirst("Content-Length: \\d+", "Content-Length: 3"),
+			(text) -> text.replaceFirst("Content-Length: ", "Content-Length: 4\r\nContent-Length: "),
+			(text) -> text.replaceFirst("Content-Length: \\d+", "Transfer-Encoding: x"),
+			(text) -> text.replaceFirst(" 200 ", " 000 "));
+
 	private static final List<String> ENGINES = List.of("engine-1", "engine-2");
 
 	private static TestFleet fleet;
@@ -69,8 +78,9 @@
 		Stream<Arguments> processes = Stream.of("entry-1", "lm-1", "reg-1", "engine-1")
 			.flatMap((target) -> Stream.of(ProcessFault.values()).map((fault) -> Arguments.of(target, fault)));
 		// The plain service runs in the test process: only its connections can be
-		// closed.
-		return Stream.concat(processes, Stream.of(Arguments.of("plain-1", ProcessFault.CUT)));
+		// closed, and its answers damaged.
+		return Stream.concat(processes,
+				Stream.of(Arguments.of("plain-1", ProcessFault.CUT), Arguments.of("plain-1", ProcessFault.DAMAGE)));
 	}
 
 	// A fault of one process during requests and a rollout may cause rejections,
@@ -192,6 +202,16 @@
 					Thread.sleep(DISCONNECT_INTERVAL_MILLIS);
 				}
 			}
+		},
+		DAMAGE {
+			@Override
+			void inject(TestFleet fleet, String target) throws Exception {
+				for (UnaryOperator<String> damage : DAMAGES) {
+					fleet.changeReplies(target, damage);
+					Thread.sleep(DISCONNECT_INTERVAL_MILLIS);
+				}
+				fleet.changeReplies(target, UnaryOperator.identity());
+			}
 		};
 
 		abstract void inject(TestFleet fleet, String target) throws Exception;
--- a/standin/src/test/java/org/wisteriapost/standin/TcpProxy.java
+++ b/standin/src/test/java/org/wisteriapost/standin/TcpProxy.java
@@ -5,12 +5,14 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
 
 /**
- * TCP proxy in front of a process that can close all connections at once. The target may
- * move to another port.
+ * TCP proxy in front of a process that can close all connections at once and change what
+ * the process sends. The target may move to another port.
  */
 final class TcpProxy implements AutoCloseable {
 
@@ -24,6 +26,8 @@
 
 	private volatile int target;
 
+	private volatile UnaryOperator<String> change = UnaryOperator.identity();
+
 	private TcpProxy(String host, ServerSocket server) {
 		this.host = host;
 		this.server = server;
@@ -43,6 +47,13 @@
 		this.target = port;
 	}
 
+	/**
+	 * Changes each part of what the process sends from now on.
+	 */
+	void changeReplies(UnaryOperator<String> next) {
+		this.change = next;
+	}
+
 	void closeConnections() {
 		this.sockets.forEach(TcpProxy::close);
 		this.sockets.clear();
@@ -73,21 +84,22 @@
 			to.setTcpNoDelay(true);
 			this.sockets.add(from);
 			this.sockets.add(to);
-			Thread.startVirtualThread(() -> forward(from, to));
-			forward(to, from);
+			Thread.startVirtualThread(() -> forward(from, to, UnaryOperator.identity()));
+			forward(to, from, (text) -> this.change.apply(text));
 		}
 		catch (IOException ex) {
 			close(from);
 		}
 	}
 
-	private void forward(Socket from, Socket to) {
+	private void forward(Socket from, Socket to, UnaryOperator<String> changed) {
 		byte[] buffer = new byte[BUFFER_BYTES];
 		try {
 			InputStream in = from.getInputStream();
 			int count = in.read(buffer);
 			while (count >= 0) {
-				to.getOutputStream().write(buffer, 0, count);
+				String text = new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
+				to.getOutputStream().write(changed.apply(text).getBytes(StandardCharsets.ISO_8859_1));
 				count = in.read(buffer);
 			}
 		}
--- a/standin/src/test/java/org/wisteriapost/standin/TestFleet.java
+++ b/standin/src/test/java/org/wisteriapost/standin/TestFleet.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.ServiceLoader;
+import java.util.function.UnaryOperator;
 
 import org.wisteriapost.app.Main;
 import org.wisteriapost.kernel.command.Command;
@@ -112,6 +113,13 @@
 		Optional.ofNullable(this.proxies.get(name + HTTP)).ifPresent(TcpProxy::closeConnections);
 	}
 
+	/**
+	 * Changes what a process sends in response to calls.
+	 */
+	void changeReplies(String name, UnaryOperator<String> change) {
+		this.proxies.get(name).changeReplies(change);
+	}
+
 	TestProcess process(String name) {
 		return this.processes.get(name);
 	}
