Test: a planned stop waits a bounded time for its entry; damage only where heads are sent

PlannedStopTests would wait for ever for an entry that does not serve. ProcessFaultTests damaged the links of entries and agents too, which carry no heads.

--- a/app/src/test/java/org/wisteriapost/app/PlannedStopTests.java
+++ b/app/src/test/java/org/wisteriapost/app/PlannedStopTests.java
@@ -48,6 +48,8 @@
 
 	private static final int MAX_WAIT_MILLIS = 5000;
 
+	private static final long MAX_START_SECONDS = 60;
+
 	private static final Pattern LENGTH = Pattern.compile("content-length: (\\d+)");
 
 	// A caller may have sent a request just before its connection was closed.
@@ -82,6 +84,7 @@
 
 	@AfterEach
 	void close() throws Exception {
+		this.stopped.set(true);
 		this.entries.close();
 		this.site.close();
 	}
@@ -96,9 +99,7 @@
 		for (int i = 0; i < CALLERS; i++) {
 			callers.add(Thread.ofPlatform().start(() -> sendUntilStopped(keepConnections)));
 		}
-		while (this.sent.stream().filter((one) -> one.status.equals("200")).count() < CALLERS) {
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-		}
+		awaitAnswers();
 		this.entries.terminate(1);
 		this.stopped.set(true);
 		for (Thread caller : callers) {
@@ -127,6 +128,14 @@
 		}
 	}
 
+	private void awaitAnswers() throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_START_SECONDS);
+		while (this.sent.stream().filter((one) -> one.status.equals("200")).count() < CALLERS) {
+			assertThat("requests are served", System.nanoTime() < deadlineNanos);
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+	}
+
 	private boolean hasRun(String attempt) {
 		return this.runners.stream()
 			.flatMap((runner) -> runner.executedRequests().stream())
--- a/standin/src/test/java/org/wisteriapost/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/wisteriapost/standin/ProcessFaultTests.java
@@ -76,11 +76,12 @@
 
 	static Stream<Arguments> faults() {
 		Stream<Arguments> processes = Stream.of("entry-1", "lm-1", "reg-1", "engine-1")
-			.flatMap((target) -> Stream.of(ProcessFault.values()).map((fault) -> Arguments.of(target, fault)));
+			.flatMap((target) -> Stream.of(ProcessFault.KILL, ProcessFault.FREEZE, ProcessFault.CUT)
+				.map((fault) -> Arguments.of(target, fault)));
 		// The plain service runs in the test process: only its connections can be
 		// closed, and its answers damaged.
-		return Stream.concat(processes,
-				Stream.of(Arguments.of("plain-1", ProcessFault.CUT), Arguments.of("plain-1", ProcessFault.DAMAGE)));
+		return Stream.concat(processes, Stream.of(Arguments.of("plain-1", ProcessFault.CUT),
+				Arguments.of("plain-1", ProcessFault.DAMAGE), Arguments.of("engine-1", ProcessFault.DAMAGE)));
 	}
 
 	// A fault of one process during requests and a rollout may cause rejections,
