Fix: beside load, requests at the end of a planned stop still waited for an answer

Cause: two threads end the process. One closed the state thread, which refuses requests, while the other had not closed the connections yet; and at the halt the threads of links still waited in native code.

Change: connections are closed first, everything else after it, once, and the process halts when that is done.

--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectCommand.java
@@ -52,7 +52,7 @@
 	// sets 0.
 	private static void leave(DirectProcess process) {
 		process.leave().join();
-		process.closeConnections();
+		process.close();
 		Runtime.getRuntime().halt(ExitCodes.OK);
 	}
 
--- a/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
+++ b/entry/src/main/java/org/wisteriapost/entry/direct/DirectProcess.java
@@ -62,6 +62,8 @@
 
 	private final DecisionLog log;
 
+	private boolean closed;
+
 	private DirectProcess(PooledHttpClient caller, DirectOutput output, Links links, ScheduledExecutorService timer,
 			EventLoop<DirectEvent> loop, PeerLinkManager mesh, DirectHttpServer httpServer, AdminServer admin,
 			DirectView view, DecisionLog log) {
@@ -203,15 +205,18 @@
 		this.log.decision("settings-read", "outcome", outcome);
 	}
 
+	// While connections are open, requests are still refused.
 	@Override
-	public void close() {
+	public synchronized void close() {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		closeConnections();
 		this.timer.shutdownNow();
-		this.httpServer.close();
-		this.admin.close();
 		this.mesh.close();
 		this.loop.close();
 		this.links.close();
-		this.caller.close();
 		this.log.close();
 	}
 
